--- /dev/null
+++ b/src/robinthread/__main__.py
@@ -0,0 +1,14 @@
+"""Run robinthread from the command line."""
+
+import sys
+
+from robinthread._internal.cli.main import run_command_line
+
+
+def main() -> int:
+    """Run the command line and return the process's exit code."""
+    return run_command_line(sys.argv[1:])
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/src/robinthread/_internal/__init__.py
@@ -0,0 +1,1 @@
+"""Internals of robinthread: nothing here is a public interface."""
--- /dev/null
+++ b/src/robinthread/_internal/claims/__init__.py
@@ -0,0 +1,1 @@
+"""At-most-once claims for requests that must not be repeated."""
--- /dev/null
+++ b/src/robinthread/_internal/claims/claim_service.py
@@ -0,0 +1,194 @@
+"""Claims as a daemon uses and serves them."""
+
+import asyncio
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+from typing import Final
+
+from robinthread._internal.claims.claim import Claim, get_partition
+from robinthread._internal.claims.partition_owner import PartitionOwner, make_claim_refusal
+from robinthread._internal.models.daemon_member import DaemonMember
+from robinthread._internal.models.fleet_state import FleetState
+from robinthread._internal.peers.messages import ClaimAsk, ClaimRelease, ClaimReply, HolderAsk
+from robinthread._internal.peers.router import PeerRouter, PeerTimeoutError, Sender
+from robinthread._internal.platform_log.service import LogService
+from robinthread._internal.results import ResultCode
+from robinthread._internal.settings.claim_settings import ClaimSettings
+from robinthread._internal.telemetry.counters import Counters
+from robinthread._internal.utils.rendezvous import pick_by_rendezvous
+
+ASK_TRIES: Final = 3
+RETRY_S: Final = 0.1
+
+
+@dataclass(frozen=True)
+class ClaimContext:
+    """What the claims of a daemon need from it."""
+
+    name: str
+    hall: str
+    get_incarnation: Callable[[], str]
+    get_state: Callable[[], FleetState]
+    can_hear: Callable[[DaemonMember], bool]
+    make_id: Callable[[], str]
+    wall_clock: Callable[[], float]
+
+
+class ClaimService:
+    """Own partitions when it is this daemon's turn, and ask owners otherwise."""
+
+    def __init__(
+        self,
+        context: ClaimContext,
+        settings: ClaimSettings,
+        log: LogService,
+        router: PeerRouter,
+        counters: Counters,
+    ) -> None:
+        self._context = context
+        self._settings = settings
+        self._log = log
+        self._router = router
+        self._counters = counters
+        self._owners: dict[int, PartitionOwner] = {}
+        self._tasks: dict[int, asyncio.Task[None]] = {}
+        self._turns: tuple[frozenset[str], dict[int, str]] = (frozenset(), {})
+        router.on(ClaimAsk, self._on_ask)
+        router.on(HolderAsk, self._on_holder_ask)
+        router.on(ClaimRelease, self._on_release)
+
+    async def ask(self, claim: Claim, timeout_s: float) -> ClaimReply:
+        """Ask the owner of the key for a claim; any refusal means not claimed for us."""
+        ask = ClaimAsk(
+            claim.key,
+            claim.digest,
+            claim.expires_at_s,
+            claim.holder,
+            claim.incarnation,
+            claim.ask_id,
+        )
+        loop = asyncio.get_running_loop()
+        ends_at_s = loop.time() + timeout_s
+        for _ in range(ASK_TRIES):
+            owner = self._find_owner(claim.key)
+            if owner is None or not self._context.can_hear(owner):
+                return make_claim_refusal(ResultCode.CLAIM_OWNER_UNREACHABLE)
+            left_s = ends_at_s - loop.time()
+            if left_s <= 0:
+                break
+            reply = await self._ask_once(owner, ask, left_s)
+            if reply.code != ResultCode.CLAIM_OWNER_UNREACHABLE:
+                return reply
+            await asyncio.sleep(min(RETRY_S, max(0.0, left_s)))
+        return make_claim_refusal(ResultCode.CLAIM_OWNER_UNREACHABLE)
+
+    def release(self, claim: Claim) -> None:
+        """Tell the owner that the claim's request did not run and never will."""
+        owner = self._find_owner(claim.key)
+        if owner is not None:
+            message = ClaimRelease(claim.key, claim.holder, claim.incarnation, claim.ask_id)
+            self._router.tell(owner.peer_address, message)
+
+    async def find_holder(self, key: bytes) -> DaemonMember | None:
+        """Return the live daemon that holds the claim on ``key``, if there is one."""
+        owner = self._find_owner(key)
+        if owner is None:
+            return None
+        try:
+            reply = await self._router.ask(
+                owner.peer_address, HolderAsk(key), self._settings.claim_timeout_s
+            )
+        except PeerTimeoutError:
+            return None
+        assert isinstance(reply, ClaimReply)
+        member = self._context.get_state().daemons.get(reply.holder)
+        return member if member and member.incarnation == reply.incarnation else None
+
+    def adopt_turns(self) -> None:
+        """Take the partitions whose turn has come here; called on changes of members."""
+        turns = self._get_turns()
+        for partition in range(self._settings.claim_partitions):
+            is_ours = turns.get(partition) == self._context.name
+            owner = self._owners.get(partition)
+            task = self._tasks.get(partition)
+            if is_ours and (owner is None or task is None or task.done()):
+                self._start_owner(partition)
+
+    def count_held(self) -> int:
+        """Return the number of claims in this daemon's tables."""
+        return sum(len(owner.table) for owner in self._owners.values())
+
+    def close(self) -> None:
+        """Stop owning."""
+        for task in self._tasks.values():
+            task.cancel()
+
+    def _start_owner(self, partition: int) -> None:
+        settings = self._settings
+        owner = PartitionOwner(
+            partition,
+            self._log,
+            self._context.name,
+            self._context.get_incarnation(),
+            self._context.make_id,
+            self._context.wall_clock,
+            settings.claim_partitions / settings.claim_appends_per_s,
+            settings.clock_skew_s,
+            settings.claims_max // settings.claim_partitions,
+            self._counters,
+        )
+        self._owners[partition] = owner
+        self._tasks[partition] = asyncio.get_running_loop().create_task(owner.run())
+
+    def _find_owner(self, key: bytes) -> DaemonMember | None:
+        partition = get_partition(key, self._settings.claim_partitions)
+        return self._context.get_state().daemons.get(self._get_turns().get(partition, ""))
+
+    def _get_turns(self) -> dict[int, str]:
+        state = self._context.get_state()
+        names = frozenset(_iter_eligible(state))
+        if self._turns[0] != names:
+            self._turns = (names, make_turns(names, self._settings.claim_partitions))
+        return self._turns[1]
+
+    async def _ask_once(self, owner: DaemonMember, ask: ClaimAsk, timeout_s: float) -> ClaimReply:
+        try:
+            reply = await self._router.ask(owner.peer_address, ask, timeout_s)
+        except PeerTimeoutError:
+            return make_claim_refusal(ResultCode.CLAIM_OWNER_UNREACHABLE)
+        assert isinstance(reply, ClaimReply)
+        return reply
+
+    async def _on_ask(self, sender: Sender, ask: ClaimAsk) -> ClaimReply:
+        owner = self._owners.get(get_partition(ask.key, self._settings.claim_partitions))
+        if owner is None:
+            return make_claim_refusal(ResultCode.CLAIM_OWNER_UNREACHABLE)
+        return await owner.claim(
+            Claim(ask.key, ask.digest, ask.expires_at_s, ask.holder, ask.incarnation, ask.ask_id)
+        )
+
+    async def _on_holder_ask(self, sender: Sender, ask: HolderAsk) -> ClaimReply:
+        owner = self._owners.get(get_partition(ask.key, self._settings.claim_partitions))
+        held = owner.table.get(ask.key) if owner else None
+        if held is None:
+            return ClaimReply(ResultCode.NOT_FOUND)
+        return ClaimReply(ResultCode.OK, held.holder, held.incarnation)
+
+    async def _on_release(self, sender: Sender, release: ClaimRelease) -> None:
+        owner = self._owners.get(get_partition(release.key, self._settings.claim_partitions))
+        if owner is not None:
+            owner.release(release.key, release.holder, release.incarnation, release.ask_id)
+
+
+def _iter_eligible(state: FleetState) -> Iterable[str]:
+    outside = [m.name for m in state.daemons.values() if m.hall not in state.cut_halls]
+    return outside or list(state.daemons)
+
+
+def make_turns(names: Iterable[str], partitions: int) -> dict[int, str]:
+    """Return the daemon whose turn each partition is."""
+    ordered = sorted(names)
+    return {
+        partition: pick_by_rendezvous(f"claims-{partition}", ordered)
+        for partition in range(partitions)
+    }
--- /dev/null
+++ b/src/robinthread/_internal/claims/table.py
@@ -0,0 +1,60 @@
+"""Claims of one partition, as its stream's order gives them."""
+
+import heapq
+
+from robinthread._internal.claims.claim import Claim
+from robinthread._internal.claims.records import PartitionRecord, PartitionTaken
+
+NO_EPOCH = -1
+
+
+class ClaimTable:
+    """Fold a partition's records; every reader of the stream gets the same table."""
+
+    def __init__(self) -> None:
+        self.epoch = NO_EPOCH
+        self.owner_id = ""
+        self.next_offset = 0
+        self._held: dict[bytes, Claim] = {}
+        self._expiries: list[tuple[float, bytes]] = []
+
+    def __len__(self) -> int:
+        return len(self._held)
+
+    def fold(self, offset: int, record: PartitionRecord) -> bool:
+        """Fold the record at ``offset``; return whether it was valid there."""
+        self.next_offset = offset + 1
+        if isinstance(record, PartitionTaken):
+            self.epoch = offset
+            self.owner_id = record.id
+            return True
+        if record.epoch != self.epoch:
+            return False
+        for claim in record.claims:
+            self._held[claim.key] = claim
+            heapq.heappush(self._expiries, (claim.expires_at_s, claim.key))
+        return True
+
+    def get(self, key: bytes) -> Claim | None:
+        """Return the claim on ``key``, if one is held."""
+        return self._held.get(key)
+
+    def release(self, key: bytes, holder: str, incarnation: str, ask_id: int) -> bool:
+        """Drop a claim that its holder says did not run; return whether it was held."""
+        held = self._held.get(key)
+        if held is None or (held.holder, held.incarnation, held.ask_id) != (
+            holder,
+            incarnation,
+            ask_id,
+        ):
+            return False
+        del self._held[key]
+        return True
+
+    def drop_expired(self, now_s: float) -> None:
+        """Drop claims that expired before ``now_s``."""
+        while self._expiries and self._expiries[0][0] < now_s:
+            _, key = heapq.heappop(self._expiries)
+            held = self._held.get(key)
+            if held is not None and held.expires_at_s < now_s:
+                del self._held[key]
--- /dev/null
+++ b/src/robinthread/_internal/cli/__init__.py
@@ -0,0 +1,1 @@
+"""Command line: parsing of verbs, flags and exit codes."""
--- /dev/null
+++ b/src/robinthread/_internal/commands/__init__.py
@@ -0,0 +1,1 @@
+"""Operators' verbs, one module each."""
--- /dev/null
+++ b/src/robinthread/_internal/commands/change.py
@@ -0,0 +1,129 @@
+"""Make an operators' call, show its reply, and wait until it is in force."""
+
+import asyncio
+import secrets
+import time
+from pathlib import Path
+from typing import Any, Final
+
+from google.protobuf import json_format
+from tqdm import tqdm
+
+from robinthread._internal.cli.exit_code import get_exit_code
+from robinthread._internal.commands.client import Target, call, call_async
+from robinthread._internal.operators import robinthread_pb2 as pb
+from robinthread._internal.results import Fault, FaultError, ResultCode, make_fault
+
+POLL_S: Final = 0.25
+ENDED_STATES: Final = ("done", "cancelled")
+
+
+def run_change(
+    method: str,
+    fields: dict[str, Any],
+    target: Target,
+    is_json: bool,
+    wait_s: float = 0.0,
+    follow_wave: str = "",
+) -> int:
+    """Make the call; return the exit code of its result code."""
+    if "operation_id" in fields and not fields["operation_id"]:
+        fields = {**fields, "operation_id": secrets.token_hex(8)}
+    reply = call(target, method, fields)
+    outcome = reply if isinstance(reply, pb.Outcome) else getattr(reply, "outcome", None)
+    code = ResultCode(outcome.code) if outcome is not None and outcome.code else ResultCode.OK
+    if not code.is_success:
+        raise FaultError(Fault(code, _explain(outcome)))
+    _show(reply, is_json)
+    if wait_s and outcome is not None:
+        return _wait_in_force(target, outcome.version, wait_s)
+    if follow_wave:
+        return _follow_wave(target, follow_wave)
+    return get_exit_code(code)
+
+
+def read_text(path: str) -> str:
+    """Read an operator's file; raise ``FaultError``."""
+    try:
+        return Path(path).read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        raise FaultError(make_fault(ResultCode.BAD_ARGUMENT, f"{path}: {error}")) from error
+
+
+def to_json(message: Any) -> str:
+    """Return a message as JSON with the schema's field names."""
+    return json_format.MessageToJson(
+        message, preserving_proto_field_name=True, always_print_fields_with_no_presence=True
+    )
+
+
+def _explain(outcome: Any) -> str:
+    version = f" The current version is {outcome.version}." if outcome.version else ""
+    return outcome.message + version
+
+
+def _show(reply: Any, is_json: bool) -> None:
+    if is_json:
+        print(to_json(reply))
+    elif isinstance(reply, pb.Outcome):
+        print(f"{reply.name.lower()}, version {reply.version}")
+    elif isinstance(reply, pb.WavePlan):
+        _show_plan(reply)
+    elif isinstance(reply, pb.ConfigHistory):
+        for entry in reply.versions:
+            name = ResultCode(entry.code).name.lower() if entry.code else "not known any more"
+            print(f"version {entry.version}: {name}, {len(entry.text)} characters")
+
+
+def _show_plan(plan: Any) -> None:
+    for step in plan.steps:
+        print(f"{step.start_s:10.1f} s  {step.host}  back at {step.returned_s:.1f} s")
+    print(f"roll-out    {plan.rollout_s:10.1f} s       bound {plan.rollout_bound_s:10.1f}")
+    print(f"buffer cost {plan.buffer_slot_s:10.1f} slot s  bound {plan.buffer_bound_slot_s:10.1f}")
+    print(f"moves       {plan.moves:10d}         bound {plan.moves_bound:10d}")
+    if plan.advice:
+        print(plan.advice)
+
+
+def _wait_in_force(target: Target, version: int, wait_s: float) -> int:
+    """Wait until every heard daemon has applied the log up to ``version``."""
+    ends_at_s = time.monotonic() + wait_s
+    while True:
+        status = call(target, "GetStatus", {})
+        late = [d.name for d in status.daemons if d.is_heard and d.next_offset <= version]
+        unheard = [d.name for d in status.daemons if not d.is_heard]
+        if not late:
+            print(f"in force on {len(status.daemons) - len(unheard)} daemons")
+            _tell_unheard(unheard, list(status.cut_halls))
+            return 0
+        if time.monotonic() > ends_at_s:
+            what = f"Not yet in force on {', '.join(late)}"
+            raise FaultError(make_fault(ResultCode.TIMED_OUT, what))
+        time.sleep(POLL_S)
+
+
+def _tell_unheard(unheard: list[str], cut_halls: list[str]) -> None:
+    if unheard:
+        print(f"not heard: {', '.join(unheard)}")
+    if cut_halls:
+        print(f"halls cut off: {', '.join(cut_halls)}")
+
+
+def _follow_wave(target: Target, name: str) -> int:
+    """Show a wave's progress until it ends."""
+
+    async def follow() -> None:
+        with tqdm(unit="host", desc=name) as bar:
+            while True:
+                status = await call_async(target, "GetStatus", {})
+                wave = next((wave for wave in status.waves if wave.name == name), None)
+                if wave is not None:
+                    bar.total = wave.hosts
+                    bar.set_postfix_str(wave.waits_for[:60])
+                    bar.update(wave.done - bar.n)
+                    if wave.state in ENDED_STATES:
+                        return
+                await asyncio.sleep(POLL_S)
+
+    asyncio.run(follow())
+    return 0
--- /dev/null
+++ b/src/robinthread/_internal/commands/config_check.py
@@ -0,0 +1,23 @@
+"""Check a daemon's settings file."""
+
+from returns.result import Success
+
+from robinthread._internal.commands.change import read_text
+from robinthread._internal.results import FaultError
+from robinthread._internal.settings.daemon_settings import DaemonSettings
+from robinthread._internal.settings.parse import parse_settings
+
+
+def read_settings(path: str) -> DaemonSettings:
+    """Read and check a settings file; raise ``FaultError`` that names every fault."""
+    result = parse_settings(read_text(path), path)
+    if isinstance(result, Success):
+        return result.unwrap()
+    raise FaultError(result.failure())
+
+
+def run_config_check(path: str) -> int:
+    """Tell whether the file is good."""
+    settings = read_settings(path)
+    print(f"{path} is good: daemon {settings.name} in {settings.hall}")
+    return 0
--- /dev/null
+++ b/src/robinthread/_internal/commands/daemon.py
@@ -0,0 +1,17 @@
+"""Run a daemon."""
+
+import asyncio
+
+from absl import logging
+
+from robinthread._internal.commands.config_check import read_settings
+from robinthread._internal.daemon.process import run_daemon
+
+
+def run_daemon_command(path: str) -> int:
+    """Run a daemon with the settings at ``path`` until it is told to stop."""
+    settings = read_settings(path)
+    logging.set_verbosity(logging.INFO)
+    logging.use_absl_handler()
+    asyncio.run(run_daemon(settings))
+    return 0
--- /dev/null
+++ b/src/robinthread/_internal/commands/standin.py
@@ -0,0 +1,67 @@
+"""Run stand-ins for the platform as processes."""
+
+import asyncio
+import signal
+import tomllib
+from collections.abc import Callable
+
+import msgspec
+from tornado.web import Application
+
+from robinthread._internal.commands.change import read_text
+from robinthread._internal.daemon.process import Listener
+from robinthread._internal.follow.host_list import ListedHost
+from robinthread._internal.results import FaultError, ResultCode, make_fault
+from robinthread._internal.standins.host_list_standin import HostListStandin
+from robinthread._internal.standins.http_servers import (
+    make_platform_application,
+    make_worker_application,
+)
+from robinthread._internal.standins.ledger import Ledger
+from robinthread._internal.standins.log_standin import LogStandin
+from robinthread._internal.standins.worker_standin import WorkerStandin
+
+BODY_MAX_BYTES = 64_000_000
+
+
+def run_platform(listen: str, hosts_file: str) -> int:
+    """Serve the log and the host list."""
+    hosts = _read_hosts(hosts_file) if hosts_file else ()
+
+    def make() -> Application:
+        host_list = HostListStandin()
+        host_list.set_hosts(hosts)
+        return make_platform_application(LogStandin(), host_list)
+
+    asyncio.run(_serve(listen, make))
+    return 0
+
+
+def run_worker(name: str, listen: str, slots: int, reboot_s: float) -> int:
+    """Serve one worker."""
+    asyncio.run(
+        _serve(
+            listen,
+            lambda: make_worker_application(WorkerStandin(name, slots, Ledger(), reboot_s)),
+        )
+    )
+    return 0
+
+
+async def _serve(listen: str, make: Callable[[], Application]) -> None:
+    listener = Listener(listen)
+    listener.serve(make(), BODY_MAX_BYTES)
+    print(f"listening on {listener.address}", flush=True)
+    stopped = asyncio.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        asyncio.get_running_loop().add_signal_handler(number, stopped.set)
+    await stopped.wait()
+    await listener.close()
+
+
+def _read_hosts(path: str) -> tuple[ListedHost, ...]:
+    try:
+        raw = tomllib.loads(read_text(path))
+        return msgspec.convert(raw.get("host", []), tuple[ListedHost, ...])
+    except (tomllib.TOMLDecodeError, msgspec.ValidationError) as error:
+        raise FaultError(make_fault(ResultCode.BAD_ARGUMENT, f"{path}: {error}")) from error
--- /dev/null
+++ b/src/robinthread/_internal/daemon/__init__.py
@@ -0,0 +1,1 @@
+"""The daemon: its tasks and how they are wired."""
--- /dev/null
+++ b/src/robinthread/_internal/daemon/daemon.py
@@ -0,0 +1,370 @@
+"""The daemon: one of a kind on every entry host."""
+
+import asyncio
+from collections.abc import Coroutine
+from typing import Any, Final
+
+from absl import logging
+from returns.result import Result, Success
+
+from robinthread._internal.claims.claim_service import ClaimContext, ClaimService
+from robinthread._internal.daemon.environment import Environment
+from robinthread._internal.daemon.host_list_task import follow_host_list
+from robinthread._internal.dispatch.dispatch_service import DispatchService
+from robinthread._internal.dispatch.dispatcher import DispatchContext
+from robinthread._internal.entry.entry_service import EntryContext, EntryService
+from robinthread._internal.fold.folder import FoldedRecord, make_digest
+from robinthread._internal.fold.kinds.daemon_joined import DaemonJoined
+from robinthread._internal.fold.kinds.daemon_left import DaemonLeft
+from robinthread._internal.follow.follower import Follower, LogTruncatedError
+from robinthread._internal.follow.publisher import Author, Publisher
+from robinthread._internal.models.daemon_member import DaemonMember
+from robinthread._internal.models.fleet_state import FleetState
+from robinthread._internal.peers.messages import ImageAsk, ImageReply
+from robinthread._internal.peers.presence import Presence, PresenceContext
+from robinthread._internal.peers.router import PeerRouter, PeerTimeoutError, Sender
+from robinthread._internal.platform_log.errors import LogReplyLostError, LogUnavailableError
+from robinthread._internal.results import Fault, ResultCode
+from robinthread._internal.settings.daemon_settings import DaemonSettings
+from robinthread._internal.snapshots.snapshot import decode_snapshot, encode_snapshot
+from robinthread._internal.snapshots.store import read_newest_snapshot, write_snapshot
+from robinthread._internal.timeline.event_ring import EventRing
+from robinthread._internal.timeline.hybrid_clock import HybridClock
+from robinthread._internal.utils.rendezvous import pick_by_rendezvous
+from robinthread._internal.waves.measures import WaveMeasures
+from robinthread._internal.waves.steward import Steward, StewardContext
+
+ID_BITS: Final = 64
+FRAME_ID_BITS: Final = 40
+PUBLISH_TIMEOUT_S: Final = 5.0
+REJOIN_S: Final = 0.5
+START_RETRY_S: Final = 0.5
+
+
+class Daemon:
+    """Everything that runs on one entry host, wired together."""
+
+    def __init__(self, settings: DaemonSettings, environment: Environment) -> None:
+        self.settings = settings
+        self.environment = environment
+        self.incarnation = f"{environment.random.getrandbits(ID_BITS):016x}"
+        self.is_halted = False
+        self.is_stopping = False
+        self.counters = environment.counters
+        clock = HybridClock(environment.wall_clock)
+        self.events = EventRing(settings.name, settings.hall, clock, settings.events_max)
+        self.follower = Follower(environment.log, self.counters)
+        self.events.get_next_offset = lambda: self.state.next_offset
+        self.router = PeerRouter(
+            settings.name,
+            environment.peers,
+            clock,
+            self.counters,
+            environment.random.getrandbits(FRAME_ID_BITS) + 1,
+        )
+        self.publisher = Publisher(
+            environment.log,
+            Author(settings.name, self.incarnation),
+            lambda: self.state.next_offset,
+            lambda record_id: self.follower.folder.get_outcome(record_id),
+            self._make_id,
+            self.counters,
+        )
+        self.measures = WaveMeasures()
+        self.presence = self._make_presence()
+        self.claims = self._make_claims()
+        self.dispatch = self._make_dispatch()
+        self.entry = self._make_entry()
+        self.steward = self._make_steward()
+        self._digest: tuple[int, str] = (-1, "")
+        self._join_task: asyncio.Task[None] | None = None
+        self._snapshot_offset = 0
+        self._tasks: list[asyncio.Task[None]] = []
+        self.follower.watch(self._on_folded)
+        self.router.on(ImageAsk, self._on_image_ask)
+
+    @property
+    def state(self) -> FleetState:
+        """Return the fleet state folded so far."""
+        return self.follower.state
+
+    @property
+    def is_ready(self) -> bool:
+        """Tell whether callers' requests are taken."""
+        return self.follower.is_ready and not self.is_halted and not self.is_stopping
+
+    @property
+    def is_fresh(self) -> bool:
+        """Tell whether the log was heard of late."""
+        limit_s = self.settings.platform.freshness_limit_s
+        return self.follower.is_ready and self.follower.get_lag_s() < limit_s
+
+    async def start(self) -> None:
+        """Start all tasks; return once the daemon is ready and a member."""
+        self._start_task(self.router.run())
+        await self._catch_up()
+        self._start_task(self._follow())
+        self._start_task(self.publisher.run())
+        while not self.follower.is_ready:
+            await asyncio.sleep(START_RETRY_S / 10)
+        self._start_task(self.presence.run())
+        self._start_task(self.steward.run())
+        self._start_task(follow_host_list(self))
+        self._start_task(self._write_snapshots())
+        self._ensure_joined()
+        logging.info("daemon %s ready at offset %d", self.settings.name, self.state.next_offset)
+
+    async def wait_until_member(self) -> None:
+        """Wait until the joining record is folded."""
+        while not self.is_member:
+            await asyncio.sleep(START_RETRY_S / 10)
+
+    @property
+    def is_member(self) -> bool:
+        """Tell whether this incarnation is a member of the fleet."""
+        member = self.state.daemons.get(self.settings.name)
+        return member is not None and member.incarnation == self.incarnation
+
+    async def stop(self) -> None:
+        """Stop as planned: not ready, wait, finish what was accepted, hand over, leave."""
+        stop = self.settings.stop
+        self.is_stopping = True
+        logging.info("daemon %s stops", self.settings.name)
+        self.events.note("stopping", self.settings.name)
+        await asyncio.sleep(stop.balancer_grace_s)
+        self.entry.is_stopping = True
+        try:
+            await asyncio.wait_for(self.entry.wait_until_idle(), stop.finish_timeout_s)
+        except TimeoutError:
+            self.counters.add("stops_cut_short")
+        await self.publish(DaemonLeft(self.settings.name, self.incarnation))
+        self.presence.say_goodbye()
+        await asyncio.sleep(stop.farewell_s)
+        self.close()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    def close(self) -> None:
+        """End at once, as a crash would."""
+        self.dispatch.close()
+        self.steward.close()
+        self.claims.close()
+        if self._join_task is not None:
+            self._join_task.cancel()
+        for task in self._tasks:
+            task.cancel()
+        self.router.close()
+
+    async def publish(
+        self, body: object, record_id: str = "", timeout_s: float = PUBLISH_TIMEOUT_S
+    ) -> Result[FoldedRecord, Fault]:
+        """Publish a record in the fleet stream."""
+        return await self.publisher.publish(body, timeout_s, record_id)
+
+    async def _publish_quietly(self, body: object) -> None:
+        await self.publish(body)
+
+    def _start_task(self, work: Coroutine[Any, Any, None]) -> None:
+        self._tasks.append(asyncio.get_running_loop().create_task(work))
+
+    def _make_id(self) -> str:
+        return f"{self.environment.random.getrandbits(ID_BITS):016x}"
+
+    async def _follow(self) -> None:
+        while True:
+            try:
+                await self.follower.run()
+            except LogTruncatedError as error:
+                logging.warning("%s; catching up from a snapshot", error)
+                await self._catch_up()
+                await asyncio.sleep(START_RETRY_S)
+
+    async def _catch_up(self) -> None:
+        """Start from the newest snapshot, or with the platform out from a peer."""
+        try:
+            snapshot = await read_newest_snapshot(self.environment.log)
+            if snapshot is not None:
+                self.follower.take_image(snapshot.image)
+                self.follower.is_ready = False
+            return
+        except (LogUnavailableError, LogReplyLostError):
+            self.counters.add("snapshot_reads_failed")
+        await self._ask_images()
+
+    async def _ask_images(self) -> None:
+        for address in self.settings.peer_seeds:
+            try:
+                reply = await self.router.ask(
+                    address, ImageAsk(), self.settings.peers.ask_timeout_s
+                )
+            except PeerTimeoutError:
+                continue
+            assert isinstance(reply, ImageReply)
+            snapshot = decode_snapshot(reply.data) if reply.data else None
+            if snapshot is not None:
+                self.follower.take_image(snapshot.image)
+
+    async def _on_image_ask(self, sender: Sender, ask: ImageAsk) -> ImageReply:
+        if not self.follower.is_ready or self.is_halted:
+            return ImageReply(b"")
+        return ImageReply(encode_snapshot(self.follower.folder.make_image()))
+
+    def _on_folded(self, folded: tuple[FoldedRecord, ...]) -> None:
+        for record in folded:
+            self.publisher.settle(record)
+            self._note_folded(record)
+        if not self.follower.is_ready:
+            return
+        self.measures.note_state(self.state)
+        self._refresh_digest()
+        self.claims.adopt_turns()
+        self.dispatch.adopt_state()
+        if not self.is_member and not self.is_stopping:
+            self._ensure_joined()
+
+    def _note_folded(self, record: FoldedRecord) -> None:
+        if record.code is not ResultCode.OK:
+            self.counters.add("records_void")
+            return
+        subject = getattr(record.body, "host", "") or getattr(record.body, "name", "")
+        self.events.note(record.kind, subject, getattr(record.body, "wave", ""))
+
+    def _refresh_digest(self) -> None:
+        every = self.settings.peers.digest_every_records
+        due = self.state.next_offset // every
+        if due and due != self._digest[0] // every and self.state.next_offset % every == 0:
+            image = self.follower.folder.make_image()
+            self._digest = (self.state.next_offset, make_digest(image))
+
+    def _check_digest(self, name: str, offset: int, digest: str) -> None:
+        if offset != self._digest[0] or not digest or digest == self._digest[1]:
+            return
+        if not self.is_halted:
+            logging.error("digest at %d differs from %s's: no longer acting", offset, name)
+        self.is_halted = True
+        self.events.note("digest_differs", name, str(offset))
+
+    def _ensure_joined(self) -> None:
+        if self._join_task is None or self._join_task.done():
+            self._join_task = asyncio.get_running_loop().create_task(self._join())
+
+    async def _join(self) -> None:
+        while not self.is_member and not self.is_stopping:
+            joined = DaemonJoined(
+                self.settings.name,
+                self.incarnation,
+                self.settings.hall,
+                self.router.address,
+                self.environment.operator_address,
+            )
+            result = await self.publish(joined)
+            if not isinstance(result, Success):
+                await asyncio.sleep(REJOIN_S)
+
+    async def _write_snapshots(self) -> None:
+        """Write a snapshot each time it is this daemon's turn."""
+        every = self.settings.platform.snapshot_every_records
+        while True:
+            await asyncio.sleep(START_RETRY_S)
+            number = self.state.next_offset // every
+            turn = pick_by_rendezvous(f"snapshot-{number}", self.state.daemons)
+            if number == self._snapshot_offset // every or turn != self.settings.name:
+                continue
+            try:
+                size = await write_snapshot(self.environment.log, self.follower.folder.make_image())
+            except (LogUnavailableError, LogReplyLostError):
+                self.counters.add("snapshot_writes_failed")
+                continue
+            self._snapshot_offset = self.state.next_offset
+            self.counters.add("snapshots_written")
+            self.counters.add("snapshot_bytes", size)
+
+    def _can_hear(self, member: DaemonMember) -> bool:
+        return self.presence.can_hear(member)
+
+    def _make_presence(self) -> Presence:
+        context = PresenceContext(
+            self.settings.name,
+            self.settings.hall,
+            lambda: self.incarnation,
+            lambda: self.state,
+            lambda: self.is_fresh,
+            self._publish_quietly,
+            lambda: self._digest,
+            self._check_digest,
+        )
+        return Presence(context, self.settings.peers, self.router)
+
+    def _make_claims(self) -> ClaimService:
+        context = ClaimContext(
+            self.settings.name,
+            self.settings.hall,
+            lambda: self.incarnation,
+            lambda: self.state,
+            self._can_hear,
+            self._make_id,
+            self.environment.wall_clock,
+        )
+        return ClaimService(
+            context, self.settings.claims, self.environment.log, self.router, self.counters
+        )
+
+    def _make_dispatch(self) -> DispatchService:
+        context = DispatchContext(
+            self.settings.hall,
+            lambda: self.state,
+            self.environment.upstream,
+            self.router,
+            self.environment.wall_clock,
+            self._make_id,
+            self.counters,
+            self.events,
+        )
+        return DispatchService(
+            self.settings.name,
+            context,
+            self.settings.dispatch,
+            self._can_hear,
+            self._publish_quietly,
+        )
+
+    def _make_entry(self) -> EntryService:
+        context = EntryContext(
+            self.settings.name,
+            self.settings.hall,
+            lambda: self.incarnation,
+            lambda: self.state,
+            lambda: self.follower.is_ready and not self.is_halted,
+            self._can_hear,
+            self.environment.upstream,
+            self.router,
+            self.environment.wall_clock,
+            self.environment.random,
+            self.counters,
+            self.events,
+        )
+        return EntryService(
+            context, self.settings.entry, self.settings.claims, self.claims, self.dispatch
+        )
+
+    def _make_steward(self) -> Steward:
+        context = StewardContext(
+            self.settings.hall,
+            lambda: self.state,
+            lambda: self.is_fresh and not self.is_halted,
+            lambda: self.dispatch.dispatchers,
+            self._owns_free_hosts,
+            self.publish,
+            self.router.tell,
+            self.environment.upstream,
+            self.counters,
+            self.events,
+            self.measures,
+        )
+        return Steward(context, self.settings.waves)
+
+    def _owns_free_hosts(self) -> bool:
+        return self.is_hall_lead()
+
+    def is_hall_lead(self) -> bool:
+        """Tell whether this daemon follows the host list for its data hall."""
+        return self.dispatch.get_turn("", self.settings.hall) == self.settings.name
--- /dev/null
+++ b/src/robinthread/_internal/daemon/host_list_task.py
@@ -0,0 +1,58 @@
+"""Following the platform's host list for one data hall."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from tornado.httpclient import HTTPError
+
+from robinthread._internal.fold.kinds.host_arrived import HostArrived
+from robinthread._internal.fold.kinds.host_gone import HostGone
+from robinthread._internal.follow.host_list import ListedHost
+from robinthread._internal.models.host_phase import HostPhase
+
+if TYPE_CHECKING:
+    from robinthread._internal.daemon.daemon import Daemon
+
+
+async def follow_host_list(daemon: Daemon) -> None:
+    """Publish arrivals and departures of the hall's hosts while this daemon leads it.
+
+    The list lags, so a host that is missing from it is taken as gone only
+    once it also is free, out or failed.
+    """
+    while True:
+        if daemon.is_hall_lead() and daemon.is_fresh:
+            try:
+                listed = await daemon.environment.list_hosts()
+                await _publish_changes(daemon, listed)
+            except (OSError, HTTPError):
+                daemon.counters.add("host_list_failures")
+        await asyncio.sleep(daemon.settings.platform.host_list_interval_s)
+
+
+async def _publish_changes(daemon: Daemon, listed: tuple[ListedHost, ...]) -> None:
+    here = {host.name: host for host in listed if host.hall == daemon.settings.hall}
+    known = daemon.state.hosts
+    arrived = [
+        HostArrived(
+            host.name,
+            host.hall,
+            host.rack,
+            host.address,
+            host.slots,
+            host.connections,
+            host.accelerators,
+        )
+        for name, host in sorted(here.items())
+        if name not in known and not host.is_leaving
+    ]
+    gone = [
+        HostGone(host.name)
+        for host in known.values()
+        if host.hall == daemon.settings.hall
+        and host.name not in here
+        and host.phase in (HostPhase.FREE, HostPhase.FAILED, HostPhase.OUT)
+    ]
+    await asyncio.gather(*(daemon.publish(body) for body in [*arrived, *gone]))
--- /dev/null
+++ b/src/robinthread/_internal/dispatch/dispatch_service.py
@@ -0,0 +1,175 @@
+"""Dispatchers as a daemon runs them, and slots as it asks for them."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from typing import Final
+
+from robinthread._internal.dispatch.dispatcher import DispatchContext, Dispatcher
+from robinthread._internal.dispatch.slot_outcome import SlotOutcome
+from robinthread._internal.fold.kinds.host_failed import HostFailed
+from robinthread._internal.fold.kinds.host_recovered import HostRecovered
+from robinthread._internal.models.daemon_member import DaemonMember
+from robinthread._internal.models.host import Host
+from robinthread._internal.models.host_phase import HostPhase
+from robinthread._internal.peers.messages import (
+    AnyMessage,
+    SlotAsk,
+    SlotAskCancel,
+    SlotRelease,
+    SlotReply,
+)
+from robinthread._internal.peers.router import PeerTimeoutError, Sender
+from robinthread._internal.results import ResultCode
+from robinthread._internal.settings.dispatch_settings import DispatchSettings
+from robinthread._internal.upstream.errors import UpstreamLostError, UpstreamUnsentError
+from robinthread._internal.utils.rendezvous import pick_by_rendezvous
+
+FAILING_PHASES: Final = (HostPhase.SERVING, HostPhase.PERMITTED, HostPhase.DRAINING)
+
+
+class DispatchService:
+    """Run the dispatchers whose turn is here; ask the others for slots.
+
+    The dispatcher of a pool in a data hall is one of the hall's own daemons,
+    so a hall that is cut off goes on serving from its own hosts.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        context: DispatchContext,
+        settings: DispatchSettings,
+        can_hear: Callable[[DaemonMember], bool],
+        publish: Callable[[object], Awaitable[None]],
+    ) -> None:
+        self.dispatchers: dict[str, Dispatcher] = {}
+        self._name = name
+        self._context = context
+        self._settings = settings
+        self._can_hear = can_hear
+        self._publish = publish
+        self._watches: dict[str, asyncio.Task[None]] = {}
+        self._silent_since_s: dict[str, float] = {}
+        router = context.router
+        router.on(SlotAsk, self._on_ask)
+        router.on(SlotAskCancel, self._on_cancel)
+        router.on(SlotRelease, self._on_release)
+        router.on_late_reply(self._on_late_reply)
+
+    def adopt_state(self) -> None:
+        """Start, update and end dispatchers after a change of the fleet state."""
+        pools: dict[str, list[Host]] = {}
+        for _, host in sorted(self._context.get_state().hosts.items()):
+            if host.hall == self._context.hall and host.pool:
+                pools.setdefault(host.pool, []).append(host)
+        for pool, hosts in pools.items():
+            if self.get_turn(pool, self._context.hall) == self._name:
+                self._run_dispatcher(pool, tuple(hosts))
+        for pool in tuple(self.dispatchers):
+            turn = self.get_turn(pool, self._context.hall)
+            if pool not in pools or turn != self._name:
+                self.dispatchers.pop(pool).refuse_all(ResultCode.NOT_READY)
+
+    def get_turn(self, pool: str, hall: str) -> str:
+        """Return the daemon whose turn it is to dispatch ``pool`` in ``hall``."""
+        members = self._context.get_state().iter_hall_daemons(hall)
+        return pick_by_rendezvous(pool, [member.name for member in members])
+
+    async def ask(self, hall: str, ask: SlotAsk, timeout_s: float) -> SlotReply:
+        """Ask the dispatcher in ``hall`` for a slot."""
+        member = self._context.get_state().daemons.get(self.get_turn(ask.pool, hall))
+        if member is None or not self._can_hear(member):
+            return SlotReply(ResultCode.NO_HOST_REACHABLE, retry_after_s=1.0)
+        try:
+            reply = await self._context.router.ask(member.peer_address, ask, timeout_s)
+        except PeerTimeoutError:
+            return SlotReply(ResultCode.NO_HOST_REACHABLE, retry_after_s=1.0)
+        assert isinstance(reply, SlotReply)
+        return reply
+
+    def release(self, release: SlotRelease) -> None:
+        """Give a slot back to its dispatcher, whoever that is by now."""
+        turn = self.get_turn(release.pool, release.hall)
+        member = self._context.get_state().daemons.get(turn)
+        if member is not None:
+            self._context.router.tell(member.peer_address, release)
+
+    def close(self) -> None:
+        """End the watches."""
+        for task in self._watches.values():
+            task.cancel()
+
+    def _run_dispatcher(self, pool: str, hosts: tuple[Host, ...]) -> None:
+        dispatcher = self.dispatchers.get(pool)
+        if dispatcher is None:
+            dispatcher = self.dispatchers[pool] = Dispatcher(pool, self._context, self._settings)
+            self._context.events.note("dispatcher_started", pool)
+        dispatcher.update(hosts)
+        loop = asyncio.get_running_loop()
+        for host in hosts:
+            watch = self._watches.get(host.name)
+            if watch is None or watch.done():
+                self._watches[host.name] = loop.create_task(self._watch_host(pool, host.name))
+
+    async def _watch_host(self, pool: str, name: str) -> None:
+        """Follow one host: its reports, its failure and its return."""
+        await asyncio.sleep(self._settings.takeover_wait_s)
+        while True:
+            dispatcher = self.dispatchers.get(pool)
+            if dispatcher is None or name not in dispatcher.hosts:
+                return
+            await dispatcher.count_slots(name)
+            await self._follow_report(dispatcher, name)
+            await asyncio.sleep(self._settings.report_interval_s)
+
+    async def _follow_report(self, dispatcher: Dispatcher, name: str) -> None:
+        slots = dispatcher.hosts.get(name)
+        if slots is None:
+            return
+        now_s = asyncio.get_running_loop().time()
+        try:
+            report = await self._context.upstream.report(slots.host.address)
+        except (UpstreamUnsentError, UpstreamLostError):
+            await self._note_silence(slots.host, now_s)
+            return
+        self._silent_since_s.pop(name, None)
+        slots.reconcile(report.slots_in_use, now_s)
+        dispatcher.pump()
+        if slots.host.phase is HostPhase.FAILED:
+            await self._publish(HostRecovered(name, slots.host.token))
+
+    async def _note_silence(self, host: Host, now_s: float) -> None:
+        if host.phase not in FAILING_PHASES:
+            self._silent_since_s.pop(host.name, None)
+            return
+        since_s = self._silent_since_s.setdefault(host.name, now_s)
+        if now_s - since_s >= self._settings.host_fail_after_s:
+            self._context.events.note("host_silent", host.name, host.pool)
+            await self._publish(HostFailed(host.name, host.token))
+
+    async def _on_ask(self, sender: Sender, ask: SlotAsk) -> SlotReply:
+        dispatcher = self.dispatchers.get(ask.pool)
+        if dispatcher is None or ask.hall != self._context.hall:
+            return SlotReply(ResultCode.NOT_READY, retry_after_s=0.1)
+        return await dispatcher.ask(sender, ask)
+
+    async def _on_cancel(self, sender: Sender, cancel: SlotAskCancel) -> None:
+        dispatcher = self.dispatchers.get(cancel.pool)
+        if dispatcher is not None:
+            dispatcher.cancel(sender, cancel.ask_id)
+
+    async def _on_release(self, sender: Sender, release: SlotRelease) -> None:
+        dispatcher = self.dispatchers.get(release.pool)
+        if dispatcher is not None:
+            dispatcher.release(release)
+
+    def _on_late_reply(self, address: str, message: AnyMessage) -> None:
+        """Give back a lease whose asker has stopped waiting."""
+        if isinstance(message, SlotReply) and message.code == ResultCode.OK:
+            host = self._context.get_state().hosts.get(message.host)
+            if host is None:
+                return
+            release = SlotRelease(
+                host.pool, host.hall, message.lease_id, host.name, SlotOutcome.UNUSED, 0.0, b""
+            )
+            self._context.router.tell(address, release)
--- /dev/null
+++ b/src/robinthread/_internal/dispatch/dispatcher.py
@@ -0,0 +1,339 @@
+"""The dispatcher of one pool in one data hall."""
+
+import asyncio
+import itertools
+from collections import Counter
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass
+from typing import Final
+
+from robinthread._internal.dispatch.host_health import HostHealth
+from robinthread._internal.dispatch.host_slots import HostSlots
+from robinthread._internal.dispatch.job_record import JobRecord
+from robinthread._internal.dispatch.run_estimate import RunEstimate
+from robinthread._internal.dispatch.slot_lease import SlotLease
+from robinthread._internal.dispatch.slot_outcome import SlotOutcome
+from robinthread._internal.dispatch.waiting_queue import WaitingAsk, WaitingQueue
+from robinthread._internal.models.fleet_state import FleetState
+from robinthread._internal.models.host import Host
+from robinthread._internal.models.urgency import Urgency
+from robinthread._internal.peers.messages import Preempt, SlotAsk, SlotRelease, SlotReply
+from robinthread._internal.peers.router import PeerRouter, Sender
+from robinthread._internal.results import ResultCode
+from robinthread._internal.settings.dispatch_settings import DispatchSettings
+from robinthread._internal.telemetry.counters import Counters
+from robinthread._internal.timeline.event_ring import EventRing
+from robinthread._internal.upstream.control import ControlAction, ControlCall
+from robinthread._internal.upstream.errors import UpstreamLostError, UpstreamUnsentError
+from robinthread._internal.upstream.service import UpstreamService
+
+UNLIMITED_SLOTS: Final = 1_000_000
+RETRY_AFTER_MIN_S: Final = 0.05
+
+
+@dataclass(frozen=True)
+class DispatchContext:
+    """What a dispatcher needs from its daemon."""
+
+    hall: str
+    get_state: Callable[[], FleetState]
+    upstream: UpstreamService
+    router: PeerRouter
+    wall_clock: Callable[[], float]
+    make_id: Callable[[], str]
+    counters: Counters
+    events: EventRing
+
+
+class Dispatcher:
+    """Lease the slots of a pool's hosts in one data hall.
+
+    One daemon at a time is the dispatcher, so there is one queue, limits are
+    exact, and all outcomes of a host are seen in one place.  Fencing tokens
+    at the workers, not time, keep an earlier dispatcher from acting on.
+    """
+
+    def __init__(self, pool: str, context: DispatchContext, settings: DispatchSettings) -> None:
+        self.pool = pool
+        self.queue = WaitingQueue()
+        self.hosts: dict[str, HostSlots] = {}
+        self.estimate = RunEstimate(settings)
+        self._context = context
+        self._settings = settings
+        self._jobs = JobRecord(settings)
+        self._steered_since_s: dict[str, float] = {}
+        self._done_hosts: frozenset[str] = frozenset()
+        self._team_slots: Counter[str] = Counter()
+        self._lease_ids = itertools.count(1)
+        self._lease_prefix = context.make_id()
+
+    def update(self, hosts: tuple[Host, ...]) -> None:
+        """Adopt the pool's hosts in this data hall."""
+        names = {host.name for host in hosts}
+        for name in tuple(self.hosts):
+            if name not in names:
+                del self.hosts[name]
+        for host in hosts:
+            found = self.hosts.get(host.name)
+            if found is None:
+                self.hosts[host.name] = HostSlots(host, HostHealth(self._settings))
+            else:
+                found.host = host
+        self.pump()
+
+    async def ask(self, sender: Sender, ask: SlotAsk) -> SlotReply:
+        """Lease a slot, now or when one is free, or refuse early."""
+        refusal = self._refuse(ask)
+        if refusal is not None:
+            self._context.counters.add(f"slot_refusals_{refusal.code}")
+            return refusal
+        loop = asyncio.get_running_loop()
+        waiting = WaitingAsk(
+            ask, sender.address, sender.frame_id, loop.time(), loop.create_future()
+        )
+        self.queue.put(waiting)
+        self.pump()
+        if not waiting.future.done():
+            self._arm(waiting)
+        try:
+            return await waiting.future
+        finally:
+            self.queue.remove(waiting)
+
+    def cancel(self, sender: Sender, ask_id: int) -> None:
+        """Give up a waiting ask."""
+        for waiting in self.queue.iter_all():
+            if waiting.sender_address == sender.address and waiting.frame_id == ask_id:
+                self._finish(waiting, SlotReply(ResultCode.CANCELLED_BEFORE_START))
+
+    def release(self, release: SlotRelease) -> None:
+        """Take back a slot and learn from the outcome."""
+        slots = self.hosts.get(release.host)
+        outcome = SlotOutcome(release.outcome)
+        if slots is None:
+            return
+        lease = slots.release(release.lease_id)
+        if lease is not None:
+            self._team_slots[lease.team] -= 1
+        self._learn(slots, outcome, release)
+        self.pump()
+
+    def pump(self) -> None:
+        """Lease free slots to the asks that go first."""
+        while True:
+            waiting = self._pick_next()
+            if waiting is None:
+                return
+            slots = self._pick_host(waiting.ask)
+            assert slots is not None
+            self._grant(waiting, slots)
+
+    def steer(self, names: tuple[str, ...], done: frozenset[str]) -> None:
+        """Place new work elsewhere than on ``names`` while there is room.
+
+        Work goes to hosts in ``done`` first, so that it moves once at most.
+        """
+        now_s = asyncio.get_running_loop().time()
+        self._steered_since_s = {name: self._steered_since_s.get(name, now_s) for name in names}
+        self._done_hosts = done
+
+    def get_steered_s(self, name: str) -> float:
+        """Return for how many seconds work has been steered away from a host."""
+        now_s = asyncio.get_running_loop().time()
+        return now_s - self._steered_since_s.get(name, now_s)
+
+    def refuse_all(self, code: ResultCode) -> None:
+        """Refuse every waiting ask, as when the dispatcher hands over."""
+        for waiting in self.queue.iter_all():
+            self._finish(waiting, SlotReply(code, retry_after_s=RETRY_AFTER_MIN_S))
+
+    async def count_slots(self, name: str) -> None:
+        """Learn from the worker's report what an earlier dispatcher left in use."""
+        slots = self.hosts.get(name)
+        if slots is None or slots.is_counted:
+            return
+        upstream = self._context.upstream
+        try:
+            fence = ControlCall(ControlAction.FENCE, self.get_token(slots.host))
+            await upstream.control(slots.host.address, fence)
+            report = await upstream.report(slots.host.address)
+            slots.unattributed = max(0, report.slots_in_use - len(slots.leases))
+        except (UpstreamUnsentError, UpstreamLostError):
+            return
+        slots.is_counted = True
+        self.pump()
+
+    def count_idle_slots(self) -> int:
+        """Return the free slots of hosts that may get work."""
+        now_s = asyncio.get_running_loop().time()
+        return sum(
+            slots.limit - slots.in_use
+            for slots in self.hosts.values()
+            if slots.has_room() and not slots.health.is_suspended(now_s)
+        )
+
+    def _refuse(self, ask: SlotAsk) -> SlotReply | None:
+        now_s = asyncio.get_running_loop().time()
+        serving = [slots for slots in self.hosts.values() if slots.host.is_serving]
+        if not serving:
+            return SlotReply(ResultCode.NO_HOST_REACHABLE, retry_after_s=1.0)
+        if self._jobs.is_set_aside(ask.job, now_s):
+            return SlotReply(ResultCode.JOB_CANNOT_RUN, retry_after_s=self._settings.set_aside_s)
+        if len(self.queue) >= self._settings.queue_max:
+            return SlotReply(ResultCode.QUEUE_FULL, retry_after_s=self._estimate_wait_s(ask))
+        wait_s = self._estimate_wait_s(ask)
+        left_s = ask.deadline_at_s - self._context.wall_clock()
+        if left_s <= 0:
+            return SlotReply(ResultCode.DEADLINE_PASSED)
+        if wait_s + self.estimate.mean_s > left_s:
+            return SlotReply(
+                ResultCode.DEADLINE_UNREACHABLE, retry_after_s=max(RETRY_AFTER_MIN_S, wait_s)
+            )
+        return None
+
+    def _estimate_wait_s(self, ask: SlotAsk) -> float:
+        limit = sum(slots.limit for slots in self.hosts.values() if slots.host.is_serving)
+        ahead = self.queue.count_ahead(ask.urgency) + 1 - self.count_idle_slots()
+        if ask.urgency == Urgency.URGENT:
+            # Lower work is made to give way, so only urgent work is waited for.
+            return max(0, self.queue.count_class(ask.urgency)) * self.estimate.mean_s / limit
+        return max(0, ahead) * self.estimate.mean_s / max(1, limit)
+
+    def _pick_next(self) -> WaitingAsk | None:
+        for waiting in tuple(self.queue.iter_heads(self._get_team_share)):
+            if waiting.ask.deadline_at_s <= self._context.wall_clock():
+                self._finish(waiting, SlotReply(ResultCode.DEADLINE_PASSED))
+                return self._pick_next()
+            if self._is_over_quota(waiting.ask.team):
+                continue
+            if self._pick_host(waiting.ask) is not None:
+                return waiting
+        return None
+
+    def _pick_host(self, ask: SlotAsk) -> HostSlots | None:
+        now_s = asyncio.get_running_loop().time()
+        roomy = [slots for slots in self.hosts.values() if slots.has_room()]
+        fit = [slots for slots in roomy if self._is_fit(slots, ask, now_s)]
+        avoided = [slots for slots in fit if slots.host.name not in ask.avoid]
+        return min(avoided or fit, key=self._get_preference, default=None)
+
+    def _get_preference(self, slots: HostSlots) -> tuple[bool, bool, bool, float, str]:
+        name = slots.host.name
+        return (
+            slots.health.has_failed,
+            name in self._steered_since_s,
+            bool(self._done_hosts) and name not in self._done_hosts,
+            slots.in_use / max(1, slots.limit),
+            name,
+        )
+
+    def _is_fit(self, slots: HostSlots, ask: SlotAsk, now_s: float) -> bool:
+        health = slots.health
+        if health.is_suspended(now_s):
+            return False
+        if not health.is_on_probation or self._is_all_on_probation():
+            return True
+        is_overdue = now_s > health.suspended_until_s + self._settings.suspend_max_s
+        return slots.in_use == 0 and (ask.is_repeatable or is_overdue)
+
+    def _is_all_on_probation(self) -> bool:
+        return all(
+            slots.health.is_on_probation for slots in self.hosts.values() if slots.host.is_serving
+        )
+
+    def _grant(self, waiting: WaitingAsk, slots: HostSlots) -> None:
+        ask = waiting.ask
+        now_s = asyncio.get_running_loop().time()
+        left_s = ask.deadline_at_s - self._context.wall_clock()
+        lease = SlotLease(
+            f"{self._lease_prefix}-{next(self._lease_ids)}",
+            waiting.sender_address,
+            ask.team,
+            ask.urgency,
+            ask.is_repeatable,
+            now_s,
+            now_s + left_s + self._settings.lease_grace_s,
+        )
+        slots.leases[lease.id] = lease
+        self._team_slots[ask.team] += 1
+        self._context.counters.add("slots_leased")
+        reply = SlotReply(
+            ResultCode.OK,
+            lease.id,
+            slots.host.name,
+            slots.host.address,
+            self.get_token(slots.host),
+        )
+        self._finish(waiting, reply)
+
+    def get_token(self, host: Host) -> int:
+        epoch = self._context.get_state().hall_epochs.get(self._context.hall, 0)
+        return max(host.token, epoch)
+
+    def _finish(self, waiting: WaitingAsk, reply: SlotReply) -> None:
+        self.queue.remove(waiting)
+        if not waiting.future.done():
+            waiting.future.set_result(reply)
+
+    def _learn(self, slots: HostSlots, outcome: SlotOutcome, release: SlotRelease) -> None:
+        now_s = asyncio.get_running_loop().time()
+        if outcome is SlotOutcome.RAN:
+            self.estimate.note(release.run_s)
+        if slots.health.note(outcome, release.job, now_s):
+            self._context.counters.add("hosts_suspended")
+            self._context.events.note("host_suspended", slots.host.name, self.pool)
+            pause_s = slots.health.suspended_until_s - now_s
+            asyncio.get_running_loop().call_later(pause_s, self.pump)
+        if self._jobs.note(outcome, release.job, slots.host.name, now_s):
+            self._context.counters.add("jobs_set_aside")
+            for other in self.hosts.values():
+                other.health.forgive(release.job)
+
+    def _get_team_share(self, team: str) -> float:
+        return self._team_slots[team] / self._get_quota(team)
+
+    def _is_over_quota(self, team: str) -> bool:
+        return self._team_slots[team] >= self._get_quota(team)
+
+    def _get_quota(self, team: str) -> int:
+        quota = self._context.get_state().quotas.get(team)
+        return max(1, quota.max_slots) if quota else UNLIMITED_SLOTS
+
+    def _arm(self, waiting: WaitingAsk) -> None:
+        """Set the timers of an ask that must wait."""
+        loop = asyncio.get_running_loop()
+        left_s = max(0.0, waiting.ask.deadline_at_s - self._context.wall_clock())
+        loop.call_later(left_s, self._expire, waiting)
+        if waiting.ask.urgency == Urgency.URGENT:
+            loop.call_later(self._settings.preempt_after_s, self._preempt_for, waiting)
+
+    def _expire(self, waiting: WaitingAsk) -> None:
+        self._finish(waiting, SlotReply(ResultCode.DEADLINE_PASSED))
+
+    def _preempt_for(self, waiting: WaitingAsk) -> None:
+        if waiting.future.done():
+            return
+        victim = min(self._iter_preemptible(), key=_get_preemption_order, default=None)
+        if victim is None:
+            return
+        slots, lease = victim
+        slots.mark_preempted(lease.id)
+        self._context.counters.add("preemptions")
+        self._context.events.note("preempt", lease.id, slots.host.name)
+        loop = asyncio.get_running_loop()
+        self._context.router.tell(lease.holder_address, Preempt(lease.id))
+        loop.call_later(self._settings.preempt_after_s, self._preempt_for, waiting)
+
+    def _iter_preemptible(self) -> Iterator[tuple[HostSlots, SlotLease]]:
+        return (
+            (slots, lease)
+            for slots in self.hosts.values()
+            for lease in slots.leases.values()
+            if lease.urgency != Urgency.URGENT and lease.is_repeatable and not lease.is_preempted
+        )
+
+
+def _get_preemption_order(victim: tuple[HostSlots, SlotLease]) -> tuple[int, float]:
+    """Order leases so that the least urgent and latest started gives way first."""
+    _, lease = victim
+    return (-lease.urgency, -lease.granted_at_s)
--- /dev/null
+++ b/src/robinthread/_internal/dispatch/host_slots.py
@@ -0,0 +1,57 @@
+"""Slots of one host as its dispatcher accounts for them."""
+
+from dataclasses import replace
+
+from robinthread._internal.dispatch.host_health import HostHealth
+from robinthread._internal.dispatch.slot_lease import SlotLease
+from robinthread._internal.models.host import Host
+
+
+class HostSlots:
+    """Leases out on a host.
+
+    ``unattributed`` counts slots in use that an earlier dispatcher granted;
+    they free themselves as their holders release them or reports shrink.
+    """
+
+    def __init__(self, host: Host, health: HostHealth) -> None:
+        self.host = host
+        self.health = health
+        self.leases: dict[str, SlotLease] = {}
+        self.unattributed = 0
+        self.is_counted = False
+
+    @property
+    def in_use(self) -> int:
+        """Return the slots that are taken."""
+        return len(self.leases) + self.unattributed
+
+    @property
+    def limit(self) -> int:
+        """Return the slots that may be taken at once."""
+        return min(self.host.slots, self.host.connections)
+
+    def has_room(self) -> bool:
+        """Tell whether a slot is free and the host may get new work."""
+        return self.is_counted and self.host.is_serving and self.in_use < self.limit
+
+    def release(self, lease_id: str) -> SlotLease | None:
+        """Give back a lease, or a slot granted by an earlier dispatcher."""
+        lease = self.leases.pop(lease_id, None)
+        if lease is None and self.unattributed:
+            self.unattributed -= 1
+        return lease
+
+    def mark_preempted(self, lease_id: str) -> None:
+        """Note that a lease's holder was asked to end its task."""
+        self.leases[lease_id] = replace(self.leases[lease_id], is_preempted=True)
+
+    def reconcile(self, reported: int, now_s: float) -> None:
+        """Free expired leases that the worker's report no longer bears out."""
+        surplus = max(0, self.in_use - reported)
+        fresh = sum(lease.expires_at_s > now_s for lease in self.leases.values())
+        freed = min(self.unattributed, max(0, self.in_use - fresh), surplus)
+        self.unattributed -= freed
+        expired = [id_ for id_, lease in self.leases.items() if lease.expires_at_s <= now_s]
+        for lease_id in expired[: surplus - freed]:
+            del self.leases[lease_id]
--- /dev/null
+++ b/src/robinthread/_internal/dispatch/slot_outcome.py
@@ -0,0 +1,22 @@
+"""How a slot lease's task ended."""
+
+import enum
+
+
+class SlotOutcome(enum.IntEnum):
+    """Outcome that the holder of a slot lease reports with its release."""
+
+    RAN = 0
+    RAN_FAILED = 1
+    NOT_STARTED = 2
+    UNSENT = 3
+    LOST = 4
+    CHECKPOINTED = 5
+    UNUSED = 6
+    STOPPED = 7
+    WRONG_ANSWER = 8
+
+
+BAD_OUTCOMES = frozenset(
+    {SlotOutcome.RAN_FAILED, SlotOutcome.LOST, SlotOutcome.UNSENT, SlotOutcome.WRONG_ANSWER}
+)
--- /dev/null
+++ b/src/robinthread/_internal/dispatch/waiting_queue.py
@@ -0,0 +1,73 @@
+"""Asks for slots that wait, by urgency and team."""
+
+import asyncio
+from collections import deque
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass
+
+from robinthread._internal.models.urgency import Urgency
+from robinthread._internal.peers.messages import SlotAsk, SlotReply
+
+
+@dataclass(frozen=True)
+class WaitingAsk:
+    """An ask, who asked, and since when, in seconds of the loop."""
+
+    ask: SlotAsk
+    sender_address: str
+    frame_id: int
+    arrived_at_s: float
+    future: asyncio.Future[SlotReply]
+
+
+class WaitingQueue:
+    """Urgent work first; within a class, the team that holds the fewest slots."""
+
+    def __init__(self) -> None:
+        self._classes: dict[int, dict[str, deque[WaitingAsk]]] = {
+            urgency.value: {} for urgency in Urgency
+        }
+        self._counts = dict.fromkeys(self._classes, 0)
+
+    def __len__(self) -> int:
+        return sum(self._counts.values())
+
+    def count_ahead(self, urgency: int) -> int:
+        """Return the number of asks that go before a new one of this class."""
+        return sum(count for level, count in self._counts.items() if level <= urgency)
+
+    def count_class(self, urgency: int) -> int:
+        """Return the number of asks of this class."""
+        return self._counts[urgency]
+
+    def put(self, waiting: WaitingAsk) -> None:
+        """Add an ask behind those of its class and team."""
+        teams = self._classes[waiting.ask.urgency]
+        teams.setdefault(waiting.ask.team, deque()).append(waiting)
+        self._counts[waiting.ask.urgency] += 1
+
+    def iter_heads(self, get_share: Callable[[str], float]) -> Iterator[WaitingAsk]:
+        """Iterate over each team's first ask, best first, by class and share in use."""
+        for teams in self._classes.values():
+            order = sorted(teams, key=lambda team: (get_share(team), teams[team][0].arrived_at_s))
+            yield from [teams[team][0] for team in order]
+
+    def remove(self, waiting: WaitingAsk) -> None:
+        """Take an ask out."""
+        teams = self._classes[waiting.ask.urgency]
+        asks = teams.get(waiting.ask.team)
+        if asks is None or waiting not in asks:
+            return
+        asks.remove(waiting)
+        self._counts[waiting.ask.urgency] -= 1
+        if not asks:
+            del teams[waiting.ask.team]
+
+    def iter_all(self) -> Iterator[WaitingAsk]:
+        """Iterate over all asks."""
+        return (
+            waiting
+            for teams in tuple(self._classes.values())
+            for asks in tuple(teams.values())
+            for waiting in tuple(asks)
+        )
--- /dev/null
+++ b/src/robinthread/_internal/entry/__init__.py
@@ -0,0 +1,1 @@
+"""Requests of callers: identity, placement, retries, answers."""
--- /dev/null
+++ b/src/robinthread/_internal/entry/caller_request.py
@@ -0,0 +1,28 @@
+"""A caller's request."""
+
+from dataclasses import dataclass
+
+from robinthread._internal.claims.claim import make_identity_digest, make_key
+from robinthread._internal.models.urgency import Urgency
+
+
+@dataclass(frozen=True)
+class CallerRequest:
+    """A request as a caller sent it; ``deadline_at_s`` is a Unix time in seconds."""
+
+    caller: str
+    request_id: str
+    pool: str
+    team: str
+    urgency: Urgency
+    deadline_at_s: float
+    is_repeatable: bool
+    body: bytes
+
+    def make_key(self) -> bytes:
+        """Return the key of the request over the whole fleet."""
+        return make_key(self.caller, self.request_id)
+
+    def make_digest(self) -> bytes:
+        """Return a digest of what must not differ between tries."""
+        return make_identity_digest(self.pool, self.deadline_at_s, self.body)
--- /dev/null
+++ b/src/robinthread/_internal/entry/running_request.py
@@ -0,0 +1,31 @@
+"""A request that this daemon carries now."""
+
+import asyncio
+from dataclasses import dataclass
+
+from robinthread._internal.claims.claim import Claim
+from robinthread._internal.entry.caller_answer import CallerAnswer
+from robinthread._internal.entry.caller_request import CallerRequest
+
+
+@dataclass
+class RunningRequest:
+    """State of a request between its arrival and its final answer.
+
+    ``lease_id``, ``address``, ``token`` and ``task_id`` are of the try that is
+    on a worker now; ``checkpoint`` resumes the next one.
+    """
+
+    request: CallerRequest
+    digest: bytes
+    answer: asyncio.Future[CallerAnswer]
+    claim: Claim | None = None
+    is_cancelled: bool = False
+    slot_wait: asyncio.Task[object] | None = None
+    lease_id: str = ""
+    address: str = ""
+    token: int = 0
+    task_id: str = ""
+    checkpoint: bytes = b""
+    avoid: tuple[str, ...] = ()
+    tries: int = 0
--- /dev/null
+++ b/src/robinthread/_internal/fold/kinds/__init__.py
@@ -0,0 +1,1 @@
+"""Record kinds of the fleet stream, one module each."""
--- /dev/null
+++ b/src/robinthread/_internal/fold/kinds/config_published.py
@@ -0,0 +1,29 @@
+"""Record: operators publish a configuration."""
+
+from dataclasses import dataclass, replace
+
+from returns.result import Failure, Success
+
+from robinthread._internal.fold.position import Position
+from robinthread._internal.fold.step import Step
+from robinthread._internal.models.config_entry import ConfigEntry
+from robinthread._internal.models.fleet_state import FleetState
+from robinthread._internal.results import ResultCode
+
+
+@dataclass(frozen=True)
+class ConfigPublished:
+    """A named text, based on a version of it; zero for a new one."""
+
+    name: str
+    text: str
+    based_on_version: int
+
+
+def fold(state: FleetState, body: ConfigPublished, at: Position) -> Step:
+    """Put the text in force if it was based on the current version."""
+    current = state.config.get(body.name)
+    if (current.version if current else 0) != body.based_on_version:
+        return Failure(ResultCode.CONFLICT)
+    entry = ConfigEntry(body.name, body.text, version=at.offset)
+    return Success(replace(state, config=state.config | {body.name: entry}))
--- /dev/null
+++ b/src/robinthread/_internal/fold/kinds/daemon_joined.py
@@ -0,0 +1,40 @@
+"""Record: a daemon joins the fleet."""
+
+from dataclasses import dataclass, replace
+
+from returns.result import Success
+
+from robinthread._internal.fold.position import Position
+from robinthread._internal.fold.step import Step
+from robinthread._internal.models.daemon_member import DaemonMember
+from robinthread._internal.models.fleet_state import FleetState
+
+
+@dataclass(frozen=True)
+class DaemonJoined:
+    """A daemon's incarnation and addresses."""
+
+    name: str
+    incarnation: str
+    hall: str
+    peer_address: str
+    operator_address: str
+
+
+def fold(state: FleetState, body: DaemonJoined, at: Position) -> Step:
+    """Add the daemon in place of any earlier incarnation of its name."""
+    member = DaemonMember(
+        body.name,
+        body.incarnation,
+        body.hall,
+        body.peer_address,
+        body.operator_address,
+        joined_at=at.offset,
+    )
+    return Success(
+        replace(
+            state,
+            daemons=state.daemons | {body.name: member},
+            hall_epochs=state.hall_epochs | {body.hall: at.offset},
+        )
+    )
--- /dev/null
+++ b/src/robinthread/_internal/fold/kinds/hall_cut.py
@@ -0,0 +1,31 @@
+"""Record: a data hall is cut off."""
+
+from dataclasses import dataclass, replace
+
+from returns.result import Failure, Success
+
+from robinthread._internal.fold.position import Position
+from robinthread._internal.fold.step import Step
+from robinthread._internal.models.fleet_state import FleetState
+from robinthread._internal.results import ResultCode
+
+
+@dataclass(frozen=True)
+class HallCut:
+    """A data hall none of whose daemons is heard by another hall."""
+
+    hall: str
+
+
+def fold(state: FleetState, body: HallCut, at: Position) -> Step:
+    """Mark the hall cut off: its daemons own no claims until it heals.
+
+    Void from an author whose own hall is cut off: where two halls lose each
+    other, the first word in order stands.
+    """
+    author = state.daemons.get(at.author)
+    if author is None or author.hall in state.cut_halls:
+        return Failure(ResultCode.NOT_A_MEMBER)
+    if body.hall in state.cut_halls:
+        return Failure(ResultCode.ALREADY_EXISTS)
+    return Success(replace(state, cut_halls=state.cut_halls | {body.hall}))
--- /dev/null
+++ b/src/robinthread/_internal/fold/kinds/host_arrived.py
@@ -0,0 +1,41 @@
+"""Record: a host arrives."""
+
+from dataclasses import dataclass
+
+from returns.result import Failure, Success
+
+from robinthread._internal.fold.position import Position
+from robinthread._internal.fold.step import Step, put_host
+from robinthread._internal.models.fleet_state import FleetState
+from robinthread._internal.models.host import Host
+from robinthread._internal.results import ResultCode
+
+
+@dataclass(frozen=True)
+class HostArrived:
+    """A host as the platform's host list gave it."""
+
+    name: str
+    hall: str
+    rack: str
+    address: str
+    slots: int
+    connections: int
+    accelerators: int = 0
+
+
+def fold(state: FleetState, body: HostArrived, at: Position) -> Step:
+    """Add the host, free of any pool; void if it is known."""
+    if body.name in state.hosts:
+        return Failure(ResultCode.ALREADY_EXISTS)
+    host = Host(
+        body.name,
+        body.hall,
+        body.rack,
+        body.address,
+        body.slots,
+        body.connections,
+        body.accelerators,
+        token=at.offset,
+    )
+    return Success(put_host(state, host))
--- /dev/null
+++ b/src/robinthread/_internal/fold/kinds/host_recovered.py
@@ -0,0 +1,28 @@
+"""Record: a failed host serves again."""
+
+from dataclasses import dataclass, replace
+
+from returns.result import Failure, Success
+
+from robinthread._internal.fold.position import Position
+from robinthread._internal.fold.step import Step, get_host_in_phase, put_host
+from robinthread._internal.models.fleet_state import FleetState
+from robinthread._internal.models.host_phase import HostPhase
+
+
+@dataclass(frozen=True)
+class HostRecovered:
+    """A host that was verified after a failure."""
+
+    host: str
+    token: int
+
+
+def fold(state: FleetState, body: HostRecovered, at: Position) -> Step:
+    """Return the host to service; it is done in its wave if it was in one."""
+    found = get_host_in_phase(state, body.host, body.token, (HostPhase.FAILED, HostPhase.SET_ASIDE))
+    if isinstance(found, Failure):
+        return found
+    host = found.unwrap()
+    back = replace(host, phase=HostPhase.SERVING, wave="", token=at.offset)
+    return Success(put_host(state, back))
--- /dev/null
+++ b/src/robinthread/_internal/fold/kinds/host_set_aside.py
@@ -0,0 +1,31 @@
+"""Record: a host is set aside for its bad outcomes."""
+
+from dataclasses import dataclass, replace
+
+from returns.result import Failure, Success
+
+from robinthread._internal.fold.position import Position
+from robinthread._internal.fold.step import Step, get_host_in_phase, is_budget_held, put_host
+from robinthread._internal.models.fleet_state import FleetState
+from robinthread._internal.models.host_phase import HostPhase
+from robinthread._internal.results import ResultCode
+
+
+@dataclass(frozen=True)
+class HostSetAside:
+    """A host whose jobs fail, set aside by its dispatcher."""
+
+    host: str
+    token: int
+
+
+def fold(state: FleetState, body: HostSetAside, at: Position) -> Step:
+    """Set the host aside; void if that alone would break its pool's budget."""
+    found = get_host_in_phase(state, body.host, body.token, (HostPhase.SERVING,))
+    if isinstance(found, Failure):
+        return found
+    host = found.unwrap()
+    after = put_host(state, replace(host, phase=HostPhase.SET_ASIDE, token=at.offset))
+    if not is_budget_held(after, host.pool):
+        return Failure(ResultCode.BUDGET_WOULD_BREAK)
+    return Success(after)
--- /dev/null
+++ b/src/robinthread/_internal/fold/kinds/pool_removed.py
@@ -0,0 +1,31 @@
+"""Record: a pool is removed."""
+
+from dataclasses import dataclass, replace
+
+from returns.result import Failure, Success
+
+from robinthread._internal.fold.position import Position
+from robinthread._internal.fold.step import Step
+from robinthread._internal.models.fleet_state import FleetState
+from robinthread._internal.results import ResultCode
+
+
+@dataclass(frozen=True)
+class PoolRemoved:
+    """The end of a pool, based on a version of it."""
+
+    name: str
+    based_on_version: int
+
+
+def fold(state: FleetState, body: PoolRemoved, at: Position) -> Step:
+    """Remove the pool; void while it has hosts."""
+    pool = state.pools.get(body.name)
+    if pool is None:
+        return Failure(ResultCode.NOT_FOUND)
+    if pool.version != body.based_on_version:
+        return Failure(ResultCode.CONFLICT)
+    if any(state.iter_pool_hosts(body.name)):
+        return Failure(ResultCode.POOL_IN_USE)
+    pools = {name: kept for name, kept in state.pools.items() if name != body.name}
+    return Success(replace(state, pools=pools))
--- /dev/null
+++ b/src/robinthread/_internal/fold/kinds/wave_created.py
@@ -0,0 +1,48 @@
+"""Record: a wave is created."""
+
+from dataclasses import dataclass, replace
+
+from returns.result import Failure, Success
+
+from robinthread._internal.fold.position import Position
+from robinthread._internal.fold.step import Step
+from robinthread._internal.models.fleet_state import FleetState
+from robinthread._internal.models.wave import Wave, WaveKind
+from robinthread._internal.results import ResultCode
+
+
+@dataclass(frozen=True)
+class WaveCreated:
+    """A wave over hosts; ``deadline_at_s`` is a Unix time in seconds, zero for none."""
+
+    name: str
+    reason: str
+    kind: WaveKind
+    hosts: tuple[str, ...]
+    deadline_at_s: float = 0.0
+    to_pool: str = ""
+    to_hall: str = ""
+    to_count: int = 0
+
+
+def fold(state: FleetState, body: WaveCreated, at: Position) -> Step:
+    """Create the wave; void if a host of it is in another unfinished wave."""
+    if body.name in state.waves:
+        return Failure(ResultCode.ALREADY_EXISTS)
+    if not body.hosts or any(name not in state.hosts for name in body.hosts):
+        return Failure(ResultCode.NOT_FOUND)
+    taken = {name for wave in state.waves.values() if wave.is_unfinished for name in wave.waiting}
+    if taken & set(body.hosts):
+        return Failure(ResultCode.HOST_IN_OTHER_WAVE)
+    wave = Wave(
+        body.name,
+        body.reason,
+        body.kind,
+        tuple(dict.fromkeys(body.hosts)),
+        deadline_at_s=body.deadline_at_s,
+        version=at.offset,
+        to_pool=body.to_pool,
+        to_hall=body.to_hall,
+        to_count=body.to_count,
+    )
+    return Success(replace(state, waves=state.waves | {body.name: wave}))
--- /dev/null
+++ b/src/robinthread/_internal/fold/step.py
@@ -0,0 +1,83 @@
+"""Helpers shared by the record kinds."""
+
+from dataclasses import replace
+
+from returns.result import Failure, Result, Success
+
+from robinthread._internal.models.fleet_state import FleetState
+from robinthread._internal.models.host import Host
+from robinthread._internal.models.host_phase import HostPhase
+from robinthread._internal.models.wave import Wave, WaveState
+from robinthread._internal.results import ResultCode
+
+Step = Result[FleetState, ResultCode]
+
+
+def put_host(state: FleetState, host: Host) -> FleetState:
+    """Return ``state`` with ``host`` in place of the one of its name."""
+    return replace(state, hosts=state.hosts | {host.name: host})
+
+
+def get_host_in_phase(
+    state: FleetState, name: str, token: int, phases: tuple[HostPhase, ...]
+) -> Result[Host, ResultCode]:
+    """Return the host if it is in one of ``phases`` and ``token`` is its current one."""
+    host = state.hosts.get(name)
+    if host is None:
+        return Failure(ResultCode.NOT_FOUND)
+    if token != host.token:
+        return Failure(ResultCode.STALE_TOKEN)
+    if host.phase not in phases:
+        return Failure(ResultCode.WRONG_PHASE)
+    return Success(host)
+
+
+def is_budget_held(state: FleetState, pool: str) -> bool:
+    """Tell whether the pool's budget holds in ``state``."""
+    found = state.pools.get(pool)
+    return found is None or found.budget.is_held_by(state.iter_pool_hosts(pool))
+
+
+def take_back_permits(state: FleetState, pool: str, offset: int) -> FleetState:
+    """Return unstarted drains of ``pool`` to service until its budget holds.
+
+    Called after every record that may spend the budget without asking, such
+    as a host's failure.
+    """
+    for host in tuple(state.iter_pool_hosts(pool)):
+        if is_budget_held(state, pool):
+            break
+        if host.phase is HostPhase.PERMITTED:
+            back = replace(host, phase=HostPhase.SERVING, wave="", token=offset)
+            state = put_host(state, back)
+    return state
+
+
+def finish_in_wave(state: FleetState, wave: str, host: str, offset: int) -> FleetState:
+    """Mark ``host`` done in ``wave`` and end the wave after its last host."""
+    found = state.waves.get(wave)
+    if found is None:
+        return state
+    changed = replace(found, done=found.done | {host})
+    state = replace(state, waves=state.waves | {wave: changed})
+    return end_finished_waves(state, offset)
+
+
+def end_finished_waves(state: FleetState, offset: int) -> FleetState:
+    """End the unfinished waves that have nothing left to do."""
+    ended = {
+        name: replace(wave, state=WaveState.DONE, version=offset)
+        for name, wave in state.waves.items()
+        if wave.is_unfinished and not wave.waiting and has_arrived(state, wave)
+    }
+    return replace(state, waves=state.waves | ended) if ended else state
+
+
+def has_arrived(state: FleetState, wave: Wave) -> bool:
+    """Tell whether a migration's pool has its hosts in the new data hall."""
+    if not wave.to_hall:
+        return True
+    there = sum(
+        host.pool == wave.to_pool and host.hall == wave.to_hall for host in state.hosts.values()
+    )
+    return there >= wave.to_count
--- /dev/null
+++ b/src/robinthread/_internal/follow/__init__.py
@@ -0,0 +1,1 @@
+"""Following the log: offsets, freshness, catch-up."""
--- /dev/null
+++ b/src/robinthread/_internal/follow/follower.py
@@ -0,0 +1,107 @@
+"""Following the fleet stream."""
+
+import asyncio
+from collections.abc import Callable
+from typing import Final
+
+from robinthread._internal.fold.folder import FoldedRecord, Folder, FolderImage
+from robinthread._internal.follow.publisher import FLEET_STREAM
+from robinthread._internal.models.fleet_state import FleetState
+from robinthread._internal.platform_log.errors import LogReplyLostError, LogUnavailableError
+from robinthread._internal.platform_log.page import LogPage
+from robinthread._internal.platform_log.service import LogService
+from robinthread._internal.telemetry.counters import Counters
+
+PAGE_RECORDS: Final = 512
+LONG_POLL_S: Final = 5.0
+RETRY_S: Final = 0.25
+
+
+class LogTruncatedError(Exception):
+    """The log no longer holds the record that must be folded next."""
+
+
+class Follower:
+    """Read the fleet stream and fold it, forwards only.
+
+    ``is_ready`` turns true once the fold has reached the log's end or an
+    image from a peer has been taken.  ``fresh_at_s`` is the loop's time of
+    the last word from the log.
+    """
+
+    def __init__(self, log: LogService, counters: Counters) -> None:
+        self.folder = Folder()
+        self.is_ready = False
+        self.fresh_at_s = -1e9
+        self._log = log
+        self._counters = counters
+        self._watchers: list[Callable[[tuple[FoldedRecord, ...]], None]] = []
+        self._advanced = asyncio.Event()
+
+    @property
+    def state(self) -> FleetState:
+        """Return the fleet state folded so far."""
+        return self.folder.state
+
+    def watch(self, watcher: Callable[[tuple[FoldedRecord, ...]], None]) -> None:
+        """Call ``watcher`` after each step with what was folded in it."""
+        self._watchers.append(watcher)
+
+    def take_image(self, image: FolderImage) -> bool:
+        """Start from ``image`` if it is ahead of the state; return whether it was taken."""
+        if self.is_ready and image.state.next_offset <= self.state.next_offset:
+            return False
+        if image.state.next_offset < self.state.next_offset:
+            return False
+        self.folder = Folder(image)
+        self.is_ready = True
+        self._notify(())
+        return True
+
+    async def wait_for_offset(self, offset: int) -> None:
+        """Wait until the record at ``offset`` is folded."""
+        while self.state.next_offset <= offset:
+            await self._advanced.wait()
+
+    def get_lag_s(self) -> float:
+        """Return the seconds since the last word from the log."""
+        return asyncio.get_running_loop().time() - self.fresh_at_s
+
+    async def run(self) -> None:
+        """Follow the log until cancelled; raise ``LogTruncatedError``."""
+        while True:
+            try:
+                page = await self._log.read(
+                    FLEET_STREAM,
+                    self.state.next_offset,
+                    PAGE_RECORDS,
+                    LONG_POLL_S if self.is_ready else 0.0,
+                )
+            except (LogUnavailableError, LogReplyLostError):
+                self._counters.add("fleet_read_failures")
+                await asyncio.sleep(RETRY_S)
+                continue
+            self._fold_page(page)
+
+    def _fold_page(self, page: LogPage) -> None:
+        self.fresh_at_s = asyncio.get_running_loop().time()
+        if page.first_offset > self.state.next_offset:
+            raise LogTruncatedError(
+                f"the log starts at {page.first_offset}, needed {self.state.next_offset}"
+            )
+        folded = tuple(
+            step
+            for record in page.records
+            for step in self.folder.fold_record(record.offset, record.data)
+        )
+        self._counters.add("records_folded", len(folded))
+        was_ready = self.is_ready
+        self.is_ready = self.is_ready or self.state.next_offset >= page.next_offset
+        if folded or self.is_ready != was_ready:
+            self._notify(folded)
+
+    def _notify(self, folded: tuple[FoldedRecord, ...]) -> None:
+        for watcher in self._watchers:
+            watcher(folded)
+        self._advanced.set()
+        self._advanced = asyncio.Event()
--- /dev/null
+++ b/src/robinthread/_internal/follow/host_list.py
@@ -0,0 +1,34 @@
+"""The platform's list of live and leaving hosts."""
+
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+
+import msgspec
+from tornado.httpclient import AsyncHTTPClient
+
+
+@dataclass(frozen=True)
+class ListedHost:
+    """A host as the platform lists it."""
+
+    name: str
+    hall: str
+    rack: str
+    address: str
+    slots: int
+    connections: int
+    accelerators: int = 0
+    is_leaving: bool = False
+
+
+ListHostsFunction = Callable[[], Awaitable[tuple[ListedHost, ...]]]
+
+
+def make_http_host_list(client: AsyncHTTPClient, base_url: str) -> ListHostsFunction:
+    """Make the call that lists hosts; see docs/interfaces/host_list.md."""
+
+    async def list_hosts() -> tuple[ListedHost, ...]:
+        response = await client.fetch(f"{base_url}/v1/hosts")
+        return msgspec.json.decode(response.body, type=tuple[ListedHost, ...])
+
+    return list_hosts
--- /dev/null
+++ b/src/robinthread/_internal/models/__init__.py
@@ -0,0 +1,1 @@
+"""Value types of the fleet: frozen dataclasses and enumerations."""
--- /dev/null
+++ b/src/robinthread/_internal/models/daemon_member.py
@@ -0,0 +1,15 @@
+"""A daemon as a member of the fleet."""
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True)
+class DaemonMember:
+    """A live daemon; ``joined_at`` is the log offset of its joining record."""
+
+    name: str
+    incarnation: str
+    hall: str
+    peer_address: str
+    operator_address: str
+    joined_at: int = 0
--- /dev/null
+++ b/src/robinthread/_internal/models/fleet_state.py
@@ -0,0 +1,34 @@
+"""The one fleet state that every daemon folds from the log."""
+
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+
+from robinthread._internal.models.config_entry import ConfigEntry
+from robinthread._internal.models.daemon_member import DaemonMember
+from robinthread._internal.models.host import Host
+from robinthread._internal.models.pool import Pool
+from robinthread._internal.models.quota import Quota
+from robinthread._internal.models.wave import Wave
+
+
+@dataclass(frozen=True)
+class FleetState:
+    """Fleet state after all records below ``next_offset``."""
+
+    next_offset: int = 0
+    pools: dict[str, Pool] = field(default_factory=dict)
+    hosts: dict[str, Host] = field(default_factory=dict)
+    waves: dict[str, Wave] = field(default_factory=dict)
+    quotas: dict[str, Quota] = field(default_factory=dict)
+    config: dict[str, ConfigEntry] = field(default_factory=dict)
+    daemons: dict[str, DaemonMember] = field(default_factory=dict)
+    cut_halls: frozenset[str] = frozenset()
+    hall_epochs: dict[str, int] = field(default_factory=dict)
+
+    def iter_pool_hosts(self, pool: str) -> Iterator[Host]:
+        """Iterate over the hosts of ``pool`` in order of name."""
+        return (host for _, host in sorted(self.hosts.items()) if host.pool == pool)
+
+    def iter_hall_daemons(self, hall: str) -> Iterator[DaemonMember]:
+        """Iterate over the live daemons of ``hall`` in order of name."""
+        return (member for _, member in sorted(self.daemons.items()) if member.hall == hall)
--- /dev/null
+++ b/src/robinthread/_internal/models/host_phase.py
@@ -0,0 +1,16 @@
+"""Phases of a host in its life within a pool."""
+
+import enum
+
+
+class HostPhase(enum.Enum):
+    """Phase of a host; every step between phases is a record in the log."""
+
+    FREE = "free"
+    SERVING = "serving"
+    PERMITTED = "permitted"
+    DRAINING = "draining"
+    OUT = "out"
+    FAILED = "failed"
+    SET_ASIDE = "set_aside"
+    GONE = "gone"
--- /dev/null
+++ b/src/robinthread/_internal/models/quota.py
@@ -0,0 +1,12 @@
+"""Quota of a team."""
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True)
+class Quota:
+    """Slots that a team may hold at once, in each pool and data hall."""
+
+    team: str
+    max_slots: int
+    version: int = 0
--- /dev/null
+++ b/src/robinthread/_internal/operators/__init__.py
@@ -0,0 +1,1 @@
+"""Operators' remote procedure calls."""
--- /dev/null
+++ b/src/robinthread/_internal/peers/__init__.py
@@ -0,0 +1,1 @@
+"""Messages between daemons."""
--- /dev/null
+++ b/src/robinthread/_internal/peers/presence.py
@@ -0,0 +1,188 @@
+"""Who is heard: heartbeats, evictions, data halls cut off and healed."""
+
+import asyncio
+import itertools
+from collections import Counter
+from collections.abc import Awaitable, Callable, Iterator
+from dataclasses import dataclass
+from typing import Final
+
+from robinthread._internal.fold.kinds.daemon_left import DaemonLeft
+from robinthread._internal.fold.kinds.hall_cut import HallCut
+from robinthread._internal.fold.kinds.hall_healed import HallHealed
+from robinthread._internal.models.daemon_member import DaemonMember
+from robinthread._internal.models.fleet_state import FleetState
+from robinthread._internal.peers.messages import Goodbye, Heartbeat
+from robinthread._internal.peers.router import PeerRouter, Sender
+from robinthread._internal.settings.peer_settings import PeerSettings
+from robinthread._internal.utils.rendezvous import pick_by_rendezvous
+
+EVICTION_DOUBLINGS_MAX: Final = 5
+
+
+@dataclass(frozen=True)
+class PresenceContext:
+    """What presence needs from its daemon.
+
+    ``publish`` appends a record and swallows its outcome, for every daemon
+    reads that from the log.  ``get_digest`` returns the last digest and the
+    offset that it stands for; ``check_digest`` compares a peer's.
+    """
+
+    name: str
+    hall: str
+    get_incarnation: Callable[[], str]
+    get_state: Callable[[], FleetState]
+    is_fresh: Callable[[], bool]
+    publish: Callable[[object], Awaitable[None]]
+    get_digest: Callable[[], tuple[int, str]]
+    check_digest: Callable[[str, int, str], None]
+
+
+class Presence:
+    """Send heartbeats and judge silence.
+
+    A daemon beats to each daemon of its own data hall, and to one daemon of
+    every other hall in turn, so that its messages grow with halls, not with
+    daemons.  Safety never rests on these judgements: claims are fenced by
+    the log's order and acts on workers by tokens.
+    """
+
+    def __init__(
+        self, context: PresenceContext, settings: PeerSettings, router: PeerRouter
+    ) -> None:
+        self._context = context
+        self._settings = settings
+        self._router = router
+        self._heard_at_s: dict[str, float] = {}
+        self._hall_heard_at_s: dict[str, float] = {}
+        self._mates_silent_halls: dict[str, tuple[str, ...]] = {}
+        self._evictions: Counter[str] = Counter()
+        self._offsets: dict[str, int] = {}
+        self._turns = itertools.count()
+        router.on(Heartbeat, self._on_heartbeat)
+        router.on(Goodbye, self._on_goodbye)
+        router.on_heard(self._note_heard)
+
+    def can_hear(self, member: DaemonMember) -> bool:
+        """Tell whether ``member`` was heard of late, itself or through its hall."""
+        if member.name == self._context.name:
+            return True
+        if member.hall == self._context.hall:
+            return self._get_silence_s(member) < self._settings.silent_after_s
+        return not self.is_hall_silent(member.hall)
+
+    def is_hall_silent(self, hall: str) -> bool:
+        """Tell whether no daemon of ``hall`` was heard of late."""
+        if hall == self._context.hall:
+            return False
+        return self._get_hall_silence_s(hall) >= self._settings.hall_silent_after_s
+
+    def get_offsets(self) -> dict[str, int]:
+        """Return the applied offsets that daemons have told of."""
+        return dict(self._offsets)
+
+    async def run(self) -> None:
+        """Beat and judge until cancelled."""
+        self._start_clocks()
+        every = max(1, round(self._settings.hall_heartbeat_s / self._settings.heartbeat_s))
+        for beat in itertools.count():
+            self._beat_to_mates()
+            if beat % every == 0:
+                self._beat_to_halls()
+            if self._context.is_fresh():
+                await self._judge()
+            await asyncio.sleep(self._settings.heartbeat_s)
+
+    def say_goodbye(self) -> None:
+        """Tell hall mates that this daemon stops as planned."""
+        for member in self._iter_mates():
+            self._router.tell(member.peer_address, Goodbye(self._context.get_incarnation()))
+
+    def _start_clocks(self) -> None:
+        now_s = asyncio.get_running_loop().time()
+        for member in self._context.get_state().daemons.values():
+            self._heard_at_s.setdefault(member.name, now_s)
+            self._hall_heard_at_s.setdefault(member.hall, now_s)
+
+    def _beat_to_mates(self) -> None:
+        beat = self._make_heartbeat()
+        for member in self._iter_mates():
+            self._router.tell(member.peer_address, beat)
+
+    def _beat_to_halls(self) -> None:
+        beat = self._make_heartbeat()
+        turn = next(self._turns)
+        for hall in self._list_other_halls():
+            members = tuple(self._context.get_state().iter_hall_daemons(hall))
+            self._router.tell(members[turn % len(members)].peer_address, beat)
+
+    def _make_heartbeat(self) -> Heartbeat:
+        digest_offset, digest = self._context.get_digest()
+        return Heartbeat(
+            self._context.get_incarnation(),
+            self._context.get_state().next_offset,
+            tuple(hall for hall in self._list_other_halls() if self.is_hall_silent(hall)),
+            digest,
+            digest_offset,
+        )
+
+    async def _judge(self) -> None:
+        for member in tuple(self._iter_mates()):
+            doublings = min(self._evictions[member.name], EVICTION_DOUBLINGS_MAX)
+            if self._get_silence_s(member) >= self._settings.evict_after_s * 2**doublings:
+                self._evictions[member.name] += 1
+                self._router.fail_asks(member.peer_address)
+                await self._context.publish(DaemonLeft(member.name, member.incarnation))
+        if self._is_lead():
+            await self._judge_halls()
+
+    async def _judge_halls(self) -> None:
+        state = self._context.get_state()
+        for hall in self._list_other_halls():
+            is_silent = self.is_hall_silent(hall) and all(
+                hall in self._mates_silent_halls.get(mate.name, ()) for mate in self._iter_mates()
+            )
+            if is_silent and hall not in state.cut_halls:
+                await self._context.publish(HallCut(hall))
+            if hall in state.cut_halls and not self.is_hall_silent(hall):
+                await self._context.publish(HallHealed(hall))
+
+    def _is_lead(self) -> bool:
+        mates = [member.name for member in self._iter_mates()]
+        lead = pick_by_rendezvous(self._context.hall, [self._context.name, *mates])
+        return lead == self._context.name
+
+    def _iter_mates(self) -> Iterator[DaemonMember]:
+        return (
+            member
+            for member in self._context.get_state().iter_hall_daemons(self._context.hall)
+            if member.name != self._context.name
+        )
+
+    def _list_other_halls(self) -> tuple[str, ...]:
+        halls = {member.hall for member in self._context.get_state().daemons.values()}
+        return tuple(sorted(halls - {self._context.hall}))
+
+    def _get_silence_s(self, member: DaemonMember) -> float:
+        now_s = asyncio.get_running_loop().time()
+        return now_s - self._heard_at_s.setdefault(member.name, now_s)
+
+    def _get_hall_silence_s(self, hall: str) -> float:
+        now_s = asyncio.get_running_loop().time()
+        return now_s - self._hall_heard_at_s.setdefault(hall, now_s)
+
+    def _note_heard(self, name: str) -> None:
+        now_s = asyncio.get_running_loop().time()
+        self._heard_at_s[name] = now_s
+        member = self._context.get_state().daemons.get(name)
+        if member is not None:
+            self._hall_heard_at_s[member.hall] = now_s
+
+    async def _on_heartbeat(self, sender: Sender, beat: Heartbeat) -> None:
+        self._offsets[sender.name] = beat.next_offset
+        self._mates_silent_halls[sender.name] = beat.silent_halls
+        self._context.check_digest(sender.name, beat.digest_offset, beat.digest)
+
+    async def _on_goodbye(self, sender: Sender, goodbye: Goodbye) -> None:
+        self._router.fail_asks(sender.address)
--- /dev/null
+++ b/src/robinthread/_internal/peers/router.py
@@ -0,0 +1,190 @@
+"""Asks, replies and one-way messages over a transport."""
+
+import asyncio
+import itertools
+from collections import OrderedDict
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+from typing import Any, Final
+
+import msgspec
+
+from robinthread._internal.peers.messages import AnyMessage, Frame
+from robinthread._internal.peers.transport import PeerTransport, TransportClosedError
+from robinthread._internal.telemetry.counters import Counters
+from robinthread._internal.timeline.hybrid_clock import HybridClock
+
+SEEN_FRAMES_MAX: Final = 4096
+
+
+class PeerTimeoutError(Exception):
+    """No reply came from the peer in time."""
+
+
+@dataclass(frozen=True)
+class Sender:
+    """Who sent a message, and the frame's id."""
+
+    name: str
+    address: str
+    frame_id: int
+
+
+@dataclass(frozen=True)
+class _PendingAsk:
+    address: str
+    future: asyncio.Future[AnyMessage]
+
+
+Handler = Callable[[Sender, Any], Awaitable[AnyMessage | None]]
+
+
+class PeerRouter:
+    """Match replies to asks and hand messages to the handler of their type.
+
+    A frame delivered twice is handled once.  Handlers run as tasks of their
+    own, so that a slow one holds up nobody.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        transport: PeerTransport,
+        clock: HybridClock,
+        counters: Counters,
+        first_frame_id: int,
+    ) -> None:
+        self.name = name
+        self.address = transport.address
+        self._transport = transport
+        self._clock = clock
+        self._counters = counters
+        self._ids = itertools.count(first_frame_id)
+        self._handlers: dict[type, Handler] = {}
+        self._replies: dict[int, _PendingAsk] = {}
+        self._on_late_reply: Callable[[str, AnyMessage], None] = lambda address, message: None
+        self._on_heard: Callable[[str], None] = lambda name: None
+        self._seen: OrderedDict[tuple[str, int], None] = OrderedDict()
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._encoder = msgspec.msgpack.Encoder()
+        self._decoder = msgspec.msgpack.Decoder(Frame)
+
+    def on(self, message_type: type, handler: Handler) -> None:
+        """Hand messages of ``message_type`` to ``handler``."""
+        self._handlers[message_type] = handler
+
+    def on_late_reply(self, callback: Callable[[str, AnyMessage], None]) -> None:
+        """Hand replies that nobody waits for any more, with their sender's address."""
+        self._on_late_reply = callback
+
+    def on_heard(self, callback: Callable[[str], None]) -> None:
+        """Call ``callback`` with the sender's name for each frame."""
+        self._on_heard = callback
+
+    def fail_asks(self, address: str) -> None:
+        """End the asks that wait for the peer at ``address``, which is gone."""
+        for pending in self._replies.values():
+            if pending.address == address and not pending.future.done():
+                pending.future.set_exception(PeerTimeoutError(f"{address} is gone"))
+
+    def tell(self, address: str, message: AnyMessage) -> None:
+        """Send a message that needs no reply."""
+        self._send(address, message, reply_to=0)
+
+    async def ask(self, address: str, message: AnyMessage, timeout_s: float) -> AnyMessage:
+        """Send a message and return its reply; raise ``PeerTimeoutError``."""
+        frame_id = next(self._ids)
+        if address == self.address:
+            return await self._ask_self(frame_id, message, timeout_s)
+        future: asyncio.Future[AnyMessage] = asyncio.get_running_loop().create_future()
+        self._replies[frame_id] = _PendingAsk(address, future)
+        try:
+            self._send(address, message, reply_to=0, frame_id=frame_id)
+            return await asyncio.wait_for(future, timeout_s)
+        except TimeoutError as error:
+            self._counters.add("peer_timeouts")
+            raise PeerTimeoutError(f"no reply from {address}") from error
+        finally:
+            del self._replies[frame_id]
+
+    async def run(self) -> None:
+        """Receive frames until cancelled or closed."""
+        while True:
+            try:
+                data = await self._transport.receive()
+            except TransportClosedError:
+                return
+            self._counters.add("peer_bytes_received", len(data))
+            try:
+                frame = self._decoder.decode(data)
+            except msgspec.MsgspecError:
+                self._counters.add("peer_frames_malformed")
+                continue
+            self._receive(frame)
+
+    def close(self) -> None:
+        """End running handlers and the transport."""
+        for task in tuple(self._tasks):
+            task.cancel()
+        self._transport.close()
+
+    def _receive(self, frame: Frame) -> None:
+        self._clock.merge(frame.stamp)
+        self._on_heard(frame.sender)
+        if frame.reply_to:
+            pending = self._replies.get(frame.reply_to)
+            if pending is None or pending.future.done():
+                self._on_late_reply(frame.sender_address, frame.message)
+            else:
+                pending.future.set_result(frame.message)
+            return
+        if self._is_repeated(frame):
+            self._counters.add("peer_frames_repeated")
+            return
+        task = asyncio.get_running_loop().create_task(self._handle(frame))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _handle(self, frame: Frame) -> None:
+        handler = self._handlers.get(type(frame.message))
+        if handler is None:
+            return
+        sender = Sender(frame.sender, frame.sender_address, frame.id)
+        reply = await handler(sender, frame.message)
+        if reply is not None:
+            self._send(frame.sender_address, reply, reply_to=frame.id)
+
+    async def _ask_self(self, frame_id: int, message: AnyMessage, timeout_s: float) -> AnyMessage:
+        handler = self._handlers[type(message)]
+        sender = Sender(self.name, self.address, frame_id)
+        try:
+            reply = await asyncio.wait_for(handler(sender, message), timeout_s)
+        except TimeoutError as error:
+            raise PeerTimeoutError("no reply from this daemon itself") from error
+        assert reply is not None
+        return reply
+
+    def _send(self, address: str, message: AnyMessage, reply_to: int, frame_id: int = 0) -> None:
+        frame = Frame(
+            self.name,
+            self.address,
+            frame_id or next(self._ids),
+            reply_to,
+            self._clock.tick(),
+            message,
+        )
+        if address == self.address:
+            self._receive(frame)
+            return
+        data = self._encoder.encode(frame)
+        self._counters.add("peer_bytes_sent", len(data))
+        self._transport.send(address, data)
+
+    def _is_repeated(self, frame: Frame) -> bool:
+        key = (frame.sender_address, frame.id)
+        if key in self._seen:
+            return True
+        self._seen[key] = None
+        if len(self._seen) > SEEN_FRAMES_MAX:
+            self._seen.popitem(last=False)
+        return False
--- /dev/null
+++ b/src/robinthread/_internal/platform_log/__init__.py
@@ -0,0 +1,1 @@
+"""Client of the platform's append-only log."""
--- /dev/null
+++ b/src/robinthread/_internal/platform_log/http_client.py
@@ -0,0 +1,64 @@
+"""Client of the log over HTTP; see docs/interfaces/log.md for the protocol."""
+
+import base64
+from urllib.parse import quote
+
+import msgspec
+from tornado.httpclient import AsyncHTTPClient, HTTPClientError, HTTPRequest
+
+from robinthread._internal.platform_log.errors import LogReplyLostError, LogUnavailableError
+from robinthread._internal.platform_log.page import LogPage, LogRecord
+from robinthread._internal.platform_log.service import LogService
+from robinthread._internal.utils.http_errors import was_never_sent
+
+HTTP_NO_REPLY = 599
+
+
+class _WireRecord(msgspec.Struct):
+    offset: int
+    data: str
+
+
+class _WirePage(msgspec.Struct):
+    records: list[_WireRecord]
+    first_offset: int
+    next_offset: int
+
+
+class _WireOffset(msgspec.Struct):
+    offset: int
+
+
+def make_http_log(client: AsyncHTTPClient, base_url: str, timeout_s: float) -> LogService:
+    """Make a log service that speaks to ``base_url``; each call ends in ``timeout_s``."""
+
+    async def append(stream: str, data: bytes) -> int:
+        url = f"{base_url}/v1/streams/{quote(stream)}/records"
+        request = HTTPRequest(url, method="POST", body=data, request_timeout=timeout_s)
+        return msgspec.json.decode(await _fetch(client, request), type=_WireOffset).offset
+
+    async def read(stream: str, from_offset: int, max_records: int, wait_s: float) -> LogPage:
+        url = (
+            f"{base_url}/v1/streams/{quote(stream)}/records"
+            f"?from={from_offset}&max={max_records}&wait_s={wait_s:.3f}"
+        )
+        request = HTTPRequest(url, request_timeout=timeout_s + wait_s)
+        page = msgspec.json.decode(await _fetch(client, request), type=_WirePage)
+        records = tuple(
+            LogRecord(record.offset, base64.b64decode(record.data)) for record in page.records
+        )
+        return LogPage(records, page.first_offset, page.next_offset)
+
+    return LogService(append, read)
+
+
+async def _fetch(client: AsyncHTTPClient, request: HTTPRequest) -> bytes:
+    try:
+        response = await client.fetch(request)
+    except HTTPClientError as error:
+        if error.code == HTTP_NO_REPLY and not was_never_sent(error):
+            raise LogReplyLostError(str(error)) from error
+        raise LogUnavailableError(str(error)) from error
+    except OSError as error:
+        raise LogReplyLostError(str(error)) from error
+    return response.body
--- /dev/null
+++ b/src/robinthread/_internal/settings/__init__.py
@@ -0,0 +1,1 @@
+"""Settings of a process, read from TOML and checked."""
--- /dev/null
+++ b/src/robinthread/_internal/settings/daemon_settings.py
@@ -0,0 +1,51 @@
+"""Settings of a daemon."""
+
+from dataclasses import dataclass, field
+
+from robinthread._internal.settings.claim_settings import ClaimSettings
+from robinthread._internal.settings.dispatch_settings import DispatchSettings
+from robinthread._internal.settings.entry_settings import EntrySettings
+from robinthread._internal.settings.peer_settings import PeerSettings
+from robinthread._internal.settings.platform_settings import PlatformSettings
+from robinthread._internal.settings.wave_settings import WaveSettings
+
+
+@dataclass(frozen=True)
+class ListenSettings:
+    """Addresses that a daemon listens on; TLS where both files are named."""
+
+    caller_address: str = "127.0.0.1:0"
+    operator_address: str = "127.0.0.1:0"
+    metrics_address: str = "127.0.0.1:0"
+    peer_address: str = "tcp://127.0.0.1:0"
+    operator_token_file: str = ""
+    operator_schema_file: str = ""
+    tls_certificate_file: str = ""
+    tls_key_file: str = ""
+
+
+@dataclass(frozen=True)
+class StopSettings:
+    """How a planned stop goes: not ready, wait for the balancer, finish, leave."""
+
+    balancer_grace_s: float = 2.0
+    finish_timeout_s: float = 120.0
+    farewell_s: float = 1.0
+
+
+@dataclass(frozen=True)
+class DaemonSettings:
+    """All settings of a daemon; ``name`` is its entry host's."""
+
+    name: str = ""
+    hall: str = ""
+    peer_seeds: tuple[str, ...] = ()
+    events_max: int = 4096
+    listen: ListenSettings = field(default_factory=ListenSettings)
+    platform: PlatformSettings = field(default_factory=PlatformSettings)
+    peers: PeerSettings = field(default_factory=PeerSettings)
+    claims: ClaimSettings = field(default_factory=ClaimSettings)
+    entry: EntrySettings = field(default_factory=EntrySettings)
+    dispatch: DispatchSettings = field(default_factory=DispatchSettings)
+    waves: WaveSettings = field(default_factory=WaveSettings)
+    stop: StopSettings = field(default_factory=StopSettings)
--- /dev/null
+++ b/src/robinthread/_internal/settings/parse.py
@@ -0,0 +1,126 @@
+"""Reading settings from TOML, with every fault told at once, by key and line."""
+
+import dataclasses
+import difflib
+import re
+import tomllib
+import typing
+from collections.abc import Iterator
+from dataclasses import dataclass
+from typing import Any, Final
+
+from returns.result import Failure, Result, Success
+
+from robinthread._internal.results import Fault, ResultCode
+from robinthread._internal.settings.check import iter_conflicts
+from robinthread._internal.settings.daemon_settings import DaemonSettings
+
+UNITS: Final = ("_s", "_ms", "_min", "_bytes", "_mb")
+CLOSE_MATCH: Final = 0.6
+
+
+@dataclass(frozen=True)
+class SettingsProblem:
+    """A fault in a settings file; ``line`` is 0 where the key is missing."""
+
+    key: str
+    line: int
+    text: str
+
+    def __str__(self) -> str:
+        where = f"line {self.line}: " if self.line else ""
+        return f"{where}{self.key}: {self.text}"
+
+
+def parse_settings(text: str, path: str) -> Result[DaemonSettings, Fault]:
+    """Parse a settings file and check it; the fault names every problem."""
+    try:
+        raw = tomllib.loads(text)
+    except tomllib.TOMLDecodeError as error:
+        return Failure(Fault(ResultCode.BAD_SETTINGS, f"{path} is not valid TOML: {error}."))
+    problems = list(_iter_problems(DaemonSettings, raw, ()))
+    if not problems:
+        settings = _make(DaemonSettings, raw)
+        problems = [
+            SettingsProblem(conflict.key, 0, conflict.text) for conflict in iter_conflicts(settings)
+        ]
+    if problems:
+        lines = _find_lines(text)
+        listed = "".join(f"\n  {_locate(problem, lines)}" for problem in problems)
+        message = f"{path} has {len(problems)} faults; correct each:{listed}"
+        return Failure(Fault(ResultCode.BAD_SETTINGS, message))
+    return Success(settings)
+
+
+def _iter_problems(
+    kind: type, raw: dict[str, Any], path: tuple[str, ...]
+) -> Iterator[SettingsProblem]:
+    hints = typing.get_type_hints(kind)
+    for key, value in raw.items():
+        name = ".".join((*path, key))
+        if key not in hints:
+            yield SettingsProblem(name, 0, _explain_unknown(key, hints))
+        elif dataclasses.is_dataclass(hints[key]):
+            if isinstance(value, dict):
+                yield from _iter_problems(hints[key], value, (*path, key))  # type: ignore[arg-type]
+            else:
+                yield SettingsProblem(name, 0, "is a value, expected a table")
+        elif not _fits(hints[key], value):
+            expected = _name_type(hints[key])
+            yield SettingsProblem(name, 0, f"is {value!r}, expected {expected}")
+
+
+def _explain_unknown(key: str, hints: dict[str, Any]) -> str:
+    stem = re.sub(r"_(s|ms|min|bytes|mb|kb)$", "", key)
+    for known in hints:
+        if known != key and any(known == f"{stem}{unit}" for unit in ("", *UNITS)):
+            return f"has the wrong unit, expected {known}"
+    close = difflib.get_close_matches(key, hints, 1, CLOSE_MATCH)
+    return f"is unknown, did you mean {close[0]}?" if close else "is unknown"
+
+
+def _fits(hint: Any, value: Any) -> bool:
+    if hint is float:
+        return isinstance(value, int | float) and not isinstance(value, bool)
+    if hint is int:
+        return isinstance(value, int) and not isinstance(value, bool)
+    if typing.get_origin(hint) is tuple:
+        return isinstance(value, list) and all(isinstance(item, str) for item in value)
+    return isinstance(value, hint)
+
+
+def _name_type(hint: Any) -> str:
+    names = {float: "a number", int: "a whole number", str: "a text", bool: "true or false"}
+    return names.get(hint, "a list of texts")
+
+
+def _make(kind: type, raw: dict[str, Any]) -> Any:
+    hints = typing.get_type_hints(kind)
+    return kind(**{key: _convert(hints[key], value) for key, value in raw.items()})
+
+
+def _convert(hint: Any, value: Any) -> Any:
+    if dataclasses.is_dataclass(hint):
+        return _make(hint, value)  # type: ignore[arg-type]
+    if hint is float:
+        return float(value)
+    return tuple(value) if isinstance(value, list) else value
+
+
+def _find_lines(text: str) -> dict[str, int]:
+    """Return the line of each dotted key, for ``tomllib`` does not tell it."""
+    lines: dict[str, int] = {}
+    table = ""
+    for number, line in enumerate(text.splitlines(), 1):
+        header = re.match(r"\s*\[([\w.]+)\]", line)
+        entry = re.match(r"\s*([\w.]+)\s*=", line)
+        if header:
+            table = header[1]
+            lines.setdefault(table, number)
+        elif entry:
+            lines.setdefault(f"{table}.{entry[1]}" if table else entry[1], number)
+    return lines
+
+
+def _locate(problem: SettingsProblem, lines: dict[str, int]) -> SettingsProblem:
+    return dataclasses.replace(problem, line=lines.get(problem.key, 0))
--- /dev/null
+++ b/src/robinthread/_internal/snapshots/__init__.py
@@ -0,0 +1,1 @@
+"""Snapshots of the fleet state in a stream of the log."""
--- /dev/null
+++ b/src/robinthread/_internal/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for the platform, used by the demo and the tests."""
--- /dev/null
+++ b/src/robinthread/_internal/standins/fleet_standin.py
@@ -0,0 +1,152 @@
+"""A whole deployment in one process, over stand-ins, for the demo and the tests."""
+
+import asyncio
+import random
+from collections.abc import Callable
+from dataclasses import dataclass, replace
+
+from robinthread._internal.daemon.daemon import Daemon
+from robinthread._internal.daemon.environment import Environment
+from robinthread._internal.follow.host_list import ListedHost
+from robinthread._internal.platform_log.errors import LogUnavailableError
+from robinthread._internal.platform_log.page import LogPage
+from robinthread._internal.platform_log.service import LogService
+from robinthread._internal.settings.daemon_settings import DaemonSettings
+from robinthread._internal.standins.host_list_standin import HostListStandin
+from robinthread._internal.standins.ledger import Ledger
+from robinthread._internal.standins.log_standin import LogStandin
+from robinthread._internal.standins.peer_network import PeerNetwork
+from robinthread._internal.standins.upstreams_standin import make_standin_upstream
+from robinthread._internal.standins.worker_standin import WorkerStandin
+from robinthread._internal.telemetry.counters import Counters
+
+EPOCH_S = 1_800_000_000.0
+
+
+@dataclass(frozen=True)
+class HallSize:
+    """A data hall: its name, daemons and hosts."""
+
+    name: str
+    daemons: int
+    hosts: int
+
+
+class FleetStandin:
+    """Daemons, workers, log and network on the running loop's clock.
+
+    ``cut_halls`` are cut off from the others; ``cut_from_platform`` are cut
+    off from the log and the host list.
+    """
+
+    def __init__(
+        self,
+        halls: tuple[HallSize, ...],
+        seed: int,
+        slots: int = 8,
+        settings: DaemonSettings | None = None,
+        peer_delay_s: float = 0.0005,
+        hosts_per_rack: int = 4,
+    ) -> None:
+        self.ledger = Ledger()
+        self.log = LogStandin(seed)
+        self.network = PeerNetwork(seed, peer_delay_s)
+        self.host_list = HostListStandin()
+        self.workers: dict[str, WorkerStandin] = {}
+        self.daemons: dict[str, Daemon] = {}
+        self.cut_halls: set[str] = set()
+        self.cut_from_platform: set[str] = set()
+        self._hall_of_address: dict[str, str] = {}
+        self._halls = halls
+        self._seed = seed
+        self._base = settings or DaemonSettings()
+        self._starts = 0
+        self.network.can_reach = self._can_reach
+        listed = []
+        for hall in halls:
+            for index in range(hall.hosts):
+                listed.append(self._add_worker(hall.name, index, slots, hosts_per_rack))
+        self._listed = tuple(listed)
+
+    async def start(self) -> None:
+        """Start every daemon and wait until all are members and all hosts arrived."""
+        self.host_list.set_hosts(self._listed)
+        names = [
+            (f"{hall.name}-d{index}", hall.name)
+            for hall in self._halls
+            for index in range(hall.daemons)
+        ]
+        await asyncio.gather(*(self.start_daemon(name, hall) for name, hall in names))
+        for daemon in self.daemons.values():
+            await daemon.wait_until_member()
+
+    async def start_daemon(self, name: str, hall: str) -> Daemon:
+        """Start a daemon, or a replacement under the same name."""
+        self._starts += 1
+        address = f"tcp://{name}/{self._starts}"
+        self._hall_of_address[address] = hall
+        seeds = tuple(other.router.address for other in self.daemons.values())
+        settings = replace(self._base, name=name, hall=hall, peer_seeds=seeds)
+        environment = Environment(
+            log=self._make_log(hall),
+            upstream=make_standin_upstream(
+                self.workers, lambda target: self._can_reach(address, target)
+            ),
+            list_hosts=self.host_list.list_hosts,
+            peers=self.network.make_transport(address),
+            wall_clock=make_loop_wall_clock(),
+            random=random.Random(f"{self._seed}-{address}"),
+            counters=Counters(),
+        )
+        daemon = Daemon(settings, environment)
+        self.daemons[name] = daemon
+        await daemon.start()
+        return daemon
+
+    def crash(self, name: str) -> None:
+        """End a daemon without a word."""
+        self.daemons.pop(name).close()
+
+    def close(self) -> None:
+        """End all daemons."""
+        for name in tuple(self.daemons):
+            self.crash(name)
+
+    def count(self, name: str) -> float:
+        """Return the sum of a counter over the live daemons."""
+        return sum(daemon.counters.tally[name] for daemon in self.daemons.values())
+
+    def _add_worker(self, hall: str, index: int, slots: int, hosts_per_rack: int) -> ListedHost:
+        name = f"{hall}-h{index:03d}"
+        address = f"{name}:80"
+        self._hall_of_address[address] = hall
+        self.workers[address] = WorkerStandin(name, slots, self.ledger)
+        rack = f"{hall}-r{index // hosts_per_rack}"
+        return ListedHost(name, hall, rack, address, slots, 64)
+
+    def _can_reach(self, source: str, target: str) -> bool:
+        halls = {self._hall_of_address[source], self._hall_of_address[target]}
+        return len(halls) == 1 or not halls & self.cut_halls
+
+    def _make_log(self, hall: str) -> LogService:
+        async def append(stream: str, data: bytes) -> int:
+            self._check_platform(hall)
+            return await self.log.append(stream, data)
+
+        async def read(stream: str, from_offset: int, max_records: int, wait_s: float) -> LogPage:
+            self._check_platform(hall)
+            page = await self.log.read(stream, from_offset, max_records, wait_s)
+            self._check_platform(hall)
+            return page
+
+        return LogService(append, read)
+
+    def _check_platform(self, hall: str) -> None:
+        if hall in self.cut_from_platform:
+            raise LogUnavailableError(f"{hall} is cut off from the platform")
+
+
+def make_loop_wall_clock() -> Callable[[], float]:
+    """Make a wall clock that follows the running loop's own, possibly virtual, time."""
+    loop = asyncio.get_running_loop()
+    return lambda: EPOCH_S + loop.time()
--- /dev/null
+++ b/src/robinthread/_internal/telemetry/__init__.py
@@ -0,0 +1,1 @@
+"""Counters and gauges."""
--- /dev/null
+++ b/src/robinthread/_internal/telemetry/counters.py
@@ -0,0 +1,34 @@
+"""Counters and gauges of a process, by OpenTelemetry."""
+
+from collections import Counter as TallyOf
+from collections.abc import Callable
+
+from opentelemetry.metrics import CallbackOptions, Meter, NoOpMeterProvider, Observation
+
+
+class Counters:
+    """Named counters, kept once for the exporter and once for ``status``.
+
+    ``NoOpMeterProvider`` serves where nothing scrapes, as in tests.
+    """
+
+    def __init__(self, meter: Meter | None = None) -> None:
+        self.tally: TallyOf[str] = TallyOf()
+        self._meter = meter or NoOpMeterProvider().get_meter("robinthread")
+        self._counters = {}  # type: ignore[var-annotated]
+
+    def add(self, name: str, amount: float = 1) -> None:
+        """Add ``amount`` to the counter ``name``."""
+        self.tally[name] += amount  # type: ignore[assignment]
+        counter = self._counters.get(name)
+        if counter is None:
+            counter = self._counters[name] = self._meter.create_counter(f"robinthread_{name}")
+        counter.add(amount)
+
+    def observe(self, name: str, read: Callable[[], float]) -> None:
+        """Publish a gauge whose value ``read`` returns."""
+
+        def callback(options: CallbackOptions) -> list[Observation]:
+            return [Observation(read())]
+
+        self._meter.create_observable_gauge(f"robinthread_{name}", callbacks=[callback])
--- /dev/null
+++ b/src/robinthread/_internal/timeline/__init__.py
@@ -0,0 +1,1 @@
+"""Events of all processes in one order that respects cause."""
--- /dev/null
+++ b/src/robinthread/_internal/timeline/hybrid_clock.py
@@ -0,0 +1,38 @@
+"""Hybrid logical clock."""
+
+from collections.abc import Callable
+from typing import Final
+
+LOGICAL_BITS: Final = 16
+MILLISECONDS: Final = 1000
+
+
+class HybridClock:
+    """A clock that follows wall time and never contradicts cause.
+
+    A stamp is one integer: milliseconds of Unix time, then ``LOGICAL_BITS``
+    bits of a counter.  After Kulkarni and others, "Logical Physical Clocks"
+    (2014).
+    """
+
+    def __init__(self, wall_clock: Callable[[], float]) -> None:
+        self._wall_clock = wall_clock
+        self._last = 0
+
+    def tick(self) -> int:
+        """Return a stamp for a local event or a message that is sent."""
+        self._last = max(self._last + 1, self._get_physical())
+        return self._last
+
+    def merge(self, stamp: int) -> int:
+        """Return a stamp later than ``stamp``, for a message that arrives."""
+        self._last = max(self._last + 1, stamp + 1, self._get_physical())
+        return self._last
+
+    def _get_physical(self) -> int:
+        return int(self._wall_clock() * MILLISECONDS) << LOGICAL_BITS
+
+
+def get_wall_ms(stamp: int) -> float:
+    """Return the milliseconds of Unix time in a stamp."""
+    return (stamp >> LOGICAL_BITS) + (stamp & ((1 << LOGICAL_BITS) - 1)) / (1 << LOGICAL_BITS)
--- /dev/null
+++ b/src/robinthread/_internal/upstream/__init__.py
@@ -0,0 +1,1 @@
+"""Client of the workers on upstream hosts."""
--- /dev/null
+++ b/src/robinthread/_internal/upstream/http_client.py
@@ -0,0 +1,88 @@
+"""Client of workers over HTTP; see docs/interfaces/worker.md for the protocol."""
+
+import base64
+from typing import TypeVar
+
+import msgspec
+from tornado.httpclient import AsyncHTTPClient, HTTPClientError, HTTPRequest, HTTPResponse
+
+from robinthread._internal.upstream.control import ControlCall, ControlReply
+from robinthread._internal.upstream.errors import UpstreamLostError, UpstreamUnsentError
+from robinthread._internal.upstream.reply import ReplyStatus, WorkerReply
+from robinthread._internal.upstream.report import WorkerReport
+from robinthread._internal.upstream.service import UpstreamService
+from robinthread._internal.upstream.task import Task
+from robinthread._internal.utils.http_errors import was_never_sent
+
+HEADER_KEY = "Task-Key"
+HEADER_POOL = "Task-Pool"
+HEADER_TOKEN = "Task-Token"
+HEADER_CHECKPOINT = "Task-Checkpoint"
+HEADER_STATUS = "Task-Status"
+HEADER_ID = "Task-Id"
+HEADER_LENGTH = "Task-Length"
+HEADER_DIGEST = "Task-Digest"
+
+T = TypeVar("T")
+
+
+def make_http_upstream(client: AsyncHTTPClient, call_timeout_s: float) -> UpstreamService:
+    """Make the workers' calls; control and report calls end in ``call_timeout_s``."""
+
+    async def run(address: str, task: Task, timeout_s: float) -> WorkerReply:
+        headers = {
+            HEADER_KEY: task.key,
+            HEADER_POOL: task.pool,
+            HEADER_TOKEN: str(task.token),
+        }
+        if task.checkpoint:
+            headers[HEADER_CHECKPOINT] = base64.b64encode(task.checkpoint).decode()
+        url = f"http://{address}/v1/tasks/{task.id}"
+        request = HTTPRequest(
+            url, method="POST", headers=headers, body=task.body, request_timeout=timeout_s
+        )
+        return _parse_reply(await _fetch(client, request))
+
+    async def control(address: str, call: ControlCall) -> ControlReply:
+        url = f"http://{address}/v1/control"
+        body = msgspec.json.encode(call)
+        request = HTTPRequest(url, method="POST", body=body, request_timeout=call_timeout_s)
+        return _decode((await _fetch(client, request)).body, ControlReply)
+
+    async def report(address: str) -> WorkerReport:
+        request = HTTPRequest(f"http://{address}/v1/report", request_timeout=call_timeout_s)
+        return _decode((await _fetch(client, request)).body, WorkerReport)
+
+    return UpstreamService(run, control, report)
+
+
+async def _fetch(client: AsyncHTTPClient, request: HTTPRequest) -> HTTPResponse:
+    try:
+        return await client.fetch(request)
+    except HTTPClientError as error:
+        if was_never_sent(error):
+            raise UpstreamUnsentError(str(error)) from error
+        raise UpstreamLostError(str(error)) from error
+    except OSError as error:
+        raise UpstreamLostError(str(error)) from error
+
+
+def _parse_reply(response: HTTPResponse) -> WorkerReply:
+    headers = response.headers
+    try:
+        return WorkerReply(
+            ReplyStatus(headers[HEADER_STATUS]),
+            headers[HEADER_ID],
+            response.body,
+            int(headers[HEADER_LENGTH]),
+            headers[HEADER_DIGEST],
+        )
+    except (KeyError, ValueError) as error:
+        raise UpstreamLostError(f"malformed reply: {error}") from error
+
+
+def _decode(body: bytes, type_: type[T]) -> T:
+    try:
+        return msgspec.json.decode(body, type=type_)
+    except msgspec.MsgspecError as error:
+        raise UpstreamLostError(f"malformed reply: {error}") from error
--- /dev/null
+++ b/src/robinthread/_internal/utils/__init__.py
@@ -0,0 +1,1 @@
+"""Odds and ends that belong to no other package."""
--- /dev/null
+++ b/src/robinthread/_internal/waves/__init__.py
@@ -0,0 +1,1 @@
+"""Maintenance waves and migrations: planner, steward, baselines."""
--- /dev/null
+++ b/src/robinthread/_internal/waves/steward.py
@@ -0,0 +1,320 @@
+"""The steward: carries out waves on the hosts of one pool in one data hall."""
+
+import asyncio
+from collections.abc import Awaitable, Callable, Iterator
+from dataclasses import dataclass
+from typing import Final
+
+from returns.result import Result, Success
+
+from robinthread._internal.dispatch.dispatcher import Dispatcher
+from robinthread._internal.fold.folder import FoldedRecord
+from robinthread._internal.fold.kinds.drain_permitted import DrainPermitted
+from robinthread._internal.fold.kinds.drain_started import DrainStarted
+from robinthread._internal.fold.kinds.host_assigned import HostAssigned
+from robinthread._internal.fold.kinds.host_drained import HostDrained
+from robinthread._internal.fold.kinds.host_failed import HostFailed
+from robinthread._internal.fold.kinds.host_returned import HostReturned
+from robinthread._internal.models.fleet_state import FleetState
+from robinthread._internal.models.host import Host
+from robinthread._internal.models.host_phase import HostPhase
+from robinthread._internal.models.wave import Wave, WaveState
+from robinthread._internal.peers.messages import Preempt
+from robinthread._internal.results import Fault
+from robinthread._internal.settings.wave_settings import WaveSettings
+from robinthread._internal.telemetry.counters import Counters
+from robinthread._internal.timeline.event_ring import EventRing
+from robinthread._internal.upstream.control import ControlAction, ControlCall
+from robinthread._internal.upstream.errors import UpstreamLostError, UpstreamUnsentError
+from robinthread._internal.upstream.service import UpstreamService
+from robinthread._internal.waves.host_view import HostView
+from robinthread._internal.waves.measures import WaveMeasures
+from robinthread._internal.waves.policy import make_policy
+from robinthread._internal.waves.pool_view import PoolView
+
+DRAINED_CHECK_S: Final = 0.1
+RETURN_CHECK_S: Final = 0.2
+HELD_PHASES: Final = (HostPhase.PERMITTED, HostPhase.DRAINING, HostPhase.OUT)
+
+Publish = Callable[[object], Awaitable[Result[FoldedRecord, Fault]]]
+
+
+@dataclass(frozen=True)
+class StewardContext:
+    """What the steward needs from its daemon.
+
+    ``is_fresh`` is false where the log has not been heard for too long; then
+    nothing new is begun.  ``tell_holder`` asks a lease's holder to end a task.
+    """
+
+    hall: str
+    get_state: Callable[[], FleetState]
+    is_fresh: Callable[[], bool]
+    get_dispatchers: Callable[[], dict[str, Dispatcher]]
+    owns_free_hosts: Callable[[], bool]
+    publish: Publish
+    tell_holder: Callable[[str, Preempt], None]
+    upstream: UpstreamService
+    counters: Counters
+    events: EventRing
+    measures: WaveMeasures
+
+
+class Steward:
+    """Ask for permits, drain, reboot or release, verify the return.
+
+    Each host that holds a permit has one task of its own, begun afresh by
+    whichever daemon is the pool's dispatcher in the hall; every step checks
+    the host's phase and token in the fold, so a step is done once.
+    """
+
+    def __init__(self, context: StewardContext, settings: WaveSettings) -> None:
+        self._context = context
+        self._settings = settings
+        self._policy = make_policy(settings)
+        self._tasks: dict[str, asyncio.Task[None]] = {}
+
+    async def run(self) -> None:
+        """Look for work until cancelled."""
+        while True:
+            if self._context.is_fresh():
+                await self._ask_permits()
+                await self._assign_arrivals()
+            self._start_tasks()
+            await asyncio.sleep(self._settings.steward_interval_s)
+
+    def close(self) -> None:
+        """End the tasks of hosts."""
+        for task in self._tasks.values():
+            task.cancel()
+
+    async def _ask_permits(self) -> None:
+        state = self._context.get_state()
+        running = [wave for wave in state.waves.values() if wave.state is WaveState.RUNNING]
+        turns = [(wave, pool) for wave in running for pool in self._list_pools(state, wave)]
+        self._stop_steering({pool for _, pool in turns})
+        for wave, pool in turns:
+            await self._ask_for_pool(wave, pool)
+
+    def _stop_steering(self, pools_in_waves: set[str]) -> None:
+        for pool, dispatcher in self._context.get_dispatchers().items():
+            if pool not in pools_in_waves:
+                dispatcher.steer((), frozenset())
+
+    async def _ask_for_pool(self, wave: Wave, pool: str) -> None:
+        """Steer work and ask for permits as the policy chooses."""
+        view = self._make_view(wave, pool)
+        choice = self._policy(view)
+        dispatcher = self._context.get_dispatchers().get(pool)
+        if dispatcher is not None:
+            dispatcher.steer(choice.steer, wave.done)
+        for name in choice.permit:
+            state = self._context.get_state()
+            host = state.hosts.get(name)
+            if host is None or not _would_hold(state, pool, (name,)):
+                continue
+            result = await self._context.publish(DrainPermitted(name, wave.name, host.token))
+            if not isinstance(result, Success):
+                self._context.counters.add("permits_refused")
+                return
+            self._context.counters.add("permits_granted")
+            self._context.events.note("permitted", name, wave.name)
+
+    def _make_view(self, wave: Wave, pool: str) -> PoolView:
+        state = self._context.get_state()
+        dispatcher = self._context.get_dispatchers().get(pool)
+        hosts = tuple(self._iter_wave_hosts(state, wave, pool))
+        ready = (HostPhase.SERVING, HostPhase.SET_ASIDE, HostPhase.FREE)
+        return PoolView(
+            tuple(_make_host_view(host, dispatcher) for host in hosts if host.phase in ready),
+            sum(host.phase in HELD_PHASES for host in hosts),
+            len(wave.hosts),
+            dispatcher.count_idle_slots() if dispatcher else 0,
+            sum(slots.limit for slots in dispatcher.hosts.values()) if dispatcher else 0,
+            lambda names: _would_hold(state, pool, names),
+        )
+
+    async def _assign_arrivals(self) -> None:
+        """Give free hosts of this hall to the pools that migrate to it."""
+        if not self._context.owns_free_hosts():
+            return
+        for wave in tuple(self._context.get_state().waves.values()):
+            if wave.state is not WaveState.RUNNING or wave.to_hall != self._context.hall:
+                continue
+            await self._assign_for(wave)
+
+    async def _assign_for(self, wave: Wave) -> None:
+        state = self._context.get_state()
+        busy = {
+            name for other in state.waves.values() if other.is_unfinished for name in other.waiting
+        }
+        free = [
+            host
+            for _, host in sorted(state.hosts.items())
+            if host.hall == wave.to_hall and host.phase is HostPhase.FREE and host.name not in busy
+        ]
+        there = sum(
+            host.pool == wave.to_pool and host.hall == wave.to_hall for host in state.hosts.values()
+        )
+        for host in free[: max(0, wave.to_count - there)]:
+            if await self._read_boot_id(host):
+                await self._context.publish(HostAssigned(host.name, wave.to_pool))
+
+    def _iter_wave_hosts(self, state: FleetState, wave: Wave, pool: str) -> Iterator[Host]:
+        found = (state.hosts.get(name) for name in wave.waiting)
+        return (
+            host
+            for host in found
+            if host is not None and host.pool == pool and host.hall == self._context.hall
+        )
+
+    def _list_pools(self, state: FleetState, wave: Wave) -> tuple[str, ...]:
+        pools = {
+            host.pool
+            for name in wave.waiting
+            if (host := state.hosts.get(name)) is not None and host.hall == self._context.hall
+        }
+        return tuple(sorted(pool for pool in pools if self._is_ours(pool)))
+
+    def _is_ours(self, pool: str) -> bool:
+        if not pool:
+            return self._context.owns_free_hosts()
+        return pool in self._context.get_dispatchers()
+
+    def _start_tasks(self) -> None:
+        for host in tuple(self._context.get_state().hosts.values()):
+            is_held = host.phase in HELD_PHASES and host.hall == self._context.hall
+            task = self._tasks.get(host.name)
+            if is_held and self._is_ours(host.pool) and (task is None or task.done()):
+                self._tasks[host.name] = asyncio.get_running_loop().create_task(
+                    self._carry_host(host.name)
+                )
+
+    async def _carry_host(self, name: str) -> None:
+        """Take one host through the steps that are left for it."""
+        steps = {
+            HostPhase.PERMITTED: self._start_drain,
+            HostPhase.DRAINING: self._drain,
+            HostPhase.OUT: self._reboot,
+        }
+        while True:
+            host = self._context.get_state().hosts.get(name)
+            if host is None or host.phase not in steps or not self._is_ours(host.pool):
+                return
+            if not await steps[host.phase](host):
+                await asyncio.sleep(self._settings.steward_interval_s)
+
+    async def _start_drain(self, host: Host) -> bool:
+        """Let the permit be known, then start; a permit taken back voids the record."""
+        idle = host.slots - self._count_in_use(host)
+        await asyncio.sleep(self._settings.permit_effect_s)
+        self._context.measures.note_held_back(idle, self._settings.permit_effect_s)
+        return await self._publish_step(DrainStarted(host.name, host.token))
+
+    async def _drain(self, host: Host) -> bool:
+        started_at_s = asyncio.get_running_loop().time()
+        await self._fence(host)
+        while self._count_in_use(host) > 0:
+            elapsed_s = asyncio.get_running_loop().time() - started_at_s
+            if elapsed_s > self._settings.drain_timeout_s:
+                self._move_tasks(host)
+            if not self._is_still(host):
+                return False
+            idle = host.slots - self._count_in_use(host)
+            await asyncio.sleep(DRAINED_CHECK_S)
+            self._context.measures.note_held_back(idle, DRAINED_CHECK_S)
+        self._context.events.note("drained", host.name, host.wave)
+        boot_id = await self._read_boot_id(host)
+        return await self._publish_step(HostDrained(host.name, host.token, boot_id))
+
+    async def _reboot(self, host: Host) -> bool:
+        """Reboot the host once, and verify that it is back under a new boot id."""
+        started_at_s = asyncio.get_running_loop().time()
+        if await self._read_boot_id(host) == host.boot_id:
+            await self._control(host, ControlCall(ControlAction.REBOOT, host.token))
+        while self._is_still(host):
+            boot_id = await self._read_boot_id(host)
+            if boot_id and boot_id != host.boot_id:
+                self._context.events.note("returned", host.name, host.wave)
+                return await self._publish_step(HostReturned(host.name, host.token))
+            if asyncio.get_running_loop().time() - started_at_s > self._settings.return_timeout_s:
+                self._context.events.note("not_returned", host.name, host.wave)
+                self._context.counters.add("hosts_not_returned")
+                return await self._publish_step(HostFailed(host.name, host.token))
+            await asyncio.sleep(RETURN_CHECK_S)
+            self._context.measures.note_held_back(host.slots, RETURN_CHECK_S)
+        return False
+
+    async def _publish_step(self, body: object) -> bool:
+        if not self._context.is_fresh():
+            return False
+        return isinstance(await self._context.publish(body), Success)
+
+    async def _fence(self, host: Host) -> None:
+        await self._control(host, ControlCall(ControlAction.FENCE, host.token))
+
+    async def _control(self, host: Host, call: ControlCall) -> None:
+        try:
+            await self._context.upstream.control(host.address, call)
+        except (UpstreamUnsentError, UpstreamLostError):
+            self._context.counters.add("control_calls_failed")
+
+    async def _read_boot_id(self, host: Host) -> str:
+        try:
+            return (await self._context.upstream.report(host.address)).boot_id
+        except (UpstreamUnsentError, UpstreamLostError):
+            return ""
+
+    def _count_in_use(self, host: Host) -> int:
+        dispatcher = self._context.get_dispatchers().get(host.pool)
+        slots = dispatcher.hosts.get(host.name) if dispatcher else None
+        return slots.in_use if slots else 0
+
+    def _move_tasks(self, host: Host) -> None:
+        """Ask the holders of what still runs to checkpoint it and place it elsewhere."""
+        dispatcher = self._context.get_dispatchers().get(host.pool)
+        slots = dispatcher.hosts.get(host.name) if dispatcher else None
+        if slots is None:
+            return
+        for lease in tuple(slots.leases.values()):
+            if lease.is_repeatable and not lease.is_preempted:
+                slots.mark_preempted(lease.id)
+                self._context.measures.note_move()
+                self._context.tell_holder(lease.holder_address, Preempt(lease.id))
+
+    def _is_still(self, host: Host) -> bool:
+        current = self._context.get_state().hosts.get(host.name)
+        return (
+            current is not None
+            and current.token == host.token
+            and current.phase is host.phase
+            and self._is_ours(host.pool)
+        )
+
+
+def _would_hold(state: FleetState, pool: str, names: tuple[str, ...]) -> bool:
+    """Tell whether the pool's budget holds without the named hosts."""
+    found = state.pools.get(pool)
+    if found is None:
+        return True
+    return found.budget.is_held_by(
+        host for host in state.iter_pool_hosts(pool) if host.name not in names
+    )
+
+
+def _make_host_view(host: Host, dispatcher: Dispatcher | None) -> HostView:
+    now_s = asyncio.get_running_loop().time()
+    slots = dispatcher.hosts.get(host.name) if dispatcher else None
+    if dispatcher is None or slots is None:
+        return HostView(host.name, host.rack, host.slots)
+    left = (
+        dispatcher.estimate.get_residual_s(now_s - lease.granted_at_s)
+        for lease in slots.leases.values()
+    )
+    return HostView(
+        host.name,
+        host.rack,
+        host.slots,
+        tuple(sorted(left, reverse=True)),
+        dispatcher.get_steered_s(host.name),
+    )
--- /dev/null
+++ b/tests/functional/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of robinthread."""
--- /dev/null
+++ b/tests/lib/virtual.py
@@ -0,0 +1,28 @@
+"""Running coroutines on virtual time."""
+
+import asyncio
+from collections.abc import Coroutine
+from typing import Any, TypeVar
+
+import looptime
+
+T = TypeVar("T")
+
+VIRTUAL_LIMIT_S = 100_000
+
+
+def run_virtual(work: Coroutine[Any, Any, T]) -> T:
+    """Run ``work`` on a loop whose sleeps take no time; the same on every run."""
+    loop = looptime.new_event_loop(start=0.0, end=VIRTUAL_LIMIT_S, noop_cycles=0)
+    try:
+        return loop.run_until_complete(work)
+    finally:
+        _cancel_all(loop)
+        loop.close()
+
+
+def _cancel_all(loop: asyncio.AbstractEventLoop) -> None:
+    tasks = asyncio.all_tasks(loop)
+    for task in tasks:
+        task.cancel()
+    loop.run_until_complete(asyncio.gather(*tasks, return_exceptions=True))
