--- a/src/robinthread/_internal/entry/caller_request.py
+++ b/src/robinthread/_internal/entry/caller_request.py
@@ -8,7 +8,10 @@
 
 @dataclass(frozen=True)
 class CallerRequest:
-    """A request as a caller sent it; ``deadline_at_s`` is a Unix time in seconds."""
+    """A request as a caller sent it; ``deadline_at_s`` is a Unix time in seconds.
+
+    ``try_number`` counts the caller's own tries of this request from one.
+    """
 
     caller: str
     request_id: str
@@ -18,6 +21,7 @@
     deadline_at_s: float
     is_repeatable: bool
     body: bytes
+    try_number: int = 1
 
     def make_key(self) -> bytes:
         """Return the key of the request over the whole fleet."""
--- a/src/robinthread/_internal/entry/entry_service.py
+++ b/src/robinthread/_internal/entry/entry_service.py
@@ -53,9 +53,7 @@
     }
 )
 SAFE_OUTCOMES: Final = frozenset({SlotOutcome.NOT_STARTED, SlotOutcome.UNSENT})
-RETRIED_OUTCOMES: Final = frozenset(
-    {SlotOutcome.RAN_FAILED, SlotOutcome.LOST, SlotOutcome.WRONG_ANSWER}
-)
+INTERRUPTED_OUTCOMES: Final = frozenset({SlotOutcome.CHECKPOINTED, SlotOutcome.STOPPED})
 
 
 @dataclass(frozen=True)
@@ -118,10 +116,8 @@
             if cached.claim.digest != digest:
                 return CallerAnswer(ResultCode.BODY_DIFFERS)
             return cached.answer
-        refusal = self._refuse(request)
-        if refusal is not None:
-            return self._count(refusal)
-        return self._count(await self._carry(request, key, digest))
+        answer = self._refuse(request) or await self._carry(request, key, digest)
+        return self._count(answer)
 
     async def cancel(self, key: bytes) -> ResultCode:
         """Cancel a request wherever it is; the code tells what it came to."""
@@ -148,6 +144,10 @@
             await asyncio.sleep(0)
 
     def _refuse(self, request: CallerRequest) -> CallerAnswer | None:
+        refusal = self._find_refusal(request)
+        return _admit_earlier_tries(request, refusal) if refusal else None
+
+    def _find_refusal(self, request: CallerRequest) -> CallerAnswer | None:
         if self.is_stopping:
             return CallerAnswer(ResultCode.STOPPING, retry_after_s=0.1)
         if not self._context.is_ready():
@@ -173,7 +173,7 @@
     async def _carry_claimed(self, running: RunningRequest, key: bytes) -> CallerAnswer:
         request = running.request
         if request.is_repeatable:
-            return await self._place(running, key)
+            return _admit_earlier_tries(request, await self._place(running, key))
         if request.deadline_at_s > self._context.wall_clock() + self._horizon_s:
             return CallerAnswer(ResultCode.BAD_REQUEST)
         claim = running.claim = self._make_claim(running, key)
@@ -183,7 +183,9 @@
             return await self._ask_holder(running, key, reply)
         if reply.code != ResultCode.OK:
             self._claims.release(claim)
-            return CallerAnswer(ResultCode(reply.code), retry_after_s=1.0)
+            refusal = CallerAnswer(ResultCode(reply.code), retry_after_s=1.0)
+            is_proven = reply.code == ResultCode.CLAIMS_FULL
+            return refusal if is_proven else _admit_earlier_tries(request, refusal)
         self._context.events.note("claimed", request.request_id, request.pool)
         answer = await self._place(running, key)
         if answer.code.family is Family.DID_NOT_RUN:
@@ -232,18 +234,17 @@
     async def _place(self, running: RunningRequest, key: bytes) -> CallerAnswer:
         """Try hosts until the request has its final answer."""
         self._retries.note_first_try()
-        last: TryResult | None = None
         while True:
             if running.is_cancelled:
-                return CallerAnswer(_get_cancelled_code(running))
+                return _answer_cancelled(running)
             slot = await self._ask_slot(running)
             if running.is_cancelled and slot.code == ResultCode.OK:
-                self._give_back(running, slot, TryResult(SlotOutcome.UNUSED, ResultCode.OK), 0.0)
-                return CallerAnswer(_get_cancelled_code(running))
+                self._give_back(running, slot, _UNUSED, 0.0)
+                return _answer_cancelled(running)
             if slot.code != ResultCode.OK:
-                return self._answer_without_slot(running, slot, last)
-            last = await self._try_on(running, key, slot)
-            final = self._judge(running, last, slot)
+                return self._answer_without_slot(running, slot)
+            result = await self._try_on(running, key, slot)
+            final = self._judge(running, result, slot)
             if final is not None:
                 return final
             await self._back_off(running)
@@ -298,17 +299,10 @@
             running.avoid,
         )
 
-    def _answer_without_slot(
-        self, running: RunningRequest, slot: SlotReply, last: TryResult | None
-    ) -> CallerAnswer:
-        """Answer truthfully where no further try was had."""
+    def _answer_without_slot(self, running: RunningRequest, slot: SlotReply) -> CallerAnswer:
         if running.is_cancelled:
-            return CallerAnswer(_get_cancelled_code(running))
-        if last is not None and last.outcome in RETRIED_OUTCOMES:
-            return CallerAnswer(last.code, last.body, slot.retry_after_s)
-        if running.checkpoint or (last and last.outcome is SlotOutcome.STOPPED):
-            return CallerAnswer(ResultCode.STOPPED_AFTER_START, retry_after_s=slot.retry_after_s)
-        return CallerAnswer(ResultCode(slot.code), retry_after_s=slot.retry_after_s)
+            return _answer_cancelled(running)
+        return _answer_refused(running, ResultCode(slot.code), slot.retry_after_s)
 
     async def _try_on(self, running: RunningRequest, key: bytes, slot: SlotReply) -> TryResult:
         request = running.request
@@ -367,20 +361,20 @@
         if result.outcome is SlotOutcome.RAN:
             return CallerAnswer(ResultCode.RAN, result.body)
         if result.outcome is SlotOutcome.UNUSED:
-            return CallerAnswer(result.code)
-        if running.is_cancelled and result.outcome not in SAFE_OUTCOMES:
-            return CallerAnswer(result.code)
-        if result.outcome in (SlotOutcome.CHECKPOINTED, SlotOutcome.STOPPED):
-            if result.outcome is SlotOutcome.CHECKPOINTED:
-                running.checkpoint = result.body
-            return None
+            return _answer_refused(running, result.code, 0.0)
         is_safe = result.outcome in SAFE_OUTCOMES
+        if not is_safe:
+            running.may_have_run = result
+        if running.is_cancelled:
+            return _answer_cancelled(running)
+        if result.outcome in INTERRUPTED_OUTCOMES:
+            running.checkpoint = result.body
+            return None
         if not is_safe and not running.request.is_repeatable:
             return CallerAnswer(result.code, result.body)
         running.avoid = (*running.avoid, slot.host)
         if running.tries >= self._settings.tries_max or not self._retries.take():
-            code = ResultCode.RETRY_BUDGET_SPENT if is_safe else result.code
-            return CallerAnswer(code, result.body, retry_after_s=1.0)
+            return _answer_refused(running, ResultCode.RETRY_BUDGET_SPENT, 1.0)
         self._context.counters.add("retries")
         return None
 
@@ -465,13 +459,34 @@
         return CancelReply(code if code is not None else ResultCode.NOT_FOUND)
 
 
+_UNUSED = TryResult(SlotOutcome.UNUSED, ResultCode.OK)
 _UNKNOWN = CallerAnswer(ResultCode.OUTCOME_UNKNOWN)
 _DIFFERS = CallerAnswer(ResultCode.BODY_DIFFERS)
 
 
-def _get_cancelled_code(running: RunningRequest) -> ResultCode:
-    is_started = bool(running.checkpoint)
-    return ResultCode.STOPPED_AFTER_START if is_started else ResultCode.CANCELLED_BEFORE_START
+def _answer_refused(
+    running: RunningRequest, code: ResultCode, retry_after_s: float
+) -> CallerAnswer:
+    """Answer a request that is given up: with its last try's truth if it had one."""
+    tried = running.may_have_run
+    if tried is None:
+        return CallerAnswer(code, retry_after_s=retry_after_s)
+    return CallerAnswer(tried.code, tried.body, retry_after_s)
+
+
+def _admit_earlier_tries(request: CallerRequest, answer: CallerAnswer) -> CallerAnswer:
+    """Say "did not run" only where no earlier try of the caller's can have run.
+
+    A refusal that no claim stands behind proves nothing about tries that went
+    to other daemons.
+    """
+    if request.try_number == 1 or answer.code.family is not Family.DID_NOT_RUN:
+        return answer
+    return CallerAnswer(ResultCode.EARLIER_TRY_UNKNOWN, retry_after_s=answer.retry_after_s)
+
+
+def _answer_cancelled(running: RunningRequest) -> CallerAnswer:
+    return _answer_refused(running, ResultCode.CANCELLED_BEFORE_START, 0.0)
 
 
 def _prefer_refusal(first: SlotReply, second: SlotReply) -> SlotReply:
--- a/src/robinthread/_internal/entry/handler.py
+++ b/src/robinthread/_internal/entry/handler.py
@@ -18,6 +18,7 @@
 HEADER_URGENCY: Final = "Urgency"
 HEADER_DEADLINE: Final = "Deadline-At-S"
 HEADER_REPEAT: Final = "May-Repeat"
+HEADER_TRY: Final = "Try-Number"
 ID_MAX: Final = 200
 
 FAMILY_STATUS: Final = {
@@ -79,6 +80,7 @@
             self._get_deadline(is_repeatable),
             is_repeatable,
             self.request.body,
+            self._get_try_number(),
         )
 
     def _get_id(self, header: str) -> str:
@@ -95,6 +97,12 @@
             names = ", ".join(urgency.name.lower() for urgency in Urgency)
             raise _make_header_error(HEADER_URGENCY, f"one of {names}") from None
 
+    def _get_try_number(self) -> int:
+        text = self.request.headers.get(HEADER_TRY, "1")
+        if not text.isdigit() or int(text) < 1:
+            raise _make_header_error(HEADER_TRY, "a whole number from 1")
+        return int(text)
+
     def _get_deadline(self, is_repeatable: bool) -> float:
         text = self.request.headers.get(HEADER_DEADLINE, "")
         now_s = self._daemon.environment.wall_clock()
--- a/src/robinthread/_internal/entry/running_request.py
+++ b/src/robinthread/_internal/entry/running_request.py
@@ -6,6 +6,7 @@
 from robinthread._internal.claims.claim import Claim
 from robinthread._internal.entry.caller_answer import CallerAnswer
 from robinthread._internal.entry.caller_request import CallerRequest
+from robinthread._internal.entry.try_result import TryResult
 
 
 @dataclass
@@ -13,7 +14,9 @@
     """State of a request between its arrival and its final answer.
 
     ``lease_id``, ``address``, ``token`` and ``task_id`` are of the try that is
-    on a worker now; ``checkpoint`` resumes the next one.
+    on a worker now; ``checkpoint`` resumes the next one.  ``may_have_run`` is
+    the last try that reached a worker and was not refused by it: once there is
+    one, the answer cannot be that the request did not run.
     """
 
     request: CallerRequest
@@ -29,3 +32,4 @@
     checkpoint: bytes = b""
     avoid: tuple[str, ...] = ()
     tries: int = 0
+    may_have_run: TryResult | None = None
--- a/src/robinthread/_internal/results.py
+++ b/src/robinthread/_internal/results.py
@@ -52,6 +52,7 @@
     ANSWER_NOT_WHOLE = 403
     CLAIM_EXPIRED = 404
     STOPPED_AFTER_START = 405
+    EARLIER_TRY_UNKNOWN = 406
 
     BAD_ARGUMENT = 500
     BAD_SETTINGS = 501
@@ -120,6 +121,10 @@
     ResultCode.ANSWER_NOT_WHOLE: "The answer was cut short or was another request's.",
     ResultCode.CLAIM_EXPIRED: "The deadline passed; whether an earlier try ran is not known.",
     ResultCode.STOPPED_AFTER_START: "The request was stopped after it had started.",
+    ResultCode.EARLIER_TRY_UNKNOWN: (
+        "This try started nothing; whether an earlier one ran cannot be told now. "
+        "Repeat the request under the same id."
+    ),
     ResultCode.BAD_ARGUMENT: "An argument is missing, unknown or malformed.",
     ResultCode.BAD_SETTINGS: "The settings file is not valid.",
     ResultCode.BAD_REQUEST: "The request lacks a header or has a malformed one.",
--- a/src/robinthread/_internal/standins/fleet_standin.py
+++ b/src/robinthread/_internal/standins/fleet_standin.py
@@ -7,11 +7,14 @@
 
 from robinthread._internal.daemon.daemon import Daemon
 from robinthread._internal.daemon.environment import Environment
+from robinthread._internal.entry.caller_answer import CallerAnswer
+from robinthread._internal.entry.caller_request import CallerRequest
 from robinthread._internal.follow.host_list import ListedHost
 from robinthread._internal.platform_log.errors import LogUnavailableError
 from robinthread._internal.platform_log.page import LogPage
 from robinthread._internal.platform_log.service import LogService
 from robinthread._internal.settings.daemon_settings import DaemonSettings
+from robinthread._internal.standins.gate import Gate
 from robinthread._internal.standins.host_list_standin import HostListStandin
 from robinthread._internal.standins.ledger import Ledger
 from robinthread._internal.standins.log_standin import LogStandin
@@ -57,6 +60,8 @@
         self.cut_halls: set[str] = set()
         self.cut_from_platform: set[str] = set()
         self._hall_of_address: dict[str, str] = {}
+        self._gates: dict[str, Gate] = {}
+        self._calls: dict[str, set[asyncio.Task[CallerAnswer]]] = {}
         self._halls = halls
         self._seed = seed
         self._base = settings or DaemonSettings()
@@ -87,13 +92,14 @@
         self._hall_of_address[address] = hall
         seeds = tuple(other.router.address for other in self.daemons.values())
         settings = replace(self._base, name=name, hall=hall, peer_seeds=seeds)
+        gate = self._gates[name] = Gate()
         environment = Environment(
-            log=self._make_log(hall),
+            log=self._make_log(hall, gate),
             upstream=make_standin_upstream(
-                self.workers, lambda target: self._can_reach(address, target)
+                self.workers, lambda target: self._can_reach(address, target), gate
             ),
             list_hosts=self.host_list.list_hosts,
-            peers=self.network.make_transport(address),
+            peers=self.network.make_transport(address, gate),
             wall_clock=make_loop_wall_clock(),
             random=random.Random(f"{self._seed}-{address}"),
             counters=Counters(),
@@ -103,9 +109,37 @@
         await daemon.start()
         return daemon
 
+    async def call(self, name: str, request: CallerRequest) -> CallerAnswer:
+        """Send a request to a daemon; raise ``ConnectionError`` where it dies meanwhile."""
+        daemon = self.daemons.get(name)
+        if daemon is None:
+            raise ConnectionRefusedError(name)
+        task = asyncio.get_running_loop().create_task(daemon.entry.serve(request))
+        calls = self._calls.setdefault(name, set())
+        calls.add(task)
+        try:
+            return await asyncio.shield(task)
+        except asyncio.CancelledError:
+            if not task.cancelled():
+                raise
+            raise ConnectionResetError(name) from None
+        finally:
+            calls.discard(task)
+
     def crash(self, name: str) -> None:
-        """End a daemon without a word."""
+        """End a daemon without a word; its callers lose their connections."""
+        self.thaw(name)
         self.daemons.pop(name).close()
+        for task in tuple(self._calls.get(name, ())):
+            task.cancel()
+
+    def freeze(self, name: str) -> None:
+        """Pause a daemon: its calls to the outside and what it hears wait."""
+        self._gates[name].close()
+
+    def thaw(self, name: str) -> None:
+        """Let a paused daemon go on."""
+        self._gates[name].open()
 
     def close(self) -> None:
         """End all daemons."""
@@ -128,14 +162,19 @@
         halls = {self._hall_of_address[source], self._hall_of_address[target]}
         return len(halls) == 1 or not halls & self.cut_halls
 
-    def _make_log(self, hall: str) -> LogService:
+    def _make_log(self, hall: str, gate: Gate) -> LogService:
         async def append(stream: str, data: bytes) -> int:
+            await gate.wait()
             self._check_platform(hall)
-            return await self.log.append(stream, data)
+            offset = await self.log.append(stream, data)
+            await gate.wait()
+            return offset
 
         async def read(stream: str, from_offset: int, max_records: int, wait_s: float) -> LogPage:
+            await gate.wait()
             self._check_platform(hall)
             page = await self.log.read(stream, from_offset, max_records, wait_s)
+            await gate.wait()
             self._check_platform(hall)
             return page
 
--- a/src/robinthread/_internal/standins/ledger.py
+++ b/src/robinthread/_internal/standins/ledger.py
@@ -5,10 +5,14 @@
 
 
 class Ledger:
-    """Runs of each key over all workers, and broken limits."""
+    """Runs of each key over all workers, and broken limits.
+
+    ``started_by`` has the id of the task that first started each key.
+    """
 
     def __init__(self) -> None:
         self.started: Counter[str] = Counter()
+        self.started_by: dict[str, str] = {}
         self.finished: Counter[str] = Counter()
         self.refused_busy_count = 0
         self.refused_stale_count = 0
--- a/src/robinthread/_internal/standins/peer_network.py
+++ b/src/robinthread/_internal/standins/peer_network.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 
 from robinthread._internal.peers.transport import PeerTransport
+from robinthread._internal.standins.gate import Gate
 
 
 class PeerNetwork:
@@ -25,18 +26,23 @@
         self._delay_s = delay_s
         self._inboxes: dict[str, asyncio.Queue[bytes]] = {}
 
-    def make_transport(self, address: str) -> PeerTransport:
-        """Make the transport of the daemon at ``address``."""
+    def make_transport(self, address: str, gate: Gate) -> PeerTransport:
+        """Make the transport of the daemon at ``address``; ``gate`` stands for its freezes."""
         inbox: asyncio.Queue[bytes] = asyncio.Queue()
         self._inboxes[address] = inbox
 
         def send(target: str, data: bytes) -> None:
-            self._send(address, target, data)
+            gate.pass_on(lambda: self._send(address, target, data))
+
+        async def receive() -> bytes:
+            data = await inbox.get()
+            await gate.wait()
+            return data
 
         def close() -> None:
             self._inboxes.pop(address, None)
 
-        return PeerTransport(address, send, inbox.get, close)
+        return PeerTransport(address, send, receive, close)
 
     def _send(self, source: str, target: str, data: bytes) -> None:
         self.frames_count += 1
--- a/src/robinthread/_internal/standins/worker_standin.py
+++ b/src/robinthread/_internal/standins/worker_standin.py
@@ -104,6 +104,7 @@
         self.slots_peak = max(self.slots_peak, len(self._running))
         if not task.checkpoint:
             self._ledger.started[task.key] += 1
+            self._ledger.started_by.setdefault(task.key, task.id)
         try:
             return await self._work(task, running)
         finally:
