--- a/src/robinthread/_internal/dispatch/dispatcher.py
+++ b/src/robinthread/_internal/dispatch/dispatcher.py
@@ -83,7 +83,7 @@
 
     async def ask(self, sender: Sender, ask: SlotAsk) -> SlotReply:
         """Lease a slot, now or when one is free, or refuse early."""
-        refusal = self._refuse(ask)
+        refusal = self._refuse(ask) or self._refuse_to_queue(ask)
         if refusal is not None:
             self._context.counters.add(f"slot_refusals_{refusal.code}")
             return refusal
@@ -115,6 +115,8 @@
         lease = slots.release(release.lease_id)
         if lease is not None:
             self._team_slots[lease.team] -= 1
+            if outcome is SlotOutcome.LOST:
+                slots.keep_in_use()
         self._learn(slots, outcome, release)
         self.pump()
 
@@ -185,12 +187,21 @@
         left_s = ask.deadline_at_s - self._context.wall_clock()
         if left_s <= 0:
             return SlotReply(ResultCode.DEADLINE_PASSED)
-        if wait_s + self.estimate.mean_s > left_s:
+        if wait_s + self.estimate.get_needed_s() > left_s:
             return SlotReply(
                 ResultCode.DEADLINE_UNREACHABLE, retry_after_s=max(RETRY_AFTER_MIN_S, wait_s)
             )
         return None
 
+    def _refuse_to_queue(self, ask: SlotAsk) -> SlotReply | None:
+        if ask.may_wait or (
+            not self.queue.count_ahead(ask.urgency)
+            and not self._is_over_quota(ask.team)
+            and self._pick_host(ask) is not None
+        ):
+            return None
+        return SlotReply(ResultCode.NO_SLOT_FREE, retry_after_s=self._estimate_wait_s(ask))
+
     def _estimate_wait_s(self, ask: SlotAsk) -> float:
         limit = sum(slots.limit for slots in self.hosts.values() if slots.host.is_serving)
         ahead = self.queue.count_ahead(ask.urgency) + 1 - self.count_idle_slots()
@@ -201,8 +212,13 @@
 
     def _pick_next(self) -> WaitingAsk | None:
         for waiting in tuple(self.queue.iter_heads(self._get_team_share)):
-            if waiting.ask.deadline_at_s <= self._context.wall_clock():
-                self._finish(waiting, SlotReply(ResultCode.DEADLINE_PASSED))
+            left_s = waiting.ask.deadline_at_s - self._context.wall_clock()
+            if left_s < self.estimate.get_needed_s():
+                retry_after_s = max(RETRY_AFTER_MIN_S, self._estimate_wait_s(waiting.ask))
+                self._finish(
+                    waiting,
+                    SlotReply(ResultCode.DEADLINE_UNREACHABLE, retry_after_s=retry_after_s),
+                )
                 return self._pick_next()
             if self._is_over_quota(waiting.ask.team):
                 continue
@@ -220,7 +236,7 @@
     def _get_preference(self, slots: HostSlots) -> tuple[bool, bool, bool, float, str]:
         name = slots.host.name
         return (
-            slots.health.has_failed,
+            slots.health.has_failed and self._settings.route_by_outcome,
             name in self._steered_since_s,
             bool(self._done_hosts) and name not in self._done_hosts,
             slots.in_use / max(1, slots.limit),
@@ -279,7 +295,11 @@
         now_s = asyncio.get_running_loop().time()
         if outcome is SlotOutcome.RAN:
             self.estimate.note(release.run_s)
-        if slots.health.note(outcome, release.job, now_s):
+        is_blameless = (
+            outcome is SlotOutcome.TIMED_OUT
+            and release.run_s < self.estimate.mean_s * self._settings.slow_factor
+        )
+        if not is_blameless and slots.health.note(outcome, release.job, now_s):
             self._context.counters.add("hosts_suspended")
             self._context.events.note("host_suspended", slots.host.name, self.pool)
             pause_s = slots.health.suspended_until_s - now_s
--- a/src/robinthread/_internal/dispatch/host_slots.py
+++ b/src/robinthread/_internal/dispatch/host_slots.py
@@ -42,6 +42,10 @@
             self.unattributed -= 1
         return lease
 
+    def keep_in_use(self) -> None:
+        """Count a slot as taken whose task may still run, until a report says otherwise."""
+        self.unattributed += 1
+
     def mark_preempted(self, lease_id: str) -> None:
         """Note that a lease's holder was asked to end its task."""
         self.leases[lease_id] = replace(self.leases[lease_id], is_preempted=True)
--- a/src/robinthread/_internal/dispatch/run_estimate.py
+++ b/src/robinthread/_internal/dispatch/run_estimate.py
@@ -8,6 +8,7 @@
 
 SAMPLES_MAX: Final = 256
 LINDY_SHARE: Final = 0.5
+NEEDED_MARGIN: Final = 1.1
 
 
 class RunEstimate:
@@ -30,6 +31,16 @@
         self._order.append(run_s)
         bisect.insort(self._sorted, run_s)
 
+    def get_needed_s(self) -> float:
+        """Return the time that a task must have left to be worth starting.
+
+        The median run and a margin: with less, it more likely than not ends
+        too late, and all of it is wasted.
+        """
+        if not self._sorted:
+            return self.mean_s
+        return self._sorted[len(self._sorted) // 2] * NEEDED_MARGIN
+
     def get_residual_s(self, age_s: float) -> float:
         """Return the expected time left of a task that has run for ``age_s``.
 
--- a/src/robinthread/_internal/dispatch/slot_outcome.py
+++ b/src/robinthread/_internal/dispatch/slot_outcome.py
@@ -15,8 +15,15 @@
     UNUSED = 6
     STOPPED = 7
     WRONG_ANSWER = 8
+    TIMED_OUT = 9
 
 
 BAD_OUTCOMES = frozenset(
-    {SlotOutcome.RAN_FAILED, SlotOutcome.LOST, SlotOutcome.UNSENT, SlotOutcome.WRONG_ANSWER}
+    {
+        SlotOutcome.RAN_FAILED,
+        SlotOutcome.LOST,
+        SlotOutcome.UNSENT,
+        SlotOutcome.WRONG_ANSWER,
+        SlotOutcome.TIMED_OUT,
+    }
 )
--- a/src/robinthread/_internal/entry/entry_service.py
+++ b/src/robinthread/_internal/entry/entry_service.py
@@ -4,15 +4,16 @@
 import itertools
 import random
 from collections import Counter
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Coroutine, Iterator
 from dataclasses import dataclass
-from typing import Final
+from typing import Any, Final
 
 from robinthread._internal.claims.claim import Claim
 from robinthread._internal.claims.claim_service import ClaimService
 from robinthread._internal.dispatch.dispatch_service import DispatchService
 from robinthread._internal.dispatch.slot_outcome import SlotOutcome
 from robinthread._internal.entry.answer_cache import AnswerCache, CachedAnswer
+from robinthread._internal.entry.busy_halls import BusyHalls
 from robinthread._internal.entry.caller_answer import CallerAnswer
 from robinthread._internal.entry.caller_request import CallerRequest
 from robinthread._internal.entry.retry_budget import RetryBudget
@@ -96,6 +97,8 @@
         self._answers = AnswerCache(settings.answers_max_bytes)
         self._retries = RetryBudget(settings.retry_share)
         self._ids = itertools.count(1)
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._busy_halls = BusyHalls()
         context.router.on(AnswerAsk, self._on_answer_ask)
         context.router.on(CancelAsk, self._on_cancel_ask)
         context.router.on(Preempt, self._on_preempt)
@@ -250,29 +253,46 @@
             await self._back_off(running)
 
     async def _ask_slot(self, running: RunningRequest) -> SlotReply:
-        """Ask this hall's dispatcher first, then those of other halls."""
+        """Take a free slot in any hall, this one first; else wait where that is shortest.
+
+        A hall that was just found full is not asked again for a moment, so
+        that an overload does not multiply messages.
+        """
+        pool = running.request.pool
+        halls = tuple(self._iter_halls(pool))
         refusal = SlotReply(ResultCode.NO_HOST_REACHABLE, retry_after_s=1.0)
-        for hall in self._iter_halls(running.request.pool):
-            left_s = running.request.deadline_at_s - self._context.wall_clock()
-            if left_s <= 0:
-                return SlotReply(ResultCode.DEADLINE_PASSED)
-            task = asyncio.get_running_loop().create_task(
-                self._dispatch.ask(hall, self._make_ask(running, hall), left_s)
-            )
-            running.slot_wait = task  # type: ignore[assignment]
-            try:
-                reply = await task
-            except asyncio.CancelledError:
-                if not running.is_cancelled:
-                    raise
-                return SlotReply(ResultCode.CANCELLED_BEFORE_START)
-            finally:
-                running.slot_wait = None
+        if len(halls) > 1:
+            for hall in halls:
+                if self._busy_halls.is_busy(pool, hall):
+                    continue
+                reply = await self._ask_hall(running, hall, may_wait=False)
+                if reply.code == ResultCode.NO_SLOT_FREE:
+                    self._busy_halls.note(pool, hall, reply.retry_after_s)
+                elif reply.code not in OTHER_HALL_CODES:
+                    return reply
+        for hall in sorted(halls, key=lambda hall: self._busy_halls.get_wait_s(pool, hall)):
+            reply = await self._ask_hall(running, hall, may_wait=True)
             if reply.code not in OTHER_HALL_CODES:
                 return reply
             refusal = _prefer_refusal(refusal, reply)
         return refusal
 
+    async def _ask_hall(self, running: RunningRequest, hall: str, may_wait: bool) -> SlotReply:
+        left_s = running.request.deadline_at_s - self._context.wall_clock()
+        if left_s <= 0:
+            return SlotReply(ResultCode.DEADLINE_PASSED)
+        ask = self._make_ask(running, hall, may_wait)
+        task = asyncio.get_running_loop().create_task(self._dispatch.ask(hall, ask, left_s))
+        running.slot_wait = task
+        try:
+            return await task
+        except asyncio.CancelledError:
+            if not running.is_cancelled:
+                raise
+            return SlotReply(ResultCode.CANCELLED_BEFORE_START)
+        finally:
+            running.slot_wait = None
+
     def _iter_halls(self, pool: str) -> Iterator[str]:
         state = self._context.get_state()
         serving = Counter(host.hall for host in state.iter_pool_hosts(pool) if host.is_serving)
@@ -286,7 +306,7 @@
             del weights[index]
             yield others.pop(index)
 
-    def _make_ask(self, running: RunningRequest, hall: str) -> SlotAsk:
+    def _make_ask(self, running: RunningRequest, hall: str, may_wait: bool) -> SlotAsk:
         request = running.request
         return SlotAsk(
             request.pool,
@@ -297,6 +317,7 @@
             request.is_repeatable,
             running.digest,
             running.avoid,
+            may_wait,
         )
 
     def _answer_without_slot(self, running: RunningRequest, slot: SlotReply) -> CallerAnswer:
@@ -332,12 +353,29 @@
             run_s = asyncio.get_running_loop().time() - started_at_s
             del self._by_lease[slot.lease_id]
             running.lease_id = running.task_id = ""
-            self._give_back(running, slot, result, run_s)
+            if result.outcome is SlotOutcome.LOST:
+                self._start_task(self._stop_and_give_back(running, slot, task, run_s))
+            else:
+                self._give_back(running, slot, result, run_s)
         self._context.events.note(
             result.outcome.name.lower(), request.request_id, slot.host, run_s * 1000
         )
         return result
 
+    async def _stop_and_give_back(
+        self, running: RunningRequest, slot: SlotReply, task: Task, run_s: float
+    ) -> None:
+        """Stop a task that nobody waits for, and say whether its slot is free."""
+        call = ControlCall(ControlAction.STOP, slot.token, task.id)
+        is_stopped = await self._control(slot.address, call)
+        outcome = SlotOutcome.TIMED_OUT if is_stopped else SlotOutcome.LOST
+        self._give_back(running, slot, TryResult(outcome, ResultCode.OK), run_s)
+
+    def _start_task(self, work: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.get_running_loop().create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
     def _give_back(
         self, running: RunningRequest, slot: SlotReply, result: TryResult, run_s: float
     ) -> None:
@@ -415,9 +453,13 @@
         return (await asyncio.shield(running.answer)).code
 
     async def _interrupt(self, running: RunningRequest, action: ControlAction) -> bool:
-        call = ControlCall(action, running.token, running.task_id)
+        return await self._control(
+            running.address, ControlCall(action, running.token, running.task_id)
+        )
+
+    async def _control(self, address: str, call: ControlCall) -> bool:
         try:
-            return (await self._context.upstream.control(running.address, call)).is_done
+            return (await self._context.upstream.control(address, call)).is_done
         except (UpstreamUnsentError, UpstreamLostError):
             return False
 
--- a/src/robinthread/_internal/entry/running_request.py
+++ b/src/robinthread/_internal/entry/running_request.py
@@ -7,6 +7,7 @@
 from robinthread._internal.entry.caller_answer import CallerAnswer
 from robinthread._internal.entry.caller_request import CallerRequest
 from robinthread._internal.entry.try_result import TryResult
+from robinthread._internal.peers.messages import SlotReply
 
 
 @dataclass
@@ -24,7 +25,7 @@
     answer: asyncio.Future[CallerAnswer]
     claim: Claim | None = None
     is_cancelled: bool = False
-    slot_wait: asyncio.Task[object] | None = None
+    slot_wait: asyncio.Task[SlotReply] | None = None
     lease_id: str = ""
     address: str = ""
     token: int = 0
--- a/src/robinthread/_internal/peers/messages.py
+++ b/src/robinthread/_internal/peers/messages.py
@@ -50,7 +50,7 @@
 
 
 class SlotAsk(PeerMessage, frozen=True, array_like=True, tag=5):
-    """Ask the dispatcher of a pool in a data hall for a slot."""
+    """Ask the dispatcher of a pool in a data hall for a slot, at once or by queueing."""
 
     pool: str
     hall: str
@@ -60,7 +60,7 @@
     is_repeatable: bool
     job: bytes
     avoid: tuple[str, ...]
-    attempt: int = 0
+    may_wait: bool = True
 
 
 class SlotReply(PeerMessage, frozen=True, array_like=True, tag=6):
--- a/src/robinthread/_internal/results.py
+++ b/src/robinthread/_internal/results.py
@@ -45,6 +45,7 @@
     NOT_STARTED = 312
     DEADLINE_PASSED = 313
     STOPPING = 314
+    NO_SLOT_FREE = 315
 
     OUTCOME_UNKNOWN = 400
     HOLDER_LOST = 401
@@ -115,6 +116,7 @@
     ResultCode.NOT_STARTED: "The worker said that it did not start the request.",
     ResultCode.DEADLINE_PASSED: "The deadline passed before the request was started.",
     ResultCode.STOPPING: "The daemon is stopping. Ask another entry host.",
+    ResultCode.NO_SLOT_FREE: "No slot is free in that data hall now.",
     ResultCode.OUTCOME_UNKNOWN: "The request was sent and no word came back.",
     ResultCode.HOLDER_LOST: "The daemon that carried the request is gone.",
     ResultCode.ANSWER_TIMED_OUT: "The request was sent; its answer did not come in time.",
--- a/src/robinthread/_internal/settings/dispatch_settings.py
+++ b/src/robinthread/_internal/settings/dispatch_settings.py
@@ -12,7 +12,9 @@
     ``suspend_after_failures`` distinct jobs failed gets no work for
     ``suspend_min_s``, doubled with each failed probe up to ``suspend_max_s``.
     A job that failed on ``set_aside_after_hosts`` distinct hosts is refused
-    for ``set_aside_s``.
+    for ``set_aside_s``.  A task that was cut off by its deadline counts against
+    its host only if it ran ``slow_factor`` times longer than the mean.
+    ``route_by_outcome`` off routes by load alone, the baseline of the benches.
     """
 
     queue_max: int = 2000
@@ -29,3 +31,5 @@
     host_fail_after_s: float = 5.0
     takeover_wait_s: float = 0.3
     run_estimate_weight: float = 0.1
+    slow_factor: float = 4.0
+    route_by_outcome: bool = True
--- a/src/robinthread/_internal/standins/fleet_standin.py
+++ b/src/robinthread/_internal/standins/fleet_standin.py
@@ -20,11 +20,9 @@
 from robinthread._internal.standins.log_standin import LogStandin
 from robinthread._internal.standins.peer_network import PeerNetwork
 from robinthread._internal.standins.upstreams_standin import make_standin_upstream
-from robinthread._internal.standins.worker_standin import WorkerStandin
+from robinthread._internal.standins.worker_standin import EPOCH_S, WorkerStandin
 from robinthread._internal.telemetry.counters import Counters
 
-EPOCH_S = 1_800_000_000.0
-
 
 @dataclass(frozen=True)
 class HallSize:
--- a/src/robinthread/_internal/standins/job.py
+++ b/src/robinthread/_internal/standins/job.py
@@ -9,13 +9,14 @@
     """A job of the stand-ins, as JSON in a request's body.
 
     ``run_s`` is the true run time; ``can_run`` is false for a job that fails
-    wherever it is started.
+    wherever it is started.  A start after ``deadline_at_s`` is counted.
     """
 
     run_s: float = 0.0
     can_run: bool = True
     answer_bytes: int = 0
     payload: str = ""
+    deadline_at_s: float = 0.0
 
 
 def encode_job(job: Job) -> bytes:
--- a/src/robinthread/_internal/standins/worker_standin.py
+++ b/src/robinthread/_internal/standins/worker_standin.py
@@ -13,6 +13,7 @@
 from robinthread._internal.upstream.task import Task
 from robinthread._internal.utils.waiting import wait_for_event
 
+EPOCH_S = 1_800_000_000.0
 CHECKPOINT_DONE_S = "done_s:"
 
 
@@ -57,7 +58,7 @@
         self._slots = slots
         self._ledger = ledger
         self._reboot_s = reboot_s
-        self._can_checkpoint = can_checkpoint
+        self.can_checkpoint = can_checkpoint
         self._running: dict[str, _Running] = {}
         self._reboot: asyncio.Task[None] | None = None
 
@@ -121,6 +122,8 @@
 
     async def _work(self, task: Task, running: _Running) -> WorkerReply:
         job = parse_job(task.body)
+        if 0 < job.deadline_at_s < EPOCH_S + asyncio.get_running_loop().time():
+            self._ledger.started_after_deadline_count += 1
         left_s = max(0.0, job.run_s - running.done_before_s)
         if self.mode is WorkerMode.HANGS:
             left_s = 1e9
@@ -155,7 +158,7 @@
         running = self._running.get(call.task_id)
         if running is None:
             return ControlReply(False, "not running")
-        if call.action is ControlAction.CHECKPOINT and not self._can_checkpoint:
+        if call.action is ControlAction.CHECKPOINT and not self.can_checkpoint:
             return ControlReply(False, "cannot checkpoint")
         running.action = call.action
         running.interrupted.set()
