--- a/src/robinthread/_internal/claims/claim_service.py
+++ b/src/robinthread/_internal/claims/claim_service.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 from typing import Final
 
+from robinthread._internal.claims.append_pacer import AppendPacer
 from robinthread._internal.claims.claim import Claim, get_partition
 from robinthread._internal.claims.partition_owner import PartitionOwner, make_claim_refusal
 from robinthread._internal.models.daemon_member import DaemonMember
@@ -52,6 +53,7 @@
         self._counters = counters
         self._owners: dict[int, PartitionOwner] = {}
         self._tasks: dict[int, asyncio.Task[None]] = {}
+        self._pacer = AppendPacer(self._get_rate_per_s)
         self._turns: tuple[frozenset[str], dict[int, str]] = (frozenset(), {})
         router.on(ClaimAsk, self._on_ask)
         router.on(HolderAsk, self._on_holder_ask)
@@ -132,7 +134,7 @@
             self._context.get_incarnation(),
             self._context.make_id,
             self._context.wall_clock,
-            settings.claim_partitions / settings.claim_appends_per_s,
+            self._pacer,
             settings.clock_skew_s,
             settings.claims_max // settings.claim_partitions,
             self._counters,
@@ -140,6 +142,11 @@
         self._owners[partition] = owner
         self._tasks[partition] = asyncio.get_running_loop().create_task(owner.run())
 
+    def _get_rate_per_s(self) -> float:
+        owned = sum(owner.is_owner for owner in self._owners.values())
+        share = max(1, owned) / self._settings.claim_partitions
+        return self._settings.claim_appends_per_s * share
+
     def _find_owner(self, key: bytes) -> DaemonMember | None:
         partition = get_partition(key, self._settings.claim_partitions)
         return self._context.get_state().daemons.get(self._get_turns().get(partition, ""))
--- a/src/robinthread/_internal/claims/partition_owner.py
+++ b/src/robinthread/_internal/claims/partition_owner.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from robinthread._internal.claims.append_pacer import AppendPacer
 from robinthread._internal.claims.claim import Claim
 from robinthread._internal.claims.records import (
     ClaimBatch,
@@ -45,7 +46,7 @@
     counts only if no other daemon took the partition before it.  An append
     that lands right behind the last known offset proves it at once; otherwise
     the owner reads what came between.  Claims that arrive while an append is
-    out share the next one, and appends start at least ``spacing_s`` apart.
+    out, or waits for its turn, share the next one.
     """
 
     def __init__(
@@ -56,7 +57,7 @@
         incarnation: str,
         make_id: Callable[[], str],
         wall_clock: Callable[[], float],
-        spacing_s: float,
+        pacer: AppendPacer,
         clock_skew_s: float,
         claims_max: int,
         counters: Counters,
@@ -69,7 +70,7 @@
         self._incarnation = incarnation
         self._make_id = make_id
         self._wall_clock = wall_clock
-        self._spacing_s = spacing_s
+        self._pacer = pacer
         self._clock_skew_s = clock_skew_s
         self._claims_max = claims_max
         self._counters = counters
@@ -109,8 +110,8 @@
                 await self._wake.wait()
                 self._wake.clear()
                 if self._queue:
+                    await self._pacer.wait_turn()
                     await self._commit()
-                    await asyncio.sleep(self._spacing_s)
                 if self._queue:
                     self._wake.set()
         except _OwnershipLostError:
--- a/src/robinthread/_internal/daemon/daemon.py
+++ b/src/robinthread/_internal/daemon/daemon.py
@@ -30,6 +30,7 @@
 from robinthread._internal.snapshots.store import read_newest_snapshot, write_snapshot
 from robinthread._internal.timeline.event_ring import EventRing
 from robinthread._internal.timeline.hybrid_clock import HybridClock
+from robinthread._internal.utils.memory import trim_memory
 from robinthread._internal.utils.rendezvous import pick_by_rendezvous
 from robinthread._internal.waves.measures import WaveMeasures
 from robinthread._internal.waves.steward import Steward, StewardContext
@@ -79,6 +80,7 @@
         self._digest: tuple[int, str] = (-1, "")
         self._join_task: asyncio.Task[None] | None = None
         self._snapshot_offset = 0
+        self._adopted = FleetState()
         self._tasks: list[asyncio.Task[None]] = []
         self.follower.watch(self._on_folded)
         self.router.on(ImageAsk, self._on_image_ask)
@@ -112,6 +114,7 @@
         self._start_task(follow_host_list(self))
         self._start_task(self._write_snapshots())
         self._ensure_joined()
+        trim_memory()
         logging.info("daemon %s ready at offset %d", self.settings.name, self.state.next_offset)
 
     async def wait_until_member(self) -> None:
@@ -185,6 +188,7 @@
             if snapshot is not None:
                 self.follower.take_image(snapshot.image)
                 self.follower.is_ready = False
+            trim_memory()
             return
         except (LogUnavailableError, LogReplyLostError):
             self.counters.add("snapshot_reads_failed")
@@ -211,16 +215,25 @@
     def _on_folded(self, folded: tuple[FoldedRecord, ...]) -> None:
         for record in folded:
             self.publisher.settle(record)
-            self._note_folded(record)
         if not self.follower.is_ready:
             return
+        for record in folded:
+            self._note_folded(record)
         self.measures.note_state(self.state)
         self._refresh_digest()
-        self.claims.adopt_turns()
-        self.dispatch.adopt_state()
+        self._adopt_changes()
         if not self.is_member and not self.is_stopping:
             self._ensure_joined()
 
+    def _adopt_changes(self) -> None:
+        """Take up turns and hosts, unless the change was to something else."""
+        before, self._adopted = self._adopted, self.state
+        if before.daemons is not self.state.daemons or before.cut_halls != self.state.cut_halls:
+            self.claims.adopt_turns()
+        elif before.hosts is self.state.hosts:
+            return
+        self.dispatch.adopt_state()
+
     def _note_folded(self, record: FoldedRecord) -> None:
         if record.code is not ResultCode.OK:
             self.counters.add("records_void")
@@ -274,6 +287,7 @@
             except (LogUnavailableError, LogReplyLostError):
                 self.counters.add("snapshot_writes_failed")
                 continue
+            trim_memory()
             self._snapshot_offset = self.state.next_offset
             self.counters.add("snapshots_written")
             self.counters.add("snapshot_bytes", size)
--- a/src/robinthread/_internal/daemon/process.py
+++ b/src/robinthread/_internal/daemon/process.py
@@ -17,8 +17,7 @@
 from robinthread._internal.daemon.environment import Environment
 from robinthread._internal.entry.handler import make_caller_application
 from robinthread._internal.follow.host_list import ListedHost, make_http_host_list
-from robinthread._internal.operators.handler import make_operator_application
-from robinthread._internal.operators.schema import check_schema
+from robinthread._internal.operators.listener import make_operator_application
 from robinthread._internal.peers.pynng_transport import make_pynng_transport
 from robinthread._internal.platform_log.http_client import make_http_log
 from robinthread._internal.results import FaultError, ResultCode, make_fault
@@ -31,8 +30,8 @@
 )
 from robinthread._internal.upstream.http_client import make_http_upstream
 
-HTTP_CLIENTS_MAX = 512
-PLATFORM_CLIENTS_MAX = 64
+CONTROL_CONNECTIONS_MAX = 32
+PLATFORM_CONNECTIONS_MAX = 32
 
 
 class Listener:
@@ -93,6 +92,8 @@
     def _check_files(self, settings: DaemonSettings) -> None:
         path = settings.listen.operator_schema_file
         if path:
+            from robinthread._internal.operators.schema import check_schema
+
             check_schema(_read_file(path, "listen.operator_schema_file"), path)
 
 
@@ -101,8 +102,9 @@
 ) -> Environment:
     """Make the real interfaces of a daemon."""
     platform = settings.platform
-    workers = CurlAsyncHTTPClient(force_instance=True, max_clients=HTTP_CLIENTS_MAX)
-    platform_client = CurlAsyncHTTPClient(force_instance=True, max_clients=PLATFORM_CLIENTS_MAX)
+    connections_max = settings.entry.upstream_connections_max + CONTROL_CONNECTIONS_MAX
+    workers = CurlAsyncHTTPClient(force_instance=True, max_clients=connections_max)
+    platform_client = CurlAsyncHTTPClient(force_instance=True, max_clients=PLATFORM_CONNECTIONS_MAX)
     list_hosts = (
         make_http_host_list(platform_client, platform.host_list_url)
         if platform.host_list_url
--- a/src/robinthread/_internal/entry/entry_service.py
+++ b/src/robinthread/_internal/entry/entry_service.py
@@ -328,8 +328,10 @@
     async def _try_on(self, running: RunningRequest, key: bytes, slot: SlotReply) -> TryResult:
         request = running.request
         left_s = request.deadline_at_s - self._context.wall_clock()
-        if left_s <= 0:
-            result = TryResult(SlotOutcome.UNUSED, ResultCode.DEADLINE_PASSED)
+        is_crowded = len(self._by_lease) >= self._settings.upstream_connections_max
+        if left_s <= 0 or is_crowded:
+            code = ResultCode.QUEUE_FULL if is_crowded else ResultCode.DEADLINE_PASSED
+            result = TryResult(SlotOutcome.UNUSED, code)
             self._give_back(running, slot, result, 0.0)
             return result
         task = Task(
--- a/src/robinthread/_internal/fold/kinds/host_arrived.py
+++ b/src/robinthread/_internal/fold/kinds/host_arrived.py
@@ -1,6 +1,7 @@
 """Record: a host arrives."""
 
 from dataclasses import dataclass
+from sys import intern
 
 from returns.result import Failure, Success
 
@@ -30,8 +31,8 @@
         return Failure(ResultCode.ALREADY_EXISTS)
     host = Host(
         body.name,
-        body.hall,
-        body.rack,
+        intern(body.hall),
+        intern(body.rack),
         body.address,
         body.slots,
         body.connections,
--- a/src/robinthread/_internal/fold/kinds/host_assigned.py
+++ b/src/robinthread/_internal/fold/kinds/host_assigned.py
@@ -1,6 +1,7 @@
 """Record: a free host is assigned to a pool."""
 
 from dataclasses import dataclass, replace
+from sys import intern
 
 from returns.result import Failure, Success
 
@@ -28,5 +29,5 @@
         return Failure(ResultCode.HOST_IN_OTHER_POOL)
     if host.phase is not HostPhase.FREE:
         return Failure(ResultCode.WRONG_PHASE)
-    joined = replace(host, pool=body.pool, phase=HostPhase.SERVING, token=at.offset)
+    joined = replace(host, pool=intern(body.pool), phase=HostPhase.SERVING, token=at.offset)
     return Success(end_finished_waves(put_host(state, joined), at.offset))
--- a/src/robinthread/_internal/fold/step.py
+++ b/src/robinthread/_internal/fold/step.py
@@ -35,7 +35,9 @@
 def is_budget_held(state: FleetState, pool: str) -> bool:
     """Tell whether the pool's budget holds in ``state``."""
     found = state.pools.get(pool)
-    return found is None or found.budget.is_held_by(state.iter_pool_hosts(pool))
+    if found is None:
+        return True
+    return found.budget.is_held_by(host for host in state.hosts.values() if host.pool == pool)
 
 
 def take_back_permits(state: FleetState, pool: str, offset: int) -> FleetState:
--- a/src/robinthread/_internal/follow/follower.py
+++ b/src/robinthread/_internal/follow/follower.py
@@ -12,7 +12,7 @@
 from robinthread._internal.platform_log.service import LogService
 from robinthread._internal.telemetry.counters import Counters
 
-PAGE_RECORDS: Final = 512
+PAGE_RECORDS: Final = 64
 LONG_POLL_S: Final = 5.0
 RETRY_S: Final = 0.25
 
--- a/src/robinthread/_internal/models/budget.py
+++ b/src/robinthread/_internal/models/budget.py
@@ -6,7 +6,7 @@
 from robinthread._internal.models.host import Host
 
 
-@dataclass(frozen=True)
+@dataclass(frozen=True, slots=True)
 class Budget:
     """Fewest hosts and slots that must keep serving.
 
--- a/src/robinthread/_internal/models/config_entry.py
+++ b/src/robinthread/_internal/models/config_entry.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass
 
 
-@dataclass(frozen=True)
+@dataclass(frozen=True, slots=True)
 class ConfigEntry:
     """A named text in force on every daemon; ``version`` is its log offset."""
 
--- a/src/robinthread/_internal/models/daemon_member.py
+++ b/src/robinthread/_internal/models/daemon_member.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass
 
 
-@dataclass(frozen=True)
+@dataclass(frozen=True, slots=True)
 class DaemonMember:
     """A live daemon; ``joined_at`` is the log offset of its joining record."""
 
--- a/src/robinthread/_internal/models/fleet_state.py
+++ b/src/robinthread/_internal/models/fleet_state.py
@@ -2,6 +2,9 @@
 
 from collections.abc import Iterator
 from dataclasses import dataclass, field
+from functools import cached_property
+from itertools import groupby
+from operator import attrgetter
 
 from robinthread._internal.models.config_entry import ConfigEntry
 from robinthread._internal.models.daemon_member import DaemonMember
@@ -25,9 +28,14 @@
     cut_halls: frozenset[str] = frozenset()
     hall_epochs: dict[str, int] = field(default_factory=dict)
 
+    @cached_property
+    def _hosts_by_pool(self) -> dict[str, tuple[Host, ...]]:
+        by_pool = sorted(self.hosts.values(), key=attrgetter("pool", "name"))
+        return {pool: tuple(hosts) for pool, hosts in groupby(by_pool, attrgetter("pool"))}
+
     def iter_pool_hosts(self, pool: str) -> Iterator[Host]:
         """Iterate over the hosts of ``pool`` in order of name."""
-        return (host for _, host in sorted(self.hosts.items()) if host.pool == pool)
+        return iter(self._hosts_by_pool.get(pool, ()))
 
     def iter_hall_daemons(self, hall: str) -> Iterator[DaemonMember]:
         """Iterate over the live daemons of ``hall`` in order of name."""
--- a/src/robinthread/_internal/models/host.py
+++ b/src/robinthread/_internal/models/host.py
@@ -5,7 +5,7 @@
 from robinthread._internal.models.host_phase import HostPhase
 
 
-@dataclass(frozen=True)
+@dataclass(frozen=True, slots=True)
 class Host:
     """An upstream host.
 
--- a/src/robinthread/_internal/models/pool.py
+++ b/src/robinthread/_internal/models/pool.py
@@ -5,7 +5,7 @@
 from robinthread._internal.models.budget import Budget
 
 
-@dataclass(frozen=True)
+@dataclass(frozen=True, slots=True)
 class Pool:
     """A pool; ``version`` is the log offset of the last change of it."""
 
--- a/src/robinthread/_internal/models/quota.py
+++ b/src/robinthread/_internal/models/quota.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass
 
 
-@dataclass(frozen=True)
+@dataclass(frozen=True, slots=True)
 class Quota:
     """Slots that a team may hold at once, in each pool and data hall."""
 
--- a/src/robinthread/_internal/models/wave.py
+++ b/src/robinthread/_internal/models/wave.py
@@ -23,7 +23,7 @@
 UNFINISHED = (WaveState.RUNNING, WaveState.PAUSED)
 
 
-@dataclass(frozen=True)
+@dataclass(frozen=True, slots=True)
 class Wave:
     """A wave over hosts; ``version`` is the offset of its last change.
 
--- a/src/robinthread/_internal/operators/handler.py
+++ b/src/robinthread/_internal/operators/handler.py
@@ -6,7 +6,7 @@
 from absl import logging
 from google.protobuf import json_format
 from google.protobuf.message import DecodeError
-from tornado.web import Application, RequestHandler
+from tornado.web import RequestHandler
 
 from robinthread._internal.daemon.daemon import Daemon
 from robinthread._internal.operators import robinthread_pb2 as pb
@@ -14,7 +14,6 @@
 from robinthread._internal.platform_log.errors import LogReplyLostError, LogUnavailableError
 from robinthread._internal.results import Fault, FaultError, ResultCode, make_fault
 
-SERVICE = "robinthread.v1.Operators"
 JSON_TYPE = "application/json"
 BINARY_TYPE = "application/x-protobuf"
 HTTP_UNAUTHORIZED = 401
@@ -24,15 +23,15 @@
 HTTP_UNAVAILABLE = 503
 
 
-class OperatorHandler(RequestHandler):
+class OperatorCall:
     """Check the token, decode the message, make the call, encode the reply."""
 
-    def initialize(self, daemon: Daemon, token: str) -> None:  # type: ignore[override]
-        """Take the daemon and the expected token; an empty one admits everybody."""
+    def __init__(self, handler: RequestHandler, daemon: Daemon, token: str) -> None:
+        self._handler = handler
         self._daemon = daemon
         self._token = token
 
-    async def post(self, method: str) -> None:
+    async def answer(self, method: str) -> None:
         """Answer one call."""
         try:
             reply = await self._call(method)
@@ -61,7 +60,7 @@
             raise FaultError(make_fault(ResultCode.INTERNAL, method)) from error
 
     def _check_token(self) -> None:
-        given = self.request.headers.get("Authorization", "")
+        given = self._handler.request.headers.get("Authorization", "")
         if not self._token or hmac.compare_digest(given.encode(), f"Bearer {self._token}".encode()):
             return
         self._daemon.counters.add("operator_calls_unauthorized")
@@ -72,23 +71,23 @@
         message = getattr(pb, descriptor.input_type.name)()
         try:
             if self._is_binary():
-                message.ParseFromString(self.request.body)
+                message.ParseFromString(self._handler.request.body)
             else:
-                json_format.Parse(self.request.body or b"{}", message)
+                json_format.Parse(self._handler.request.body or b"{}", message)
         except (DecodeError, json_format.ParseError, UnicodeDecodeError) as error:
             raise FaultError(make_fault(ResultCode.BAD_ARGUMENT, str(error))) from error
         return message
 
     def _is_binary(self) -> bool:
-        return self.request.headers.get("Content-Type", "").startswith(BINARY_TYPE)
+        return self._handler.request.headers.get("Content-Type", "").startswith(BINARY_TYPE)
 
     def _write_message(self, message: Any) -> None:
         if self._is_binary():
-            self.set_header("Content-Type", BINARY_TYPE)
-            self.finish(message.SerializeToString())
+            self._handler.set_header("Content-Type", BINARY_TYPE)
+            self._handler.finish(message.SerializeToString())
             return
-        self.set_header("Content-Type", JSON_TYPE)
-        self.finish(
+        self._handler.set_header("Content-Type", JSON_TYPE)
+        self._handler.finish(
             json_format.MessageToJson(
                 message, preserving_proto_field_name=True, always_print_fields_with_no_presence=True
             )
@@ -102,13 +101,5 @@
             ResultCode.PLATFORM_OUT: HTTP_UNAVAILABLE,
             ResultCode.INTERNAL: HTTP_INTERNAL,
         }
-        self.set_status(statuses.get(fault.code, HTTP_BAD_REQUEST))
+        self._handler.set_status(statuses.get(fault.code, HTTP_BAD_REQUEST))
         self._write_message(make_outcome(fault.code, fault.message))
-
-
-def make_operator_application(daemon: Daemon, token: str) -> Application:
-    """Make the operators' listener."""
-    return Application(
-        [(rf"/{SERVICE}/(\w+)", OperatorHandler, {"daemon": daemon, "token": token})],
-        log_function=lambda handler: None,
-    )
--- a/src/robinthread/_internal/peers/pynng_transport.py
+++ b/src/robinthread/_internal/peers/pynng_transport.py
@@ -12,6 +12,25 @@
 RECONNECT_MIN_MS: Final = 50
 RECONNECT_MAX_MS: Final = 2000
 SEND_TIMEOUT_MS: Final = 2000
+LIBRARY_THREADS: Final = 2
+
+
+_has_limited_threads = False
+
+
+def _limit_threads() -> None:
+    """Keep the library from starting several threads a core; it asks only once."""
+    global _has_limited_threads
+    if _has_limited_threads:
+        return
+    for parameter in (
+        pynng.lib.NNG_INIT_NUM_TASK_THREADS,
+        pynng.lib.NNG_INIT_NUM_EXPIRE_THREADS,
+        pynng.lib.NNG_INIT_NUM_POLLER_THREADS,
+        pynng.lib.NNG_INIT_NUM_RESOLVER_THREADS,
+    ):
+        pynng.lib.nng_init_set_parameter(parameter, LIBRARY_THREADS)
+    _has_limited_threads = True
 
 
 class _Peer:
@@ -51,6 +70,7 @@
 
 def make_pynng_transport(listen_address: str) -> PeerTransport:
     """Listen on ``listen_address``, such as ``tcp://127.0.0.1:7101``; port 0 picks one."""
+    _limit_threads()
     pull = pynng.Pull0(recv_buffer_size=SOCKET_BUFFER_FRAMES)
     pull.listen(listen_address)
     address = f"tcp://{pull.listeners[0].local_address}"
--- a/src/robinthread/_internal/settings/daemon_settings.py
+++ b/src/robinthread/_internal/settings/daemon_settings.py
@@ -40,7 +40,7 @@
     name: str = ""
     hall: str = ""
     peer_seeds: tuple[str, ...] = ()
-    events_max: int = 4096
+    events_max: int = 2048
     listen: ListenSettings = field(default_factory=ListenSettings)
     platform: PlatformSettings = field(default_factory=PlatformSettings)
     peers: PeerSettings = field(default_factory=PeerSettings)
--- a/src/robinthread/_internal/settings/entry_settings.py
+++ b/src/robinthread/_internal/settings/entry_settings.py
@@ -10,6 +10,7 @@
     ``retry_share`` bounds retries as a share of first tries.  Answers to
     requests that must not be repeated are kept for duplicates until their
     deadline and ``answer_keep_s`` more, in at most ``answers_max_bytes``.
+    ``upstream_connections_max`` bounds the calls to workers at once.
     """
 
     default_timeout_s: float = 30.0
@@ -21,3 +22,4 @@
     answers_max_bytes: int = 4_000_000
     body_max_bytes: int = 4_000_000
     requests_max: int = 4000
+    upstream_connections_max: int = 256
--- a/src/robinthread/_internal/timeline/event.py
+++ b/src/robinthread/_internal/timeline/event.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass
 
 
-@dataclass(frozen=True)
+@dataclass(frozen=True, slots=True)
 class Event:
     """Something that changed in a process.
 
