Waves: empty hosts before their permits; count baselines over the whole wave

Change: work is steered away from the next hosts while others reboot and the permit comes when they are empty; what outlasts the allowed wait moves; a host is drained only when its own report says so; baselines are wave-wide batches.

--- a/src/robinthread/_internal/claims/table.py
+++ b/src/robinthread/_internal/claims/table.py
@@ -1,6 +1,7 @@
 """Claims of one partition, as its stream's order gives them."""
 
 import heapq
+from sys import intern
 
 from robinthread._internal.claims.claim import Claim
 from robinthread._internal.claims.records import PartitionRecord, PartitionTaken
@@ -16,7 +17,8 @@
         self.owner_id = ""
         self.next_offset = 0
         self._held: dict[bytes, Claim] = {}
-        self._expiries: list[tuple[float, bytes]] = []
+        self._keys_by_expiry_s: dict[int, list[bytes]] = {}
+        self._expiries_s: list[int] = []
 
     def __len__(self) -> int:
         return len(self._held)
@@ -31,8 +33,7 @@
         if record.epoch != self.epoch:
             return False
         for claim in record.claims:
-            self._held[claim.key] = claim
-            heapq.heappush(self._expiries, (claim.expires_at_s, claim.key))
+            self._hold(claim)
         return True
 
     def get(self, key: bytes) -> Claim | None:
@@ -52,9 +53,25 @@
         return True
 
     def drop_expired(self, now_s: float) -> None:
-        """Drop claims that expired before ``now_s``."""
-        while self._expiries and self._expiries[0][0] < now_s:
-            _, key = heapq.heappop(self._expiries)
-            held = self._held.get(key)
-            if held is not None and held.expires_at_s < now_s:
-                del self._held[key]
+        """Drop claims that expired before ``now_s``, a second's worth at a time."""
+        while self._expiries_s and self._expiries_s[0] < now_s - 1:
+            for key in self._keys_by_expiry_s.pop(heapq.heappop(self._expiries_s)):
+                held = self._held.get(key)
+                if held is not None and held.expires_at_s < now_s:
+                    del self._held[key]
+
+    def _hold(self, claim: Claim) -> None:
+        # Names are few and claims are many, so that each name is kept once.
+        self._held[claim.key] = Claim(
+            claim.key,
+            claim.digest,
+            claim.expires_at_s,
+            intern(claim.holder),
+            intern(claim.incarnation),
+            claim.ask_id,
+        )
+        expiry_s = int(claim.expires_at_s)
+        if expiry_s not in self._keys_by_expiry_s:
+            self._keys_by_expiry_s[expiry_s] = []
+            heapq.heappush(self._expiries_s, expiry_s)
+        self._keys_by_expiry_s[expiry_s].append(claim.key)
--- a/src/robinthread/_internal/dispatch/dispatch_service.py
+++ b/src/robinthread/_internal/dispatch/dispatch_service.py
@@ -81,7 +81,12 @@
         if member is None or not self._can_hear(member):
             return SlotReply(ResultCode.NO_HOST_REACHABLE, retry_after_s=1.0)
         try:
-            reply = await self._context.router.ask(member.peer_address, ask, timeout_s)
+            reply = await self._context.router.ask(
+                member.peer_address,
+                ask,
+                timeout_s,
+                lambda ask_id: SlotAskCancel(ask.pool, ask.hall, ask_id),
+            )
         except PeerTimeoutError:
             return SlotReply(ResultCode.NO_HOST_REACHABLE, retry_after_s=1.0)
         assert isinstance(reply, SlotReply)
--- a/src/robinthread/_internal/dispatch/dispatcher.py
+++ b/src/robinthread/_internal/dispatch/dispatcher.py
@@ -89,7 +89,7 @@
             return refusal
         loop = asyncio.get_running_loop()
         waiting = WaitingAsk(
-            ask, sender.address, sender.frame_id, loop.time(), loop.create_future()
+            ask, sender.name, sender.address, sender.frame_id, loop.time(), loop.create_future()
         )
         self.queue.put(waiting)
         self.pump()
@@ -103,7 +103,7 @@
     def cancel(self, sender: Sender, ask_id: int) -> None:
         """Give up a waiting ask."""
         for waiting in self.queue.iter_all():
-            if waiting.sender_address == sender.address and waiting.frame_id == ask_id:
+            if waiting.sender_name == sender.name and waiting.frame_id == ask_id:
                 self._finish(waiting, SlotReply(ResultCode.CANCELLED_BEFORE_START))
 
     def release(self, release: SlotRelease) -> None:
@@ -139,6 +139,11 @@
         self._steered_since_s = {name: self._steered_since_s.get(name, now_s) for name in names}
         self._done_hosts = done
 
+    @property
+    def steered_names(self) -> tuple[str, ...]:
+        """Return the hosts that new work is steered away from."""
+        return tuple(self._steered_since_s)
+
     def get_steered_s(self, name: str) -> float:
         """Return for how many seconds work has been steered away from a host."""
         now_s = asyncio.get_running_loop().time()
@@ -197,7 +202,8 @@
         if ask.may_wait or (
             not self.queue.count_ahead(ask.urgency)
             and not self._is_over_quota(ask.team)
-            and self._pick_host(ask) is not None
+            and (found := self._pick_host(ask)) is not None
+            and found.host.name not in self._steered_since_s
         ):
             return None
         return SlotReply(ResultCode.NO_SLOT_FREE, retry_after_s=self._estimate_wait_s(ask))
--- a/src/robinthread/_internal/dispatch/waiting_queue.py
+++ b/src/robinthread/_internal/dispatch/waiting_queue.py
@@ -14,6 +14,7 @@
     """An ask, who asked, and since when, in seconds of the loop."""
 
     ask: SlotAsk
+    sender_name: str
     sender_address: str
     frame_id: int
     arrived_at_s: float
--- a/src/robinthread/_internal/peers/messages.py
+++ b/src/robinthread/_internal/peers/messages.py
@@ -14,7 +14,6 @@
 class Heartbeat(PeerMessage, frozen=True, array_like=True, tag=1):
     """A daemon lives; ``silent_halls`` are those that it has not heard for too long."""
 
-    incarnation: str
     next_offset: int
     silent_halls: tuple[str, ...]
     digest: str
@@ -175,7 +174,8 @@
     """A message on its way.
 
     ``id`` is unique for the sender's incarnation; ``reply_to`` is the id of
-    the frame that this one answers, zero for none.
+    the frame that this one answers, zero for none.  ``sender_address`` is
+    empty where nobody will answer.
     """
 
     sender: str
--- a/src/robinthread/_internal/peers/presence.py
+++ b/src/robinthread/_internal/peers/presence.py
@@ -120,7 +120,6 @@
     def _make_heartbeat(self) -> Heartbeat:
         digest_offset, digest = self._context.get_digest()
         return Heartbeat(
-            self._context.get_incarnation(),
             self._context.get_state().next_offset,
             tuple(hall for hall in self._list_other_halls() if self.is_hall_silent(hall)),
             digest,
--- a/src/robinthread/_internal/peers/router.py
+++ b/src/robinthread/_internal/peers/router.py
@@ -91,8 +91,18 @@
         """Send a message that needs no reply."""
         self._send(address, message, reply_to=0)
 
-    async def ask(self, address: str, message: AnyMessage, timeout_s: float) -> AnyMessage:
-        """Send a message and return its reply; raise ``PeerTimeoutError``."""
+    async def ask(
+        self,
+        address: str,
+        message: AnyMessage,
+        timeout_s: float,
+        make_cancel: Callable[[int], AnyMessage] | None = None,
+    ) -> AnyMessage:
+        """Send a message and return its reply; raise ``PeerTimeoutError``.
+
+        Where the asker stops waiting, the peer is told so by the message that
+        ``make_cancel`` makes of the ask's frame id.
+        """
         frame_id = next(self._ids)
         if address == self.address:
             return await self._ask_self(frame_id, message, timeout_s)
@@ -103,7 +113,11 @@
             return await asyncio.wait_for(future, timeout_s)
         except TimeoutError as error:
             self._counters.add("peer_timeouts")
+            self._cancel_ask(address, frame_id, make_cancel)
             raise PeerTimeoutError(f"no reply from {address}") from error
+        except asyncio.CancelledError:
+            self._cancel_ask(address, frame_id, make_cancel)
+            raise
         finally:
             del self._replies[frame_id]
 
@@ -145,6 +159,12 @@
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
+    def _cancel_ask(
+        self, address: str, frame_id: int, make_cancel: Callable[[int], AnyMessage] | None
+    ) -> None:
+        if make_cancel is not None:
+            self.tell(address, make_cancel(frame_id))
+
     async def _handle(self, frame: Frame) -> None:
         handler = self._handlers.get(type(frame.message))
         if handler is None:
@@ -167,7 +187,7 @@
     def _send(self, address: str, message: AnyMessage, reply_to: int, frame_id: int = 0) -> None:
         frame = Frame(
             self.name,
-            self.address,
+            self.address if frame_id or reply_to else "",
             frame_id or next(self._ids),
             reply_to,
             self._clock.tick(),
@@ -181,7 +201,7 @@
         self._transport.send(address, data)
 
     def _is_repeated(self, frame: Frame) -> bool:
-        key = (frame.sender_address, frame.id)
+        key = (frame.sender, frame.id)
         if key in self._seen:
             return True
         self._seen[key] = None
--- a/src/robinthread/_internal/waves/pool_view.py
+++ b/src/robinthread/_internal/waves/pool_view.py
@@ -10,17 +10,18 @@
 class PoolView:
     """What a policy decides on.
 
-    ``waiting`` are the wave's hosts of the pool that serve still;
-    ``away_count`` those that hold permits.  ``may_leave(names)`` tells whether
-    the budget holds without these hosts.  ``slots_free`` and ``slots_total``
-    are over all serving hosts of the pool in this data hall.
+    ``waiting`` are the wave's hosts of the pool in this data hall that serve
+    still.  ``may_leave(names)`` tells whether the budget holds without these
+    hosts; ``away_count`` counts the pool's hosts here that hold permits.
+    ``slots_free`` are idle slots of serving hosts here.  ``wave_hosts`` are
+    the names of all hosts of the wave, ``wave_done`` those that are done.
     """
 
     waiting: tuple[HostView, ...]
     away_count: int
-    wave_size: int
     slots_free: int
-    slots_total: int
+    wave_hosts: tuple[str, ...]
+    wave_done: frozenset[str]
     may_leave: Callable[[tuple[str, ...]], bool]
 
 
--- a/src/robinthread/_internal/waves/steward.py
+++ b/src/robinthread/_internal/waves/steward.py
@@ -8,6 +8,8 @@
 from returns.result import Result, Success
 
 from robinthread._internal.dispatch.dispatcher import Dispatcher
+from robinthread._internal.dispatch.host_slots import HostSlots
+from robinthread._internal.dispatch.slot_lease import SlotLease
 from robinthread._internal.fold.folder import FoldedRecord
 from robinthread._internal.fold.kinds.drain_permitted import DrainPermitted
 from robinthread._internal.fold.kinds.drain_started import DrainStarted
@@ -108,6 +110,7 @@
         dispatcher = self._context.get_dispatchers().get(pool)
         if dispatcher is not None:
             dispatcher.steer(choice.steer, wave.done)
+            self._move_overdue(dispatcher)
         for name in choice.permit:
             state = self._context.get_state()
             host = state.hosts.get(name)
@@ -128,9 +131,9 @@
         return PoolView(
             tuple(_make_host_view(host, dispatcher) for host in hosts if host.phase in ready),
             sum(host.phase in HELD_PHASES for host in hosts),
-            len(wave.hosts),
             dispatcher.count_idle_slots() if dispatcher else 0,
-            sum(slots.limit for slots in dispatcher.hosts.values()) if dispatcher else 0,
+            wave.hosts,
+            wave.done,
             lambda names: _would_hold(state, pool, names),
         )
 
@@ -214,7 +217,7 @@
     async def _drain(self, host: Host) -> bool:
         started_at_s = asyncio.get_running_loop().time()
         await self._fence(host)
-        while self._count_in_use(host) > 0:
+        while not await self._is_empty(host):
             elapsed_s = asyncio.get_running_loop().time() - started_at_s
             if elapsed_s > self._settings.drain_timeout_s:
                 self._move_tasks(host)
@@ -265,22 +268,55 @@
         except (UpstreamUnsentError, UpstreamLostError):
             return ""
 
+    async def _is_empty(self, host: Host) -> bool:
+        """Tell whether nothing runs on the host, by our count and by its own report.
+
+        A dispatcher that has just taken over has not counted yet.
+        """
+        if self._count_in_use(host) > 0:
+            return False
+        try:
+            return (await self._context.upstream.report(host.address)).slots_in_use == 0
+        except (UpstreamUnsentError, UpstreamLostError):
+            return False
+
     def _count_in_use(self, host: Host) -> int:
         dispatcher = self._context.get_dispatchers().get(host.pool)
         slots = dispatcher.hosts.get(host.name) if dispatcher else None
         return slots.in_use if slots else 0
 
+    def _move_overdue(self, dispatcher: Dispatcher) -> None:
+        """Move tasks that have outlasted the allowed wait on steered hosts.
+
+        A task that came later than the steering gets the same wait.
+        """
+        now_s = asyncio.get_running_loop().time()
+        for name in dispatcher.steered_names:
+            slots = dispatcher.hosts.get(name)
+            if slots is None:
+                continue
+            steered_since_s = now_s - dispatcher.get_steered_s(name)
+            for lease in tuple(slots.leases.values()):
+                waited_s = now_s - max(lease.granted_at_s, steered_since_s)
+                if waited_s >= self._settings.drain_timeout_s:
+                    self._move_task(slots, lease)
+
     def _move_tasks(self, host: Host) -> None:
-        """Ask the holders of what still runs to checkpoint it and place it elsewhere."""
+        """Move what still runs on a host that drains."""
         dispatcher = self._context.get_dispatchers().get(host.pool)
         slots = dispatcher.hosts.get(host.name) if dispatcher else None
         if slots is None:
             return
         for lease in tuple(slots.leases.values()):
-            if lease.is_repeatable and not lease.is_preempted:
-                slots.mark_preempted(lease.id)
-                self._context.measures.note_move()
-                self._context.tell_holder(lease.holder_address, Preempt(lease.id))
+            self._move_task(slots, lease)
+
+    def _move_task(self, slots: HostSlots, lease: SlotLease) -> None:
+        """Ask a task's holder to checkpoint it and place it elsewhere."""
+        if lease.is_repeatable and not lease.is_preempted:
+            slots.mark_preempted(lease.id)
+            self._context.measures.note_move()
+            self._context.events.note("move", lease.id, slots.host.name)
+            self._context.tell_holder(lease.holder_address, Preempt(lease.id))
 
     def _is_still(self, host: Host) -> bool:
         current = self._context.get_state().hosts.get(host.name)
