--- /dev/null
+++ b/spec/__main__.py
@@ -0,0 +1,76 @@
+"""Check every protocol; print each invariant and each guard's counterexample."""
+
+import sys
+from concurrent.futures import ProcessPoolExecutor
+from dataclasses import dataclass
+
+from spec.budget import make_budget
+from spec.check import TraceStep, find_counterexample, prove
+from spec.claims import make_claims
+from spec.fencing import make_fencing
+from spec.membership import make_halls, make_membership
+from spec.restart import make_restart
+
+PROTOCOLS = {
+    "claims": make_claims,
+    "budget": make_budget,
+    "fencing": make_fencing,
+    "membership": make_membership,
+    "halls": make_halls,
+    "restart": make_restart,
+}
+
+
+@dataclass(frozen=True)
+class Question:
+    """An invariant to prove, or a guard whose removal must break one."""
+
+    protocol: str
+    invariant: str = ""
+    guard: str = ""
+
+
+@dataclass(frozen=True)
+class Finding:
+    """The answer to a question, and the trace where a guard is taken out."""
+
+    question: Question
+    is_as_wanted: bool
+    text: str
+    trace: tuple[TraceStep, ...] = ()
+
+
+def main() -> int:
+    """Check all; return 0 where all is proved and every guard is needed."""
+    protocols = {name: make() for name, make in PROTOCOLS.items()}
+    questions = [
+        question
+        for name, protocol in protocols.items()
+        for question in (
+            *(Question(name, invariant=invariant) for invariant in protocol.invariants),
+            *(Question(name, guard=guard) for guard in protocol.removable),
+        )
+    ]
+    with ProcessPoolExecutor() as executor:
+        findings = list(executor.map(answer, questions))
+    for finding in findings:
+        print(finding.text)
+        for number, step in enumerate(finding.trace, 1):
+            print(f"    {number}. {step}")
+    return int(not all(finding.is_as_wanted for finding in findings))
+
+
+def answer(question: Question) -> Finding:
+    """Answer one question, in a process of its own."""
+    protocol = PROTOCOLS[question.protocol]()
+    if question.invariant:
+        is_proved = prove(protocol, question.invariant)
+        verdict = "proved" if is_proved else "NOT PROVED"
+        return Finding(question, is_proved, f"{protocol.name}: {question.invariant}: {verdict}")
+    broken, trace = find_counterexample(protocol, without=question.guard)
+    text = f"{protocol.name} without '{question.guard}': breaks '{broken or 'NOTHING'}'"
+    return Finding(question, bool(broken), text, tuple(trace))
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/src/robinthread/_internal/claims/claim_service.py
+++ b/src/robinthread/_internal/claims/claim_service.py
@@ -20,6 +20,7 @@
 
 ASK_TRIES: Final = 3
 RETRY_S: Final = 0.1
+RETAKE_S: Final = 0.2
 
 
 @dataclass(frozen=True)
@@ -53,6 +54,7 @@
         self._counters = counters
         self._owners: dict[int, PartitionOwner] = {}
         self._tasks: dict[int, asyncio.Task[None]] = {}
+        self._is_closed = False
         self._pacer = AppendPacer(self._get_rate_per_s)
         self._turns: tuple[frozenset[str], dict[int, str]] = (frozenset(), {})
         router.on(ClaimAsk, self._on_ask)
@@ -108,6 +110,8 @@
 
     def adopt_turns(self) -> None:
         """Take the partitions whose turn has come here; called on changes of members."""
+        if self._is_closed:
+            return
         turns = self._get_turns()
         for partition in range(self._settings.claim_partitions):
             is_ours = turns.get(partition) == self._context.name
@@ -122,6 +126,7 @@
 
     def close(self) -> None:
         """Stop owning."""
+        self._is_closed = True
         for task in self._tasks.values():
             task.cancel()
 
@@ -140,7 +145,14 @@
             self._counters,
         )
         self._owners[partition] = owner
-        self._tasks[partition] = asyncio.get_running_loop().create_task(owner.run())
+        task = asyncio.get_running_loop().create_task(owner.run())
+        self._tasks[partition] = task
+        task.add_done_callback(self._note_ended)
+
+    def _note_ended(self, task: asyncio.Task[None]) -> None:
+        """Take the partition again after a pause if it is still this daemon's turn."""
+        if not task.cancelled() and not self._is_closed:
+            asyncio.get_running_loop().call_later(RETAKE_S, self.adopt_turns)
 
     def _get_rate_per_s(self) -> float:
         owned = sum(owner.is_owner for owner in self._owners.values())
--- a/src/robinthread/_internal/dispatch/dispatcher.py
+++ b/src/robinthread/_internal/dispatch/dispatcher.py
@@ -64,6 +64,7 @@
         self._steered_since_s: dict[str, float] = {}
         self._done_hosts: frozenset[str] = frozenset()
         self._team_slots: Counter[str] = Counter()
+        self._tasks: set[asyncio.Task[None]] = set()
         self._lease_ids = itertools.count(1)
         self._lease_prefix = context.make_id()
 
@@ -118,6 +119,8 @@
             if outcome is SlotOutcome.LOST:
                 slots.keep_in_use()
         self._learn(slots, outcome, release)
+        if outcome is SlotOutcome.NOT_STARTED:
+            self._recount(slots)
         self.pump()
 
     def pump(self) -> None:
@@ -155,14 +158,19 @@
             self._finish(waiting, SlotReply(code, retry_after_s=RETRY_AFTER_MIN_S))
 
     async def count_slots(self, name: str) -> None:
-        """Learn from the worker's report what an earlier dispatcher left in use."""
+        """Learn from the worker's report what is in use that we did not lease.
+
+        A worker that refuses our fence has seen a later dispatcher's: no slot
+        of it is leased from here.
+        """
         slots = self.hosts.get(name)
         if slots is None or slots.is_counted:
             return
         upstream = self._context.upstream
         try:
             fence = ControlCall(ControlAction.FENCE, self.get_token(slots.host))
-            await upstream.control(slots.host.address, fence)
+            if not (await upstream.control(slots.host.address, fence)).is_done:
+                return
             report = await upstream.report(slots.host.address)
             slots.unattributed = max(0, report.slots_in_use - len(slots.leases))
         except (UpstreamUnsentError, UpstreamLostError):
@@ -170,6 +178,13 @@
         slots.is_counted = True
         self.pump()
 
+    def _recount(self, slots: HostSlots) -> None:
+        """Lease nothing on a host that refused a task until its report was read."""
+        slots.is_counted = False
+        task = asyncio.get_running_loop().create_task(self.count_slots(slots.host.name))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
     def count_idle_slots(self) -> int:
         """Return the free slots of hosts that may get work."""
         now_s = asyncio.get_running_loop().time()
