--- /dev/null
+++ b/bench/__main__.py
@@ -0,0 +1,67 @@
+"""Run benches and print their counts beside the last accepted ones.
+
+``python -m bench`` runs those whose bounds are kept, ``python -m bench NAME``
+one; ``--check`` ends with an error where a bound is broken.
+"""
+
+import sys
+from collections.abc import Callable
+
+from bench.black_holes import run_black_holes
+from bench.bounds import Bound, iter_broken, read_bounds
+from bench.control import run_control
+from bench.overload import run_overload
+from bench.parallel import run_in_processes
+from bench.result import BenchResult
+from bench.storms import run_storms
+from bench.urgent import run_urgent
+from bench.waves import run_many_waves, run_wave_baselines, run_waves
+
+CHECKED: dict[str, Callable[[], BenchResult]] = {
+    "control": run_control,
+    "overload": run_overload,
+    "urgent": run_urgent,
+    "black_holes": run_black_holes,
+    "storm": run_storms,
+}
+LONG: dict[str, Callable[[], BenchResult]] = {
+    "waves": run_waves,
+    "wave_baselines": run_wave_baselines,
+    "many_waves": run_many_waves,
+}
+
+
+def main(arguments: list[str]) -> int:
+    """Run the named benches, or all with kept bounds; return the exit code."""
+    is_check = "--check" in arguments
+    names = [name for name in arguments if not name.startswith("--")]
+    unknown = [name for name in names if name not in CHECKED | LONG]
+    if unknown:
+        print(f"Unknown benches {', '.join(unknown)}; know {', '.join(CHECKED | LONG)}")
+        return 2
+    short = [name for name in names or CHECKED if name in CHECKED]
+    results = run_in_processes(_run_checked, short)
+    results += [LONG[name]() for name in names or ("waves",) if name in LONG]
+    bounds = read_bounds()
+    broken = [name for result in results for name in _print(result, bounds.get(result.name, {}))]
+    print(f"bounds broken: {', '.join(broken) or 'none'}")
+    return int(is_check and bool(broken))
+
+
+def _run_checked(name: str) -> BenchResult:
+    return CHECKED[name]()
+
+
+def _print(result: BenchResult, bounds: dict[str, Bound]) -> list[str]:
+    broken = list(iter_broken(result, bounds))
+    print(f"--- {result.name}{': ' + result.note if result.note else ''}")
+    for name, value in result.counts.items():
+        bound = bounds.get(name)
+        beside = f"accepted {bound.accepted:g}" if bound else ""
+        mark = "  BROKEN" if name in broken else ""
+        print(f"{name:48s}{value:14g}  {beside}{mark}")
+    return [f"{result.name}.{name}" for name in broken]
+
+
+if __name__ == "__main__":
+    sys.exit(main(sys.argv[1:]))
--- /dev/null
+++ b/bench/parallel.py
@@ -0,0 +1,17 @@
+"""Runs in processes side by side; results keep the jobs' order."""
+
+import os
+from collections.abc import Callable, Sequence
+from concurrent.futures import ProcessPoolExecutor
+from typing import TypeVar
+
+Job = TypeVar("Job")
+Found = TypeVar("Found")
+
+PROCESSES_MAX = max(1, (os.cpu_count() or 1) - 1)
+
+
+def run_in_processes(work: Callable[[Job], Found], jobs: Sequence[Job]) -> list[Found]:
+    """Return ``work`` of each job, in order."""
+    with ProcessPoolExecutor(PROCESSES_MAX) as executor:
+        return list(executor.map(work, jobs))
--- a/src/robinthread/_internal/dispatch/dispatcher.py
+++ b/src/robinthread/_internal/dispatch/dispatcher.py
@@ -16,6 +16,7 @@
 from robinthread._internal.dispatch.waiting_queue import WaitingAsk, WaitingQueue
 from robinthread._internal.models.fleet_state import FleetState
 from robinthread._internal.models.host import Host
+from robinthread._internal.models.host_phase import HostPhase
 from robinthread._internal.models.urgency import Urgency
 from robinthread._internal.peers.messages import Preempt, SlotAsk, SlotRelease, SlotReply
 from robinthread._internal.peers.router import PeerRouter, Sender
@@ -28,6 +29,7 @@
 from robinthread._internal.upstream.service import UpstreamService
 
 UNLIMITED_SLOTS: Final = 1_000_000
+LEAVING_PHASES: Final = (HostPhase.PERMITTED, HostPhase.DRAINING)
 RETRY_AFTER_MIN_S: Final = 0.05
 
 
@@ -62,6 +64,7 @@
         self._settings = settings
         self._jobs = JobRecord(settings)
         self._steered_since_s: dict[str, float] = {}
+        self._leaving_rank: dict[str, int] = {}
         self._done_hosts: frozenset[str] = frozenset()
         self._team_slots: Counter[str] = Counter()
         self._tasks: set[asyncio.Task[None]] = set()
@@ -133,13 +136,19 @@
             assert slots is not None
             self._grant(waiting, slots)
 
-    def steer(self, names: tuple[str, ...], done: frozenset[str]) -> None:
+    def steer(self, names: tuple[str, ...], order: tuple[str, ...], done: frozenset[str]) -> None:
         """Place new work elsewhere than on ``names`` while there is room.
 
-        Work goes to hosts in ``done`` first, so that it moves once at most.
+        ``order`` is that in which hosts are to leave: work that has to go to
+        one of them goes to the last.  Work goes to hosts in ``done`` first, so
+        that it moves once at most.
         """
         now_s = asyncio.get_running_loop().time()
-        self._steered_since_s = {name: self._steered_since_s.get(name, now_s) for name in names}
+        away = [name for name, slots in self.hosts.items() if slots.host.phase in LEAVING_PHASES]
+        self._steered_since_s = {
+            name: self._steered_since_s.get(name, now_s) for name in (*names, *away)
+        }
+        self._leaving_rank = {name: -rank for rank, name in enumerate(order)}
         self._done_hosts = done
 
     @property
@@ -168,7 +177,9 @@
             return
         upstream = self._context.upstream
         try:
-            fence = ControlCall(ControlAction.FENCE, self.get_token(slots.host))
+            fence = ControlCall(
+                ControlAction.FENCE, self._context.get_state().get_token(slots.host)
+            )
             if not (await upstream.control(slots.host.address, fence)).is_done:
                 return
             report = await upstream.report(slots.host.address)
@@ -264,12 +275,13 @@
         avoided = [slots for slots in fit if slots.host.name not in ask.avoid]
         return min(avoided or fit, key=self._get_preference, default=None)
 
-    def _get_preference(self, slots: HostSlots) -> tuple[bool, bool, bool, float, str]:
+    def _get_preference(self, slots: HostSlots) -> tuple[bool, bool, bool, int, float, str]:
         name = slots.host.name
         return (
             slots.health.has_failed and self._settings.route_by_outcome,
             name in self._steered_since_s,
             bool(self._done_hosts) and name not in self._done_hosts,
+            self._leaving_rank.get(name, -len(self._leaving_rank)),
             slots.in_use / max(1, slots.limit),
             name,
         )
@@ -309,14 +321,10 @@
             lease.id,
             slots.host.name,
             slots.host.address,
-            self.get_token(slots.host),
+            self._context.get_state().get_token(slots.host),
         )
         self._finish(waiting, reply)
 
-    def get_token(self, host: Host) -> int:
-        epoch = self._context.get_state().hall_epochs.get(self._context.hall, 0)
-        return max(host.token, epoch)
-
     def _finish(self, waiting: WaitingAsk, reply: SlotReply) -> None:
         self.queue.remove(waiting)
         if not waiting.future.done():
@@ -380,11 +388,11 @@
             (slots, lease)
             for slots in self.hosts.values()
             for lease in slots.leases.values()
-            if lease.urgency != Urgency.URGENT and lease.is_repeatable and not lease.is_preempted
+            if lease.urgency != Urgency.URGENT and not lease.is_preempted
         )
 
 
-def _get_preemption_order(victim: tuple[HostSlots, SlotLease]) -> tuple[int, float]:
-    """Order leases so that the least urgent and latest started gives way first."""
+def _get_preemption_order(victim: tuple[HostSlots, SlotLease]) -> tuple[bool, int, float]:
+    """Order leases: what may be repeated, is least urgent and started last gives way first."""
     _, lease = victim
-    return (-lease.urgency, -lease.granted_at_s)
+    return (not lease.is_repeatable, -lease.urgency, -lease.granted_at_s)
--- a/src/robinthread/_internal/entry/entry_service.py
+++ b/src/robinthread/_internal/entry/entry_service.py
@@ -343,7 +343,7 @@
             running.checkpoint,
         )
         running.tries += 1
-        running.lease_id, running.address = slot.lease_id, slot.address
+        running.lease_id, running.host, running.address = slot.lease_id, slot.host, slot.address
         running.token, running.task_id = slot.token, task.id
         self._by_lease[slot.lease_id] = running
         started_at_s = asyncio.get_running_loop().time()
@@ -368,7 +368,8 @@
         self, running: RunningRequest, slot: SlotReply, task: Task, run_s: float
     ) -> None:
         """Stop a task that nobody waits for, and say whether its slot is free."""
-        call = ControlCall(ControlAction.STOP, slot.token, task.id)
+        token = max(slot.token, self._get_token(slot.host))
+        call = ControlCall(ControlAction.STOP, token, task.id)
         is_stopped = await self._control(slot.address, call)
         outcome = SlotOutcome.TIMED_OUT if is_stopped else SlotOutcome.LOST
         self._give_back(running, slot, TryResult(outcome, ResultCode.OK), run_s)
@@ -407,7 +408,10 @@
             running.may_have_run = result
         if running.is_cancelled:
             return _answer_cancelled(running)
-        if result.outcome in INTERRUPTED_OUTCOMES:
+        is_stopped = result.outcome is SlotOutcome.STOPPED
+        if result.outcome in INTERRUPTED_OUTCOMES and (
+            running.request.is_repeatable or not is_stopped
+        ):
             running.checkpoint = result.body
             return None
         if not is_safe and not running.request.is_repeatable:
@@ -455,9 +459,14 @@
         return (await asyncio.shield(running.answer)).code
 
     async def _interrupt(self, running: RunningRequest, action: ControlAction) -> bool:
-        return await self._control(
-            running.address, ControlCall(action, running.token, running.task_id)
-        )
+        # A drain may have fenced the worker since the task was sent.
+        token = max(running.token, self._get_token(running.host))
+        return await self._control(running.address, ControlCall(action, token, running.task_id))
+
+    def _get_token(self, name: str) -> int:
+        state = self._context.get_state()
+        host = state.hosts.get(name)
+        return state.get_token(host) if host else 0
 
     async def _control(self, address: str, call: ControlCall) -> bool:
         try:
@@ -467,9 +476,11 @@
 
     async def _on_preempt(self, sender: Sender, preempt: Preempt) -> None:
         running = self._by_lease.get(preempt.lease_id)
-        if running is None or not running.request.is_repeatable:
+        if running is None:
             return
-        if not await self._interrupt(running, ControlAction.CHECKPOINT):
+        is_done = await self._interrupt(running, ControlAction.CHECKPOINT)
+        # Work that must not be repeated goes on from its checkpoint or stays.
+        if not is_done and running.request.is_repeatable:
             await self._interrupt(running, ControlAction.STOP)
 
     async def _on_answer_ask(self, sender: Sender, ask: AnswerAsk) -> AnswerReply:
--- a/src/robinthread/_internal/entry/running_request.py
+++ b/src/robinthread/_internal/entry/running_request.py
@@ -14,7 +14,7 @@
 class RunningRequest:
     """State of a request between its arrival and its final answer.
 
-    ``lease_id``, ``address``, ``token`` and ``task_id`` are of the try that is
+    ``lease_id`` to ``task_id`` are of the try that is
     on a worker now; ``checkpoint`` resumes the next one.  ``may_have_run`` is
     the last try that reached a worker and was not refused by it: once there is
     one, the answer cannot be that the request did not run.
@@ -27,6 +27,7 @@
     is_cancelled: bool = False
     slot_wait: asyncio.Task[SlotReply] | None = None
     lease_id: str = ""
+    host: str = ""
     address: str = ""
     token: int = 0
     task_id: str = ""
--- a/src/robinthread/_internal/models/fleet_state.py
+++ b/src/robinthread/_internal/models/fleet_state.py
@@ -37,6 +37,14 @@
         """Iterate over the hosts of ``pool`` in order of name."""
         return iter(self._hosts_by_pool.get(pool, ()))
 
+    def get_token(self, host: Host) -> int:
+        """Return the fencing token of acts on ``host``.
+
+        It rises with the host's own records and with every change of the
+        daemons of its data hall, any of which may change its dispatcher.
+        """
+        return max(host.token, self.hall_epochs.get(host.hall, 0))
+
     def iter_hall_daemons(self, hall: str) -> Iterator[DaemonMember]:
         """Iterate over the live daemons of ``hall`` in order of name."""
         return (member for _, member in sorted(self.daemons.items()) if member.hall == hall)
--- a/src/robinthread/_internal/standins/ledger.py
+++ b/src/robinthread/_internal/standins/ledger.py
@@ -13,6 +13,7 @@
     def __init__(self) -> None:
         self.started: Counter[str] = Counter()
         self.started_by: dict[str, str] = {}
+        self.checkpointed: Counter[str] = Counter()
         self.finished: Counter[str] = Counter()
         self.refused_busy_count = 0
         self.refused_stale_count = 0
--- a/src/robinthread/_internal/standins/worker_standin.py
+++ b/src/robinthread/_internal/standins/worker_standin.py
@@ -136,6 +136,7 @@
         if left_s:
             await wait_for_event(running.interrupted, left_s)
         if running.action is ControlAction.CHECKPOINT:
+            self._ledger.checkpointed[task.key] += 1
             done_s = running.done_before_s + _get_elapsed_s(running)
             return make_reply(
                 ReplyStatus.CHECKPOINTED, task.id, f"{CHECKPOINT_DONE_S}{done_s}".encode()
--- a/src/robinthread/_internal/waves/pool_view.py
+++ b/src/robinthread/_internal/waves/pool_view.py
@@ -27,7 +27,11 @@
 
 @dataclass(frozen=True)
 class PolicyChoice:
-    """Hosts to steer new work away from, and hosts to ask permits for, in order."""
+    """What to do now: hosts to steer new work away from, hosts to ask permits for.
+
+    ``order`` is that in which the waiting hosts are to leave.
+    """
 
     steer: tuple[str, ...]
     permit: tuple[str, ...]
+    order: tuple[str, ...] = ()
--- a/src/robinthread/_internal/waves/steward.py
+++ b/src/robinthread/_internal/waves/steward.py
@@ -101,7 +101,7 @@
     def _stop_steering(self, pools_in_waves: set[str]) -> None:
         for pool, dispatcher in self._context.get_dispatchers().items():
             if pool not in pools_in_waves:
-                dispatcher.steer((), frozenset())
+                dispatcher.steer((), (), frozenset())
 
     async def _ask_for_pool(self, wave: Wave, pool: str) -> None:
         """Steer work and ask for permits as the policy chooses."""
@@ -109,7 +109,7 @@
         choice = self._policy(view)
         dispatcher = self._context.get_dispatchers().get(pool)
         if dispatcher is not None:
-            dispatcher.steer(choice.steer, wave.done)
+            dispatcher.steer(choice.steer, choice.order, wave.done)
             self._move_overdue(dispatcher)
         for name in choice.permit:
             state = self._context.get_state()
@@ -215,12 +215,11 @@
         return await self._publish_step(DrainStarted(host.name, host.token))
 
     async def _drain(self, host: Host) -> bool:
-        started_at_s = asyncio.get_running_loop().time()
         await self._fence(host)
         while not await self._is_empty(host):
-            elapsed_s = asyncio.get_running_loop().time() - started_at_s
-            if elapsed_s > self._settings.drain_timeout_s:
-                self._move_tasks(host)
+            dispatcher = self._context.get_dispatchers().get(host.pool)
+            if dispatcher is not None:
+                self._move_overdue(dispatcher)
             if not self._is_still(host):
                 return False
             idle = host.slots - self._count_in_use(host)
@@ -286,7 +285,7 @@
         return slots.in_use if slots else 0
 
     def _move_overdue(self, dispatcher: Dispatcher) -> None:
-        """Move tasks that have outlasted the allowed wait on steered hosts.
+        """Move tasks that have outlasted the allowed wait on steered and draining hosts.
 
         A task that came later than the steering gets the same wait.
         """
@@ -301,18 +300,9 @@
                 if waited_s >= self._settings.drain_timeout_s:
                     self._move_task(slots, lease)
 
-    def _move_tasks(self, host: Host) -> None:
-        """Move what still runs on a host that drains."""
-        dispatcher = self._context.get_dispatchers().get(host.pool)
-        slots = dispatcher.hosts.get(host.name) if dispatcher else None
-        if slots is None:
-            return
-        for lease in tuple(slots.leases.values()):
-            self._move_task(slots, lease)
-
     def _move_task(self, slots: HostSlots, lease: SlotLease) -> None:
         """Ask a task's holder to checkpoint it and place it elsewhere."""
-        if lease.is_repeatable and not lease.is_preempted:
+        if not lease.is_preempted:
             slots.mark_preempted(lease.id)
             self._context.measures.note_move()
             self._context.events.note("move", lease.id, slots.host.name)
