--- a/src/robinthread/__main__.py
+++ b/src/robinthread/__main__.py
@@ -10,5 +10,10 @@
     return run_command_line(sys.argv[1:])
 
 
-if __name__ == "__main__":
+def main_and_exit() -> None:
+    """Run the command line and exit with its code, as the one-file binary does."""
     sys.exit(main())
+
+
+if __name__ == "__main__":
+    main_and_exit()
--- a/src/robinthread/_internal/commands/daemon.py
+++ b/src/robinthread/_internal/commands/daemon.py
@@ -2,17 +2,20 @@
 
 import asyncio
 
-from absl import logging
+from absl import flags, logging
 
 from robinthread._internal.commands.config_check import read_settings
 from robinthread._internal.daemon.process import run_daemon
 from robinthread._internal.utils.memory import limit_arenas
 
+PROGRAM = "robinthread"
+
 
 def run_daemon_command(path: str) -> int:
     """Run a daemon with the settings at ``path`` until it is told to stop."""
     limit_arenas()
     settings = read_settings(path)
+    flags.FLAGS([PROGRAM])
     logging.set_verbosity(logging.INFO)
     logging.use_absl_handler()
     asyncio.run(run_daemon(settings))
--- a/src/robinthread/_internal/operators/calls.py
+++ b/src/robinthread/_internal/operators/calls.py
@@ -291,4 +291,4 @@
 
 
 def _make_argument_error(what: str) -> FaultError:
-    return FaultError(make_fault(ResultCode.BAD_ARGUMENT, what[0].upper() + what[1:]))
+    return FaultError(make_fault(ResultCode.BAD_ARGUMENT, what))
--- /dev/null
+++ b/tests/unit/test_settings.py
@@ -0,0 +1,61 @@
+"""Settings files: good ones, and ten that are wrong."""
+
+from pathlib import Path
+
+from returns.result import Success
+from testtools import TestCase
+
+from robinthread._internal.results import ResultCode
+from robinthread._internal.settings.parse import parse_settings
+
+GOOD = """
+name = "entry-1"
+hall = "kandy"
+[platform]
+log_url = "http://10.0.0.1:80"
+"""
+WRONG = {
+    "colour = 1": "line 6: platform.colour: is unknown",
+    "log_timeout_ms = 5": "line 6: platform.log_timeout_ms: has the wrong unit, expected log",
+    "log_timeout_s = 'soon'": "line 6: platform.log_timeout_s: is 'soon', expected a number",
+    "log_timeout_s = -1": "line 6: platform.log_timeout_s: is -1.0, expected more than 0",
+    "log_retention_s = 60": "claims.claim_horizon_s: with clock_skew_s must be shorter",
+    "[peers]\nheartbeat_s = 5": "peers.silent_after_s: must be longer than peers.heartbeat_s",
+    "[listen]\ncaller_address = 'here:80'": "listen.caller_address: is 'here:80', expected an IP",
+    "[listen]\ntls_key_file = 'k'": "listen.tls_key_file: and listen.tls_certificate_file go",
+    "[waves]\npolicy = 'fast'": "waves.policy: must be one of planner",
+    "[dispatch]\npreempt_after_s = 20": "dispatch.preempt_after_s: must be shorter",
+    "[entry]\nretry_shar = 0.1": "entry.retry_shar: is unknown, did you mean retry_share?",
+    "[claims": "is not valid TOML",
+}
+
+
+class SettingsTest(TestCase):
+    def test_good_file_is_taken(self) -> None:
+        result = parse_settings(GOOD, "x.toml")
+        self.assertTrue(isinstance(result, Success), result)
+        self.assertEqual("kandy", result.unwrap().hall)
+
+    def test_wrong_files_are_refused_by_key_and_line(self) -> None:
+        for text, expected in WRONG.items():
+            fault = parse_settings(GOOD + text + "\n", "x.toml").failure()
+            self.assertEqual(ResultCode.BAD_SETTINGS, fault.code)
+            self.assertIn(expected, fault.message)
+
+    def test_all_faults_are_told_at_once(self) -> None:
+        text = "nam = 1\nhall = 2\n[peers]\nheartbeat_ms = 3\n"
+        message = parse_settings(text, "x.toml").failure().message
+        self.assertIn("has 3 faults", message)
+
+    def test_missing_name_and_log_are_told(self) -> None:
+        message = parse_settings("", "x.toml").failure().message
+        self.assertIn("name: is missing", message)
+        self.assertIn("platform.log_url: is missing", message)
+
+    def test_examples_are_good(self) -> None:
+        examples = sorted(Path("examples").glob("*.toml"))
+        self.assertTrue(examples)
+        for path in examples:
+            if "hosts" not in path.name:
+                result = parse_settings(path.read_text(), str(path))
+                self.assertTrue(isinstance(result, Success), result)
--- /dev/null
+++ b/tools/__init__.py
@@ -0,0 +1,1 @@
+"""Scripts for developers."""
