--- a/tests/functional/test_failures.py
+++ b/tests/functional/test_failures.py
@@ -234,6 +234,21 @@
 
         run_virtual(work())
 
+    def test_slow_outage_is_waited_for_once_and_then_refused_at_once(self) -> None:
+        async def work() -> None:
+            fleet = await start_fleet(ONE_HALL)
+            fleet.log.faults = replace(fleet.log.faults, is_out=True, delay_s=1.0)
+            daemon = fleet.daemons["kandy-d0"]
+            request = make_request(daemon, "slow")
+            await daemon.entry.serve(request)
+            loop = asyncio.get_running_loop()
+            started_at_s = loop.time()
+            answer = await daemon.entry.serve(request)
+            self.assertEqual(Family.DID_NOT_RUN, answer.code.family)
+            self.assertTrue(loop.time() - started_at_s < 0.1, loop.time() - started_at_s)
+
+        run_virtual(work())
+
     def test_cut_off_hall_serves_its_own_and_heals(self) -> None:
         async def work() -> None:
             fleet = await start_fleet()
--- a/tests/lib/virtual.py
+++ b/tests/lib/virtual.py
@@ -25,4 +25,5 @@
     tasks = asyncio.all_tasks(loop)
     for task in tasks:
         task.cancel()
-    loop.run_until_complete(asyncio.gather(*tasks, return_exceptions=True))
+    if tasks:
+        loop.run_until_complete(asyncio.gather(*tasks, return_exceptions=True))
--- /dev/null
+++ b/tests/unit/test_fold.py
@@ -0,0 +1,59 @@
+"""Single guards of the fold and the follower."""
+
+from testtools import TestCase
+
+from robinthread._internal.fold.folder import FolderImage
+from robinthread._internal.fold.kinds.drain_permitted import DrainPermitted
+from robinthread._internal.fold.kinds.drain_started import DrainStarted
+from robinthread._internal.fold.kinds.host_failed import HostFailed
+from robinthread._internal.fold.kinds.host_recovered import HostRecovered
+from robinthread._internal.follow.follower import Follower
+from robinthread._internal.models.fleet_state import FleetState
+from robinthread._internal.models.host_phase import HostPhase
+from robinthread._internal.results import ResultCode
+from robinthread._internal.standins.log_standin import LogStandin
+from robinthread._internal.telemetry.counters import Counters
+from tests.lib.virtual import run_virtual
+from tests.unit.test_spec_replay import Fold, make_pool_of_three
+
+
+def permit(fold: Fold, name: str) -> int:
+    code = fold.fold(DrainPermitted(name, "w", fold.folder.state.hosts[name].token)).code
+    assert code is ResultCode.OK, code
+    return fold.folder.state.hosts[name].token
+
+
+class FoldTest(TestCase):
+    def test_failure_takes_back_a_permit_that_has_not_started(self) -> None:
+        fold = make_pool_of_three()
+        permit(fold, "h1")
+        fold.fold(HostFailed("h2", fold.folder.state.hosts["h2"].token))
+        self.assertIs(HostPhase.SERVING, fold.folder.state.hosts["h1"].phase)
+
+    def test_start_under_a_permit_of_before_is_stale(self) -> None:
+        fold = make_pool_of_three()
+        old = permit(fold, "h1")
+        fold.fold(HostFailed("h2", fold.folder.state.hosts["h2"].token))
+        fold.fold(HostRecovered("h2", fold.folder.state.hosts["h2"].token))
+        permit(fold, "h1")
+        self.assertIs(ResultCode.STALE_TOKEN, fold.fold(DrainStarted("h1", old)).code)
+
+    def test_record_appended_twice_folds_once_and_says_so(self) -> None:
+        fold = make_pool_of_three()
+        body = DrainPermitted("h1", "w", fold.folder.state.hosts["h1"].token)
+        first, second = fold.fold(body, record_id="same"), fold.fold(body, record_id="same")
+        self.assertEqual((ResultCode.OK, ResultCode.REPEATED), (first.code, second.code))
+        self.assertIs(ResultCode.OK, fold.folder.get_outcome("same"))
+
+
+class FollowerTest(TestCase):
+    def test_state_never_goes_back_whatever_offers_it(self) -> None:
+        async def work() -> None:
+            follower = Follower(LogStandin().make_service(), Counters())
+            self.assertTrue(follower.take_image(FolderImage(FleetState(next_offset=9), ())))
+            self.assertFalse(follower.take_image(FolderImage(FleetState(next_offset=8), ())))
+            follower.is_ready = False
+            self.assertFalse(follower.take_image(FolderImage(FleetState(next_offset=8), ())))
+            self.assertEqual(9, follower.state.next_offset)
+
+        run_virtual(work())
--- a/tests/unit/test_spec_replay.py
+++ b/tests/unit/test_spec_replay.py
@@ -46,11 +46,11 @@
         self.folder = Folder()
         self._offsets = itertools.count()
 
-    def fold(self, body: object, author: str = "d1") -> FoldedRecord:
+    def fold(self, body: object, author: str = "d1", record_id: str = "") -> FoldedRecord:
         offset = next(self._offsets)
         envelope = Envelope(
             KIND_OF_TYPE[type(body)],
-            f"id-{offset}",
+            record_id or f"id-{offset}",
             author,
             "i",
             0,
