--- a/src/robinthread/_internal/cli/main.py
+++ b/src/robinthread/_internal/cli/main.py
@@ -1,58 +1,48 @@
 """Entry of the command line."""
 
-import contextlib
-import io
 import sys
 from collections.abc import Sequence
-
-import fire
-from fire.core import FireExit
+from typing import Final
 
 from robinthread._internal.cli.deferred import Deferred, run_deferred
 from robinthread._internal.cli.exit_code import get_exit_code
-from robinthread._internal.cli.verbs import Verbs
-from robinthread._internal.results import Fault, FaultError, ResultCode, make_fault
+from robinthread._internal.results import Fault, FaultError
 
-PROGRAM = "robinthread"
-INTERRUPTED = 130
+INTERRUPTED: Final = 130
+DAEMON_VERB: Final = "daemon"
+SETTINGS_FLAG: Final = "--settings="
 
 
 def run_command_line(arguments: Sequence[str]) -> int:
     """Parse ``arguments``, run the verb and return the exit code."""
     try:
-        found = _parse(list(arguments))
-        if not isinstance(found, Deferred):
-            return 0
-        return run_deferred(found)
+        return _run(list(arguments))
     except FaultError as error:
         return _tell(error.fault)
     except KeyboardInterrupt:
         return INTERRUPTED
 
 
-def _parse(arguments: list[str]) -> object:
-    errors = io.StringIO()
-    try:
-        with contextlib.redirect_stderr(errors):
-            return fire.Fire(Verbs, arguments, PROGRAM, serialize=_hide_deferred)
-    except FireExit as exit_:
-        text = errors.getvalue()
-        if exit_.code == 0:
-            sys.stderr.write(text)
-            return None
-        raise FaultError(make_fault(ResultCode.BAD_ARGUMENT, _find_error(text))) from exit_
-    except TypeError as error:
-        raise FaultError(make_fault(ResultCode.BAD_ARGUMENT, str(error).capitalize())) from error
-
-
-def _find_error(text: str) -> str:
-    lines = [line for line in text.splitlines() if line.startswith("ERROR:")]
-    said = lines[0].removeprefix("ERROR:").strip() if lines else "The command is not understood"
-    return f"{said}. See {PROGRAM} --help"
-
-
-def _hide_deferred(result: object) -> object:
-    return None if isinstance(result, Deferred) else result
+def _run(arguments: list[str]) -> int:
+    if _is_plain_daemon(arguments):
+        # A daemon keeps what it imports for life: letter 1 bounds its memory, so
+        # the usual way to start one does without the command line's library.
+        from robinthread._internal.commands.daemon import run_daemon_command
+
+        return run_daemon_command(arguments[1].removeprefix(SETTINGS_FLAG))
+    from robinthread._internal.cli.parser import parse_arguments
+
+    found = parse_arguments(arguments)
+    return run_deferred(found) if isinstance(found, Deferred) else 0
+
+
+def _is_plain_daemon(arguments: list[str]) -> bool:
+    return (
+        len(arguments) == 2
+        and arguments[0] == DAEMON_VERB
+        and arguments[1].startswith(SETTINGS_FLAG)
+        and arguments[1] != SETTINGS_FLAG
+    )
 
 
 def _tell(fault: Fault) -> int:
--- a/src/robinthread/_internal/cli/verbs.py
+++ b/src/robinthread/_internal/cli/verbs.py
@@ -299,7 +299,8 @@
         flags = locals()
 
         def work() -> int:
-            from robinthread._internal.commands.change import read_text, run_change
+            from robinthread._internal.commands.change import run_change
+            from robinthread._internal.utils.files import read_text
 
             fields = {
                 "operation_id": str(operation_id),
--- a/src/robinthread/_internal/commands/change.py
+++ b/src/robinthread/_internal/commands/change.py
@@ -3,7 +3,6 @@
 import asyncio
 import secrets
 import time
-from pathlib import Path
 from typing import Any, Final
 
 from google.protobuf import json_format
@@ -42,14 +41,6 @@
     return get_exit_code(code)
 
 
-def read_text(path: str) -> str:
-    """Read an operator's file; raise ``FaultError``."""
-    try:
-        return Path(path).read_text(encoding="utf-8")
-    except (OSError, UnicodeDecodeError) as error:
-        raise FaultError(make_fault(ResultCode.BAD_ARGUMENT, f"{path}: {error}")) from error
-
-
 def to_json(message: Any) -> str:
     """Return a message as JSON with the schema's field names."""
     return json_format.MessageToJson(
--- a/src/robinthread/_internal/commands/config_check.py
+++ b/src/robinthread/_internal/commands/config_check.py
@@ -2,10 +2,10 @@
 
 from returns.result import Success
 
-from robinthread._internal.commands.change import read_text
 from robinthread._internal.results import FaultError
 from robinthread._internal.settings.daemon_settings import DaemonSettings
 from robinthread._internal.settings.parse import parse_settings
+from robinthread._internal.utils.files import read_text
 
 
 def read_settings(path: str) -> DaemonSettings:
--- a/src/robinthread/_internal/commands/standin.py
+++ b/src/robinthread/_internal/commands/standin.py
@@ -8,7 +8,6 @@
 import msgspec
 from tornado.web import Application
 
-from robinthread._internal.commands.change import read_text
 from robinthread._internal.daemon.process import Listener
 from robinthread._internal.follow.host_list import ListedHost
 from robinthread._internal.results import FaultError, ResultCode, make_fault
@@ -20,6 +19,7 @@
 from robinthread._internal.standins.ledger import Ledger
 from robinthread._internal.standins.log_standin import LogStandin
 from robinthread._internal.standins.worker_standin import WorkerStandin
+from robinthread._internal.utils.files import read_text
 
 BODY_MAX_BYTES = 64_000_000
 
--- /dev/null
+++ b/src/robinthread/_internal/utils/files.py
@@ -0,0 +1,13 @@
+"""Files that operators name."""
+
+from pathlib import Path
+
+from robinthread._internal.results import FaultError, ResultCode, make_fault
+
+
+def read_text(path: str) -> str:
+    """Read an operator's file; raise ``FaultError``."""
+    try:
+        return Path(path).read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        raise FaultError(make_fault(ResultCode.BAD_ARGUMENT, f"{path}: {error}")) from error
