--- /dev/null
+++ b/src/robinthread/_internal/cli/connection.py
@@ -0,0 +1,32 @@
+"""How operators' verbs reach a daemon."""
+
+from typing import Any
+
+from robinthread._internal.cli.arguments import as_text
+from robinthread._internal.cli.deferred import Deferred
+
+
+class Connection:
+    """How operators' verbs reach a daemon, and how they show its replies."""
+
+    def __init__(self, address: str, token_file: str, ca_file: str, is_json: bool) -> None:
+        self._address = address
+        self._token_file = token_file
+        self._ca_file = ca_file
+        self.is_json = is_json
+
+    def make_target(self) -> Any:
+        """Return the target of calls."""
+        from robinthread._internal.commands.client import Target
+
+        return Target(as_text("address", self._address), str(self._token_file), str(self._ca_file))
+
+    def call(self, method: str, fields: dict[str, Any], **extra: Any) -> Deferred:
+        """Return the deferred call of a method."""
+
+        def work() -> int:
+            from robinthread._internal.commands.change import run_change
+
+            return run_change(method, fields, self.make_target(), self.is_json, **extra)
+
+        return Deferred(work)
--- /dev/null
+++ b/src/robinthread/_internal/cli/wave_verbs.py
@@ -0,0 +1,88 @@
+"""Verbs of maintenance waves."""
+
+from typing import Any
+
+from robinthread._internal.cli.arguments import as_count, as_names, as_seconds, as_text
+from robinthread._internal.cli.deferred import Deferred
+from robinthread._internal.cli.group import Group
+
+
+class WaveVerbs(Group):
+    """Maintenance waves."""
+
+    def plan(
+        self,
+        hosts: Any = "",
+        pool: str = "",
+        hall: str = "",
+        reboot_s: float = 0,
+        deadline_at_s: float = 0,
+    ) -> Deferred:
+        """Show a wave's order, times, buffer cost and moves; nothing happens."""
+        fields = {
+            "hosts": as_names("hosts", hosts),
+            "pool": str(pool),
+            "hall": str(hall),
+            "reboot_s": as_seconds("reboot_s", reboot_s),
+            "deadline_at_s": as_seconds("deadline_at_s", deadline_at_s),
+        }
+        return self._connection.call("PlanWave", fields)
+
+    def run(
+        self,
+        name: str,
+        reason: str,
+        hosts: Any = "",
+        pool: str = "",
+        hall: str = "",
+        release: bool = False,
+        deadline_at_s: float = 0,
+        operation_id: str = "",
+        wait: bool = False,
+    ) -> Deferred:
+        """Begin a wave; with --wait, show its progress until it ends."""
+        fields = {
+            "operation_id": str(operation_id),
+            "name": as_text("name", name),
+            "reason": as_text("reason", reason),
+            "hosts": as_names("hosts", hosts),
+            "pool": str(pool),
+            "hall": str(hall),
+            "is_release": bool(release),
+            "deadline_at_s": as_seconds("deadline_at_s", deadline_at_s),
+        }
+        return self._connection.call("CreateWave", fields, follow_wave=str(name) if wait else "")
+
+    def pause(
+        self,
+        name: str,
+        based_on_version: int,
+    ) -> Deferred:
+        """Pause a wave: drains that have not started are taken back."""
+        return self._connection.call("SetWaveState", _make_state(name, "paused", based_on_version))
+
+    def resume(
+        self,
+        name: str,
+        based_on_version: int,
+    ) -> Deferred:
+        """Resume a paused wave."""
+        return self._connection.call("SetWaveState", _make_state(name, "running", based_on_version))
+
+    def cancel(
+        self,
+        name: str,
+        based_on_version: int,
+    ) -> Deferred:
+        """Cancel a wave: hosts that are away come back, no other leaves."""
+        return self._connection.call(
+            "SetWaveState", _make_state(name, "cancelled", based_on_version)
+        )
+
+
+def _make_state(name: str, state: str, based_on_version: int) -> dict[str, Any]:
+    return {
+        "name": as_text("name", name),
+        "state": state,
+        "based_on_version": as_count("based_on_version", based_on_version),
+    }
