--- a/src/robinthread/_internal/entry/entry_service.py
+++ b/src/robinthread/_internal/entry/entry_service.py
@@ -3,8 +3,7 @@
 import asyncio
 import itertools
 import random
-from collections import Counter
-from collections.abc import Callable, Coroutine, Iterator
+from collections.abc import Callable, Coroutine
 from dataclasses import dataclass
 from typing import Any, Final
 
@@ -13,11 +12,16 @@
 from robinthread._internal.dispatch.dispatch_service import DispatchService
 from robinthread._internal.dispatch.slot_outcome import SlotOutcome
 from robinthread._internal.entry.answer_cache import AnswerCache, CachedAnswer
-from robinthread._internal.entry.busy_halls import BusyHalls
 from robinthread._internal.entry.caller_answer import CallerAnswer
 from robinthread._internal.entry.caller_request import CallerRequest
 from robinthread._internal.entry.retry_budget import RetryBudget
 from robinthread._internal.entry.running_request import RunningRequest
+from robinthread._internal.entry.slot_finder import SlotFinder
+from robinthread._internal.entry.truths import (
+    admit_earlier_tries,
+    answer_cancelled,
+    answer_refused,
+)
 from robinthread._internal.entry.try_result import TryResult
 from robinthread._internal.entry.worker_try import run_try
 from robinthread._internal.models.daemon_member import DaemonMember
@@ -29,7 +33,6 @@
     CancelReply,
     ClaimReply,
     Preempt,
-    SlotAsk,
     SlotRelease,
     SlotReply,
 )
@@ -45,14 +48,6 @@
 from robinthread._internal.upstream.task import Task
 
 DUPLICATE_WAIT_MARGIN_S: Final = 0.2
-OTHER_HALL_CODES: Final = frozenset(
-    {
-        ResultCode.NO_HOST_REACHABLE,
-        ResultCode.QUEUE_FULL,
-        ResultCode.DEADLINE_UNREACHABLE,
-        ResultCode.NOT_READY,
-    }
-)
 SAFE_OUTCOMES: Final = frozenset({SlotOutcome.NOT_STARTED, SlotOutcome.UNSENT})
 INTERRUPTED_OUTCOMES: Final = frozenset({SlotOutcome.CHECKPOINTED, SlotOutcome.STOPPED})
 
@@ -98,7 +93,9 @@
         self._retries = RetryBudget(settings.retry_share)
         self._ids = itertools.count(1)
         self._tasks: set[asyncio.Task[None]] = set()
-        self._busy_halls = BusyHalls()
+        self._slots = SlotFinder(
+            context.hall, dispatch, context.get_state, context.wall_clock, context.random
+        )
         context.router.on(AnswerAsk, self._on_answer_ask)
         context.router.on(CancelAsk, self._on_cancel_ask)
         context.router.on(Preempt, self._on_preempt)
@@ -148,7 +145,7 @@
 
     def _refuse(self, request: CallerRequest) -> CallerAnswer | None:
         refusal = self._find_refusal(request)
-        return _admit_earlier_tries(request, refusal) if refusal else None
+        return admit_earlier_tries(request, refusal) if refusal else None
 
     def _find_refusal(self, request: CallerRequest) -> CallerAnswer | None:
         if self.is_stopping:
@@ -176,7 +173,7 @@
     async def _carry_claimed(self, running: RunningRequest, key: bytes) -> CallerAnswer:
         request = running.request
         if request.is_repeatable:
-            return _admit_earlier_tries(request, await self._place(running, key))
+            return admit_earlier_tries(request, await self._place(running, key))
         if request.deadline_at_s > self._context.wall_clock() + self._horizon_s:
             return CallerAnswer(ResultCode.BAD_REQUEST)
         claim = running.claim = self._make_claim(running, key)
@@ -188,7 +185,7 @@
             self._claims.release(claim)
             refusal = CallerAnswer(ResultCode(reply.code), retry_after_s=1.0)
             is_proven = reply.code == ResultCode.CLAIMS_FULL
-            return refusal if is_proven else _admit_earlier_tries(request, refusal)
+            return refusal if is_proven else admit_earlier_tries(request, refusal)
         self._context.events.note("claimed", request.request_id, request.pool)
         answer = await self._place(running, key)
         if answer.code.family is Family.DID_NOT_RUN:
@@ -239,11 +236,11 @@
         self._retries.note_first_try()
         while True:
             if running.is_cancelled:
-                return _answer_cancelled(running)
-            slot = await self._ask_slot(running)
+                return answer_cancelled(running)
+            slot = await self._slots.find(running)
             if running.is_cancelled and slot.code == ResultCode.OK:
                 self._give_back(running, slot, _UNUSED, 0.0)
-                return _answer_cancelled(running)
+                return answer_cancelled(running)
             if slot.code != ResultCode.OK:
                 return self._answer_without_slot(running, slot)
             result = await self._try_on(running, key, slot)
@@ -252,78 +249,10 @@
                 return final
             await self._back_off(running)
 
-    async def _ask_slot(self, running: RunningRequest) -> SlotReply:
-        """Take a free slot in any hall, this one first; else wait where that is shortest.
-
-        A hall that was just found full is not asked again for a moment, so
-        that an overload does not multiply messages.
-        """
-        pool = running.request.pool
-        halls = tuple(self._iter_halls(pool))
-        refusal = SlotReply(ResultCode.NO_HOST_REACHABLE, retry_after_s=1.0)
-        if len(halls) > 1:
-            for hall in halls:
-                if self._busy_halls.is_busy(pool, hall):
-                    continue
-                reply = await self._ask_hall(running, hall, may_wait=False)
-                if reply.code == ResultCode.NO_SLOT_FREE:
-                    self._busy_halls.note(pool, hall, reply.retry_after_s)
-                elif reply.code not in OTHER_HALL_CODES:
-                    return reply
-        for hall in sorted(halls, key=lambda hall: self._busy_halls.get_wait_s(pool, hall)):
-            reply = await self._ask_hall(running, hall, may_wait=True)
-            if reply.code not in OTHER_HALL_CODES:
-                return reply
-            refusal = _prefer_refusal(refusal, reply)
-        return refusal
-
-    async def _ask_hall(self, running: RunningRequest, hall: str, may_wait: bool) -> SlotReply:
-        left_s = running.request.deadline_at_s - self._context.wall_clock()
-        if left_s <= 0:
-            return SlotReply(ResultCode.DEADLINE_PASSED)
-        ask = self._make_ask(running, hall, may_wait)
-        task = asyncio.get_running_loop().create_task(self._dispatch.ask(hall, ask, left_s))
-        running.slot_wait = task
-        try:
-            return await task
-        except asyncio.CancelledError:
-            if not running.is_cancelled:
-                raise
-            return SlotReply(ResultCode.CANCELLED_BEFORE_START)
-        finally:
-            running.slot_wait = None
-
-    def _iter_halls(self, pool: str) -> Iterator[str]:
-        state = self._context.get_state()
-        serving = Counter(host.hall for host in state.iter_pool_hosts(pool) if host.is_serving)
-        here = self._context.hall
-        if here in serving:
-            yield here
-        others = [hall for hall in serving if hall != here]
-        weights = [serving[hall] for hall in others]
-        while others:
-            index = self._context.random.choices(range(len(others)), weights)[0]
-            del weights[index]
-            yield others.pop(index)
-
-    def _make_ask(self, running: RunningRequest, hall: str, may_wait: bool) -> SlotAsk:
-        request = running.request
-        return SlotAsk(
-            request.pool,
-            hall,
-            request.team,
-            request.urgency.value,
-            request.deadline_at_s,
-            request.is_repeatable,
-            running.digest,
-            running.avoid,
-            may_wait,
-        )
-
     def _answer_without_slot(self, running: RunningRequest, slot: SlotReply) -> CallerAnswer:
         if running.is_cancelled:
-            return _answer_cancelled(running)
-        return _answer_refused(running, ResultCode(slot.code), slot.retry_after_s)
+            return answer_cancelled(running)
+        return answer_refused(running, ResultCode(slot.code), slot.retry_after_s)
 
     async def _try_on(self, running: RunningRequest, key: bytes, slot: SlotReply) -> TryResult:
         request = running.request
@@ -402,12 +331,12 @@
         if result.outcome is SlotOutcome.RAN:
             return CallerAnswer(ResultCode.RAN, result.body)
         if result.outcome is SlotOutcome.UNUSED:
-            return _answer_refused(running, result.code, 0.0)
+            return answer_refused(running, result.code, 0.0)
         is_safe = result.outcome in SAFE_OUTCOMES
         if not is_safe:
             running.may_have_run = result
         if running.is_cancelled:
-            return _answer_cancelled(running)
+            return answer_cancelled(running)
         is_stopped = result.outcome is SlotOutcome.STOPPED
         if result.outcome in INTERRUPTED_OUTCOMES and (
             running.request.is_repeatable or not is_stopped
@@ -418,7 +347,7 @@
             return CallerAnswer(result.code, result.body)
         running.avoid = (*running.avoid, slot.host)
         if running.tries >= self._settings.tries_max or not self._retries.take():
-            return _answer_refused(running, ResultCode.RETRY_BUDGET_SPENT, 1.0)
+            return answer_refused(running, ResultCode.RETRY_BUDGET_SPENT, 1.0)
         self._context.counters.add("retries")
         return None
 
@@ -517,33 +446,3 @@
 _UNUSED = TryResult(SlotOutcome.UNUSED, ResultCode.OK)
 _UNKNOWN = CallerAnswer(ResultCode.OUTCOME_UNKNOWN)
 _DIFFERS = CallerAnswer(ResultCode.BODY_DIFFERS)
-
-
-def _answer_refused(
-    running: RunningRequest, code: ResultCode, retry_after_s: float
-) -> CallerAnswer:
-    """Answer a request that is given up: with its last try's truth if it had one."""
-    tried = running.may_have_run
-    if tried is None:
-        return CallerAnswer(code, retry_after_s=retry_after_s)
-    return CallerAnswer(tried.code, tried.body, retry_after_s)
-
-
-def _admit_earlier_tries(request: CallerRequest, answer: CallerAnswer) -> CallerAnswer:
-    """Say "did not run" only where no earlier try of the caller's can have run.
-
-    A refusal that no claim stands behind proves nothing about tries that went
-    to other daemons.
-    """
-    if request.try_number == 1 or answer.code.family is not Family.DID_NOT_RUN:
-        return answer
-    return CallerAnswer(ResultCode.EARLIER_TRY_UNKNOWN, retry_after_s=answer.retry_after_s)
-
-
-def _answer_cancelled(running: RunningRequest) -> CallerAnswer:
-    return _answer_refused(running, ResultCode.CANCELLED_BEFORE_START, 0.0)
-
-
-def _prefer_refusal(first: SlotReply, second: SlotReply) -> SlotReply:
-    """Return the refusal that tells the caller more: a full queue before no route."""
-    return first if second.code == ResultCode.NO_HOST_REACHABLE else second
--- /dev/null
+++ b/src/robinthread/_internal/entry/slot_finder.py
@@ -0,0 +1,115 @@
+"""Finding a slot for a request in any data hall."""
+
+import asyncio
+import random
+from collections import Counter
+from collections.abc import Callable, Iterator
+from typing import Final
+
+from robinthread._internal.dispatch.dispatch_service import DispatchService
+from robinthread._internal.entry.busy_halls import BusyHalls
+from robinthread._internal.entry.running_request import RunningRequest
+from robinthread._internal.models.fleet_state import FleetState
+from robinthread._internal.peers.messages import SlotAsk, SlotReply
+from robinthread._internal.results import ResultCode
+
+OTHER_HALL_CODES: Final = frozenset(
+    {
+        ResultCode.NO_HOST_REACHABLE,
+        ResultCode.QUEUE_FULL,
+        ResultCode.DEADLINE_UNREACHABLE,
+        ResultCode.NOT_READY,
+    }
+)
+
+
+class SlotFinder:
+    """Ask the dispatchers of a pool for a slot, this data hall's first."""
+
+    def __init__(
+        self,
+        hall: str,
+        dispatch: DispatchService,
+        get_state: Callable[[], FleetState],
+        wall_clock: Callable[[], float],
+        random_: random.Random,
+    ) -> None:
+        self._hall = hall
+        self._dispatch = dispatch
+        self._get_state = get_state
+        self._wall_clock = wall_clock
+        self._random = random_
+        self._busy_halls = BusyHalls()
+
+    async def find(self, running: RunningRequest) -> SlotReply:
+        """Take a free slot in any hall, this one first; else wait where that is shortest.
+
+        A hall that was just found full is not asked again for a moment, so
+        that an overload does not multiply messages.
+        """
+        pool = running.request.pool
+        halls = tuple(self._iter_halls(pool))
+        refusal = SlotReply(ResultCode.NO_HOST_REACHABLE, retry_after_s=1.0)
+        if len(halls) > 1:
+            for hall in halls:
+                if self._busy_halls.is_busy(pool, hall):
+                    continue
+                reply = await self._ask_hall(running, hall, may_wait=False)
+                if reply.code == ResultCode.NO_SLOT_FREE:
+                    self._busy_halls.note(pool, hall, reply.retry_after_s)
+                elif reply.code not in OTHER_HALL_CODES:
+                    return reply
+        for hall in sorted(halls, key=lambda hall: self._busy_halls.get_wait_s(pool, hall)):
+            reply = await self._ask_hall(running, hall, may_wait=True)
+            if reply.code not in OTHER_HALL_CODES:
+                return reply
+            refusal = _prefer_refusal(refusal, reply)
+        return refusal
+
+    async def _ask_hall(self, running: RunningRequest, hall: str, may_wait: bool) -> SlotReply:
+        left_s = running.request.deadline_at_s - self._wall_clock()
+        if left_s <= 0:
+            return SlotReply(ResultCode.DEADLINE_PASSED)
+        ask = self._make_ask(running, hall, may_wait)
+        task = asyncio.get_running_loop().create_task(self._dispatch.ask(hall, ask, left_s))
+        running.slot_wait = task
+        try:
+            return await task
+        except asyncio.CancelledError:
+            if not running.is_cancelled:
+                raise
+            return SlotReply(ResultCode.CANCELLED_BEFORE_START)
+        finally:
+            running.slot_wait = None
+
+    def _iter_halls(self, pool: str) -> Iterator[str]:
+        state = self._get_state()
+        serving = Counter(host.hall for host in state.iter_pool_hosts(pool) if host.is_serving)
+        here = self._hall
+        if here in serving:
+            yield here
+        others = [hall for hall in serving if hall != here]
+        weights = [serving[hall] for hall in others]
+        while others:
+            index = self._random.choices(range(len(others)), weights)[0]
+            del weights[index]
+            yield others.pop(index)
+
+    def _make_ask(self, running: RunningRequest, hall: str, may_wait: bool) -> SlotAsk:
+        request = running.request
+        return SlotAsk(
+            request.pool,
+            hall,
+            request.team,
+            request.urgency.value,
+            request.deadline_at_s,
+            request.is_repeatable,
+            running.digest,
+            running.avoid,
+            may_wait,
+        )
+
+
+def _prefer_refusal(first: SlotReply, second: SlotReply) -> SlotReply:
+    """Return the refusal that tells the caller more: a full queue before no route."""
+    return first if second.code == ResultCode.NO_HOST_REACHABLE else second
