--- a/src/robinthread/_internal/claims/claim_service.py
+++ b/src/robinthread/_internal/claims/claim_service.py
@@ -18,7 +18,6 @@
 from robinthread._internal.telemetry.counters import Counters
 from robinthread._internal.utils.rendezvous import pick_by_rendezvous
 
-ASK_TRIES: Final = 3
 RETRY_S: Final = 0.1
 RETAKE_S: Final = 0.2
 
@@ -59,7 +58,7 @@
         self._turns: tuple[frozenset[str], dict[int, str]] = (frozenset(), {})
         router.on(ClaimAsk, self._on_ask)
         router.on(HolderAsk, self._on_holder_ask)
-        router.on(ClaimRelease, self._on_release)
+        router.on_notice(ClaimRelease, self._on_release)
 
     async def ask(self, claim: Claim, timeout_s: float) -> ClaimReply:
         """Ask the owner of the key for a claim; any refusal means not claimed for us."""
@@ -73,17 +72,16 @@
         )
         loop = asyncio.get_running_loop()
         ends_at_s = loop.time() + timeout_s
-        for _ in range(ASK_TRIES):
+        while (left_s := ends_at_s - loop.time()) > 0:
             owner = self._find_owner(claim.key)
             if owner is None or not self._context.can_hear(owner):
-                return make_claim_refusal(ResultCode.CLAIM_OWNER_UNREACHABLE)
-            left_s = ends_at_s - loop.time()
-            if left_s <= 0:
                 break
             reply = await self._ask_once(owner, ask, left_s)
             if reply.code != ResultCode.CLAIM_OWNER_UNREACHABLE:
                 return reply
-            await asyncio.sleep(min(RETRY_S, max(0.0, left_s)))
+            # A partition changes hands when daemons come and go: its new owner
+            # needs a moment to read the stream.
+            await asyncio.sleep(RETRY_S)
         return make_claim_refusal(ResultCode.CLAIM_OWNER_UNREACHABLE)
 
     def release(self, claim: Claim) -> None:
@@ -109,7 +107,10 @@
         return member if member and member.incarnation == reply.incarnation else None
 
     def adopt_turns(self) -> None:
-        """Take the partitions whose turn has come here; called on changes of members."""
+        """Take the partitions whose turn has come here, and leave the others.
+
+        Called on changes of members.
+        """
         if self._is_closed:
             return
         turns = self._get_turns()
@@ -119,6 +120,9 @@
             task = self._tasks.get(partition)
             if is_ours and (owner is None or task is None or task.done()):
                 self._start_owner(partition)
+            elif not is_ours and task is not None and not task.done():
+                # A late take of ours would depose the daemon whose turn it is.
+                task.cancel()
 
     def count_held(self) -> int:
         """Return the number of claims in this daemon's tables."""
@@ -193,7 +197,7 @@
             return ClaimReply(ResultCode.NOT_FOUND)
         return ClaimReply(ResultCode.OK, held.holder, held.incarnation)
 
-    async def _on_release(self, sender: Sender, release: ClaimRelease) -> None:
+    def _on_release(self, sender: Sender, release: ClaimRelease) -> None:
         owner = self._owners.get(get_partition(release.key, self._settings.claim_partitions))
         if owner is not None:
             owner.release(release.key, release.holder, release.incarnation, release.ask_id)
--- a/src/robinthread/_internal/daemon/daemon.py
+++ b/src/robinthread/_internal/daemon/daemon.py
@@ -40,6 +40,7 @@
 PUBLISH_TIMEOUT_S: Final = 5.0
 REJOIN_S: Final = 0.5
 START_RETRY_S: Final = 0.5
+SUBJECT_FIELDS: Final = ("host", "name", "team", "hall")
 
 
 class Daemon:
@@ -238,8 +239,10 @@
         if record.code is not ResultCode.OK:
             self.counters.add("records_void")
             return
-        subject = getattr(record.body, "host", "") or getattr(record.body, "name", "")
-        self.events.note(record.kind, subject, getattr(record.body, "wave", ""))
+        subjects = (getattr(record.body, field, "") for field in SUBJECT_FIELDS)
+        self.events.note(
+            record.kind, next(filter(None, subjects), ""), getattr(record.body, "wave", "")
+        )
 
     def _refresh_digest(self) -> None:
         every = self.settings.peers.digest_every_records
--- a/src/robinthread/_internal/dispatch/dispatch_service.py
+++ b/src/robinthread/_internal/dispatch/dispatch_service.py
@@ -52,8 +52,8 @@
         self._silent_since_s: dict[str, float] = {}
         router = context.router
         router.on(SlotAsk, self._on_ask)
-        router.on(SlotAskCancel, self._on_cancel)
-        router.on(SlotRelease, self._on_release)
+        router.on_notice(SlotAskCancel, self._on_cancel)
+        router.on_notice(SlotRelease, self._on_release)
         router.on_late_reply(self._on_late_reply)
 
     def adopt_state(self) -> None:
@@ -157,12 +157,12 @@
             return SlotReply(ResultCode.NOT_READY, retry_after_s=0.1)
         return await dispatcher.ask(sender, ask)
 
-    async def _on_cancel(self, sender: Sender, cancel: SlotAskCancel) -> None:
+    def _on_cancel(self, sender: Sender, cancel: SlotAskCancel) -> None:
         dispatcher = self.dispatchers.get(cancel.pool)
         if dispatcher is not None:
             dispatcher.cancel(sender, cancel.ask_id)
 
-    async def _on_release(self, sender: Sender, release: SlotRelease) -> None:
+    def _on_release(self, sender: Sender, release: SlotRelease) -> None:
         dispatcher = self.dispatchers.get(release.pool)
         if dispatcher is not None:
             dispatcher.release(release)
--- a/src/robinthread/_internal/peers/presence.py
+++ b/src/robinthread/_internal/peers/presence.py
@@ -60,8 +60,8 @@
         self._evictions: Counter[str] = Counter()
         self._offsets: dict[str, int] = {}
         self._turns = itertools.count()
-        router.on(Heartbeat, self._on_heartbeat)
-        router.on(Goodbye, self._on_goodbye)
+        router.on_notice(Heartbeat, self._on_heartbeat)
+        router.on_notice(Goodbye, self._on_goodbye)
         router.on_heard(self._note_heard)
 
     def can_hear(self, member: DaemonMember) -> bool:
@@ -178,10 +178,10 @@
         if member is not None:
             self._hall_heard_at_s[member.hall] = now_s
 
-    async def _on_heartbeat(self, sender: Sender, beat: Heartbeat) -> None:
+    def _on_heartbeat(self, sender: Sender, beat: Heartbeat) -> None:
         self._offsets[sender.name] = beat.next_offset
         self._mates_silent_halls[sender.name] = beat.silent_halls
         self._context.check_digest(sender.name, beat.digest_offset, beat.digest)
 
-    async def _on_goodbye(self, sender: Sender, goodbye: Goodbye) -> None:
+    def _on_goodbye(self, sender: Sender, goodbye: Goodbye) -> None:
         self._router.fail_asks(sender.address)
--- a/src/robinthread/_internal/peers/router.py
+++ b/src/robinthread/_internal/peers/router.py
@@ -61,6 +61,7 @@
         self._counters = counters
         self._ids = itertools.count(first_frame_id)
         self._handlers: dict[type, Handler] = {}
+        self._notices: dict[type, Callable[[Sender, Any], None]] = {}
         self._replies: dict[int, _PendingAsk] = {}
         self._on_late_reply: Callable[[str, AnyMessage], None] = lambda address, message: None
         self._on_heard: Callable[[str], None] = lambda name: None
@@ -73,6 +74,13 @@
         """Hand messages of ``message_type`` to ``handler``."""
         self._handlers[message_type] = handler
 
+    def on_notice(self, message_type: type, take: Callable[[Sender, Any], None]) -> None:
+        """Hand one-way messages of ``message_type`` to ``take`` at once, without a task.
+
+        For what comes often and takes no time, such as heartbeats.
+        """
+        self._notices[message_type] = take
+
     def on_late_reply(self, callback: Callable[[str, AnyMessage], None]) -> None:
         """Hand replies that nobody waits for any more, with their sender's address."""
         self._on_late_reply = callback
@@ -155,6 +163,10 @@
         if self._is_repeated(frame):
             self._counters.add("peer_frames_repeated")
             return
+        take = self._notices.get(type(frame.message))
+        if take is not None:
+            take(Sender(frame.sender, frame.sender_address, frame.id), frame.message)
+            return
         task = asyncio.get_running_loop().create_task(self._handle(frame))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
--- a/tests/functional/test_failures.py
+++ b/tests/functional/test_failures.py
@@ -214,6 +214,23 @@
         return (await asyncio.gather(task, return_exceptions=True))[0]
 
 
+class MembersChangeTest(TestCase):
+    def test_claims_are_granted_while_daemons_join_one_after_another(self) -> None:
+        async def work() -> None:
+            fleet = await start_fleet()
+            fleet.log.faults.delay_s = 0.05
+            codes = []
+            for number in range(4):
+                await fleet.start_daemon(f"kandy-n{number}", "kandy")
+                answers = await asyncio.gather(
+                    *(serve(get_daemon(fleet), f"{number}-{n}") for n in range(32))
+                )
+                codes += [answer.code for answer in answers]
+            self.assertEqual({ResultCode.RAN}, set(codes))
+
+        run_virtual(work())
+
+
 class PlatformTest(TestCase):
     def test_platform_out_serves_what_it_can_and_refuses_claims_at_once(self) -> None:
         async def work() -> None:
