--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -5,6 +5,7 @@
 """
 
 import time
+import tracemalloc
 from collections.abc import Callable
 from dataclasses import replace
 
@@ -47,6 +48,7 @@
         _print("read a snapshot", _time(lambda data=data: decode_snapshot(data)))
         _print("index hosts by pool", _time(lambda image=image: _index(image)))
         _print("plan every pool's wave", _time(lambda image=image: _plan(image)))
+        print(f"{'memory of that plan':32s}{_measure_plan_kb(image):12.1f} KB")
     frame = Frame("entry-01", "", 12345, 0, 1 << 60, Heartbeat(12345, (), "0" * 16, 12288))
     data = msgspec.msgpack.encode(frame)
     decoder = msgspec.msgpack.Decoder(Frame)
@@ -118,6 +120,15 @@
     return merge_previews(plan_pool(name) for name in state.pools)  # type: ignore[misc]
 
 
+def _measure_plan_kb(image: object) -> float:
+    """Return the peak of what planning allocates, in kilobytes."""
+    tracemalloc.start()
+    _plan(image)
+    _, peak = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    return peak / 1000
+
+
 def _fold_claims() -> None:
     claims = tuple(
         Claim(make_key("caller", f"r{n}"), b"12345678", 1.8e9 + n, "entry-01", "0" * 16, n)
--- a/src/robinthread/_internal/cli/wave_verbs.py
+++ b/src/robinthread/_internal/cli/wave_verbs.py
@@ -53,6 +53,16 @@
         }
         return self._connection.call("CreateWave", fields, follow_wave=str(name) if wait else "")
 
+    def progress(self, pool: str) -> Deferred:
+        """Show a pool's serving hosts against its budget over time."""
+
+        def work() -> int:
+            from robinthread._internal.commands.wave_progress import run_wave_progress
+
+            return run_wave_progress(self._connection.make_target(), as_text("pool", pool))
+
+        return Deferred(work)
+
     def pause(
         self,
         name: str,
--- a/tests/functional/test_failures.py
+++ b/tests/functional/test_failures.py
@@ -177,6 +177,24 @@
 
         run_virtual(work())
 
+    def test_holder_paused_past_its_deadline_sends_nothing_when_it_wakes(self) -> None:
+        async def work() -> None:
+            fleet = await start_fleet()
+            request = make_request(get_daemon(fleet), "sleepy", left_s=10.0)
+            call = asyncio.create_task(fleet.call("kandy-d0", request))
+            await asyncio.sleep(0.0001)
+            fleet.freeze("kandy-d0")
+            await asyncio.sleep(40.0)
+            again = await fleet.call("matale-d0", replace(request, try_number=2))
+            self.assertEqual(Family.OUTCOME_UNKNOWN, again.code.family)
+            fleet.thaw("kandy-d0")
+            answer = await call
+            await asyncio.sleep(5.0)
+            self.assertNotEqual(ResultCode.RAN, answer.code)
+            self.assertEqual(0, sum(fleet.ledger.started.values()))
+
+        run_virtual(work())
+
     def test_paused_owner_grants_nothing_after_its_successor(self) -> None:
         async def work() -> None:
             fleet = await start_fleet()
--- a/tests/functional/test_processes.py
+++ b/tests/functional/test_processes.py
@@ -63,6 +63,12 @@
         self.assertEqual(["permitted", "drained", "returned"], order)
         self.assertEqual(2, len({line.split()[2] for line in timeline.splitlines()}))
 
+    def test_2b_progress_shows_serving_hosts_against_the_floor(self) -> None:
+        lines = self._run("wave", "progress", "tiles").splitlines()
+        served = [int(line.split()[2]) for line in lines]
+        self.assertEqual((3, 4), (min(served[4:]), served[-1]))
+        self.assertIn("###|", lines[-1])
+
     def test_3_wrong_calls_give_a_numbered_error_and_no_traceback(self) -> None:
         for arguments, code, text in WRONG_CALLS:
             done = self.site.run(*arguments)
@@ -81,6 +87,20 @@
         self.assertIn("robinthread_buffer_cost_slot_s", metrics)
         self.assertNotIn("guess", "".join(self.site.daemons[0].lines))
 
+    def test_4b_daemon_with_another_schema_does_not_start(self) -> None:
+        folder = self.site.token_file.parent
+        schema = self._run("schema").replace("int32 max_slots = 3;", "int32 max_slots = 8;")
+        (folder / "operators.proto").write_text(schema)
+        settings = (folder / "entry-0.toml").read_text()
+        (folder / "other.toml").write_text(
+            settings.replace(
+                "[platform]", f'operator_schema_file = "{folder}/operators.proto"\n[platform]'
+            )
+        )
+        done = self.site.run("daemon", f"--settings={folder}/other.toml")
+        self.assertEqual(get_exit_code(ResultCode.SCHEMA_MISMATCH), done.returncode)
+        self.assertIn("max_slots", done.stderr)
+
     def test_5_malformed_requests_are_told_so(self) -> None:
         headers = self._request(0, "bad", "perhaps")
         self.assertEqual("BAD_REQUEST", headers["Result-Name"])
