Move work only off hosts that could leave now

Cause: tasks moved off steered hosts whose turn was still a reboot away; they might have ended, and landed on hosts that had to leave later and moved again. Change: only hosts that the budget would let go now, and draining ones, are emptied by moving.

--- a/src/robinthread/_internal/dispatch/dispatcher.py
+++ b/src/robinthread/_internal/dispatch/dispatcher.py
@@ -151,11 +151,6 @@
         self._leaving_rank = {name: -rank for rank, name in enumerate(order)}
         self._done_hosts = done
 
-    @property
-    def steered_names(self) -> tuple[str, ...]:
-        """Return the hosts that new work is steered away from."""
-        return tuple(self._steered_since_s)
-
     def get_steered_s(self, name: str) -> float:
         """Return for how many seconds work has been steered away from a host."""
         now_s = asyncio.get_running_loop().time()
--- a/src/robinthread/_internal/waves/policy.py
+++ b/src/robinthread/_internal/waves/policy.py
@@ -41,7 +41,12 @@
         leaving = _take_leaving(view, ordered)
         steer = _take_steered(view, ordered, max(1, len(leaving)))
         permit = tuple(host.name for host in leaving if _is_worth_permit(settings, host))
-        return PolicyChoice(steer, permit, tuple(host.name for host in ordered))
+        return PolicyChoice(
+            steer,
+            permit,
+            tuple(host.name for host in ordered),
+            tuple(host.name for host in leaving),
+        )
 
     return plan
 
--- a/src/robinthread/_internal/waves/pool_view.py
+++ b/src/robinthread/_internal/waves/pool_view.py
@@ -29,9 +29,11 @@
 class PolicyChoice:
     """What to do now: hosts to steer new work away from, hosts to ask permits for.
 
-    ``order`` is that in which the waiting hosts are to leave.
+    ``order`` is that in which the waiting hosts are to leave; ``empty`` are those
+    that could leave now, whose tasks move if they have outlasted the wait.
     """
 
     steer: tuple[str, ...]
     permit: tuple[str, ...]
     order: tuple[str, ...] = ()
+    empty: tuple[str, ...] = ()
--- a/src/robinthread/_internal/waves/steward.py
+++ b/src/robinthread/_internal/waves/steward.py
@@ -110,7 +110,7 @@
         dispatcher = self._context.get_dispatchers().get(pool)
         if dispatcher is not None:
             dispatcher.steer(choice.steer, choice.order, wave.done)
-            self._move_overdue(dispatcher)
+            self._move_overdue(dispatcher, choice.empty)
         for name in choice.permit:
             state = self._context.get_state()
             host = state.hosts.get(name)
@@ -219,7 +219,7 @@
         while not await self._is_empty(host):
             dispatcher = self._context.get_dispatchers().get(host.pool)
             if dispatcher is not None:
-                self._move_overdue(dispatcher)
+                self._move_overdue(dispatcher, (host.name,))
             if not self._is_still(host):
                 return False
             idle = host.slots - self._count_in_use(host)
@@ -284,13 +284,14 @@
         slots = dispatcher.hosts.get(host.name) if dispatcher else None
         return slots.in_use if slots else 0
 
-    def _move_overdue(self, dispatcher: Dispatcher) -> None:
-        """Move tasks that have outlasted the allowed wait on steered and draining hosts.
+    def _move_overdue(self, dispatcher: Dispatcher, names: tuple[str, ...]) -> None:
+        """Move tasks that have outlasted the allowed wait on hosts that could leave now.
 
-        A task that came later than the steering gets the same wait.
+        A task that came later than the steering gets the same wait.  On a host
+        whose turn has not come, tasks go on: they may end before it comes.
         """
         now_s = asyncio.get_running_loop().time()
-        for name in dispatcher.steered_names:
+        for name in names:
             slots = dispatcher.hosts.get(name)
             if slots is None:
                 continue
