Leaving hosts get no new work; hosts that fail on are set aside; no idle connections

Change: record host_leaving, fenced and emptied by the steward; six suspensions on end ask for host_set_aside, which the fold refuses where the budget would break; connections to workers end with their task.

--- a/src/robinthread/_internal/daemon/daemon.py
+++ b/src/robinthread/_internal/daemon/daemon.py
@@ -335,13 +335,13 @@
             self._make_id,
             self.counters,
             self.events,
+            self._publish_quietly,
         )
         return DispatchService(
             self.settings.name,
             context,
             self.settings.dispatch,
             self._can_hear,
-            self._publish_quietly,
         )
 
     def _make_entry(self) -> EntryService:
--- a/src/robinthread/_internal/daemon/host_list_task.py
+++ b/src/robinthread/_internal/daemon/host_list_task.py
@@ -3,15 +3,20 @@
 from __future__ import annotations
 
 import asyncio
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Final
 
 from tornado.httpclient import HTTPError
 
 from robinthread._internal.fold.kinds.host_arrived import HostArrived
 from robinthread._internal.fold.kinds.host_gone import HostGone
+from robinthread._internal.fold.kinds.host_leaving import HostLeaving
+from robinthread._internal.fold.kinds.host_recovered import HostRecovered
 from robinthread._internal.follow.host_list import ListedHost
+from robinthread._internal.models.fleet_state import FleetState
 from robinthread._internal.models.host_phase import HostPhase
 
+GONE_PHASES: Final = (HostPhase.FREE, HostPhase.FAILED, HostPhase.OUT, HostPhase.LEAVING)
+
 if TYPE_CHECKING:
     from robinthread._internal.daemon.daemon import Daemon
 
@@ -20,7 +25,8 @@
     """Publish arrivals and departures of the hall's hosts while this daemon leads it.
 
     The list lags, so a host that is missing from it is taken as gone only
-    once it also is free, out or failed.
+    once it also is free, out, failed or leaving.  One that the list shows as
+    leaving gets no new work from then on.
     """
     while True:
         if daemon.is_hall_lead() and daemon.is_fresh:
@@ -51,8 +57,23 @@
     gone = [
         HostGone(host.name)
         for host in known.values()
-        if host.hall == daemon.settings.hall
-        and host.name not in here
-        and host.phase in (HostPhase.FREE, HostPhase.FAILED, HostPhase.OUT)
+        if host.hall == daemon.settings.hall and host.name not in here and host.phase in GONE_PHASES
+    ]
+    changed = _list_leaving(daemon.state, here)
+    await asyncio.gather(*(daemon.publish(body) for body in [*arrived, *gone, *changed]))
+
+
+def _list_leaving(state: FleetState, listed: dict[str, ListedHost]) -> list[object]:
+    """Return records for hosts that begin to leave, or no longer do."""
+    known = [(state.hosts[name], entry) for name, entry in listed.items() if name in state.hosts]
+    leaving: list[object] = [
+        HostLeaving(host.name)
+        for host, entry in known
+        if entry.is_leaving and host.phase is not HostPhase.LEAVING
+    ]
+    staying = [
+        HostRecovered(host.name, host.token)
+        for host, entry in known
+        if not entry.is_leaving and host.phase is HostPhase.LEAVING
     ]
-    await asyncio.gather(*(daemon.publish(body) for body in [*arrived, *gone]))
+    return [*leaving, *staying]
--- a/src/robinthread/_internal/dispatch/dispatch_service.py
+++ b/src/robinthread/_internal/dispatch/dispatch_service.py
@@ -1,7 +1,7 @@
 """Dispatchers as a daemon runs them, and slots as it asks for them."""
 
 import asyncio
-from collections.abc import Awaitable, Callable
+from collections.abc import Callable
 from typing import Final
 
 from robinthread._internal.dispatch.dispatcher import DispatchContext, Dispatcher
@@ -40,14 +40,13 @@
         context: DispatchContext,
         settings: DispatchSettings,
         can_hear: Callable[[DaemonMember], bool],
-        publish: Callable[[object], Awaitable[None]],
     ) -> None:
         self.dispatchers: dict[str, Dispatcher] = {}
         self._name = name
         self._context = context
         self._settings = settings
         self._can_hear = can_hear
-        self._publish = publish
+        self._publish = context.publish
         self._watches: dict[str, asyncio.Task[None]] = {}
         self._silent_since_s: dict[str, float] = {}
         router = context.router
--- a/src/robinthread/_internal/dispatch/dispatcher.py
+++ b/src/robinthread/_internal/dispatch/dispatcher.py
@@ -3,9 +3,9 @@
 import asyncio
 import itertools
 from collections import Counter
-from collections.abc import Callable, Iterator
+from collections.abc import Awaitable, Callable, Coroutine, Iterator
 from dataclasses import dataclass
-from typing import Final
+from typing import Any, Final
 
 from robinthread._internal.dispatch.host_health import HostHealth
 from robinthread._internal.dispatch.host_slots import HostSlots
@@ -14,6 +14,7 @@
 from robinthread._internal.dispatch.slot_lease import SlotLease
 from robinthread._internal.dispatch.slot_outcome import SlotOutcome
 from robinthread._internal.dispatch.waiting_queue import WaitingAsk, WaitingQueue
+from robinthread._internal.fold.kinds.host_set_aside import HostSetAside
 from robinthread._internal.models.fleet_state import FleetState
 from robinthread._internal.models.host import Host
 from robinthread._internal.models.host_phase import HostPhase
@@ -29,7 +30,7 @@
 from robinthread._internal.upstream.service import UpstreamService
 
 UNLIMITED_SLOTS: Final = 1_000_000
-LEAVING_PHASES: Final = (HostPhase.PERMITTED, HostPhase.DRAINING)
+LEAVING_PHASES: Final = (HostPhase.PERMITTED, HostPhase.DRAINING, HostPhase.LEAVING)
 RETRY_AFTER_MIN_S: Final = 0.05
 
 
@@ -45,6 +46,7 @@
     make_id: Callable[[], str]
     counters: Counters
     events: EventRing
+    publish: Callable[[object], Awaitable[None]]
 
 
 class Dispatcher:
@@ -197,7 +199,16 @@
     def _recount(self, slots: HostSlots) -> None:
         """Lease nothing on a host that refused a task until its report was read."""
         slots.is_counted = False
-        task = asyncio.get_running_loop().create_task(self.count_slots(slots.host.name))
+        self._start_task(self.count_slots(slots.host.name))
+
+    async def _set_aside(self, host: Host) -> None:
+        """Ask to have a host that fails on and on set aside; its budget may forbid it."""
+        if host.is_serving:
+            self._context.counters.add("hosts_set_aside_asked")
+            await self._context.publish(HostSetAside(host.name, host.token))
+
+    def _start_task(self, work: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.get_running_loop().create_task(work)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
@@ -338,6 +349,8 @@
             self._context.events.note("host_suspended", slots.host.name, self.pool)
             pause_s = slots.health.suspended_until_s - now_s
             asyncio.get_running_loop().call_later(pause_s, self.pump)
+            if slots.health.suspensions >= self._settings.set_aside_after_suspensions:
+                self._start_task(self._set_aside(slots.host))
         if self._jobs.note(outcome, release.job, slots.host.name, now_s):
             self._context.counters.add("jobs_set_aside")
             for other in self.hosts.values():
--- a/src/robinthread/_internal/dispatch/host_health.py
+++ b/src/robinthread/_internal/dispatch/host_health.py
@@ -23,6 +23,11 @@
         """Tell whether the host has failed since its last success."""
         return bool(self._failed_jobs)
 
+    @property
+    def suspensions(self) -> int:
+        """Return how often the host was suspended since its last success."""
+        return self._suspensions
+
     @property
     def is_on_probation(self) -> bool:
         """Tell whether the host was suspended and has not succeeded since."""
--- /dev/null
+++ b/src/robinthread/_internal/fold/kinds/host_leaving.py
@@ -0,0 +1,29 @@
+"""Record: the platform takes a host away."""
+
+from dataclasses import dataclass, replace
+
+from returns.result import Failure, Success
+
+from robinthread._internal.fold.position import Position
+from robinthread._internal.fold.step import Step, put_host, take_back_permits
+from robinthread._internal.models.fleet_state import FleetState
+from robinthread._internal.models.host_phase import HostPhase
+from robinthread._internal.results import ResultCode
+
+
+@dataclass(frozen=True)
+class HostLeaving:
+    """A host that the platform's list shows as leaving."""
+
+    host: str
+
+
+def fold(state: FleetState, body: HostLeaving, at: Position) -> Step:
+    """Give the host no new work; a fact, so no budget is asked."""
+    host = state.hosts.get(body.host)
+    if host is None:
+        return Failure(ResultCode.NOT_FOUND)
+    if host.phase is HostPhase.LEAVING:
+        return Failure(ResultCode.WRONG_PHASE)
+    state = put_host(state, replace(host, phase=HostPhase.LEAVING, token=at.offset))
+    return Success(take_back_permits(state, host.pool, at.offset))
--- a/src/robinthread/_internal/fold/kinds/host_recovered.py
+++ b/src/robinthread/_internal/fold/kinds/host_recovered.py
@@ -1,4 +1,4 @@
-"""Record: a failed host serves again."""
+"""Record: a host that failed, was set aside or was leaving serves again."""
 
 from dataclasses import dataclass, replace
 
@@ -20,9 +20,12 @@
 
 def fold(state: FleetState, body: HostRecovered, at: Position) -> Step:
     """Return the host to service; it is done in its wave if it was in one."""
-    found = get_host_in_phase(state, body.host, body.token, (HostPhase.FAILED, HostPhase.SET_ASIDE))
+    found = get_host_in_phase(
+        state, body.host, body.token, (HostPhase.FAILED, HostPhase.SET_ASIDE, HostPhase.LEAVING)
+    )
     if isinstance(found, Failure):
         return found
     host = found.unwrap()
-    back = replace(host, phase=HostPhase.SERVING, wave="", token=at.offset)
+    phase = HostPhase.SERVING if host.pool else HostPhase.FREE
+    back = replace(host, phase=phase, wave="", token=at.offset)
     return Success(put_host(state, back))
--- a/src/robinthread/_internal/models/host_phase.py
+++ b/src/robinthread/_internal/models/host_phase.py
@@ -13,4 +13,4 @@
     OUT = "out"
     FAILED = "failed"
     SET_ASIDE = "set_aside"
-    GONE = "gone"
+    LEAVING = "leaving"
--- a/src/robinthread/_internal/operators/status_call.py
+++ b/src/robinthread/_internal/operators/status_call.py
@@ -15,7 +15,7 @@
 if TYPE_CHECKING:
     from robinthread._internal.daemon.daemon import Daemon
 
-AWAY_PHASES = frozenset({HostPhase.PERMITTED, HostPhase.DRAINING, HostPhase.OUT})
+AWAY_PHASES = frozenset({HostPhase.PERMITTED, HostPhase.DRAINING, HostPhase.OUT, HostPhase.LEAVING})
 
 
 def make_status(daemon: Daemon) -> pb.Status:
--- a/src/robinthread/_internal/settings/dispatch_settings.py
+++ b/src/robinthread/_internal/settings/dispatch_settings.py
@@ -10,7 +10,8 @@
     ``urgent_start_s`` is the longest that urgent work may wait; lower work is
     checkpointed after ``preempt_after_s``.  A host whose last
     ``suspend_after_failures`` distinct jobs failed gets no work for
-    ``suspend_min_s``, doubled with each failed probe up to ``suspend_max_s``.
+    ``suspend_min_s``, doubled with each failed probe up to ``suspend_max_s``;
+    after ``set_aside_after_suspensions`` it is set aside if its budget allows.
     A job that failed on ``set_aside_after_hosts`` distinct hosts is refused
     for ``set_aside_s``.  A task that was cut off by its deadline counts against
     its host only if it ran ``slow_factor`` times longer than the mean.
@@ -24,6 +25,7 @@
     suspend_after_failures: int = 3
     suspend_min_s: float = 1.0
     suspend_max_s: float = 30.0
+    set_aside_after_suspensions: int = 6
     set_aside_after_hosts: int = 3
     set_aside_s: float = 60.0
     lease_grace_s: float = 2.0
--- a/src/robinthread/_internal/settings/platform_settings.py
+++ b/src/robinthread/_internal/settings/platform_settings.py
@@ -14,6 +14,6 @@
     host_list_url: str = ""
     log_timeout_s: float = 2.0
     log_retention_s: float = 86400.0
-    host_list_interval_s: float = 5.0
+    host_list_interval_s: float = 2.0
     snapshot_every_records: int = 1000
     freshness_limit_s: float = 12.0
--- a/src/robinthread/_internal/standins/worker_standin.py
+++ b/src/robinthread/_internal/standins/worker_standin.py
@@ -53,6 +53,7 @@
         self.boots_count = 0
         self.token = 0
         self.slots_peak = 0
+        self.starts_count = 0
         self.connections_in_use = 0
         self.connections_peak = 0
         self.returns = True
@@ -108,6 +109,7 @@
             parse_job(task.body).run_s,
         )
         self._running[task.id] = running
+        self.starts_count += 1
         self.slots_peak = max(self.slots_peak, len(self._running))
         if not task.checkpoint:
             self._ledger.started[task.key] += 1
--- a/src/robinthread/_internal/upstream/http_client.py
+++ b/src/robinthread/_internal/upstream/http_client.py
@@ -4,6 +4,7 @@
 from typing import TypeVar
 
 import msgspec
+import pycurl
 from tornado.httpclient import AsyncHTTPClient, HTTPClientError, HTTPRequest, HTTPResponse
 
 from robinthread._internal.upstream.control import ControlCall, ControlReply
@@ -39,7 +40,12 @@
             headers[HEADER_CHECKPOINT] = base64.b64encode(task.checkpoint).decode()
         url = f"http://{address}/v1/tasks/{task.id}"
         request = HTTPRequest(
-            url, method="POST", headers=headers, body=task.body, request_timeout=timeout_s
+            url,
+            method="POST",
+            headers=headers,
+            body=task.body,
+            request_timeout=timeout_s,
+            prepare_curl_callback=_forbid_reuse,
         )
         return _parse_reply(await _fetch(client, request))
 
@@ -56,6 +62,15 @@
     return UpstreamService(run, control, report)
 
 
+def _forbid_reuse(curl: pycurl.Curl) -> None:
+    """Close the connection after the task.
+
+    A worker's connections are shared by all daemons.  Each would keep idle ones
+    that count against the limit; so, connections are the leases in use.
+    """
+    curl.setopt(pycurl.FORBID_REUSE, 1)
+
+
 async def _fetch(client: AsyncHTTPClient, request: HTTPRequest) -> HTTPResponse:
     try:
         return await client.fetch(request)
--- a/src/robinthread/_internal/waves/steward.py
+++ b/src/robinthread/_internal/waves/steward.py
@@ -74,6 +74,7 @@
         self._context = context
         self._settings = settings
         self._policy = make_policy(settings)
+        self._fenced: dict[str, int] = {}
         self._tasks: dict[str, asyncio.Task[None]] = {}
 
     async def run(self) -> None:
@@ -83,6 +84,7 @@
                 await self._ask_permits()
                 await self._assign_arrivals()
             self._start_tasks()
+            await self._empty_leaving()
             await asyncio.sleep(self._settings.steward_interval_s)
 
     def close(self) -> None:
@@ -184,6 +186,19 @@
             return self._context.owns_free_hosts()
         return pool in self._context.get_dispatchers()
 
+    async def _empty_leaving(self) -> None:
+        """Fence hosts that the platform takes away, and move what outlasts the wait."""
+        for host in tuple(self._context.get_state().hosts.values()):
+            dispatcher = self._context.get_dispatchers().get(host.pool)
+            if host.phase is not HostPhase.LEAVING or host.hall != self._context.hall:
+                continue
+            if dispatcher is None or host.name not in dispatcher.hosts:
+                continue
+            if self._fenced.get(host.name) != host.token:
+                self._fenced[host.name] = host.token
+                await self._fence(host)
+            self._move_overdue(dispatcher, (host.name,))
+
     def _start_tasks(self) -> None:
         for host in tuple(self._context.get_state().hosts.values()):
             is_held = host.phase in HELD_PHASES and host.hall == self._context.hall
