--- a/src/robinthread/_internal/fold/kinds/host_recovered.py
+++ b/src/robinthread/_internal/fold/kinds/host_recovered.py
@@ -19,7 +19,7 @@
 
 
 def fold(state: FleetState, body: HostRecovered, at: Position) -> Step:
-    """Return the host to service; it is done in its wave if it was in one."""
+    """Return the host to service; a wave that it was in takes it again."""
     found = get_host_in_phase(
         state, body.host, body.token, (HostPhase.FAILED, HostPhase.SET_ASIDE, HostPhase.LEAVING)
     )
