--- a/bench/control.py
+++ b/bench/control.py
@@ -18,6 +18,7 @@
 )
 from robinthread._internal.claims.table import ClaimTable
 from robinthread._internal.fold.folder import Folder, FolderImage
+from robinthread._internal.fold.kinds.config_published import ConfigPublished
 from robinthread._internal.models.budget import Budget
 from robinthread._internal.models.fleet_state import FleetState
 from robinthread._internal.models.host import Host
@@ -43,6 +44,7 @@
         sent, appends = run_virtual(_measure_idle(halls, daemons))
         counts[f"peer_bytes_a_s_{halls}x{daemons}"] = sent
         counts[f"idle_appends_a_s_{halls}x{daemons}"] = appends
+    counts["in_force_p100_s_16x8"] = run_virtual(_measure_in_force())
     for concurrency in CONCURRENCIES:
         counts[f"appends_a_claim_at_{concurrency}"] = run_virtual(_measure_appends(concurrency))
     counts["bytes_a_claim_in_memory"] = _measure_claim_memory()
@@ -94,6 +96,27 @@
     return round(sent, 1), round(appends, 2)
 
 
+async def _measure_in_force() -> float:
+    """Return the longest time from a change's call until all daemons applied it."""
+    sizes = tuple(HallSize(f"h{number:02d}", 8, 1) for number in range(16))
+    fleet = FleetStandin(sizes, 1, settings=SETTINGS)
+    await fleet.start()
+    fleet.log.faults = replace(fleet.log.faults, delay_s=0.05, lost_reply_share=0.2)
+    loop = asyncio.get_running_loop()
+    longest_s = 0.0
+    for number in range(20):
+        started_at_s = loop.time()
+        daemon = get_daemon(fleet, number)
+        result = await daemon.publish(ConfigPublished(f"c{number}", "x", 0))
+        offset = result.unwrap().offset
+        await asyncio.gather(
+            *(each.follower.wait_for_offset(offset) for each in fleet.daemons.values())
+        )
+        longest_s = max(longest_s, loop.time() - started_at_s)
+    fleet.close()
+    return round(longest_s, 3)
+
+
 async def _measure_appends(concurrency: int) -> float:
     """Return claims' appends a request that must not be repeated."""
     claims = replace(SETTINGS.claims, claim_appends_per_s=200.0)
--- a/src/robinthread/_internal/standins/fleet_standin.py
+++ b/src/robinthread/_internal/standins/fleet_standin.py
@@ -71,6 +71,11 @@
                 listed.append(self._add_worker(hall.name, index, slots, hosts_per_rack))
         self._listed = tuple(listed)
 
+    @property
+    def hall_names(self) -> tuple[str, ...]:
+        """Return the names of the data halls."""
+        return tuple(hall.name for hall in self._halls)
+
     async def start(self) -> None:
         """Start every daemon and wait until all are members and all hosts arrived."""
         self.host_list.set_hosts(self._listed)
--- a/tests/unit/test_fold_random.py
+++ b/tests/unit/test_fold_random.py
@@ -22,6 +22,7 @@
 from robinthread._internal.fold.registry import KIND_OF_TYPE
 from robinthread._internal.models.budget import Budget
 from robinthread._internal.models.fleet_state import FleetState
+from robinthread._internal.results import ResultCode
 from tests.unit.test_spec_replay import make_pool_of_three
 
 HOSTS = ("h1", "h2", "h3")
@@ -83,6 +84,14 @@
             folder.fold_record(offset, data)
         self.assertEqual(4, folder.state.next_offset)
 
+    def test_record_of_a_newer_version_or_an_unknown_kind_is_void(self) -> None:
+        folder = Folder()
+        body = msgspec.Raw(msgspec.msgpack.encode(HostGone("h1")))
+        newer = Envelope("host_gone", "a", "d", "i", 0, body, version=99)
+        unknown = Envelope("weather_changed", "b", "d", "i", 0, body)
+        codes = [step.code for step in folder.fold_record(0, encode_batch((newer, unknown)))]
+        self.assertEqual([ResultCode.UNKNOWN_KIND] * 2, codes)
+
     def _encode(self, number: int) -> bytes:
         body = HostGone(f"h{number % 7}") if number % 2 else HostAssigned(f"h{number % 5}", "p")
         envelope = Envelope(
