Digests at every boundary, judged by the majority; wiring apart

Cause: a digest was taken only where a page of the log happened to end on a boundary, and any difference stopped both sides, so that one daemon that folds wrongly would have stopped all that hear it.

--- a/src/robinthread/_internal/daemon/daemon.py
+++ b/src/robinthread/_internal/daemon/daemon.py
@@ -7,21 +7,22 @@
 from absl import logging
 from returns.result import Result, Success
 
-from robinthread._internal.claims.claim_service import ClaimContext, ClaimService
 from robinthread._internal.daemon.environment import Environment
 from robinthread._internal.daemon.host_list_task import follow_host_list
-from robinthread._internal.dispatch.dispatch_service import DispatchService
-from robinthread._internal.dispatch.dispatcher import DispatchContext
-from robinthread._internal.entry.entry_service import EntryContext, EntryService
-from robinthread._internal.fold.folder import FoldedRecord, make_digest
+from robinthread._internal.daemon.wiring import (
+    make_claims,
+    make_dispatch,
+    make_entry,
+    make_presence,
+    make_steward,
+)
+from robinthread._internal.fold.folder import FoldedRecord
 from robinthread._internal.fold.kinds.daemon_joined import DaemonJoined
 from robinthread._internal.fold.kinds.daemon_left import DaemonLeft
 from robinthread._internal.follow.follower import Follower, LogTruncatedError
 from robinthread._internal.follow.publisher import Author, Publisher
-from robinthread._internal.models.daemon_member import DaemonMember
 from robinthread._internal.models.fleet_state import FleetState
 from robinthread._internal.peers.messages import ImageAsk, ImageReply
-from robinthread._internal.peers.presence import Presence, PresenceContext
 from robinthread._internal.peers.router import PeerRouter, PeerTimeoutError, Sender
 from robinthread._internal.platform_log.errors import LogReplyLostError, LogUnavailableError
 from robinthread._internal.results import Fault, ResultCode
@@ -33,7 +34,6 @@
 from robinthread._internal.utils.memory import trim_memory
 from robinthread._internal.utils.rendezvous import pick_by_rendezvous
 from robinthread._internal.waves.measures import WaveMeasures
-from robinthread._internal.waves.steward import Steward, StewardContext
 
 ID_BITS: Final = 64
 FRAME_ID_BITS: Final = 40
@@ -55,7 +55,9 @@
         self.counters = environment.counters
         clock = HybridClock(environment.wall_clock)
         self.events = EventRing(settings.name, settings.hall, clock, settings.events_max)
-        self.follower = Follower(environment.log, self.counters)
+        self.follower = Follower(
+            environment.log, self.counters, settings.peers.digest_every_records
+        )
         self.events.get_next_offset = lambda: self.state.next_offset
         self.router = PeerRouter(
             settings.name,
@@ -69,19 +71,19 @@
             Author(settings.name, self.incarnation),
             lambda: self.state.next_offset,
             lambda record_id: self.follower.folder.get_outcome(record_id),
-            self._make_id,
+            self.make_id,
             self.counters,
         )
         self.measures = WaveMeasures()
-        self.presence = self._make_presence()
-        self.claims = self._make_claims()
-        self.dispatch = self._make_dispatch()
-        self.entry = self._make_entry()
-        self.steward = self._make_steward()
-        self._digest: tuple[int, str] = (-1, "")
+        self.presence = make_presence(self)
+        self.claims = make_claims(self)
+        self.dispatch = make_dispatch(self)
+        self.entry = make_entry(self)
+        self.steward = make_steward(self)
         self._join_task: asyncio.Task[None] | None = None
         self._snapshot_offset = 0
         self._adopted = FleetState()
+        self._peer_digests: dict[str, tuple[int, str]] = {}
         self._tasks: list[asyncio.Task[None]] = []
         self.follower.watch(self._on_folded)
         self.router.on(ImageAsk, self._on_image_ask)
@@ -164,13 +166,15 @@
         """Publish a record in the fleet stream."""
         return await self.publisher.publish(body, timeout_s, record_id)
 
-    async def _publish_quietly(self, body: object) -> None:
+    async def publish_quietly(self, body: object) -> None:
+        """Publish a record whose outcome the log will tell anyway."""
         await self.publish(body)
 
     def _start_task(self, work: Coroutine[Any, Any, None]) -> None:
         self._tasks.append(asyncio.get_running_loop().create_task(work))
 
-    def _make_id(self) -> str:
+    def make_id(self) -> str:
+        """Return an id that no other record, lease or claim batch has."""
         return f"{self.environment.random.getrandbits(ID_BITS):016x}"
 
     async def _follow(self) -> None:
@@ -221,7 +225,6 @@
         for record in folded:
             self._note_folded(record)
         self.measures.note_state(self.state)
-        self._refresh_digest()
         self._adopt_changes()
         if not self.is_member and not self.is_stopping:
             self._ensure_joined()
@@ -244,20 +247,27 @@
             record.kind, next(filter(None, subjects), ""), getattr(record.body, "wave", "")
         )
 
-    def _refresh_digest(self) -> None:
-        every = self.settings.peers.digest_every_records
-        due = self.state.next_offset // every
-        if due and due != self._digest[0] // every and self.state.next_offset % every == 0:
-            image = self.follower.folder.make_image()
-            self._digest = (self.state.next_offset, make_digest(image))
+    def get_digest(self) -> tuple[int, str]:
+        """Return the last digest and the offset that it stands for."""
+        return self.follower.digest
+
+    def check_digest(self, name: str, offset: int, digest: str) -> None:
+        """Compare a peer's digest with ours; stop acting where more differ than agree.
 
-    def _check_digest(self, name: str, offset: int, digest: str) -> None:
-        if offset != self._digest[0] or not digest or digest == self._digest[1]:
+        A single daemon that folds wrongly so stops itself and not the others.
+        """
+        self._peer_digests[name] = (offset, digest)
+        own_offset, own_digest = self.follower.digest
+        if offset != own_offset or not digest:
             return
-        if not self.is_halted:
-            logging.error("digest at %d differs from %s's: no longer acting", offset, name)
-        self.is_halted = True
-        self.events.note("digest_differs", name, str(offset))
+        others = [found for at, found in self._peer_digests.values() if at == own_offset]
+        differing = sum(found != own_digest for found in others)
+        if digest != own_digest:
+            self.counters.add("digests_differ")
+        if differing > 1 + len(others) - differing and not self.is_halted:
+            logging.error("digest at %d differs from most peers': no longer acting", offset)
+            self.is_halted = True
+            self.events.note("digest_differs", name, str(offset))
 
     def _ensure_joined(self) -> None:
         if self._join_task is None or self._join_task.done():
@@ -295,93 +305,6 @@
             self.counters.add("snapshots_written")
             self.counters.add("snapshot_bytes", size)
 
-    def _can_hear(self, member: DaemonMember) -> bool:
-        return self.presence.can_hear(member)
-
-    def _make_presence(self) -> Presence:
-        context = PresenceContext(
-            self.settings.name,
-            self.settings.hall,
-            lambda: self.incarnation,
-            lambda: self.state,
-            lambda: self.is_fresh,
-            self._publish_quietly,
-            lambda: self._digest,
-            self._check_digest,
-        )
-        return Presence(context, self.settings.peers, self.router)
-
-    def _make_claims(self) -> ClaimService:
-        context = ClaimContext(
-            self.settings.name,
-            self.settings.hall,
-            lambda: self.incarnation,
-            lambda: self.state,
-            self._can_hear,
-            self._make_id,
-            self.environment.wall_clock,
-        )
-        return ClaimService(
-            context, self.settings.claims, self.environment.log, self.router, self.counters
-        )
-
-    def _make_dispatch(self) -> DispatchService:
-        context = DispatchContext(
-            self.settings.hall,
-            lambda: self.state,
-            self.environment.upstream,
-            self.router,
-            self.environment.wall_clock,
-            self._make_id,
-            self.counters,
-            self.events,
-            self._publish_quietly,
-        )
-        return DispatchService(
-            self.settings.name,
-            context,
-            self.settings.dispatch,
-            self._can_hear,
-        )
-
-    def _make_entry(self) -> EntryService:
-        context = EntryContext(
-            self.settings.name,
-            self.settings.hall,
-            lambda: self.incarnation,
-            lambda: self.state,
-            lambda: self.follower.is_ready and not self.is_halted,
-            self._can_hear,
-            self.environment.upstream,
-            self.router,
-            self.environment.wall_clock,
-            self.environment.random,
-            self.counters,
-            self.events,
-        )
-        return EntryService(
-            context, self.settings.entry, self.settings.claims, self.claims, self.dispatch
-        )
-
-    def _make_steward(self) -> Steward:
-        context = StewardContext(
-            self.settings.hall,
-            lambda: self.state,
-            lambda: self.is_fresh and not self.is_halted,
-            lambda: self.dispatch.dispatchers,
-            self._owns_free_hosts,
-            self.publish,
-            self.router.tell,
-            self.environment.upstream,
-            self.counters,
-            self.events,
-            self.measures,
-        )
-        return Steward(context, self.settings.waves)
-
-    def _owns_free_hosts(self) -> bool:
-        return self.is_hall_lead()
-
     def is_hall_lead(self) -> bool:
         """Tell whether this daemon follows the host list for its data hall."""
         return self.dispatch.get_turn("", self.settings.hall) == self.settings.name
--- a/src/robinthread/_internal/follow/follower.py
+++ b/src/robinthread/_internal/follow/follower.py
@@ -4,11 +4,11 @@
 from collections.abc import Callable
 from typing import Final
 
-from robinthread._internal.fold.folder import FoldedRecord, Folder, FolderImage
+from robinthread._internal.fold.folder import FoldedRecord, Folder, FolderImage, make_digest
 from robinthread._internal.follow.publisher import FLEET_STREAM
 from robinthread._internal.models.fleet_state import FleetState
 from robinthread._internal.platform_log.errors import LogReplyLostError, LogUnavailableError
-from robinthread._internal.platform_log.page import LogPage
+from robinthread._internal.platform_log.page import LogPage, LogRecord
 from robinthread._internal.platform_log.service import LogService
 from robinthread._internal.telemetry.counters import Counters
 
@@ -26,13 +26,16 @@
 
     ``is_ready`` turns true once the fold has reached the log's end or an
     image from a peer has been taken.  ``fresh_at_s`` is the loop's time of
-    the last word from the log.
+    the last word from the log.  ``digest`` is the offset and digest of the state
+    at the last multiple of ``digest_every_records``, for comparison with peers.
     """
 
-    def __init__(self, log: LogService, counters: Counters) -> None:
+    def __init__(self, log: LogService, counters: Counters, digest_every_records: int) -> None:
         self.folder = Folder()
         self.is_ready = False
         self.fresh_at_s = -1e9
+        self.digest: tuple[int, str] = (-1, "")
+        self._digest_every_records = digest_every_records
         self._log = log
         self._counters = counters
         self._watchers: list[Callable[[tuple[FoldedRecord, ...]], None]] = []
@@ -89,17 +92,19 @@
             raise LogTruncatedError(
                 f"the log starts at {page.first_offset}, needed {self.state.next_offset}"
             )
-        folded = tuple(
-            step
-            for record in page.records
-            for step in self.folder.fold_record(record.offset, record.data)
-        )
+        folded = tuple(step for record in page.records for step in self._fold_record(record))
         self._counters.add("records_folded", len(folded))
         was_ready = self.is_ready
         self.is_ready = self.is_ready or self.state.next_offset >= page.next_offset
         if folded or self.is_ready != was_ready:
             self._notify(folded)
 
+    def _fold_record(self, record: LogRecord) -> tuple[FoldedRecord, ...]:
+        folded = self.folder.fold_record(record.offset, record.data)
+        if self.state.next_offset % self._digest_every_records == 0:
+            self.digest = (self.state.next_offset, make_digest(self.folder.make_image()))
+        return folded
+
     def _notify(self, folded: tuple[FoldedRecord, ...]) -> None:
         for watcher in self._watchers:
             watcher(folded)
--- a/tests/functional/test_failures.py
+++ b/tests/functional/test_failures.py
@@ -17,6 +17,7 @@
 from robinthread._internal.fold.kinds.wave_state_set import WaveStateSet
 from robinthread._internal.models.budget import Budget
 from robinthread._internal.models.host_phase import HostPhase
+from robinthread._internal.models.quota import Quota
 from robinthread._internal.models.urgency import Urgency
 from robinthread._internal.models.wave import WaveKind, WaveState
 from robinthread._internal.results import Family, ResultCode
@@ -249,6 +250,27 @@
         run_virtual(work())
 
 
+class DigestTest(TestCase):
+    def test_daemon_whose_state_differs_stops_acting_and_says_so(self) -> None:
+        async def work() -> None:
+            settings = replace(SETTINGS, peers=replace(SETTINGS.peers, digest_every_records=8))
+            fleet = await start_fleet(settings=settings)
+            odd = fleet.daemons["kandy-d0"]
+            odd.follower.folder.state = replace(odd.state, quotas={"x": Quota("x", 1)})
+            for number in range(16):
+                await publish(fleet.daemons["matale-d0"], ConfigPublished(f"c{number}", "x", 0))
+            await wait_until(lambda: odd.is_halted, 10.0)
+            answer = await serve(odd, "odd", is_repeatable=True)
+            self.assertEqual(ResultCode.NOT_READY, answer.code)
+            events = [event.kind for event in odd.events.list_events()]
+            self.assertIn("digest_differs", events)
+            await asyncio.sleep(10.0)
+            halted = [name for name, daemon in fleet.daemons.items() if daemon.is_halted]
+            self.assertEqual(["kandy-d0"], halted)
+
+        run_virtual(work())
+
+
 class PlatformTest(TestCase):
     def test_platform_out_serves_what_it_can_and_refuses_claims_at_once(self) -> None:
         async def work() -> None:
--- a/tests/unit/test_fold.py
+++ b/tests/unit/test_fold.py
@@ -49,7 +49,7 @@
 class FollowerTest(TestCase):
     def test_state_never_goes_back_whatever_offers_it(self) -> None:
         async def work() -> None:
-            follower = Follower(LogStandin().make_service(), Counters())
+            follower = Follower(LogStandin().make_service(), Counters(), 256)
             self.assertTrue(follower.take_image(FolderImage(FleetState(next_offset=9), ())))
             self.assertFalse(follower.take_image(FolderImage(FleetState(next_offset=8), ())))
             follower.is_ready = False
