--- a/bench/process_costs.py
+++ b/bench/process_costs.py
@@ -80,7 +80,10 @@
         await _wait_for_port(platform)
         await _wait_for_port(workers)
         for hosts, pools in ((0, 0), (HOSTS, POOLS)):
+            if hosts:
+                await _fill_log(client, platform, workers, hosts, pools)
             await _measure_daemon(client, folder, ports, platform, workers, hosts, pools)
+        await _measure_restart(client, folder, ports, platform)
 
 
 async def _measure_daemon(
@@ -92,12 +95,7 @@
     hosts: int,
     pools: int,
 ) -> None:
-    if hosts:
-        await _fill_log(client, platform, workers, hosts, pools)
-    names = ("callers", "operators", "metrics", "peers")
-    addresses = {name: next(ports) for name in names}
-    path = folder / f"daemon-{hosts}.toml"
-    path.write_text(SETTINGS.format(platform=platform, report_interval_s=5.0, **addresses))
+    path, addresses = _write_settings(folder, ports, platform)
     started_at_s = time.monotonic()
     with _run("daemon", f"--settings={path}") as process:
         await _wait_until_ready(client, addresses["callers"])
@@ -117,6 +115,27 @@
             _print_memory("memory at the end", process.pid)
 
 
+async def _measure_restart(
+    client: CurlAsyncHTTPClient, folder: Path, ports: Iterator[int], platform: int
+) -> None:
+    """Time a start after the daemon before has written a snapshot of the full state."""
+    path, addresses = _write_settings(folder, ports, platform)
+    started_at_s = time.monotonic()
+    with _run("daemon", f"--settings={path}"):
+        await _wait_until_ready(client, addresses["callers"])
+        print(f"start from a snapshot        {time.monotonic() - started_at_s:8.2f} s")
+
+
+def _write_settings(
+    folder: Path, ports: Iterator[int], platform: int
+) -> tuple[Path, dict[str, int]]:
+    names = ("callers", "operators", "metrics", "peers")
+    addresses = {name: next(ports) for name in names}
+    path = folder / f"daemon-{addresses['callers']}.toml"
+    path.write_text(SETTINGS.format(platform=platform, report_interval_s=5.0, **addresses))
+    return path, addresses
+
+
 async def _measure_heartbeats(pid: int, port: int) -> None:
     """Send heartbeats as peers do, and take off what idling costs."""
     frame = Frame("hall-01-d0", "", 1, 0, 1, Heartbeat(12345, (), "0" * 16, 12288))
--- a/src/robinthread/_internal/cli/verbs.py
+++ b/src/robinthread/_internal/cli/verbs.py
@@ -87,7 +87,11 @@
             from robinthread._internal.commands.timeline import run_timeline
 
             return run_timeline(
-                self._connection.make_target(), as_names("subject", subject), str(hall), str(chrome)
+                self._connection.make_target(),
+                as_names("subject", subject),
+                str(hall),
+                str(chrome),
+                self._connection.is_json,
             )
 
         return Deferred(work)
--- a/src/robinthread/_internal/commands/timeline.py
+++ b/src/robinthread/_internal/commands/timeline.py
@@ -14,7 +14,7 @@
 from robinthread._internal.timeline.text import format_event
 
 
-def run_timeline(target: Target, subjects: list[str], hall: str, chrome: str) -> int:
+def run_timeline(target: Target, subjects: list[str], hall: str, chrome: str, is_json: bool) -> int:
     """Print events in order, or write them for a browser's trace viewer."""
     status = call(target, "GetStatus", {})
     events, unheard = asyncio.run(_gather(target, status, subjects))
@@ -22,6 +22,9 @@
     if chrome:
         Path(chrome).write_bytes(msgspec.json.encode(make_chrome_trace(chosen)))
         print(f"{len(chosen)} events written to {chrome}")
+    elif is_json:
+        print(msgspec.json.encode(chosen).decode())
+        return 0
     else:
         print("\n".join(format_event(event) for event in chosen))
     for name in unheard:
