Every setting does something; a halted daemon refuses changes by number

Cause: a search for settings and codes that nothing reads found moves_weight, steer_max_s, stop_timeout_s, LOG_TRUNCATED and DIGEST_DIFFERS. Change: moves_weight weighs a move against the wait it saves; two settings and one code are gone; operators' changes to a halted daemon get 701.

--- a/bench/deployments.py
+++ b/bench/deployments.py
@@ -37,21 +37,13 @@
     "wijesekera",
     ("kandy", "peradeniya", "nuwara-eliya", "matale"),
     0.0005,
-    _make_settings(
-        WaveSettings(
-            buffer_weight=4.0, rollout_weight=1.0, drain_timeout_s=300.0, stop_timeout_s=600.0
-        )
-    ),
+    _make_settings(WaveSettings(buffer_weight=4.0, rollout_weight=1.0, drain_timeout_s=300.0)),
 )
 NOGOON = Deployment(
     "nogoon",
     ("hall-1", "hall-2", "hall-3", "hall-4"),
     0.001,
-    _make_settings(
-        WaveSettings(
-            buffer_weight=1.0, rollout_weight=4.0, drain_timeout_s=20.0, stop_timeout_s=600.0
-        )
-    ),
+    _make_settings(WaveSettings(buffer_weight=1.0, rollout_weight=4.0, drain_timeout_s=20.0)),
 )
 DEPLOYMENTS = (WIJESEKERA, NOGOON)
 
--- a/src/robinthread/_internal/operators/handler.py
+++ b/src/robinthread/_internal/operators/handler.py
@@ -16,6 +16,7 @@
 
 JSON_TYPE = "application/json"
 BINARY_TYPE = "application/x-protobuf"
+READING_METHODS = frozenset({"GetStatus", "GetTimeline", "GetConfigHistory", "PlanWave"})
 HTTP_UNAUTHORIZED = 401
 HTTP_BAD_REQUEST = 400
 HTTP_NOT_FOUND = 404
@@ -51,6 +52,8 @@
         request = self._decode(method)
         if not self._daemon.follower.is_ready:
             raise FaultError(make_fault(ResultCode.NOT_READY))
+        if self._daemon.is_halted and method not in READING_METHODS:
+            raise FaultError(make_fault(ResultCode.DIGEST_DIFFERS))
         try:
             return await call(self._daemon, request)
         except (FaultError, LogUnavailableError, LogReplyLostError):
--- a/src/robinthread/_internal/results.py
+++ b/src/robinthread/_internal/results.py
@@ -80,7 +80,6 @@
 
     INTERNAL = 700
     DIGEST_DIFFERS = 701
-    LOG_TRUNCATED = 702
     TIMED_OUT = 703
 
     @property
@@ -150,7 +149,6 @@
     ResultCode.UNKNOWN_KIND: "The record's kind or version is not known to this build.",
     ResultCode.INTERNAL: "The daemon failed; its log line tells more.",
     ResultCode.DIGEST_DIFFERS: "The state differs from another daemon's at the same offset.",
-    ResultCode.LOG_TRUNCATED: "The log no longer holds the records that are needed.",
     ResultCode.TIMED_OUT: "The call did not end in time.",
 }
 
--- a/src/robinthread/_internal/settings/check.py
+++ b/src/robinthread/_internal/settings/check.py
@@ -20,7 +20,7 @@
         "takeover_wait_s",
         "clock_skew_s",
         "retry_share",
-        "steer_max_s",
+        "move_cost_s",
         "answer_keep_s",
     }
 )
@@ -118,10 +118,6 @@
             "must be at least dispatch.suspend_min_s",
         ),
         "entry.retry_share": (settings.entry.retry_share <= 1, "must be at most 1"),
-        "waves.stop_timeout_s": (
-            waves.stop_timeout_s >= waves.drain_timeout_s,
-            "must be at least waves.drain_timeout_s",
-        ),
         "waves.policy": (waves.policy in POLICIES, f"must be one of {', '.join(POLICIES)}"),
         "listen.tls_key_file": (
             bool(listen.tls_key_file) == bool(listen.tls_certificate_file),
--- a/src/robinthread/_internal/waves/steward.py
+++ b/src/robinthread/_internal/waves/steward.py
@@ -313,9 +313,17 @@
             steered_since_s = now_s - dispatcher.get_steered_s(name)
             for lease in tuple(slots.leases.values()):
                 waited_s = now_s - max(lease.granted_at_s, steered_since_s)
-                if waited_s >= self._settings.drain_timeout_s:
+                left_s = dispatcher.estimate.get_residual_s(now_s - lease.granted_at_s)
+                is_overdue = waited_s >= self._settings.drain_timeout_s
+                if is_overdue and self._is_worth_move(left_s):
                     self._move_task(slots, lease)
 
+    def _is_worth_move(self, left_s: float) -> bool:
+        """Weigh the wait that a move saves against what the move costs."""
+        settings = self._settings
+        saved = settings.rollout_weight * left_s
+        return saved >= settings.moves_weight * settings.move_cost_s
+
     def _move_task(self, slots: HostSlots, lease: SlotLease) -> None:
         """Ask a task's holder to checkpoint it and place it elsewhere."""
         if not lease.is_preempted:
--- a/tests/functional/test_drains.py
+++ b/tests/functional/test_drains.py
@@ -55,6 +55,21 @@
 
         run_virtual(work())
 
+    def test_task_whose_move_costs_more_than_its_wait_stays(self) -> None:
+        async def work() -> None:
+            waves = replace(DRAIN_AT_ONCE.waves, moves_weight=1000.0)
+            fleet = await start_fleet(ONE_HALL, settings=replace(SETTINGS, waves=waves))
+            calls = [
+                asyncio.create_task(serve(get_daemon(fleet), f"dear{n}", run_s=40.0, left_s=LONG_S))
+                for n in range(2)
+            ]
+            await asyncio.sleep(1.0)
+            await self._run_wave(fleet, "kandy-h000", 100.0)
+            await asyncio.gather(*calls)
+            self.assertEqual(0, sum(fleet.ledger.checkpointed.values()))
+
+        run_virtual(work())
+
     def test_worker_that_cannot_checkpoint_is_waited_for(self) -> None:
         async def work() -> None:
             fleet = await start_fleet(ONE_HALL, settings=DRAIN_AT_ONCE)
