Steward: pools sized by their need, upkeep in the reserve

One steward now moves hosts from and to the reserve by what the pools' tasks need, and does upkeep as machines pass through it.

--- a/src/robinthread/_internal/durable/journal.py
+++ b/src/robinthread/_internal/durable/journal.py
@@ -27,16 +27,19 @@
         self._writer = writer
         self._token = token
         self._sequence = 0
+        self._turn = asyncio.Lock()
         self._events = events
 
     async def open(self) -> None:
         """Shut out older owners; raise ``StoreFencedError`` where there is a newer one."""
-        await self._append(())
+        async with self._turn:
+            await self._append(())
 
     async def write(self, records: Sequence[KeyedRecord]) -> None:
         """Append records, trying until they are kept; raise ``StoreFencedError``."""
         if records:
-            await self._append(records)
+            async with self._turn:
+                await self._append(records)
 
     async def _append(self, records: Sequence[KeyedRecord]) -> None:
         stamp = WriterStamp(self._writer, self._token, self._sequence)
--- a/src/robinthread/_internal/durable/keyed_follower.py
+++ b/src/robinthread/_internal/durable/keyed_follower.py
@@ -25,31 +25,51 @@
     ``apply`` gets records in the order of their offsets; its second argument
     tells whether they are all that is left, replacing what was known before.
     ``confirmed_at_s`` is when the last read that succeeded was sent: nothing
-    older than that has been missed.
+    older than that has been missed.  ``period_s`` is the least time between two
+    reads, for partitions that change all the time.
     """
 
     def __init__(
-        self, store: Store, partition: Partition, apply: ApplyFunction, events: EventLog
+        self,
+        store: Store,
+        partition: Partition,
+        apply: ApplyFunction,
+        events: EventLog,
+        period_s: float = 0.0,
     ) -> None:
         self._store = store
         self._partition = partition
         self._apply = apply
         self._events = events
         self._is_failing = False
+        self._period_s = period_s
+        self._is_wanted = asyncio.Event()
+        self._is_wanted.set()
         self.next_offset: int | None = None
         self.confirmed_at_s = -math.inf
         self.first_read = asyncio.Event()
 
     async def run(self) -> None:
-        """Follow until cancelled."""
+        """Follow until cancelled, whenever that is wanted."""
         while True:
+            await self._is_wanted.wait()
             try:
-                await self._follow_once(FOLLOW_WAIT_S)
+                await self._follow_once(0 if self._period_s else FOLLOW_WAIT_S)
             except StoreError as error:
                 self._note_failure(error)
                 await asyncio.sleep(RETRY_PAUSE_S)
             else:
                 self._note_success()
+                await asyncio.sleep(self._period_s)
+
+    def pause(self) -> None:
+        """Stop following; what is known from now on is out of date."""
+        self._is_wanted.clear()
+        self.next_offset = None
+
+    def resume(self) -> None:
+        """Follow again, from the newest record of each key."""
+        self._is_wanted.set()
 
     async def read_to_end(self) -> None:
         """Read on until nothing is left that was there at the call; raise ``StoreError``."""
@@ -90,6 +110,9 @@
 
     async def _load(self) -> int:
         newest = await self._store.read_newest(self._partition)
+        if self.next_offset is not None and self.next_offset > newest.next_offset:
+            # Another read has come further meanwhile.
+            return 0
         records = sorted(newest.records, key=lambda record: record.offset)
         self._apply(records, True)
         self.next_offset = newest.next_offset
--- /dev/null
+++ b/src/robinthread/_internal/fleet/__init__.py
@@ -0,0 +1,1 @@
+"""The fleet's machines: how many a pool needs, who is due for upkeep, what is ordered."""
--- /dev/null
+++ b/src/robinthread/_internal/fleet/fleet_view.py
@@ -0,0 +1,83 @@
+"""What the steward decides on."""
+
+from dataclasses import dataclass, field
+
+from robinthread._internal.fleet.pool_report import HostStanding, PoolReport
+from robinthread._internal.models.machine import Machine
+
+
+@dataclass(frozen=True)
+class WaveView:
+    """A maintenance wave: what is left of it and how many may begin now.
+
+    ``pending`` are the machines whose upkeep has not begun.
+    """
+
+    number: int
+    pending: frozenset[str]
+    at_once_max: int
+    down_count: int
+    left_s: float
+
+    @property
+    def free_slots(self) -> int:
+        """Return how many machines may begin their upkeep now."""
+        return max(0, self.at_once_max - self.down_count)
+
+
+@dataclass(frozen=True)
+class PoolView:
+    """A pool, its owner's report, and its machines.
+
+    ``arriving`` counts machines that will serve soon: they move here, come back
+    from upkeep, or their host has not been heard yet.
+    """
+
+    name: str
+    report: PoolReport
+    machines: dict[str, Machine]
+    arriving: int
+
+    @property
+    def hosts(self) -> tuple[HostStanding, ...]:
+        """Return the standing of the pool's hosts."""
+        return self.report.hosts
+
+
+@dataclass(frozen=True)
+class FleetView:
+    """All that a decision rests on.
+
+    ``reserve`` are the machines that are off and free to be ordered, and
+    ``ordered`` those with an order under way.
+    """
+
+    pools: tuple[PoolView, ...]
+    reserve_pool: str
+    reserve: tuple[Machine, ...]
+    ordered: frozenset[str]
+    waves: tuple[WaveView, ...]
+
+
+@dataclass(frozen=True)
+class MoveOrder:
+    """Move a machine to a pool."""
+
+    machine: str
+    pool: str
+
+
+@dataclass(frozen=True)
+class UpkeepOrder:
+    """Begin a machine's upkeep for a wave."""
+
+    machine: str
+    wave: int
+
+
+@dataclass(frozen=True)
+class FleetPlan:
+    """What to order now, and which machines each pool is to empty."""
+
+    orders: tuple[MoveOrder | UpkeepOrder, ...] = ()
+    vacate: dict[str, frozenset[str]] = field(default_factory=dict)
--- /dev/null
+++ b/src/robinthread/_internal/fleet/planner.py
@@ -0,0 +1,180 @@
+"""What to order for the fleet's machines.
+
+A pool gets hosts from the reserve, whose machines are off and cost nothing, as
+soon as its tasks need them.  It gives back what it has not needed for a while.
+Upkeep is done in the reserve wherever a machine passes through it, and in a
+pool only for what would be late otherwise.
+"""
+
+import math
+from collections.abc import Iterable
+from itertools import islice
+from typing import Final
+
+from robinthread._internal.fleet.fleet_view import (
+    FleetPlan,
+    FleetView,
+    MoveOrder,
+    PoolView,
+    UpkeepOrder,
+    WaveView,
+)
+from robinthread._internal.fleet.pool_report import HostStanding
+from robinthread._internal.fleet.sizing import HOSTS_MIN, count_hosts_needed
+from robinthread._internal.models.machine import Machine
+from robinthread._internal.models.resources import NO_RESOURCES, Resources
+
+# How long a pool must have had hosts to spare.  A move costs about as much as 1.1 s
+# of a host, and to fetch the host again costs another and 1.5 s of waiting.
+SURPLUS_HOLD_S: Final = 0.8
+# How long a machine takes to be emptied and kept up, at the end of a wave.
+UPKEEP_ROUND_S: Final = 6.0
+
+
+class FleetPlanner:
+    """Plans over time: it remembers since when each pool has had hosts to spare."""
+
+    def __init__(self) -> None:
+        self._surplus_since_s: dict[str, float] = {}
+        self._vacating: dict[str, frozenset[str]] = {}
+
+    def plan(self, view: FleetView, now_s: float) -> FleetPlan:
+        """Return the orders to give now."""
+        pending = frozenset().union(*(wave.pending for wave in view.waves))
+        room = _get_room(view)
+        reserve = _Reserve(view, pending)
+        orders: list[MoveOrder | UpkeepOrder] = []
+        self._vacating = {
+            pool.name: self._choose_vacating(view, pool, pending, room, now_s)
+            for pool in view.pools
+        }
+        for pool in sorted(view.pools, key=lambda pool: -pool.report.needs_cpu_millicores):
+            lack = count_hosts_needed(pool, room) - _count_serving(
+                pool, self._vacating[pool.name], view.ordered
+            )
+            orders += [MoveOrder(machine, pool.name) for machine in reserve.take(lack)]
+        orders += self._order_emptied(view, pending)
+        orders += _order_upkeep(view, reserve)
+        return FleetPlan(tuple(orders), self._vacating)
+
+    def _choose_vacating(
+        self,
+        view: FleetView,
+        pool: PoolView,
+        pending: frozenset[str],
+        room: Resources,
+        now_s: float,
+    ) -> frozenset[str]:
+        """Return the machines that a pool is to empty."""
+        present = {host.machine: host for host in pool.hosts if host.is_usable}
+        ordered = frozenset(name for name in present if name in view.ordered)
+        vacating = self._vacating.get(pool.name, frozenset()) & present.keys()
+        wanted = count_hosts_needed(pool, room)
+        spare = _count_serving(pool, vacating, view.ordered) - wanted
+        if spare < 0:
+            # Hosts that are still here serve sooner than any that are fetched.
+            kept = sorted(vacating - ordered, key=lambda name: (name in pending, name))
+            vacating -= frozenset(kept[:-spare])
+        if spare <= 0:
+            self._surplus_since_s.pop(pool.name, None)
+        elif now_s - self._surplus_since_s.setdefault(pool.name, now_s) >= SURPLUS_HOLD_S:
+            candidates = (host for name, host in present.items() if name not in vacating)
+            leaving = sorted(candidates, key=lambda host: _get_leaving_order(host, pending))
+            if view.reserve_pool:
+                vacating |= frozenset(host.machine for host in leaving[:spare])
+        return vacating | ordered | self._choose_for_upkeep(view, pool, vacating, pending, wanted)
+
+    def _choose_for_upkeep(
+        self,
+        view: FleetView,
+        pool: PoolView,
+        vacating: frozenset[str],
+        pending: frozenset[str],
+        wanted: int,
+    ) -> frozenset[str]:
+        """Return the machines to empty for their upkeep, though the pool needs them."""
+        due = [host for host in pool.hosts if host.is_usable and host.machine in pending]
+        if not due or vacating & pending:
+            return frozenset()
+        is_idle = wanted <= HOSTS_MIN
+        is_short = any(_is_short_of_time(wave) for wave in view.waves)
+        if not is_idle and not is_short:
+            return frozenset()
+        due.sort(key=lambda host: _get_leaving_order(host, pending))
+        return frozenset(host.machine for host in due[:1])
+
+    def _order_emptied(
+        self, view: FleetView, pending: frozenset[str]
+    ) -> list[MoveOrder | UpkeepOrder]:
+        """Order the machines that have been emptied: upkeep, or back to the reserve."""
+        slots = {wave.number: wave.free_slots for wave in view.waves}
+        orders: list[MoveOrder | UpkeepOrder] = []
+        for pool in view.pools:
+            for host in pool.hosts:
+                if (
+                    host.machine not in self._vacating[pool.name]
+                    or host.machine in view.ordered
+                    or not host.is_vacating
+                    or host.run_count
+                ):
+                    continue
+                wave = next((wave for wave in view.waves if host.machine in wave.pending), None)
+                if wave is not None and slots[wave.number] > 0:
+                    slots[wave.number] -= 1
+                    orders.append(UpkeepOrder(host.machine, wave.number))
+                elif view.reserve_pool and wave is None:
+                    orders.append(MoveOrder(host.machine, view.reserve_pool))
+        return orders
+
+
+class _Reserve:
+    """The machines of the reserve that are still free in this plan."""
+
+    def __init__(self, view: FleetView, pending: frozenset[str]) -> None:
+        free = [machine for machine in view.reserve if machine.name not in view.ordered]
+        self._free = sorted(free, key=lambda machine: (machine.name in pending, machine.name))
+
+    def take(self, count: int) -> list[str]:
+        """Take up to ``count`` machines, those first that are not due for upkeep."""
+        taken = [machine.name for machine in self._free[: max(0, count)]]
+        del self._free[: max(0, count)]
+        return taken
+
+    def take_due(self, due: frozenset[str], count: int) -> list[str]:
+        """Take up to ``count`` of the machines in ``due``."""
+        taken = list(islice((item for item in self._free if item.name in due), count))
+        self._free = [machine for machine in self._free if machine not in taken]
+        return [machine.name for machine in taken]
+
+
+def _order_upkeep(view: FleetView, reserve: _Reserve) -> Iterable[UpkeepOrder]:
+    for wave in view.waves:
+        for machine in reserve.take_due(wave.pending, wave.free_slots):
+            yield UpkeepOrder(machine, wave.number)
+
+
+def _count_serving(pool: PoolView, vacating: frozenset[str], ordered: frozenset[str]) -> int:
+    serving = sum(
+        host.is_usable and host.machine not in vacating and host.machine not in ordered
+        for host in pool.hosts
+    )
+    return serving + pool.arriving
+
+
+def _get_leaving_order(host: HostStanding, pending: frozenset[str]) -> tuple[bool, int, int, str]:
+    """Order hosts to leave: due for upkeep, nothing lasting, little that runs."""
+    return (host.machine not in pending, host.lasting_count, host.run_count, host.machine)
+
+
+def _is_short_of_time(wave: WaveView) -> bool:
+    rounds = math.ceil(len(wave.pending) / max(1, wave.at_once_max))
+    return wave.left_s < (rounds + 1) * UPKEEP_ROUND_S
+
+
+def _get_room(view: FleetView) -> Resources:
+    machines: list[Machine] = [
+        *view.reserve,
+        *(machine for pool in view.pools for machine in pool.machines.values()),
+    ]
+    rooms = [machine.room for machine in machines]
+    return max(rooms, key=lambda room: room.cpu_millicores, default=NO_RESOURCES)
--- a/src/robinthread/_internal/jobs/progress.py
+++ b/src/robinthread/_internal/jobs/progress.py
@@ -93,6 +93,9 @@
     task.last_run = row.last_run
     task.failure_count = row.failure_count
     task.checkpoint = row.checkpoint
-    task.runs = [Run(task.key, run.number, hosts[run.host], row.checkpoint) for run in row.runs]
+    task.runs = [
+        Run(task.key, run.number, hosts[run.host], row.checkpoint, task.step.is_lasting)
+        for run in row.runs
+    ]
     if row.is_done:
         job.set_done(task)
--- a/src/robinthread/_internal/jobs/run.py
+++ b/src/robinthread/_internal/jobs/run.py
@@ -34,6 +34,7 @@
     __slots__ = (
         "checkpoint",
         "host_id",
+        "is_lasting",
         "number",
         "phase",
         "present_since_s",
@@ -44,10 +45,13 @@
         "task",
     )
 
-    def __init__(self, task: TaskKey, number: int, host_id: str, checkpoint: str) -> None:
+    def __init__(
+        self, task: TaskKey, number: int, host_id: str, checkpoint: str, is_lasting: bool = False
+    ) -> None:
         self.task = task
         self.number = number
         self.host_id = host_id
+        self.is_lasting = is_lasting
         self.phase = RunPhase.RECORDING
         self.checkpoint = checkpoint
         self.progress_percent = 0
--- a/src/robinthread/_internal/jobs/task.py
+++ b/src/robinthread/_internal/jobs/task.py
@@ -36,6 +36,6 @@
     def add_run(self, host_id: str) -> Run:
         """Begin the next run of the task on a host."""
         self.last_run += 1
-        run = Run(self.key, self.last_run, host_id, self.checkpoint)
+        run = Run(self.key, self.last_run, host_id, self.checkpoint, self.step.is_lasting)
         self.runs.append(run)
         return run
--- a/src/robinthread/_internal/node/context.py
+++ b/src/robinthread/_internal/node/context.py
@@ -18,6 +18,7 @@
 
     ``read_inbox_once`` reads all jobs that were handed in before the call, or
     raises ``StoreError``; ``read_inbox_to_end`` tries until it can.
+    ``read_hosts_to_end`` does the same for the list of hosts.
     ``get_unconfirmed_s`` returns for how long the store has not confirmed who
     owns what.
     """
@@ -29,6 +30,7 @@
     job_index: JobIndex
     host_directory: HostDirectory
     config_holder: ConfigHolder
+    read_hosts_to_end: Callable[[], Awaitable[None]]
     read_inbox_once: Callable[[], Awaitable[None]]
     get_unconfirmed_s: Callable[[], float]
     read_inbox_to_end: Callable[[], Awaitable[None]]
--- a/src/robinthread/_internal/node/node.py
+++ b/src/robinthread/_internal/node/node.py
@@ -1,15 +1,19 @@
 """A node: follows the store, takes jobs in, owns pools."""
 
 import asyncio
-from collections.abc import Coroutine
+from collections.abc import Callable, Coroutine
 from typing import Any, Final
 
 from robinthread._internal.durable.errors import StoreError
+from robinthread._internal.durable.keyed_follower import KeyedFollower
 from robinthread._internal.durable.ownership import Member, OwnerTable
 from robinthread._internal.node.context import NodeContext
 from robinthread._internal.node.election import FLEET, Election
 from robinthread._internal.node.owned_pools import OwnedPools
 from robinthread._internal.node.pool_owner import PoolOwner
+from robinthread._internal.node.steward import Steward
+
+MakeSteward = Callable[[int, float], Steward]
 
 # How often a node looks whether there are pools to take, beside every change.
 LOOK_PERIOD_S: Final = 0.2
@@ -27,6 +31,8 @@
         table: OwnerTable,
         election: Election,
         owned: OwnedPools,
+        make_steward: MakeSteward,
+        followers: tuple[KeyedFollower, ...],
     ) -> None:
         self._context = context
         self._events = context.events
@@ -34,6 +40,9 @@
         self._table = table
         self._election = election
         self._owned = owned
+        self._make_steward = make_steward
+        self._followers = followers
+        self._steward: Steward | None = None
         self._tasks: set[asyncio.Task[Any]] = set()
         self._spent_tokens: dict[str, int] = {}
         self.is_stopping = False
@@ -60,6 +69,7 @@
             self._table.changed.clear()
             await self._let_go()
             self._open_taken()
+            self._follow_if_needed()
             for pool in self._election.get_pools_to_take():
                 await self._take(pool)
             try:
@@ -70,18 +80,29 @@
     async def stop(self) -> None:
         """Give all pools back, so that others take them at once."""
         self.is_stopping = True
+        if self._steward is not None:
+            await self._drop_steward(self._steward)
         for pool, owner in list(self._owned.owners.items()):
             del self._owned.owners[pool]
             await owner.stop(is_planned=True)
-            try:
-                await self._table.release(pool, self._me)
-            except StoreError as error:
-                self._events.write("release_failed", pool=pool, error=str(error))
+            await self._release(pool)
         try:
             await self._election.leave()
         except StoreError as error:
             self._events.write("leave_failed", error=str(error))
 
+    async def _release_spent(self, pool: str, token: int) -> None:
+        """Give back what is still ours but cannot be used any more."""
+        found = self._table.owners.get(pool)
+        if found is not None and found.token == token and found.owner == self._me:
+            await self._release(pool)
+
+    async def _release(self, pool: str) -> None:
+        try:
+            await self._table.release(pool, self._me)
+        except StoreError as error:
+            self._events.write("release_failed", pool=pool, error=str(error))
+
     async def _take(self, pool: str) -> None:
         try:
             await self._table.take(pool, self._me)
@@ -92,7 +113,10 @@
 
     def _open_taken(self) -> None:
         for pool, found in list(self._table.owners.items()):
-            if found.is_released or found.owner != self._me or pool == FLEET or self.is_stopping:
+            if found.is_released or found.owner != self._me or self.is_stopping:
+                continue
+            if pool == FLEET:
+                self._open_steward(found.token)
                 continue
             owner = self._owned.owners.get(pool)
             if owner is None and self._spent_tokens.get(pool, 0) < found.token:
@@ -101,6 +125,37 @@
                 )
                 self.spawn(self._run_owner(owner))
 
+    def _open_steward(self, token: int) -> None:
+        if self._steward is None and self._spent_tokens.get(FLEET, 0) < token:
+            turn_s = self._context.settings.bounds.steward_turn_ms / 1000
+            start_after_s = turn_s if FLEET in self._table.previous else 0.0
+            self._steward = self._make_steward(token, start_after_s)
+            self._events.write("fleet_taken", token=token, start_after_s=start_after_s)
+            self.spawn(self._run_steward(self._steward))
+
+    async def _run_steward(self, steward: Steward) -> None:
+        try:
+            await steward.run()
+        except Exception as error:
+            self._events.write("steward_failed", error=repr(error))
+        await self._drop_steward(steward)
+
+    async def _drop_steward(self, steward: Steward) -> None:
+        self._spent_tokens[FLEET] = max(steward.token, self._spent_tokens.get(FLEET, 0))
+        steward.fenced.set()
+        if self._steward is steward:
+            self._steward = None
+            await steward.stop()
+            await self._release_spent(FLEET, steward.token)
+
+    def _follow_if_needed(self) -> None:
+        """Follow hosts and jobs only while pools are owned here: each read is paid for."""
+        for follower in self._followers:
+            if self._owned.owners:
+                follower.resume()
+            else:
+                follower.pause()
+
     def _may_have_live_predecessor(self, pool: str) -> bool:
         """Tell whether an earlier owner may live on without knowing of its end."""
         previous = self._table.previous.get(pool)
@@ -121,6 +176,9 @@
         await self._drop(owner)
 
     async def _let_go(self) -> None:
+        fleet = self._table.owners.get(FLEET)
+        if self._steward is not None and fleet is not None and fleet.token > self._steward.token:
+            await self._drop_steward(self._steward)
         for owner in list(self._owned.owners.values()):
             found = self._table.owners.get(owner.pool)
             if found is not None and (found.token > owner.token or found.owner != self._me):
@@ -131,3 +189,4 @@
         if self._owned.owners.get(owner.pool) is owner:
             del self._owned.owners[owner.pool]
         await owner.stop()
+        await self._release_spent(owner.pool, owner.token)
--- a/src/robinthread/_internal/node/peer_server.py
+++ b/src/robinthread/_internal/node/peer_server.py
@@ -3,6 +3,7 @@
 import msgspec
 from tornado.web import Application, RequestHandler
 
+from robinthread._internal.fleet.pool_report import FleetQuestion
 from robinthread._internal.node.owned_pools import OwnedPools
 from robinthread._internal.node.peer_messages import JobQuestion, PendingQuestion
 
@@ -33,10 +34,27 @@
         self.finish(msgspec.msgpack.encode(self._owned.answer_pending(question)))
 
 
+class FleetQuestionHandler(RequestHandler):
+    """Answers how a pool stands."""
+
+    def initialize(self, owned: OwnedPools) -> None:  # type: ignore[override]
+        """Take the pools owned here."""
+        self._owned = owned
+
+    async def post(self) -> None:
+        """Answer one question."""
+        question = msgspec.msgpack.decode(self.request.body, type=FleetQuestion)
+        self.finish(msgspec.msgpack.encode(self._owned.answer_fleet(question)))
+
+
 def make_peer_application(owned: OwnedPools) -> Application:
     """Make the listener for other nodes."""
     arguments = {"owned": owned}
     return Application(
-        [("/job", JobQuestionHandler, arguments), ("/pending", PendingQuestionHandler, arguments)],
+        [
+            ("/job", JobQuestionHandler, arguments),
+            ("/pending", PendingQuestionHandler, arguments),
+            ("/fleet", FleetQuestionHandler, arguments),
+        ],
         log_function=lambda handler: None,
     )
--- a/src/robinthread/_internal/node/pool_owner.py
+++ b/src/robinthread/_internal/node/pool_owner.py
@@ -10,8 +10,10 @@
 from robinthread._internal.durable.job_index import IndexedJob
 from robinthread._internal.durable.journal import Journal
 from robinthread._internal.durable.store import NewestRecords, Partition
+from robinthread._internal.fleet.pool_report import FleetQuestion, HostStanding, PoolReport
+from robinthread._internal.jobs.demand import DemandMeter
 from robinthread._internal.jobs.evacuation import evacuate
-from robinthread._internal.jobs.host import Host
+from robinthread._internal.jobs.host import Host, HostContact
 from robinthread._internal.jobs.host_lease import get_lapse_time_s
 from robinthread._internal.jobs.job import Job
 from robinthread._internal.jobs.placement import place_waiting
@@ -40,6 +42,8 @@
 TICK_S: Final = 0.2
 # Longest wait for the last records of an owner that stops as planned.
 FLUSH_WAIT_S: Final = 0.5
+# How long a machine gets no work after the steward last asked to empty it.
+VACATE_S: Final = 2.0
 
 
 class PoolOwner:
@@ -72,6 +76,7 @@
         self._orders = OrderSender(self._runtime)
         self._recorder = Recorder(self._runtime, self._journal, self._orders)
         self._host_tasks: dict[str, asyncio.Task[None]] = {}
+        self._demand = DemandMeter()
         self._ended_hosts: set[str] = set()
         self.is_open = False
 
@@ -83,7 +88,11 @@
     async def start(self) -> None:
         """Shut out older owners, load what they recorded, and begin."""
         await self._journal.open()
-        await asyncio.gather(self._load_progress(), self._context.read_inbox_to_end())
+        await asyncio.gather(
+            self._load_progress(),
+            self._context.read_inbox_to_end(),
+            self._context.read_hosts_to_end(),
+        )
         self._context.job_index.listen(self._take_job)
         self._context.host_directory.listen(self._update_hosts)
         self._update_hosts()
@@ -127,6 +136,25 @@
             if job.shown_status is JobStatus.QUEUED and not job.spec.is_timed
         )
 
+    def report(self, question: FleetQuestion) -> PoolReport:
+        """Tell the steward how the pool stands, and empty what it asks for."""
+        now_s = get_loop_s()
+        needs = self._demand.read(self.jobs, now_s)
+        for host in self.jobs.hosts.values():
+            is_vacating = host.record.machine in question.vacate
+            host.vacating_until_s = now_s + VACATE_S if is_vacating else 0.0
+        self._runtime.wake()
+        return PoolReport(
+            is_owner=True,
+            needs_cpu_millicores=needs.cpu_millicores,
+            needs_memory_mb=needs.memory_mb,
+            needs_gpu_count=needs.gpu_count,
+            has_lasting=any(job.spec.is_lasting for job in self.jobs.jobs.values()),
+            hosts=tuple(
+                _make_standing(host, now_s) for host in self.jobs.hosts.values() if host.is_listed
+            ),
+        )
+
     async def _load_progress(self) -> None:
         for record in (await self._read_progress()).records:
             if record.value is None:
@@ -264,3 +292,14 @@
         self._ended_hosts.add(host_id)
         self._events.write("host_ended", host=host_id, pool=self.pool, reason=reason)
         self.jobs.remove_host(host_id, get_wall_ms())
+
+
+def _make_standing(host: Host, now_s: float) -> HostStanding:
+    return HostStanding(
+        machine=host.record.machine,
+        host_id=host.id,
+        is_usable=host.contact is HostContact.ANSWERING and not host.record.is_draining,
+        is_vacating=now_s < host.vacating_until_s,
+        run_count=len(host.runs),
+        lasting_count=sum(run.is_lasting for run in host.runs.values()),
+    )
--- a/src/robinthread/_internal/node/process.py
+++ b/src/robinthread/_internal/node/process.py
@@ -26,14 +26,18 @@
 from robinthread._internal.node.peer_client import PeerClient
 from robinthread._internal.node.peer_server import make_peer_application
 from robinthread._internal.node.ready_server import make_ready_application
+from robinthread._internal.node.steward import Steward
 from robinthread._internal.platform.callers import make_callers_application
 from robinthread._internal.platform.hosts import PlatformHosts
 from robinthread._internal.platform.http import make_client
+from robinthread._internal.platform.machines import PlatformMachines
 from robinthread._internal.platform.operators import (
     CONFIG_KEY,
     HOSTS_PARTITION,
     OPERATORS_PARTITION,
+    STATUS_PARTITION,
     WAVE_PREFIX,
+    make_wave_status,
     parse_config,
     parse_host,
     parse_wave,
@@ -46,7 +50,11 @@
 # Connections to hosts: a watch and some orders for each of some hundred hosts.
 HOST_CONNECTIONS_MAX: Final = 1000
 PEER_CONNECTIONS_MAX: Final = 128
+MACHINE_CONNECTIONS_MAX: Final = 32
 RETRY_PAUSE_S: Final = 0.2
+# Hosts' entries change with every heartbeat of any host, so they are read in turns.
+# A leaving host must get no work after 2 s; a new one should get some soon.
+HOSTS_PERIOD_S: Final = 0.3
 # How long callers are still served after a planned stop began: the balancer
 # needs two misses, one a second, to send them elsewhere.
 LINGER_S: Final = 3.5
@@ -70,13 +78,7 @@
     config_holder = ConfigHolder(CONFIG_KEY, WAVE_PREFIX, parse_config, parse_wave, events)
     inbox = KeyedFollower(store, INBOX_PARTITION, job_index.apply, events)
 
-    async def read_inbox_to_end() -> None:
-        while True:
-            try:
-                return await inbox.read_to_end()
-            except StoreError:
-                await asyncio.sleep(RETRY_PAUSE_S)
-
+    hosts = KeyedFollower(store, HOSTS_PARTITION, host_directory.apply, events, HOSTS_PERIOD_S)
     table = OwnerTable(store, events)
     context = NodeContext(
         settings,
@@ -86,23 +88,40 @@
         job_index,
         host_directory,
         config_holder,
+        lambda: _read_to_end(hosts),
         inbox.read_to_end,
         lambda: loop.time() - table.follower.confirmed_at_s,
-        read_inbox_to_end,
+        lambda: _read_to_end(inbox),
     )
     election = Election(store, table, me, config_holder, events, settings.store.member_ttl_min_ms)
     owned = OwnedPools(context)
     writer = GroupWriter(store, INBOX_PARTITION, settings.store.call_max_bytes)
     peers = PeerClient(make_client(PEER_CONNECTIONS_MAX))
     gate = JobGate(me, writer, owned, table, peers, events)
-    node = Node(context, me, table, election, owned)
+    machines = PlatformMachines(make_client(MACHINE_CONNECTIONS_MAX), settings.machines_address)
+
+    def make_steward(token: int, start_after_s: float) -> Steward:
+        return Steward(
+            context,
+            machines,
+            table,
+            owned,
+            peers,
+            me,
+            token,
+            STATUS_PARTITION,
+            make_wave_status,
+            start_after_s,
+        )
+
+    node = Node(context, me, table, election, owned, make_steward, (hosts, inbox))
 
     _listen(make_ready_application(lambda: node.is_ready), settings.ready_address)
     _listen(make_peer_application(owned), peer_address)
     callers = _listen(make_callers_application(gate, config_holder), settings.caller_address)
     for work in (
         KeyedFollower(store, OPERATORS_PARTITION, config_holder.apply, events).run(),
-        KeyedFollower(store, HOSTS_PARTITION, host_directory.apply, events).run(),
+        hosts.run(),
         inbox.run(),
         table.follower.run(),
         election.run(),
@@ -118,6 +137,15 @@
     events.write("stopped")
 
 
+async def _read_to_end(follower: KeyedFollower) -> None:
+    """Read all that is there, trying until the store answers."""
+    while True:
+        try:
+            return await follower.read_to_end()
+        except StoreError:
+            await asyncio.sleep(RETRY_PAUSE_S)
+
+
 def _listen(application: Application, address: str) -> HTTPServer:
     host, _, port = address.rpartition(":")
     server = HTTPServer(application)
--- /dev/null
+++ b/src/robinthread/_internal/platform/machines.py
@@ -0,0 +1,135 @@
+"""Client of the platform's machines."""
+
+from typing import Any, Final
+
+import msgspec
+from tornado.httpclient import AsyncHTTPClient, HTTPResponse
+
+from robinthread._internal.fleet.machine_errors import (
+    MachineBusyError,
+    MachineError,
+    MachineFencedError,
+    MachineMisfitError,
+    MachineNoAnswerError,
+    MachineRefusedError,
+)
+from robinthread._internal.models.machine import Machine, MachineState
+from robinthread._internal.platform.http import (
+    JSON_HEADERS,
+    CallLostError,
+    CallUnsentError,
+    call,
+    decode,
+)
+from robinthread._internal.platform.operators import WireCapacity, get_rack
+
+# A call that has had no answer for so long is given up.
+CALL_TIMEOUT_S: Final = 1.0
+HOLDER_HEADER: Final = "X-Lease-Holder"
+TOKEN_HEADER: Final = "X-Fencing-Token"
+
+
+class _WireMachine(msgspec.Struct):
+    machine: str
+    pool: str
+    state: str
+    zone: str = ""
+    labels: list[str] = []
+    capacity: WireCapacity = msgspec.field(default_factory=WireCapacity)
+    # The id of the host that the machine is now.
+    id: str | None = None
+
+
+class _WireMachines(msgspec.Struct):
+    machines: list[_WireMachine]
+    next_token: str | int | None = None
+
+
+class _WireProblem(msgspec.Struct):
+    reason: str = ""
+
+
+class PlatformMachines:
+    """The platform's machines over HTTP."""
+
+    def __init__(self, client: AsyncHTTPClient, address: str) -> None:
+        self._client = client
+        self._base = f"http://{address}"
+
+    async def list_machines(self) -> tuple[Machine, ...]:
+        """List all machines, over several pages."""
+        found: list[_WireMachine] = []
+        path = "/machines"
+        while True:
+            response = await self._call(path)
+            page = _decode(response, _WireMachines)
+            found += page.machines
+            if not page.next_token:
+                return tuple(map(_parse_machine, found))
+            path = f"/machines?page_token={page.next_token}"
+
+    async def move(self, machine: str, pool: str, holder: str, token: int) -> None:
+        """Move a machine to a pool; everything on it ends at once."""
+        await self._order("/machine-move", {"machine": machine, "pool": pool}, holder, token)
+
+    async def begin_upkeep(self, machine: str, wave: int, holder: str, token: int) -> None:
+        """Begin a machine's upkeep for a wave; everything on it ends at once."""
+        await self._order("/machine-upkeep", {"machine": machine, "wave": wave}, holder, token)
+
+    async def _order(self, path: str, body: dict[str, Any], holder: str, token: int) -> None:
+        headers = JSON_HEADERS | {HOLDER_HEADER: holder, TOKEN_HEADER: str(token)}
+        await self._call(path, msgspec.json.encode(body), headers)
+
+    async def _call(
+        self, path: str, body: bytes | None = None, headers: dict[str, str] | None = None
+    ) -> HTTPResponse:
+        try:
+            response = await call(
+                self._client,
+                self._base + path,
+                timeout_s=CALL_TIMEOUT_S,
+                body=body,
+                headers=headers,
+            )
+        except CallUnsentError as error:
+            raise MachineRefusedError(str(error)) from error
+        except CallLostError as error:
+            raise MachineNoAnswerError(str(error)) from error
+        if response.code != 200:
+            raise _make_error(response)
+        return response
+
+
+def _make_error(response: HTTPResponse) -> MachineError:
+    if response.code == 409:
+        reason = _decode(response, _WireProblem).reason
+        if reason == "fence":
+            return MachineFencedError("a newer token has been seen")
+        if reason == "busy":
+            return MachineBusyError("the machine is not up, or it leaves")
+        return MachineMisfitError(reason)
+    if response.code == 400:
+        return MachineMisfitError(f"rejected: {response.body[:200]!r}")
+    if response.code in (429, 503):
+        return MachineRefusedError(f"status {response.code}")
+    return MachineNoAnswerError(f"status {response.code}")
+
+
+def _decode(response: HTTPResponse, type_: type) -> Any:
+    try:
+        return decode(response.body, type_)
+    except CallLostError as error:
+        raise MachineNoAnswerError(str(error)) from error
+
+
+def _parse_machine(wire: _WireMachine) -> Machine:
+    return Machine(
+        name=wire.machine,
+        pool=wire.pool,
+        state=MachineState(wire.state),
+        hall=wire.zone,
+        rack=get_rack(wire.labels),
+        kind=wire.labels[0] if wire.labels else "",
+        room=wire.capacity.decode(),
+        host_id=wire.id or "",
+    )
--- a/src/robinthread/_internal/platform/operators.py
+++ b/src/robinthread/_internal/platform/operators.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from robinthread._internal.durable.store import Partition
+from robinthread._internal.durable.store import KeyedRecord, Partition
 from robinthread._internal.models.fleet_config import FleetConfig, make_fleet_config
 from robinthread._internal.models.pool_policy import PoolPolicy
 from robinthread._internal.models.queue_policy import AdvicePolicy, QueuePolicy
@@ -120,9 +120,10 @@
     return UpkeepWave(wire.wave, tuple(wire.machines), wire.duration_s, wire.maximum)
 
 
-def format_wave_status(is_done: bool) -> bytes:
-    """Write the status of a wave."""
-    return msgspec.json.encode({"state": "succeeded" if is_done else "running"})
+def make_wave_status(wave: int, is_done: bool) -> KeyedRecord:
+    """Make the record that tells the operators how a wave stands."""
+    value = msgspec.json.encode({"state": "succeeded" if is_done else "running"})
+    return KeyedRecord(f"{WAVE_PREFIX}{wave}", value)
 
 
 def get_rack(labels: list[str]) -> str:
