--- /dev/null
+++ b/src/robinthread/_internal/node/assembly.py
@@ -0,0 +1,97 @@
+"""Putting the parts of a node together."""
+
+import asyncio
+from dataclasses import dataclass
+from typing import Final
+
+from robinthread._internal.durable.errors import StoreError
+from robinthread._internal.durable.group_writer import GroupWriter
+from robinthread._internal.durable.inbox_records import INBOX_PARTITION
+from robinthread._internal.durable.job_index import JobIndex
+from robinthread._internal.durable.keyed_follower import KeyedFollower
+from robinthread._internal.durable.ownership import Member, OwnerTable
+from robinthread._internal.node.config_holder import ConfigHolder
+from robinthread._internal.node.context import NodeContext
+from robinthread._internal.node.election import Election
+from robinthread._internal.node.environment import NodeEnvironment
+from robinthread._internal.node.host_directory import HostDirectory
+from robinthread._internal.node.job_gate import JobGate
+from robinthread._internal.node.node import Node
+from robinthread._internal.node.node_settings import NodeSettings
+from robinthread._internal.node.owned_pools import OwnedPools
+from robinthread._internal.node.steward import Steward
+
+RETRY_PAUSE_S: Final = 0.2
+# Hosts' entries change with every heartbeat of any host, so they are read in turns.
+# A leaving host must get no work after 2 s; a new one should get some soon.
+HOSTS_PERIOD_S: Final = 0.3
+
+
+@dataclass(frozen=True)
+class AssembledNode:
+    """A node and the parts that its listeners speak to."""
+
+    node: Node
+    gate: JobGate
+    owned: OwnedPools
+    config_holder: ConfigHolder
+
+
+def assemble_node(
+    settings: NodeSettings, environment: NodeEnvironment, me: Member
+) -> AssembledNode:
+    """Make a node and start what it does on its own; must run on an event loop."""
+    loop = asyncio.get_running_loop()
+    events, store, records = environment.events, environment.store, environment.records
+    job_index = JobIndex(events)
+    host_directory = HostDirectory(records.parse_host, events)
+    config_holder = ConfigHolder(records, events)
+    inbox = KeyedFollower(store, INBOX_PARTITION, job_index.apply, events)
+    hosts = KeyedFollower(
+        store, records.hosts_partition, host_directory.apply, events, HOSTS_PERIOD_S
+    )
+    operators = KeyedFollower(store, records.operators_partition, config_holder.apply, events)
+    table = OwnerTable(store, events)
+    context = NodeContext(
+        settings=settings,
+        store=store,
+        hosts=environment.hosts,
+        events=events,
+        job_index=job_index,
+        host_directory=host_directory,
+        config_holder=config_holder,
+        get_wall_ms=environment.get_wall_ms,
+        read_hosts_to_end=lambda: _read_to_end(hosts),
+        read_inbox_once=inbox.read_to_end,
+        read_inbox_to_end=lambda: _read_to_end(inbox),
+        get_unconfirmed_s=lambda: loop.time() - table.follower.confirmed_at_s,
+    )
+    election = Election(store, table, me, config_holder, events, settings.store.member_ttl_min_ms)
+    owned = OwnedPools(context)
+    writer = GroupWriter(store, INBOX_PARTITION, settings.store.call_max_bytes)
+    gate = JobGate(me, writer, owned, table, environment.peers, events)
+
+    def make_steward(token: int, start_after_s: float) -> Steward:
+        return Steward(context, environment, table, owned, me, token, start_after_s)
+
+    node = Node(context, me, table, election, owned, make_steward, (hosts, inbox))
+    for work in (
+        operators.run(),
+        hosts.run(),
+        inbox.run(),
+        table.follower.run(),
+        election.run(),
+        writer.run(),
+        node.run(),
+    ):
+        node.spawn(work)
+    return AssembledNode(node, gate, owned, config_holder)
+
+
+async def _read_to_end(follower: KeyedFollower) -> None:
+    """Read all that is there, trying until the store answers."""
+    while True:
+        try:
+            return await follower.read_to_end()
+        except StoreError:
+            await asyncio.sleep(RETRY_PAUSE_S)
--- a/src/robinthread/_internal/node/config_holder.py
+++ b/src/robinthread/_internal/node/config_holder.py
@@ -1,13 +1,14 @@
 """The newest configuration that this process has seen."""
 
 import asyncio
-from collections.abc import Callable, Sequence
+from collections.abc import Sequence
 
 import msgspec
 
 from robinthread._internal.durable.store import KeyedRecord
 from robinthread._internal.models.fleet_config import FleetConfig
 from robinthread._internal.models.upkeep_wave import UpkeepWave
+from robinthread._internal.node.environment import PlatformRecords
 from robinthread._internal.telemetry.event_log import EventLog
 
 
@@ -17,18 +18,8 @@
     A version never goes back, whatever order records arrive in.
     """
 
-    def __init__(
-        self,
-        config_key: str,
-        wave_prefix: str,
-        parse_config: Callable[[bytes], FleetConfig],
-        parse_wave: Callable[[bytes], UpkeepWave],
-        events: EventLog,
-    ) -> None:
-        self._config_key = config_key
-        self._wave_prefix = wave_prefix
-        self._parse_config = parse_config
-        self._parse_wave = parse_wave
+    def __init__(self, records: PlatformRecords, events: EventLog) -> None:
+        self._records = records
         self._events = events
         self.config: FleetConfig | None = None
         self.waves: dict[int, UpkeepWave] = {}
@@ -43,10 +34,10 @@
 
     def _apply_one(self, key: str, value: bytes) -> None:
         try:
-            if key == self._config_key:
-                self._take_config(self._parse_config(value))
-            elif key.startswith(self._wave_prefix):
-                wave = self._parse_wave(value)
+            if key == self._records.config_key:
+                self._take_config(self._records.parse_config(value))
+            elif key.startswith(self._records.wave_prefix):
+                wave = self._records.parse_wave(value)
                 self.waves[wave.number] = wave
         except msgspec.MsgspecError as error:
             self._events.write("record_malformed", key=key, error=str(error))
--- a/src/robinthread/_internal/node/context.py
+++ b/src/robinthread/_internal/node/context.py
@@ -20,7 +20,7 @@
     raises ``StoreError``; ``read_inbox_to_end`` tries until it can.
     ``read_hosts_to_end`` does the same for the list of hosts.
     ``get_unconfirmed_s`` returns for how long the store has not confirmed who
-    owns what.
+    owns what, ``get_wall_ms`` Unix time in milliseconds.
     """
 
     settings: NodeSettings
@@ -32,5 +32,6 @@
     config_holder: ConfigHolder
     read_hosts_to_end: Callable[[], Awaitable[None]]
     read_inbox_once: Callable[[], Awaitable[None]]
+    get_wall_ms: Callable[[], int]
     get_unconfirmed_s: Callable[[], float]
     read_inbox_to_end: Callable[[], Awaitable[None]]
--- /dev/null
+++ b/src/robinthread/_internal/node/environment.py
@@ -0,0 +1,48 @@
+"""The outside of a node, as plain functions and protocols."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from robinthread._internal.durable.store import KeyedRecord, Partition, Store
+from robinthread._internal.fleet.machine_calls import MachineCalls
+from robinthread._internal.jobs.host_calls import HostCalls
+from robinthread._internal.models.fleet_config import FleetConfig
+from robinthread._internal.models.upkeep_wave import UpkeepWave
+from robinthread._internal.models.upstream_host import UpstreamHost
+from robinthread._internal.node.peer_calls import PeerCalls
+from robinthread._internal.telemetry.event_log import EventLog
+
+
+@dataclass(frozen=True)
+class PlatformRecords:
+    """What others keep in the store, where it lies and how it is read.
+
+    Waves have keys that begin with ``wave_prefix``.  The parsers raise
+    ``msgspec.MsgspecError``.
+    """
+
+    operators_partition: Partition
+    hosts_partition: Partition
+    status_partition: Partition
+    config_key: str
+    wave_prefix: str
+    parse_config: Callable[[bytes], FleetConfig]
+    parse_host: Callable[[str, bytes], UpstreamHost]
+    parse_wave: Callable[[bytes], UpkeepWave]
+    make_wave_status: Callable[[int, bool], KeyedRecord]
+
+
+@dataclass(frozen=True)
+class NodeEnvironment:
+    """Interfaces that a node works through; tests put stand-ins here.
+
+    ``get_wall_ms`` returns Unix time in milliseconds.
+    """
+
+    store: Store
+    hosts: HostCalls
+    machines: MachineCalls
+    peers: PeerCalls
+    records: PlatformRecords
+    events: EventLog
+    get_wall_ms: Callable[[], int]
--- a/src/robinthread/_internal/node/host_follower.py
+++ b/src/robinthread/_internal/node/host_follower.py
@@ -12,7 +12,7 @@
 from robinthread._internal.jobs.run import Run
 from robinthread._internal.models.host_report import EndedRun, HostReport, RunEnd
 from robinthread._internal.node.order_sender import OrderSender
-from robinthread._internal.node.pool_runtime import PoolRuntime, get_loop_s, get_wall_ms
+from robinthread._internal.node.pool_runtime import PoolRuntime, get_loop_s
 from robinthread._internal.node.recorder import Recorder
 
 # Longest wait of one look at a host.  Each look renews the lease, so a lease is
@@ -90,7 +90,7 @@
             self._events.write(
                 "host_lapsed", host=host.id, pool=self._runtime.pool, run_count=len(host.runs)
             )
-            self._runtime.jobs.lapse_host(host, get_wall_ms())
+            self._runtime.jobs.lapse_host(host, self._runtime.context.get_wall_ms())
             self._runtime.wake()
 
     def _end(self, reason: str) -> None:
@@ -102,7 +102,7 @@
             reason=reason,
             run_count=len(host.runs),
         )
-        self._runtime.jobs.remove_host(host.id, get_wall_ms())
+        self._runtime.jobs.remove_host(host.id, self._runtime.context.get_wall_ms())
         self._runtime.wake()
 
     async def _take(self, report: HostReport, asked_at_s: float) -> float:
@@ -144,7 +144,9 @@
             host.health.note_done()
         elif end.end is RunEnd.FAILED and host.health.note_failed(end.task.job_id, get_loop_s()):
             self._events.write("host_paused", host=host.id, pool=self._runtime.pool)
-        self._runtime.jobs.end_run(run, end.end, end.checkpoint, get_wall_ms())
+        self._runtime.jobs.end_run(
+            run, end.end, end.checkpoint, self._runtime.context.get_wall_ms()
+        )
 
     def _take_running(self, report: HostReport, asked_at_s: float) -> None:
         host, now_s = self._host, get_loop_s()
--- a/src/robinthread/_internal/node/job_gate.py
+++ b/src/robinthread/_internal/node/job_gate.py
@@ -14,7 +14,7 @@
 from robinthread._internal.models.job_status import JobStatus
 from robinthread._internal.models.queue_policy import QueuePolicy
 from robinthread._internal.node.owned_pools import OwnedPools
-from robinthread._internal.node.peer_client import PeerClient, PeerUnreachableError
+from robinthread._internal.node.peer_calls import PeerCalls, PeerUnreachableError
 from robinthread._internal.node.peer_messages import (
     JobAnswer,
     JobQuestion,
@@ -55,7 +55,7 @@
         writer: GroupWriter,
         owned: OwnedPools,
         table: OwnerTable,
-        peers: PeerClient,
+        peers: PeerCalls,
         events: EventLog,
     ) -> None:
         self._me = me
--- a/src/robinthread/_internal/node/peer_client.py
+++ b/src/robinthread/_internal/node/peer_client.py
@@ -1,11 +1,12 @@
-"""Asking other nodes."""
+"""Asking other nodes over HTTP."""
 
 from typing import Final, TypeVar
 
 import msgspec
 from tornado.httpclient import AsyncHTTPClient
 
-from robinthread._internal.platform.http import CallLostError, CallUnsentError, call
+from robinthread._internal.node.peer_calls import PeerUnreachableError
+from robinthread._internal.utils.http_call import CallLostError, CallUnsentError, call
 
 # A peer answers from memory within some milliseconds; one that runs five times
 # slower needs some 50.
@@ -14,10 +15,6 @@
 T = TypeVar("T")
 
 
-class PeerUnreachableError(Exception):
-    """A peer gave no usable answer."""
-
-
 class PeerClient:
     """Asks nodes over HTTP."""
 
--- a/src/robinthread/_internal/node/pool_owner.py
+++ b/src/robinthread/_internal/node/pool_owner.py
@@ -31,7 +31,6 @@
     UNCONFIRMED_MAX_S,
     PoolRuntime,
     get_loop_s,
-    get_wall_ms,
 )
 from robinthread._internal.node.recorder import Recorder
 
@@ -186,8 +185,8 @@
             job = self._add_job(indexed)
         if indexed.is_cancelled and not job.status.is_final:
             self._events.write("job_cancelled", job=job.id, pool=self.pool)
-            self.jobs.cancel(job, get_wall_ms())
-        self.jobs.open_due(job, get_wall_ms())
+            self.jobs.cancel(job, self._context.get_wall_ms())
+        self.jobs.open_due(job, self._context.get_wall_ms())
         self._runtime.wake()
 
     def _add_job(self, indexed: IndexedJob) -> Job:
@@ -236,7 +235,7 @@
 
     def _tick(self, now_s: float) -> None:
         """Do what time alone brings."""
-        now_ms = get_wall_ms()
+        now_ms = self._context.get_wall_ms()
         for job in list(self.jobs.jobs.values()):
             if not job.status.is_final and job.next_occurrence < job.occurrence_count:
                 self.jobs.open_due(job, now_ms)
@@ -291,7 +290,7 @@
             task.cancel()
         self._ended_hosts.add(host_id)
         self._events.write("host_ended", host=host_id, pool=self.pool, reason=reason)
-        self.jobs.remove_host(host_id, get_wall_ms())
+        self.jobs.remove_host(host_id, self._context.get_wall_ms())
 
 
 def _make_standing(host: Host, now_s: float) -> HostStanding:
--- a/src/robinthread/_internal/node/pool_runtime.py
+++ b/src/robinthread/_internal/node/pool_runtime.py
@@ -1,7 +1,6 @@
 """What the parts of a pool's owner share."""
 
 import asyncio
-import time
 from collections.abc import Coroutine
 from typing import Any, Final
 
@@ -78,8 +77,3 @@
 def get_loop_s() -> float:
     """Return the event loop's clock in seconds."""
     return asyncio.get_running_loop().time()
-
-
-def get_wall_ms() -> int:
-    """Return Unix time in milliseconds."""
-    return int(time.time() * 1000)
--- a/src/robinthread/_internal/node/steward.py
+++ b/src/robinthread/_internal/node/steward.py
@@ -1,7 +1,6 @@
 """Giving all orders for the fleet's machines."""
 
 import asyncio
-from collections.abc import Callable
 from typing import Any, Final
 
 import msgspec
@@ -9,7 +8,6 @@
 from robinthread._internal.durable.errors import StoreError, StoreFencedError
 from robinthread._internal.durable.journal import Journal
 from robinthread._internal.durable.ownership import Member, OwnerTable
-from robinthread._internal.durable.store import KeyedRecord, Partition
 from robinthread._internal.durable.wave_records import (
     WAVES_PARTITION,
     make_wave_record,
@@ -22,7 +20,6 @@
     UpkeepOrder,
     WaveView,
 )
-from robinthread._internal.fleet.machine_calls import MachineCalls
 from robinthread._internal.fleet.machine_errors import (
     MachineBusyError,
     MachineError,
@@ -35,8 +32,9 @@
 from robinthread._internal.models.machine import Machine, MachineState
 from robinthread._internal.models.upkeep_wave import UpkeepWave
 from robinthread._internal.node.context import NodeContext
+from robinthread._internal.node.environment import NodeEnvironment
 from robinthread._internal.node.owned_pools import OwnedPools
-from robinthread._internal.node.peer_client import PeerClient, PeerUnreachableError
+from robinthread._internal.node.peer_calls import PeerUnreachableError
 from robinthread._internal.node.pool_runtime import get_loop_s
 
 # How often the fleet is looked at and planned.
@@ -63,30 +61,27 @@
     def __init__(
         self,
         context: NodeContext,
-        machines: MachineCalls,
+        environment: NodeEnvironment,
         table: OwnerTable,
         owned: OwnedPools,
-        peers: PeerClient,
         me: Member,
         token: int,
-        status_partition: Partition,
-        make_status: Callable[[int, bool], KeyedRecord],
         start_after_s: float,
     ) -> None:
         self._context = context
         self._events = context.events
-        self._machines = machines
+        self._machines = environment.machines
+        self._records = environment.records
         self._table = table
         self._owned = owned
-        self._peers = peers
+        self._peers = environment.peers
         self._me = me
         self.token = token
-        self._make_status = make_status
         self._start_at_s = get_loop_s() + start_after_s
         writer = "steward"
         self._wave_journal = Journal(context.store, WAVES_PARTITION, writer, token, context.events)
         self._status_journal = Journal(
-            context.store, status_partition, writer, token, context.events
+            context.store, self._records.status_partition, writer, token, context.events
         )
         self._planner = FleetPlanner()
         self._known: dict[str, Machine] = {}
@@ -250,7 +245,9 @@
                 return
             is_done = not self._get_pending(wave)
             if self._shown.get(wave.number) is not is_done:
-                await self._status_journal.write([self._make_status(wave.number, is_done)])
+                await self._status_journal.write(
+                    [self._records.make_wave_status(wave.number, is_done)]
+                )
                 self._shown[wave.number] = is_done
                 self._events.write("wave_shown", wave=wave.number, is_done=is_done)
 
--- a/src/robinthread/_internal/platform/hosts.py
+++ b/src/robinthread/_internal/platform/hosts.py
@@ -22,14 +22,14 @@
 from robinthread._internal.models.start_order import StartOrder
 from robinthread._internal.models.task_key import TaskKey
 from robinthread._internal.models.upstream_host import UpstreamHost
-from robinthread._internal.platform.http import (
+from robinthread._internal.platform.task_names import format_task, parse_task
+from robinthread._internal.utils.http_call import (
     JSON_HEADERS,
     CallLostError,
     CallUnsentError,
     call,
     decode,
 )
-from robinthread._internal.platform.task_names import format_task, parse_task
 
 # An order without an answer for so long is sent again.  Hosts answer within some
 # milliseconds; an entry host that runs five times slower needs some 100.
--- a/src/robinthread/_internal/platform/machines.py
+++ b/src/robinthread/_internal/platform/machines.py
@@ -14,14 +14,14 @@
     MachineRefusedError,
 )
 from robinthread._internal.models.machine import Machine, MachineState
-from robinthread._internal.platform.http import (
+from robinthread._internal.platform.operators import WireCapacity, get_rack
+from robinthread._internal.utils.http_call import (
     JSON_HEADERS,
     CallLostError,
     CallUnsentError,
     call,
     decode,
 )
-from robinthread._internal.platform.operators import WireCapacity, get_rack
 
 # A call that has had no answer for so long is given up.
 CALL_TIMEOUT_S: Final = 1.0
--- a/src/robinthread/_internal/platform/operators.py
+++ b/src/robinthread/_internal/platform/operators.py
@@ -11,11 +11,8 @@
 from robinthread._internal.models.resources import Resources
 from robinthread._internal.models.upkeep_wave import UpkeepWave
 from robinthread._internal.models.upstream_host import UpstreamHost
+from robinthread._internal.node.environment import PlatformRecords
 
-OPERATORS_PARTITION: Final = Partition("keyed.op")
-HOSTS_PARTITION: Final = Partition("keyed.servers")
-STATUS_PARTITION: Final = Partition("keyed.status")
-CONFIG_KEY: Final = "config"
 WAVE_PREFIX: Final = "wave/"
 
 
@@ -150,3 +147,16 @@
 
 def _parse_pool(service: _WireService) -> PoolPolicy:
     return PoolPolicy(service.name, service.admission_check, service.headroom, service.max_conns)
+
+
+PLATFORM_RECORDS: Final = PlatformRecords(
+    operators_partition=Partition("keyed.op"),
+    hosts_partition=Partition("keyed.servers"),
+    status_partition=Partition("keyed.status"),
+    config_key="config",
+    wave_prefix=WAVE_PREFIX,
+    parse_config=parse_config,
+    parse_host=parse_host,
+    parse_wave=parse_wave,
+    make_wave_status=make_wave_status,
+)
--- a/src/robinthread/_internal/platform/store.py
+++ b/src/robinthread/_internal/platform/store.py
@@ -27,7 +27,7 @@
     ReadPage,
     WriterStamp,
 )
-from robinthread._internal.platform.http import (
+from robinthread._internal.utils.http_call import (
     JSON_HEADERS,
     CallLostError,
     CallUnsentError,
