Steward begins at once: what was ordered last is recorded

Cause: each change of steward stood still for the 3 s that must pass between the orders of two, though they must pass for one machine only. Machines about to be ordered are recorded first; the next steward leaves just those alone.

--- a/src/robinthread/_internal/fleet/planner.py
+++ b/src/robinthread/_internal/fleet/planner.py
@@ -43,6 +43,7 @@
         pending = frozenset().union(*(wave.pending for wave in view.waves))
         room = _get_room(view)
         reserve = _Reserve(view, pending)
+        slots = {wave.number: wave.free_slots for wave in view.waves}
         orders: list[MoveOrder | UpkeepOrder] = []
         self._vacating = {
             pool.name: self._choose_vacating(view, pool, pending, room, now_s)
@@ -53,8 +54,8 @@
                 pool, self._vacating[pool.name], view.ordered
             )
             orders += [MoveOrder(machine, pool.name) for machine in reserve.take(lack)]
-        orders += self._order_emptied(view, pending)
-        orders += _order_upkeep(view, reserve)
+        orders += self._order_emptied(view, slots)
+        orders += _order_upkeep(view, reserve, slots)
         return FleetPlan(tuple(orders), self._vacating)
 
     def _choose_vacating(
@@ -104,10 +105,12 @@
         return frozenset(host.machine for host in due[:1])
 
     def _order_emptied(
-        self, view: FleetView, pending: frozenset[str]
+        self, view: FleetView, slots: dict[int, int]
     ) -> list[MoveOrder | UpkeepOrder]:
-        """Order the machines that have been emptied: upkeep, or back to the reserve."""
-        slots = {wave.number: wave.free_slots for wave in view.waves}
+        """Order the machines that have been emptied: upkeep, or back to the reserve.
+
+        ``slots`` counts, by wave, the machines that may still begin; it is counted down.
+        """
         orders: list[MoveOrder | UpkeepOrder] = []
         for pool in view.pools:
             for host in pool.hosts:
@@ -147,9 +150,11 @@
         return [machine.name for machine in taken]
 
 
-def _order_upkeep(view: FleetView, reserve: _Reserve) -> Iterable[UpkeepOrder]:
+def _order_upkeep(
+    view: FleetView, reserve: _Reserve, slots: dict[int, int]
+) -> Iterable[UpkeepOrder]:
     for wave in view.waves:
-        for machine in reserve.take_due(wave.pending, wave.free_slots):
+        for machine in reserve.take_due(wave.pending, slots[wave.number]):
             yield UpkeepOrder(machine, wave.number)
 
 
--- a/src/robinthread/_internal/node/assembly.py
+++ b/src/robinthread/_internal/node/assembly.py
@@ -71,8 +71,8 @@
     writer = GroupWriter(store, INBOX_PARTITION, settings.store.call_max_bytes)
     gate = JobGate(me, writer, owned, table, environment.peers, events)
 
-    def make_steward(token: int, start_after_s: float) -> Steward:
-        return Steward(context, environment, table, owned, me, token, start_after_s)
+    def make_steward(token: int, turn_s: float) -> Steward:
+        return Steward(context, environment, table, owned, me, token, turn_s)
 
     node = Node(context, me, table, election, owned, make_steward, (hosts, inbox))
     for work in (
--- a/src/robinthread/_internal/node/election.py
+++ b/src/robinthread/_internal/node/election.py
@@ -85,8 +85,10 @@
         """Return the pools that have no living owner and that this node is to take."""
         now_s = asyncio.get_running_loop().time()
         config = self._config_holder.config
-        if config is None or self.is_leaving or now_s - self._steady_since_s < SETTLE_S:
+        if config is None or self.is_leaving or self._steady_since_s == math.inf:
             return []
+        if now_s - self._steady_since_s < SETTLE_S:
+            return self._get_former_pools()
         living = self._members | {self._me}
         loads = Counter(
             found.owner
@@ -109,6 +111,16 @@
                 pools.append(pool)
         return pools
 
+    def _get_former_pools(self) -> list[str]:
+        """Return the pools of this node's former life: that one has surely ended."""
+        return [
+            pool
+            for pool in self._table.owners
+            if (found := self._table.get(pool)) is not None
+            and found.owner.node == self._me.node
+            and found.owner != self._me
+        ]
+
     def _is_free(self, pool: str, now_s: float) -> bool:
         found = self._table.get(pool)
         if found is None:
--- a/src/robinthread/_internal/node/job_gate.py
+++ b/src/robinthread/_internal/node/job_gate.py
@@ -77,6 +77,14 @@
         outcome = await self._write(make_job_record(spec, copy), deadline_s)
         if outcome is GateOutcome.DONE:
             _remember(self._accepted, spec.job_id, None)
+            self._events.write(
+                "job_accepted",
+                job=spec.job_id,
+                queue=spec.queue,
+                pool=spec.pool,
+                config_version=spec.config_version,
+                task_count=sum(step.task_count for step in spec.steps),
+            )
         return outcome
 
     async def cancel(self, queue: QueuePolicy, job_id: str, deadline_s: float) -> GateOutcome:
--- a/src/robinthread/_internal/node/node.py
+++ b/src/robinthread/_internal/node/node.py
@@ -137,9 +137,8 @@
     def _open_steward(self, token: int) -> None:
         if self._steward is None and self._spent_tokens.get(FLEET, 0) < token:
             turn_s = self._context.settings.bounds.steward_turn_ms / 1000
-            start_after_s = turn_s if FLEET in self._table.previous else 0.0
-            self._steward = self._make_steward(token, start_after_s)
-            self._events.write("fleet_taken", token=token, start_after_s=start_after_s)
+            self._steward = self._make_steward(token, turn_s)
+            self._events.write("fleet_taken", token=token)
             self.spawn(self._run_steward(self._steward))
 
     async def _run_steward(self, steward: Steward) -> None:
--- a/src/robinthread/_internal/node/order_sender.py
+++ b/src/robinthread/_internal/node/order_sender.py
@@ -133,6 +133,9 @@
             return False
         else:
             self._runtime.jobs.confirm_start(run, get_loop_s())
+            self._events.write(
+                "run_started", job=job.id, task=run.task, run=run.number, host=host.id
+            )
         return True
 
     def _reject(self, run: Run, host: Host, reason: str) -> None:
--- a/src/robinthread/_internal/node/steward.py
+++ b/src/robinthread/_internal/node/steward.py
@@ -7,7 +7,13 @@
 
 from robinthread._internal.durable.errors import StoreError, StoreFencedError
 from robinthread._internal.durable.journal import Journal
+from robinthread._internal.durable.order_records import (
+    ORDERS_PARTITION,
+    make_orders_record,
+    parse_orders_record,
+)
 from robinthread._internal.durable.ownership import Member, OwnerTable
+from robinthread._internal.durable.store import KeyedRecord, Partition
 from robinthread._internal.durable.wave_records import (
     WAVES_PARTITION,
     make_wave_record,
@@ -54,8 +60,8 @@
     """The one node that orders machines, under one token.
 
     It orders a machine only where its pool's owner has emptied it, or where it
-    is in the reserve.  ``start_after_s`` keeps it from giving its first order
-    while the orders of an earlier steward may still be under way.
+    is in the reserve.  Machines that an earlier steward may just have ordered
+    are left alone until ``turn_s`` has passed.
     """
 
     def __init__(
@@ -66,7 +72,7 @@
         owned: OwnedPools,
         me: Member,
         token: int,
-        start_after_s: float,
+        turn_s: float,
     ) -> None:
         self._context = context
         self._events = context.events
@@ -77,12 +83,17 @@
         self._peers = environment.peers
         self._me = me
         self.token = token
-        self._start_at_s = get_loop_s() + start_after_s
+        self._turn_s = turn_s
         writer = "steward"
         self._wave_journal = Journal(context.store, WAVES_PARTITION, writer, token, context.events)
         self._status_journal = Journal(
             context.store, self._records.status_partition, writer, token, context.events
         )
+        self._orders_journal = Journal(
+            context.store, ORDERS_PARTITION, writer, token, context.events
+        )
+        self._ordered_at_s: dict[str, float] = {}
+        self._recorded: frozenset[str] = frozenset()
         self._planner = FleetPlanner()
         self._known: dict[str, Machine] = {}
         self._orders: dict[str, Order] = {}
@@ -101,7 +112,9 @@
         try:
             await self._wave_journal.open()
             await self._status_journal.open()
+            await self._orders_journal.open()
             await self._load_waves()
+            await self._load_orders()
             while not self.fenced.is_set():
                 await self._step()
                 await asyncio.sleep(STEP_S)
@@ -119,15 +132,40 @@
             task.cancel()
         return tasks
 
-    async def _load_waves(self) -> None:
+    async def _read_newest(self, partition: Partition) -> tuple[KeyedRecord, ...]:
         while True:
             try:
-                newest = await self._context.store.read_newest(WAVES_PARTITION)
-                break
+                return (await self._context.store.read_newest(partition)).records
             except StoreError as error:
-                self._events.write("waves_unread", error=str(error))
+                self._events.write("store_unread", topic=partition.topic, error=str(error))
                 await asyncio.sleep(RETRY_PAUSE_S)
-        for record in newest.records:
+
+    async def _load_orders(self) -> None:
+        """Leave the machines alone for a while that the last steward ordered."""
+        until_s = get_loop_s() + self._turn_s
+        for record in await self._read_newest(ORDERS_PARTITION):
+            for machine in parse_orders_record(record).machines:
+                self._paused_until_s[machine] = until_s
+                self._ordered_at_s[machine] = get_loop_s()
+
+    async def _record_orders(self, orders: tuple[Order, ...]) -> None:
+        """Record the machines that are about to be ordered, before they are."""
+        if not orders:
+            return
+        now_s = get_loop_s()
+        for order in orders:
+            self._ordered_at_s[order.machine] = now_s
+        recent = frozenset(
+            name
+            for name, ordered_s in self._ordered_at_s.items()
+            if name in self._orders or now_s - ordered_s < self._turn_s
+        )
+        if not recent <= self._recorded:
+            await self._orders_journal.write([make_orders_record(recent)])
+            self._recorded = recent
+
+    async def _load_waves(self) -> None:
+        for record in await self._read_newest(WAVES_PARTITION):
             try:
                 progress = parse_wave_record(record)
             except msgspec.MsgspecError as error:
@@ -152,8 +190,7 @@
         view = self._make_view(reports)
         plan = self._planner.plan(view, get_loop_s())
         self._vacate = plan.vacate
-        if get_loop_s() < self._start_at_s:
-            return
+        await self._record_orders(plan.orders)
         for order in plan.orders:
             self._give(order)
 
