--- a/src/robinthread/_internal/durable/keyed_follower.py
+++ b/src/robinthread/_internal/durable/keyed_follower.py
@@ -43,6 +43,8 @@
         self._events = events
         self._is_failing = False
         self._period_s = period_s
+        self._hurry_period_s = 0.0
+        self._hurry_until_s = 0.0
         self._is_wanted = asyncio.Event()
         self._is_wanted.set()
         self.next_offset: int | None = None
@@ -60,7 +62,16 @@
                 await asyncio.sleep(RETRY_PAUSE_S)
             else:
                 self._note_success()
-                await asyncio.sleep(self._period_s)
+                await asyncio.sleep(self._get_pause_s())
+
+    def hurry(self, period_s: float, for_s: float) -> None:
+        """Read every ``period_s`` at least, for a while."""
+        self._hurry_period_s = period_s
+        self._hurry_until_s = asyncio.get_running_loop().time() + for_s
+
+    def _get_pause_s(self) -> float:
+        is_hurried = asyncio.get_running_loop().time() < self._hurry_until_s
+        return min(self._hurry_period_s, self._period_s) if is_hurried else self._period_s
 
     def pause(self) -> None:
         """Stop following; what is known from now on is out of date."""
--- a/src/robinthread/_internal/fleet/fleet_view.py
+++ b/src/robinthread/_internal/fleet/fleet_view.py
@@ -88,7 +88,8 @@
 
 @dataclass(frozen=True)
 class FleetPlan:
-    """What to order now, and which machines each pool is to empty."""
+    """What to order now, which machines each pool is to empty, and its size wanted."""
 
     orders: tuple[MoveOrder | UpkeepOrder, ...] = ()
     vacate: dict[str, frozenset[str]] = field(default_factory=dict)
+    wanted: dict[str, int] = field(default_factory=dict)
--- a/src/robinthread/_internal/fleet/planner.py
+++ b/src/robinthread/_internal/fleet/planner.py
@@ -42,35 +42,33 @@
         """Return the orders to give now."""
         pending = frozenset().union(*(wave.pending for wave in view.waves))
         room = _get_room(view)
+        wanted = {pool.name: count_hosts_needed(pool, room) for pool in view.pools}
         reserve = _Reserve(view, pending)
         slots = {wave.number: wave.free_slots for wave in view.waves}
         orders: list[MoveOrder | UpkeepOrder] = []
         self._vacating = {
-            pool.name: self._choose_vacating(view, pool, pending, room, now_s)
+            pool.name: self._choose_vacating(view, pool, pending, wanted[pool.name], now_s)
             for pool in view.pools
         }
         for pool in sorted(view.pools, key=lambda pool: -pool.report.needs_cpu_millicores):
-            lack = count_hosts_needed(pool, room) - _count_serving(
-                pool, self._vacating[pool.name], view.ordered
-            )
+            lack = wanted[pool.name] - _count_serving(pool, self._vacating[pool.name], view.ordered)
             orders += [MoveOrder(machine, pool.name) for machine in reserve.take(lack)]
-        orders += self._order_emptied(view, slots)
+        orders += self._order_emptied(view, wanted, slots)
         orders += _order_upkeep(view, reserve, slots)
-        return FleetPlan(tuple(orders), self._vacating)
+        return FleetPlan(tuple(orders), self._vacating, wanted)
 
     def _choose_vacating(
         self,
         view: FleetView,
         pool: PoolView,
         pending: frozenset[str],
-        room: Resources,
+        wanted: int,
         now_s: float,
     ) -> frozenset[str]:
         """Return the machines that a pool is to empty."""
         present = {host.machine: host for host in pool.hosts if host.is_usable}
         ordered = frozenset(name for name in present if name in view.ordered)
         vacating = self._vacating.get(pool.name, frozenset()) & present.keys()
-        wanted = count_hosts_needed(pool, room)
         spare = _count_serving(pool, vacating, view.ordered) - wanted
         if spare < 0:
             # Hosts that are still here serve sooner than any that are fetched.
@@ -105,31 +103,39 @@
         return frozenset(host.machine for host in due[:1])
 
     def _order_emptied(
-        self, view: FleetView, slots: dict[int, int]
+        self, view: FleetView, wanted: dict[str, int], slots: dict[int, int]
     ) -> list[MoveOrder | UpkeepOrder]:
-        """Order the machines that have been emptied: upkeep, or back to the reserve.
+        """Order the machines that have been emptied: to the reserve, or to upkeep.
 
-        ``slots`` counts, by wave, the machines that may still begin; it is counted down.
+        Where the pool can do without a machine its upkeep is done in the reserve,
+        which costs nothing.  ``slots`` counts, by wave, the machines that may
+        still begin; it is counted down.
         """
         orders: list[MoveOrder | UpkeepOrder] = []
         for pool in view.pools:
+            vacating = self._vacating[pool.name]
+            spare = _count_serving(pool, vacating, view.ordered) - wanted[pool.name]
             for host in pool.hosts:
-                if (
-                    host.machine not in self._vacating[pool.name]
-                    or host.machine in view.ordered
-                    or not host.is_vacating
-                    or host.run_count
-                ):
+                if not _is_emptied(host, vacating, view.ordered):
                     continue
                 wave = next((wave for wave in view.waves if host.machine in wave.pending), None)
-                if wave is not None and slots[wave.number] > 0:
+                if view.reserve_pool and (wave is None or spare >= 0):
+                    orders.append(MoveOrder(host.machine, view.reserve_pool))
+                elif wave is not None and slots[wave.number] > 0:
                     slots[wave.number] -= 1
                     orders.append(UpkeepOrder(host.machine, wave.number))
-                elif view.reserve_pool and wave is None:
-                    orders.append(MoveOrder(host.machine, view.reserve_pool))
         return orders
 
 
+def _is_emptied(host: HostStanding, vacating: frozenset[str], ordered: frozenset[str]) -> bool:
+    return (
+        host.machine in vacating
+        and host.machine not in ordered
+        and host.is_vacating
+        and not host.run_count
+    )
+
+
 class _Reserve:
     """The machines of the reserve that are still free in this plan."""
 
--- a/src/robinthread/_internal/jobs/placement.py
+++ b/src/robinthread/_internal/jobs/placement.py
@@ -57,9 +57,16 @@
     return (job.policy.priority, job.offset, task.key.step, task.key.index)
 
 
-def _get_worth(host: Host, task: Task) -> tuple[bool, bool, float]:
+def _get_worth(host: Host, task: Task) -> tuple[bool, bool, int, float]:
+    """Rank hosts for a task.
+
+    Tasks that end are packed, so that hosts fall empty and can leave the pool;
+    those that last are spread, so that few are lost with a host.
+    """
     step: StepSpec = task.step
     is_near = not step.near_rack or host.record.rack == step.near_rack
     has_not_failed = host.id not in task.failed_host_ids
-    cpu = max(1, host.record.room.cpu_millicores)
-    return (has_not_failed, is_near, host.free.cpu_millicores / cpu)
+    free_share = host.free.cpu_millicores / max(1, host.record.room.cpu_millicores)
+    if step.is_lasting:
+        return (has_not_failed, is_near, -count_step_runs(task, host), free_share)
+    return (has_not_failed, is_near, 0, -free_share)
--- a/src/robinthread/_internal/jobs/pool_jobs.py
+++ b/src/robinthread/_internal/jobs/pool_jobs.py
@@ -7,6 +7,7 @@
 from robinthread._internal.jobs.job import Job
 from robinthread._internal.jobs.progress import JobProgress, restore_progress
 from robinthread._internal.jobs.run import Run, RunPhase
+from robinthread._internal.jobs.run_times import RunTimes
 from robinthread._internal.jobs.task import Task
 from robinthread._internal.models.host_report import RunEnd
 from robinthread._internal.models.job_spec import JobSpec
@@ -33,6 +34,7 @@
         self.waiting: dict[TaskKey, Task] = {}
         self.unrecorded: dict[str, Job] = {}
         self.to_stop: list[Run] = []
+        self.run_times = RunTimes()
 
     def add_job(
         self,
@@ -96,7 +98,9 @@
             run.present_since_s = run.progress_at_s = now_s
         self.jobs[run.task.job_id].has_begun = True
 
-    def end_run(self, run: Run, end: RunEnd, checkpoint: str, now_ms: int) -> None:
+    def end_run(
+        self, run: Run, end: RunEnd, checkpoint: str, now_ms: int, now_s: float | None = None
+    ) -> None:
         """Note that a run has ended, and what follows for its task and job."""
         job = self.jobs[run.task.job_id]
         task = job.get_task(run.task)
@@ -105,6 +109,7 @@
         task.checkpoint = checkpoint or task.checkpoint
         self._mark(job)
         if end is RunEnd.DONE and not task.step.is_lasting:
+            self._learn(job, task, run, now_s)
             self._complete(job, task, now_ms)
         elif end is RunEnd.FAILED and not task.step.is_lasting:
             self._count_failure(job, task, run, now_ms)
@@ -203,6 +208,11 @@
         else:
             self._requeue(job, task)
 
+    def _learn(self, job: Job, task: Task, run: Run, now_s: float | None) -> None:
+        """Learn how long a task takes from a run that began at its beginning."""
+        if now_s is not None and run.present_since_s is not None and not run.is_resumed:
+            self.run_times.add(job.spec.queue, task.step, now_s - run.present_since_s)
+
     def _finish(self, job: Job, status: JobStatus, now_ms: int) -> None:
         if job.status.is_final:
             return
--- a/src/robinthread/_internal/jobs/run.py
+++ b/src/robinthread/_internal/jobs/run.py
@@ -35,6 +35,7 @@
         "checkpoint",
         "host_id",
         "is_lasting",
+        "is_resumed",
         "number",
         "phase",
         "present_since_s",
@@ -54,6 +55,7 @@
         self.is_lasting = is_lasting
         self.phase = RunPhase.RECORDING
         self.checkpoint = checkpoint
+        self.is_resumed = bool(checkpoint)
         self.progress_percent = 0
         self.progress_at_s = 0.0
         self.recent_load: int | None = None
--- a/src/robinthread/_internal/node/assembly.py
+++ b/src/robinthread/_internal/node/assembly.py
@@ -25,6 +25,10 @@
 # Hosts' entries change with every heartbeat of any host, so they are read in turns.
 # A leaving host must get no work after 2 s; a new one should get some soon.
 HOSTS_PERIOD_S: Final = 0.3
+# While machines are on their way the list is read more often: each tenth of a second
+# that a new host waits is one that jobs wait too.
+HOSTS_HURRY_PERIOD_S: Final = 0.08
+HOSTS_HURRY_S: Final = 0.5
 
 
 @dataclass(frozen=True)
@@ -61,6 +65,7 @@
         host_directory=host_directory,
         config_holder=config_holder,
         get_wall_ms=environment.get_wall_ms,
+        expect_hosts=lambda: hosts.hurry(HOSTS_HURRY_PERIOD_S, HOSTS_HURRY_S),
         read_hosts_to_end=lambda: _read_to_end(hosts),
         read_inbox_once=inbox.read_to_end,
         read_inbox_to_end=lambda: _read_to_end(inbox),
--- a/src/robinthread/_internal/node/context.py
+++ b/src/robinthread/_internal/node/context.py
@@ -18,7 +18,8 @@
 
     ``read_inbox_once`` reads all jobs that were handed in before the call, or
     raises ``StoreError``; ``read_inbox_to_end`` tries until it can.
-    ``read_hosts_to_end`` does the same for the list of hosts.
+    ``read_hosts_to_end`` does the same for the list of hosts; ``expect_hosts``
+    has that list read more often for a while.
     ``get_unconfirmed_s`` returns for how long the store has not confirmed who
     owns what, ``get_wall_ms`` Unix time in milliseconds.
     """
@@ -30,6 +31,7 @@
     job_index: JobIndex
     host_directory: HostDirectory
     config_holder: ConfigHolder
+    expect_hosts: Callable[[], None]
     read_hosts_to_end: Callable[[], Awaitable[None]]
     read_inbox_once: Callable[[], Awaitable[None]]
     get_wall_ms: Callable[[], int]
--- a/src/robinthread/_internal/node/host_follower.py
+++ b/src/robinthread/_internal/node/host_follower.py
@@ -144,9 +144,8 @@
             host.health.note_done()
         elif end.end is RunEnd.FAILED and host.health.note_failed(end.task.job_id, get_loop_s()):
             self._events.write("host_paused", host=host.id, pool=self._runtime.pool)
-        self._runtime.jobs.end_run(
-            run, end.end, end.checkpoint, self._runtime.context.get_wall_ms()
-        )
+        now_ms = self._runtime.context.get_wall_ms()
+        self._runtime.jobs.end_run(run, end.end, end.checkpoint, now_ms, get_loop_s())
 
     def _take_running(self, report: HostReport, asked_at_s: float) -> None:
         host, now_s = self._host, get_loop_s()
--- a/src/robinthread/_internal/node/pool_owner.py
+++ b/src/robinthread/_internal/node/pool_owner.py
@@ -43,6 +43,9 @@
 FLUSH_WAIT_S: Final = 0.5
 # How long a machine gets no work after the steward last asked to empty it.
 VACATE_S: Final = 2.0
+# From a machine's arrival in the pool to the first task on it: its entry in the
+# store, and a first look at it.
+HOST_START_S: Final = 0.3
 
 
 class PoolOwner:
@@ -75,7 +78,7 @@
         self._orders = OrderSender(self._runtime)
         self._recorder = Recorder(self._runtime, self._journal, self._orders)
         self._host_tasks: dict[str, asyncio.Task[None]] = {}
-        self._demand = DemandMeter()
+        self._demand = DemandMeter(context.settings.bounds.machine_move_s + HOST_START_S)
         self._ended_hosts: set[str] = set()
         self.is_open = False
 
@@ -146,6 +149,8 @@
         for host in self.jobs.hosts.values():
             is_vacating = host.record.machine in question.vacate
             host.vacating_until_s = now_s + VACATE_S if is_vacating else 0.0
+        if question.expects_hosts:
+            self._context.expect_hosts()
         self._runtime.wake()
         return PoolReport(
             is_owner=True,
@@ -198,6 +203,8 @@
         progress = self._progress.pop(spec.job_id, None)
         policy = self._get_policy(spec.queue)
         job = self.jobs.add_job(spec, policy, indexed.offset, get_loop_s(), progress)
+        if progress is None:
+            self._demand.note_job(job, self.jobs.run_times, get_loop_s())
         if job.status.is_final:
             for task in list(job.iter_running()):
                 for run in list(task.runs):
--- a/src/robinthread/_internal/node/steward.py
+++ b/src/robinthread/_internal/node/steward.py
@@ -20,6 +20,7 @@
     parse_wave_record,
 )
 from robinthread._internal.fleet.fleet_view import (
+    FleetPlan,
     FleetView,
     MoveOrder,
     PoolView,
@@ -43,8 +44,11 @@
 from robinthread._internal.node.peer_calls import PeerUnreachableError
 from robinthread._internal.node.pool_runtime import get_loop_s
 
-# How often the fleet is looked at and planned.
-STEP_S: Final = 0.25
+# How often the pools are asked how they stand, and the fleet is planned.
+STEP_S: Final = 0.1
+# How often the machines are listed; each list is paid for.  The steward's own orders
+# tell most of what changes.
+LIST_PERIOD_S: Final = 0.3
 # Pause before an order without answer is given again.
 RETRY_PAUSE_S: Final = 0.3
 # How long a machine that was busy, or did not fit, gets no order.
@@ -52,6 +56,9 @@
 # How long a machine that is up may take to show in its pool: an entry in the store
 # and a first look at it.
 UNHEARD_MAX_S: Final = 3.0
+# When a machine is looked out for, before and after its move should be over.
+HOST_EARLY_S: Final = 0.15
+HOST_LATE_S: Final = 0.6
 
 Order = MoveOrder | UpkeepOrder
 
@@ -96,7 +103,9 @@
         self._recorded: frozenset[str] = frozenset()
         self._planner = FleetPlanner()
         self._known: dict[str, Machine] = {}
+        self._listed_at_s = -LIST_PERIOD_S
         self._orders: dict[str, Order] = {}
+        self._moved: dict[str, tuple[float, str]] = {}
         self._done_at_s: dict[str, float] = {}
         self._unheard_since_s: dict[str, float] = {}
         self._paused_until_s: dict[str, float] = {}
@@ -104,6 +113,7 @@
         self._begun: dict[int, set[str]] = {}
         self._seen_at_s: dict[int, float] = {}
         self._shown: dict[int, bool] = {}
+        self._wanted: dict[str, int] = {}
         self._vacate: dict[str, frozenset[str]] = {}
         self.fenced = asyncio.Event()
 
@@ -174,25 +184,52 @@
             self._begun[progress.wave] = set(progress.begun)
 
     async def _step(self) -> None:
+        if not await self._list_machines():
+            return
+        reports = await self._ask_pools()
+        await self._show_waves()
+        view = self._make_view(reports)
+        plan = self._planner.plan(view, get_loop_s())
+        self._vacate = plan.vacate
+        self._note_sizes(view, plan)
+        await self._record_orders(plan.orders)
+        for order in plan.orders:
+            self._give(order)
+
+    def _note_sizes(self, view: FleetView, plan: FleetPlan) -> None:
+        """Write a line for each pool whose wanted size has changed."""
+        for pool in view.pools:
+            wanted = plan.wanted[pool.name]
+            if self._wanted.get(pool.name) != wanted:
+                self._wanted[pool.name] = wanted
+                self._events.write(
+                    "pool_sized",
+                    pool=pool.name,
+                    wanted=wanted,
+                    usable=sum(host.is_usable for host in pool.hosts),
+                    arriving=pool.arriving,
+                    vacating=len(plan.vacate[pool.name]),
+                    needs_cpu_millicores=pool.report.needs_cpu_millicores,
+                    needs_memory_mb=pool.report.needs_memory_mb,
+                )
+
+    async def _list_machines(self) -> bool:
+        """List the machines if that is due; return whether the list is good."""
         asked_at_s = get_loop_s()
+        if asked_at_s - self._listed_at_s < LIST_PERIOD_S:
+            return True
         try:
             listed = await self._machines.list_machines()
         except MachineError as error:
             self._events.write("machines_unread", error=f"{type(error).__name__}: {error}")
-            return
+            return False
+        self._listed_at_s = asked_at_s
         self._known = {machine.name: machine for machine in listed}
         for name in [name for name, done_s in self._done_at_s.items() if done_s < asked_at_s]:
             # The list shows now what the order did.
             del self._done_at_s[name]
             self._orders.pop(name, None)
-        reports = await self._ask_pools()
-        await self._show_waves()
-        view = self._make_view(reports)
-        plan = self._planner.plan(view, get_loop_s())
-        self._vacate = plan.vacate
-        await self._record_orders(plan.orders)
-        for order in plan.orders:
-            self._give(order)
+        return True
 
     async def _ask_pools(self) -> dict[str, PoolReport]:
         config = self._context.config_holder.config
@@ -205,7 +242,9 @@
 
     async def _ask_pool(self, pool: str) -> PoolReport:
         owner = self._table.get(pool)
-        question = FleetQuestion(pool, tuple(sorted(self._vacate.get(pool, ()))))
+        question = FleetQuestion(
+            pool, tuple(sorted(self._vacate.get(pool, ()))), self._expects_hosts(pool)
+        )
         if owner is None:
             return PoolReport(is_owner=False)
         if owner.owner == self._me:
@@ -215,6 +254,16 @@
         except PeerUnreachableError:
             return PoolReport(is_owner=False)
 
+    def _expects_hosts(self, pool: str) -> bool:
+        """Tell whether a machine is about to come up in a pool."""
+        now_s = get_loop_s()
+        move_s = self._context.settings.bounds.machine_move_s
+        return any(
+            -HOST_EARLY_S < now_s - moved_s - move_s < HOST_LATE_S
+            for moved_s, moved_to in self._moved.values()
+            if moved_to == pool
+        )
+
     def _make_view(self, reports: dict[str, PoolReport]) -> FleetView:
         config = self._context.config_holder.config
         assert config is not None
@@ -335,6 +384,8 @@
 
     async def _note_done(self, order: Order) -> None:
         self._done_at_s[order.machine] = get_loop_s()
+        if isinstance(order, MoveOrder):
+            self._moved[order.machine] = (get_loop_s(), order.pool)
         if isinstance(order, UpkeepOrder):
             begun = self._begun.setdefault(order.wave, set())
             begun.add(order.machine)
