--- a/src/robinthread/_internal/jobs/demand.py
+++ b/src/robinthread/_internal/jobs/demand.py
@@ -21,7 +21,7 @@
 # A rise counts that is so many times what chance alone brings.
 TREND_DEVIATIONS_MIN: Final = 1.2
 # The forecast of a rising rate is at most so many times the rate.
-TREND_FACTOR_MAX: Final = 2.0
+TREND_FACTOR_MAX: Final = 1.3
 
 
 @dataclass(frozen=True, slots=True)
