Steward leaves alone only what a predecessor that still lives has ordered

Cause: after a restart of all nodes the steward held back nearly all machines for 3 s, for its predecessor had ordered them just before; two pools waited with three hosts for a need of 20. A predecessor whose process has ended, or that the platform no longer hears, gives no orders.

--- a/src/robinthread/_internal/durable/ownership.py
+++ b/src/robinthread/_internal/durable/ownership.py
@@ -27,10 +27,14 @@
 
 
 class OwnerRecord(msgspec.Struct, frozen=True, array_like=True):
-    """Who took a pool; ``is_released`` where the owner has given it back."""
+    """Who took a pool; ``is_released`` where the owner has given it back.
+
+    One that ``is_stopping`` gave it back because its process ends.
+    """
 
     owner: Member
     is_released: bool = False
+    is_stopping: bool = False
 
 
 class Ownership(msgspec.Struct, frozen=True):
@@ -39,6 +43,7 @@
     owner: Member
     token: int
     is_released: bool
+    is_stopping: bool
 
 
 class OwnerTable:
@@ -61,13 +66,13 @@
         """Take a pool unless anything has changed; the fold tells the outcome."""
         return await self._put(pool, OwnerRecord(member))
 
-    async def release(self, pool: str, member: Member) -> bool:
+    async def release(self, pool: str, member: Member, is_stopping: bool) -> bool:
         """Give a pool back unless another has taken it."""
         while True:
             current = self.get(pool)
             if current is None or current.owner != member:
                 return True
-            if await self._put(pool, OwnerRecord(member, is_released=True)):
+            if await self._put(pool, OwnerRecord(member, True, is_stopping)):
                 return True
 
     async def _put(self, pool: str, record: OwnerRecord) -> bool:
@@ -97,5 +102,7 @@
             replaced = self.owners.get(record.key)
             if replaced is not None and replaced.token < token:
                 self.previous[record.key] = replaced
-            self.owners[record.key] = Ownership(found.owner, token, found.is_released)
+            self.owners[record.key] = Ownership(
+                found.owner, token, found.is_released, found.is_stopping
+            )
         self.changed.set()
--- a/src/robinthread/_internal/node/election.py
+++ b/src/robinthread/_internal/node/election.py
@@ -81,6 +81,10 @@
         async with self._turn:
             await self._store.leave(GROUP, self._name)
 
+    def is_living(self, member: Member) -> bool:
+        """Tell whether a process is a member now."""
+        return member in self._members
+
     def get_pools_to_take(self) -> list[str]:
         """Return the pools that have no living owner and that this node is to take."""
         now_s = asyncio.get_running_loop().time()
--- a/src/robinthread/_internal/node/node.py
+++ b/src/robinthread/_internal/node/node.py
@@ -108,7 +108,7 @@
 
     async def _release(self, pool: str) -> None:
         try:
-            await self._table.release(pool, self._me)
+            await self._table.release(pool, self._me, self.is_stopping)
         except StoreError as error:
             self._events.write("release_failed", pool=pool, error=str(error))
 
@@ -136,11 +136,22 @@
 
     def _open_steward(self, token: int) -> None:
         if self._steward is None and self._spent_tokens.get(FLEET, 0) < token:
-            turn_s = self._context.settings.bounds.steward_turn_ms / 1000
+            turn_s = self._get_turn_s()
             self._steward = self._make_steward(token, turn_s)
             self._events.write("fleet_taken", token=token)
             self.spawn(self._run_steward(self._steward))
 
+    def _get_turn_s(self) -> float:
+        """Return for how long to leave alone what the last steward ordered.
+
+        Two stewards that both reach the platform must not take turns.  One whose
+        process ends, or which the platform has not heard, gives no more orders.
+        """
+        previous = self._table.previous.get(FLEET)
+        if previous is None or previous.is_stopping or not self._election.is_living(previous.owner):
+            return 0.0
+        return self._context.settings.bounds.steward_turn_ms / 1000
+
     async def _run_steward(self, steward: Steward) -> None:
         try:
             await steward.run()
