--- a/src/robinthread/_internal/durable/ownership.py
+++ b/src/robinthread/_internal/durable/ownership.py
@@ -5,7 +5,7 @@
 """
 
 import asyncio
-from collections.abc import Sequence
+from collections.abc import Collection, Sequence
 from typing import Final
 
 import msgspec
@@ -64,24 +64,28 @@
 
     async def take(self, pool: str, member: Member) -> bool:
         """Take a pool unless anything has changed; the fold tells the outcome."""
-        return await self._put(pool, OwnerRecord(member))
-
-    async def release(self, pool: str, member: Member, is_stopping: bool) -> bool:
-        """Give a pool back unless another has taken it."""
-        while True:
-            current = self.get(pool)
-            if current is None or current.owner != member:
-                return True
-            if await self._put(pool, OwnerRecord(member, True, is_stopping)):
-                return True
-
-    async def _put(self, pool: str, record: OwnerRecord) -> bool:
+        return await self._put({pool: OwnerRecord(member)})
+
+    async def release(self, pools: Collection[str], member: Member, is_stopping: bool) -> None:
+        """Give pools back, all at once, but for those that others have taken."""
+        record = OwnerRecord(member, True, is_stopping)
+        while held := [pool for pool in pools if self._is_held(pool, member)]:
+            if await self._put(dict.fromkeys(held, record)):
+                return
+
+    def _is_held(self, pool: str, member: Member) -> bool:
+        current = self.get(pool)
+        return current is not None and current.owner == member
+
+    async def _put(self, records: dict[str, OwnerRecord]) -> bool:
         end = self.follower.next_offset
         if end is None:
             return False
-        entry = KeyedRecord(pool, msgspec.msgpack.encode(record))
+        entries = [
+            KeyedRecord(pool, msgspec.msgpack.encode(record)) for pool, record in records.items()
+        ]
         try:
-            await self._store.append(OWNERS_PARTITION, [entry], expected_end=end)
+            await self._store.append(OWNERS_PARTITION, entries, expected_end=end)
         except StoreConditionError:
             await self.follower.read_to_end()
             return False
--- a/src/robinthread/_internal/node/assembly.py
+++ b/src/robinthread/_internal/node/assembly.py
@@ -73,7 +73,9 @@
     )
     election = Election(store, table, me, config_holder, events, settings.store.member_ttl_min_ms)
     owned = OwnedPools(context)
-    writer = GroupWriter(store, INBOX_PARTITION, settings.store.call_max_bytes)
+    writer = GroupWriter(
+        store, INBOX_PARTITION, f"entry/{me.node}/{me.life}", settings.store.call_max_bytes
+    )
     gate = JobGate(me, writer, owned, table, environment.peers, events)
 
     def make_steward(token: int, turn_s: float) -> Steward:
--- a/src/robinthread/_internal/node/node.py
+++ b/src/robinthread/_internal/node/node.py
@@ -12,6 +12,7 @@
 from robinthread._internal.node.owned_pools import OwnedPools
 from robinthread._internal.node.pool_owner import PoolOwner
 from robinthread._internal.node.steward import Steward
+from robinthread._internal.utils.waiting import wait_for_event
 
 MakeSteward = Callable[[int, float], Steward]
 
@@ -81,20 +82,18 @@
             self._follow_if_needed()
             for pool in self._election.get_pools_to_take():
                 await self._take(pool)
-            try:
-                await asyncio.wait_for(self._table.changed.wait(), LOOK_PERIOD_S)
-            except TimeoutError:
-                continue
+            await wait_for_event(self._table.changed, LOOK_PERIOD_S)
 
     async def stop(self) -> None:
         """Give all pools back, so that others take them at once."""
         self.is_stopping = True
         if self._steward is not None:
-            await self._drop_steward(self._steward)
-        for pool, owner in list(self._owned.owners.items()):
-            del self._owned.owners[pool]
-            await owner.stop(is_planned=True)
-            await self._release(pool)
+            self._steward.fenced.set()
+            await self._steward.stop()
+        owners = dict(self._owned.owners)
+        self._owned.owners.clear()
+        await asyncio.gather(*(owner.stop(is_planned=True) for owner in owners.values()))
+        await self._release([*owners, FLEET])
         try:
             await self._election.leave()
         except StoreError as error:
@@ -104,13 +103,13 @@
         """Give back what is still ours but cannot be used any more."""
         found = self._table.owners.get(pool)
         if found is not None and found.token == token and found.owner == self._me:
-            await self._release(pool)
+            await self._release([pool])
 
-    async def _release(self, pool: str) -> None:
+    async def _release(self, pools: list[str]) -> None:
         try:
-            await self._table.release(pool, self._me, self.is_stopping)
+            await self._table.release(pools, self._me, self.is_stopping)
         except StoreError as error:
-            self._events.write("release_failed", pool=pool, error=str(error))
+            self._events.write("release_failed", pools=pools, error=str(error))
 
     async def _take(self, pool: str) -> None:
         try:
--- a/src/robinthread/_internal/node/pool_owner.py
+++ b/src/robinthread/_internal/node/pool_owner.py
@@ -33,6 +33,7 @@
     get_loop_s,
 )
 from robinthread._internal.node.recorder import Recorder
+from robinthread._internal.utils.waiting import wait_for_event
 
 PROGRESS_TOPIC: Final = "keyed.progress"
 # Pause before a failed read of the store is made again.
@@ -89,7 +90,6 @@
 
     async def start(self) -> None:
         """Shut out older owners, load what they recorded, and begin."""
-        await self._journal.open()
         await asyncio.gather(
             self._load_progress(),
             self._context.read_inbox_to_end(),
@@ -164,6 +164,8 @@
         )
 
     async def _load_progress(self) -> None:
+        """Shut out older owners, then read what they have recorded."""
+        await self._journal.open()
         for record in (await self._read_progress()).records:
             if record.value is None:
                 continue
@@ -209,14 +211,16 @@
             for task in list(job.iter_running()):
                 for run in list(task.runs):
                     self.jobs.stop(run)
-        self._events.write(
-            "job_taken",
-            job=job.id,
-            pool=self.pool,
-            queue=spec.queue,
-            offset=indexed.offset,
-            status=job.status.value,
-        )
+        if not job.status.is_final:
+            self._events.write(
+                "job_taken",
+                job=job.id,
+                pool=self.pool,
+                queue=spec.queue,
+                offset=indexed.offset,
+                config_version=spec.config_version,
+                done_count=sum(task.is_done for task in job.tasks.values()),
+            )
         return job
 
     def _get_policy(self, queue: str) -> QueuePolicy:
@@ -239,10 +243,7 @@
             if self.jobs.unrecorded:
                 self._runtime.unrecorded.set()
             self._runtime.changed.clear()
-            try:
-                await asyncio.wait_for(self._runtime.changed.wait(), TICK_S)
-            except TimeoutError:
-                continue
+            await wait_for_event(self._runtime.changed, TICK_S)
 
     def _tick(self, now_s: float) -> None:
         """Do what time alone brings."""
--- a/src/robinthread/_internal/platform/store.py
+++ b/src/robinthread/_internal/platform/store.py
@@ -2,6 +2,7 @@
 
 import base64
 import struct
+import time
 from collections.abc import Iterator, Sequence
 from typing import Any, Final, TypeVar
 from urllib.parse import quote, urlencode
@@ -27,6 +28,7 @@
     ReadPage,
     WriterStamp,
 )
+from robinthread._internal.utils.call_timeout import CallTimeout
 from robinthread._internal.utils.http_call import (
     JSON_HEADERS,
     CallLostError,
@@ -35,9 +37,10 @@
     decode,
 )
 
-# A call that has had no answer for so long is given up.  The store answers in
-# some 10 ms; the slowest that the bench plays is 60 times that.
-CALL_TIMEOUT_S: Final = 1.2
+# A call that has had no answer for so long is given up.  The store answers within
+# some 10 ms; when it is slow it may take 60 times that.
+CALL_TIMEOUT_MIN_S: Final = 0.3
+CALL_TIMEOUT_MAX_S: Final = 1.2
 LONG_READ_KB: Final = 1024
 T = TypeVar("T")
 REFUSED_STATUSES: Final = frozenset({429, 503, 507})
@@ -84,6 +87,7 @@
     def __init__(self, client: AsyncHTTPClient, address: str) -> None:
         self._client = client
         self._base = f"http://{address}"
+        self._timeout = CallTimeout(CALL_TIMEOUT_MIN_S, CALL_TIMEOUT_MAX_S)
 
     async def append(
         self,
@@ -115,7 +119,7 @@
             "wait_ms": int(wait_s * 1000),
         }
         path = f"/log-read?{urlencode(query)}"
-        response = await self._call(path, timeout_s=CALL_TIMEOUT_S + wait_s)
+        response = await self._call(path, wait_s=wait_s)
         try:
             end, _first = struct.unpack_from(">QQ", response.body)
             records = tuple(_iter_records(response.body, from_offset))
@@ -169,20 +173,24 @@
         return frozenset(str(row[2]) for row in found.parts or found.owners if row[2])
 
     async def _call(
-        self, path: str, body: bytes | None = None, timeout_s: float = CALL_TIMEOUT_S
+        self, path: str, body: bytes | None = None, wait_s: float = 0.0
     ) -> HTTPResponse:
+        began_at_s = time.monotonic()
         try:
             response = await call(
                 self._client,
                 self._base + path,
-                timeout_s=timeout_s,
+                timeout_s=self._timeout.seconds + wait_s,
                 body=body,
                 headers=JSON_HEADERS if body is not None else None,
             )
         except CallUnsentError as error:
             raise StoreRefusedError(f"the store cannot be reached: {error}") from error
         except CallLostError as error:
+            self._timeout.note_lost()
             raise StoreNoAnswerError(str(error)) from error
+        if not wait_s:
+            self._timeout.note_answer(time.monotonic() - began_at_s)
         if response.code != 200:
             raise _make_error(response)
         return response
--- /dev/null
+++ b/src/robinthread/_internal/utils/call_timeout.py
@@ -0,0 +1,42 @@
+"""How long to wait for an answer, learnt from the answers that came."""
+
+from typing import Final
+
+# Weights of a new answer in the mean and in its spread, as usual for retransmission.
+MEAN_WEIGHT: Final = 0.125
+SPREAD_WEIGHT: Final = 0.25
+# So many spreads beyond the mean an answer is taken as lost.
+SPREADS: Final = 4
+
+
+class CallTimeout:
+    """A timeout that follows the time that answers take.
+
+    It doubles with each answer that does not come, so that a service that has
+    become slow is heard again.
+    """
+
+    def __init__(self, min_s: float, max_s: float) -> None:
+        self._min_s = min_s
+        self._max_s = max_s
+        self._mean_s = 0.0
+        self._spread_s = 0.0
+        self._backoff = 1
+
+    @property
+    def seconds(self) -> float:
+        """Return how long to wait for an answer now."""
+        expected_s = self._mean_s + SPREADS * self._spread_s
+        return min(self._max_s, max(self._min_s, expected_s) * self._backoff)
+
+    def note_answer(self, took_s: float) -> None:
+        """Note how long an answer took."""
+        deviation_s = abs(took_s - self._mean_s)
+        self._spread_s += SPREAD_WEIGHT * (deviation_s - self._spread_s)
+        self._mean_s += MEAN_WEIGHT * (took_s - self._mean_s)
+        self._backoff = 1
+
+    def note_lost(self) -> None:
+        """Note an answer that did not come in time."""
+        if self.seconds < self._max_s:
+            self._backoff *= 2
