Hosts are never all left out; none is emptied for upkeep without a replacement

Where more than half of the hosts seem unwell the jobs are to blame, and all hosts are used. Also a pool may have been emptied for upkeep while nothing could replace the host.

--- a/src/robinthread/_internal/fleet/planner.py
+++ b/src/robinthread/_internal/fleet/planner.py
@@ -81,7 +81,11 @@
             leaving = sorted(candidates, key=lambda host: _get_leaving_order(host, pending))
             if view.reserve_pool:
                 vacating |= frozenset(host.machine for host in leaving[:spare])
-        return vacating | ordered | self._choose_for_upkeep(view, pool, vacating, pending, wanted)
+        vacating |= ordered
+        is_replaceable = spare + _count_free(view) > 0
+        if not is_replaceable:
+            return vacating
+        return vacating | self._choose_for_upkeep(view, pool, vacating, pending, wanted)
 
     def _choose_for_upkeep(
         self,
@@ -172,6 +176,10 @@
     return serving + pool.arriving
 
 
+def _count_free(view: FleetView) -> int:
+    return sum(machine.name not in view.ordered for machine in view.reserve)
+
+
 def _get_leaving_order(host: HostStanding, pending: frozenset[str]) -> tuple[bool, int, int, str]:
     """Order hosts to leave: due for upkeep, nothing lasting, little that runs."""
     return (host.machine not in pending, host.lasting_count, host.run_count, host.machine)
--- a/src/robinthread/_internal/jobs/host.py
+++ b/src/robinthread/_internal/jobs/host.py
@@ -66,11 +66,14 @@
             self.used -= room
 
     def may_take_work(self, now_s: float) -> bool:
-        """Tell whether new work may be placed here."""
+        """Tell whether new work may be placed here, if the host is well."""
         return (
             self.contact is HostContact.ANSWERING
             and self.is_listed
             and not self.record.is_draining
             and now_s >= self.vacating_until_s
-            and now_s >= self.health.paused_until_s
         )
+
+    def is_paused(self, now_s: float) -> bool:
+        """Tell whether the host does not seem well."""
+        return now_s < self.health.paused_until_s
--- a/src/robinthread/_internal/jobs/placement.py
+++ b/src/robinthread/_internal/jobs/placement.py
@@ -31,13 +31,21 @@
     job = pool.jobs[task.key.job_id]
     return (
         host
-        for host in pool.hosts.values()
-        if host.may_take_work(now_s)
-        and task.step.room.fits_in(host.free)
-        and is_allowed(job, task, host)
+        for host in get_usable_hosts(pool, now_s)
+        if task.step.room.fits_in(host.free) and is_allowed(job, task, host)
     )
 
 
+def get_usable_hosts(pool: PoolJobs, now_s: float) -> list[Host]:
+    """Return the hosts that may take work.
+
+    Where more than half seem unwell, it is the jobs that fail: all are used.
+    """
+    hosts = [host for host in pool.hosts.values() if host.may_take_work(now_s)]
+    well = [host for host in hosts if not host.is_paused(now_s)]
+    return well if 2 * len(well) >= len(hosts) else hosts
+
+
 def is_allowed(job: Job, task: Task, host: Host) -> bool:
     """Tell whether a task's labels and its neighbours allow a host."""
     step = task.step
--- a/tests/functional/test_jobs_on_platform.py
+++ b/tests/functional/test_jobs_on_platform.py
@@ -166,6 +166,25 @@
 
         run_virtual(work())
 
+    def test_jobs_that_can_never_be_done_keep_no_host_from_others(self) -> None:
+        async def work() -> None:
+            hopeless = {make_job(number).job_id for number in range(1, 9)}
+
+            def plan(task: TaskKey) -> TaskPlan:
+                end = RunEnd.FAILED if task.job_id in hopeless else RunEnd.DONE
+                return TaskPlan(0.2, Resources(1000, 100), end)
+
+            platform = await start_platform(plan, hosts=2)
+            for number in range(1, 9):
+                await hand_in(platform, "node0", make_job(number))
+            await asyncio.sleep(0.5)
+            spec = make_job(9)
+            await hand_in(platform, "node0", spec)
+            took_s = await wait_for_status(platform, spec.job_id, JobStatus.SUCCEEDED)
+            self.assertTrue(took_s < 2, took_s)
+
+        run_virtual(work())
+
     def test_job_that_can_never_be_done_fails_after_its_attempts(self) -> None:
         async def work() -> None:
             def plan(task: TaskKey) -> TaskPlan:
