Demand as forecast for the time when hosts fetched now would serve

What waits or runs now will be over when a host comes; what counts is what each job's later steps and the jobs still to come will need then, and a share of what waits. A pool keeps hosts for what it needs until then.

--- a/src/robinthread/_internal/fleet/fleet_view.py
+++ b/src/robinthread/_internal/fleet/fleet_view.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass, field
 
 from robinthread._internal.fleet.pool_report import HostStanding, PoolReport
+from robinthread._internal.fleet.sizing import PoolSize
 from robinthread._internal.models.machine import Machine, MachineState
 
 
@@ -88,8 +89,8 @@
 
 @dataclass(frozen=True)
 class FleetPlan:
-    """What to order now, which machines each pool is to empty, and its size wanted."""
+    """What to order now, which machines each pool is to empty, and its size."""
 
     orders: tuple[MoveOrder | UpkeepOrder, ...] = ()
     vacate: dict[str, frozenset[str]] = field(default_factory=dict)
-    wanted: dict[str, int] = field(default_factory=dict)
+    sizes: dict[str, PoolSize] = field(default_factory=dict)
--- a/src/robinthread/_internal/fleet/planner.py
+++ b/src/robinthread/_internal/fleet/planner.py
@@ -20,7 +20,7 @@
     WaveView,
 )
 from robinthread._internal.fleet.pool_report import HostStanding
-from robinthread._internal.fleet.sizing import HOSTS_MIN, count_hosts_needed
+from robinthread._internal.fleet.sizing import HOSTS_MIN, PoolSize, get_pool_size
 from robinthread._internal.models.machine import Machine
 from robinthread._internal.models.resources import NO_RESOURCES, Resources
 
@@ -42,38 +42,41 @@
         """Return the orders to give now."""
         pending = frozenset().union(*(wave.pending for wave in view.waves))
         room = _get_room(view)
-        wanted = {pool.name: count_hosts_needed(pool, room) for pool in view.pools}
+        sizes = {pool.name: get_pool_size(pool.report, room) for pool in view.pools}
         reserve = _Reserve(view, pending)
         slots = {wave.number: wave.free_slots for wave in view.waves}
         orders: list[MoveOrder | UpkeepOrder] = []
         self._vacating = {
-            pool.name: self._choose_vacating(view, pool, pending, wanted[pool.name], now_s)
+            pool.name: self._choose_vacating(view, pool, pending, sizes[pool.name], now_s)
             for pool in view.pools
         }
-        for pool in sorted(view.pools, key=lambda pool: -pool.report.needs_cpu_millicores):
-            lack = wanted[pool.name] - _count_serving(pool, self._vacating[pool.name], view.ordered)
+        for pool in sorted(view.pools, key=lambda pool: -pool.report.fetch_room[0]):
+            lack = sizes[pool.name].fetch_count - _count_serving(
+                pool, self._vacating[pool.name], view.ordered
+            )
             orders += [MoveOrder(machine, pool.name) for machine in reserve.take(lack)]
-        orders += self._order_emptied(view, wanted, slots)
+        orders += self._order_emptied(view, sizes, slots)
         orders += _order_upkeep(view, reserve, slots)
-        return FleetPlan(tuple(orders), self._vacating, wanted)
+        return FleetPlan(tuple(orders), self._vacating, sizes)
 
     def _choose_vacating(
         self,
         view: FleetView,
         pool: PoolView,
         pending: frozenset[str],
-        wanted: int,
+        size: PoolSize,
         now_s: float,
     ) -> frozenset[str]:
         """Return the machines that a pool is to empty."""
         present = {host.machine: host for host in pool.hosts if host.is_usable}
         ordered = frozenset(name for name in present if name in view.ordered)
         vacating = self._vacating.get(pool.name, frozenset()) & present.keys()
-        spare = _count_serving(pool, vacating, view.ordered) - wanted
-        if spare < 0:
+        serving = _count_serving(pool, vacating, view.ordered)
+        if serving < size.keep_count:
             # Hosts that are still here serve sooner than any that are fetched.
             kept = sorted(vacating - ordered, key=lambda name: (name in pending, name))
-            vacating -= frozenset(kept[:-spare])
+            vacating -= frozenset(kept[: size.keep_count - serving])
+        spare = _count_serving(pool, vacating, view.ordered) - size.keep_count
         if spare <= 0:
             self._surplus_since_s.pop(pool.name, None)
         elif now_s - self._surplus_since_s.setdefault(pool.name, now_s) >= SURPLUS_HOLD_S:
@@ -85,7 +88,7 @@
         is_replaceable = spare + _count_free(view) > 0
         if not is_replaceable:
             return vacating
-        return vacating | self._choose_for_upkeep(view, pool, vacating, pending, wanted)
+        return vacating | self._choose_for_upkeep(view, pool, vacating, pending, size)
 
     def _choose_for_upkeep(
         self,
@@ -93,13 +96,13 @@
         pool: PoolView,
         vacating: frozenset[str],
         pending: frozenset[str],
-        wanted: int,
+        size: PoolSize,
     ) -> frozenset[str]:
         """Return the machines to empty for their upkeep, though the pool needs them."""
         due = [host for host in pool.hosts if host.is_usable and host.machine in pending]
         if not due or vacating & pending:
             return frozenset()
-        is_idle = wanted <= HOSTS_MIN
+        is_idle = size.keep_count <= HOSTS_MIN
         is_short = any(_is_short_of_time(wave) for wave in view.waves)
         if not is_idle and not is_short:
             return frozenset()
@@ -107,7 +110,7 @@
         return frozenset(host.machine for host in due[:1])
 
     def _order_emptied(
-        self, view: FleetView, wanted: dict[str, int], slots: dict[int, int]
+        self, view: FleetView, sizes: dict[str, PoolSize], slots: dict[int, int]
     ) -> list[MoveOrder | UpkeepOrder]:
         """Order the machines that have been emptied: to the reserve, or to upkeep.
 
@@ -118,7 +121,7 @@
         orders: list[MoveOrder | UpkeepOrder] = []
         for pool in view.pools:
             vacating = self._vacating[pool.name]
-            spare = _count_serving(pool, vacating, view.ordered) - wanted[pool.name]
+            spare = _count_serving(pool, vacating, view.ordered) - sizes[pool.name].keep_count
             for host in pool.hosts:
                 if not _is_emptied(host, vacating, view.ordered):
                     continue
--- a/src/robinthread/_internal/fleet/pool_report.py
+++ b/src/robinthread/_internal/fleet/pool_report.py
@@ -27,11 +27,13 @@
 
 
 class PoolReport(msgspec.Struct, frozen=True, array_like=True):
-    """How a pool stands: the room its tasks need, and its hosts."""
+    """How a pool stands: the room to fetch and to keep hosts for, and its hosts.
+
+    Rooms are thousandths of a core, MB and accelerators.
+    """
 
     is_owner: bool
-    needs_cpu_millicores: int = 0
-    needs_memory_mb: int = 0
-    needs_gpu_count: int = 0
+    fetch_room: tuple[int, int, int] = (0, 0, 0)
+    keep_room: tuple[int, int, int] = (0, 0, 0)
     has_lasting: bool = False
     hosts: tuple[HostStanding, ...] = ()
--- a/src/robinthread/_internal/jobs/job.py
+++ b/src/robinthread/_internal/jobs/job.py
@@ -100,6 +100,14 @@
         )
         return all(self.count_open(*place) == 0 for place in places)
 
+    def iter_open_occurrences(self) -> Iterator[int]:
+        """Iterate over the occurrences that are due and not done."""
+        return (
+            occurrence
+            for occurrence in range(self.next_occurrence)
+            if any(self.count_open(occurrence, step) for step in range(len(self.spec.steps)))
+        )
+
     def iter_running(self) -> Iterator[Task]:
         """Iterate over the tasks that have a run."""
         return (task for task in self.tasks.values() if task.runs)
--- a/src/robinthread/_internal/jobs/job_timing.py
+++ b/src/robinthread/_internal/jobs/job_timing.py
@@ -1,9 +1,24 @@
 """When a job should be done, and what is left of it."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass
+from typing import Final
 
 from robinthread._internal.jobs.job import Job
 from robinthread._internal.jobs.run_times import RunTimes
+from robinthread._internal.jobs.work import Work, as_work
+
+# Least time that a step counts as taking that should have ended by now.
+OVERDUE_S: Final = 0.2
+
+
+@dataclass(frozen=True, slots=True)
+class StepForecast:
+    """When the tasks of a step that are not done should run, and the room they take."""
+
+    begins_in_s: float
+    ends_in_s: float
+    room: Work
 
 
 def get_slack_s(job: Job, occurrence: int, times: RunTimes, now_ms: int) -> float:
@@ -21,18 +36,63 @@
 
 def get_chain_s(job: Job, times: RunTimes) -> float:
     """Return the longest chain of the job's steps."""
-    return _get_longest_s(job, times, lambda step: True)
+    return max(_get_ends_s(job, times, lambda number: True), default=0.0)
 
 
 def get_remaining_s(job: Job, occurrence: int, times: RunTimes) -> float:
     """Return the longest chain of the steps that are not done."""
-    return _get_longest_s(job, times, lambda step: job.count_open(occurrence, step) > 0)
+    ends_s = _get_ends_s(job, times, lambda number: job.count_open(occurrence, number) > 0)
+    return max(ends_s, default=0.0)
+
+
+def get_work(job: Job, times: RunTimes) -> Work:
+    """Return the work of a job that has not begun."""
+    steps = job.spec.steps
+    parts = (
+        as_work(step.room).scale(step.task_count * times.estimate_s(job.spec.queue, step))
+        for step in steps
+    )
+    return sum(parts, start=Work())
+
 
+def iter_forecasts(
+    job: Job, occurrence: int, times: RunTimes, now_s: float
+) -> Iterator[StepForecast]:
+    """Iterate over the steps that are not done, as if there were room for all at once."""
+    ends_s: list[float] = []
+    for number, step in enumerate(job.spec.steps):
+        open_count = job.count_open(occurrence, number)
+        begins_s = max((ends_s[earlier] for earlier in step.after_steps), default=0.0)
+        if not open_count:
+            ends_s.append(begins_s)
+            continue
+        takes_s = times.estimate_s(job.spec.queue, step)
+        if begins_s == 0.0:
+            ran_s = _get_longest_run_s(job, occurrence, number, now_s)
+            takes_s = max(OVERDUE_S, takes_s - ran_s)
+        ends_s.append(begins_s + takes_s)
+        yield StepForecast(begins_s, ends_s[-1], as_work(step.room).scale(open_count))
 
-def _get_longest_s(job: Job, times: RunTimes, is_counted: Callable[[int], bool]) -> float:
+
+def _get_longest_run_s(job: Job, occurrence: int, step: int, now_s: float) -> float:
+    """Return for how long a step's tasks have run, if all that are open do."""
+    open_tasks = [task for task in job.get_tasks(occurrence, step) if not task.is_done]
+    began_s = [
+        run.present_since_s
+        for task in open_tasks
+        for run in task.runs
+        if run.present_since_s is not None
+    ]
+    if len(began_s) < len(open_tasks):
+        return 0.0
+    return now_s - max(began_s)
+
+
+def _get_ends_s(job: Job, times: RunTimes, is_counted: Callable[[int], bool]) -> list[float]:
+    """Return when each step ends, where only the counted ones take time."""
     ends_s: list[float] = []
     for number, step in enumerate(job.spec.steps):
         begins_s = max((ends_s[earlier] for earlier in step.after_steps), default=0.0)
         takes_s = times.estimate_s(job.spec.queue, step) if is_counted(number) else 0.0
         ends_s.append(begins_s + takes_s)
-    return max(ends_s, default=0.0)
+    return ends_s
--- a/src/robinthread/_internal/models/resources.py
+++ b/src/robinthread/_internal/models/resources.py
@@ -25,6 +25,12 @@
             self.gpu_count - other.gpu_count,
         )
 
+    def scale(self, count: int) -> "Resources":
+        """Return so many times as much."""
+        return Resources(
+            self.cpu_millicores * count, self.memory_mb * count, self.gpu_count * count
+        )
+
     def fits_in(self, room: "Resources") -> bool:
         """Tell whether ``room`` holds this much."""
         return (
--- a/src/robinthread/_internal/node/pool_owner.py
+++ b/src/robinthread/_internal/node/pool_owner.py
@@ -22,6 +22,7 @@
 from robinthread._internal.jobs.stalls import stop_stalled
 from robinthread._internal.models.job_status import JobStatus
 from robinthread._internal.models.queue_policy import QueuePolicy
+from robinthread._internal.models.resources import Resources
 from robinthread._internal.models.upstream_host import UpstreamHost
 from robinthread._internal.node.context import NodeContext
 from robinthread._internal.node.host_follower import HostFollower
@@ -145,7 +146,7 @@
     def report(self, question: FleetQuestion) -> PoolReport:
         """Tell the steward how the pool stands, and empty what it asks for."""
         now_s = get_loop_s()
-        needs = self._demand.read(self.jobs, now_s)
+        demand = self._demand.read(self.jobs, now_s)
         for host in self.jobs.hosts.values():
             is_vacating = host.record.machine in question.vacate
             host.vacating_until_s = now_s + VACATE_S if is_vacating else 0.0
@@ -154,9 +155,8 @@
         self._runtime.wake()
         return PoolReport(
             is_owner=True,
-            needs_cpu_millicores=needs.cpu_millicores,
-            needs_memory_mb=needs.memory_mb,
-            needs_gpu_count=needs.gpu_count,
+            fetch_room=_as_tuple(demand.fetch),
+            keep_room=_as_tuple(demand.keep),
             has_lasting=any(job.spec.is_lasting for job in self.jobs.jobs.values()),
             hosts=tuple(
                 _make_standing(host, now_s) for host in self.jobs.hosts.values() if host.is_listed
@@ -308,6 +308,10 @@
         self.jobs.remove_host(host_id, self._context.get_wall_ms())
 
 
+def _as_tuple(room: Resources) -> tuple[int, int, int]:
+    return room.cpu_millicores, room.memory_mb, room.gpu_count
+
+
 def _make_standing(host: Host, now_s: float) -> HostStanding:
     return HostStanding(
         machine=host.record.machine,
--- a/src/robinthread/_internal/node/steward.py
+++ b/src/robinthread/_internal/node/steward.py
@@ -36,6 +36,7 @@
 )
 from robinthread._internal.fleet.planner import FleetPlanner
 from robinthread._internal.fleet.pool_report import FleetQuestion, PoolReport
+from robinthread._internal.fleet.sizing import PoolSize
 from robinthread._internal.models.machine import Machine, MachineState
 from robinthread._internal.models.upkeep_wave import UpkeepWave
 from robinthread._internal.node.context import NodeContext
@@ -113,7 +114,7 @@
         self._begun: dict[int, set[str]] = {}
         self._seen_at_s: dict[int, float] = {}
         self._shown: dict[int, bool] = {}
-        self._wanted: dict[str, int] = {}
+        self._sizes: dict[str, PoolSize] = {}
         self._vacate: dict[str, frozenset[str]] = {}
         self.fenced = asyncio.Event()
 
@@ -197,20 +198,21 @@
             self._give(order)
 
     def _note_sizes(self, view: FleetView, plan: FleetPlan) -> None:
-        """Write a line for each pool whose wanted size has changed."""
+        """Write a line for each pool whose size has changed."""
         for pool in view.pools:
-            wanted = plan.wanted[pool.name]
-            if self._wanted.get(pool.name) != wanted:
-                self._wanted[pool.name] = wanted
+            size = plan.sizes[pool.name]
+            if self._sizes.get(pool.name) != size:
+                self._sizes[pool.name] = size
                 self._events.write(
                     "pool_sized",
                     pool=pool.name,
-                    wanted=wanted,
+                    fetch_count=size.fetch_count,
+                    keep_count=size.keep_count,
                     usable=sum(host.is_usable for host in pool.hosts),
                     arriving=pool.arriving,
                     vacating=len(plan.vacate[pool.name]),
-                    needs_cpu_millicores=pool.report.needs_cpu_millicores,
-                    needs_memory_mb=pool.report.needs_memory_mb,
+                    fetch_room=pool.report.fetch_room,
+                    keep_room=pool.report.keep_room,
                 )
 
     async def _list_machines(self) -> bool:
