--- a/src/robinthread/_internal/fleet/planner.py
+++ b/src/robinthread/_internal/fleet/planner.py
@@ -7,7 +7,6 @@
 """
 
 import math
-from collections import Counter
 from collections.abc import Iterable
 from itertools import islice
 from typing import Final
@@ -51,16 +50,12 @@
             pool.name: self._choose_vacating(view, pool, pending, sizes[pool.name], now_s)
             for pool in view.pools
         }
-        lacks = Counter(
-            {
-                pool.name: sizes[pool.name].fetch_count
-                - _count_serving(pool, self._vacating[pool.name], view.ordered)
-                for pool in view.pools
-            }
-        )
-        orders += self._order_emptied(view, sizes, slots, lacks)
-        for name, lack in lacks.most_common():
-            orders += [MoveOrder(machine, name) for machine in reserve.take(lack)]
+        for pool in sorted(view.pools, key=lambda pool: -pool.report.fetch_room[0]):
+            lack = sizes[pool.name].fetch_count - _count_serving(
+                pool, self._vacating[pool.name], view.ordered
+            )
+            orders += [MoveOrder(machine, pool.name) for machine in reserve.take(lack)]
+        orders += self._order_emptied(view, sizes, slots)
         orders += _order_upkeep(view, reserve, slots)
         return FleetPlan(tuple(orders), self._vacating, sizes)
 
@@ -115,18 +110,13 @@
         return frozenset(host.machine for host in due[:1])
 
     def _order_emptied(
-        self,
-        view: FleetView,
-        sizes: dict[str, PoolSize],
-        slots: dict[int, int],
-        lacks: Counter[str],
+        self, view: FleetView, sizes: dict[str, PoolSize], slots: dict[int, int]
     ) -> list[MoveOrder | UpkeepOrder]:
-        """Order the machines that have been emptied.
+        """Order the machines that have been emptied: to the reserve, or to upkeep.
 
-        One goes straight to a pool that lacks hosts, which saves a move, else to
-        the reserve; there upkeep costs nothing.  ``slots`` counts, by wave, the
-        machines that may still begin, ``lacks`` the hosts that each pool lacks;
-        both are counted down.
+        Where the pool can do without a machine its upkeep is done in the reserve,
+        which costs nothing.  ``slots`` counts, by wave, the machines that may
+        still begin; it is counted down.
         """
         orders: list[MoveOrder | UpkeepOrder] = []
         for pool in view.pools:
@@ -136,24 +126,14 @@
                 if not _is_emptied(host, vacating, view.ordered):
                     continue
                 wave = next((wave for wave in view.waves if host.machine in wave.pending), None)
-                if wave is not None and (spare < 0 or not view.reserve_pool):
-                    if slots[wave.number] > 0:
-                        slots[wave.number] -= 1
-                        orders.append(UpkeepOrder(host.machine, wave.number))
-                elif wave is None and (lacking := _get_most_lacking(lacks)):
-                    lacks[lacking] -= 1
-                    orders.append(MoveOrder(host.machine, lacking))
-                elif view.reserve_pool:
+                if view.reserve_pool and (wave is None or spare >= 0):
                     orders.append(MoveOrder(host.machine, view.reserve_pool))
+                elif wave is not None and slots[wave.number] > 0:
+                    slots[wave.number] -= 1
+                    orders.append(UpkeepOrder(host.machine, wave.number))
         return orders
 
 
-def _get_most_lacking(lacks: Counter[str]) -> str:
-    """Return the pool that lacks most hosts, or "" where none does."""
-    name, lack = max(lacks.items(), key=lambda item: item[1], default=("", 0))
-    return name if lack > 0 else ""
-
-
 def _is_emptied(host: HostStanding, vacating: frozenset[str], ordered: frozenset[str]) -> bool:
     return (
         host.machine in vacating
--- a/src/robinthread/_internal/jobs/demand.py
+++ b/src/robinthread/_internal/jobs/demand.py
@@ -22,7 +22,7 @@
 # What waits for room should begin within so long of the time hosts come.
 DRAIN_S: Final = 2.0
 # Share of the forecast that is kept free for what chance brings on top.
-HEADROOM_SHARE: Final = 0.0
+HEADROOM_SHARE: Final = 0.2
 # How far ahead hosts are kept for what will run, beyond the time that others need to come.
 KEEP_AHEAD_S: Final = 0.5
 
