--- a/src/robinthread/_internal/fleet/planner.py
+++ b/src/robinthread/_internal/fleet/planner.py
@@ -26,7 +26,7 @@
 
 # How long a pool must have had hosts to spare.  A move costs about as much as 1.1 s
 # of a host, and to fetch the host again costs another and 1.5 s of waiting.
-SURPLUS_HOLD_S: Final = 0.8
+SURPLUS_HOLD_S: Final = 0.4
 # How long a machine takes to be emptied and kept up, at the end of a wave.
 UPKEEP_ROUND_S: Final = 6.0
 
--- a/src/robinthread/_internal/fleet/sizing.py
+++ b/src/robinthread/_internal/fleet/sizing.py
@@ -8,7 +8,7 @@
 from robinthread._internal.models.resources import Resources
 
 # Share of a host's room that tasks of mixed sizes fill in practice.
-FILL_SHARE: Final = 0.9
+FILL_SHARE: Final = 1.0
 # Hosts of a pool that has nothing to do: one may fail, and the next job should not
 # wait for a move.
 HOSTS_MIN: Final = 2
--- a/src/robinthread/_internal/jobs/demand.py
+++ b/src/robinthread/_internal/jobs/demand.py
@@ -14,7 +14,7 @@
 
 # Jobs handed in within twice so long tell the rate at which work arrives; those of
 # the later half, against those of the earlier one, whether it rises.
-RATE_WINDOW_S: Final = 0.6
+RATE_WINDOW_S: Final = 0.9
 # A rise counts that is so many times what chance alone brings.
 RISE_DEVIATIONS_MIN: Final = 1.2
 # Weight of a new job in the mean work of a job: some ten are remembered.
@@ -22,7 +22,7 @@
 # What waits for room should begin within so long of the time hosts come.
 DRAIN_S: Final = 2.0
 # Share of the forecast that is kept free for what chance brings on top.
-HEADROOM_SHARE: Final = 0.2
+HEADROOM_SHARE: Final = 0.0
 # How far ahead hosts are kept for what will run, beyond the time that others need to come.
 KEEP_AHEAD_S: Final = 0.5
 
--- a/src/robinthread/_internal/jobs/placement.py
+++ b/src/robinthread/_internal/jobs/placement.py
@@ -4,15 +4,16 @@
 
 from robinthread._internal.jobs.host import Host
 from robinthread._internal.jobs.job import Job
+from robinthread._internal.jobs.job_timing import get_slack_s
 from robinthread._internal.jobs.pool_jobs import PoolJobs
 from robinthread._internal.jobs.task import Task
 from robinthread._internal.models.job_spec import StepSpec
 
 
-def place_waiting(pool: PoolJobs, now_s: float) -> int:
+def place_waiting(pool: PoolJobs, now_s: float, now_ms: int) -> int:
     """Place the tasks that fit somewhere, most urgent first; return how many."""
     placed = 0
-    for task in sorted(pool.waiting.values(), key=lambda task: _get_order(pool, task)):
+    for task in _sort_waiting(pool, now_ms):
         host = choose_host(pool, task, now_s)
         if host is not None:
             pool.place(task, host)
@@ -60,9 +61,37 @@
     return sum((key.job_id, key.occurrence, key.step) == place for key, _number in host.runs)
 
 
-def _get_order(pool: PoolJobs, task: Task) -> tuple[int, int, int, int]:
-    job = pool.jobs[task.key.job_id]
-    return (job.policy.priority, job.offset, task.key.step, task.key.index)
+def _sort_waiting(pool: PoolJobs, now_ms: int) -> list[Task]:
+    """Order the waiting tasks: urgent queues first, then jobs that can be on time.
+
+    Of these the one that can wait least goes first.  A job that will be late earns
+    little more by being done sooner, and would make others late as well.
+    """
+    order = {
+        place: _get_order(pool, place, now_ms)
+        for place in {(task.key.job_id, task.key.occurrence) for task in pool.waiting.values()}
+    }
+    return sorted(
+        pool.waiting.values(),
+        key=lambda task: (
+            order[task.key.job_id, task.key.occurrence],
+            task.key.step,
+            task.key.index,
+        ),
+    )
+
+
+def _get_order(
+    pool: PoolJobs, place: tuple[str, int], now_ms: int
+) -> tuple[int, bool, bool, float, int, int]:
+    job_id, occurrence = place
+    job = pool.jobs[job_id]
+    if job.spec.is_lasting:
+        return (job.policy.priority, False, False, 0.0, job.offset, occurrence)
+    slack_s = get_slack_s(job, occurrence, pool.run_times, now_ms)
+    is_late = slack_s < 0
+    rank_s = 0.0 if is_late else slack_s
+    return (job.policy.priority, True, is_late, rank_s, job.offset, occurrence)
 
 
 def _get_worth(host: Host, task: Task) -> tuple[bool, bool, int, float]:
--- a/src/robinthread/_internal/jobs/pool_jobs.py
+++ b/src/robinthread/_internal/jobs/pool_jobs.py
@@ -56,6 +56,8 @@
         for task in job.iter_running():
             for run in task.runs:
                 run.phase = RunPhase.SENDING
+                # It may have begun long ago: its end says nothing of how long it took.
+                run.is_resumed = True
                 run.settled_at_s = now_s
                 self._get_host(run.host_id).add_run(run, task.step.room)
         return job
--- a/src/robinthread/_internal/node/pool_owner.py
+++ b/src/robinthread/_internal/node/pool_owner.py
@@ -239,7 +239,7 @@
             if now_s >= next_tick_s:
                 next_tick_s = now_s + TICK_S
                 self._tick(now_s)
-            place_waiting(self.jobs, now_s)
+            place_waiting(self.jobs, now_s, self._context.get_wall_ms())
             stops, self.jobs.to_stop = self.jobs.to_stop, []
             for run in stops:
                 self._runtime.spawn(self._orders.send_stop(run))
--- a/src/robinthread/_internal/node/steward.py
+++ b/src/robinthread/_internal/node/steward.py
@@ -191,6 +191,9 @@
         await self._show_waves()
         view = self._make_view(reports)
         plan = self._planner.plan(view, get_loop_s())
+        for pool, machines in plan.vacate.items():
+            if machines != self._vacate.get(pool, frozenset()):
+                self._events.write("machines_vacating", pool=pool, machines=sorted(machines))
         self._vacate = plan.vacate
         self._note_sizes(view, plan)
         await self._record_orders(plan.orders)
