--- a/src/robinthread/_internal/durable/ownership.py
+++ b/src/robinthread/_internal/durable/ownership.py
@@ -10,7 +10,7 @@
 
 import msgspec
 
-from robinthread._internal.durable.errors import StoreConditionError
+from robinthread._internal.durable.errors import StoreConditionError, StoreRefusedError
 from robinthread._internal.durable.keyed_follower import KeyedFollower
 from robinthread._internal.durable.store import KeyedRecord, Partition, Store
 from robinthread._internal.telemetry.event_log import EventLog
@@ -80,7 +80,7 @@
     async def _put(self, records: dict[str, OwnerRecord]) -> bool:
         end = self.follower.next_offset
         if end is None:
-            return False
+            raise StoreRefusedError("the owners have not been read")
         entries = [
             KeyedRecord(pool, msgspec.msgpack.encode(record)) for pool, record in records.items()
         ]
--- a/src/robinthread/_internal/node/assembly.py
+++ b/src/robinthread/_internal/node/assembly.py
@@ -14,11 +14,13 @@
 from robinthread._internal.node.context import NodeContext
 from robinthread._internal.node.election import Election
 from robinthread._internal.node.environment import NodeEnvironment
+from robinthread._internal.node.handover import Handover
 from robinthread._internal.node.host_directory import HostDirectory
 from robinthread._internal.node.job_gate import JobGate
 from robinthread._internal.node.node import Node
 from robinthread._internal.node.node_settings import NodeSettings
 from robinthread._internal.node.owned_pools import OwnedPools
+from robinthread._internal.node.peer_answers import PeerAnswers
 from robinthread._internal.node.steward import Steward
 
 RETRY_PAUSE_S: Final = 0.2
@@ -38,6 +40,7 @@
     node: Node
     gate: JobGate
     owned: OwnedPools
+    answers: PeerAnswers
     config_holder: ConfigHolder
 
 
@@ -76,12 +79,13 @@
     writer = GroupWriter(
         store, INBOX_PARTITION, f"entry/{me.node}/{me.life}", settings.store.call_max_bytes
     )
-    gate = JobGate(me, writer, owned, table, environment.peers, events)
+    gate = JobGate(me, writer, owned, table, election, environment.peers, events)
+    handover = Handover(me, table, election, owned, environment.peers, events)
 
     def make_steward(token: int, turn_s: float) -> Steward:
         return Steward(context, environment, table, owned, me, token, turn_s)
 
-    node = Node(context, me, table, election, owned, make_steward, (hosts, inbox))
+    node = Node(context, me, table, election, owned, make_steward, handover, (hosts, inbox))
     for work in (
         operators.run(),
         hosts.run(),
@@ -92,7 +96,8 @@
         node.run(),
     ):
         node.spawn(work)
-    return AssembledNode(node, gate, owned, config_holder)
+    answers = PeerAnswers(owned, gate, handover)
+    return AssembledNode(node, gate, owned, answers, config_holder)
 
 
 async def _read_to_end(follower: KeyedFollower) -> None:
--- a/src/robinthread/_internal/node/election.py
+++ b/src/robinthread/_internal/node/election.py
@@ -22,6 +22,10 @@
 MEMBER_TTL_S: Final = 1.2
 # How often a member says that it lives: three times within its time to live.
 JOIN_PERIOD_S: Final = 0.4
+# How often a member tries whom the store does not serve.
+REJOIN_PERIOD_S: Final = 0.1
+# After so many failures in a row the store does not serve this node: one may be lost.
+FAILURES_MIN: Final = 3
 # How long an owner must be missing from the members: while partitions pass from
 # one member to another, a living one may hold none for a moment.
 MISSING_CONFIRM_S: Final = 0.5
@@ -58,6 +62,7 @@
         self._missing_since_s: dict[str, float] = {}
         self._steady_since_s = math.inf
         self.last_join_at_s = 0.0
+        self._failure_count = 0
         self._turn = asyncio.Lock()
         self.is_leaving = False
 
@@ -73,7 +78,8 @@
                 self._steady_since_s = math.inf
                 self._missing_since_s.clear()
                 self._is_stale = True
-            await asyncio.sleep(JOIN_PERIOD_S)
+                self._failure_count += 1
+            await asyncio.sleep(REJOIN_PERIOD_S if self._failure_count else JOIN_PERIOD_S)
 
     async def leave(self) -> None:
         """Stop being a member; a join under way must not follow."""
@@ -81,6 +87,21 @@
         async with self._turn:
             await self._store.leave(GROUP, self._name)
 
+    @property
+    def members(self) -> frozenset[Member]:
+        """Return the members as last heard."""
+        return self._members
+
+    @property
+    def is_cut_off(self) -> bool:
+        """Tell whether the store does not serve this node."""
+        return self._failure_count >= FAILURES_MIN
+
+    @property
+    def may_take(self) -> bool:
+        """Tell whether the store serves this node and it is to stay."""
+        return not self._failure_count and not self.is_leaving and self._is_settled()
+
     def is_living(self, member: Member) -> bool:
         """Tell whether a process is a member now."""
         return member in self._members
@@ -91,7 +112,7 @@
         config = self._config_holder.config
         if config is None or self.is_leaving or self._steady_since_s == math.inf:
             return []
-        if now_s - self._steady_since_s < SETTLE_S:
+        if not self._is_settled():
             return self._get_former_pools()
         living = self._members | {self._me}
         loads = Counter(
@@ -115,6 +136,10 @@
                 pools.append(pool)
         return pools
 
+    def _is_settled(self) -> bool:
+        """Tell whether the members have been heard for a while without a gap."""
+        return asyncio.get_running_loop().time() - self._steady_since_s >= SETTLE_S
+
     def _get_former_pools(self) -> list[str]:
         """Return the pools of this node's former life: that one has surely ended."""
         return [
@@ -148,6 +173,7 @@
         )
         now_s = asyncio.get_running_loop().time()
         self.last_join_at_s = now_s
+        self._failure_count = 0
         if self._steady_since_s == math.inf:
             self._steady_since_s = now_s
         if membership.generation != self._generation or self._is_stale or self._missing_since_s:
--- /dev/null
+++ b/src/robinthread/_internal/node/handover.py
@@ -0,0 +1,103 @@
+"""Passing pools to another node while the store does not serve this one.
+
+The store may turn one node away and serve the others.  Those would notice only
+when the node's membership has lapsed; the node itself knows at once.
+"""
+
+import asyncio
+from typing import Final
+
+from robinthread._internal.durable.errors import StoreError
+from robinthread._internal.durable.ownership import Member, OwnerTable
+from robinthread._internal.node.election import Election
+from robinthread._internal.node.owned_pools import OwnedPools
+from robinthread._internal.node.peer_calls import PeerCalls, PeerUnreachableError
+from robinthread._internal.node.peer_messages import (
+    StoreAnswer,
+    StoreQuestion,
+    TakeAnswer,
+    TakeQuestion,
+)
+from robinthread._internal.telemetry.event_log import EventLog
+from robinthread._internal.utils.rendezvous import get_rendezvous_weight
+
+# Two appends and a read of the store, each of which may be slow.
+TAKE_TIMEOUT_S: Final = 1.0
+
+
+class Handover:
+    """Finds a node that the store serves, and takes over what others pass on.
+
+    ``stopped_tokens`` are the tokens of owners that stopped before they passed
+    their pool on: by pool, the newest.
+    """
+
+    def __init__(
+        self,
+        me: Member,
+        table: OwnerTable,
+        election: Election,
+        owned: OwnedPools,
+        peers: PeerCalls,
+        events: EventLog,
+    ) -> None:
+        self._me = me
+        self._table = table
+        self._election = election
+        self._owned = owned
+        self._peers = peers
+        self._events = events
+        self.stopped_tokens: dict[str, int] = {}
+
+    async def find_taker(self) -> Member | None:
+        """Return the node with the fewest pools of those that the store serves."""
+        others = sorted(self._election.members - {self._me})
+        answers = await asyncio.gather(*map(self._ask_store, others))
+        served = [
+            (answer.owned_count, get_rendezvous_weight(self._me.node, member.node), member)
+            for member, answer in zip(others, answers, strict=True)
+            if answer.is_served
+        ]
+        return min(served)[2] if served else None
+
+    async def pass_on(self, taker: Member, tokens: dict[str, int]) -> None:
+        """Have a node take pools over whose owner here has stopped."""
+        try:
+            answer = await self._peers.ask(
+                taker.address, TakeQuestion(tokens), TakeAnswer, TAKE_TIMEOUT_S
+            )
+        except PeerUnreachableError as error:
+            # Whoever owns them next takes them when this node's membership has lapsed.
+            self._events.write("pools_not_passed_on", taker=taker.node, error=str(error))
+            return
+        self._events.write(
+            "pools_passed_on", taker=taker.node, tokens=tokens, taken=sorted(answer.taken)
+        )
+
+    def answer_store(self) -> StoreAnswer:
+        """Tell whether the store serves this node."""
+        return StoreAnswer(self._election.may_take, len(self._owned.owners))
+
+    async def answer_take(self, question: TakeQuestion) -> TakeAnswer:
+        """Take over the pools whose owners have not changed meanwhile."""
+        taken = []
+        for pool, token in question.tokens.items():
+            found = self._table.get(pool)
+            if found is None or found.token != token or not self._election.may_take:
+                continue
+            self.stopped_tokens[pool] = token
+            try:
+                if await self._table.take(pool, self._me):
+                    taken.append(pool)
+            except StoreError as error:
+                self._events.write(
+                    "take_failed", pool=pool, error=f"{type(error).__name__}: {error}"
+                )
+        return TakeAnswer(tuple(taken))
+
+    async def _ask_store(self, member: Member) -> StoreAnswer:
+        try:
+            return await self._peers.ask(member.address, StoreQuestion(), StoreAnswer)
+        except PeerUnreachableError:
+            # A node that does not answer is no candidate; nothing else follows from it.
+            return StoreAnswer(is_served=False, owned_count=0)
--- a/src/robinthread/_internal/node/job_gate.py
+++ b/src/robinthread/_internal/node/job_gate.py
@@ -10,23 +10,35 @@
 from robinthread._internal.durable.group_writer import GroupWriter
 from robinthread._internal.durable.inbox_records import make_cancel_record, make_job_record
 from robinthread._internal.durable.ownership import Member, OwnerTable
+from robinthread._internal.durable.store import KeyedRecord
 from robinthread._internal.models.job_spec import JobSpec
 from robinthread._internal.models.job_status import JobStatus
 from robinthread._internal.models.queue_policy import QueuePolicy
+from robinthread._internal.node.election import Election
 from robinthread._internal.node.owned_pools import OwnedPools
-from robinthread._internal.node.peer_calls import PeerCalls, PeerUnreachableError
+from robinthread._internal.node.peer_calls import (
+    PeerCalls,
+    PeerUnreachableError,
+    PeerUnsentError,
+)
 from robinthread._internal.node.peer_messages import (
     JobAnswer,
     JobQuestion,
     PendingAnswer,
     PendingQuestion,
+    RelayAnswer,
+    RelayQuestion,
 )
 from robinthread._internal.telemetry.event_log import EventLog
+from robinthread._internal.utils.rendezvous import get_rendezvous_weight
 
 # How old a count of pending jobs may be; callers bear 2 s.
 PENDING_AGE_MAX_S: Final = 0.8
 # Accepted ids that are remembered, to answer repeats without another record.
 ACCEPTED_KEPT_MAX: Final = 20_000
+# Nodes asked in turn to append what the store does not take here: those that the
+# store turns away as well refuse within some milliseconds.
+RELAYS_MAX: Final = 3
 
 
 class GateOutcome(enum.Enum):
@@ -55,10 +67,12 @@
         writer: GroupWriter,
         owned: OwnedPools,
         table: OwnerTable,
+        election: Election,
         peers: PeerCalls,
         events: EventLog,
     ) -> None:
         self._me = me
+        self._election = election
         self._writer = writer
         self._owned = owned
         self._table = table
@@ -133,7 +147,7 @@
         if owner.owner == self._me:
             return await self._owned.answer_job(question)
         try:
-            return await self._peers.ask(owner.owner.address, "/job", question, JobAnswer)
+            return await self._peers.ask(owner.owner.address, question, JobAnswer)
         except PeerUnreachableError as error:
             self._note_unreachable(pool, owner.owner, error)
             return JobAnswer(is_owner=False)
@@ -147,7 +161,7 @@
             return self._owned.answer_pending(question)
         try:
             address = owner.owner.address
-            return await self._peers.ask(address, "/pending", question, PendingAnswer)
+            return await self._peers.ask(address, question, PendingAnswer)
         except PeerUnreachableError as error:
             self._note_unreachable(pool, owner.owner, error)
             return PendingAnswer(is_owner=False)
@@ -155,11 +169,63 @@
     def _note_unreachable(self, pool: str, owner: Member, error: Exception) -> None:
         self._events.write("owner_unreachable", pool=pool, owner=owner.node, error=str(error))
 
-    async def _write(self, record, deadline_s: float) -> GateOutcome:  # type: ignore[no-untyped-def]
+    async def write_relayed(self, record: KeyedRecord, deadline_s: float) -> GateOutcome:
+        """Append a record for a node that the store does not serve."""
+        if self._election.is_cut_off:
+            return GateOutcome.REFUSED
+        return await self._append(record, deadline_s)
+
+    async def _write(self, record: KeyedRecord, deadline_s: float) -> GateOutcome:
+        """Append a record, here or through another node."""
+        outcome = GateOutcome.REFUSED
+        if not self._election.is_cut_off:
+            outcome = await self._append(record, deadline_s)
+        if outcome is GateOutcome.REFUSED:
+            outcome = await self._relay(record, deadline_s)
+        if outcome is GateOutcome.REFUSED:
+            self._events.write("request_refused", key=record.key)
+        return outcome
+
+    async def _relay(self, record: KeyedRecord, deadline_s: float) -> GateOutcome:
+        """Have another node append a record; refused where none will."""
+        others = sorted(
+            self._election.members - {self._me},
+            key=lambda member: get_rendezvous_weight(record.key, member.node),
+        )
+        for member in others[:RELAYS_MAX]:
+            outcome = await self._relay_to(member, record, deadline_s)
+            if outcome is not GateOutcome.REFUSED:
+                return outcome
+        return GateOutcome.REFUSED
+
+    async def _relay_to(
+        self, member: Member, record: KeyedRecord, deadline_s: float
+    ) -> GateOutcome:
+        left_s = deadline_s - asyncio.get_running_loop().time()
+        if left_s <= 0:
+            return GateOutcome.REFUSED
+        question = RelayQuestion(record.key, record.value or b"", left_s)
+        try:
+            answer = await self._peers.ask(member.address, question, RelayAnswer, left_s)
+        except PeerUnsentError:
+            return GateOutcome.REFUSED
+        except PeerUnreachableError as error:
+            self._events.write(
+                "request_unknown", key=record.key, relay=member.node, error=str(error)
+            )
+            return GateOutcome.UNKNOWN
+        outcome = GateOutcome(answer.outcome)
+        if outcome is not GateOutcome.REFUSED:
+            self._events.write(
+                "request_relayed", key=record.key, relay=member.node, outcome=outcome.value
+            )
+        return outcome
+
+    async def _append(self, record: KeyedRecord, deadline_s: float) -> GateOutcome:
         try:
             await self._writer.write(record, deadline_s)
         except StoreRefusedError as error:
-            self._events.write("request_refused", key=record.key, error=str(error))
+            self._events.write("append_refused", key=record.key, error=str(error))
             return GateOutcome.REFUSED
         except StoreNoAnswerError as error:
             self._events.write("request_unknown", key=record.key, error=str(error))
--- a/src/robinthread/_internal/node/node.py
+++ b/src/robinthread/_internal/node/node.py
@@ -9,6 +9,7 @@
 from robinthread._internal.durable.ownership import Member, OwnerTable
 from robinthread._internal.node.context import NodeContext
 from robinthread._internal.node.election import FLEET, Election
+from robinthread._internal.node.handover import Handover
 from robinthread._internal.node.owned_pools import OwnedPools
 from robinthread._internal.node.pool_owner import PoolOwner
 from robinthread._internal.node.steward import Steward
@@ -33,6 +34,7 @@
         election: Election,
         owned: OwnedPools,
         make_steward: MakeSteward,
+        handover: Handover,
         followers: tuple[KeyedFollower, ...],
     ) -> None:
         self._context = context
@@ -42,6 +44,7 @@
         self._election = election
         self._owned = owned
         self._make_steward = make_steward
+        self._handover = handover
         self._followers = followers
         self._steward: Steward | None = None
         self._tasks: set[asyncio.Task[Any]] = set()
@@ -78,10 +81,11 @@
         while True:
             self._table.changed.clear()
             await self._let_go()
+            await self._pass_on()
+            await self._release_closed()
             self._open_taken()
             self._follow_if_needed()
-            for pool in self._election.get_pools_to_take():
-                await self._take(pool)
+            await self._take_free()
             await wait_for_event(self._table.changed, LOOK_PERIOD_S)
 
     async def stop(self) -> None:
@@ -99,6 +103,37 @@
         except StoreError as error:
             self._events.write("leave_failed", error=str(error))
 
+    async def _pass_on(self) -> None:
+        """Pass on what is owned here while the store serves others and not this node.
+
+        Owners stop first: the next ones need not wait for orders of theirs.
+        """
+        if not self._election.is_cut_off or not (self._owned.owners or self._steward):
+            return
+        taker = await self._handover.find_taker()
+        if taker is None:
+            return
+        tokens = {owner.pool: owner.token for owner in self._owned.owners.values()}
+        await asyncio.gather(*map(self._close, list(self._owned.owners.values())))
+        if self._steward is not None:
+            tokens[FLEET] = self._steward.token
+            await self._close_steward(self._steward)
+        await self._handover.pass_on(taker, tokens)
+
+    async def _release_closed(self) -> None:
+        """Give back what is recorded as ours and closed for good: nobody else would take it."""
+        closed = [
+            pool
+            for pool, found in self._table.owners.items()
+            if found.owner == self._me
+            and not found.is_released
+            and found.token <= self._spent_tokens.get(pool, 0)
+            and pool not in self._owned.owners
+            and (pool != FLEET or self._steward is None)
+        ]
+        if closed and not self._election.is_cut_off:
+            await self._release(closed)
+
     async def _release_spent(self, pool: str, token: int) -> None:
         """Give back what is still ours but cannot be used any more."""
         found = self._table.owners.get(pool)
@@ -111,13 +146,21 @@
         except StoreError as error:
             self._events.write("release_failed", pools=pools, error=str(error))
 
-    async def _take(self, pool: str) -> None:
+    async def _take_free(self) -> None:
+        """Take the pools that are free, one by one: each take may change who takes the next."""
+        while pools := self._election.get_pools_to_take():
+            if not await self._take(pools[0]):
+                return
+
+    async def _take(self, pool: str) -> bool:
+        """Take a pool; return whether that succeeded."""
         try:
-            await self._table.take(pool, self._me)
+            is_taken = await self._table.take(pool, self._me)
         except StoreError as error:
             self._events.write("take_failed", pool=pool, error=f"{type(error).__name__}: {error}")
-            return
+            return False
         self._open_taken()
+        return is_taken
 
     def _open_taken(self) -> None:
         for pool, found in list(self._table.owners.items()):
@@ -159,13 +202,16 @@
         await self._drop_steward(steward)
 
     async def _drop_steward(self, steward: Steward) -> None:
-        self._spent_tokens[FLEET] = max(steward.token, self._spent_tokens.get(FLEET, 0))
-        steward.fenced.set()
         if self._steward is steward:
-            self._steward = None
-            await steward.stop()
+            await self._close_steward(steward)
             await self._release_spent(FLEET, steward.token)
 
+    async def _close_steward(self, steward: Steward) -> None:
+        self._spent_tokens[FLEET] = max(steward.token, self._spent_tokens.get(FLEET, 0))
+        steward.fenced.set()
+        self._steward = None
+        await steward.stop()
+
     def _follow_if_needed(self) -> None:
         """Follow hosts and jobs only while pools are owned here: each read is paid for."""
         for follower in self._followers:
@@ -181,6 +227,7 @@
             previous is not None
             and not previous.is_released
             and previous.owner.node != self._me.node
+            and previous.token > self._handover.stopped_tokens.get(pool, 0)
         )
 
     async def _run_owner(self, owner: PoolOwner) -> None:
@@ -203,8 +250,13 @@
                 await self._drop(owner)
 
     async def _drop(self, owner: PoolOwner) -> None:
-        self._spent_tokens[owner.pool] = owner.token
+        await self._close(owner)
+        await self._release_spent(owner.pool, owner.token)
+
+    async def _close(self, owner: PoolOwner) -> None:
+        """Stop owning a pool under its token for good."""
         if self._owned.owners.get(owner.pool) is owner:
+            self._spent_tokens[owner.pool] = owner.token
             del self._owned.owners[owner.pool]
-        await owner.stop()
-        await self._release_spent(owner.pool, owner.token)
+            owner.fenced.set()
+            await owner.stop()
--- a/src/robinthread/_internal/node/peer_client.py
+++ b/src/robinthread/_internal/node/peer_client.py
@@ -1,17 +1,18 @@
 """Asking other nodes over HTTP."""
 
-from typing import Final, TypeVar
+from typing import TypeVar
 
 import msgspec
 from tornado.httpclient import AsyncHTTPClient
 
-from robinthread._internal.node.peer_calls import PeerUnreachableError
+from robinthread._internal.node.peer_calls import (
+    ASK_TIMEOUT_S,
+    PeerUnreachableError,
+    PeerUnsentError,
+)
+from robinthread._internal.node.peer_messages import QUESTION_PATHS
 from robinthread._internal.utils.http_call import CallLostError, CallUnsentError, call
 
-# A peer answers from memory within some milliseconds; one that runs five times
-# slower needs some 50.
-ASK_TIMEOUT_S: Final = 0.4
-
 T = TypeVar("T")
 
 
@@ -22,18 +23,24 @@
         self._client = client
 
     async def ask(
-        self, address: str, path: str, question: msgspec.Struct, answer_type: type[T]
+        self,
+        address: str,
+        question: msgspec.Struct,
+        answer_type: type[T],
+        timeout_s: float = ASK_TIMEOUT_S,
     ) -> T:
         """Ask a node; raise ``PeerUnreachableError``."""
         try:
             response = await call(
                 self._client,
-                f"http://{address}{path}",
-                timeout_s=ASK_TIMEOUT_S,
+                f"http://{address}{QUESTION_PATHS[type(question)]}",
+                timeout_s=timeout_s,
                 body=msgspec.msgpack.encode(question),
             )
             if response.code != 200:
                 raise PeerUnreachableError(f"status {response.code}")
             return msgspec.msgpack.decode(response.body, type=answer_type)
-        except (CallUnsentError, CallLostError, msgspec.MsgspecError) as error:
+        except CallUnsentError as error:
+            raise PeerUnsentError(str(error)) from error
+        except (CallLostError, msgspec.MsgspecError) as error:
             raise PeerUnreachableError(str(error)) from error
--- a/src/robinthread/_internal/node/peer_messages.py
+++ b/src/robinthread/_internal/node/peer_messages.py
@@ -1,7 +1,11 @@
-"""Messages between nodes."""
+"""Messages between nodes, and the path on which each question is asked."""
+
+from typing import Final
 
 import msgspec
 
+from robinthread._internal.fleet.pool_report import FleetQuestion
+
 
 class JobQuestion(msgspec.Struct, frozen=True, array_like=True):
     """Ask a pool's owner for a job."""
@@ -33,3 +37,50 @@
 
     is_owner: bool
     counts: dict[str, int] = {}
+
+
+class StoreQuestion(msgspec.Struct, frozen=True, array_like=True):
+    """Ask a node whether the store serves it."""
+
+
+class StoreAnswer(msgspec.Struct, frozen=True, array_like=True):
+    """Whether the store serves a node, and how many pools the node owns."""
+
+    is_served: bool
+    owned_count: int
+
+
+class TakeQuestion(msgspec.Struct, frozen=True, array_like=True):
+    """Ask a node to take pools over; ``tokens`` are those of their owner, which has stopped."""
+
+    tokens: dict[str, int]
+
+
+class TakeAnswer(msgspec.Struct, frozen=True, array_like=True):
+    """The pools that were taken over."""
+
+    taken: tuple[str, ...]
+
+
+class RelayQuestion(msgspec.Struct, frozen=True, array_like=True):
+    """Ask a node to append a record to the inbox, within ``left_s`` seconds."""
+
+    key: str
+    value: bytes
+    left_s: float
+
+
+class RelayAnswer(msgspec.Struct, frozen=True, array_like=True):
+    """Outcome of a relayed record: the value of a ``GateOutcome``."""
+
+    outcome: str
+
+
+QUESTION_PATHS: Final[dict[type[msgspec.Struct], str]] = {
+    JobQuestion: "/job",
+    PendingQuestion: "/pending",
+    FleetQuestion: "/fleet",
+    StoreQuestion: "/store",
+    TakeQuestion: "/take",
+    RelayQuestion: "/relay",
+}
--- a/src/robinthread/_internal/node/peer_server.py
+++ b/src/robinthread/_internal/node/peer_server.py
@@ -1,60 +1,39 @@
-"""Answering other nodes."""
+"""Answering other nodes over HTTP."""
 
 import msgspec
 from tornado.web import Application, RequestHandler
 
-from robinthread._internal.fleet.pool_report import FleetQuestion
-from robinthread._internal.node.owned_pools import OwnedPools
-from robinthread._internal.node.peer_messages import JobQuestion, PendingQuestion
+from robinthread._internal.node.peer_answers import PeerAnswers
+from robinthread._internal.node.peer_messages import QUESTION_PATHS
 
 
-class JobQuestionHandler(RequestHandler):
-    """Answers what a pool's owner knows of a job."""
+class QuestionHandler(RequestHandler):
+    """Answers questions of one kind."""
 
-    def initialize(self, owned: OwnedPools) -> None:  # type: ignore[override]
-        """Take the pools owned here."""
-        self._owned = owned
+    def initialize(  # type: ignore[override]
+        self, answers: PeerAnswers, question_type: type[msgspec.Struct]
+    ) -> None:
+        """Take what answers, and the kind of question."""
+        self._answers = answers
+        self._question_type = question_type
 
     async def post(self) -> None:
         """Answer one question."""
-        question = msgspec.msgpack.decode(self.request.body, type=JobQuestion)
-        self.finish(msgspec.msgpack.encode(await self._owned.answer_job(question)))
+        try:
+            question = msgspec.msgpack.decode(self.request.body, type=self._question_type)
+        except msgspec.MsgspecError:
+            self.set_status(400)
+            self.finish()
+            return
+        self.finish(msgspec.msgpack.encode(await self._answers.answer(question)))
 
 
-class PendingQuestionHandler(RequestHandler):
-    """Answers how many jobs of a pool are pending."""
-
-    def initialize(self, owned: OwnedPools) -> None:  # type: ignore[override]
-        """Take the pools owned here."""
-        self._owned = owned
-
-    async def post(self) -> None:
-        """Answer one question."""
-        question = msgspec.msgpack.decode(self.request.body, type=PendingQuestion)
-        self.finish(msgspec.msgpack.encode(self._owned.answer_pending(question)))
-
-
-class FleetQuestionHandler(RequestHandler):
-    """Answers how a pool stands."""
-
-    def initialize(self, owned: OwnedPools) -> None:  # type: ignore[override]
-        """Take the pools owned here."""
-        self._owned = owned
-
-    async def post(self) -> None:
-        """Answer one question."""
-        question = msgspec.msgpack.decode(self.request.body, type=FleetQuestion)
-        self.finish(msgspec.msgpack.encode(self._owned.answer_fleet(question)))
-
-
-def make_peer_application(owned: OwnedPools) -> Application:
+def make_peer_application(answers: PeerAnswers) -> Application:
     """Make the listener for other nodes."""
-    arguments = {"owned": owned}
     return Application(
         [
-            ("/job", JobQuestionHandler, arguments),
-            ("/pending", PendingQuestionHandler, arguments),
-            ("/fleet", FleetQuestionHandler, arguments),
+            (path, QuestionHandler, {"answers": answers, "question_type": question_type})
+            for question_type, path in QUESTION_PATHS.items()
         ],
         log_function=lambda handler: None,
     )
--- a/src/robinthread/_internal/node/pool_owner.py
+++ b/src/robinthread/_internal/node/pool_owner.py
@@ -82,6 +82,7 @@
         self._host_tasks: dict[str, asyncio.Task[None]] = {}
         self._demand = DemandMeter(context.settings.bounds.machine_move_s + HOST_START_S)
         self._ended_hosts: set[str] = set()
+        self._is_stopped = False
         self.is_open = False
 
     @property
@@ -96,6 +97,8 @@
             self._context.read_inbox_to_end(),
             self._context.read_hosts_to_end(),
         )
+        if self._is_stopped:
+            return
         self._context.job_index.listen(self._take_job)
         self._context.host_directory.listen(self._update_hosts)
         self._update_hosts()
@@ -123,11 +126,13 @@
             if is_planned and not self.fenced.is_set():
                 await self._recorder.flush(FLUSH_WAIT_S)
         self.is_open = False
+        self._is_stopped = True
         await self._runtime.cancel_all()
         self._events.write("pool_closed", pool=self.pool, token=self.token, planned=is_planned)
 
     def cancel(self) -> None:
         """End at once, recording nothing."""
+        self._is_stopped = True
         self._runtime.cancel()
 
     def get_status(self, job_id: str) -> JobStatus | None:
--- a/src/robinthread/_internal/node/steward.py
+++ b/src/robinthread/_internal/node/steward.py
@@ -255,7 +255,7 @@
         if owner.owner == self._me:
             return self._owned.answer_fleet(question)
         try:
-            return await self._peers.ask(owner.owner.address, "/fleet", question, PoolReport)
+            return await self._peers.ask(owner.owner.address, question, PoolReport)
         except PeerUnreachableError:
             return PoolReport(is_owner=False)
 
--- a/src/robinthread/_internal/standins/platform_standin.py
+++ b/src/robinthread/_internal/standins/platform_standin.py
@@ -10,7 +10,6 @@
 
 from robinthread._internal.durable.ownership import Member
 from robinthread._internal.durable.store import KeyedRecord, Partition
-from robinthread._internal.fleet.pool_report import FleetQuestion
 from robinthread._internal.models.fleet_config import FleetConfig, make_fleet_config
 from robinthread._internal.models.pool_policy import PoolPolicy
 from robinthread._internal.models.queue_policy import QueuePolicy
@@ -21,8 +20,11 @@
 from robinthread._internal.node.assembly import AssembledNode, assemble_node
 from robinthread._internal.node.environment import NodeEnvironment, PlatformRecords
 from robinthread._internal.node.node_settings import NodeBounds, NodeSettings, StoreLimits
-from robinthread._internal.node.peer_calls import PeerUnreachableError
-from robinthread._internal.node.peer_messages import JobQuestion, PendingQuestion
+from robinthread._internal.node.peer_calls import (
+    ASK_TIMEOUT_S,
+    PeerUnreachableError,
+    PeerUnsentError,
+)
 from robinthread._internal.standins.job_hosts_standin import (
     JobHostsStandin,
     JobHostStandin,
@@ -60,6 +62,9 @@
     pace_ms=100,
 )
 
+# One way between two nodes.
+PEER_LATENCY_S: Final = 0.001
+
 T = TypeVar("T")
 
 
@@ -107,21 +112,22 @@
         self._caller = caller
 
     async def ask(
-        self, address: str, path: str, question: msgspec.Struct, answer_type: type[T]
+        self,
+        address: str,
+        question: msgspec.Struct,
+        answer_type: type[T],
+        timeout_s: float = ASK_TIMEOUT_S,
     ) -> T:
         """Ask a node."""
-        await asyncio.sleep(0.001)
+        await asyncio.sleep(PEER_LATENCY_S)
         peer = self._platform.nodes.get(address)
         if peer is None or {self._caller, address} & self._platform.cut_nodes:
-            raise PeerUnreachableError(address)
-        match question:
-            case JobQuestion():
-                return await peer.assembled.owned.answer_job(question)  # type: ignore[return-value]
-            case PendingQuestion():
-                return peer.assembled.owned.answer_pending(question)  # type: ignore[return-value]
-            case FleetQuestion():
-                return peer.assembled.owned.answer_fleet(question)  # type: ignore[return-value]
-        raise PeerUnreachableError(path)
+            raise PeerUnsentError(address)
+        try:
+            async with asyncio.timeout(timeout_s):
+                return await peer.assembled.answers.answer(question)  # type: ignore[return-value]
+        except TimeoutError as error:
+            raise PeerUnreachableError(address) from error
 
 
 @dataclass(frozen=True)
--- a/tests/functional/test_jobs_on_platform.py
+++ b/tests/functional/test_jobs_on_platform.py
@@ -107,8 +107,11 @@
     def test_refused_job_never_runs(self) -> None:
         async def work() -> None:
             platform = await start_platform()
-            platform.store.faults.refused.add("node1")
-            self.assertEqual(GateOutcome.REFUSED, await hand_in(platform, "node1", make_job(3)))
+            for name in platform.nodes:
+                platform.store.faults.refused.add(name)
+            for number, name in enumerate(platform.nodes):
+                refused = await hand_in(platform, name, make_job(number))
+                self.assertEqual(GateOutcome.REFUSED, refused)
             platform.store.faults.refused.clear()
             await asyncio.sleep(10)
             self.assertEqual([], platform.hosts.ledger.runs)
@@ -369,3 +372,67 @@
             self.assertTrue(1.5 <= took_s < 2.5, took_s)
 
         run_virtual(work())
+
+
+class TurnedAwayTest(TestCase):
+    """The store turns one node away and serves the others."""
+
+    def test_pools_pass_at_once_to_a_node_that_the_store_serves(self) -> None:
+        async def work() -> None:
+            platform = await start_platform()
+            owner = get_owner(platform)
+            assert owner is not None
+            platform.store.faults.refused.add(owner)
+            took_s = await wait_until(lambda: get_owner(platform) not in (owner, None))
+            self.assertLess(took_s, 1.0)
+            spec = make_job(1)
+            await hand_in(platform, get_others(platform)[0], spec)
+            await wait_for_status(platform, spec.job_id, JobStatus.SUCCEEDED)
+            self.assertEqual([], find_breaks(platform))
+
+        run_virtual(work())
+
+    def test_running_tasks_go_on_under_the_next_owner(self) -> None:
+        async def work() -> None:
+            platform = await start_platform(lambda task: TaskPlan(3.0, Resources(1000, 100)))
+            spec = make_job(1)
+            await hand_in(platform, "node0", spec)
+            await wait_until(lambda: len(platform.hosts.ledger.runs) == 4)
+            platform.store.faults.refused.add(get_owner(platform) or "")
+            took_s = await wait_for_status(platform, spec.job_id, JobStatus.SUCCEEDED)
+            self.assertLess(took_s, 6.7)
+            self.assertEqual(6, len(platform.hosts.ledger.runs))
+            self.assertEqual([], find_breaks(platform))
+
+        run_virtual(work())
+
+    def test_jobs_are_taken_in_through_another_node(self) -> None:
+        async def work() -> None:
+            platform = await start_platform()
+            platform.store.faults.refused.add("node1")
+            spec = make_job(1)
+            self.assertEqual(GateOutcome.DONE, await hand_in(platform, "node1", spec))
+            await wait_for_status(platform, spec.job_id, JobStatus.SUCCEEDED)
+            platform.store.faults.refused.add("*")
+            self.assertEqual(GateOutcome.REFUSED, await hand_in(platform, "node1", make_job(2)))
+            platform.store.faults.refused.clear()
+            await asyncio.sleep(5)
+            self.assertEqual(6, len(platform.hosts.ledger.runs))
+
+        run_virtual(work())
+
+    def test_pool_that_its_owner_could_not_give_back_is_served_again(self) -> None:
+        async def work() -> None:
+            platform = await start_platform(nodes=1)
+            node = platform.nodes["node0"].assembled
+            owner = next(iter(node.owned.owners.values()))
+            platform.store.faults.refused.add("*")
+            owner.fenced.set()
+            await asyncio.sleep(1.0)
+            platform.store.faults.refused.clear()
+            await wait_until(lambda: get_owner(platform) is not None, limit_s=10)
+            spec = make_job(1)
+            await hand_in(platform, "node0", spec)
+            await wait_for_status(platform, spec.job_id, JobStatus.SUCCEEDED)
+
+        run_virtual(work())
