--- a/src/robinthread/_internal/node/assembly.py
+++ b/src/robinthread/_internal/node/assembly.py
@@ -79,8 +79,8 @@
     writer = GroupWriter(
         store, INBOX_PARTITION, f"entry/{me.node}/{me.life}", settings.store.call_max_bytes
     )
-    gate = JobGate(me, writer, owned, table, election, environment.peers, events)
     handover = Handover(me, table, election, owned, environment.peers, events)
+    gate = JobGate(me, writer, owned, table, election, handover, environment.peers, events)
 
     def make_steward(token: int, turn_s: float) -> Steward:
         return Steward(context, environment, table, owned, me, token, turn_s)
@@ -92,6 +92,7 @@
         inbox.run(),
         table.follower.run(),
         election.run(),
+        handover.run(),
         writer.run(),
         node.run(),
     ):
--- a/src/robinthread/_internal/node/handover.py
+++ b/src/robinthread/_internal/node/handover.py
@@ -1,4 +1,4 @@
-"""Passing pools to another node while the store does not serve this one.
+"""Passing work to other nodes while the store does not serve this one.
 
 The store may turn one node away and serve the others.  Those would notice only
 when the node's membership has lapsed; the node itself knows at once.
@@ -23,13 +23,17 @@
 
 # Two appends and a read of the store, each of which may be slow.
 TAKE_TIMEOUT_S: Final = 1.0
+# How often a node that the store does not serve asks whom it does serve.
+ASK_PERIOD_S: Final = 0.4
 
 
 class Handover:
-    """Finds a node that the store serves, and takes over what others pass on.
+    """Finds nodes that the store serves, and takes over what others pass on.
 
     ``stopped_tokens`` are the tokens of owners that stopped before they passed
-    their pool on: by pool, the newest.
+    their pool on: by pool, the newest.  ``served`` are the other nodes that the
+    store serves while it does not serve this one, the one with the fewest pools
+    first; there are none in an outage for all.
     """
 
     def __init__(
@@ -48,17 +52,23 @@
         self._peers = peers
         self._events = events
         self.stopped_tokens: dict[str, int] = {}
+        self.served: tuple[Member, ...] = ()
 
-    async def find_taker(self) -> Member | None:
-        """Return the node with the fewest pools of those that the store serves."""
+    async def run(self) -> None:
+        """Keep ``served`` up to date until cancelled."""
+        while True:
+            self.served = await self._find_served() if self._election.is_cut_off else ()
+            await asyncio.sleep(ASK_PERIOD_S)
+
+    async def _find_served(self) -> tuple[Member, ...]:
         others = sorted(self._election.members - {self._me})
         answers = await asyncio.gather(*map(self._ask_store, others))
-        served = [
+        served = sorted(
             (answer.owned_count, get_rendezvous_weight(self._me.node, member.node), member)
             for member, answer in zip(others, answers, strict=True)
             if answer.is_served
-        ]
-        return min(served)[2] if served else None
+        )
+        return tuple(member for _count, _weight, member in served)
 
     async def pass_on(self, taker: Member, tokens: dict[str, int]) -> None:
         """Have a node take pools over whose owner here has stopped."""
--- a/src/robinthread/_internal/node/job_gate.py
+++ b/src/robinthread/_internal/node/job_gate.py
@@ -15,6 +15,7 @@
 from robinthread._internal.models.job_status import JobStatus
 from robinthread._internal.models.queue_policy import QueuePolicy
 from robinthread._internal.node.election import Election
+from robinthread._internal.node.handover import Handover
 from robinthread._internal.node.owned_pools import OwnedPools
 from robinthread._internal.node.peer_calls import (
     PeerCalls,
@@ -30,14 +31,12 @@
     RelayQuestion,
 )
 from robinthread._internal.telemetry.event_log import EventLog
-from robinthread._internal.utils.rendezvous import get_rendezvous_weight
 
 # How old a count of pending jobs may be; callers bear 2 s.
 PENDING_AGE_MAX_S: Final = 0.8
 # Accepted ids that are remembered, to answer repeats without another record.
 ACCEPTED_KEPT_MAX: Final = 20_000
-# Nodes asked in turn to append what the store does not take here: those that the
-# store turns away as well refuse within some milliseconds.
+# Nodes asked in turn to append what the store does not take here.
 RELAYS_MAX: Final = 3
 
 
@@ -68,11 +67,13 @@
         owned: OwnedPools,
         table: OwnerTable,
         election: Election,
+        handover: Handover,
         peers: PeerCalls,
         events: EventLog,
     ) -> None:
         self._me = me
         self._election = election
+        self._handover = handover
         self._writer = writer
         self._owned = owned
         self._table = table
@@ -177,22 +178,17 @@
 
     async def _write(self, record: KeyedRecord, deadline_s: float) -> GateOutcome:
         """Append a record, here or through another node."""
-        outcome = GateOutcome.REFUSED
-        if not self._election.is_cut_off:
-            outcome = await self._append(record, deadline_s)
-        if outcome is GateOutcome.REFUSED:
+        if self._election.is_cut_off:
             outcome = await self._relay(record, deadline_s)
+        else:
+            outcome = await self._append(record, deadline_s)
         if outcome is GateOutcome.REFUSED:
             self._events.write("request_refused", key=record.key)
         return outcome
 
     async def _relay(self, record: KeyedRecord, deadline_s: float) -> GateOutcome:
-        """Have another node append a record; refused where none will."""
-        others = sorted(
-            self._election.members - {self._me},
-            key=lambda member: get_rendezvous_weight(record.key, member.node),
-        )
-        for member in others[:RELAYS_MAX]:
+        """Have a node that the store serves append a record; refused where none will."""
+        for member in self._handover.served[:RELAYS_MAX]:
             outcome = await self._relay_to(member, record, deadline_s)
             if outcome is not GateOutcome.REFUSED:
                 return outcome
--- a/src/robinthread/_internal/node/node.py
+++ b/src/robinthread/_internal/node/node.py
@@ -108,17 +108,17 @@
 
         Owners stop first: the next ones need not wait for orders of theirs.
         """
-        if not self._election.is_cut_off or not (self._owned.owners or self._steward):
+        served = self._handover.served
+        if not self._election.is_cut_off or not served:
             return
-        taker = await self._handover.find_taker()
-        if taker is None:
+        if not self._owned.owners and self._steward is None:
             return
         tokens = {owner.pool: owner.token for owner in self._owned.owners.values()}
         await asyncio.gather(*map(self._close, list(self._owned.owners.values())))
         if self._steward is not None:
             tokens[FLEET] = self._steward.token
             await self._close_steward(self._steward)
-        await self._handover.pass_on(taker, tokens)
+        await self._handover.pass_on(served[0], tokens)
 
     async def _release_closed(self) -> None:
         """Give back what is recorded as ours and closed for good: nobody else would take it."""
--- a/tests/functional/test_jobs_on_platform.py
+++ b/tests/functional/test_jobs_on_platform.py
@@ -410,6 +410,7 @@
         async def work() -> None:
             platform = await start_platform()
             platform.store.faults.refused.add("node1")
+            await asyncio.sleep(1.0)
             spec = make_job(1)
             self.assertEqual(GateOutcome.DONE, await hand_in(platform, "node1", spec))
             await wait_for_status(platform, spec.job_id, JobStatus.SUCCEEDED)
