--- a/src/robinthread/_internal/node/assembly.py
+++ b/src/robinthread/_internal/node/assembly.py
@@ -59,9 +59,13 @@
     )
     operators = KeyedFollower(store, records.operators_partition, config_holder.apply, events)
     table = OwnerTable(store, events)
+    writer = GroupWriter(
+        store, INBOX_PARTITION, f"entry/{me.node}/{me.life}", settings.store.call_max_bytes
+    )
     context = NodeContext(
         settings=settings,
         store=store,
+        inbox_writer=writer,
         hosts=environment.hosts,
         events=events,
         job_index=job_index,
@@ -76,9 +80,6 @@
     )
     election = Election(store, table, me, config_holder, events, settings.store.member_ttl_min_ms)
     owned = OwnedPools(context)
-    writer = GroupWriter(
-        store, INBOX_PARTITION, f"entry/{me.node}/{me.life}", settings.store.call_max_bytes
-    )
     handover = Handover(me, table, election, owned, environment.peers, events)
     gate = JobGate(me, writer, owned, table, election, handover, environment.peers, events)
 
--- a/src/robinthread/_internal/node/context.py
+++ b/src/robinthread/_internal/node/context.py
@@ -3,6 +3,7 @@
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 
+from robinthread._internal.durable.group_writer import GroupWriter
 from robinthread._internal.durable.job_index import JobIndex
 from robinthread._internal.durable.store import Store
 from robinthread._internal.jobs.host_calls import HostCalls
@@ -26,6 +27,7 @@
 
     settings: NodeSettings
     store: Store
+    inbox_writer: GroupWriter
     hosts: HostCalls
     events: EventLog
     job_index: JobIndex
--- a/src/robinthread/_internal/node/pool_owner.py
+++ b/src/robinthread/_internal/node/pool_owner.py
@@ -34,6 +34,7 @@
     get_loop_s,
 )
 from robinthread._internal.node.recorder import Recorder
+from robinthread._internal.node.retention import Retention
 from robinthread._internal.utils.waiting import wait_for_event
 
 PROGRESS_TOPIC: Final = "keyed.progress"
@@ -79,6 +80,7 @@
         self._runtime = PoolRuntime(context, pool, token, self.jobs, self._journal)
         self._orders = OrderSender(self._runtime)
         self._recorder = Recorder(self._runtime, self._journal, self._orders)
+        self._retention = Retention(self._runtime, self._journal)
         self._host_tasks: dict[str, asyncio.Task[None]] = {}
         self._demand = DemandMeter(context.settings.bounds.machine_move_s + HOST_START_S)
         self._ended_hosts: set[str] = set()
@@ -103,6 +105,10 @@
         self._context.host_directory.listen(self._update_hosts)
         self._update_hosts()
         self.is_open = True
+        orphans = list(self._progress.values())
+        self._progress.clear()
+        self._runtime.spawn(self._retention.drop_orphans(orphans))
+        self._runtime.spawn(self._retention.run())
         self._runtime.spawn(self._recorder.run())
         self._runtime.spawn(self._schedule())
         self._runtime.wake()
--- /dev/null
+++ b/src/robinthread/_internal/node/retention.py
@@ -0,0 +1,89 @@
+"""Dropping jobs that ended long ago, from the store and from memory."""
+
+import asyncio
+from collections.abc import Iterable
+from itertools import islice
+from typing import Final
+
+from robinthread._internal.durable.errors import StoreError
+from robinthread._internal.durable.journal import Journal
+from robinthread._internal.durable.store import KeyedRecord
+from robinthread._internal.jobs.job import Job
+from robinthread._internal.jobs.progress import JobProgress
+from robinthread._internal.models.job_status import JobStatus
+from robinthread._internal.node.pool_runtime import PoolRuntime, get_loop_s
+
+# How often ended jobs are looked for, and how many are dropped at a time: one append
+# for each of the two topics.
+DROP_PERIOD_S: Final = 5.0
+DROP_BATCH_MAX: Final = 500
+# Kept beyond what callers are promised: an append without answer may arrive 12 s
+# late, and nodes' clocks differ.
+DROP_MARGIN_S: Final = 15.0
+# Longest wait for the records to be dropped; what failed is dropped the next time.
+DROP_WAIT_S: Final = 2.0
+
+
+class Retention:
+    """Drops a pool's ended jobs once callers may no longer ask for them.
+
+    A job's records in the inbox go first: one that is there without progress
+    would be run again.
+    """
+
+    def __init__(self, runtime: PoolRuntime, journal: Journal) -> None:
+        self._runtime = runtime
+        self._context = runtime.context
+        self._journal = journal
+        keep_s = self._context.settings.bounds.keep_ended_s + DROP_MARGIN_S
+        self._keep_ms = keep_s * 1000
+
+    async def run(self) -> None:
+        """Drop what is due until cancelled."""
+        while True:
+            await asyncio.sleep(DROP_PERIOD_S)
+            due = list(
+                islice(filter(self._is_due, self._runtime.jobs.jobs.values()), DROP_BATCH_MAX)
+            )
+            if due:
+                await self._drop(due)
+
+    async def drop_orphans(self, left: Iterable[JobProgress]) -> None:
+        """Drop progress whose job the inbox does not hold any more."""
+        known = self._context.job_index.jobs
+        orphans = [
+            KeyedRecord(progress.job_id, None)
+            for progress in left
+            if progress.job_id not in known and JobStatus(progress.status).is_final
+        ]
+        await self._journal.write(orphans)
+
+    def _is_due(self, job: Job) -> bool:
+        age_ms = self._context.get_wall_ms() - job.ended_at_ms
+        return (
+            job.recorded_status.is_final and age_ms > self._keep_ms and not any(job.iter_running())
+        )
+
+    async def _drop(self, jobs: list[Job]) -> None:
+        indexed = self._context.job_index.jobs
+        keys = [key for job in jobs if job.id in indexed for key in indexed[job.id].keys]
+        deadline_s = get_loop_s() + DROP_WAIT_S
+        try:
+            await asyncio.gather(
+                *(
+                    self._context.inbox_writer.write(KeyedRecord(key, None), deadline_s)
+                    for key in keys
+                )
+            )
+        except StoreError as error:
+            self._runtime.events.write(
+                "jobs_not_dropped",
+                pool=self._runtime.pool,
+                count=len(jobs),
+                error=f"{type(error).__name__}: {error}",
+            )
+            return
+        await self._journal.write([KeyedRecord(job.id, None) for job in jobs])
+        for job in jobs:
+            self._runtime.jobs.drop_job(job)
+        self._runtime.events.write("jobs_dropped", pool=self._runtime.pool, count=len(jobs))
--- a/src/robinthread/_internal/standins/store_standin.py
+++ b/src/robinthread/_internal/standins/store_standin.py
@@ -122,6 +122,15 @@
         newest = self._logs[partition].newest.values()
         return {record.key: record.value or b"" for record in newest}
 
+    def list_keys(self, topic: str) -> list[str]:
+        """List the keys that any partition of a topic holds."""
+        return [
+            key
+            for partition, log in self._logs.items()
+            if partition.topic == topic
+            for key in log.newest
+        ]
+
     def expire_history(self) -> None:
         """Drop all records but the newest of each key."""
         for log in self._logs.values():
