--- /dev/null
+++ b/src/robinthread/_internal/jobs/gangs.py
@@ -0,0 +1,80 @@
+"""Placing a gang: tasks of a step that work only as a group."""
+
+from collections import defaultdict
+from collections.abc import Iterable
+
+from robinthread._internal.jobs.host import Host
+from robinthread._internal.jobs.job import Job
+from robinthread._internal.jobs.placement import count_step_runs, get_usable_hosts, has_label
+from robinthread._internal.jobs.pool_jobs import PoolJobs
+from robinthread._internal.jobs.task import Task
+
+
+def place_gang(pool: PoolJobs, task: Task, now_s: float) -> int:
+    """Place all members of a task's gang, or none; return how many.
+
+    The members share one run number and one checkpoint, so the group begins
+    only when no run of an earlier try is left.
+    """
+    job = pool.jobs[task.key.job_id]
+    members = job.get_tasks(task.key.occurrence, task.key.step)
+    if not all(member.key in pool.waiting for member in members):
+        return 0
+    hosts = choose_gang_hosts(pool, job, members, now_s)
+    if not hosts:
+        return 0
+    number = 1 + max(member.last_run for member in members)
+    checkpoint = next((member.checkpoint for member in members if member.checkpoint), "")
+    for member, host in zip(members, hosts, strict=True):
+        member.checkpoint = checkpoint
+        pool.place(member, host, number)
+    return len(members)
+
+
+def choose_gang_hosts(
+    pool: PoolJobs, job: Job, members: list[Task], now_s: float
+) -> list[Host] | None:
+    """Return a host for each member, or None where not all have room at once.
+
+    One rack is taken where that is asked for and a rack has the room.
+    """
+    step = members[0].step
+    usable = [host for host in get_usable_hosts(pool, now_s) if has_label(step, host)]
+    if step.wants_one_rack:
+        racks = _group_by_rack(usable)
+        for rack in sorted(racks, key=lambda name: (name != step.near_rack, name)):
+            if chosen := _fill(members, racks[rack]):
+                return chosen
+    near_first = sorted(usable, key=lambda host: (host.record.rack != step.near_rack, host.id))
+    return _fill(members, near_first)
+
+
+def _group_by_rack(hosts: Iterable[Host]) -> dict[str, list[Host]]:
+    racks: dict[str, list[Host]] = defaultdict(list)
+    for host in hosts:
+        racks[host.record.rack].append(host)
+    return racks
+
+
+def _fill(members: list[Task], hosts: list[Host]) -> list[Host] | None:
+    """Give each member the first host that still has room for it."""
+    free = {host.id: host.free for host in hosts}
+    counts = {host.id: count_step_runs(members[0], host) for host in hosts}
+    chosen: list[Host] = []
+    for member in members:
+        step = member.step
+        host = next(
+            (
+                host
+                for host in hosts
+                if step.room.fits_in(free[host.id])
+                and (not step.per_host_max or counts[host.id] < step.per_host_max)
+            ),
+            None,
+        )
+        if host is None:
+            return None
+        free[host.id] -= step.room
+        counts[host.id] += 1
+        chosen.append(host)
+    return chosen
--- a/src/robinthread/_internal/jobs/placement.py
+++ b/src/robinthread/_internal/jobs/placement.py
@@ -1,4 +1,4 @@
-"""Which waiting task goes to which host."""
+"""Which host suits a waiting task, and which task goes first."""
 
 from collections.abc import Iterator
 
@@ -10,17 +10,6 @@
 from robinthread._internal.models.job_spec import StepSpec
 
 
-def place_waiting(pool: PoolJobs, now_s: float, now_ms: int) -> int:
-    """Place the tasks that fit somewhere, most urgent first; return how many."""
-    placed = 0
-    for task in _sort_waiting(pool, now_ms):
-        host = choose_host(pool, task, now_s)
-        if host is not None:
-            pool.place(task, host)
-            placed += 1
-    return placed
-
-
 def choose_host(pool: PoolJobs, task: Task, now_s: float) -> Host | None:
     """Return the host with the most room of those that may run a task."""
     hosts = iter_fitting(pool, task, now_s)
@@ -50,18 +39,23 @@
 def is_allowed(job: Job, task: Task, host: Host) -> bool:
     """Tell whether a task's labels and its neighbours allow a host."""
     step = task.step
-    if step.required_label and step.required_label not in host.record.labels:
+    if not has_label(step, host):
         return False
     return not step.per_host_max or count_step_runs(task, host) < step.per_host_max
 
 
+def has_label(step: StepSpec, host: Host) -> bool:
+    """Tell whether a host has the label that a step asks for."""
+    return not step.required_label or step.required_label in host.record.labels
+
+
 def count_step_runs(task: Task, host: Host) -> int:
     """Count the runs of a task's step that take room on a host."""
     place = (task.key.job_id, task.key.occurrence, task.key.step)
     return sum((key.job_id, key.occurrence, key.step) == place for key, _number in host.runs)
 
 
-def _sort_waiting(pool: PoolJobs, now_ms: int) -> list[Task]:
+def sort_waiting(pool: PoolJobs, now_ms: int) -> list[Task]:
     """Order the waiting tasks: urgent queues first, then jobs that can be on time.
 
     Of these the one that can wait least goes first.  A job that will be late earns
--- a/src/robinthread/_internal/jobs/pool_jobs.py
+++ b/src/robinthread/_internal/jobs/pool_jobs.py
@@ -77,10 +77,10 @@
         host.record = record
         return host
 
-    def place(self, task: Task, host: Host) -> Run:
+    def place(self, task: Task, host: Host, number: int | None = None) -> Run:
         """Give a waiting task a host; the run may be sent once it is recorded."""
         self.waiting.pop(task.key, None)
-        run = task.add_run(host.id)
+        run = task.add_run(host.id, number)
         host.add_run(run, task.step.room)
         self._mark(self.jobs[task.key.job_id])
         return run
@@ -110,13 +110,16 @@
             return
         task.checkpoint = checkpoint or task.checkpoint
         self._mark(job)
-        if end is RunEnd.DONE and not task.step.is_lasting:
+        is_done = end is RunEnd.DONE and not task.step.is_lasting
+        if is_done:
             self._learn(job, task, run, now_s)
             self._complete(job, task, now_ms)
         elif end is RunEnd.FAILED and not task.step.is_lasting:
             self._count_failure(job, task, run, now_ms)
         else:
             self._requeue(job, task)
+        if task.step.is_gang and not is_done:
+            self._stop_members(job, task)
 
     def forget_run(self, run: Run) -> None:
         """Take back a run that never began and never will."""
@@ -125,6 +128,8 @@
         if self._take_run(task, run):
             self._mark(job)
             self._requeue(job, task)
+            if task.step.is_gang:
+                self._stop_members(job, task)
 
     def remove_host(self, host_id: str, now_ms: int) -> None:
         """Forget a host that has surely ended, with all that ran there."""
@@ -187,11 +192,26 @@
         if not job.status.is_final and not task.is_done and not task.runs:
             self.waiting[task.key] = task
 
+    def _get_members(self, job: Job, task: Task) -> list[Task]:
+        """Return the members of a task's gang, or the task alone."""
+        if task.step.is_gang:
+            return job.get_tasks(task.key.occurrence, task.key.step)
+        return [task]
+
+    def _stop_members(self, job: Job, task: Task) -> None:
+        """Stop the members that are left of a gang; all begin anew together."""
+        for member in self._get_members(job, task):
+            for run in list(member.runs):
+                self.stop(run)
+
     def _complete(self, job: Job, task: Task, now_ms: int) -> None:
-        job.set_done(task)
-        self.waiting.pop(task.key, None)
-        for copy in list(task.runs):
-            self.stop(copy)
+        """Note that a task is done: its copies are not needed, and a gang is done whole."""
+        for done in self._get_members(job, task):
+            job.set_done(done)
+            self.waiting.pop(done.key, None)
+        if not task.step.is_gang:
+            for copy in list(task.runs):
+                self.stop(copy)
         occurrence, step = task.key.occurrence, task.key.step
         if job.count_open(occurrence, step):
             return
@@ -203,9 +223,13 @@
             self._finish(job, JobStatus.SUCCEEDED, now_ms)
 
     def _count_failure(self, job: Job, task: Task, run: Run, now_ms: int) -> None:
-        task.failure_count += 1
         task.failed_host_ids.add(run.host_id)
-        if task.failure_count >= job.policy.attempts_max:
+        counted = self._get_members(job, task)[0]
+        if not task.step.is_gang or run.number > counted.last_failed_run:
+            # Several members may fail in one run of a gang, which counts once.
+            counted.failure_count += 1
+            counted.last_failed_run = run.number
+        if counted.failure_count >= job.policy.attempts_max:
             self._finish(job, JobStatus.FAILED, now_ms)
         else:
             self._requeue(job, task)
--- a/src/robinthread/_internal/jobs/progress.py
+++ b/src/robinthread/_internal/jobs/progress.py
@@ -27,6 +27,7 @@
     failure_count: int = 0
     runs: tuple[RunProgress, ...] = ()
     checkpoint: str = ""
+    last_failed_run: int = 0
 
 
 class JobProgress(msgspec.Struct, frozen=True, array_like=True):
@@ -86,12 +87,14 @@
         task.failure_count,
         runs,
         "" if task.is_done else task.checkpoint,
+        task.last_failed_run,
     )
 
 
 def _restore_task(job: Job, task: Task, row: TaskProgress, hosts: tuple[str, ...]) -> None:
     task.last_run = row.last_run
     task.failure_count = row.failure_count
+    task.last_failed_run = row.last_failed_run
     task.checkpoint = row.checkpoint
     task.runs = [
         Run(task.key, run.number, hosts[run.host], row.checkpoint, task.step.is_lasting)
--- a/src/robinthread/_internal/jobs/task.py
+++ b/src/robinthread/_internal/jobs/task.py
@@ -9,7 +9,8 @@
     """A task: whether it is done, how often it failed, and its runs now.
 
     There is one run at most, except where the step allows copies.  Run numbers
-    rise from 1 over all owners of the pool.
+    rise from 1 over all owners of the pool.  ``last_failed_run`` counts for the
+    first member of a gang, whose failures are the gang's.
     """
 
     __slots__ = (
@@ -18,6 +19,7 @@
         "failure_count",
         "is_done",
         "key",
+        "last_failed_run",
         "last_run",
         "runs",
         "step",
@@ -28,14 +30,15 @@
         self.step = step
         self.is_done = False
         self.failure_count = 0
+        self.last_failed_run = 0
         self.failed_host_ids: set[str] = set()
         self.last_run = 0
         self.checkpoint = ""
         self.runs: list[Run] = []
 
-    def add_run(self, host_id: str) -> Run:
-        """Begin the next run of the task on a host."""
-        self.last_run += 1
+    def add_run(self, host_id: str, number: int | None = None) -> Run:
+        """Begin the next run of the task on a host; a gang's members share its number."""
+        self.last_run = self.last_run + 1 if number is None else number
         run = Run(self.key, self.last_run, host_id, self.checkpoint, self.step.is_lasting)
         self.runs.append(run)
         return run
--- a/src/robinthread/_internal/node/pool_owner.py
+++ b/src/robinthread/_internal/node/pool_owner.py
@@ -16,9 +16,9 @@
 from robinthread._internal.jobs.host import Host, HostContact
 from robinthread._internal.jobs.host_lease import get_lapse_time_s
 from robinthread._internal.jobs.job import Job
-from robinthread._internal.jobs.placement import place_waiting
 from robinthread._internal.jobs.pool_jobs import PoolJobs
 from robinthread._internal.jobs.progress import JobProgress, decode_progress
+from robinthread._internal.jobs.scheduling import place_waiting
 from robinthread._internal.jobs.stalls import stop_stalled
 from robinthread._internal.models.job_status import JobStatus
 from robinthread._internal.models.queue_policy import QueuePolicy
--- a/src/robinthread/_internal/standins/job_hosts_standin.py
+++ b/src/robinthread/_internal/standins/job_hosts_standin.py
@@ -24,6 +24,7 @@
     CallRefusedError,
     CallUnansweredError,
 )
+from robinthread._internal.standins.gang_board import GangBoard, GangMember
 from robinthread._internal.standins.run_ledger import LedgerRun, RunLedger
 from robinthread._internal.utils.waiting import wait_for_event
 
@@ -38,12 +39,14 @@
 class TaskPlan:
     """How a task behaves: how long it works, how it ends, what room it takes.
 
-    A task that lasts has no ``work_s``.
+    A task that lasts has no ``work_s``.  Where ``gang_size`` is set the task
+    waits until so many tasks of its step are present under one run number.
     """
 
     work_s: float | None
     room: Resources = NO_RESOURCES
     end: RunEnd = RunEnd.DONE
+    gang_size: int = 0
 
 
 @dataclass
@@ -60,9 +63,14 @@
     """One life of a host."""
 
     def __init__(
-        self, record: UpstreamHost, ledger: RunLedger, plan_task: Callable[[TaskKey], TaskPlan]
+        self,
+        record: UpstreamHost,
+        ledger: RunLedger,
+        plan_task: Callable[[TaskKey], TaskPlan],
+        gangs: GangBoard,
     ) -> None:
         self.record = record
+        self._gangs = gangs
         self.is_up = True
         self.fails_all = False
         self._ledger = ledger
@@ -159,7 +167,21 @@
             present.timers.append(
                 loop.call_later(0.05, self._end, (order.task, order.run), RunEnd.FAILED)
             )
-        elif plan.work_s is not None:
+        elif plan.gang_size:
+            key = (order.task, order.run)
+            self._gangs.join(
+                key,
+                plan.gang_size,
+                GangMember(lambda: self._work(present), lambda end: self._end(key, end)),
+            )
+        else:
+            self._work(present)
+
+    def _work(self, present: _Present) -> None:
+        """Have a run work until it ends by itself, if it does."""
+        order, plan = present.order, present.plan
+        if plan.work_s is not None:
+            loop = asyncio.get_running_loop()
             present.timers.append(
                 loop.call_later(plan.work_s, self._end, (order.task, order.run), plan.end)
             )
@@ -179,6 +201,8 @@
         self._ledger_ends[self._end_count] = present.ledger_run
         self._changed.set()
         self._changed = asyncio.Event()
+        if present.plan.gang_size:
+            self._gangs.leave(key, end)
 
     def _check_token(self, token: int) -> None:
         if token < self._token:
@@ -210,6 +234,7 @@
     def __init__(self, seed: int = 1) -> None:
         self.faults = CallFaults(seed, LATENCY_S)
         self.ledger = RunLedger()
+        self.gangs = GangBoard()
         self.hosts: dict[str, JobHostStandin] = {}
         self.cut_ways: set[tuple[str, str]] = set()
 
--- a/src/robinthread/_internal/standins/platform_standin.py
+++ b/src/robinthread/_internal/standins/platform_standin.py
@@ -158,7 +158,8 @@
             labels=frozenset({rack}),
         )
         platform = self._platform
-        platform.hosts.add(JobHostStandin(record, platform.hosts.ledger, platform.plan_task))
+        hosts = platform.hosts
+        hosts.add(JobHostStandin(record, hosts.ledger, platform.plan_task, hosts.gangs))
         platform.list_host(record)
         return record.id
 
