--- a/src/robinthread/_internal/jobs/evacuation.py
+++ b/src/robinthread/_internal/jobs/evacuation.py
@@ -1,22 +1,26 @@
 """Which runs to move off hosts that are to be emptied."""
 
-from collections.abc import Iterator
+from typing import Final
 
-from robinthread._internal.jobs.host import Host
+from robinthread._internal.jobs.host import Host, HostContact
 from robinthread._internal.jobs.job import Job
 from robinthread._internal.jobs.placement import choose_host
 from robinthread._internal.jobs.pool_jobs import PoolJobs
 from robinthread._internal.jobs.run import Run, RunPhase
 from robinthread._internal.jobs.task import Task
 
-AT_WORK_PERCENT = 100
+AT_WORK_PERCENT: Final = 100
+# A task that keeps checkpoints is stopped so long before its host may leave: time for
+# the order, the stop itself and the look that brings its checkpoint.
+LEAVE_EARLY_S: Final = 0.8
 
 
 def evacuate(pool: PoolJobs, now_s: float) -> list[Run]:
-    """Stop the lasting runs that may leave their hosts now; return them.
+    """Stop the runs that are to leave their hosts now; return them.
 
-    Tasks that end by themselves are left to do so.  A lasting task leaves when
-    its step can spare it and another host has room for it.
+    A lasting task leaves when its step can spare it.  A task that ends by itself
+    is left to do so, unless its host is about to leave and its work can be kept.
+    Either goes only where another host has room for it.
     """
     stopped = []
     for host in pool.hosts.values():
@@ -26,9 +30,9 @@
             job = pool.jobs[run.task.job_id]
             task = job.get_task(run.task)
             if (
-                task.step.is_lasting
-                and run.phase is RunPhase.PRESENT
-                and (host.record.is_draining or may_leave(job, task))
+                run.phase is RunPhase.PRESENT
+                and not task.step.is_gang
+                and _is_to_leave(pool, host, job, task, run, now_s)
                 and choose_host(pool, task, now_s) is not None
             ):
                 pool.stop(run)
@@ -36,26 +40,37 @@
     return stopped
 
 
-def may_leave(job: Job, task: Task) -> bool:
+def may_leave(pool: PoolJobs, job: Job, task: Task) -> bool:
     """Tell whether a lasting task's step can spare it now."""
     step = task.step
     if not step.has_away_limit:
         return True
-    others = (other for other in _iter_step(job, task) if other is not task)
-    away = sum(not is_at_work(other) for other in others)
+    members = job.get_tasks(task.key.occurrence, task.key.step)
+    away = sum(not is_at_work(pool, other) for other in members if other is not task)
     return away < step.away_max
 
 
-def is_at_work(task: Task) -> bool:
-    """Tell whether a lasting task does its work."""
+def is_at_work(pool: PoolJobs, task: Task) -> bool:
+    """Tell whether a lasting task does its work, on a host that says so itself.
+
+    What runs on a silent host may have ended.
+    """
     return any(
-        run.phase is RunPhase.PRESENT and run.progress_percent >= AT_WORK_PERCENT
+        run.phase is RunPhase.PRESENT
+        and run.progress_percent >= AT_WORK_PERCENT
+        and pool.hosts[run.host_id].contact is HostContact.ANSWERING
         for run in task.runs
     )
 
 
-def _iter_step(job: Job, task: Task) -> Iterator[Task]:
-    return iter(job.get_tasks(task.key.occurrence, task.key.step))
+def _is_to_leave(pool: PoolJobs, host: Host, job: Job, task: Task, run: Run, now_s: float) -> bool:
+    if task.step.is_lasting:
+        return host.record.is_draining or may_leave(pool, job, task)
+    if not task.step.keeps_checkpoints or host.leaves_at_s is None:
+        return False
+    left_s = host.leaves_at_s - now_s
+    takes_s = pool.run_times.estimate_s(job.spec.queue, task.step)
+    return left_s < LEAVE_EARLY_S and left_s < takes_s * (1 - run.progress_percent / 100)
 
 
 def _is_leaving(host: Host, now_s: float) -> bool:
--- a/src/robinthread/_internal/jobs/host.py
+++ b/src/robinthread/_internal/jobs/host.py
@@ -29,6 +29,7 @@
     Times are of the event loop's clock, in seconds.  Ends up to
     ``processed_end`` have been taken in, those up to ``acknowledged_end`` are
     recorded; ``processed_batch`` is the batch of records that closes the gap.
+    ``leaves_at_s`` is the earliest time at which a draining host may be gone.
     """
 
     def __init__(self, record: UpstreamHost, lease: HostLease) -> None:
@@ -43,7 +44,7 @@
         self.processed_batch = 0
         self.is_listed = True
         self.vacating_until_s = 0.0
-        self.empty_since_s = 0.0
+        self.leaves_at_s: float | None = None
 
     @property
     def id(self) -> str:
@@ -55,6 +56,13 @@
         """Return the room that is left."""
         return self.record.room - self.used
 
+    def note_draining(self, default_s: float, now_s: float) -> None:
+        """Note when a host that has begun to drain may be gone, if it drains."""
+        if not self.record.is_draining:
+            self.leaves_at_s = None
+        elif self.leaves_at_s is None:
+            self.leaves_at_s = now_s + (self.record.leaves_in_ms / 1000 or default_s)
+
     def add_run(self, run: Run, room: Resources) -> None:
         """Take room for a run."""
         self.runs[run.key] = run
--- a/src/robinthread/_internal/node/pool_owner.py
+++ b/src/robinthread/_internal/node/pool_owner.py
@@ -300,6 +300,7 @@
 
     def _add_host(self, record: UpstreamHost) -> None:
         host = self.jobs.add_host(record)
+        host.note_draining(self._context.settings.bounds.drain_ms / 1000, get_loop_s())
         if record.id not in self._host_tasks:
             follower = HostFollower(self._runtime, host, self._recorder, self._orders)
             self._host_tasks[record.id] = self._runtime.spawn(self._follow(follower, host))
--- /dev/null
+++ b/tests/unit/test_evacuation.py
@@ -0,0 +1,82 @@
+"""Which runs leave the hosts that are to be emptied."""
+
+from testtools import TestCase
+
+from robinthread._internal.jobs.evacuation import evacuate
+from robinthread._internal.jobs.host import Host, HostContact
+from robinthread._internal.jobs.pool_jobs import PoolJobs
+from robinthread._internal.jobs.run import RunPhase
+from robinthread._internal.models.job_spec import JobSpec, StepSpec
+from robinthread._internal.models.queue_policy import QueuePolicy
+from robinthread._internal.models.resources import Resources
+from robinthread._internal.models.upstream_host import UpstreamHost
+
+ROOM = Resources(16_000, 32_000, 0)
+LASTING = StepSpec(
+    6, cpu_millicores=1000, is_lasting=True, per_host_max=2, away_max=1, has_away_limit=True
+)
+
+
+def make_pool(step: StepSpec, hosts: int, used_hosts: int) -> PoolJobs:
+    """Make a pool whose job's tasks run, by turns, on the first ``used_hosts`` hosts."""
+    pool = PoolJobs()
+    for number in range(hosts):
+        record = UpstreamHost(f"h{number}", f"m{number}", "", "", "", "r", ROOM, frozenset())
+        pool.add_host(record).contact = HostContact.ANSWERING
+    spec = JobSpec("0" * 16, "queue", "pool", "", (step,))
+    job = pool.add_job(spec, QueuePolicy("queue", "", "", "pool"), 0, 0.0)
+    for index, task in enumerate(job.get_tasks(0, 0)):
+        run = pool.place(task, pool.hosts[f"h{index % used_hosts}"])
+        run.phase = RunPhase.PRESENT
+        run.progress_percent = 100 if step.is_lasting else 50
+    return pool
+
+
+def drain(host: Host, leaves_in_ms: int, now_s: float) -> None:
+    record = host.record
+    host.record = UpstreamHost(
+        record.id, record.machine, "", "", "", "r", ROOM, frozenset(), True, leaves_in_ms
+    )
+    host.note_draining(2.0, now_s)
+
+
+class LastingTest(TestCase):
+    def test_tasks_leave_one_after_the_other(self) -> None:
+        pool = make_pool(LASTING, hosts=4, used_hosts=3)
+        pool.hosts["h0"].vacating_until_s = 10.0
+        self.assertEqual(1, len(evacuate(pool, now_s=1.0)))
+        self.assertEqual(0, len(evacuate(pool, now_s=1.1)))
+
+    def test_tasks_on_a_silent_host_count_as_away(self) -> None:
+        pool = make_pool(LASTING, hosts=4, used_hosts=3)
+        pool.hosts["h0"].vacating_until_s = 10.0
+        pool.hosts["h1"].contact = HostContact.SILENT
+        self.assertEqual([], evacuate(pool, now_s=1.0))
+
+
+class DrainingTest(TestCase):
+    STEP = StepSpec(2, cpu_millicores=1000, estimate_ms=10_000, keeps_checkpoints=True)
+
+    def test_task_that_would_not_end_in_time_leaves_late_with_its_checkpoint(self) -> None:
+        pool = make_pool(self.STEP, hosts=2, used_hosts=1)
+        drain(pool.hosts["h0"], 4_000, now_s=0.0)
+        self.assertEqual([], evacuate(pool, now_s=2.0))
+        self.assertEqual(2, len(evacuate(pool, now_s=3.5)))
+
+    def test_task_about_to_end_is_left_alone(self) -> None:
+        pool = make_pool(self.STEP, hosts=2, used_hosts=1)
+        drain(pool.hosts["h0"], 4_000, now_s=0.0)
+        for run in pool.hosts["h0"].runs.values():
+            run.progress_percent = 99
+        self.assertEqual([], evacuate(pool, now_s=3.5))
+
+    def test_task_stays_where_no_other_host_has_room(self) -> None:
+        pool = make_pool(self.STEP, hosts=1, used_hosts=1)
+        drain(pool.hosts["h0"], 4_000, now_s=0.0)
+        self.assertEqual([], evacuate(pool, now_s=3.5))
+
+    def test_work_that_cannot_be_kept_is_not_stopped(self) -> None:
+        step = StepSpec(2, cpu_millicores=1000, estimate_ms=10_000)
+        pool = make_pool(step, hosts=2, used_hosts=1)
+        drain(pool.hosts["h0"], 4_000, now_s=0.0)
+        self.assertEqual([], evacuate(pool, now_s=3.5))
