--- a/src/robinthread/_internal/cli/verbs.py
+++ b/src/robinthread/_internal/cli/verbs.py
@@ -8,6 +8,8 @@
 import os
 from typing import Any
 
+from fire.decorators import SetParseFns
+
 from robinthread._internal.cli.arguments import as_count, as_names, as_text
 from robinthread._internal.cli.config_verbs import ConfigVerbs
 from robinthread._internal.cli.connection import Connection
@@ -96,6 +98,34 @@
 
         return Deferred(work)
 
+    @SetParseFns(str, job_id=str, host=str, pool=str, node=str)
+    def explain(
+        self,
+        job_id: str = "",
+        file: str = "-",
+        node: str = "",
+        host: str = "",
+        pool: str = "",
+        wave: str = "",
+        chrome: str = "",
+    ) -> Deferred:
+        """Tell a job's life from the nodes' log lines in a file, or standard input ("-").
+
+        Without an id all lines are shown that --node, --host, --pool and --wave
+        leave; --chrome=FILE writes trace-event JSON.
+        """
+
+        def work() -> int:
+            from robinthread._internal.commands.explain import make_filters, run_explain
+
+            pairs = (("node", node), ("host", host), ("pool", pool), ("wave", wave))
+            filters = make_filters([(name, str(value)) for name, value in pairs])
+            return run_explain(
+                str(job_id), str(file), filters, str(chrome), self._connection.is_json
+            )
+
+        return Deferred(work)
+
     def schema(self) -> Deferred:
         """Print the schema of the operators' calls."""
 
--- a/src/robinthread/_internal/daemon/process.py
+++ b/src/robinthread/_internal/daemon/process.py
@@ -15,6 +15,7 @@
 
 from robinthread._internal.daemon.daemon import Daemon
 from robinthread._internal.daemon.environment import Environment
+from robinthread._internal.daemon.gauges import observe_daemon
 from robinthread._internal.entry.handler import make_caller_application
 from robinthread._internal.follow.host_list import ListedHost, make_http_host_list
 from robinthread._internal.operators.listener import make_operator_application
@@ -23,11 +24,7 @@
 from robinthread._internal.results import FaultError, ResultCode, make_fault
 from robinthread._internal.settings.daemon_settings import DaemonSettings
 from robinthread._internal.telemetry.counters import Counters
-from robinthread._internal.telemetry.exporter import (
-    make_meter,
-    make_metrics_application,
-    observe_daemon,
-)
+from robinthread._internal.telemetry.exporter import make_meter, make_metrics_application
 from robinthread._internal.upstream.http_client import make_http_upstream
 
 CONTROL_CONNECTIONS_MAX = 32
--- a/src/robinthread/_internal/durable/group_writer.py
+++ b/src/robinthread/_internal/durable/group_writer.py
@@ -12,9 +12,10 @@
 )
 from robinthread._internal.durable.store import KeyedRecord, Partition, Store, WriterStamp
 
-# How often a batch is sent before its outcome is given up as unknown.  Callers come
-# again at another node, which may reach the store where this one does not.
-TRIES_MAX: Final = 3
+# How long the answer of a batch is sought before its outcome is given up as unknown.
+# Callers come again at another node, which may reach the store where this one does not,
+# and they have 3 s in all.
+GIVE_UP_AFTER_S: Final = 0.8
 # Pause before a batch without an answer is sent again.
 RETRY_PAUSE_S: Final = 0.02
 # Bytes that a record takes beside its key and value.
@@ -82,10 +83,11 @@
     async def _append(self, batch: list[_Entry]) -> None:
         """Send a batch until it is answered or given up."""
         records = [entry.record for entry in batch]
-        deadline_s = max(entry.deadline_s for entry in batch)
+        loop = asyncio.get_running_loop()
+        deadline_s = min(loop.time() + GIVE_UP_AFTER_S, max(entry.deadline_s for entry in batch))
         stamp = WriterStamp(self._name, self._epoch, self._sequence)
         error: StoreError | None = None
-        for _ in range(TRIES_MAX):
+        while True:
             try:
                 result = await self._store.append(self._partition, records, stamp=stamp)
             except StoreRefusedError as refused:
@@ -100,7 +102,7 @@
                 for position, entry in enumerate(batch):
                     _resolve(entry, result.offset + position)
                 return
-            if asyncio.get_running_loop().time() > deadline_s:
+            if loop.time() > deadline_s:
                 break
             await asyncio.sleep(RETRY_PAUSE_S)
         self._epoch += 1
--- a/src/robinthread/_internal/jobs/job_timing.py
+++ b/src/robinthread/_internal/jobs/job_timing.py
@@ -22,18 +22,20 @@
 
 
 def get_slack_s(job: Job, occurrence: int, times: RunTimes, now_ms: int) -> float:
-    """Return how long an occurrence may still wait and be on time; negative if late.
-
-    On time is ``stretch`` times the longest chain of steps, and the queue's
-    target more.
-    """
-    chain_s = get_chain_s(job, times)
+    """Return how long an occurrence may still wait and be on time; negative if late."""
     began_ms = job.get_due_ms(occurrence) or job.spec.accepted_at_ms
-    allowed_s = job.policy.stretch * chain_s + job.policy.latency_target_ms / 1000
-    left_s = allowed_s - (now_ms - began_ms) / 1000
+    left_s = get_allowed_s(job, times) - (now_ms - began_ms) / 1000
     return left_s - get_remaining_s(job, occurrence, times)
 
 
+def get_allowed_s(job: Job, times: RunTimes) -> float:
+    """Return how long a job may take and be on time.
+
+    That is ``stretch`` times its longest chain of steps, and its queue's target more.
+    """
+    return job.policy.stretch * get_chain_s(job, times) + job.policy.latency_target_ms / 1000
+
+
 def get_chain_s(job: Job, times: RunTimes) -> float:
     """Return the longest chain of the job's steps."""
     return max(_get_ends_s(job, times, lambda number: True), default=0.0)
--- a/src/robinthread/_internal/models/task_key.py
+++ b/src/robinthread/_internal/models/task_key.py
@@ -11,3 +11,8 @@
     occurrence: int
     step: int
     index: int
+
+    @property
+    def place(self) -> str:
+        """Return the task's place within its job as log lines show it."""
+        return f"{self.occurrence}.{self.step}.{self.index}"
--- a/src/robinthread/_internal/node/assembly.py
+++ b/src/robinthread/_internal/node/assembly.py
@@ -18,9 +18,9 @@
 from robinthread._internal.node.host_directory import HostDirectory
 from robinthread._internal.node.job_gate import JobGate
 from robinthread._internal.node.node import Node
-from robinthread._internal.node.node_settings import NodeSettings
 from robinthread._internal.node.owned_pools import OwnedPools
 from robinthread._internal.node.peer_answers import PeerAnswers
+from robinthread._internal.node.settings_holder import SettingsHolder
 from robinthread._internal.node.steward import Steward
 
 RETRY_PAUSE_S: Final = 0.2
@@ -45,10 +45,11 @@
 
 
 def assemble_node(
-    settings: NodeSettings, environment: NodeEnvironment, me: Member
+    settings_holder: SettingsHolder, environment: NodeEnvironment, me: Member
 ) -> AssembledNode:
     """Make a node and start what it does on its own; must run on an event loop."""
     loop = asyncio.get_running_loop()
+    settings = settings_holder.settings
     events, store, records = environment.events, environment.store, environment.records
     job_index = JobIndex(events)
     host_directory = HostDirectory(records.parse_host, events)
@@ -63,7 +64,7 @@
         store, INBOX_PARTITION, f"entry/{me.node}/{me.life}", settings.store.call_max_bytes
     )
     context = NodeContext(
-        settings=settings,
+        settings_holder=settings_holder,
         store=store,
         inbox_writer=writer,
         hosts=environment.hosts,
@@ -94,6 +95,7 @@
         table.follower.run(),
         election.run(),
         handover.run(),
+        settings_holder.run(),
         writer.run(),
         node.run(),
     ):
--- a/src/robinthread/_internal/node/context.py
+++ b/src/robinthread/_internal/node/context.py
@@ -10,6 +10,7 @@
 from robinthread._internal.node.config_holder import ConfigHolder
 from robinthread._internal.node.host_directory import HostDirectory
 from robinthread._internal.node.node_settings import NodeSettings
+from robinthread._internal.node.settings_holder import SettingsHolder
 from robinthread._internal.telemetry.event_log import EventLog
 
 
@@ -25,7 +26,7 @@
     owns what, ``get_wall_ms`` Unix time in milliseconds.
     """
 
-    settings: NodeSettings
+    settings_holder: SettingsHolder
     store: Store
     inbox_writer: GroupWriter
     hosts: HostCalls
@@ -39,3 +40,8 @@
     get_wall_ms: Callable[[], int]
     get_unconfirmed_s: Callable[[], float]
     read_inbox_to_end: Callable[[], Awaitable[None]]
+
+    @property
+    def settings(self) -> NodeSettings:
+        """Return the settings in force now."""
+        return self.settings_holder.settings
--- a/src/robinthread/_internal/node/election.py
+++ b/src/robinthread/_internal/node/election.py
@@ -24,8 +24,10 @@
 JOIN_PERIOD_S: Final = 0.4
 # How often a member tries whom the store does not serve.
 REJOIN_PERIOD_S: Final = 0.1
-# After so many failures in a row the store does not serve this node: one may be lost.
-FAILURES_MIN: Final = 3
+# After so many failures in a row, over so long, the store does not serve this node: one
+# answer may be lost, and a node that is turned away fails many times in a moment.
+FAILURES_MIN: Final = 2
+FAILING_MIN_S: Final = 0.2
 # How long an owner must be missing from the members: while partitions pass from
 # one member to another, a living one may hold none for a moment.
 MISSING_CONFIRM_S: Final = 0.5
@@ -63,6 +65,7 @@
         self._steady_since_s = math.inf
         self.last_join_at_s = 0.0
         self._failure_count = 0
+        self._failing_since_s = math.inf
         self._turn = asyncio.Lock()
         self.is_leaving = False
 
@@ -79,6 +82,8 @@
                 self._missing_since_s.clear()
                 self._is_stale = True
                 self._failure_count += 1
+                now_s = asyncio.get_running_loop().time()
+                self._failing_since_s = min(self._failing_since_s, now_s)
             await asyncio.sleep(REJOIN_PERIOD_S if self._failure_count else JOIN_PERIOD_S)
 
     async def leave(self) -> None:
@@ -95,13 +100,18 @@
     @property
     def is_cut_off(self) -> bool:
         """Tell whether the store does not serve this node."""
-        return self._failure_count >= FAILURES_MIN
+        failing_s = asyncio.get_running_loop().time() - self._failing_since_s
+        return self._failure_count >= FAILURES_MIN and failing_s >= FAILING_MIN_S
 
     @property
     def may_take(self) -> bool:
         """Tell whether the store serves this node and it is to stay."""
         return not self._failure_count and not self.is_leaving and self._is_settled()
 
+    def get_silence_s(self) -> float:
+        """Return for how long the store has not answered this node."""
+        return asyncio.get_running_loop().time() - self.last_join_at_s
+
     def is_living(self, member: Member) -> bool:
         """Tell whether a process is a member now."""
         return member in self._members
@@ -174,6 +184,7 @@
         now_s = asyncio.get_running_loop().time()
         self.last_join_at_s = now_s
         self._failure_count = 0
+        self._failing_since_s = math.inf
         if self._steady_since_s == math.inf:
             self._steady_since_s = now_s
         if membership.generation != self._generation or self._is_stale or self._missing_since_s:
--- a/src/robinthread/_internal/node/host_follower.py
+++ b/src/robinthread/_internal/node/host_follower.py
@@ -133,12 +133,12 @@
         if run is None:
             return
         self._events.write(
-            "run_ended",
+            "run_failed" if end.end is RunEnd.FAILED else "run_ended",
             job=end.task.job_id,
-            task=end.task,
+            task=end.task.place,
             run=end.run,
             host=host.id,
-            end=end.end.value,
+            outcome=end.end.value,
         )
         if end.end is RunEnd.DONE:
             host.health.note_done()
@@ -156,7 +156,11 @@
             run = host.runs.get(key)
             if run is None:
                 self._events.write(
-                    "unknown_run_stopped", task=running.task, run=running.run, host=host.id
+                    "unknown_run_stopped",
+                    job=running.task.job_id,
+                    task=running.task.place,
+                    run=running.run,
+                    host=host.id,
                 )
                 self._runtime.spawn(self._stop_unknown(key))
                 continue
@@ -176,7 +180,7 @@
         self._events.write(
             "run_not_there",
             job=run.task.job_id,
-            task=run.task,
+            task=run.task.place,
             run=run.number,
             host=run.host_id,
             phase=run.phase.value,
--- a/src/robinthread/_internal/node/job_gate.py
+++ b/src/robinthread/_internal/node/job_gate.py
@@ -41,10 +41,15 @@
 
 
 class GateOutcome(enum.Enum):
-    """Outcome of a caller's request."""
+    """Outcome of a caller's request.
+
+    REFUSED: the store does not take it, so it has not run and will not.
+    OWNER_UNREACHABLE: what is asked for cannot be told now.
+    """
 
     DONE = "done"
     REFUSED = "refused"
+    OWNER_UNREACHABLE = "owner unreachable"
     UNKNOWN = "unknown"
     NO_SUCH_JOB = "no such job"
 
@@ -120,7 +125,7 @@
         if answer.is_owner and not answer.status and answer.pool not in ("", queue.pool):
             answer = await self._ask_job(answer.pool, job_id)
         if not answer.is_owner or (answer.pool and not answer.status):
-            return JobTold(GateOutcome.REFUSED)
+            return JobTold(GateOutcome.OWNER_UNREACHABLE)
         if not answer.pool:
             return JobTold(GateOutcome.NO_SUCH_JOB)
         status = JobStatus(answer.status)
@@ -183,7 +188,14 @@
         else:
             outcome = await self._append(record, deadline_s)
         if outcome is GateOutcome.REFUSED:
-            self._events.write("request_refused", key=record.key)
+            self._events.write(
+                "record_refused",
+                job=record.key.split("/")[1],
+                key=record.key,
+                is_cut_off=self._election.is_cut_off,
+                store_silent_for_s=round(self._election.get_silence_s(), 3),
+                served_nodes=[member.node for member in self._handover.served],
+            )
         return outcome
 
     async def _relay(self, record: KeyedRecord, deadline_s: float) -> GateOutcome:
@@ -206,14 +218,16 @@
         except PeerUnsentError:
             return GateOutcome.REFUSED
         except PeerUnreachableError as error:
-            self._events.write(
-                "request_unknown", key=record.key, relay=member.node, error=str(error)
-            )
+            self._note_unknown(record, member.node, error)
             return GateOutcome.UNKNOWN
         outcome = GateOutcome(answer.outcome)
         if outcome is not GateOutcome.REFUSED:
             self._events.write(
-                "request_relayed", key=record.key, relay=member.node, outcome=outcome.value
+                "request_relayed",
+                job=record.key.split("/")[1],
+                key=record.key,
+                relay=member.node,
+                outcome=outcome.value,
             )
         return outcome
 
@@ -221,13 +235,27 @@
         try:
             await self._writer.write(record, deadline_s)
         except StoreRefusedError as error:
-            self._events.write("append_refused", key=record.key, error=str(error))
+            self._events.write(
+                "append_refused",
+                job=record.key.split("/")[1],
+                key=record.key,
+                error=f"{type(error).__name__}: {error}",
+            )
             return GateOutcome.REFUSED
         except StoreNoAnswerError as error:
-            self._events.write("request_unknown", key=record.key, error=str(error))
+            self._note_unknown(record, "", error)
             return GateOutcome.UNKNOWN
         return GateOutcome.DONE
 
+    def _note_unknown(self, record: KeyedRecord, relay: str, error: Exception) -> None:
+        self._events.write(
+            "request_unknown",
+            job=record.key.split("/")[1],
+            key=record.key,
+            relay=relay,
+            error=f"{type(error).__name__}: {error}",
+        )
+
 
 def _remember(kept: dict, key: str, value: JobStatus | None) -> None:  # type: ignore[type-arg]
     kept[key] = value
--- a/src/robinthread/_internal/node/order_sender.py
+++ b/src/robinthread/_internal/node/order_sender.py
@@ -94,7 +94,7 @@
             self._events.write(
                 "stop_unanswered",
                 job=task.job_id,
-                task=task,
+                task=task.place,
                 run=run,
                 host=host.id,
                 error=type(error).__name__,
@@ -128,7 +128,7 @@
             self._events.write(
                 "start_unanswered",
                 job=job.id,
-                task=run.task,
+                task=run.task.place,
                 run=run.number,
                 host=host.id,
                 error=type(error).__name__,
@@ -136,8 +136,17 @@
             return False
         else:
             self._runtime.jobs.confirm_start(run, get_loop_s())
+            since_accepted_ms = self._context.get_wall_ms() - job.spec.accepted_at_ms
+            self._events.metrics.note_start(self._runtime.pool, since_accepted_ms / 1000)
             self._events.write(
-                "run_started", job=job.id, task=run.task, run=run.number, host=host.id
+                "run_started",
+                job=job.id,
+                task=run.task.place,
+                run=run.number,
+                host=host.id,
+                pool=self._runtime.pool,
+                token=self._runtime.token,
+                since_accepted_ms=since_accepted_ms,
             )
         return True
 
@@ -146,7 +155,7 @@
         self._events.write(
             "start_rejected",
             job=run.task.job_id,
-            task=run.task,
+            task=run.task.place,
             run=run.number,
             host=host.id,
             reason=reason,
--- a/src/robinthread/_internal/node/pool_owner.py
+++ b/src/robinthread/_internal/node/pool_owner.py
@@ -35,6 +35,7 @@
 )
 from robinthread._internal.node.recorder import Recorder
 from robinthread._internal.node.retention import Retention
+from robinthread._internal.node.wait_reporter import WaitReporter
 from robinthread._internal.utils.waiting import wait_for_event
 
 PROGRESS_TOPIC: Final = "keyed.progress"
@@ -80,6 +81,7 @@
         self._runtime = PoolRuntime(context, pool, token, self.jobs, self._journal)
         self._orders = OrderSender(self._runtime)
         self._recorder = Recorder(self._runtime, self._journal, self._orders)
+        self._wait_reporter = WaitReporter(self._runtime)
         self._retention = Retention(self._runtime, self._journal)
         self._host_tasks: dict[str, asyncio.Task[None]] = {}
         self._demand = DemandMeter(context.settings.bounds.machine_move_s + HOST_START_S)
@@ -262,6 +264,7 @@
     def _tick(self, now_s: float) -> None:
         """Do what time alone brings."""
         now_ms = self._context.get_wall_ms()
+        self._wait_reporter.report(now_s)
         for job in list(self.jobs.jobs.values()):
             if not job.status.is_final and job.next_occurrence < job.occurrence_count:
                 self.jobs.open_due(job, now_ms)
@@ -269,7 +272,7 @@
             self._events.write(
                 "run_stalled",
                 job=run.task.job_id,
-                task=run.task,
+                task=run.task.place,
                 run=run.number,
                 host=run.host_id,
                 progress_percent=run.progress_percent,
@@ -281,7 +284,11 @@
                 self._remove_host(host.id, "it is not listed and its lease is over")
         for run in evacuate(self.jobs, now_s):
             self._events.write(
-                "run_moved", job=run.task.job_id, task=run.task, run=run.number, host=run.host_id
+                "run_moved",
+                job=run.task.job_id,
+                task=run.task.place,
+                run=run.number,
+                host=run.host_id,
             )
 
     def _update_hosts(self) -> None:
--- a/src/robinthread/_internal/node/process.py
+++ b/src/robinthread/_internal/node/process.py
@@ -4,8 +4,10 @@
 import secrets
 import signal
 import time
+from collections.abc import Callable
 from typing import Final
 
+from opentelemetry.metrics import get_meter
 from tornado.httpserver import HTTPServer
 from tornado.netutil import bind_sockets
 from tornado.web import Application
@@ -17,12 +19,15 @@
 from robinthread._internal.node.peer_client import PeerClient
 from robinthread._internal.node.peer_server import make_peer_application
 from robinthread._internal.node.ready_server import make_ready_application
+from robinthread._internal.node.settings_holder import SettingsHolder
 from robinthread._internal.platform.callers import make_callers_application
 from robinthread._internal.platform.hosts import PlatformHosts
 from robinthread._internal.platform.machines import PlatformMachines
 from robinthread._internal.platform.operators import PLATFORM_RECORDS
 from robinthread._internal.platform.store import PlatformStore
 from robinthread._internal.telemetry.event_log import EventLog, LineWriter
+from robinthread._internal.telemetry.log_bridge import bridge_libraries
+from robinthread._internal.telemetry.node_metrics import NodeMetrics
 from robinthread._internal.utils.http_call import make_client
 
 # Connections to the store: one for each partition followed, some for appends.
@@ -34,21 +39,40 @@
 # How long callers are still served after a planned stop began: the balancer needs
 # two misses, one a second, to send them elsewhere.
 LINGER_S: Final = 3.5
+# The exporter takes 0.2 s of a core to load: after a restart of all nodes jobs go first.
+METRICS_DELAY_S: Final = 5.0
 
 
-async def run_node(settings: NodeSettings) -> None:
-    """Run a node until SIGTERM."""
-    events = EventLog(settings.name, LineWriter().write)
+async def run_node(
+    read_settings: Callable[[], NodeSettings],
+    metrics_port: int | None,
+    begin_metrics: Callable[[], Application],
+) -> None:
+    """Run a node until SIGTERM; raise ``FaultError`` where its settings are not valid.
+
+    Metrics are served on ``metrics_port`` where there is one, by what
+    ``begin_metrics`` returns once the node has had time to start.
+    """
+    settings = read_settings()
+    writer = LineWriter()
+    metrics = NodeMetrics(get_meter("robinthread"))
+    metrics.observe("lines_lost", "by", lambda: {"slow reader": writer.lost_count})
+    events = EventLog(settings.name, writer.write, metrics)
+    bridge_libraries(events)
     loop = asyncio.get_running_loop()
     stopped = asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stopped.set)
-    loop.add_signal_handler(signal.SIGHUP, lambda: events.write("settings_changed"))
+    holder = SettingsHolder(settings, read_settings, events)
+    loop.add_signal_handler(signal.SIGHUP, holder.reload, "signal")
     peer_address = f"{settings.ip}:{settings.peer_ports[0]}"
     me = Member(settings.name, secrets.token_hex(4), peer_address)
     events.write("started", life=me.life, peer_address=peer_address, hall=settings.hall)
-    assembled = assemble_node(settings, make_environment(settings, events), me)
-    callers = _serve(assembled, settings, peer_address)
+    assembled = assemble_node(holder, make_environment(settings, events), me)
+    callers = _serve(assembled, settings, peer_address, events)
+    if metrics_port is not None:
+        address = f"{settings.ip}:{metrics_port}"
+        loop.call_later(METRICS_DELAY_S, lambda: _listen(begin_metrics(), address))
     await stopped.wait()
     events.write("stopping")
     await assembled.node.stop()
@@ -59,10 +83,12 @@
 
 def make_environment(settings: NodeSettings, events: EventLog) -> NodeEnvironment:
     """Make the real interfaces of a node."""
+    metrics = events.metrics
+    machines_client = make_client(MACHINE_CONNECTIONS_MAX)
     return NodeEnvironment(
-        store=PlatformStore(make_client(STORE_CONNECTIONS_MAX), settings.store_address),
-        hosts=PlatformHosts(make_client(HOST_CONNECTIONS_MAX)),
-        machines=PlatformMachines(make_client(MACHINE_CONNECTIONS_MAX), settings.machines_address),
+        store=PlatformStore(make_client(STORE_CONNECTIONS_MAX), settings.store_address, metrics),
+        hosts=PlatformHosts(make_client(HOST_CONNECTIONS_MAX), metrics),
+        machines=PlatformMachines(machines_client, settings.machines_address, metrics),
         peers=PeerClient(make_client(PEER_CONNECTIONS_MAX)),
         records=PLATFORM_RECORDS,
         events=events,
@@ -70,12 +96,14 @@
     )
 
 
-def _serve(assembled: AssembledNode, settings: NodeSettings, peer_address: str) -> HTTPServer:
+def _serve(
+    assembled: AssembledNode, settings: NodeSettings, peer_address: str, events: EventLog
+) -> HTTPServer:
     """Listen for the balancer, for other nodes and for callers; return the last."""
     node = assembled.node
     _listen(make_ready_application(lambda: node.is_ready), settings.ready_address)
     _listen(make_peer_application(assembled.answers), peer_address)
-    application = make_callers_application(assembled.gate, assembled.config_holder)
+    application = make_callers_application(assembled.gate, assembled.config_holder, events)
     return _listen(application, settings.caller_address)
 
 
--- a/src/robinthread/_internal/node/recorder.py
+++ b/src/robinthread/_internal/node/recorder.py
@@ -5,6 +5,7 @@
 from robinthread._internal.durable.journal import Journal
 from robinthread._internal.durable.store import KeyedRecord
 from robinthread._internal.jobs.job import Job
+from robinthread._internal.jobs.job_timing import get_allowed_s
 from robinthread._internal.jobs.progress import encode_progress
 from robinthread._internal.jobs.run import Run, RunPhase
 from robinthread._internal.models.job_status import JobStatus
@@ -73,15 +74,26 @@
 
     def _show(self, job: Job, status: JobStatus) -> None:
         if status.is_final and not job.recorded_status.is_final:
-            self._runtime.events.write(
-                "job_ended",
-                job=job.id,
-                pool=self._runtime.pool,
-                queue=job.spec.queue,
-                status=status.value,
-            )
+            self._note_end(job, status)
         job.recorded_status = status
 
+    def _note_end(self, job: Job, status: JobStatus) -> None:
+        """Write the last word on a job, with what it was allowed to take."""
+        took_ms = job.ended_at_ms - job.spec.accepted_at_ms
+        pool = self._runtime.pool
+        self._runtime.events.metrics.note_job_end(pool, status.value, took_ms / 1000)
+        self._runtime.events.write(
+            "job_failed" if status is JobStatus.FAILED else "job_ended",
+            job=job.id,
+            pool=pool,
+            queue=job.spec.queue,
+            outcome=status.value,
+            took_ms=took_ms,
+            allowed_ms=round(get_allowed_s(job, self._runtime.jobs.run_times) * 1000),
+            run_count=sum(task.last_run for task in job.tasks.values()),
+            failure_count=sum(task.failure_count for task in job.tasks.values()),
+        )
+
 
 def _iter_unsent(job: Job) -> list[Run]:
     return [
--- /dev/null
+++ b/src/robinthread/_internal/node/settings_holder.py
@@ -0,0 +1,61 @@
+"""The newest settings of a node's process."""
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import fields
+from typing import Final
+
+from robinthread._internal.node.node_settings import NodeSettings
+from robinthread._internal.results import FaultError
+from robinthread._internal.telemetry.event_log import EventLog
+
+# The file may change without a signal; configuration is to be in force within 2 s.
+POLL_PERIOD_S: Final = 1.0
+# Fields that only a new process can follow: what it is, and where it listens.
+FIXED_FIELDS: Final = frozenset(
+    {"name", "ip", "hall", "caller_address", "ready_address", "peer_ports"}
+    | {"store_address", "machines_address", "advice_address", "store"}
+)
+
+
+class SettingsHolder:
+    """Settings that follow their file; those that are not valid change nothing."""
+
+    def __init__(
+        self, settings: NodeSettings, read: Callable[[], NodeSettings], events: EventLog
+    ) -> None:
+        self.settings = settings
+        self._read = read
+        self._events = events
+        self._last_error = ""
+
+    async def run(self) -> None:
+        """Follow the file until cancelled."""
+        while True:
+            await asyncio.sleep(POLL_PERIOD_S)
+            self.reload("file")
+
+    def reload(self, cause: str) -> None:
+        """Read the file again, and write a line where that changes anything."""
+        try:
+            settings = self._read()
+        except FaultError as error:
+            if str(error) != self._last_error:
+                self._events.write("settings_rejected", cause=cause, error=str(error))
+            self._last_error = str(error)
+            return
+        self._last_error = ""
+        changed = {
+            field.name
+            for field in fields(NodeSettings)
+            if getattr(settings, field.name) != getattr(self.settings, field.name)
+        }
+        if not changed and cause == "file":
+            return
+        self.settings = settings
+        self._events.write(
+            "settings_reloaded",
+            cause=cause,
+            changed=sorted(changed),
+            in_force_after_restart=sorted(changed & FIXED_FIELDS),
+        )
--- /dev/null
+++ b/src/robinthread/_internal/node/wait_reporter.py
@@ -0,0 +1,70 @@
+"""Lines that tell why accepted jobs wait."""
+
+from collections.abc import Iterable
+from itertools import groupby
+from typing import Final
+
+from robinthread._internal.jobs.host import Host, HostContact
+from robinthread._internal.jobs.job import Job
+from robinthread._internal.jobs.job_timing import get_slack_s
+from robinthread._internal.jobs.placement import get_usable_hosts, iter_fitting
+from robinthread._internal.jobs.task import Task
+from robinthread._internal.node.pool_runtime import PoolRuntime
+
+# How often one job's wait is told.
+REPORT_PERIOD_S: Final = 1.0
+# Waits of the jobs that wait longest are told; the others wait for the same hosts.
+JOBS_MAX: Final = 20
+
+
+class WaitReporter:
+    """Tells of jobs whose tasks wait for a host, and what hosts there are."""
+
+    def __init__(self, runtime: PoolRuntime) -> None:
+        self._runtime = runtime
+        self._told_at_s: dict[str, float] = {}
+
+    def report(self, now_s: float) -> None:
+        """Write a line for each job that has waited since the last one."""
+        pool = self._runtime.jobs
+        waiting = sorted(pool.waiting.values(), key=lambda task: task.key.job_id)
+        by_job = {
+            job_id: list(tasks) for job_id, tasks in groupby(waiting, lambda task: task.key.job_id)
+        }
+        self._told_at_s = {job_id: self._told_at_s.get(job_id, now_s) for job_id in by_job}
+        due = [
+            job_id
+            for job_id, told_s in self._told_at_s.items()
+            if now_s - told_s >= REPORT_PERIOD_S
+        ]
+        for job_id in due[:JOBS_MAX]:
+            self._told_at_s[job_id] = now_s
+            self._tell(pool.jobs[job_id], by_job[job_id], now_s)
+
+    def _tell(self, job: Job, tasks: list[Task], now_s: float) -> None:
+        pool = self._runtime.jobs
+        now_ms = self._runtime.context.get_wall_ms()
+        first = tasks[0]
+        usable = get_usable_hosts(pool, now_s)
+        slack_s = get_slack_s(job, first.key.occurrence, pool.run_times, now_ms)
+        self._runtime.events.write(
+            "job_waits",
+            job=job.id,
+            pool=self._runtime.pool,
+            waiting_count=len(tasks),
+            since_accepted_ms=now_ms - job.spec.accepted_at_ms,
+            slack_s=round(slack_s, 3),
+            priority=job.policy.priority,
+            task_cpu_millicores=first.step.room.cpu_millicores,
+            fitting_hosts=sum(1 for _ in iter_fitting(pool, first, now_s)),
+            usable_hosts=len(usable),
+            free_cpu_max_millicores=max((host.free.cpu_millicores for host in usable), default=0),
+            silent_hosts=_count(pool.hosts.values(), HostContact.SILENT),
+            unheard_hosts=_count(pool.hosts.values(), HostContact.UNHEARD),
+            paused_hosts=sum(host.is_paused(now_s) for host in pool.hosts.values()),
+            store_unconfirmed_for_s=round(self._runtime.context.get_unconfirmed_s(), 3),
+        )
+
+
+def _count(hosts: Iterable[Host], contact: HostContact) -> int:
+    return sum(host.contact is contact for host in hosts)
--- a/src/robinthread/_internal/platform/callers.py
+++ b/src/robinthread/_internal/platform/callers.py
@@ -14,6 +14,8 @@
 from robinthread._internal.models.queue_policy import QueuePolicy
 from robinthread._internal.node.config_holder import ConfigHolder
 from robinthread._internal.node.job_gate import GateOutcome, JobGate
+from robinthread._internal.results import MEANINGS, ResultCode
+from robinthread._internal.telemetry.event_log import EventLog
 
 JOB_ID: Final = re.compile(r"[0-9a-f]{16}")
 DEADLINE_HEADER: Final = "X-Deadline-Ms"
@@ -21,6 +23,14 @@
 DEFAULT_DEADLINE_S: Final = 3.0
 # Of the caller's time, what is left for the way back.
 ANSWER_MARGIN_S: Final = 0.1
+# Number and status of each outcome of a call.
+OUTCOME_CODES: Final = {
+    GateOutcome.DONE: (ResultCode.OK, 200),
+    GateOutcome.REFUSED: (ResultCode.PLATFORM_OUT, 503),
+    GateOutcome.OWNER_UNREACHABLE: (ResultCode.POOL_OWNER_UNREACHABLE, 503),
+    GateOutcome.NO_SUCH_JOB: (ResultCode.NOT_FOUND, 410),
+    GateOutcome.UNKNOWN: (ResultCode.OUTCOME_UNKNOWN, 504),
+}
 # When a caller that was refused should come back.
 RETRY_AFTER_S: Final = 1
 SPEC_MAX_CHARACTERS: Final = 4000
@@ -70,10 +80,20 @@
 class JobsHandler(RequestHandler):
     """Serves one queue's path."""
 
-    def initialize(self, gate: JobGate, config_holder: ConfigHolder) -> None:  # type: ignore[override]
+    def initialize(  # type: ignore[override]
+        self, gate: JobGate, config_holder: ConfigHolder, events: EventLog
+    ) -> None:
         """Take what answers."""
         self._gate = gate
         self._config_holder = config_holder
+        self._events = events
+
+    def prepare(self) -> None:
+        """Refuse a body over the limit."""
+        self._began_at_s = time.monotonic()
+        config = self._config_holder.config
+        if config is not None and len(self.request.body) > config.body_max_bytes:
+            self._answer(413, ResultCode.BODY_TOO_LARGE)
 
     async def post(self) -> None:
         """Take a job in."""
@@ -85,10 +105,9 @@
         try:
             spec = _parse_job(rest, queue, config, self.request.body)
         except (msgspec.MsgspecError, ValueError) as error:
-            self._answer(400, {"error": str(error)})
+            self._answer(400, ResultCode.BAD_REQUEST, error=str(error))
             return
-        outcome = await self._gate.accept(spec, self._get_deadline_s())
-        self._answer_outcome(outcome)
+        self._answer_outcome(await self._gate.accept(spec, self._get_deadline_s()))
 
     async def get(self) -> None:
         """Tell a job's state, or a queue's count of pending jobs."""
@@ -98,13 +117,13 @@
         if not rest:
             count = await self._gate.count_pending(queue)
             if count is None:
-                self._refuse()
+                self._answer_outcome(GateOutcome.OWNER_UNREACHABLE)
             else:
-                self._answer(200, {"pending": count})
+                self._answer(200, ResultCode.OK, pending=count)
             return
         told = await self._gate.get_status(queue, rest)
         if told.status is not None:
-            self._answer(200, {"state": STATUS_WORDS[told.status]})
+            self._answer(200, ResultCode.OK, state=STATUS_WORDS[told.status])
         else:
             self._answer_outcome(told.outcome)
 
@@ -119,12 +138,12 @@
         """Return the queue and the rest of the path, or answer that there is none."""
         config = self._config_holder.config
         if config is None:
-            self._refuse()
+            self._answer(503, ResultCode.NOT_READY)
             return None, ""
         path = self.request.path
         queue = config.find_queue(self.request.host_name, path)
         if queue is None:
-            self._answer(404, {"error": "no such queue"})
+            self._answer(404, ResultCode.NO_SUCH_POOL)
             return None, ""
         return queue, path.removeprefix(queue.path_prefix)
 
@@ -135,28 +154,46 @@
         return asyncio.get_running_loop().time() + max(0.0, left_s - ANSWER_MARGIN_S)
 
     def _answer_outcome(self, outcome: GateOutcome) -> None:
-        if outcome is GateOutcome.DONE:
-            self._answer(200, {})
-        elif outcome is GateOutcome.REFUSED:
-            self._refuse()
-        elif outcome is GateOutcome.NO_SUCH_JOB:
-            self._answer(410, {"error": "no such job"})
-        else:
-            self._answer(504, {"error": "the outcome is not known; repeat the request"})
+        code, status = OUTCOME_CODES[outcome]
+        self._answer(status, code)
 
-    def _refuse(self) -> None:
-        self.set_header("Retry-After", str(RETRY_AFTER_S))
-        self._answer(503, {"error": "did not run; come back later"})
-
-    def _answer(self, status: int, body: dict[str, Any]) -> None:
+    def _answer(self, status: int, code: ResultCode, **fields: Any) -> None:
+        """Answer with a result code, and tell a caller that was refused when to come back."""
         self.set_status(status)
         self.set_header("Content-Type", "application/json")
+        body: dict[str, Any] = fields
+        if status != 200:
+            body = {"code": int(code), "error": MEANINGS[code]} | fields
+            self._note_refusal(status, code, str(body["error"]))
+        if status == 503:
+            self.set_header("Retry-After", str(RETRY_AFTER_S))
+        took_s = time.monotonic() - self._began_at_s
+        self._events.metrics.note_request(str(self.request.method), int(code), took_s)
         self.finish(msgspec.json.encode(body))
 
-
-def make_callers_application(gate: JobGate, config_holder: ConfigHolder) -> Application:
+    def _note_refusal(self, status: int, code: ResultCode, error: str) -> None:
+        """Write the last word on a request that was not served."""
+        config = self._config_holder.config
+        self._events.write(
+            "request_refused",
+            job=self.request.path.rpartition("/")[2],
+            method=self.request.method,
+            host=self.request.host_name,
+            path=self.request.path,
+            config_version=config.version if config is not None else None,
+            status=status,
+            code=int(code),
+            outcome=code.name,
+            error=error,
+            held_ms=round((time.monotonic() - self._began_at_s) * 1000, 1),
+        )
+
+
+def make_callers_application(
+    gate: JobGate, config_holder: ConfigHolder, events: EventLog
+) -> Application:
     """Make the callers' listener."""
-    arguments = {"gate": gate, "config_holder": config_holder}
+    arguments = {"gate": gate, "config_holder": config_holder, "events": events}
     return Application([(r"/.*", JobsHandler, arguments)], log_function=lambda handler: None)
 
 
--- a/src/robinthread/_internal/platform/hosts.py
+++ b/src/robinthread/_internal/platform/hosts.py
@@ -23,6 +23,8 @@
 from robinthread._internal.models.task_key import TaskKey
 from robinthread._internal.models.upstream_host import UpstreamHost
 from robinthread._internal.platform.task_names import format_task, parse_task
+from robinthread._internal.telemetry.call_timer import timed_call
+from robinthread._internal.telemetry.node_metrics import NodeMetrics
 from robinthread._internal.utils.http_call import (
     JSON_HEADERS,
     CallLostError,
@@ -71,8 +73,9 @@
 class PlatformHosts:
     """Job hosts over HTTP."""
 
-    def __init__(self, client: AsyncHTTPClient) -> None:
+    def __init__(self, client: AsyncHTTPClient, metrics: NodeMetrics) -> None:
         self._client = client
+        self._metrics = metrics
 
     async def watch(
         self,
@@ -90,7 +93,7 @@
             body["deadline_ms"] = lease_until_ms
         if wait_s > 0:
             body["wait_ms"] = int(wait_s * 1000)
-        response = await self._order(host, "/hold", body, wait_s + WATCH_SLACK_S)
+        response = await self._order(host, "watch", "/hold", body, wait_s + WATCH_SLACK_S)
         report = _decode(response, _WireReport)
         return HostReport(
             report.clock_ms,
@@ -111,13 +114,13 @@
             body["checkpoint"] = order.checkpoint
         if order.ticket:
             body["ticket"] = order.ticket
-        response = await self._order(host, "/run-start", body, ORDER_TIMEOUT_S)
+        response = await self._order(host, "start", "/run-start", body, ORDER_TIMEOUT_S)
         return _decode(response, _WireAnswer).clock_ms
 
     async def stop(self, host: UpstreamHost, task: TaskKey, run: int, token: int) -> None:
         """Stop a run, or have its start rejected from now on."""
         body = {"task": format_task(task), "run": run, "fencing_token": token}
-        await self._order(host, "/run-stop", body, ORDER_TIMEOUT_S)
+        await self._order(host, "stop", "/run-stop", body, ORDER_TIMEOUT_S)
 
     async def pace(
         self, host: UpstreamHost, task: TaskKey, run: int, percent: int, token: int
@@ -129,9 +132,15 @@
             "percent": percent,
             "fencing_token": token,
         }
-        await self._order(host, "/pace", body, ORDER_TIMEOUT_S)
+        await self._order(host, "pace", "/pace", body, ORDER_TIMEOUT_S)
 
     async def _order(
+        self, host: UpstreamHost, kind: str, path: str, body: dict[str, Any], timeout_s: float
+    ) -> HTTPResponse:
+        with timed_call(self._metrics.note_host_call, kind):
+            return await self._order_once(host, path, body, timeout_s)
+
+    async def _order_once(
         self, host: UpstreamHost, path: str, body: dict[str, Any], timeout_s: float
     ) -> HTTPResponse:
         try:
--- a/src/robinthread/_internal/platform/machines.py
+++ b/src/robinthread/_internal/platform/machines.py
@@ -15,6 +15,8 @@
 )
 from robinthread._internal.models.machine import Machine, MachineState
 from robinthread._internal.platform.operators import WireCapacity, get_rack
+from robinthread._internal.telemetry.call_timer import timed_call
+from robinthread._internal.telemetry.node_metrics import NodeMetrics
 from robinthread._internal.utils.http_call import (
     JSON_HEADERS,
     CallLostError,
@@ -52,8 +54,9 @@
 class PlatformMachines:
     """The platform's machines over HTTP."""
 
-    def __init__(self, client: AsyncHTTPClient, address: str) -> None:
+    def __init__(self, client: AsyncHTTPClient, address: str, metrics: NodeMetrics) -> None:
         self._client = client
+        self._metrics = metrics
         self._base = f"http://{address}"
 
     async def list_machines(self) -> tuple[Machine, ...]:
@@ -82,6 +85,13 @@
 
     async def _call(
         self, path: str, body: bytes | None = None, headers: dict[str, str] | None = None
+    ) -> HTTPResponse:
+        kind = path.removeprefix("/machine-").lstrip("/").partition("?")[0]
+        with timed_call(self._metrics.note_machine_call, kind):
+            return await self._call_once(path, body, headers)
+
+    async def _call_once(
+        self, path: str, body: bytes | None, headers: dict[str, str] | None
     ) -> HTTPResponse:
         try:
             response = await call(
--- a/src/robinthread/_internal/platform/store.py
+++ b/src/robinthread/_internal/platform/store.py
@@ -28,6 +28,8 @@
     ReadPage,
     WriterStamp,
 )
+from robinthread._internal.telemetry.call_timer import timed_call
+from robinthread._internal.telemetry.node_metrics import NodeMetrics
 from robinthread._internal.utils.call_timeout import CallTimeout
 from robinthread._internal.utils.http_call import (
     JSON_HEADERS,
@@ -84,9 +86,10 @@
 class PlatformStore:
     """The platform's store over HTTP."""
 
-    def __init__(self, client: AsyncHTTPClient, address: str) -> None:
+    def __init__(self, client: AsyncHTTPClient, address: str, metrics: NodeMetrics) -> None:
         self._client = client
         self._base = f"http://{address}"
+        self._metrics = metrics
         self._timeout = CallTimeout(CALL_TIMEOUT_MIN_S, CALL_TIMEOUT_MAX_S)
 
     async def append(
@@ -175,6 +178,11 @@
     async def _call(
         self, path: str, body: bytes | None = None, wait_s: float = 0.0
     ) -> HTTPResponse:
+        kind = path.removeprefix("/log-").partition("?")[0]
+        with timed_call(self._metrics.note_store_call, kind):
+            return await self._call_once(path, body, wait_s)
+
+    async def _call_once(self, path: str, body: bytes | None, wait_s: float) -> HTTPResponse:
         began_at_s = time.monotonic()
         try:
             response = await call(
--- a/src/robinthread/_internal/results.py
+++ b/src/robinthread/_internal/results.py
@@ -46,6 +46,7 @@
     DEADLINE_PASSED = 313
     STOPPING = 314
     NO_SLOT_FREE = 315
+    POOL_OWNER_UNREACHABLE = 316
 
     OUTCOME_UNKNOWN = 400
     HOLDER_LOST = 401
@@ -116,6 +117,9 @@
     ResultCode.DEADLINE_PASSED: "The deadline passed before the request was started.",
     ResultCode.STOPPING: "The daemon is stopping. Ask another entry host.",
     ResultCode.NO_SLOT_FREE: "No slot is free in that data hall now.",
+    ResultCode.POOL_OWNER_UNREACHABLE: (
+        "The node that owns the job's pool cannot be reached. Retry later."
+    ),
     ResultCode.OUTCOME_UNKNOWN: "The request was sent and no word came back.",
     ResultCode.HOLDER_LOST: "The daemon that carried the request is gone.",
     ResultCode.ANSWER_TIMED_OUT: "The request was sent; its answer did not come in time.",
--- a/src/robinthread/_internal/telemetry/event_log.py
+++ b/src/robinthread/_internal/telemetry/event_log.py
@@ -8,6 +8,11 @@
 
 import msgspec
 
+from robinthread._internal.telemetry.line_budget import LineBudget
+from robinthread._internal.telemetry.node_metrics import NodeMetrics
+
+# How often a line tells how many others were left out.
+LEFT_OUT_PERIOD_S: Final = 1.0
 # Lines kept for a reader that is slow; more are lost and counted.  A line has
 # some 200 bytes, so this is about 400 KB.
 LINES_KEPT_MAX: Final = 2000
@@ -15,15 +20,34 @@
 
 
 class EventLog:
-    """Writes one JSON line for each event to ``write``, which must not wait."""
+    """Writes one JSON line for each event to ``write``, which must not wait.
+
+    Every event is counted.  Of one kind only so many lines a second are written;
+    a line each second tells how many were left out.
+    """
 
-    def __init__(self, node: str, write: Callable[[bytes], None]) -> None:
+    def __init__(
+        self, node: str, write: Callable[[bytes], None], metrics: NodeMetrics | None = None
+    ) -> None:
         self._node = node
         self._write = write
+        self.metrics = metrics or NodeMetrics()
         self._encoder = msgspec.json.Encoder(enc_hook=str)
+        self._budget = LineBudget()
+        self._left_out_told_at_s = 0.0
 
     def write(self, event: str, **fields: Any) -> None:
-        """Write a line; never wait."""
+        """Write a line if its kind's budget allows; never wait."""
+        self.metrics.count_event(event, str(fields.get("outcome", "")))
+        now_s = time.monotonic()
+        if self._budget.admit(event, now_s):
+            self._write_line(event, fields)
+        if now_s - self._left_out_told_at_s >= LEFT_OUT_PERIOD_S:
+            self._left_out_told_at_s = now_s
+            if left_out := self._budget.take_left_out():
+                self._write_line("lines_left_out", {"counts": left_out})
+
+    def _write_line(self, event: str, fields: dict[str, Any]) -> None:
         line = {"at": round(time.time(), 3), "node": self._node, "event": event} | fields
         self._write(self._encoder.encode(line) + b"\n")
 
--- /dev/null
+++ b/src/robinthread/_internal/telemetry/line_budget.py
@@ -0,0 +1,46 @@
+"""How many log lines of each kind may be written."""
+
+from collections import Counter
+from typing import Final
+
+# Lines a second of one kind, and how many may come at once.  A busy owner writes some
+# 60 starts and as many ends a second; a line takes some 30 us and 250 bytes.
+ROUTINE_PER_S: Final = 100.0
+ROUTINE_BURST: Final = 200.0
+# The same for lines that tell a refusal or a failure: several times what the platform's
+# store takes in a second.
+FAILURE_PER_S: Final = 1000.0
+FAILURE_BURST: Final = 2000.0
+FAILURE_KINDS: Final = frozenset(
+    {"request_refused", "request_unknown", "job_failed", "run_failed", "task_failed"}
+)
+
+
+class LineBudget:
+    """A token bucket for each kind of line; counts what it turns away.
+
+    Times are of any one steady clock, in seconds.
+    """
+
+    def __init__(self) -> None:
+        self._levels: dict[str, tuple[float, float]] = {}
+        self._left_out: Counter[str] = Counter()
+
+    def admit(self, kind: str, now_s: float) -> bool:
+        """Tell whether a line of a kind may be written now."""
+        is_failure = kind in FAILURE_KINDS
+        rate_per_s = FAILURE_PER_S if is_failure else ROUTINE_PER_S
+        burst = FAILURE_BURST if is_failure else ROUTINE_BURST
+        level, at_s = self._levels.get(kind, (burst, now_s))
+        level = min(burst, level + rate_per_s * (now_s - at_s))
+        is_admitted = level >= 1
+        self._levels[kind] = (level - is_admitted, now_s)
+        if not is_admitted:
+            self._left_out[kind] += 1
+        return is_admitted
+
+    def take_left_out(self) -> dict[str, int]:
+        """Return how many lines of each kind were turned away since the last call."""
+        left_out = dict(self._left_out)
+        self._left_out.clear()
+        return left_out
--- /dev/null
+++ b/src/robinthread/_internal/timeline/job_story.py
@@ -0,0 +1,121 @@
+"""The life of one request, gathered from the log lines of all nodes."""
+
+import datetime
+from collections.abc import Iterable, Sequence
+from typing import Any, Final
+
+from robinthread._internal.timeline.log_line import LogLine
+
+# What must come before what, whatever the clocks of different nodes say: a job is
+# accepted by one node, and then taken in by another.
+ORDER: Final = {
+    "request_relayed": 0,
+    "job_accepted": 1,
+    "job_taken": 2,
+}
+RUNNING: Final = 3
+# Lines that tell why a job's owner could not go on, whichever job they name.
+POOL_EVENTS: Final = frozenset(
+    {
+        "pool_taken",
+        "pool_opened",
+        "pool_closed",
+        "pool_fenced",
+        "pool_open_failed",
+        "journal_stalled",
+        "journal_resumed",
+        "host_lost",
+        "host_lapsed",
+        "host_paused",
+    }
+)
+# Lines that tell what a node had lost or regained, for the nodes that a job met.
+NODE_EVENTS: Final = frozenset(
+    {
+        "started",
+        "stopping",
+        "stopped",
+        "store_lost",
+        "store_regained",
+        "membership_lost",
+        "pools_passed_on",
+        "pools_not_passed_on",
+        "owner_unreachable",
+        "lines_lost",
+        "lines_left_out",
+    }
+)
+
+
+def select_lines(lines: Iterable[LogLine], job_id: str) -> list[LogLine]:
+    """Return the lines of a job and those of its pool, hosts and nodes meanwhile."""
+    lines = list(lines)
+    own = [line for line in lines if line.job == job_id]
+    if not own:
+        return []
+    began_s = min(line.at_s for line in own)
+    ended_s = max(line.at_s for line in own)
+    pools = {line.fields["pool"] for line in own if "pool" in line.fields}
+    hosts = {line.fields["host"] for line in own if "host" in line.fields}
+    nodes = {line.node for line in own}
+    around = [
+        line
+        for line in lines
+        if line.job != job_id
+        and began_s <= line.at_s <= ended_s
+        and (
+            (line.event in NODE_EVENTS and line.node in nodes)
+            or (line.event in POOL_EVENTS and line.fields.get("host", "") in hosts)
+            or (
+                line.event in POOL_EVENTS
+                and "host" not in line.fields
+                and line.fields.get("pool") in pools
+            )
+        )
+    ]
+    return sort_by_cause(own + around)
+
+
+def sort_by_cause(lines: Sequence[LogLine]) -> list[LogLine]:
+    """Sort lines by time, but put no job's taking in before its acceptance.
+
+    Nodes' clocks differ: a line that shows an earlier time than one that it rests
+    on is put right after that one.  All later lines of a job are its owner's own.
+    """
+    ranked = [
+        (_get_time_s(line, lines), _get_stage(line), number) for number, line in enumerate(lines)
+    ]
+    return [lines[number] for _at_s, _stage, number in sorted(ranked)]
+
+
+def _get_stage(line: LogLine) -> int:
+    return ORDER.get(line.event, RUNNING)
+
+
+def _get_time_s(line: LogLine, lines: Sequence[LogLine]) -> float:
+    """Return when a line counts as written: not before the same job's earlier stages."""
+    if not line.job or line.event not in ORDER:
+        return line.at_s
+    causes_s = [
+        other.at_s
+        for other in lines
+        if other.job == line.job and _get_stage(other) < _get_stage(line)
+    ]
+    return max([line.at_s, *causes_s])
+
+
+def format_lines(lines: Sequence[LogLine]) -> list[str]:
+    """Write lines for a person, with the time since the first one."""
+    began_s = lines[0].at_s if lines else 0.0
+    return [_format_line(line, began_s) for line in lines]
+
+
+def _format_line(line: LogLine, began_s: float) -> str:
+    at = datetime.datetime.fromtimestamp(line.at_s, datetime.UTC)
+    fields = " ".join(f"{key}={_format_value(value)}" for key, value in line.fields.items())
+    since_s = line.at_s - began_s
+    return f"{at:%H:%M:%S.%f} {since_s:+9.3f} s {line.node:18s} {line.event:20s} {fields}".rstrip()
+
+
+def _format_value(value: Any) -> str:
+    return f'"{value}"' if isinstance(value, str) and " " in value else str(value)
--- /dev/null
+++ b/src/robinthread/_internal/timeline/log_line.py
@@ -0,0 +1,46 @@
+"""A structured log line of a node, read back."""
+
+import math
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass
+from typing import Any, Final
+
+import msgspec
+
+# What a line has beside the fields of its event.
+ENVELOPE: Final = frozenset({"at", "node", "event"})
+
+
+@dataclass(frozen=True, slots=True)
+class LogLine:
+    """One line: Unix time in seconds, the node that wrote it, its event and fields."""
+
+    at_s: float
+    node: str
+    event: str
+    fields: dict[str, Any]
+
+    @property
+    def job(self) -> str:
+        """Return the id of the job that the line is about, or ""."""
+        return str(self.fields.get("job", ""))
+
+
+def iter_log_lines(lines: Iterable[str]) -> Iterator[LogLine]:
+    """Iterate over the structured lines of a text; what comes before a brace is skipped.
+
+    Collectors put names and times of their own before a line; lines of no event are
+    left out.
+    """
+    for text in lines:
+        brace = text.find("{")
+        if brace < 0:
+            continue
+        try:
+            values = msgspec.json.decode(text[brace:], type=dict[str, Any])
+        except msgspec.MsgspecError:
+            continue
+        event, at_s = values.get("event"), values.get("at", math.nan)
+        if isinstance(event, str) and isinstance(at_s, int | float):
+            fields = {key: value for key, value in values.items() if key not in ENVELOPE}
+            yield LogLine(float(at_s), str(values.get("node", "")), event, fields)
--- /dev/null
+++ b/tests/unit/test_settings_holder.py
@@ -0,0 +1,51 @@
+"""Settings that follow their file."""
+
+import dataclasses
+import json
+
+from testtools import TestCase
+
+from robinthread._internal.node.node_settings import NodeSettings
+from robinthread._internal.node.settings_holder import SettingsHolder
+from robinthread._internal.results import FaultError, ResultCode, make_fault
+from robinthread._internal.standins.platform_standin import BOUNDS, make_settings
+from robinthread._internal.telemetry.event_log import EventLog
+
+
+class SettingsHolderTest(TestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.lines: list[bytes] = []
+        self.now = make_settings("n")
+        self.is_valid = True
+        self.holder = SettingsHolder(self.now, self.read, EventLog("n", self.lines.append))
+
+    def read(self) -> NodeSettings:
+        if not self.is_valid:
+            raise FaultError(make_fault(ResultCode.BAD_SETTINGS, "drain_ms"))
+        return self.now
+
+    def get_events(self) -> list[str]:
+        return [json.loads(line)["event"] for line in self.lines]
+
+    def test_change_without_a_signal_is_taken_over_and_told(self) -> None:
+        self.now = dataclasses.replace(
+            self.now, bounds=dataclasses.replace(BOUNDS, drain_ms=500), ip="elsewhere"
+        )
+        self.holder.reload("file")
+        self.assertEqual(500, self.holder.settings.bounds.drain_ms)
+        told = json.loads(self.lines[0])
+        self.assertEqual(["bounds", "ip"], told["changed"])
+        self.assertEqual(["ip"], told["in_force_after_restart"])
+
+    def test_file_that_is_not_valid_changes_nothing_and_is_told_once(self) -> None:
+        self.is_valid = False
+        self.holder.reload("file")
+        self.holder.reload("file")
+        self.assertEqual(["settings_rejected"], self.get_events())
+        self.assertEqual(BOUNDS, self.holder.settings.bounds)
+
+    def test_signal_is_told_also_where_nothing_changed(self) -> None:
+        self.holder.reload("file")
+        self.holder.reload("signal")
+        self.assertEqual(["settings_reloaded"], self.get_events())
--- /dev/null
+++ b/tests/unit/test_telemetry.py
@@ -0,0 +1,87 @@
+"""Log lines and metrics: bounded, counted, and never in the way."""
+
+import json
+import os
+import subprocess
+import sys
+import time
+
+import msgspec
+from testtools import TestCase
+
+from robinthread._internal.telemetry.event_log import EventLog, LineWriter
+from robinthread._internal.telemetry.line_budget import ROUTINE_BURST, LineBudget
+
+METRICS_CODE = """
+from opentelemetry.metrics import get_meter
+from robinthread._internal.telemetry.node_metrics import NodeMetrics
+metrics = NodeMetrics(get_meter("robinthread"))
+from robinthread._internal.telemetry.exporter import REGISTRY, begin_metrics, generate_latest
+begin_metrics()
+metrics.count_event("job_ended", "succeeded")
+metrics.note_store_call("append", "ok", 0.004)
+metrics.observe("lines_lost", "by", lambda: {"slow reader": 3})
+print(generate_latest(REGISTRY).decode())
+"""
+
+
+class LineBudgetTest(TestCase):
+    def test_burst_then_rate(self) -> None:
+        budget = LineBudget()
+        admitted = sum(budget.admit("run_started", 0.0) for _ in range(1000))
+        self.assertEqual(ROUTINE_BURST, admitted)
+        self.assertEqual({"run_started": 800}, budget.take_left_out())
+        self.assertEqual(100, sum(budget.admit("run_started", 1.0) for _ in range(1000)))
+
+    def test_refusals_have_room_of_their_own(self) -> None:
+        budget = LineBudget()
+        for _ in range(5000):
+            budget.admit("run_started", 0.0)
+        self.assertTrue(all(budget.admit("request_refused", 0.0) for _ in range(2000)))
+
+
+class EventLogTest(TestCase):
+    def test_what_is_left_out_is_told(self) -> None:
+        lines: list[bytes] = []
+        log = EventLog("n", lines.append)
+        for number in range(1000):
+            log.write("run_started", run=number)
+        self.assertTrue(len(lines) <= ROUTINE_BURST + 2)
+        log._left_out_told_at_s = time.monotonic() - 2
+        log.write("stopping")
+        told = json.loads(lines[-1])
+        self.assertEqual("lines_left_out", told["event"])
+        self.assertEqual(1000, told["counts"]["run_started"] + len(lines) - 2)
+
+    def test_reader_that_never_reads_delays_nothing_and_losses_are_counted(self) -> None:
+        reading, writing = os.pipe()
+        self.addCleanup(os.close, reading)
+        self.addCleanup(os.close, writing)
+        writer = LineWriter(writing)
+        log = EventLog("n", writer.write)
+        began_at_s = time.process_time()
+        for number in range(20_000):
+            log.write(f"kind{number % 100}", text="x" * 200)
+        self.assertTrue(time.process_time() - began_at_s < 5)
+        self.assertTrue(writer.lost_count > 0)
+        os.set_blocking(reading, False)
+        while True:
+            try:
+                os.read(reading, 1 << 20)
+            except BlockingIOError:
+                break
+        log.write("after")
+        text = os.read(reading, 1 << 20)
+        lines = [msgspec.json.decode(line) for line in text.splitlines()[1:-1]]
+        self.assertTrue(lines)
+
+
+class MetricsTest(TestCase):
+    def test_instruments_made_before_the_exporter_are_served_by_it(self) -> None:
+        found = subprocess.run(
+            [sys.executable, "-c", METRICS_CODE], capture_output=True, check=True
+        )
+        text = found.stdout.decode()
+        self.assertIn('robinthread_events_total{event="job_ended",', text)
+        self.assertIn("robinthread_store_call_seconds_bucket{", text)
+        self.assertIn('robinthread_lines_lost{by="slow reader"', text)
