--- a/src/robinthread/_internal/durable/ownership.py
+++ b/src/robinthread/_internal/durable/ownership.py
@@ -5,7 +5,7 @@
 """
 
 import asyncio
-from collections.abc import Collection, Sequence
+from collections.abc import Collection, Mapping, Sequence
 from typing import Final
 
 import msgspec
@@ -66,6 +66,13 @@
         """Take a pool unless anything has changed; the fold tells the outcome."""
         return await self._put({pool: OwnerRecord(member)})
 
+    async def take_over(self, tokens: Mapping[str, int], member: Member) -> list[str]:
+        """Take pools, all at once, that still have these tokens; return which."""
+        while held := [pool for pool, token in tokens.items() if self._has_token(pool, token)]:
+            if await self._put(dict.fromkeys(held, OwnerRecord(member))):
+                return held
+        return []
+
     async def release(self, pools: Collection[str], member: Member, is_stopping: bool) -> None:
         """Give pools back, all at once, but for those that others have taken."""
         record = OwnerRecord(member, True, is_stopping)
@@ -73,6 +80,10 @@
             if await self._put(dict.fromkeys(held, record)):
                 return
 
+    def _has_token(self, pool: str, token: int) -> bool:
+        current = self.get(pool)
+        return current is not None and current.token == token
+
     def _is_held(self, pool: str, member: Member) -> bool:
         current = self.get(pool)
         return current is not None and current.owner == member
--- a/src/robinthread/_internal/node/handover.py
+++ b/src/robinthread/_internal/node/handover.py
@@ -90,20 +90,18 @@
 
     async def answer_take(self, question: TakeQuestion) -> TakeAnswer:
         """Take over the pools whose owners have not changed meanwhile."""
-        taken = []
-        for pool, token in question.tokens.items():
-            found = self._table.get(pool)
-            if found is None or found.token != token or not self._election.may_take:
-                continue
-            self.stopped_tokens[pool] = token
-            try:
-                if await self._table.take(pool, self._me):
-                    taken.append(pool)
-            except StoreError as error:
-                self._events.write(
-                    "take_failed", pool=pool, error=f"{type(error).__name__}: {error}"
-                )
-        return TakeAnswer(tuple(taken))
+        if not self._election.may_take:
+            return TakeAnswer(())
+        self.stopped_tokens |= question.tokens
+        try:
+            return TakeAnswer(tuple(await self._table.take_over(question.tokens, self._me)))
+        except StoreError as error:
+            self._events.write(
+                "take_failed",
+                tokens=question.tokens,
+                error=f"{type(error).__name__}: {error}",
+            )
+            return TakeAnswer(())
 
     async def _ask_store(self, member: Member) -> StoreAnswer:
         try:
--- a/tests/functional/test_jobs_on_platform.py
+++ b/tests/functional/test_jobs_on_platform.py
@@ -10,9 +10,11 @@
 from robinthread._internal.models.job_status import JobStatus
 from robinthread._internal.models.resources import Resources
 from robinthread._internal.models.task_key import TaskKey
+from robinthread._internal.node.election import FLEET
 from robinthread._internal.node.job_gate import GateOutcome
 from robinthread._internal.node.pool_owner import PROGRESS_TOPIC
 from robinthread._internal.standins.job_hosts_standin import TaskPlan
+from robinthread._internal.standins.platform_standin import PlatformStandin
 from tests.lib.job_platforms import (
     POOL,
     ROOM,
@@ -389,6 +391,25 @@
         run_virtual(work())
 
 
+def get_fleet_owner(platform: PlatformStandin) -> str:
+    """Return the node that every node believes to own the fleet's machines."""
+    node = next(iter(platform.nodes.values())).assembled.node
+    found = node._table.get(FLEET)
+    return "" if found is None else found.owner.node
+
+
+async def await_owners(platform: PlatformStandin, former: set[str]) -> float:
+    """Wait until pool and fleet have owners beside ``former``; return how long that took."""
+
+    def is_so() -> bool:
+        served = next(name for name in platform.nodes if name not in former)
+        table = platform.nodes[served].assembled.node._table
+        found = [table.get(name) for name in (POOL, FLEET)]
+        return all(one is not None and one.owner.node not in former for one in found)
+
+    return await wait_until(is_so)
+
+
 class TurnedAwayTest(TestCase):
     """The store turns one node away and serves the others."""
 
@@ -407,6 +428,17 @@
 
         run_virtual(work())
 
+    def test_pools_and_fleet_pass_at_once_where_several_nodes_are_turned_away(self) -> None:
+        async def work() -> None:
+            platform = await start_platform(nodes=5)
+            turned_away = {get_owner(platform) or "", get_fleet_owner(platform)}
+            self.assertEqual(2, len(turned_away))
+            platform.store.faults.refused |= turned_away
+            owners = await_owners(platform, turned_away)
+            self.assertLess(await owners, 1.0)
+
+        run_virtual(work())
+
     def test_running_tasks_go_on_under_the_next_owner(self) -> None:
         async def work() -> None:
             platform = await start_platform(lambda task: TaskPlan(3.0, Resources(1000, 100)))
