--- a/src/robinthread/_internal/jobs/gangs.py
+++ b/src/robinthread/_internal/jobs/gangs.py
@@ -5,7 +5,7 @@
 
 from robinthread._internal.jobs.host import Host
 from robinthread._internal.jobs.job import Job
-from robinthread._internal.jobs.placement import count_step_runs, get_usable_hosts, has_label
+from robinthread._internal.jobs.placement import count_step_runs, get_usable_hosts, may_run
 from robinthread._internal.jobs.pool_jobs import PoolJobs
 from robinthread._internal.jobs.task import Task
 
@@ -39,7 +39,11 @@
     One rack is taken where that is asked for and a rack has the room.
     """
     step = members[0].step
-    usable = [host for host in get_usable_hosts(pool, now_s) if has_label(step, host)]
+    usable = [
+        host
+        for host in get_usable_hosts(pool, now_s)
+        if may_run(pool, job, members[0], host, now_s)
+    ]
     if step.wants_one_rack:
         racks = _group_by_rack(usable)
         for rack in sorted(racks, key=lambda name: (name != step.near_rack, name)):
--- a/src/robinthread/_internal/jobs/placement.py
+++ b/src/robinthread/_internal/jobs/placement.py
@@ -22,7 +22,9 @@
     return (
         host
         for host in get_usable_hosts(pool, now_s)
-        if task.step.room.fits_in(host.free) and is_allowed(job, task, host)
+        if task.step.room.fits_in(host.free)
+        and may_run(pool, job, task, host, now_s)
+        and may_carry_another(task, host)
     )
 
 
@@ -36,17 +38,20 @@
     return well if 2 * len(well) >= len(hosts) else hosts
 
 
-def is_allowed(job: Job, task: Task, host: Host) -> bool:
-    """Tell whether a task's labels and its neighbours allow a host."""
+def may_run(pool: PoolJobs, job: Job, task: Task, host: Host, now_s: float) -> bool:
+    """Tell whether a host has the label and the ticket that a task asks for."""
     step = task.step
-    if not has_label(step, host):
+    if step.required_label and step.required_label not in host.record.labels:
         return False
-    return not step.per_host_max or count_step_runs(task, host) < step.per_host_max
+    if job.policy.advice is None:
+        return True
+    return pool.tickets.get(task.key.step_key, host.id, now_s) is not None
 
 
-def has_label(step: StepSpec, host: Host) -> bool:
-    """Tell whether a host has the label that a step asks for."""
-    return not step.required_label or step.required_label in host.record.labels
+def may_carry_another(task: Task, host: Host) -> bool:
+    """Tell whether a host may carry one more task of a step."""
+    limit = task.step.per_host_max
+    return not limit or count_step_runs(task, host) < limit
 
 
 def count_step_runs(task: Task, host: Host) -> int:
--- a/src/robinthread/_internal/jobs/pool_jobs.py
+++ b/src/robinthread/_internal/jobs/pool_jobs.py
@@ -9,6 +9,7 @@
 from robinthread._internal.jobs.run import Run, RunPhase
 from robinthread._internal.jobs.run_times import RunTimes
 from robinthread._internal.jobs.task import Task
+from robinthread._internal.jobs.tickets import TicketBook
 from robinthread._internal.models.host_report import RunEnd
 from robinthread._internal.models.job_spec import JobSpec
 from robinthread._internal.models.job_status import JobStatus
@@ -35,6 +36,7 @@
         self.unrecorded: dict[str, Job] = {}
         self.to_stop: list[Run] = []
         self.run_times = RunTimes()
+        self.tickets = TicketBook()
 
     def add_job(
         self,
@@ -245,6 +247,7 @@
         job.status = status
         job.ended_at_ms = now_ms
         self._mark(job)
+        self.tickets.drop_job(job.id)
         for task in job.tasks.values():
             self.waiting.pop(task.key, None)
             for run in list(task.runs):
--- a/src/robinthread/_internal/jobs/run.py
+++ b/src/robinthread/_internal/jobs/run.py
@@ -37,6 +37,8 @@
         "is_lasting",
         "is_resumed",
         "number",
+        "pace_percent",
+        "paced_at_s",
         "phase",
         "present_since_s",
         "progress_at_s",
@@ -59,6 +61,8 @@
         self.progress_percent = 0
         self.progress_at_s = 0.0
         self.recent_load: int | None = None
+        self.pace_percent = 100
+        self.paced_at_s = 0.0
         self.present_since_s: float | None = None
         self.settled_at_s = math.inf
 
--- /dev/null
+++ b/src/robinthread/_internal/jobs/tickets.py
@@ -0,0 +1,58 @@
+"""Tickets to run steps on hosts, where a queue's policy asks for them."""
+
+from collections import defaultdict
+from collections.abc import Iterable
+from typing import Final
+
+from robinthread._internal.models.host_advice import HostAdvice
+from robinthread._internal.models.step_key import StepKey
+
+# A ticket is not used when it holds for less: the time from a task's placement until
+# its start has reached the host.
+USE_MARGIN_S: Final = 0.3
+
+
+class TicketBook:
+    """What was advised, by step and host.
+
+    A host that may not run a step never may; a ticket holds for a while.  Times are
+    of the event loop's clock, in seconds.
+    """
+
+    def __init__(self) -> None:
+        self._tickets: dict[StepKey, dict[str, tuple[str, float]]] = defaultdict(dict)
+        self._refused: dict[StepKey, set[str]] = defaultdict(set)
+
+    def note(
+        self, step: StepKey, asked: Iterable[str], advice: HostAdvice, asked_at_s: float
+    ) -> None:
+        """Note an answer about the hosts that were asked about."""
+        until_s = asked_at_s + advice.valid_ms / 1000
+        self._tickets[step] |= {
+            host_id: (ticket, until_s) for host_id, ticket in advice.tickets.items()
+        }
+        self._refused[step] |= set(asked) - advice.tickets.keys()
+
+    def get(self, step: StepKey, host_id: str, now_s: float) -> str | None:
+        """Return a ticket that will still hold when it is used, if there is one."""
+        ticket, until_s = self._tickets.get(step, {}).get(host_id, ("", 0.0))
+        return ticket if until_s - now_s > USE_MARGIN_S else None
+
+    def list_unknown(self, step: StepKey, host_ids: Iterable[str], now_s: float) -> list[str]:
+        """Return the hosts that may be allowed and have no ticket."""
+        refused = self._refused.get(step, set())
+        return [
+            host_id
+            for host_id in host_ids
+            if host_id not in refused and self.get(step, host_id, now_s) is None
+        ]
+
+    def drop(self, step: StepKey, host_id: str) -> None:
+        """Forget a ticket that its host has rejected."""
+        self._tickets.get(step, {}).pop(host_id, None)
+
+    def drop_job(self, job_id: str) -> None:
+        """Forget a job that has ended."""
+        for book in (self._tickets, self._refused):
+            for step in [step for step in book if step.job_id == job_id]:
+                del book[step]
--- a/src/robinthread/_internal/models/task_key.py
+++ b/src/robinthread/_internal/models/task_key.py
@@ -2,6 +2,8 @@
 
 from dataclasses import dataclass
 
+from robinthread._internal.models.step_key import StepKey
+
 
 @dataclass(frozen=True, slots=True, order=True)
 class TaskKey:
@@ -12,6 +14,11 @@
     step: int
     index: int
 
+    @property
+    def step_key(self) -> StepKey:
+        """Return the name of the task's step."""
+        return StepKey(self.job_id, self.occurrence, self.step)
+
     @property
     def place(self) -> str:
         """Return the task's place within its job as log lines show it."""
--- /dev/null
+++ b/src/robinthread/_internal/node/advice_taker.py
@@ -0,0 +1,83 @@
+"""Asking which hosts may run the steps that wait."""
+
+import asyncio
+from typing import Final
+
+from robinthread._internal.jobs.advice_calls import AdviceCalls, AdviceError
+from robinthread._internal.jobs.job import Job
+from robinthread._internal.jobs.placement import get_usable_hosts, sort_waiting
+from robinthread._internal.models.queue_policy import AdvicePolicy
+from robinthread._internal.models.step_key import StepKey
+from robinthread._internal.node.pool_runtime import PoolRuntime, get_loop_s
+
+# Hosts asked about in one call: an answer takes longer with each one.
+HOSTS_PER_CALL_MAX: Final = 30
+# How often steps that need advice are looked for, and the pause after a failed call.
+LOOK_PERIOD_S: Final = 0.05
+RETRY_PAUSE_S: Final = 0.2
+# Added to the time that an answer should take: the way, and calls that wait before.
+TIMEOUT_SLACK_S: Final = 1.0
+
+
+class AdviceTaker:
+    """Gets tickets for a pool's waiting steps, one call after the other."""
+
+    def __init__(self, runtime: PoolRuntime, calls: AdviceCalls) -> None:
+        self._runtime = runtime
+        self._calls = calls
+
+    async def run(self) -> None:
+        """Ask until cancelled."""
+        while True:
+            found = self._find_next()
+            if found is None:
+                await asyncio.sleep(LOOK_PERIOD_S)
+                continue
+            await self._ask(*found)
+
+    def _find_next(self) -> tuple[StepKey, AdvicePolicy, list[str]] | None:
+        """Return the most urgent step that lacks a ticket, and the hosts to ask about."""
+        pool, now_s = self._runtime.jobs, get_loop_s()
+        if not any(pool.jobs[key.job_id].policy.advice for key in pool.waiting):
+            return None
+        now_ms = self._runtime.context.get_wall_ms()
+        for task in sort_waiting(pool, now_ms):
+            job: Job = pool.jobs[task.key.job_id]
+            if job.policy.advice is None:
+                continue
+            by_room = sorted(
+                (host for host in get_usable_hosts(pool, now_s)),
+                key=lambda host: -host.free.cpu_millicores,
+            )
+            step = task.key.step_key
+            unknown = pool.tickets.list_unknown(step, (host.id for host in by_room), now_s)
+            if unknown:
+                return step, job.policy.advice, unknown[:HOSTS_PER_CALL_MAX]
+        return None
+
+    async def _ask(self, step: StepKey, policy: AdvicePolicy, host_ids: list[str]) -> None:
+        asked_at_s = get_loop_s()
+        takes_s = (policy.base_ms + policy.per_host_ms * len(host_ids)) / 1000
+        try:
+            advice = await self._calls.advise(step, host_ids, takes_s + TIMEOUT_SLACK_S)
+        except AdviceError as error:
+            self._runtime.events.write(
+                "advice_failed",
+                job=step.job_id,
+                pool=self._runtime.pool,
+                host_count=len(host_ids),
+                error=str(error),
+            )
+            await asyncio.sleep(RETRY_PAUSE_S)
+            return
+        self._runtime.jobs.tickets.note(step, host_ids, advice, asked_at_s)
+        self._runtime.events.write(
+            "advice_taken",
+            job=step.job_id,
+            pool=self._runtime.pool,
+            asked_count=len(host_ids),
+            allowed_count=len(advice.tickets),
+            valid_ms=advice.valid_ms,
+            took_ms=round((get_loop_s() - asked_at_s) * 1000),
+        )
+        self._runtime.wake()
--- a/src/robinthread/_internal/node/assembly.py
+++ b/src/robinthread/_internal/node/assembly.py
@@ -68,6 +68,7 @@
         store=store,
         inbox_writer=writer,
         hosts=environment.hosts,
+        advice=environment.advice,
         events=events,
         job_index=job_index,
         host_directory=host_directory,
--- a/src/robinthread/_internal/node/context.py
+++ b/src/robinthread/_internal/node/context.py
@@ -6,6 +6,7 @@
 from robinthread._internal.durable.group_writer import GroupWriter
 from robinthread._internal.durable.job_index import JobIndex
 from robinthread._internal.durable.store import Store
+from robinthread._internal.jobs.advice_calls import AdviceCalls
 from robinthread._internal.jobs.host_calls import HostCalls
 from robinthread._internal.node.config_holder import ConfigHolder
 from robinthread._internal.node.host_directory import HostDirectory
@@ -30,6 +31,7 @@
     store: Store
     inbox_writer: GroupWriter
     hosts: HostCalls
+    advice: AdviceCalls
     events: EventLog
     job_index: JobIndex
     host_directory: HostDirectory
--- a/src/robinthread/_internal/node/environment.py
+++ b/src/robinthread/_internal/node/environment.py
@@ -5,6 +5,7 @@
 
 from robinthread._internal.durable.store import KeyedRecord, Partition, Store
 from robinthread._internal.fleet.machine_calls import MachineCalls
+from robinthread._internal.jobs.advice_calls import AdviceCalls
 from robinthread._internal.jobs.host_calls import HostCalls
 from robinthread._internal.models.fleet_config import FleetConfig
 from robinthread._internal.models.upkeep_wave import UpkeepWave
@@ -42,6 +43,7 @@
     store: Store
     hosts: HostCalls
     machines: MachineCalls
+    advice: AdviceCalls
     peers: PeerCalls
     records: PlatformRecords
     events: EventLog
--- a/src/robinthread/_internal/node/order_sender.py
+++ b/src/robinthread/_internal/node/order_sender.py
@@ -13,8 +13,10 @@
     HostUnreachableError,
     NoRoomError,
     StartRejectedError,
+    TicketRejectedError,
 )
 from robinthread._internal.jobs.job import Job
+from robinthread._internal.jobs.pacing import PaceChange, get_pressure
 from robinthread._internal.jobs.run import Run, RunPhase
 from robinthread._internal.models.start_order import StartOrder
 from robinthread._internal.models.task_key import TaskKey
@@ -102,6 +104,35 @@
             return False
         return True
 
+    async def send_pace(self, change: PaceChange) -> None:
+        """Send one order on pace; the next look decides anew where it is not answered."""
+        run = change.run
+        host = self._runtime.jobs.hosts.get(run.host_id)
+        if host is None:
+            return
+        try:
+            async with self._get_slot(host.id):
+                await self._context.hosts.pace(
+                    host.record, run.task, run.number, change.percent, self._runtime.token
+                )
+        except HostFencedError:
+            raise
+        except HostError as error:
+            outcome = type(error).__name__
+        else:
+            outcome = "done"
+            run.pace_percent = change.percent
+        self._events.write(
+            "run_paced",
+            job=run.task.job_id,
+            task=run.task.place,
+            run=run.number,
+            host=host.id,
+            percent=change.percent,
+            pressure=round(get_pressure(self._runtime.jobs, host), 2),
+            outcome=outcome,
+        )
+
     def _grant(self, host: Host) -> int | None:
         """Return the end of a lease that begins now, or None while none may be granted."""
         lease_ms = self._runtime.get_lease_ms()
@@ -109,8 +140,15 @@
 
     async def _try_start(self, run: Run, host: Host, job: Job, until_ms: int) -> bool:
         """Send one start; return whether it is settled."""
+        tickets, step = self._runtime.jobs.tickets, run.task.step_key
         order = StartOrder(
-            run.task, run.number, job.spec.text, until_ms, self._runtime.token, run.checkpoint
+            run.task,
+            run.number,
+            job.spec.text,
+            until_ms,
+            self._runtime.token,
+            run.checkpoint,
+            tickets.get(step, host.id, get_loop_s()) or "",
         )
         try:
             await self._context.hosts.start(host.record, order)
@@ -119,6 +157,9 @@
         except NoRoomError:
             host.health.pause(NO_ROOM_PAUSE_S, get_loop_s())
             self._reject(run, host, "no room")
+        except TicketRejectedError:
+            tickets.drop(step, host.id)
+            self._reject(run, host, "ticket")
         except HostUnhealthyError as error:
             host.health.pause(UNHEALTHY_PAUSE_S, get_loop_s())
             self._reject(run, host, str(error))
--- a/src/robinthread/_internal/node/pool_owner.py
+++ b/src/robinthread/_internal/node/pool_owner.py
@@ -16,6 +16,7 @@
 from robinthread._internal.jobs.host import Host, HostContact
 from robinthread._internal.jobs.host_lease import get_lapse_time_s
 from robinthread._internal.jobs.job import Job
+from robinthread._internal.jobs.pacing import choose_paces
 from robinthread._internal.jobs.pool_jobs import PoolJobs
 from robinthread._internal.jobs.progress import JobProgress, decode_progress
 from robinthread._internal.jobs.scheduling import place_waiting
@@ -24,6 +25,7 @@
 from robinthread._internal.models.queue_policy import QueuePolicy
 from robinthread._internal.models.resources import Resources
 from robinthread._internal.models.upstream_host import UpstreamHost
+from robinthread._internal.node.advice_taker import AdviceTaker
 from robinthread._internal.node.context import NodeContext
 from robinthread._internal.node.host_follower import HostFollower
 from robinthread._internal.node.order_sender import OrderSender
@@ -82,6 +84,7 @@
         self._orders = OrderSender(self._runtime)
         self._recorder = Recorder(self._runtime, self._journal, self._orders)
         self._wait_reporter = WaitReporter(self._runtime)
+        self._advice_taker = AdviceTaker(self._runtime, context.advice)
         self._retention = Retention(self._runtime, self._journal)
         self._host_tasks: dict[str, asyncio.Task[None]] = {}
         self._demand = DemandMeter(context.settings.bounds.machine_move_s + HOST_START_S)
@@ -111,6 +114,7 @@
         self._progress.clear()
         self._runtime.spawn(self._retention.drop_orphans(orphans))
         self._runtime.spawn(self._retention.run())
+        self._runtime.spawn(self._advice_taker.run())
         self._runtime.spawn(self._recorder.run())
         self._runtime.spawn(self._schedule())
         self._runtime.wake()
@@ -282,6 +286,9 @@
             # Nobody follows a host that an earlier owner knew and the store does not list.
             if host.id not in self._host_tasks and now_s > host.lease.over_at_s:
                 self._remove_host(host.id, "it is not listed and its lease is over")
+        for change in choose_paces(self.jobs, now_s):
+            change.run.paced_at_s = now_s
+            self._runtime.spawn(self._orders.send_pace(change))
         for run in evacuate(self.jobs, now_s):
             self._events.write(
                 "run_moved",
--- a/src/robinthread/_internal/node/process.py
+++ b/src/robinthread/_internal/node/process.py
@@ -20,6 +20,7 @@
 from robinthread._internal.node.peer_server import make_peer_application
 from robinthread._internal.node.ready_server import make_ready_application
 from robinthread._internal.node.settings_holder import SettingsHolder
+from robinthread._internal.platform.advice import PlatformAdvice
 from robinthread._internal.platform.callers import make_callers_application
 from robinthread._internal.platform.hosts import PlatformHosts
 from robinthread._internal.platform.machines import PlatformMachines
@@ -36,6 +37,8 @@
 HOST_CONNECTIONS_MAX: Final = 1000
 PEER_CONNECTIONS_MAX: Final = 128
 MACHINE_CONNECTIONS_MAX: Final = 32
+# Each pool owned here asks one question at a time.
+ADVICE_CONNECTIONS_MAX: Final = 16
 # How long callers are still served after a planned stop began: the balancer needs
 # two misses, one a second, to send them elsewhere.
 LINGER_S: Final = 3.5
@@ -89,6 +92,7 @@
         store=PlatformStore(make_client(STORE_CONNECTIONS_MAX), settings.store_address, metrics),
         hosts=PlatformHosts(make_client(HOST_CONNECTIONS_MAX), metrics),
         machines=PlatformMachines(machines_client, settings.machines_address, metrics),
+        advice=PlatformAdvice(make_client(ADVICE_CONNECTIONS_MAX), settings.advice_address),
         peers=PeerClient(make_client(PEER_CONNECTIONS_MAX)),
         records=PLATFORM_RECORDS,
         events=events,
--- /dev/null
+++ b/src/robinthread/_internal/standins/advice_standin.py
@@ -0,0 +1,42 @@
+"""The service that says which hosts may run a step, in memory."""
+
+import asyncio
+from collections.abc import Callable, Sequence
+
+from robinthread._internal.jobs.advice_calls import AdviceError
+from robinthread._internal.models.host_advice import HostAdvice
+from robinthread._internal.models.step_key import StepKey
+
+
+class AdviceStandin:
+    """Allows the hosts that ``is_allowed`` names, under tickets that hold for a while."""
+
+    def __init__(self) -> None:
+        self.is_allowed: Callable[[StepKey, str], bool] = lambda step, host_id: True
+        self.is_down = False
+        self.valid_s = 3.0
+        self.call_count = 0
+        self._until_s: dict[tuple[StepKey, str], float] = {}
+
+    async def advise(self, step: StepKey, host_ids: Sequence[str], timeout_s: float) -> HostAdvice:
+        """Answer one call."""
+        self.call_count += 1
+        await asyncio.sleep(0.01)
+        if self.is_down:
+            raise AdviceError("down")
+        now_s = asyncio.get_running_loop().time()
+        allowed = [host_id for host_id in host_ids if self.is_allowed(step, host_id)]
+        self._until_s |= {(step, host_id): now_s + self.valid_s for host_id in allowed}
+        tickets = {host_id: _make_ticket(step, host_id) for host_id in allowed}
+        return HostAdvice(tickets, self.valid_s * 1000)
+
+    def accepts(self, step: StepKey, host_id: str, ticket: str) -> bool:
+        """Tell whether a host takes a ticket now."""
+        now_s = asyncio.get_running_loop().time()
+        return ticket == _make_ticket(step, host_id) and now_s < self._until_s.get(
+            (step, host_id), 0.0
+        )
+
+
+def _make_ticket(step: StepKey, host_id: str) -> str:
+    return f"{step.job_id}/{step.step}/{host_id}"
--- a/src/robinthread/_internal/standins/job_hosts_standin.py
+++ b/src/robinthread/_internal/standins/job_hosts_standin.py
@@ -13,6 +13,7 @@
     NoRoomError,
     RunTooOldError,
     StartTooLateError,
+    TicketRejectedError,
 )
 from robinthread._internal.models.host_report import EndedRun, HostReport, RunEnd, RunningTask
 from robinthread._internal.models.resources import NO_RESOURCES, Resources
@@ -68,9 +69,11 @@
         ledger: RunLedger,
         plan_task: Callable[[TaskKey], TaskPlan],
         gangs: GangBoard,
+        takes_ticket: Callable[[StartOrder], bool] = lambda order: True,
     ) -> None:
         self.record = record
         self._gangs = gangs
+        self._takes_ticket = takes_ticket
         self.is_up = True
         self.fails_all = False
         self._ledger = ledger
@@ -101,6 +104,8 @@
             raise RunTooOldError("old")
         if self.clock_ms > order.lease_until_ms:
             raise StartTooLateError("late")
+        if not self._takes_ticket(order):
+            raise TicketRejectedError("ticket")
         plan = self._plan_task(order.task)
         taken = sum((present.plan.room for present in self._present.values()), start=plan.room)
         if not taken.fits_in(self.record.room):
--- a/src/robinthread/_internal/standins/platform_standin.py
+++ b/src/robinthread/_internal/standins/platform_standin.py
@@ -14,6 +14,7 @@
 from robinthread._internal.models.pool_policy import PoolPolicy
 from robinthread._internal.models.queue_policy import QueuePolicy
 from robinthread._internal.models.resources import Resources
+from robinthread._internal.models.start_order import StartOrder
 from robinthread._internal.models.task_key import TaskKey
 from robinthread._internal.models.upkeep_wave import UpkeepWave
 from robinthread._internal.models.upstream_host import UpstreamHost
@@ -26,6 +27,7 @@
     PeerUnsentError,
 )
 from robinthread._internal.node.settings_holder import SettingsHolder
+from robinthread._internal.standins.advice_standin import AdviceStandin
 from robinthread._internal.standins.job_hosts_standin import (
     JobHostsStandin,
     JobHostStandin,
@@ -160,7 +162,15 @@
         )
         platform = self._platform
         hosts = platform.hosts
-        hosts.add(JobHostStandin(record, hosts.ledger, platform.plan_task, hosts.gangs))
+
+        def takes_ticket(order: StartOrder) -> bool:
+            if not platform.asks_for_tickets:
+                return True
+            return platform.advice.accepts(order.task.step_key, record.id, order.ticket)
+
+        hosts.add(
+            JobHostStandin(record, hosts.ledger, platform.plan_task, hosts.gangs, takes_ticket)
+        )
         platform.list_host(record)
         return record.id
 
@@ -176,6 +186,8 @@
         self.store = StoreStandin(seed)
         self.hosts = JobHostsStandin(seed)
         self.machines = MachinesStandin(RESERVE, _Lives(self), seed)
+        self.advice = AdviceStandin()
+        self.asks_for_tickets = False
         self.nodes: dict[str, RunningNode] = {}
         self.cut_nodes: set[str] = set()
         self.events: list[bytes] = []
@@ -214,6 +226,7 @@
             store=self.store.connect(name),
             hosts=self.hosts.connect(name),
             machines=self.machines.connect(name),
+            advice=self.advice,
             peers=_PeersClient(self, name),
             records=RECORDS,
             events=EventLog(name, write=self.events.append),
