--- a/src/robinthread/_internal/jobs/host.py
+++ b/src/robinthread/_internal/jobs/host.py
@@ -29,7 +29,8 @@
     Times are of the event loop's clock, in seconds.  Ends up to
     ``processed_end`` have been taken in, those up to ``acknowledged_end`` are
     recorded; ``processed_batch`` is the batch of records that closes the gap.
-    ``leaves_at_s`` is the earliest time at which a draining host may be gone.
+    ``reported_at_s`` is when its last report came, ``leaves_at_s`` the earliest
+    time at which a draining host may be gone.
     """
 
     def __init__(self, record: UpstreamHost, lease: HostLease) -> None:
@@ -44,6 +45,7 @@
         self.processed_batch = 0
         self.is_listed = True
         self.vacating_until_s = 0.0
+        self.reported_at_s = 0.0
         self.leaves_at_s: float | None = None
 
     @property
--- a/src/robinthread/_internal/jobs/placement.py
+++ b/src/robinthread/_internal/jobs/placement.py
@@ -49,7 +49,9 @@
 
 
 def may_carry_another(task: Task, host: Host) -> bool:
-    """Tell whether a host may carry one more task of a step."""
+    """Tell whether a host may carry one more task of a step, and no copy of its own."""
+    if any(run.host_id == host.id for run in task.runs):
+        return False
     limit = task.step.per_host_max
     return not limit or count_step_runs(task, host) < limit
 
--- a/src/robinthread/_internal/jobs/pool_jobs.py
+++ b/src/robinthread/_internal/jobs/pool_jobs.py
@@ -87,6 +87,11 @@
         self._mark(self.jobs[task.key.job_id])
         return run
 
+    def ask_for_copy(self, task: Task) -> None:
+        """Let a task that has one run, and may have more, wait for another host."""
+        if task.step.allows_copies and len(task.runs) == 1 and not task.is_done:
+            self.waiting[task.key] = task
+
     def take_unrecorded(self) -> list[Job]:
         """Return the jobs to record now."""
         jobs = list(self.unrecorded.values())
@@ -239,7 +244,8 @@
     def _learn(self, job: Job, task: Task, run: Run, now_s: float | None) -> None:
         """Learn how long a task takes from a run that began at its beginning."""
         if now_s is not None and run.present_since_s is not None and not run.is_resumed:
-            self.run_times.add(job.spec.queue, task.step, now_s - run.present_since_s)
+            task.took_s = now_s - run.present_since_s
+            self.run_times.add(job.spec.queue, task.step, task.took_s)
 
     def _finish(self, job: Job, status: JobStatus, now_ms: int) -> None:
         if job.status.is_final:
--- /dev/null
+++ b/src/robinthread/_internal/jobs/stragglers.py
@@ -0,0 +1,117 @@
+"""Tasks that lag far behind others of their step, and what to do about them.
+
+The tasks of a step are alike, so one that makes much less progress than the others
+is on a host that is slow, or silent.
+"""
+
+import statistics
+from collections import defaultdict
+from collections.abc import Iterator
+from dataclasses import dataclass
+from typing import Final
+
+from robinthread._internal.jobs.host import Host, HostContact
+from robinthread._internal.jobs.pool_jobs import PoolJobs
+from robinthread._internal.jobs.run import Run, RunPhase
+from robinthread._internal.jobs.stalls import HANG_PAUSE_S
+from robinthread._internal.jobs.task import Task
+from robinthread._internal.models.step_key import StepKey
+
+# A run lags that has less than this share of the usual progress a second.  Tasks of a
+# step differ by a third; a host that is slow is so by four times and more.
+LAG_SHARE: Final = 0.4
+# Progress is not judged before a run has been present for so long, or against fewer others.
+JUDGED_AFTER_S: Final = 0.5
+PEERS_MIN: Final = 2
+# A run is stopped only where what is left takes so many times as long as all of it would
+# elsewhere.
+WORTH_MOVING: Final = 1.5
+
+
+@dataclass(frozen=True)
+class Straggler:
+    """A run that lags, and how many seconds a task of its step usually takes."""
+
+    run: Run
+    usual_s: float
+
+
+def move_stragglers(pool: PoolJobs, now_s: float) -> list[Straggler]:
+    """Begin copies of tasks that lag or are out of sight, or move them; return those moved."""
+    for task in _iter_unseen(pool):
+        pool.ask_for_copy(task)
+    moved = []
+    for straggler in find_stragglers(pool):
+        run = straggler.run
+        task = pool.jobs[run.task.job_id].get_task(run.task)
+        if task.step.allows_copies:
+            pool.ask_for_copy(task)
+        elif _is_worth_moving(pool, straggler):
+            task.failed_host_ids.add(run.host_id)
+            pool.hosts[run.host_id].health.pause(HANG_PAUSE_S, now_s)
+            pool.stop(run)
+            moved.append(straggler)
+    return moved
+
+
+def find_stragglers(pool: PoolJobs) -> list[Straggler]:
+    """Return the runs that lag behind the others of their step."""
+    by_step: dict[StepKey, list[Run]] = defaultdict(list)
+    for host in pool.hosts.values():
+        for run in _iter_judged(pool, host):
+            by_step[run.task.step_key].append(run)
+    return [straggler for step, runs in by_step.items() for straggler in _judge(pool, step, runs)]
+
+
+def _judge(pool: PoolJobs, step: StepKey, runs: list[Run]) -> Iterator[Straggler]:
+    tasks = pool.jobs[step.job_id].get_tasks(step.occurrence, step.step)
+    rates = [1 / task.took_s for task in tasks if task.took_s]
+    rates += [_get_rate(pool, run) for run in runs]
+    if len(rates) <= PEERS_MIN:
+        return
+    usual = statistics.median(rates)
+    for run in runs:
+        if _get_rate(pool, run) < LAG_SHARE * usual:
+            yield Straggler(run, 1 / usual)
+
+
+def _iter_judged(pool: PoolJobs, host: Host) -> Iterator[Run]:
+    if host.contact is not HostContact.ANSWERING:
+        return
+    for run in host.runs.values():
+        step = pool.jobs[run.task.job_id].spec.steps[run.task.step]
+        is_alike = not step.is_lasting and not step.is_gang and not step.fills_leftover
+        is_near = not step.near_rack or host.record.rack == step.near_rack
+        if (
+            is_alike
+            and is_near
+            and not step.wants_one_rack
+            and run.phase is RunPhase.PRESENT
+            and not run.is_resumed
+            and run.present_since_s is not None
+            and host.reported_at_s - run.present_since_s >= JUDGED_AFTER_S
+        ):
+            yield run
+
+
+def _get_rate(pool: PoolJobs, run: Run) -> float:
+    """Return the share of its work that a run had done a second, when its host last told."""
+    assert run.present_since_s is not None
+    worked_s = pool.hosts[run.host_id].reported_at_s - run.present_since_s
+    return run.progress_percent / 100 / worked_s
+
+
+def _is_worth_moving(pool: PoolJobs, straggler: Straggler) -> bool:
+    rate = _get_rate(pool, straggler.run)
+    left = 1 - straggler.run.progress_percent / 100
+    return rate == 0.0 or left / rate > WORTH_MOVING * straggler.usual_s
+
+
+def _iter_unseen(pool: PoolJobs) -> Iterator[Task]:
+    """Iterate over the tasks that may have copies and run on a host that is silent."""
+    for host in pool.hosts.values():
+        if host.contact is HostContact.SILENT:
+            for run in host.runs.values():
+                task = pool.jobs[run.task.job_id].get_task(run.task)
+                if task.step.allows_copies:
+                    yield task
--- a/src/robinthread/_internal/jobs/task.py
+++ b/src/robinthread/_internal/jobs/task.py
@@ -10,7 +10,8 @@
 
     There is one run at most, except where the step allows copies.  Run numbers
     rise from 1 over all owners of the pool.  ``last_failed_run`` counts for the
-    first member of a gang, whose failures are the gang's.
+    first member of a gang, whose failures are the gang's.  ``took_s`` is how long
+    the run took that was done, where this owner saw it begin.
     """
 
     __slots__ = (
@@ -23,6 +24,7 @@
         "last_run",
         "runs",
         "step",
+        "took_s",
     )
 
     def __init__(self, key: TaskKey, step: StepSpec) -> None:
@@ -33,6 +35,7 @@
         self.last_failed_run = 0
         self.failed_host_ids: set[str] = set()
         self.last_run = 0
+        self.took_s: float | None = None
         self.checkpoint = ""
         self.runs: list[Run] = []
 
--- a/src/robinthread/_internal/node/host_follower.py
+++ b/src/robinthread/_internal/node/host_follower.py
@@ -112,6 +112,7 @@
         if not was_answering:
             self._events.write("host_heard", host=host.id, pool=self._runtime.pool)
         host.contact = HostContact.ANSWERING
+        host.reported_at_s = get_loop_s()
         host.lease.note_clock(report.clock_ms, get_loop_s())
         new_ends = [end for end in report.ended if end.number > host.processed_end]
         for end in new_ends:
--- a/src/robinthread/_internal/node/pool_owner.py
+++ b/src/robinthread/_internal/node/pool_owner.py
@@ -21,6 +21,7 @@
 from robinthread._internal.jobs.progress import JobProgress, decode_progress
 from robinthread._internal.jobs.scheduling import place_waiting
 from robinthread._internal.jobs.stalls import stop_stalled
+from robinthread._internal.jobs.stragglers import move_stragglers
 from robinthread._internal.models.job_status import JobStatus
 from robinthread._internal.models.queue_policy import QueuePolicy
 from robinthread._internal.models.resources import Resources
@@ -282,6 +283,18 @@
                 progress_percent=run.progress_percent,
                 still_for_s=round(now_s - run.progress_at_s, 3),
             )
+        for straggler in move_stragglers(self.jobs, now_s):
+            run = straggler.run
+            self._events.write(
+                "run_lags",
+                job=run.task.job_id,
+                task=run.task.place,
+                run=run.number,
+                host=run.host_id,
+                progress_percent=run.progress_percent,
+                present_for_s=round(now_s - (run.present_since_s or now_s), 3),
+                usual_s=round(straggler.usual_s, 3),
+            )
         for host in list(self.jobs.hosts.values()):
             # Nobody follows a host that an earlier owner knew and the store does not list.
             if host.id not in self._host_tasks and now_s > host.lease.over_at_s:
--- /dev/null
+++ b/tests/unit/test_stragglers.py
@@ -0,0 +1,82 @@
+"""Tasks that lag behind the others of their step."""
+
+from testtools import TestCase
+
+from robinthread._internal.jobs.host import HostContact
+from robinthread._internal.jobs.pool_jobs import PoolJobs
+from robinthread._internal.jobs.run import Run, RunPhase
+from robinthread._internal.jobs.scheduling import place_waiting
+from robinthread._internal.jobs.stragglers import move_stragglers
+from robinthread._internal.models.host_report import RunEnd
+from robinthread._internal.models.job_spec import JobSpec, StepSpec
+from robinthread._internal.models.queue_policy import QueuePolicy
+from robinthread._internal.models.resources import Resources
+from robinthread._internal.models.upstream_host import UpstreamHost
+
+ROOM = Resources(4000, 1000, 0)
+JOB = "0" * 16
+
+
+def make_pool(step: StepSpec, progress: tuple[int, ...]) -> PoolJobs:
+    """Make a pool with a task on each host, all begun at 0 s and told of at 1 s."""
+    pool = PoolJobs()
+    spec = JobSpec(JOB, "queue", "pool", "", (step,))
+    job = pool.add_job(spec, QueuePolicy("queue", "", "", "pool"), 0, 0.0)
+    for number in range(len(progress) + 1):
+        record = UpstreamHost(f"h{number}", f"m{number}", "", "", "", "r", ROOM, frozenset())
+        host = pool.add_host(record)
+        host.contact = HostContact.ANSWERING
+        host.reported_at_s = 1.0
+    for number, percent in enumerate(progress):
+        run = pool.place(job.get_tasks(0, 0)[number], pool.hosts[f"h{number}"])
+        run.phase = RunPhase.PRESENT
+        run.present_since_s = 0.0
+        run.progress_percent = percent
+    return pool
+
+
+def get_run(pool: PoolJobs, number: int) -> Run:
+    return next(iter(pool.hosts[f"h{number}"].runs.values()))
+
+
+class StragglersTest(TestCase):
+    def test_task_that_lags_far_behind_is_moved_and_its_host_rests(self) -> None:
+        pool = make_pool(StepSpec(4, cpu_millicores=1000), (60, 50, 70, 8))
+        moved = move_stragglers(pool, now_s=1.1)
+        self.assertEqual([get_run(pool, 3)], [straggler.run for straggler in moved])
+        self.assertTrue(pool.hosts["h3"].is_paused(1.2))
+
+    def test_uneven_tasks_are_left_alone(self) -> None:
+        pool = make_pool(StepSpec(4, cpu_millicores=1000), (60, 50, 90, 35))
+        self.assertEqual([], move_stragglers(pool, now_s=1.1))
+
+    def test_task_without_others_to_compare_with_is_left_alone(self) -> None:
+        pool = make_pool(StepSpec(2, cpu_millicores=1000), (60, 5))
+        self.assertEqual([], move_stragglers(pool, now_s=1.1))
+
+    def test_old_report_tells_nothing_of_the_time_since(self) -> None:
+        pool = make_pool(StepSpec(4, cpu_millicores=1000), (60, 50, 70, 55))
+        self.assertEqual([], move_stragglers(pool, now_s=9.0))
+
+    def test_copy_begins_elsewhere_and_the_first_end_counts(self) -> None:
+        step = StepSpec(4, cpu_millicores=1000, allows_copies=True)
+        pool = make_pool(step, (60, 50, 70, 8))
+        slow = get_run(pool, 3)
+        self.assertEqual([], move_stragglers(pool, now_s=1.1))
+        place_waiting(pool, 1.1, 0)
+        task = pool.jobs[JOB].get_task(slow.task)
+        self.assertEqual(2, len(task.runs))
+        self.assertEqual(2, len({run.host_id for run in task.runs}))
+        move_stragglers(pool, now_s=1.2)
+        self.assertEqual({}, pool.waiting)
+        pool.end_run(task.runs[1], RunEnd.DONE, "", 0, 2.0)
+        self.assertTrue(task.is_done)
+        self.assertEqual([slow], pool.to_stop)
+
+    def test_tasks_on_a_silent_host_get_copies_where_that_is_allowed(self) -> None:
+        for allows_copies in (True, False):
+            step = StepSpec(2, cpu_millicores=1000, allows_copies=allows_copies)
+            pool = make_pool(step, (60, 50))
+            pool.hosts["h1"].contact = HostContact.SILENT
+            move_stragglers(pool, now_s=1.1)
+            self.assertEqual(int(allows_copies), len(pool.waiting))
