--- a/spec/__main__.py
+++ b/spec/__main__.py
@@ -4,11 +4,13 @@
 from concurrent.futures import ProcessPoolExecutor
 from dataclasses import dataclass
 
+from spec.acceptance import make_acceptance
 from spec.budget import make_budget
 from spec.check import TraceStep, find_counterexample, prove
 from spec.claims import make_claims
 from spec.fencing import make_fencing
 from spec.membership import make_halls, make_membership
+from spec.ownership import make_ownership
 from spec.restart import make_restart
 
 PROTOCOLS = {
@@ -18,6 +20,8 @@
     "membership": make_membership,
     "halls": make_halls,
     "restart": make_restart,
+    "acceptance": make_acceptance,
+    "ownership": make_ownership,
 }
 
 
--- /dev/null
+++ b/spec/ownership.py
@@ -0,0 +1,144 @@
+"""One task under two owners of its pool, on a host that may be out of sight.
+
+Owner 1 records and sends a start to host 1 and may be paused anywhere.  Owner 2
+takes the pool, and may start the task on host 2.  A lease is a bound on time:
+once it has lapsed nothing runs on host 1 and no older order begins there.
+"""
+
+import z3
+
+from spec.protocol import Protocol, Step
+
+OLD, NEW = 1, 2
+
+
+def make_ownership() -> Protocol:
+    """Make the protocol."""
+    epoch, fence = z3.Ints("epoch fence")
+    is_recorded, is_sent, runs_on_1, runs_on_2, is_lapsed = z3.Bools(
+        "is_recorded is_sent runs_on_1 runs_on_2 is_lapsed"
+    )
+    end_listed, end_recorded, was_lost, was_repeated = z3.Bools(
+        "end_listed end_recorded was_lost was_repeated"
+    )
+    is_open, knows_run, knows_end, is_heard, sees_run = z3.Bools(
+        "is_open knows_run knows_end is_heard sees_run"
+    )
+    true, false = z3.BoolVal(True), z3.BoolVal(False)
+    is_settled = z3.Or(z3.Not(knows_run), z3.And(is_heard, z3.Not(sees_run)), is_lapsed)
+    steps = (
+        Step(
+            "owner 1 records a run on host 1",
+            {
+                "the store has seen no newer owner": epoch == OLD,
+                "not begun": z3.And(z3.Not(is_recorded), z3.Not(end_recorded)),
+            },
+            {"is_recorded": true},
+        ),
+        Step(
+            "owner 1 sends the start",
+            {"recorded first": is_recorded, "once": z3.Not(is_sent)},
+            {"is_sent": true},
+        ),
+        Step(
+            "the start arrives at host 1, perhaps late",
+            {
+                "sent": is_sent,
+                "its token is not older than the host has seen": fence <= OLD,
+                "its lease has not lapsed": z3.Not(is_lapsed),
+                "not ended there": z3.Not(z3.Or(end_listed, end_recorded)),
+            },
+            {"runs_on_1": true, "was_repeated": z3.Or(was_repeated, runs_on_2, knows_end)},
+        ),
+        Step(
+            "the run ends on host 1", {"runs": runs_on_1}, {"runs_on_1": false, "end_listed": true}
+        ),
+        Step(
+            "the lease of host 1 lapses",
+            {"once": z3.Not(is_lapsed)},
+            {"is_lapsed": true, "runs_on_1": false},
+        ),
+        Step(
+            "owner 1 records the end",
+            {"the store has seen no newer owner": epoch == OLD, "listed": end_listed},
+            {"end_recorded": true},
+        ),
+        Step(
+            "owner 1 acknowledges the end, and the host forgets it",
+            {"listed": end_listed, "the end is recorded first": end_recorded},
+            {"end_listed": false, "was_lost": z3.Or(was_lost, z3.Not(end_recorded))},
+        ),
+        Step("owner 2 sets its epoch", {"once": epoch == OLD}, {"epoch": z3.IntVal(NEW)}),
+        Step(
+            "owner 2 reads the progress",
+            {"its epoch is set first": epoch == NEW, "once": z3.Not(is_open)},
+            {"is_open": true, "knows_run": is_recorded, "knows_end": end_recorded},
+        ),
+        Step(
+            "owner 2 hears host 1 under its token",
+            {"open": is_open},
+            {
+                "fence": z3.IntVal(NEW),
+                "is_heard": true,
+                "sees_run": runs_on_1,
+                "knows_end": z3.Or(knows_end, end_listed),
+            },
+        ),
+        Step(
+            "owner 2 starts the task on host 2",
+            {
+                "open": is_open,
+                "not done": z3.Not(knows_end),
+                "once": z3.Not(runs_on_2),
+                "the host of a recorded run is heard, or its lease has lapsed": is_settled,
+            },
+            {
+                "runs_on_2": true,
+                "was_repeated": z3.Or(was_repeated, runs_on_1, end_recorded, was_lost),
+            },
+        ),
+    )
+    variables = {
+        str(variable): variable
+        for variable in (
+            epoch,
+            fence,
+            is_recorded,
+            is_sent,
+            runs_on_1,
+            runs_on_2,
+            is_lapsed,
+            end_listed,
+            end_recorded,
+            was_lost,
+            was_repeated,
+            is_open,
+            knows_run,
+            knows_end,
+            is_heard,
+            sees_run,
+        )
+    }
+    initial = {
+        name: false if z3.is_bool(variable) else z3.IntVal(0)
+        for name, variable in variables.items()
+    } | {"epoch": z3.IntVal(OLD)}
+    return Protocol(
+        "ownership",
+        variables,
+        initial,
+        steps,
+        {
+            "no two runs at once, and none after a noted end": z3.Not(was_repeated),
+            "an acknowledged end is recorded": z3.Not(was_lost),
+        },
+        (
+            "the store has seen no newer owner",
+            "recorded first",
+            "its token is not older than the host has seen",
+            "its lease has not lapsed",
+            "the end is recorded first",
+            "its epoch is set first",
+            "the host of a recorded run is heard, or its lease has lapsed",
+        ),
+    )
