--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -14,6 +14,7 @@
 from bench.parallel import run_in_processes
 from bench.result import BenchResult
 from bench.storms import run_storms
+from bench.takeover import run_takeover
 from bench.urgent import run_urgent
 from bench.waves import run_many_waves, run_wave_baselines, run_waves
 
@@ -23,6 +24,7 @@
     "urgent": run_urgent,
     "black_holes": run_black_holes,
     "storm": run_storms,
+    "takeover": run_takeover,
 }
 LONG: dict[str, Callable[[], BenchResult]] = {
     "waves": run_waves,
--- /dev/null
+++ b/bench/takeover.py
@@ -0,0 +1,90 @@
+"""Time from the loss of a pool's owner to the first start by the next one."""
+
+import asyncio
+import itertools
+import statistics
+from collections.abc import Callable
+from typing import Final
+
+from tests.lib.job_platforms import (
+    POOL,
+    get_owner,
+    hand_in,
+    make_job,
+    start_platform,
+    wait_until,
+)
+from tests.lib.virtual import run_virtual
+
+from bench.result import BenchResult
+from robinthread._internal.standins.platform_standin import PlatformStandin
+
+SEEDS: Final = range(1, 9)
+NODES: Final = 5
+# How often a job is handed in, so that some task waits at any time.
+ARRIVAL_PERIOD_S: Final = 0.05
+BEFORE_LOSS_S: Final = 1.0
+
+# Shorter than the way of an order to a host, so that no first start is missed.
+POLL_S: Final = 0.0005
+
+LoseOwner = Callable[[PlatformStandin, str], object]
+
+
+def run_takeover() -> BenchResult:
+    """Lose owners in each way, some times each."""
+    counts: dict[str, float] = {}
+    for name, lose in WAYS.items():
+        took_s = [run_virtual(_measure(lose, seed)) for seed in SEEDS]
+        counts[f"{name}_p50_s"] = round(statistics.median(took_s), 3)
+        counts[f"{name}_p100_s"] = round(max(took_s), 3)
+    return BenchResult("takeover", counts, f"{len(SEEDS)} losses each, {NODES} nodes")
+
+
+async def _measure(lose: LoseOwner, seed: int) -> float:
+    """Return the time from a loss to the first start by another node."""
+    platform = await start_platform(nodes=NODES, seed=seed)
+    arrivals = asyncio.ensure_future(_hand_in_on_end(platform))
+    # Each seed loses the owner at another point of its periodic work.
+    await asyncio.sleep(BEFORE_LOSS_S + 0.037 * seed)
+    former = get_owner(platform)
+    assert former is not None
+    lost_at_s = asyncio.get_running_loop().time()
+    lose(platform, former)
+    while not _has_owner_beside(platform, former):
+        await asyncio.sleep(POLL_S)
+    taken_at_s = asyncio.get_running_loop().time()
+    runs = platform.hosts.ledger.runs
+    await wait_until(lambda: any(run.began_at_s >= taken_at_s for run in runs))
+    arrivals.cancel()
+    return min(run.began_at_s for run in runs if run.began_at_s >= taken_at_s) - lost_at_s
+
+
+def _has_owner_beside(platform: PlatformStandin, former: str) -> bool:
+    """Tell whether another node serves the pool; one that is cut off may believe it does."""
+    return any(
+        (owner := node.assembled.owned.owners.get(POOL)) is not None and owner.is_open
+        for name, node in platform.nodes.items()
+        if name != former
+    )
+
+
+async def _hand_in_on_end(platform: PlatformStandin) -> None:
+    """Hand jobs in by turns at the nodes that the store serves."""
+    for number in itertools.count(1):
+        lost = platform.cut_nodes | platform.store.faults.refused
+        served = [name for name in platform.nodes if name not in lost]
+        await hand_in(platform, served[number % len(served)], make_job(number))
+        await asyncio.sleep(ARRIVAL_PERIOD_S)
+
+
+def _stop(platform: PlatformStandin, name: str) -> object:
+    return asyncio.ensure_future(platform.nodes[name].assembled.node.stop())
+
+
+WAYS: Final[dict[str, LoseOwner]] = {
+    "killed": lambda platform, name: platform.kill_node(name),
+    "cut_off": lambda platform, name: platform.cut_node(name),
+    "turned_away": lambda platform, name: platform.store.faults.refused.add(name),
+    "stopped": _stop,
+}
--- a/src/robinthread/_internal/jobs/stragglers.py
+++ b/src/robinthread/_internal/jobs/stragglers.py
@@ -1,7 +1,8 @@
-"""Tasks that lag far behind others of their step, and what to do about them.
+"""Tasks on hosts that are slow or silent, and what to do about them.
 
-The tasks of a step are alike, so one that makes much less progress than the others
-is on a host that is slow, or silent.
+The tasks of a step are alike but for a share, and a few take several times as long
+as the others wherever they run.  So a host is slow only where most of its tasks lag
+behind those of their steps on other hosts.
 """
 
 import statistics
@@ -23,6 +24,8 @@
 # Progress is not judged before a run has been present for so long, or against fewer others.
 JUDGED_AFTER_S: Final = 0.5
 PEERS_MIN: Final = 2
+# A host is not judged by fewer tasks.
+JUDGED_MIN: Final = 2
 # A run is stopped only where what is left takes so many times as long as all of it would
 # elsewhere.
 WORTH_MOVING: Final = 1.5
@@ -36,6 +39,15 @@
     usual_s: float
 
 
+@dataclass(frozen=True)
+class _Judgement:
+    """A run's progress as a share of what is usual for its step."""
+
+    run: Run
+    share: float
+    usual_s: float
+
+
 def move_stragglers(pool: PoolJobs, now_s: float) -> list[Straggler]:
     """Begin copies of tasks that lag or are out of sight, or move them; return those moved."""
     for task in _iter_unseen(pool):
@@ -55,24 +67,32 @@
 
 
 def find_stragglers(pool: PoolJobs) -> list[Straggler]:
-    """Return the runs that lag behind the others of their step."""
+    """Return the runs on slow hosts that lag behind the others of their step."""
+    by_host: dict[str, list[_Judgement]] = defaultdict(list)
+    for judgement in _judge_runs(pool):
+        by_host[judgement.run.host_id].append(judgement)
+    return [
+        Straggler(judgement.run, judgement.usual_s)
+        for judgements in by_host.values()
+        if len(judgements) >= JUDGED_MIN
+        and statistics.median(one.share for one in judgements) < LAG_SHARE
+        for judgement in judgements
+        if judgement.share < LAG_SHARE
+    ]
+
+
+def _judge_runs(pool: PoolJobs) -> Iterator[_Judgement]:
+    """Compare each run's progress with that of its step's other tasks."""
     by_step: dict[StepKey, list[Run]] = defaultdict(list)
     for host in pool.hosts.values():
         for run in _iter_judged(pool, host):
             by_step[run.task.step_key].append(run)
-    return [straggler for step, runs in by_step.items() for straggler in _judge(pool, step, runs)]
-
-
-def _judge(pool: PoolJobs, step: StepKey, runs: list[Run]) -> Iterator[Straggler]:
-    tasks = pool.jobs[step.job_id].get_tasks(step.occurrence, step.step)
-    rates = [1 / task.took_s for task in tasks if task.took_s]
-    rates += [_get_rate(pool, run) for run in runs]
-    if len(rates) <= PEERS_MIN:
-        return
-    usual = statistics.median(rates)
-    for run in runs:
-        if _get_rate(pool, run) < LAG_SHARE * usual:
-            yield Straggler(run, 1 / usual)
+    for step, runs in by_step.items():
+        tasks = pool.jobs[step.job_id].get_tasks(step.occurrence, step.step)
+        rates = [1 / task.took_s for task in tasks if task.took_s]
+        rates += [_get_rate(pool, run) for run in runs]
+        if len(rates) > PEERS_MIN and (usual := statistics.median(rates)) > 0:
+            yield from (_Judgement(run, _get_rate(pool, run) / usual, 1 / usual) for run in runs)
 
 
 def _iter_judged(pool: PoolJobs, host: Host) -> Iterator[Run]:
