--- a/src/robinthread/_internal/node/election.py
+++ b/src/robinthread/_internal/node/election.py
@@ -19,9 +19,9 @@
 # The pool of no hosts whose owner gives all orders for machines.
 FLEET: Final = "fleet/machines"
 # A member that has said nothing for so long is taken as gone.
-MEMBER_TTL_S: Final = 1.2
+MEMBER_TTL_S: Final = 1.0
 # How often a member says that it lives: three times within its time to live.
-JOIN_PERIOD_S: Final = 0.4
+JOIN_PERIOD_S: Final = 0.3
 # How often a member tries whom the store does not serve.
 REJOIN_PERIOD_S: Final = 0.1
 # After so many failures in a row, over so long, the store does not serve this node: one
@@ -30,9 +30,9 @@
 FAILING_MIN_S: Final = 0.2
 # How long an owner must be missing from the members: while partitions pass from
 # one member to another, a living one may hold none for a moment.
-MISSING_CONFIRM_S: Final = 0.5
+MISSING_CONFIRM_S: Final = 0.25
 # How long the members must have been seen without a gap before one counts as missing.
-SETTLE_S: Final = 0.8
+SETTLE_S: Final = 0.6
 
 
 class Election:
--- /dev/null
+++ b/src/robinthread/_internal/node/machine_orders.py
@@ -0,0 +1,168 @@
+"""Giving orders for machines until they are answered."""
+
+import asyncio
+from collections.abc import Callable
+from typing import Any, Final
+
+from robinthread._internal.durable.errors import StoreFencedError
+from robinthread._internal.durable.journal import Journal
+from robinthread._internal.durable.order_records import make_orders_record, parse_orders_record
+from robinthread._internal.durable.store import KeyedRecord
+from robinthread._internal.fleet.fleet_view import MoveOrder, UpkeepOrder
+from robinthread._internal.fleet.machine_calls import MachineCalls
+from robinthread._internal.fleet.machine_errors import (
+    MachineBusyError,
+    MachineError,
+    MachineFencedError,
+    MachineMisfitError,
+    MachineNoAnswerError,
+)
+from robinthread._internal.node.pool_runtime import get_loop_s
+from robinthread._internal.node.wave_keeper import WaveKeeper
+from robinthread._internal.telemetry.event_log import EventLog
+
+# Pause before an order without answer is given again.
+RETRY_PAUSE_S: Final = 0.3
+# How long a machine that was busy, or did not fit, gets no order.
+BUSY_PAUSE_S: Final = 1.0
+
+Order = MoveOrder | UpkeepOrder
+NoteFenced = Callable[[str], None]
+
+
+class MachineOrders:
+    """Orders under way, those just done, and machines that get none for a while.
+
+    An order that was done counts as under way until a list of machines that was
+    asked for later shows what it did.  ``moved`` tells when a machine was last
+    moved, and to which pool.
+    """
+
+    def __init__(
+        self,
+        machines: MachineCalls,
+        journal: Journal,
+        waves: WaveKeeper,
+        events: EventLog,
+        holder: str,
+        token: int,
+        turn_s: float,
+        note_fenced: NoteFenced,
+    ) -> None:
+        self._machines = machines
+        self._journal = journal
+        self._waves = waves
+        self._events = events
+        self._holder = holder
+        self._token = token
+        self._turn_s = turn_s
+        self._note_fenced = note_fenced
+        self.under_way: dict[str, Order] = {}
+        self.moved: dict[str, tuple[float, str]] = {}
+        self._done_at_s: dict[str, float] = {}
+        self._ordered_at_s: dict[str, float] = {}
+        self._paused_until_s: dict[str, float] = {}
+        self._recorded: frozenset[str] = frozenset()
+        self._tasks: set[asyncio.Task[Any]] = set()
+        self._is_stopped = False
+
+    def load(self, records: tuple[KeyedRecord, ...]) -> None:
+        """Leave the machines alone for a while that the last steward ordered."""
+        now_s = get_loop_s()
+        for record in records:
+            for machine in parse_orders_record(record).machines:
+                self._paused_until_s[machine] = now_s + self._turn_s
+                self._ordered_at_s[machine] = now_s
+
+    def list_held(self) -> frozenset[str]:
+        """Return the machines that are to get no order now."""
+        now_s = get_loop_s()
+        paused = {name for name, until_s in self._paused_until_s.items() if now_s < until_s}
+        return frozenset(self.under_way) | paused
+
+    def note_listed(self, asked_at_s: float) -> None:
+        """Note that all orders done before a list was asked for show in it."""
+        for name in [name for name, done_s in self._done_at_s.items() if done_s < asked_at_s]:
+            del self._done_at_s[name]
+            self.under_way.pop(name, None)
+
+    async def give(self, orders: tuple[Order, ...]) -> None:
+        """Record the machines that are about to be ordered, then give the orders."""
+        await self._record(orders)
+        for order in orders:
+            self.under_way[order.machine] = order
+            task = asyncio.get_running_loop().create_task(self._carry_out(order))
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+
+    def cancel(self) -> list[asyncio.Task[Any]]:
+        """Have all orders under way end, and return their tasks."""
+        self._is_stopped = True
+        tasks = list(self._tasks)
+        for task in tasks:
+            task.cancel()
+        return tasks
+
+    async def _record(self, orders: tuple[Order, ...]) -> None:
+        if not orders:
+            return
+        now_s = get_loop_s()
+        for order in orders:
+            self._ordered_at_s[order.machine] = now_s
+        recent = frozenset(
+            name
+            for name, ordered_s in self._ordered_at_s.items()
+            if name in self.under_way or now_s - ordered_s < self._turn_s
+        )
+        if not recent <= self._recorded:
+            await self._journal.write([make_orders_record(recent)])
+            self._recorded = recent
+
+    async def _carry_out(self, order: Order) -> None:
+        """Give an order until it is answered; one without answer may yet be done."""
+        try:
+            while not self._is_stopped:
+                try:
+                    await self._send(order)
+                except MachineNoAnswerError as error:
+                    self._note(order, f"no answer: {error}")
+                    await asyncio.sleep(RETRY_PAUSE_S)
+                    continue
+                except MachineFencedError:
+                    self._note_fenced("MachineFencedError")
+                except MachineBusyError:
+                    self._pause(order, "busy")
+                except MachineMisfitError as error:
+                    self._pause(order, f"does not fit: {error}")
+                except MachineError as error:
+                    self._pause(order, f"refused: {error}")
+                else:
+                    self._note(order, "done")
+                    await self._note_done(order)
+                return
+        except StoreFencedError:
+            self._note_fenced("StoreFencedError")
+        finally:
+            if order.machine not in self._done_at_s:
+                self.under_way.pop(order.machine, None)
+
+    async def _send(self, order: Order) -> None:
+        if isinstance(order, MoveOrder):
+            await self._machines.move(order.machine, order.pool, self._holder, self._token)
+        else:
+            await self._machines.begin_upkeep(order.machine, order.wave, self._holder, self._token)
+
+    async def _note_done(self, order: Order) -> None:
+        self._done_at_s[order.machine] = get_loop_s()
+        if isinstance(order, MoveOrder):
+            self.moved[order.machine] = (get_loop_s(), order.pool)
+        else:
+            await self._waves.note_begun(order.wave, order.machine)
+
+    def _pause(self, order: Order, reason: str) -> None:
+        self._note(order, reason)
+        self._paused_until_s[order.machine] = get_loop_s() + BUSY_PAUSE_S
+
+    def _note(self, order: Order, outcome: str) -> None:
+        target = {"to_pool": order.pool} if isinstance(order, MoveOrder) else {"wave": order.wave}
+        self._events.write("machine_ordered", machine=order.machine, outcome=outcome, **target)
--- a/src/robinthread/_internal/node/steward.py
+++ b/src/robinthread/_internal/node/steward.py
@@ -3,37 +3,19 @@
 import asyncio
 from typing import Any, Final
 
-import msgspec
-
 from robinthread._internal.durable.errors import StoreError, StoreFencedError
 from robinthread._internal.durable.journal import Journal
-from robinthread._internal.durable.order_records import (
-    ORDERS_PARTITION,
-    make_orders_record,
-    parse_orders_record,
-)
+from robinthread._internal.durable.order_records import ORDERS_PARTITION
 from robinthread._internal.durable.ownership import Member, OwnerTable
 from robinthread._internal.durable.store import KeyedRecord, Partition
-from robinthread._internal.durable.wave_records import (
-    WAVES_PARTITION,
-    make_wave_record,
-    parse_wave_record,
-)
+from robinthread._internal.durable.wave_records import WAVES_PARTITION
 from robinthread._internal.fleet.fleet_view import (
     FleetPlan,
     FleetView,
     MoveOrder,
     PoolView,
-    UpkeepOrder,
-    WaveView,
-)
-from robinthread._internal.fleet.machine_errors import (
-    MachineBusyError,
-    MachineError,
-    MachineFencedError,
-    MachineMisfitError,
-    MachineNoAnswerError,
 )
+from robinthread._internal.fleet.machine_errors import MachineError
 from robinthread._internal.fleet.planner import FleetPlanner
 from robinthread._internal.fleet.pool_report import FleetQuestion, PoolReport
 from robinthread._internal.fleet.sizing import PoolSize
@@ -41,19 +23,19 @@
 from robinthread._internal.models.upkeep_wave import UpkeepWave
 from robinthread._internal.node.context import NodeContext
 from robinthread._internal.node.environment import NodeEnvironment
+from robinthread._internal.node.machine_orders import MachineOrders
 from robinthread._internal.node.owned_pools import OwnedPools
 from robinthread._internal.node.peer_calls import PeerUnreachableError
 from robinthread._internal.node.pool_runtime import get_loop_s
+from robinthread._internal.node.wave_keeper import WaveKeeper
 
 # How often the pools are asked how they stand, and the fleet is planned.
 STEP_S: Final = 0.1
 # How often the machines are listed; each list is paid for.  The steward's own orders
 # tell most of what changes.
 LIST_PERIOD_S: Final = 0.3
-# Pause before an order without answer is given again.
+# Pause before a failed read of the store is made again.
 RETRY_PAUSE_S: Final = 0.3
-# How long a machine that was busy, or did not fit, gets no order.
-BUSY_PAUSE_S: Final = 1.0
 # How long a machine that is up may take to show in its pool: an entry in the store
 # and a first look at it.
 UNHEARD_MAX_S: Final = 3.0
@@ -61,8 +43,6 @@
 HOST_EARLY_S: Final = 0.15
 HOST_LATE_S: Final = 0.6
 
-Order = MoveOrder | UpkeepOrder
-
 
 class Steward:
     """The one node that orders machines, under one token.
@@ -91,7 +71,6 @@
         self._peers = environment.peers
         self._me = me
         self.token = token
-        self._turn_s = turn_s
         writer = "steward"
         self._wave_journal = Journal(context.store, WAVES_PARTITION, writer, token, context.events)
         self._status_journal = Journal(
@@ -100,23 +79,26 @@
         self._orders_journal = Journal(
             context.store, ORDERS_PARTITION, writer, token, context.events
         )
-        self._ordered_at_s: dict[str, float] = {}
-        self._recorded: frozenset[str] = frozenset()
         self._planner = FleetPlanner()
         self._known: dict[str, Machine] = {}
         self._listed_at_s = -LIST_PERIOD_S
-        self._orders: dict[str, Order] = {}
-        self._moved: dict[str, tuple[float, str]] = {}
-        self._done_at_s: dict[str, float] = {}
         self._unheard_since_s: dict[str, float] = {}
-        self._paused_until_s: dict[str, float] = {}
-        self._tasks: set[asyncio.Task[Any]] = set()
-        self._begun: dict[int, set[str]] = {}
-        self._seen_at_s: dict[int, float] = {}
-        self._shown: dict[int, bool] = {}
         self._sizes: dict[str, PoolSize] = {}
         self._vacate: dict[str, frozenset[str]] = {}
         self.fenced = asyncio.Event()
+        self._waves = WaveKeeper(
+            self._wave_journal, self._status_journal, self._records, self._events
+        )
+        self._orders = MachineOrders(
+            environment.machines,
+            self._orders_journal,
+            self._waves,
+            self._events,
+            f"{me.node}/{me.life}",
+            token,
+            turn_s,
+            self._note_fenced,
+        )
 
     async def run(self) -> None:
         """Give orders until cancelled or fenced."""
@@ -124,8 +106,8 @@
             await self._wave_journal.open()
             await self._status_journal.open()
             await self._orders_journal.open()
-            await self._load_waves()
-            await self._load_orders()
+            self._waves.load(await self._read_newest(WAVES_PARTITION))
+            self._orders.load(await self._read_newest(ORDERS_PARTITION))
             while not self.fenced.is_set():
                 await self._step()
                 await asyncio.sleep(STEP_S)
@@ -138,10 +120,7 @@
 
     def cancel(self) -> list[asyncio.Task[Any]]:
         """Have all orders under way end, and return their tasks."""
-        tasks = list(self._tasks)
-        for task in tasks:
-            task.cancel()
-        return tasks
+        return self._orders.cancel()
 
     async def _read_newest(self, partition: Partition) -> tuple[KeyedRecord, ...]:
         while True:
@@ -151,44 +130,12 @@
                 self._events.write("store_unread", topic=partition.topic, error=str(error))
                 await asyncio.sleep(RETRY_PAUSE_S)
 
-    async def _load_orders(self) -> None:
-        """Leave the machines alone for a while that the last steward ordered."""
-        until_s = get_loop_s() + self._turn_s
-        for record in await self._read_newest(ORDERS_PARTITION):
-            for machine in parse_orders_record(record).machines:
-                self._paused_until_s[machine] = until_s
-                self._ordered_at_s[machine] = get_loop_s()
-
-    async def _record_orders(self, orders: tuple[Order, ...]) -> None:
-        """Record the machines that are about to be ordered, before they are."""
-        if not orders:
-            return
-        now_s = get_loop_s()
-        for order in orders:
-            self._ordered_at_s[order.machine] = now_s
-        recent = frozenset(
-            name
-            for name, ordered_s in self._ordered_at_s.items()
-            if name in self._orders or now_s - ordered_s < self._turn_s
-        )
-        if not recent <= self._recorded:
-            await self._orders_journal.write([make_orders_record(recent)])
-            self._recorded = recent
-
-    async def _load_waves(self) -> None:
-        for record in await self._read_newest(WAVES_PARTITION):
-            try:
-                progress = parse_wave_record(record)
-            except msgspec.MsgspecError as error:
-                self._events.write("record_malformed", key=record.key, error=str(error))
-                continue
-            self._begun[progress.wave] = set(progress.begun)
-
     async def _step(self) -> None:
         if not await self._list_machines():
             return
         reports = await self._ask_pools()
-        await self._show_waves()
+        if self._known:
+            await self._waves.show(self._get_waves(), self._known)
         view = self._make_view(reports)
         plan = self._planner.plan(view, get_loop_s())
         for pool, machines in plan.vacate.items():
@@ -196,9 +143,7 @@
                 self._events.write("machines_vacating", pool=pool, machines=sorted(machines))
         self._vacate = plan.vacate
         self._note_sizes(view, plan)
-        await self._record_orders(plan.orders)
-        for order in plan.orders:
-            self._give(order)
+        await self._orders.give(plan.orders)
 
     def _note_sizes(self, view: FleetView, plan: FleetPlan) -> None:
         """Write a line for each pool whose size has changed."""
@@ -230,10 +175,7 @@
             return False
         self._listed_at_s = asked_at_s
         self._known = {machine.name: machine for machine in listed}
-        for name in [name for name, done_s in self._done_at_s.items() if done_s < asked_at_s]:
-            # The list shows now what the order did.
-            del self._done_at_s[name]
-            self._orders.pop(name, None)
+        self._orders.note_listed(asked_at_s)
         return True
 
     async def _ask_pools(self) -> dict[str, PoolReport]:
@@ -265,7 +207,7 @@
         move_s = self._context.settings.bounds.machine_move_s
         return any(
             -HOST_EARLY_S < now_s - moved_s - move_s < HOST_LATE_S
-            for moved_s, moved_to in self._moved.values()
+            for moved_s, moved_to in self._orders.moved.values()
             if moved_to == pool
         )
 
@@ -273,8 +215,6 @@
         config = self._context.config_holder.config
         assert config is not None
         reserves = [pool.name for pool in config.pools.values() if pool.is_reserve]
-        now_s = get_loop_s()
-        paused = {name for name, until_s in self._paused_until_s.items() if now_s < until_s}
         return FleetView(
             pools=tuple(self._make_pool_view(pool, report) for pool, report in reports.items()),
             reserve_pool=reserves[0] if reserves else "",
@@ -283,11 +223,11 @@
                 for machine in self._known.values()
                 if machine.pool in reserves and machine.state is MachineState.UP
             ),
-            ordered=frozenset(self._orders) | paused,
+            ordered=self._orders.list_held(),
             waves=tuple(
-                self._make_wave_view(wave)
-                for wave in self._context.config_holder.waves.values()
-                if self._get_pending(wave)
+                self._waves.make_view(wave, self._known, self._orders.under_way)
+                for wave in self._get_waves()
+                if self._waves.get_pending(wave, self._known)
             ),
         )
 
@@ -297,13 +237,14 @@
         }
         told = {host.host_id for host in report.hosts}
         coming = sum(
-            isinstance(order, MoveOrder) and order.pool == pool for order in self._orders.values()
+            isinstance(order, MoveOrder) and order.pool == pool
+            for order in self._orders.under_way.values()
         )
         arriving = sum(
             machine.state in (MachineState.MOVING, MachineState.UPKEEP)
             or self._is_unheard(machine, told)
             for name, machine in machines.items()
-            if name not in self._orders
+            if name not in self._orders.under_way
         )
         return PoolView(pool, report, machines, arriving + coming)
 
@@ -315,94 +256,8 @@
         since_s = self._unheard_since_s.setdefault(machine.name, get_loop_s())
         return get_loop_s() - since_s < UNHEARD_MAX_S
 
-    def _get_pending(self, wave: UpkeepWave) -> frozenset[str]:
-        """Return the machines that stay and whose upkeep has not begun."""
-        begun = self._begun.get(wave.number, set())
-        return frozenset(
-            name for name in wave.machines if name not in begun and name in self._known
-        )
-
-    def _make_wave_view(self, wave: UpkeepWave) -> WaveView:
-        seen_at_s = self._seen_at_s.setdefault(wave.number, get_loop_s())
-        down = sum(
-            self._known[name].state is MachineState.UPKEEP
-            or isinstance(self._orders.get(name), UpkeepOrder)
-            for name in wave.machines
-            if name in self._known
-        )
-        left_s = seen_at_s + wave.duration_s - get_loop_s()
-        return WaveView(wave.number, self._get_pending(wave), wave.at_once_max, down, left_s)
-
-    async def _show_waves(self) -> None:
-        """Write the status of each wave where it has changed."""
-        for wave in list(self._context.config_holder.waves.values()):
-            if not self._known:
-                return
-            is_done = not self._get_pending(wave)
-            if self._shown.get(wave.number) is not is_done:
-                await self._status_journal.write(
-                    [self._records.make_wave_status(wave.number, is_done)]
-                )
-                self._shown[wave.number] = is_done
-                self._events.write("wave_shown", wave=wave.number, is_done=is_done)
-
-    def _give(self, order: Order) -> None:
-        self._orders[order.machine] = order
-        task = asyncio.get_running_loop().create_task(self._carry_out(order))
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
-
-    async def _carry_out(self, order: Order) -> None:
-        """Give an order until it is answered; one without answer may yet be done."""
-        try:
-            while not self.fenced.is_set():
-                try:
-                    await self._send(order)
-                except MachineNoAnswerError as error:
-                    self._note(order, f"no answer: {error}")
-                    await asyncio.sleep(RETRY_PAUSE_S)
-                    continue
-                except MachineFencedError:
-                    self._note_fenced("MachineFencedError")
-                except MachineBusyError:
-                    self._pause(order, "busy")
-                except MachineMisfitError as error:
-                    self._pause(order, f"does not fit: {error}")
-                except MachineError as error:
-                    self._pause(order, f"refused: {error}")
-                else:
-                    self._note(order, "done")
-                    await self._note_done(order)
-                return
-        except StoreFencedError:
-            self._note_fenced("StoreFencedError")
-        finally:
-            if order.machine not in self._done_at_s:
-                self._orders.pop(order.machine, None)
-
-    async def _send(self, order: Order) -> None:
-        holder = f"{self._me.node}/{self._me.life}"
-        if isinstance(order, MoveOrder):
-            await self._machines.move(order.machine, order.pool, holder, self.token)
-        else:
-            await self._machines.begin_upkeep(order.machine, order.wave, holder, self.token)
-
-    async def _note_done(self, order: Order) -> None:
-        self._done_at_s[order.machine] = get_loop_s()
-        if isinstance(order, MoveOrder):
-            self._moved[order.machine] = (get_loop_s(), order.pool)
-        if isinstance(order, UpkeepOrder):
-            begun = self._begun.setdefault(order.wave, set())
-            begun.add(order.machine)
-            await self._wave_journal.write([make_wave_record(order.wave, begun)])
-
-    def _pause(self, order: Order, reason: str) -> None:
-        self._note(order, reason)
-        self._paused_until_s[order.machine] = get_loop_s() + BUSY_PAUSE_S
-
-    def _note(self, order: Order, outcome: str) -> None:
-        target = {"to_pool": order.pool} if isinstance(order, MoveOrder) else {"wave": order.wave}
-        self._events.write("machine_ordered", machine=order.machine, outcome=outcome, **target)
+    def _get_waves(self) -> list[UpkeepWave]:
+        return list(self._context.config_holder.waves.values())
 
     def _note_fenced(self, by: str) -> None:
         if not self.fenced.is_set():
--- /dev/null
+++ b/src/robinthread/_internal/node/wave_keeper.py
@@ -0,0 +1,82 @@
+"""How far each maintenance wave has come."""
+
+from collections.abc import Iterable, Mapping
+
+import msgspec
+
+from robinthread._internal.durable.journal import Journal
+from robinthread._internal.durable.store import KeyedRecord
+from robinthread._internal.durable.wave_records import make_wave_record, parse_wave_record
+from robinthread._internal.fleet.fleet_view import UpkeepOrder, WaveView
+from robinthread._internal.models.machine import Machine, MachineState
+from robinthread._internal.models.upkeep_wave import UpkeepWave
+from robinthread._internal.node.environment import PlatformRecords
+from robinthread._internal.node.pool_runtime import get_loop_s
+from robinthread._internal.telemetry.event_log import EventLog
+
+
+class WaveKeeper:
+    """Which machines of each wave have begun their upkeep, and what is shown of it."""
+
+    def __init__(
+        self,
+        journal: Journal,
+        status_journal: Journal,
+        records: PlatformRecords,
+        events: EventLog,
+    ) -> None:
+        self._journal = journal
+        self._status_journal = status_journal
+        self._records = records
+        self._events = events
+        self._begun: dict[int, set[str]] = {}
+        self._seen_at_s: dict[int, float] = {}
+        self._shown: dict[int, bool] = {}
+
+    def load(self, records: Iterable[KeyedRecord]) -> None:
+        """Take in what earlier stewards recorded."""
+        for record in records:
+            try:
+                progress = parse_wave_record(record)
+            except msgspec.MsgspecError as error:
+                self._events.write("record_malformed", key=record.key, error=str(error))
+                continue
+            self._begun[progress.wave] = set(progress.begun)
+
+    async def note_begun(self, wave: int, machine: str) -> None:
+        """Record that a machine's upkeep has begun."""
+        begun = self._begun.setdefault(wave, set())
+        begun.add(machine)
+        await self._journal.write([make_wave_record(wave, begun)])
+
+    def get_pending(self, wave: UpkeepWave, machines: dict[str, Machine]) -> frozenset[str]:
+        """Return the machines that stay and whose upkeep has not begun."""
+        begun = self._begun.get(wave.number, set())
+        return frozenset(name for name in wave.machines if name not in begun and name in machines)
+
+    def make_view(
+        self, wave: UpkeepWave, machines: dict[str, Machine], under_way: Mapping[str, object]
+    ) -> WaveView:
+        """Return a wave as the planner sees it."""
+        seen_at_s = self._seen_at_s.setdefault(wave.number, get_loop_s())
+        down = sum(
+            machines[name].state is MachineState.UPKEEP
+            or isinstance(under_way.get(name), UpkeepOrder)
+            for name in wave.machines
+            if name in machines
+        )
+        left_s = seen_at_s + wave.duration_s - get_loop_s()
+        return WaveView(
+            wave.number, self.get_pending(wave, machines), wave.at_once_max, down, left_s
+        )
+
+    async def show(self, waves: Iterable[UpkeepWave], machines: dict[str, Machine]) -> None:
+        """Write the status of each wave where it has changed."""
+        for wave in waves:
+            is_done = not self.get_pending(wave, machines)
+            if self._shown.get(wave.number) is not is_done:
+                await self._status_journal.write(
+                    [self._records.make_wave_status(wave.number, is_done)]
+                )
+                self._shown[wave.number] = is_done
+                self._events.write("wave_shown", wave=wave.number, is_done=is_done)
