--- a/src/robinthread/_internal/fleet/planner.py
+++ b/src/robinthread/_internal/fleet/planner.py
@@ -102,7 +102,7 @@
         due = [host for host in pool.hosts if host.is_usable and host.machine in pending]
         if not due or vacating & pending:
             return frozenset()
-        is_idle = size.keep_count <= HOSTS_MIN
+        is_idle = size.keep_count <= max(HOSTS_MIN, pool.report.hosts_min)
         is_short = any(_is_short_of_time(wave) for wave in view.waves)
         if not is_idle and not is_short:
             return frozenset()
--- a/src/robinthread/_internal/fleet/pool_report.py
+++ b/src/robinthread/_internal/fleet/pool_report.py
@@ -29,11 +29,12 @@
 class PoolReport(msgspec.Struct, frozen=True, array_like=True):
     """How a pool stands: the room to fetch and to keep hosts for, and its hosts.
 
-    Rooms are thousandths of a core, MB and accelerators.
+    Rooms are thousandths of a core, MB and accelerators.  ``hosts_min`` hosts are
+    needed for tasks that may not share one.
     """
 
     is_owner: bool
     fetch_room: tuple[int, int, int] = (0, 0, 0)
     keep_room: tuple[int, int, int] = (0, 0, 0)
-    has_lasting: bool = False
     hosts: tuple[HostStanding, ...] = ()
+    hosts_min: int = 0
--- a/src/robinthread/_internal/fleet/sizing.py
+++ b/src/robinthread/_internal/fleet/sizing.py
@@ -24,7 +24,7 @@
 
 def get_pool_size(report: PoolReport, room: Resources) -> PoolSize:
     """Return how many hosts of ``room`` a pool needs."""
-    fetch_count = _count_hosts(report.fetch_room, room)
+    fetch_count = max(report.hosts_min, _count_hosts(report.fetch_room, room))
     return PoolSize(fetch_count, max(fetch_count, _count_hosts(report.keep_room, room)))
 
 
--- a/src/robinthread/_internal/jobs/demand.py
+++ b/src/robinthread/_internal/jobs/demand.py
@@ -29,10 +29,14 @@
 
 @dataclass(frozen=True, slots=True)
 class Demand:
-    """Room for which to fetch hosts, and room for which to keep them."""
+    """Room for which to fetch hosts, and room for which to keep them.
+
+    Whatever the room, ``hosts_min`` hosts are needed for tasks that may not share one.
+    """
 
     fetch: Resources
     keep: Resources
+    hosts_min: int
 
 
 class DemandMeter:
@@ -69,7 +73,8 @@
         keep = fetch
         for ahead_s in horizons_s:
             keep = keep.max(self._forecast(pool, arriving, now_s, ahead_s))
-        return Demand((fetch + lasting).round(), (keep + lasting).round())
+        hosts_min = _count_hosts_for_lasting(pool)
+        return Demand((fetch + lasting).round(), (keep + lasting).round(), hosts_min)
 
     def _forecast(self, pool: PoolJobs, arriving: Work, now_s: float, ahead_s: float) -> Work:
         """Return the room that all tasks would take ``ahead_s`` from now, given room."""
@@ -101,6 +106,18 @@
         return self._mean_work.scale(recent / RATE_WINDOW_S)
 
 
+def _count_hosts_for_lasting(pool: PoolJobs) -> int:
+    """Return on how many hosts the lasting tasks of the widest step must be spread."""
+    counts = (
+        math.ceil(step.task_count / step.per_host_max)
+        for job in pool.jobs.values()
+        if not job.status.is_final
+        for step in job.spec.steps
+        if step.is_lasting and step.per_host_max
+    )
+    return max(counts, default=0)
+
+
 def _sum_lasting(pool: PoolJobs) -> Work:
     """Sum the room of all lasting tasks."""
     rooms = (
--- a/src/robinthread/_internal/node/pool_owner.py
+++ b/src/robinthread/_internal/node/pool_owner.py
@@ -175,10 +175,10 @@
             is_owner=True,
             fetch_room=_as_tuple(demand.fetch),
             keep_room=_as_tuple(demand.keep),
-            has_lasting=any(job.spec.is_lasting for job in self.jobs.jobs.values()),
             hosts=tuple(
                 _make_standing(host, now_s) for host in self.jobs.hosts.values() if host.is_listed
             ),
+            hosts_min=demand.hosts_min,
         )
 
     async def _load_progress(self) -> None:
--- a/src/robinthread/_internal/standins/machines_standin.py
+++ b/src/robinthread/_internal/standins/machines_standin.py
@@ -3,7 +3,7 @@
 import asyncio
 import itertools
 from dataclasses import dataclass
-from typing import Final
+from typing import Final, Protocol
 
 from robinthread._internal.fleet.machine_errors import (
     MachineBusyError,
@@ -38,16 +38,14 @@
     holder: str = ""
 
 
-class LifeKeeper:
+class LifeKeeper(Protocol):
     """Begins and ends the lives of hosts; ``MachinesStandin`` calls it."""
 
     def begin(self, machine: str, pool: str, rack: str, room: Resources) -> str:
         """Begin a life and return its id."""
-        raise NotImplementedError
 
     def end(self, host_id: str) -> None:
         """End a life with all that runs there."""
-        raise NotImplementedError
 
 
 class MachinesStandin:
--- a/tests/functional/test_jobs_on_platform.py
+++ b/tests/functional/test_jobs_on_platform.py
@@ -10,11 +10,12 @@
 from robinthread._internal.models.job_status import JobStatus
 from robinthread._internal.models.resources import Resources
 from robinthread._internal.models.task_key import TaskKey
+from robinthread._internal.models.upkeep_wave import UpkeepWave
 from robinthread._internal.node.election import FLEET
 from robinthread._internal.node.job_gate import GateOutcome
 from robinthread._internal.node.pool_owner import PROGRESS_TOPIC
 from robinthread._internal.standins.job_hosts_standin import TaskPlan
-from robinthread._internal.standins.platform_standin import PlatformStandin
+from robinthread._internal.standins.platform_standin import STATUS, PlatformStandin
 from tests.lib.job_platforms import (
     POOL,
     ROOM,
@@ -526,3 +527,46 @@
             self.assertEqual(6, len(platform.hosts.ledger.runs))
 
         run_virtual(work())
+
+
+class SpreadTest(TestCase):
+    """Lasting tasks of which a host may carry only a few."""
+
+    STEP = StepSpec(
+        5,
+        cpu_millicores=1000,
+        memory_mb=100,
+        is_lasting=True,
+        per_host_max=2,
+        away_max=1,
+        has_away_limit=True,
+    )
+
+    def test_pool_grows_to_the_hosts_that_they_must_be_spread_over(self) -> None:
+        async def work() -> None:
+            platform = await start_platform(
+                lambda task: TaskPlan(None, Resources(1000, 100)), hosts=2, reserve=3
+            )
+            await hand_in(platform, "node0", make_job(1, self.STEP))
+            await wait_until(lambda: len(platform.hosts.ledger.runs) == 5, limit_s=6)
+
+        run_virtual(work())
+
+    def test_host_that_carries_them_is_emptied_for_its_upkeep(self) -> None:
+        async def work() -> None:
+            platform = await start_platform(
+                lambda task: TaskPlan(None, Resources(1000, 100)), hosts=3, reserve=3
+            )
+            await hand_in(platform, "node0", make_job(1, self.STEP))
+            await wait_until(lambda: len(platform.hosts.ledger.runs) == 5, limit_s=6)
+            machines = tuple(
+                host.record.machine
+                for host in platform.hosts.hosts.values()
+                if host.record.pool == POOL
+            )
+            platform.ask_for_wave(UpkeepWave(1, machines, 26.0, 1))
+            await wait_until(
+                lambda: platform.store.get_newest(STATUS).get("wave/1") == b"done", limit_s=26
+            )
+
+        run_virtual(work())
