--- a/src/robinthread/_internal/node/pool_owner.py
+++ b/src/robinthread/_internal/node/pool_owner.py
@@ -12,16 +12,12 @@
 from robinthread._internal.durable.store import NewestRecords, Partition
 from robinthread._internal.fleet.pool_report import FleetQuestion, HostStanding, PoolReport
 from robinthread._internal.jobs.demand import DemandMeter
-from robinthread._internal.jobs.evacuation import evacuate
 from robinthread._internal.jobs.host import Host, HostContact
 from robinthread._internal.jobs.host_lease import get_lapse_time_s
 from robinthread._internal.jobs.job import Job
-from robinthread._internal.jobs.pacing import choose_paces
 from robinthread._internal.jobs.pool_jobs import PoolJobs
 from robinthread._internal.jobs.progress import JobProgress, decode_progress
 from robinthread._internal.jobs.scheduling import place_waiting
-from robinthread._internal.jobs.stalls import stop_stalled
-from robinthread._internal.jobs.stragglers import move_stragglers
 from robinthread._internal.models.job_status import JobStatus
 from robinthread._internal.models.queue_policy import QueuePolicy
 from robinthread._internal.models.resources import Resources
@@ -38,7 +34,7 @@
 )
 from robinthread._internal.node.recorder import Recorder
 from robinthread._internal.node.retention import Retention
-from robinthread._internal.node.wait_reporter import WaitReporter
+from robinthread._internal.node.run_minder import RunMinder
 from robinthread._internal.utils.waiting import wait_for_event
 
 PROGRESS_TOPIC: Final = "keyed.progress"
@@ -84,7 +80,7 @@
         self._runtime = PoolRuntime(context, pool, token, self.jobs, self._journal)
         self._orders = OrderSender(self._runtime)
         self._recorder = Recorder(self._runtime, self._journal, self._orders)
-        self._wait_reporter = WaitReporter(self._runtime)
+        self._minder = RunMinder(self._runtime, self._orders)
         self._advice_taker = AdviceTaker(self._runtime, context.advice)
         self._retention = Retention(self._runtime, self._journal)
         self._host_tasks: dict[str, asyncio.Task[None]] = {}
@@ -256,7 +252,8 @@
             now_s = get_loop_s()
             if now_s >= next_tick_s:
                 next_tick_s = now_s + TICK_S
-                self._tick(now_s)
+                self._minder.look(now_s)
+                self._end_unlisted(now_s)
             place_waiting(self.jobs, now_s, self._context.get_wall_ms())
             stops, self.jobs.to_stop = self.jobs.to_stop, []
             for run in stops:
@@ -266,50 +263,14 @@
             self._runtime.changed.clear()
             await wait_for_event(self._runtime.changed, TICK_S)
 
-    def _tick(self, now_s: float) -> None:
-        """Do what time alone brings."""
-        now_ms = self._context.get_wall_ms()
-        self._wait_reporter.report(now_s)
-        for job in list(self.jobs.jobs.values()):
-            if not job.status.is_final and job.next_occurrence < job.occurrence_count:
-                self.jobs.open_due(job, now_ms)
-        for run in stop_stalled(self.jobs, now_s):
-            self._events.write(
-                "run_stalled",
-                job=run.task.job_id,
-                task=run.task.place,
-                run=run.number,
-                host=run.host_id,
-                progress_percent=run.progress_percent,
-                still_for_s=round(now_s - run.progress_at_s, 3),
-            )
-        for straggler in move_stragglers(self.jobs, now_s):
-            run = straggler.run
-            self._events.write(
-                "run_lags",
-                job=run.task.job_id,
-                task=run.task.place,
-                run=run.number,
-                host=run.host_id,
-                progress_percent=run.progress_percent,
-                present_for_s=round(now_s - (run.present_since_s or now_s), 3),
-                usual_s=round(straggler.usual_s, 3),
-            )
+    def _end_unlisted(self, now_s: float) -> None:
+        """End the hosts that an earlier owner knew and the store does not list.
+
+        Nobody follows them, so they are over with their lease.
+        """
         for host in list(self.jobs.hosts.values()):
-            # Nobody follows a host that an earlier owner knew and the store does not list.
             if host.id not in self._host_tasks and now_s > host.lease.over_at_s:
                 self._remove_host(host.id, "it is not listed and its lease is over")
-        for change in choose_paces(self.jobs, now_s):
-            change.run.paced_at_s = now_s
-            self._runtime.spawn(self._orders.send_pace(change))
-        for run in evacuate(self.jobs, now_s):
-            self._events.write(
-                "run_moved",
-                job=run.task.job_id,
-                task=run.task.place,
-                run=run.number,
-                host=run.host_id,
-            )
 
     def _update_hosts(self) -> None:
         """Take in the listed hosts; one life of a machine ends with the next one."""
--- /dev/null
+++ b/src/robinthread/_internal/node/run_minder.py
@@ -0,0 +1,76 @@
+"""What time alone brings to a pool's runs."""
+
+from typing import Any
+
+from robinthread._internal.jobs.evacuation import evacuate
+from robinthread._internal.jobs.pacing import choose_paces
+from robinthread._internal.jobs.run import Run
+from robinthread._internal.jobs.stalls import stop_stalled
+from robinthread._internal.jobs.stragglers import move_stragglers
+from robinthread._internal.node.order_sender import OrderSender
+from robinthread._internal.node.pool_runtime import PoolRuntime
+from robinthread._internal.node.wait_reporter import WaitReporter
+
+
+class RunMinder:
+    """Looks at a pool's jobs and runs again and again, and tells what it does."""
+
+    def __init__(self, runtime: PoolRuntime, orders: OrderSender) -> None:
+        self._runtime = runtime
+        self._pool = runtime.jobs
+        self._orders = orders
+        self._wait_reporter = WaitReporter(runtime)
+
+    def look(self, now_s: float) -> None:
+        """Open what is due; stop, move, copy and pace what asks for it."""
+        self._wait_reporter.report(now_s)
+        self._open_due()
+        self._stop_stalled(now_s)
+        self._move_stragglers(now_s)
+        self._pace(now_s)
+        self._evacuate(now_s)
+
+    def _open_due(self) -> None:
+        now_ms = self._runtime.context.get_wall_ms()
+        for job in list(self._pool.jobs.values()):
+            if not job.status.is_final and job.next_occurrence < job.occurrence_count:
+                self._pool.open_due(job, now_ms)
+
+    def _stop_stalled(self, now_s: float) -> None:
+        for run in stop_stalled(self._pool, now_s):
+            self._tell(
+                "run_stalled",
+                run,
+                progress_percent=run.progress_percent,
+                still_for_s=round(now_s - run.progress_at_s, 3),
+            )
+
+    def _move_stragglers(self, now_s: float) -> None:
+        for straggler in move_stragglers(self._pool, now_s):
+            run = straggler.run
+            self._tell(
+                "run_lags",
+                run,
+                progress_percent=run.progress_percent,
+                present_for_s=round(now_s - (run.present_since_s or now_s), 3),
+                usual_s=round(straggler.usual_s, 3),
+            )
+
+    def _pace(self, now_s: float) -> None:
+        for change in choose_paces(self._pool, now_s):
+            change.run.paced_at_s = now_s
+            self._runtime.spawn(self._orders.send_pace(change))
+
+    def _evacuate(self, now_s: float) -> None:
+        for run in evacuate(self._pool, now_s):
+            self._tell("run_moved", run)
+
+    def _tell(self, event: str, run: Run, **fields: Any) -> None:
+        self._runtime.events.write(
+            event,
+            job=run.task.job_id,
+            task=run.task.place,
+            run=run.number,
+            host=run.host_id,
+            **fields,
+        )
