--- a/src/robinthread/_internal/jobs/pool_jobs.py
+++ b/src/robinthread/_internal/jobs/pool_jobs.py
@@ -88,8 +88,13 @@
         return run
 
     def ask_for_copy(self, task: Task) -> None:
-        """Let a task that has one run, and may have more, wait for another host."""
-        if task.step.allows_copies and len(task.runs) == 1 and not task.is_done:
+        """Let a task that has one run, and may have more, wait for another host.
+
+        A job that has ended wants none: its runs are there only until they have stopped.
+        """
+        job = self.jobs[task.key.job_id]
+        is_wanted = not job.status.is_final and not task.is_done
+        if is_wanted and task.step.allows_copies and len(task.runs) == 1:
             self.waiting[task.key] = task
 
     def take_unrecorded(self) -> list[Job]:
--- a/tests/unit/test_stragglers.py
+++ b/tests/unit/test_stragglers.py
@@ -96,3 +96,11 @@
             pool.hosts["h1"].contact = HostContact.SILENT
             move_stragglers(pool, now_s=1.1)
             self.assertEqual(int(allows_copies), len(pool.waiting))
+
+    def test_job_that_was_cancelled_gets_no_copies(self) -> None:
+        step = StepSpec(2, cpu_millicores=1000, allows_copies=True)
+        pool = make_pool(step, (60, 50))
+        pool.hosts["h1"].contact = HostContact.SILENT
+        pool.cancel(pool.jobs[JOB], now_ms=0)
+        move_stragglers(pool, now_s=1.1)
+        self.assertEqual({}, pool.waiting)
