--- a/src/robinthread/_internal/durable/ownership.py
+++ b/src/robinthread/_internal/durable/ownership.py
@@ -47,13 +47,19 @@
 
 
 class OwnerTable:
-    """The newest owner of each pool, and the one before it where that was seen."""
+    """The newest owner of each pool, and the one before it where that was seen.
+
+    ``earlier_lost_at_s`` is when an owner before that one was last replaced that had not
+    given the pool back, by the event loop's clock: it may still be running as well.
+    """
 
     def __init__(self, store: Store, events: EventLog) -> None:
         self._store = store
         self._events = events
         self.owners: dict[str, Ownership] = {}
         self.previous: dict[str, Ownership] = {}
+        self.earlier_lost_at_s: dict[str, float] = {}
+        self._lost_at_s: dict[str, float] = {}
         self.changed = asyncio.Event()
         self.follower = KeyedFollower(store, OWNERS_PARTITION, self._apply, events)
 
@@ -116,8 +122,15 @@
             token = record.offset + 1
             replaced = self.owners.get(record.key)
             if replaced is not None and replaced.token < token:
-                self.previous[record.key] = replaced
+                self._note_replaced(record.key, replaced, found.owner)
             self.owners[record.key] = Ownership(
                 found.owner, token, found.is_released, found.is_stopping
             )
         self.changed.set()
+
+    def _note_replaced(self, pool: str, replaced: Ownership, author: Member) -> None:
+        self.previous[pool] = replaced
+        if pool in self._lost_at_s:
+            self.earlier_lost_at_s[pool] = self._lost_at_s[pool]
+        if not replaced.is_released and author != replaced.owner:
+            self._lost_at_s[pool] = asyncio.get_running_loop().time()
--- a/src/robinthread/_internal/node/node.py
+++ b/src/robinthread/_internal/node/node.py
@@ -1,6 +1,7 @@
 """A node: follows the store, takes jobs in, owns pools."""
 
 import asyncio
+import math
 from collections.abc import Callable, Coroutine
 from typing import Any, Final
 
@@ -12,6 +13,7 @@
 from robinthread._internal.node.handover import Handover
 from robinthread._internal.node.owned_pools import OwnedPools
 from robinthread._internal.node.pool_owner import PoolOwner
+from robinthread._internal.node.pool_runtime import UNCONFIRMED_MAX_S
 from robinthread._internal.node.steward import Steward
 from robinthread._internal.utils.waiting import wait_for_event
 
@@ -172,7 +174,7 @@
             owner = self._owned.owners.get(pool)
             if owner is None and self._spent_tokens.get(pool, 0) < found.token:
                 owner = self._owned.make_owner(
-                    pool, found.token, self._may_have_live_predecessor(pool)
+                    pool, found.token, self._get_predecessors_grant_s(pool)
                 )
                 self.spawn(self._run_owner(owner))
 
@@ -220,6 +222,17 @@
             else:
                 follower.pause()
 
+    def _get_predecessors_grant_s(self, pool: str) -> float:
+        """Return for how long from now earlier owners may still grant leases.
+
+        The last one may have given the pool back, and one before it may live on.
+        """
+        if self._may_have_live_predecessor(pool):
+            return UNCONFIRMED_MAX_S
+        lost_at_s = self._table.earlier_lost_at_s.get(pool, -math.inf)
+        lost_for_s = asyncio.get_running_loop().time() - lost_at_s
+        return max(0.0, UNCONFIRMED_MAX_S - lost_for_s)
+
     def _may_have_live_predecessor(self, pool: str) -> bool:
         """Tell whether an earlier owner may live on without knowing of its end."""
         previous = self._table.previous.get(pool)
--- a/src/robinthread/_internal/node/owned_pools.py
+++ b/src/robinthread/_internal/node/owned_pools.py
@@ -22,12 +22,12 @@
         self._context = context
         self.owners: dict[str, PoolOwner] = {}
 
-    def make_owner(self, pool: str, token: int, may_have_live_predecessor: bool) -> PoolOwner:
+    def make_owner(self, pool: str, token: int, predecessors_grant_s: float) -> PoolOwner:
         """Make the owner of a pool."""
         partitions = self._context.settings.store.partition_count
         partition = zlib.crc32(pool.encode()) % partitions
         owner = self.owners[pool] = PoolOwner(
-            self._context, pool, token, partition, may_have_live_predecessor
+            self._context, pool, token, partition, predecessors_grant_s
         )
         return owner
 
--- a/src/robinthread/_internal/node/pool_owner.py
+++ b/src/robinthread/_internal/node/pool_owner.py
@@ -28,7 +28,6 @@
 from robinthread._internal.node.order_sender import OrderSender
 from robinthread._internal.node.pool_runtime import (
     LEASE_MS,
-    UNCONFIRMED_MAX_S,
     PoolRuntime,
     get_loop_s,
 )
@@ -54,8 +53,8 @@
 class PoolOwner:
     """The owner of one pool under one token, until it is fenced or stopped.
 
-    ``may_have_live_predecessor`` tells whether an earlier owner may still be
-    running without knowing that it was replaced.
+    ``predecessors_grant_s`` is for how long earlier owners may still grant leases,
+    for they may be running without knowing that they were replaced.
     """
 
     def __init__(
@@ -64,7 +63,7 @@
         pool: str,
         token: int,
         partition: int,
-        may_have_live_predecessor: bool,
+        predecessors_grant_s: float,
     ) -> None:
         self._context = context
         self._events = context.events
@@ -72,7 +71,7 @@
         self.token = token
         self._partition = Partition(PROGRESS_TOPIC, partition)
         self._progress: dict[str, JobProgress] = {}
-        self._predecessor_grants_s = UNCONFIRMED_MAX_S if may_have_live_predecessor else 0.0
+        self._predecessors_grant_s = predecessors_grant_s
         self.jobs = PoolJobs()
         self._journal = Journal(
             context.store, self._partition, f"pool/{pool}", token, context.events
@@ -181,7 +180,7 @@
         """Shut out older owners, then read what they have recorded."""
         await self._journal.open()
         # From here on no older owner is confirmed any more.
-        last_grant_s = get_loop_s() + self._predecessor_grants_s
+        last_grant_s = get_loop_s() + self._predecessors_grant_s
         self.jobs.foreign_lease_over_at_s = get_lapse_time_s(LEASE_MS, last_grant_s)
         for record in (await self._read_progress()).records:
             if record.value is None:
