--- a/bench/job_slopes.py
+++ b/bench/job_slopes.py
@@ -25,6 +25,7 @@
 from robinthread._internal.models.queue_policy import QueuePolicy
 from robinthread._internal.models.resources import Resources
 from robinthread._internal.models.upstream_host import UpstreamHost
+from robinthread._internal.settings.policy_settings import DemandPolicy
 
 ROOM: Final = Resources(16_000, 32_000, 0)
 TASKS_PER_JOB: Final = 10
@@ -59,7 +60,7 @@
     with _timed("place a task", task_count):
         placed = place_waiting(pool, 0.0, 0)
     with _timed("read a pool's demand", 1):
-        DemandMeter(1.8).read(pool, 0.5)
+        DemandMeter(1.8, DemandPolicy()).read(pool, 0.5, 0)
     with _timed("look for stragglers", 1):
         find_stragglers(pool)
     with _timed("encode a job's progress", job_count):
--- a/src/robinthread/_internal/cli/main.py
+++ b/src/robinthread/_internal/cli/main.py
@@ -2,6 +2,7 @@
 
 import sys
 from collections.abc import Sequence
+from dataclasses import dataclass, replace
 from typing import Final
 
 from robinthread._internal.cli.deferred import Deferred, run_deferred
@@ -13,6 +14,7 @@
 DAEMON_VERB: Final = "daemon"
 SETTINGS_FLAG: Final = "--settings="
 METRICS_FLAG: Final = "--metrics_port="
+POLICY_FLAG: Final = "--policy="
 PORTS_COUNT: Final = 65536
 
 
@@ -31,7 +33,8 @@
         # As below: a node's start must be quick and its memory small.
         from robinthread._internal.commands.node import run_node_command
 
-        return run_node_command(_parse_metrics_port(arguments[1:]))
+        flags = _parse_node_flags(arguments[1:])
+        return run_node_command(flags.metrics_port, flags.policy_path)
     if _is_plain_daemon(arguments):
         # A daemon keeps what it imports for life: letter 1 bounds its memory, so
         # the usual way to start one does without the command line's library.
@@ -44,14 +47,31 @@
     return run_deferred(found) if isinstance(found, Deferred) else 0
 
 
-def _parse_metrics_port(flags: list[str]) -> int | None:
-    """Return the port of a node's one flag, if it is given; raise ``FaultError``."""
-    if not flags:
-        return None
-    text = flags[0].removeprefix(METRICS_FLAG)
-    is_port = text.isdigit() and 0 < int(text) < PORTS_COUNT
-    if len(flags) > 1 or not flags[0].startswith(METRICS_FLAG) or not is_port:
-        what = f"node takes {METRICS_FLAG}PORT, a whole number up to 65535, and found {flags}"
+@dataclass(frozen=True)
+class _NodeFlags:
+    """Where a node serves metrics, if anywhere, and its policy file, empty for none."""
+
+    metrics_port: int | None = None
+    policy_path: str = ""
+
+
+def _parse_node_flags(flags: list[str]) -> _NodeFlags:
+    """Return a node's flags, each given once at most; raise ``FaultError``."""
+    found = _NodeFlags()
+    for flag in flags:
+        if flag.startswith(METRICS_FLAG) and found.metrics_port is None:
+            found = replace(found, metrics_port=_parse_port(flag.removeprefix(METRICS_FLAG)))
+        elif flag.startswith(POLICY_FLAG) and flag != POLICY_FLAG and not found.policy_path:
+            found = replace(found, policy_path=flag.removeprefix(POLICY_FLAG))
+        else:
+            what = f"node takes {METRICS_FLAG}PORT and {POLICY_FLAG}FILE, once each, not {flag}"
+            raise FaultError(make_fault(ResultCode.BAD_ARGUMENT, what))
+    return found
+
+
+def _parse_port(text: str) -> int:
+    if not text.isdigit() or not 0 < int(text) < PORTS_COUNT:
+        what = f"{METRICS_FLAG}PORT is a whole number from 1 to 65535, not {text!r}"
         raise FaultError(make_fault(ResultCode.BAD_ARGUMENT, what))
     return int(text)
 
--- a/src/robinthread/_internal/commands/node.py
+++ b/src/robinthread/_internal/commands/node.py
@@ -2,19 +2,36 @@
 
 import asyncio
 
+from returns.result import Success
 from tornado.web import Application
 
 from robinthread._internal.node.process import run_node
 from robinthread._internal.platform.settings import get_settings_path, read_node_settings
+from robinthread._internal.results import FaultError
+from robinthread._internal.settings.parse import parse_policy
+from robinthread._internal.settings.policy_settings import PolicySettings
+from robinthread._internal.utils.files import read_text
 
 
-def run_node_command(metrics_port: int | None) -> int:
-    """Run a node with the settings that the platform laid out, until it is told to stop."""
+def run_node_command(metrics_port: int | None, policy_path: str) -> int:
+    """Run a node with the settings that the platform laid out, until it is told to stop.
+
+    How it decides stands in the file at ``policy_path``; empty for the defaults.
+    """
     path = get_settings_path()
-    asyncio.run(run_node(lambda: read_node_settings(path), metrics_port, _begin_metrics))
+    policy = _read_policy(policy_path) if policy_path else PolicySettings()
+    asyncio.run(run_node(lambda: read_node_settings(path), metrics_port, _begin_metrics, policy))
     return 0
 
 
+def _read_policy(path: str) -> PolicySettings:
+    """Read the policy file; raise ``FaultError`` where it is not valid."""
+    result = parse_policy(read_text(path), path)
+    if isinstance(result, Success):
+        return result.unwrap()
+    raise FaultError(result.failure())
+
+
 def _begin_metrics() -> Application:
     from robinthread._internal.telemetry.exporter import begin_metrics, make_metrics_application
 
--- a/src/robinthread/_internal/durable/ownership.py
+++ b/src/robinthread/_internal/durable/ownership.py
@@ -19,11 +19,16 @@
 
 
 class Member(msgspec.Struct, frozen=True, array_like=True, order=True):
-    """A process that may own pools: its node, its life and where peers reach it."""
+    """A process that may own pools: its node, its life and where peers reach it.
+
+    ``capacity_millicores`` is how much work it can carry as an owner, see
+    ``get_capacity_millicores``.
+    """
 
     node: str
     life: str
     address: str
+    capacity_millicores: int = 1000
 
 
 class OwnerRecord(msgspec.Struct, frozen=True, array_like=True):
--- a/src/robinthread/_internal/fleet/planner.py
+++ b/src/robinthread/_internal/fleet/planner.py
@@ -7,6 +7,7 @@
 """
 
 import math
+from collections import Counter
 from collections.abc import Iterable
 from itertools import islice
 from typing import Final
@@ -23,6 +24,7 @@
 from robinthread._internal.fleet.sizing import HOSTS_MIN, PoolSize, get_pool_size
 from robinthread._internal.models.machine import Machine
 from robinthread._internal.models.resources import NO_RESOURCES, Resources
+from robinthread._internal.settings.policy_settings import FleetPolicy
 
 # How long a pool must have had hosts to spare.  A move costs about as much as 1.1 s
 # of a host, and to fetch the host again costs another and 1.5 s of waiting.
@@ -34,9 +36,11 @@
 class FleetPlanner:
     """Plans over time: it remembers since when each pool has had hosts to spare."""
 
-    def __init__(self) -> None:
+    def __init__(self, policy: FleetPolicy) -> None:
+        self._policy = policy
         self._surplus_since_s: dict[str, float] = {}
         self._vacating: dict[str, frozenset[str]] = {}
+        self._is_short = False
 
     def plan(self, view: FleetView, now_s: float) -> FleetPlan:
         """Return the orders to give now."""
@@ -46,17 +50,29 @@
         reserve = _Reserve(view, pending)
         slots = {wave.number: wave.free_slots for wave in view.waves}
         orders: list[MoveOrder | UpkeepOrder] = []
+        if self._policy.upkeep_first:
+            # A machine that a pool takes unkept may not pass through the reserve in time again.
+            orders += _order_upkeep(view, reserve, slots)
+        self._is_short = any(
+            sizes[pool.name].fetch_count
+            > _count_serving(pool, self._vacating.get(pool.name, frozenset()), view.ordered)
+            for pool in view.pools
+        )
         self._vacating = {
             pool.name: self._choose_vacating(view, pool, pending, sizes[pool.name], now_s)
             for pool in view.pools
         }
+        lacks: Counter[str] = Counter()
         for pool in sorted(view.pools, key=lambda pool: -pool.report.fetch_room[0]):
             lack = sizes[pool.name].fetch_count - _count_serving(
                 pool, self._vacating[pool.name], view.ordered
             )
-            orders += [MoveOrder(machine, pool.name) for machine in reserve.take(lack)]
-        orders += self._order_emptied(view, sizes, slots)
-        orders += _order_upkeep(view, reserve, slots)
+            taken = reserve.take(lack)
+            orders += [MoveOrder(machine, pool.name) for machine in taken]
+            lacks[pool.name] = max(0, lack - len(taken))
+        orders += self._order_emptied(view, sizes, slots, lacks)
+        if not self._policy.upkeep_first:
+            orders += _order_upkeep(view, reserve, slots)
         return FleetPlan(tuple(orders), self._vacating, sizes)
 
     def _choose_vacating(
@@ -79,16 +95,20 @@
         spare = _count_serving(pool, vacating, view.ordered) - size.keep_count
         if spare <= 0:
             self._surplus_since_s.pop(pool.name, None)
-        elif now_s - self._surplus_since_s.setdefault(pool.name, now_s) >= SURPLUS_HOLD_S:
+        elif now_s - self._surplus_since_s.setdefault(pool.name, now_s) >= self._get_hold_s():
             candidates = (host for name, host in present.items() if name not in vacating)
             leaving = sorted(candidates, key=lambda host: _get_leaving_order(host, pending))
             if view.reserve_pool:
                 vacating |= frozenset(host.machine for host in leaving[:spare])
         vacating |= ordered
         is_replaceable = spare + _count_free(view) > 0
-        if not is_replaceable:
-            return vacating
-        return vacating | self._choose_for_upkeep(view, pool, vacating, pending, size)
+        return vacating | self._choose_for_upkeep(
+            view, pool, vacating, pending, size, is_replaceable
+        )
+
+    def _get_hold_s(self) -> float:
+        """Return how long a pool's spare machines stay in case it needs them again."""
+        return 0.0 if self._is_short and self._policy.moves_directly else SURPLUS_HOLD_S
 
     def _choose_for_upkeep(
         self,
@@ -97,26 +117,41 @@
         vacating: frozenset[str],
         pending: frozenset[str],
         size: PoolSize,
+        is_replaceable: bool,
     ) -> frozenset[str]:
-        """Return the machines to empty for their upkeep, though the pool needs them."""
+        """Return the machines to empty for their upkeep, though the pool needs them.
+
+        One at a time where others can replace it; what would be late otherwise, as
+        many as may be down at once, shared out among the pools.
+        """
         due = [host for host in pool.hosts if host.is_usable and host.machine in pending]
-        if not due or vacating & pending:
-            return frozenset()
+        due.sort(key=lambda host: _get_leaving_order(host, pending))
+        begun_count = len(vacating & pending)
+        short = [wave for wave in view.waves if _is_short_of_time(wave)]
+        if short and (self._policy.upkeep_first or is_replaceable):
+            urgent = frozenset().union(*(wave.pending for wave in short))
+            slot_count = sum(wave.free_slots for wave in short)
+            share = math.ceil(slot_count / len(view.pools)) - begun_count
+            return frozenset(
+                [host.machine for host in due if host.machine in urgent][: max(0, share)]
+            )
         is_idle = size.keep_count <= max(HOSTS_MIN, pool.report.hosts_min)
-        is_short = any(_is_short_of_time(wave) for wave in view.waves)
-        if not is_idle and not is_short:
+        if begun_count or not is_idle or not is_replaceable:
             return frozenset()
-        due.sort(key=lambda host: _get_leaving_order(host, pending))
         return frozenset(host.machine for host in due[:1])
 
     def _order_emptied(
-        self, view: FleetView, sizes: dict[str, PoolSize], slots: dict[int, int]
+        self,
+        view: FleetView,
+        sizes: dict[str, PoolSize],
+        slots: dict[int, int],
+        lacks: Counter[str],
     ) -> list[MoveOrder | UpkeepOrder]:
-        """Order the machines that have been emptied: to the reserve, or to upkeep.
+        """Order the machines that have been emptied: to another pool, the reserve, or upkeep.
 
         Where the pool can do without a machine its upkeep is done in the reserve,
         which costs nothing.  ``slots`` counts, by wave, the machines that may
-        still begin; it is counted down.
+        still begin, ``lacks`` those that each pool lacks; both are counted down.
         """
         orders: list[MoveOrder | UpkeepOrder] = []
         for pool in view.pools:
@@ -126,13 +161,25 @@
                 if not _is_emptied(host, vacating, view.ordered):
                     continue
                 wave = next((wave for wave in view.waves if host.machine in wave.pending), None)
-                if view.reserve_pool and (wave is None or spare >= 0):
-                    orders.append(MoveOrder(host.machine, view.reserve_pool))
+                is_urgent = wave is not None and _is_short_of_time(wave)
+                may_leave = wave is None or (spare >= 0 and not is_urgent)
+                if view.reserve_pool and may_leave:
+                    target = view.reserve_pool if wave else self._choose_target(view, pool, lacks)
+                    orders.append(MoveOrder(host.machine, target))
                 elif wave is not None and slots[wave.number] > 0:
                     slots[wave.number] -= 1
                     orders.append(UpkeepOrder(host.machine, wave.number))
         return orders
 
+    def _choose_target(self, view: FleetView, pool: PoolView, lacks: Counter[str]) -> str:
+        """Return where a machine goes that a pool has emptied: where most are lacking."""
+        others = Counter({name: lack for name, lack in lacks.items() if name != pool.name})
+        (name, lack), *_rest = others.most_common(1) or [("", 0)]
+        if lack <= 0 or not self._policy.moves_directly:
+            return view.reserve_pool
+        lacks[name] -= 1
+        return name
+
 
 def _is_emptied(host: HostStanding, vacating: frozenset[str], ordered: frozenset[str]) -> bool:
     return (
--- a/src/robinthread/_internal/jobs/demand.py
+++ b/src/robinthread/_internal/jobs/demand.py
@@ -2,15 +2,23 @@
 
 import math
 from collections import deque
-from dataclasses import dataclass
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass, replace
 from typing import Final
 
 from robinthread._internal.jobs.job import Job
-from robinthread._internal.jobs.job_timing import get_chain_s, get_work, iter_forecasts
+from robinthread._internal.jobs.job_timing import (
+    StepForecast,
+    get_chain_s,
+    get_slack_s,
+    get_work,
+    iter_forecasts,
+)
 from robinthread._internal.jobs.pool_jobs import PoolJobs
 from robinthread._internal.jobs.run_times import RunTimes
 from robinthread._internal.jobs.work import NO_WORK, Work, as_work
 from robinthread._internal.models.resources import NO_RESOURCES, Resources
+from robinthread._internal.settings.policy_settings import DemandPolicy
 
 # Jobs handed in within twice so long tell the rate at which work arrives; those of
 # the later half, against those of the earlier one, whether it rises.
@@ -26,6 +34,9 @@
 # How far ahead hosts are kept for what will run, beyond the time that others need to come.
 KEEP_AHEAD_S: Final = 0.5
 
+# An occurrence of a job: the job's id and the occurrence's number.
+Place = tuple[str, int]
+
 
 @dataclass(frozen=True, slots=True)
 class Demand:
@@ -45,8 +56,9 @@
     ``lead_s`` is how long a host takes from being asked for to its first task.
     """
 
-    def __init__(self, lead_s: float) -> None:
+    def __init__(self, lead_s: float, policy: DemandPolicy) -> None:
         self._lead_s = lead_s
+        self._policy = policy
         self._arrivals_s: deque[float] = deque()
         self._mean_work: Work | None = None
         self._mean_chain_s = 0.0
@@ -62,33 +74,56 @@
         self._mean_chain_s += WORK_WEIGHT * (chain_s - self._mean_chain_s)
         self._arrivals_s.append(now_s)
 
-    def read(self, pool: PoolJobs, now_s: float) -> Demand:
+    def read(self, pool: PoolJobs, now_s: float, now_ms: int) -> Demand:
         """Return what the pool's tasks need."""
+        late = _find_late(pool, now_ms) if self._policy.late_share < 1 else frozenset()
+        forecasts = list(self._iter_all_forecasts(pool, late, now_s))
         lasting = _sum_lasting(pool)
-        waiting = _sum_waiting(pool).scale(1 / DRAIN_S)
+        waiting = self._sum_waiting(pool, late).scale(1 / DRAIN_S)
         arriving = self._get_arriving_work(now_s)
-        soon = self._forecast(pool, arriving, now_s, self._lead_s).scale(1 + HEADROOM_SHARE)
+        soon = self._forecast(forecasts, arriving, self._lead_s).scale(1 + HEADROOM_SHARE)
         fetch = soon + waiting
         horizons_s = (0.0, self._lead_s / 2, self._lead_s + KEEP_AHEAD_S)
         keep = fetch
         for ahead_s in horizons_s:
-            keep = keep.max(self._forecast(pool, arriving, now_s, ahead_s))
+            keep = keep.max(self._forecast(forecasts, arriving, ahead_s))
         hosts_min = _count_hosts_for_lasting(pool)
         return Demand((fetch + lasting).round(), (keep + lasting).round(), hosts_min)
 
-    def _forecast(self, pool: PoolJobs, arriving: Work, now_s: float, ahead_s: float) -> Work:
+    def _forecast(self, forecasts: Iterable[StepForecast], arriving: Work, ahead_s: float) -> Work:
         """Return the room that all tasks would take ``ahead_s`` from now, given room."""
-        known = (
-            step.room
-            for job in pool.jobs.values()
-            if not job.status.is_final and not job.spec.is_lasting
-            for occurrence in job.iter_open_occurrences()
-            for step in iter_forecasts(job, occurrence, pool.run_times, now_s)
-            if step.begins_in_s <= ahead_s < step.ends_in_s
-        )
+        known = (step.room for step in forecasts if step.begins_in_s <= ahead_s < step.ends_in_s)
         begun_share = min(1.0, ahead_s / self._mean_chain_s) if self._mean_chain_s else 0.0
         return sum(known, start=NO_WORK) + arriving.scale(begun_share)
 
+    def _iter_all_forecasts(
+        self, pool: PoolJobs, late: frozenset[Place], now_s: float
+    ) -> Iterator[StepForecast]:
+        """Iterate over the steps that are not done of all jobs that are to end."""
+        for job in pool.jobs.values():
+            if job.status.is_final or job.spec.is_lasting:
+                continue
+            for occurrence in job.iter_open_occurrences():
+                share = self._get_share((job.id, occurrence), late)
+                for step in iter_forecasts(job, occurrence, pool.run_times, now_s):
+                    yield replace(step, room=step.room.scale(share)) if share < 1 else step
+
+    def _sum_waiting(self, pool: PoolJobs, late: frozenset[Place]) -> Work:
+        """Sum the work of the tasks that wait for a host."""
+        parts = (
+            as_work(task.room).scale(
+                pool.run_times.estimate_s(pool.jobs[task.key.job_id].spec.queue, task.step)
+                * self._get_share((task.key.job_id, task.key.occurrence), late)
+            )
+            for task in pool.waiting.values()
+            if not task.step.is_lasting
+        )
+        return sum(parts, start=NO_WORK)
+
+    def _get_share(self, place: Place, late: frozenset[Place]) -> float:
+        """Return the share of an occurrence's room for which to ask for hosts."""
+        return self._policy.late_share if place in late else 1.0
+
     def _get_arriving_work(self, now_s: float) -> Work:
         """Return the room that jobs of usual size need at the rate they arrive at.
 
@@ -98,12 +133,31 @@
             self._arrivals_s.popleft()
         if self._mean_work is None:
             return NO_WORK
+        return self._mean_work.scale(self._get_rate_per_s(now_s))
+
+    def _get_rate_per_s(self, now_s: float) -> float:
+        """Return the rate over both windows, or over the later one where it has risen.
+
+        A rise is carried forward by as much as the policy says.
+        """
         total = len(self._arrivals_s)
         recent = sum(now_s - at_s <= RATE_WINDOW_S for at_s in self._arrivals_s)
         rise = 2 * recent - total
         if recent < 2 or rise < RISE_DEVIATIONS_MIN * math.sqrt(total):
-            return self._mean_work.scale(total / (2 * RATE_WINDOW_S))
-        return self._mean_work.scale(recent / RATE_WINDOW_S)
+            return total / (2 * RATE_WINDOW_S)
+        ahead_windows = self._policy.rise_ahead_s / RATE_WINDOW_S
+        return (recent + rise * ahead_windows) / RATE_WINDOW_S
+
+
+def _find_late(pool: PoolJobs, now_ms: int) -> frozenset[Place]:
+    """Return the occurrences of jobs that can no longer be on time."""
+    return frozenset(
+        (job.id, occurrence)
+        for job in pool.jobs.values()
+        if not job.status.is_final and not job.spec.is_lasting
+        for occurrence in job.iter_open_occurrences()
+        if get_slack_s(job, occurrence, pool.run_times, now_ms) < 0
+    )
 
 
 def _count_hosts_for_lasting(pool: PoolJobs) -> int:
@@ -128,15 +182,3 @@
         if step.is_lasting
     )
     return as_work(sum(rooms, start=NO_RESOURCES))
-
-
-def _sum_waiting(pool: PoolJobs) -> Work:
-    """Sum the work of the tasks that wait for a host."""
-    parts = (
-        as_work(task.step.room).scale(
-            pool.run_times.estimate_s(pool.jobs[task.key.job_id].spec.queue, task.step)
-        )
-        for task in pool.waiting.values()
-        if not task.step.is_lasting
-    )
-    return sum(parts, start=NO_WORK)
--- a/src/robinthread/_internal/jobs/evacuation.py
+++ b/src/robinthread/_internal/jobs/evacuation.py
@@ -4,7 +4,7 @@
 
 from robinthread._internal.jobs.host import Host, HostContact
 from robinthread._internal.jobs.job import Job
-from robinthread._internal.jobs.placement import choose_host
+from robinthread._internal.jobs.placement import choose_host, get_usable_hosts
 from robinthread._internal.jobs.pool_jobs import PoolJobs
 from robinthread._internal.jobs.run import Run, RunPhase
 from robinthread._internal.jobs.task import Task
@@ -23,6 +23,7 @@
     Either goes only where another host has room for it.
     """
     stopped = []
+    usable = get_usable_hosts(pool, now_s)
     for host in pool.hosts.values():
         if not _is_leaving(host, now_s):
             continue
@@ -33,7 +34,7 @@
                 run.phase is RunPhase.PRESENT
                 and not task.step.is_gang
                 and _is_to_leave(pool, host, job, task, run, now_s)
-                and choose_host(pool, task, now_s) is not None
+                and choose_host(pool, task, usable, now_s) is not None
             ):
                 pool.stop(run)
                 stopped.append(run)
--- a/src/robinthread/_internal/jobs/host.py
+++ b/src/robinthread/_internal/jobs/host.py
@@ -29,17 +29,18 @@
     Times are of the event loop's clock, in seconds.  Ends up to
     ``processed_end`` have been taken in, those up to ``acknowledged_end`` are
     recorded; ``processed_batch`` is the batch of records that closes the gap.
-    ``reported_at_s`` is when its last report came, ``leaves_at_s`` the earliest
-    time at which a draining host may be gone.
+    ``free`` is the room that is left.  ``reported_at_s`` is when its last report
+    came, ``leaves_at_s`` the earliest time at which a draining host may be gone.
     """
 
     def __init__(self, record: UpstreamHost, lease: HostLease) -> None:
-        self.record = record
+        self._record = record
+        self._used = NO_RESOURCES
+        self.free = record.room
         self.lease = lease
         self.health = HostHealth()
         self.contact = HostContact.UNHEARD
         self.runs: dict[tuple[TaskKey, int], Run] = {}
-        self.used: Resources = NO_RESOURCES
         self.acknowledged_end = 0
         self.processed_end = 0
         self.processed_batch = 0
@@ -54,9 +55,14 @@
         return self.record.id
 
     @property
-    def free(self) -> Resources:
-        """Return the room that is left."""
-        return self.record.room - self.used
+    def record(self) -> UpstreamHost:
+        """Return what the host last said of itself."""
+        return self._record
+
+    @record.setter
+    def record(self, record: UpstreamHost) -> None:
+        self._record = record
+        self._note_used(self._used)
 
     def note_draining(self, default_s: float, now_s: float) -> None:
         """Note when a host that has begun to drain may be gone, if it drains."""
@@ -68,12 +74,16 @@
     def add_run(self, run: Run, room: Resources) -> None:
         """Take room for a run."""
         self.runs[run.key] = run
-        self.used += room
+        self._note_used(self._used + room)
 
     def remove_run(self, run: Run, room: Resources) -> None:
         """Give a run's room back."""
         if self.runs.pop(run.key, None) is not None:
-            self.used -= room
+            self._note_used(self._used - room)
+
+    def _note_used(self, used: Resources) -> None:
+        self._used = used
+        self.free = self._record.room - used
 
     def may_take_work(self, now_s: float) -> bool:
         """Tell whether new work may be placed here, if the host is well."""
--- a/src/robinthread/_internal/jobs/job.py
+++ b/src/robinthread/_internal/jobs/job.py
@@ -28,6 +28,7 @@
         self.next_occurrence = 0
         self.tasks: dict[TaskKey, Task] = {}
         self._open_counts: dict[tuple[int, int], int] = {}
+        self._step_tasks: dict[tuple[int, int], list[Task]] = {}
 
     @property
     def id(self) -> str:
@@ -53,10 +54,13 @@
         return self.spec.first_due_ms + occurrence * self.spec.interval_ms
 
     def get_tasks(self, occurrence: int, step: int) -> list[Task]:
-        """Return the tasks of a step, made at first use."""
-        spec = self.spec.steps[step]
-        keys = (TaskKey(self.id, occurrence, step, index) for index in range(spec.task_count))
-        return [self.get_task(key) for key in keys]
+        """Return the tasks of a step, made at first use; the list is not to be changed."""
+        tasks = self._step_tasks.get((occurrence, step))
+        if tasks is None:
+            count = self.spec.steps[step].task_count
+            keys = (TaskKey(self.id, occurrence, step, index) for index in range(count))
+            tasks = self._step_tasks[occurrence, step] = [self.get_task(key) for key in keys]
+        return tasks
 
     def get_task(self, key: TaskKey) -> Task:
         """Return a task, made at first use."""
--- a/src/robinthread/_internal/jobs/placement.py
+++ b/src/robinthread/_internal/jobs/placement.py
@@ -1,6 +1,6 @@
 """Which host suits a waiting task, and which task goes first."""
 
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 
 from robinthread._internal.jobs.host import Host
 from robinthread._internal.jobs.job import Job
@@ -10,19 +10,19 @@
 from robinthread._internal.models.job_spec import StepSpec
 
 
-def choose_host(pool: PoolJobs, task: Task, now_s: float) -> Host | None:
-    """Return the host with the most room of those that may run a task."""
-    hosts = iter_fitting(pool, task, now_s)
-    return max(hosts, key=lambda host: _get_worth(host, task), default=None)
+def choose_host(pool: PoolJobs, task: Task, hosts: Iterable[Host], now_s: float) -> Host | None:
+    """Return the best of the usable ``hosts`` that may run a task."""
+    fitting = iter_fitting(pool, task, hosts, now_s)
+    return max(fitting, key=lambda host: _get_worth(host, task), default=None)
 
 
-def iter_fitting(pool: PoolJobs, task: Task, now_s: float) -> Iterator[Host]:
-    """Iterate over the hosts that may run a task now."""
+def iter_fitting(pool: PoolJobs, task: Task, hosts: Iterable[Host], now_s: float) -> Iterator[Host]:
+    """Iterate over those of the usable ``hosts`` that may run a task now."""
     job = pool.jobs[task.key.job_id]
     return (
         host
-        for host in get_usable_hosts(pool, now_s)
-        if task.step.room.fits_in(host.free)
+        for host in hosts
+        if task.room.fits_in(host.free)
         and may_run(pool, job, task, host, now_s)
         and may_carry_another(task, host)
     )
@@ -90,7 +90,7 @@
     if job.spec.is_lasting:
         return (job.policy.priority, False, False, 0.0, job.offset, occurrence)
     slack_s = get_slack_s(job, occurrence, pool.run_times, now_ms)
-    is_late = slack_s < 0
+    is_late = slack_s < (0.0 if job.has_begun else pool.policy.slack_margin_s)
     rank_s = 0.0 if is_late else slack_s
     return (job.policy.priority, True, is_late, rank_s, job.offset, occurrence)
 
--- a/src/robinthread/_internal/jobs/pool_jobs.py
+++ b/src/robinthread/_internal/jobs/pool_jobs.py
@@ -1,6 +1,7 @@
 """The jobs of one pool and what happens to them."""
 
 from collections.abc import Iterable
+from typing import Final
 
 from robinthread._internal.jobs.host import Host
 from robinthread._internal.jobs.host_lease import HostLease
@@ -17,6 +18,9 @@
 from robinthread._internal.models.resources import NO_RESOURCES
 from robinthread._internal.models.task_key import TaskKey
 from robinthread._internal.models.upstream_host import UpstreamHost
+from robinthread._internal.settings.policy_settings import PlacementPolicy
+
+DEFAULT_PLACEMENT: Final = PlacementPolicy()
 
 
 class PoolJobs:
@@ -28,7 +32,8 @@
     owner granted has surely lapsed.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, policy: PlacementPolicy = DEFAULT_PLACEMENT) -> None:
+        self.policy = policy
         self.foreign_lease_over_at_s = 0.0
         self.jobs: dict[str, Job] = {}
         self.hosts: dict[str, Host] = {}
--- a/src/robinthread/_internal/jobs/run_times.py
+++ b/src/robinthread/_internal/jobs/run_times.py
@@ -17,13 +17,18 @@
 
 @dataclass
 class _QueueTimes:
-    """Logarithms of run times: their mean, that of declared over real, both spreads."""
+    """Logarithms of run times: their mean, that of real over declared, both spreads.
+
+    ``mean_s`` and ``mean_ratio`` are what both means stand for.
+    """
 
     sample_count: int = 0
     mean_log: float = 0.0
     mean_log_ratio: float = 0.0
     spread_log: float = 0.0
     spread_log_ratio: float = 0.0
+    mean_s: float = 0.0
+    mean_ratio: float = 1.0
 
     def add(self, seconds: float, declared_s: float) -> None:
         """Take one run in."""
@@ -37,6 +42,8 @@
         )
         self.mean_log += weight * (log - self.mean_log)
         self.mean_log_ratio += weight * (log_ratio - self.mean_log_ratio)
+        self.mean_s = math.exp(self.mean_log)
+        self.mean_ratio = math.exp(self.mean_log_ratio)
 
 
 class RunTimes:
@@ -60,8 +67,8 @@
         if times is None or times.sample_count < SAMPLES_MIN:
             return declared_s
         if times.spread_log_ratio < times.spread_log:
-            return declared_s * math.exp(times.mean_log_ratio)
-        return math.exp(times.mean_log)
+            return declared_s * times.mean_ratio
+        return times.mean_s
 
 
 def _get_declared_s(step: StepSpec) -> float:
--- a/src/robinthread/_internal/jobs/scheduling.py
+++ b/src/robinthread/_internal/jobs/scheduling.py
@@ -1,22 +1,61 @@
 """Placing all waiting tasks that fit somewhere."""
 
+from collections.abc import Collection
+
 from robinthread._internal.jobs.gangs import place_gang
-from robinthread._internal.jobs.placement import choose_host, sort_waiting
+from robinthread._internal.jobs.placement import choose_host, get_usable_hosts, sort_waiting
 from robinthread._internal.jobs.pool_jobs import PoolJobs
+from robinthread._internal.jobs.task import Task
+from robinthread._internal.models.resources import Resources
+from robinthread._internal.models.step_key import StepKey
 
 
 def place_waiting(pool: PoolJobs, now_s: float, now_ms: int) -> int:
-    """Place the tasks that fit somewhere, most urgent first; return how many."""
+    """Place the tasks that fit somewhere, most urgent first; return how many.
+
+    In a full pool this costs a look at each host and each waiting task, no more: hosts
+    without room for the smallest task are left out, and of a step that found no host no
+    other task is tried.
+    """
+    if not pool.waiting:
+        return 0
+    smallest = _get_smallest_room(pool.waiting.values())
+    usable = get_usable_hosts(pool, now_s)
+    hosts = [host for host in usable if smallest.fits_in(host.free)]
+    if not hosts:
+        return 0
     placed = 0
+    without_host: set[StepKey] = set()
     for task in sort_waiting(pool, now_ms):
         if task.key not in pool.waiting:
             # It has been placed with its gang.
             continue
+        if task.key.step_key in without_host:
+            continue
         if task.step.is_gang:
             placed += place_gang(pool, task, now_s)
+            hosts = [host for host in hosts if smallest.fits_in(host.free)]
+            without_host.add(task.key.step_key)
             continue
-        host = choose_host(pool, task, now_s)
-        if host is not None:
-            pool.place(task, host)
-            placed += 1
+        host = choose_host(pool, task, hosts, now_s)
+        if host is None:
+            if not task.runs:
+                without_host.add(task.key.step_key)
+            continue
+        pool.place(task, host)
+        placed += 1
+        if not smallest.fits_in(host.free):
+            hosts.remove(host)
+            if not hosts:
+                break
     return placed
+
+
+def _get_smallest_room(tasks: Collection[Task]) -> Resources:
+    """Return, of each kind of room, the least that any of the tasks takes."""
+    rooms = [task.room for task in tasks]
+    return Resources(
+        min(room.cpu_millicores for room in rooms),
+        min(room.memory_mb for room in rooms),
+        min(room.gpu_count for room in rooms),
+    )
--- a/src/robinthread/_internal/jobs/task.py
+++ b/src/robinthread/_internal/jobs/task.py
@@ -22,6 +22,7 @@
         "key",
         "last_failed_run",
         "last_run",
+        "room",
         "runs",
         "step",
         "took_s",
@@ -30,6 +31,7 @@
     def __init__(self, key: TaskKey, step: StepSpec) -> None:
         self.key = key
         self.step = step
+        self.room = step.room
         self.is_done = False
         self.failure_count = 0
         self.last_failed_run = 0
--- a/src/robinthread/_internal/node/assembly.py
+++ b/src/robinthread/_internal/node/assembly.py
@@ -65,6 +65,7 @@
     )
     context = NodeContext(
         settings_holder=settings_holder,
+        policy=environment.policy,
         store=store,
         inbox_writer=writer,
         hosts=environment.hosts,
@@ -80,7 +81,15 @@
         read_inbox_to_end=lambda: _read_to_end(inbox),
         get_unconfirmed_s=lambda: loop.time() - table.follower.confirmed_at_s,
     )
-    election = Election(store, table, me, config_holder, events, settings.store.member_ttl_min_ms)
+    election = Election(
+        store,
+        table,
+        me,
+        config_holder,
+        events,
+        settings.store.member_ttl_min_ms,
+        environment.policy.owners,
+    )
     owned = OwnedPools(context)
     handover = Handover(me, table, election, owned, environment.peers, events)
     gate = JobGate(me, writer, owned, table, election, handover, environment.peers, events)
--- a/src/robinthread/_internal/node/config_holder.py
+++ b/src/robinthread/_internal/node/config_holder.py
@@ -15,7 +15,9 @@
 class ConfigHolder:
     """The configuration and the waves that the operators ask for.
 
-    A version never goes back, whatever order records arrive in.
+    A version never goes back, whatever order records arrive in.  ``wave_seen_at_s`` is
+    when each wave was first seen here, by the event loop's clock: every node follows the
+    waves, so that a new steward knows how much of their time has gone.
     """
 
     def __init__(self, records: PlatformRecords, events: EventLog) -> None:
@@ -23,6 +25,7 @@
         self._events = events
         self.config: FleetConfig | None = None
         self.waves: dict[int, UpkeepWave] = {}
+        self.wave_seen_at_s: dict[int, float] = {}
         self.changed = asyncio.Event()
 
     def apply(self, records: Sequence[KeyedRecord], is_snapshot: bool) -> None:
@@ -39,6 +42,8 @@
             elif key.startswith(self._records.wave_prefix):
                 wave = self._records.parse_wave(value)
                 self.waves[wave.number] = wave
+                now_s = asyncio.get_running_loop().time()
+                self.wave_seen_at_s.setdefault(wave.number, now_s)
         except msgspec.MsgspecError as error:
             self._events.write("record_malformed", key=key, error=str(error))
 
--- a/src/robinthread/_internal/node/context.py
+++ b/src/robinthread/_internal/node/context.py
@@ -12,6 +12,7 @@
 from robinthread._internal.node.host_directory import HostDirectory
 from robinthread._internal.node.node_settings import NodeSettings
 from robinthread._internal.node.settings_holder import SettingsHolder
+from robinthread._internal.settings.policy_settings import PolicySettings
 from robinthread._internal.telemetry.event_log import EventLog
 
 
@@ -28,6 +29,7 @@
     """
 
     settings_holder: SettingsHolder
+    policy: PolicySettings
     store: Store
     inbox_writer: GroupWriter
     hosts: HostCalls
--- a/src/robinthread/_internal/node/election.py
+++ b/src/robinthread/_internal/node/election.py
@@ -3,6 +3,7 @@
 import asyncio
 import math
 from collections import Counter
+from collections.abc import Collection, Mapping
 from typing import Final
 
 import msgspec
@@ -11,6 +12,7 @@
 from robinthread._internal.durable.ownership import Member, OwnerTable
 from robinthread._internal.durable.store import Store
 from robinthread._internal.node.config_holder import ConfigHolder
+from robinthread._internal.settings.policy_settings import OwnerPolicy
 from robinthread._internal.telemetry.event_log import EventLog
 from robinthread._internal.utils.rendezvous import get_rendezvous_weight
 
@@ -50,12 +52,14 @@
         config_holder: ConfigHolder,
         events: EventLog,
         ttl_min_ms: int,
+        policy: OwnerPolicy,
     ) -> None:
         self._store = store
         self._table = table
         self._me = me
         self._config_holder = config_holder
         self._events = events
+        self._policy = policy
         self._ttl_ms = max(ttl_min_ms, int(MEMBER_TTL_S * 1000))
         self._name = msgspec.json.encode(me).decode()
         self._generation = 0
@@ -137,15 +141,23 @@
             # One that gave the pool back is stopping, or could not serve it.
             released = self._table.owners.get(pool)
             candidates = living - {released.owner} if released is not None else living
-            best = min(
-                sorted(candidates or living),
-                key=lambda member: (loads[member], get_rendezvous_weight(pool, member.node)),
-            )
+            best = self._choose_owner(pool, candidates or living, loads)
             loads[best] += 1
             if best == self._me:
                 pools.append(pool)
         return pools
 
+    def _choose_owner(
+        self, pool: str, members: Collection[Member], loads: Mapping[Member, int]
+    ) -> Member:
+        """Return the member that would have the least load for its capacity with the pool."""
+
+        def rank(member: Member) -> tuple[float, bytes]:
+            capacity = member.capacity_millicores if self._policy.weighs_capacity else 1
+            return (loads[member] + 1) / capacity, get_rendezvous_weight(pool, member.node)
+
+        return min(sorted(members), key=rank)
+
     def _is_settled(self) -> bool:
         """Tell whether the members have been heard for a while without a gap."""
         return asyncio.get_running_loop().time() - self._steady_since_s >= SETTLE_S
--- a/src/robinthread/_internal/node/environment.py
+++ b/src/robinthread/_internal/node/environment.py
@@ -1,7 +1,7 @@
 """The outside of a node, as plain functions and protocols."""
 
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from robinthread._internal.durable.store import KeyedRecord, Partition, Store
 from robinthread._internal.fleet.machine_calls import MachineCalls
@@ -11,6 +11,7 @@
 from robinthread._internal.models.upkeep_wave import UpkeepWave
 from robinthread._internal.models.upstream_host import UpstreamHost
 from robinthread._internal.node.peer_calls import PeerCalls
+from robinthread._internal.settings.policy_settings import PolicySettings
 from robinthread._internal.telemetry.event_log import EventLog
 
 
@@ -37,7 +38,7 @@
 class NodeEnvironment:
     """Interfaces that a node works through; tests put stand-ins here.
 
-    ``get_wall_ms`` returns Unix time in milliseconds.
+    ``get_wall_ms`` returns Unix time in milliseconds; ``policy`` is how it decides.
     """
 
     store: Store
@@ -48,3 +49,4 @@
     records: PlatformRecords
     events: EventLog
     get_wall_ms: Callable[[], int]
+    policy: PolicySettings = field(default_factory=PolicySettings)
--- a/src/robinthread/_internal/node/pool_owner.py
+++ b/src/robinthread/_internal/node/pool_owner.py
@@ -39,6 +39,11 @@
 PROGRESS_TOPIC: Final = "keyed.progress"
 # Pause before a failed read of the store is made again.
 RETRY_PAUSE_S: Final = 0.1
+# After tasks were placed, so many times as long as that took is left to other work: what
+# changes meanwhile is placed together.  A quarter of the processor at most goes there.
+PLACING_PAUSE_SHARE: Final = 3.0
+# Longest such pause: a tenth of the time that callers bear beside the work itself.
+PLACING_PAUSE_MAX_S: Final = 0.05
 # How often the pool looks for what time alone changes: due jobs, hung runs.
 TICK_S: Final = 0.2
 # Longest wait for the last records of an owner that stops as planned.
@@ -72,7 +77,7 @@
         self._partition = Partition(PROGRESS_TOPIC, partition)
         self._progress: dict[str, JobProgress] = {}
         self._predecessors_grant_s = predecessors_grant_s
-        self.jobs = PoolJobs()
+        self.jobs = PoolJobs(context.policy.placement)
         self._journal = Journal(
             context.store, self._partition, f"pool/{pool}", token, context.events
         )
@@ -83,7 +88,9 @@
         self._advice_taker = AdviceTaker(self._runtime, context.advice)
         self._retention = Retention(self._runtime, self._journal)
         self._host_tasks: dict[str, asyncio.Task[None]] = {}
-        self._demand = DemandMeter(context.settings.bounds.machine_move_s + HOST_START_S)
+        self._demand = DemandMeter(
+            context.settings.bounds.machine_move_s + HOST_START_S, context.policy.demand
+        )
         self._ended_hosts: set[str] = set()
         self._is_stopped = False
         self.is_open = False
@@ -159,7 +166,7 @@
     def report(self, question: FleetQuestion) -> PoolReport:
         """Tell the steward how the pool stands, and empty what it asks for."""
         now_s = get_loop_s()
-        demand = self._demand.read(self.jobs, now_s)
+        demand = self._demand.read(self.jobs, now_s, self._context.get_wall_ms())
         for host in self.jobs.hosts.values():
             is_vacating = host.record.machine in question.vacate
             host.vacating_until_s = now_s + VACATE_S if is_vacating else 0.0
@@ -253,6 +260,7 @@
                 next_tick_s = now_s + TICK_S
                 self._minder.look(now_s)
                 self._end_unlisted(now_s)
+            began_at_s = get_loop_s()
             place_waiting(self.jobs, now_s, self._context.get_wall_ms())
             stops, self.jobs.to_stop = self.jobs.to_stop, []
             for run in stops:
@@ -260,6 +268,8 @@
             if self.jobs.unrecorded:
                 self._runtime.unrecorded.set()
             self._runtime.changed.clear()
+            took_s = get_loop_s() - began_at_s
+            await asyncio.sleep(min(PLACING_PAUSE_MAX_S, PLACING_PAUSE_SHARE * took_s))
             await wait_for_event(self._runtime.changed, TICK_S)
 
     def _end_unlisted(self, now_s: float) -> None:
--- a/src/robinthread/_internal/node/process.py
+++ b/src/robinthread/_internal/node/process.py
@@ -14,6 +14,7 @@
 
 from robinthread._internal.durable.ownership import Member
 from robinthread._internal.node.assembly import AssembledNode, assemble_node
+from robinthread._internal.node.capacity import get_capacity_millicores
 from robinthread._internal.node.environment import NodeEnvironment
 from robinthread._internal.node.node_settings import NodeSettings
 from robinthread._internal.node.peer_client import PeerClient
@@ -26,6 +27,7 @@
 from robinthread._internal.platform.machines import PlatformMachines
 from robinthread._internal.platform.operators import PLATFORM_RECORDS
 from robinthread._internal.platform.store import PlatformStore
+from robinthread._internal.settings.policy_settings import PolicySettings
 from robinthread._internal.telemetry.event_log import EventLog, LineWriter
 from robinthread._internal.telemetry.log_bridge import bridge_libraries
 from robinthread._internal.telemetry.node_metrics import NodeMetrics
@@ -50,6 +52,7 @@
     read_settings: Callable[[], NodeSettings],
     metrics_port: int | None,
     begin_metrics: Callable[[], Application],
+    policy: PolicySettings,
 ) -> None:
     """Run a node until SIGTERM; raise ``FaultError`` where its settings are not valid.
 
@@ -69,9 +72,16 @@
     holder = SettingsHolder(settings, read_settings, events)
     loop.add_signal_handler(signal.SIGHUP, holder.reload, "signal")
     peer_address = f"{settings.ip}:{settings.peer_ports[0]}"
-    me = Member(settings.name, secrets.token_hex(4), peer_address)
-    events.write("started", life=me.life, peer_address=peer_address, hall=settings.hall)
-    assembled = assemble_node(holder, make_environment(settings, events), me)
+    capacity_millicores = get_capacity_millicores(settings.cpu_cores, settings.link_mbps)
+    me = Member(settings.name, secrets.token_hex(4), peer_address, capacity_millicores)
+    events.write(
+        "started",
+        life=me.life,
+        peer_address=peer_address,
+        hall=settings.hall,
+        capacity_millicores=capacity_millicores,
+    )
+    assembled = assemble_node(holder, make_environment(settings, events, policy), me)
     callers = _serve(assembled, settings, peer_address, events)
     if metrics_port is not None:
         address = f"{settings.ip}:{metrics_port}"
@@ -84,7 +94,9 @@
     events.write("stopped")
 
 
-def make_environment(settings: NodeSettings, events: EventLog) -> NodeEnvironment:
+def make_environment(
+    settings: NodeSettings, events: EventLog, policy: PolicySettings
+) -> NodeEnvironment:
     """Make the real interfaces of a node."""
     metrics = events.metrics
     machines_client = make_client(MACHINE_CONNECTIONS_MAX)
@@ -97,6 +109,7 @@
         records=PLATFORM_RECORDS,
         events=events,
         get_wall_ms=lambda: int(time.time() * 1000),
+        policy=policy,
     )
 
 
--- a/src/robinthread/_internal/node/steward.py
+++ b/src/robinthread/_internal/node/steward.py
@@ -79,7 +79,7 @@
         self._orders_journal = Journal(
             context.store, ORDERS_PARTITION, writer, token, context.events
         )
-        self._planner = FleetPlanner()
+        self._planner = FleetPlanner(context.policy.fleet)
         self._known: dict[str, Machine] = {}
         self._listed_at_s = -LIST_PERIOD_S
         self._unheard_since_s: dict[str, float] = {}
@@ -225,7 +225,12 @@
             ),
             ordered=self._orders.list_held(),
             waves=tuple(
-                self._waves.make_view(wave, self._known, self._orders.under_way)
+                self._waves.make_view(
+                    wave,
+                    self._context.config_holder.wave_seen_at_s[wave.number],
+                    self._known,
+                    self._orders.under_way,
+                )
                 for wave in self._get_waves()
                 if self._waves.get_pending(wave, self._known)
             ),
--- a/src/robinthread/_internal/node/wave_keeper.py
+++ b/src/robinthread/_internal/node/wave_keeper.py
@@ -30,7 +30,6 @@
         self._records = records
         self._events = events
         self._begun: dict[int, set[str]] = {}
-        self._seen_at_s: dict[int, float] = {}
         self._shown: dict[int, bool] = {}
 
     def load(self, records: Iterable[KeyedRecord]) -> None:
@@ -55,10 +54,13 @@
         return frozenset(name for name in wave.machines if name not in begun and name in machines)
 
     def make_view(
-        self, wave: UpkeepWave, machines: dict[str, Machine], under_way: Mapping[str, object]
+        self,
+        wave: UpkeepWave,
+        seen_at_s: float,
+        machines: dict[str, Machine],
+        under_way: Mapping[str, object],
     ) -> WaveView:
-        """Return a wave as the planner sees it."""
-        seen_at_s = self._seen_at_s.setdefault(wave.number, get_loop_s())
+        """Return a wave, first seen at ``seen_at_s``, as the planner sees it."""
         down = sum(
             machines[name].state is MachineState.UPKEEP
             or isinstance(under_way.get(name), UpkeepOrder)
--- a/src/robinthread/_internal/settings/parse.py
+++ b/src/robinthread/_internal/settings/parse.py
@@ -5,19 +5,26 @@
 import re
 import tomllib
 import typing
-from collections.abc import Iterator
+from collections.abc import Callable, Iterable, Iterator
 from dataclasses import dataclass
-from typing import Any, Final
+from typing import Any, Final, TypeVar
 
 from returns.result import Failure, Result, Success
 
 from robinthread._internal.results import Fault, ResultCode
-from robinthread._internal.settings.check import iter_conflicts
+from robinthread._internal.settings.check import (
+    Conflict,
+    iter_conflicts,
+    iter_policy_conflicts,
+)
 from robinthread._internal.settings.daemon_settings import DaemonSettings
+from robinthread._internal.settings.policy_settings import PolicySettings
 
 UNITS: Final = ("_s", "_ms", "_min", "_bytes", "_mb")
 CLOSE_MATCH: Final = 0.6
 
+T = TypeVar("T")
+
 
 @dataclass(frozen=True)
 class SettingsProblem:
@@ -33,14 +40,25 @@
 
 
 def parse_settings(text: str, path: str) -> Result[DaemonSettings, Fault]:
-    """Parse a settings file and check it; the fault names every problem."""
+    """Parse a daemon's settings file and check it; the fault names every problem."""
+    return _parse(DaemonSettings, text, path, iter_conflicts)
+
+
+def parse_policy(text: str, path: str) -> Result[PolicySettings, Fault]:
+    """Parse a node's policy file and check it; the fault names every problem."""
+    return _parse(PolicySettings, text, path, iter_policy_conflicts)
+
+
+def _parse(
+    kind: type[T], text: str, path: str, iter_conflicts: Callable[[T], Iterable[Conflict]]
+) -> Result[T, Fault]:
     try:
         raw = tomllib.loads(text)
     except tomllib.TOMLDecodeError as error:
         return Failure(Fault(ResultCode.BAD_SETTINGS, f"{path} is not valid TOML: {error}."))
-    problems = list(_iter_problems(DaemonSettings, raw, ()))
+    problems = list(_iter_problems(kind, raw, ()))
     if not problems:
-        settings = _make(DaemonSettings, raw)
+        settings: T = _make(kind, raw)
         problems = [
             SettingsProblem(conflict.key, 0, conflict.text) for conflict in iter_conflicts(settings)
         ]
--- /dev/null
+++ b/src/robinthread/_internal/settings/policy_settings.py
@@ -0,0 +1,64 @@
+"""How a node decides, as operators may set it; each mechanism can be switched off."""
+
+from dataclasses import dataclass, field
+
+
+@dataclass(frozen=True)
+class OwnerPolicy:
+    """Who owns a pool.
+
+    ``weighs_capacity``: nodes with more processor and link own more pools; off, all
+    nodes own as many.
+    """
+
+    weighs_capacity: bool = True
+
+
+@dataclass(frozen=True)
+class FleetPolicy:
+    """How machines are shared out among pools.
+
+    ``upkeep_first``: a machine that is due is kept up before a pool may take it from the
+    reserve, and one that would be late is emptied though its pool has no other.
+    ``moves_directly``: a machine that a pool lets go moves straight to one that lacks
+    machines, not by way of the reserve, and without waiting whether it is needed again.
+    """
+
+    upkeep_first: bool = True
+    moves_directly: bool = True
+
+
+@dataclass(frozen=True)
+class DemandPolicy:
+    """How a pool's need is forecast.
+
+    ``rise_ahead_s``: for how long a rise of demand is taken to go on at its pace; zero
+    takes it to have ended.
+    ``late_share``: the share of the room of jobs that can no longer be on time for which
+    hosts are asked; 1 treats them as all others.
+    """
+
+    rise_ahead_s: float = 0.9
+    late_share: float = 0.25
+
+
+@dataclass(frozen=True)
+class PlacementPolicy:
+    """Which job goes first.
+
+    ``slack_margin_s``: a job that has not begun counts as late where it has less slack
+    than this: what the store, the hosts and the caller's next question take is no part of
+    its forecast.  Zero switches the margin off.
+    """
+
+    slack_margin_s: float = 0.2
+
+
+@dataclass(frozen=True)
+class PolicySettings:
+    """How a node decides."""
+
+    owners: OwnerPolicy = field(default_factory=OwnerPolicy)
+    fleet: FleetPolicy = field(default_factory=FleetPolicy)
+    demand: DemandPolicy = field(default_factory=DemandPolicy)
+    placement: PlacementPolicy = field(default_factory=PlacementPolicy)
--- /dev/null
+++ b/tests/unit/test_capacity.py
@@ -0,0 +1,63 @@
+"""Which node is to own a pool, by how much work each can carry."""
+
+import asyncio
+from collections import Counter
+
+from testtools import TestCase
+
+from robinthread._internal.durable.ownership import Member, OwnerTable
+from robinthread._internal.node.capacity import get_capacity_millicores
+from robinthread._internal.node.config_holder import ConfigHolder
+from robinthread._internal.node.election import Election
+from robinthread._internal.settings.policy_settings import OwnerPolicy
+from robinthread._internal.standins.platform_standin import RECORDS
+from robinthread._internal.standins.store_standin import StoreStandin
+from robinthread._internal.telemetry.event_log import EventLog
+from tests.lib.virtual import run_virtual
+
+LARGE = tuple(Member(f"large{number}", "1", "", 2000) for number in range(2))
+SMALL = tuple(Member(f"small{number}", "1", "", 500) for number in range(6))
+
+
+def deal(pool_count: int, policy: OwnerPolicy) -> Counter[str]:
+    """Give pools away one by one; return how many each member got."""
+
+    async def work() -> Counter[str]:
+        events = EventLog("n", lambda line: None)
+        store = StoreStandin().connect("n")
+        election = Election(
+            store,
+            OwnerTable(store, events),
+            SMALL[0],
+            ConfigHolder(RECORDS, events),
+            events,
+            1000,
+            policy,
+        )
+        loads: Counter[Member] = Counter()
+        for number in range(pool_count):
+            loads[election._choose_owner(f"pool{number}", LARGE + SMALL, loads)] += 1
+        await asyncio.sleep(0)
+        return Counter({member.node: count for member, count in loads.items()})
+
+    return run_virtual(work())
+
+
+class CapacityTest(TestCase):
+    def test_narrow_link_bounds_what_a_node_can_carry(self) -> None:
+        self.assertEqual(2000, get_capacity_millicores(2.0, 1000))
+        self.assertEqual(500, get_capacity_millicores(2.0, 5))
+        self.assertEqual(1, get_capacity_millicores(2.0, 0))
+
+    def test_large_nodes_own_pools_before_small_ones(self) -> None:
+        owned = deal(6, OwnerPolicy(weighs_capacity=True))
+        self.assertEqual({"large0": 3, "large1": 3}, dict(owned))
+
+    def test_small_nodes_own_some_where_large_ones_are_full(self) -> None:
+        owned = deal(14, OwnerPolicy(weighs_capacity=True))
+        self.assertEqual(8, owned["large0"] + owned["large1"])
+        self.assertEqual({1}, {owned[member.node] for member in SMALL})
+
+    def test_switched_off_all_own_as_many(self) -> None:
+        owned = deal(8, OwnerPolicy(weighs_capacity=False))
+        self.assertEqual({1}, set(owned.values()))
--- /dev/null
+++ b/tests/unit/test_placement.py
@@ -0,0 +1,84 @@
+"""Which waiting tasks are placed, in which order, and what a full pool costs."""
+
+from unittest.mock import patch
+
+from testtools import TestCase
+
+from robinthread._internal.jobs import scheduling
+from robinthread._internal.jobs.host import HostContact
+from robinthread._internal.jobs.placement import sort_waiting
+from robinthread._internal.jobs.pool_jobs import PoolJobs
+from robinthread._internal.jobs.scheduling import place_waiting
+from robinthread._internal.models.job_spec import JobSpec, StepSpec
+from robinthread._internal.models.queue_policy import QueuePolicy
+from robinthread._internal.models.resources import Resources
+from robinthread._internal.models.upstream_host import UpstreamHost
+from robinthread._internal.settings.policy_settings import PlacementPolicy
+
+ROOM = Resources(4000, 4000, 0)
+POLICY = QueuePolicy("queue", "", "", "pool", stretch=1.0, latency_target_ms=1000)
+
+
+def make_pool(host_count: int, policy: PlacementPolicy | None = None) -> PoolJobs:
+    """Make a pool of hosts that answer."""
+    pool = PoolJobs(policy or PlacementPolicy())
+    for number in range(host_count):
+        record = UpstreamHost(f"h{number}", f"m{number}", "", "", "", "r", ROOM, frozenset())
+        pool.add_host(record).contact = HostContact.ANSWERING
+    return pool
+
+
+def add_job(pool: PoolJobs, number: int, *steps: StepSpec, accepted_at_ms: int = 1_000) -> None:
+    """Have a job's first tasks wait."""
+    spec = JobSpec(f"{number:016x}", "queue", "pool", "", steps, accepted_at_ms=accepted_at_ms)
+    pool.open_due(pool.add_job(spec, POLICY, number, 0.0), 1_000)
+
+
+class PlaceWaitingTest(TestCase):
+    def test_smaller_tasks_are_placed_where_a_larger_one_has_no_room(self) -> None:
+        pool = make_pool(1)
+        add_job(pool, 1, StepSpec(1, cpu_millicores=5000, estimate_ms=1000))
+        add_job(pool, 2, StepSpec(3, cpu_millicores=1000, estimate_ms=1000))
+        self.assertEqual(3, place_waiting(pool, 0.0, 1_000))
+
+    def test_each_kind_of_room_is_kept(self) -> None:
+        pool = make_pool(2)
+        add_job(pool, 1, StepSpec(9, cpu_millicores=100, memory_mb=1000, estimate_ms=1000))
+        self.assertEqual(8, place_waiting(pool, 0.0, 1_000))
+        self.assertEqual({0}, {host.free.memory_mb for host in pool.hosts.values()})
+
+    def test_full_pool_costs_no_choice_of_host(self) -> None:
+        pool = make_pool(10)
+        for number in range(100):
+            add_job(pool, number, StepSpec(10, cpu_millicores=1000, estimate_ms=1000))
+        place_waiting(pool, 0.0, 1_000)
+        self.assertEqual(960, len(pool.waiting))
+        with patch.object(scheduling, "choose_host", wraps=scheduling.choose_host) as choose:
+            self.assertEqual(0, place_waiting(pool, 0.0, 1_000))
+        self.assertEqual(0, choose.call_count)
+
+    def test_choices_grow_with_what_is_placed_and_not_with_what_waits(self) -> None:
+        pool = make_pool(10)
+        for number in range(100):
+            add_job(pool, number, StepSpec(10, cpu_millicores=1000, estimate_ms=1000))
+        with patch.object(scheduling, "choose_host", wraps=scheduling.choose_host) as choose:
+            placed = place_waiting(pool, 0.0, 1_000)
+        self.assertEqual(40, placed)
+        self.assertEqual(40, choose.call_count)
+
+
+class SlackMarginTest(TestCase):
+    """Two jobs of a second that may take two: one with 0.1 s of slack, one with 0.5 s."""
+
+    def sort(self, margin_s: float) -> list[str]:
+        pool = make_pool(0, PlacementPolicy(slack_margin_s=margin_s))
+        step = StepSpec(1, cpu_millicores=1000, estimate_ms=1000)
+        add_job(pool, 1, step, accepted_at_ms=100)
+        add_job(pool, 2, step, accepted_at_ms=500)
+        return [task.key.job_id[-1] for task in sort_waiting(pool, 1_000)]
+
+    def test_least_slack_goes_first(self) -> None:
+        self.assertEqual(["1", "2"], self.sort(0.0))
+
+    def test_slack_below_the_margin_goes_behind(self) -> None:
+        self.assertEqual(["2", "1"], self.sort(0.2))
