Pools pass from nodes that are crowded or late to nodes that have room

Ruled out: choosing better at the start, for the others are no members yet.

Change: a node measures how late its loop runs; late or crowded, it hands one pool at a time, as planned, to a node that would carry less for its capacity and is not late itself. Five tests on the stand-in, one with all nodes late: no pool moves.

--- a/src/robinthread/_internal/node/assembly.py
+++ b/src/robinthread/_internal/node/assembly.py
@@ -17,9 +17,11 @@
 from robinthread._internal.node.handover import Handover
 from robinthread._internal.node.host_directory import HostDirectory
 from robinthread._internal.node.job_gate import JobGate
+from robinthread._internal.node.loop_lag import LoopLag
 from robinthread._internal.node.node import Node
 from robinthread._internal.node.owned_pools import OwnedPools
 from robinthread._internal.node.peer_answers import PeerAnswers
+from robinthread._internal.node.relief import ReliefPlanner
 from robinthread._internal.node.settings_holder import SettingsHolder
 from robinthread._internal.node.steward import Steward
 
@@ -42,6 +44,7 @@
     owned: OwnedPools
     answers: PeerAnswers
     config_holder: ConfigHolder
+    lag: LoopLag
 
 
 def assemble_node(
@@ -91,13 +94,15 @@
         environment.policy.owners,
     )
     owned = OwnedPools(context)
-    handover = Handover(me, table, election, owned, environment.peers, events)
+    lag = LoopLag()
+    handover = Handover(me, table, election, owned, environment.peers, events, lag)
+    relief = ReliefPlanner(me, table, election, handover, lag, environment.policy.owners)
     gate = JobGate(me, writer, owned, table, election, handover, environment.peers, events)
 
     def make_steward(token: int, turn_s: float) -> Steward:
         return Steward(context, environment, table, owned, me, token, turn_s)
 
-    node = Node(context, me, table, election, owned, make_steward, handover, (hosts, inbox))
+    node = Node(context, me, table, election, owned, make_steward, handover, relief, (hosts, inbox))
     for work in (
         operators.run(),
         hosts.run(),
@@ -105,13 +110,14 @@
         table.follower.run(),
         election.run(),
         handover.run(),
+        lag.run(),
         settings_holder.run(),
         writer.run(),
         node.run(),
     ):
         node.spawn(work)
     answers = PeerAnswers(owned, gate, handover)
-    return AssembledNode(node, gate, owned, answers, config_holder)
+    return AssembledNode(node, gate, owned, answers, config_holder, lag)
 
 
 async def _read_to_end(follower: KeyedFollower) -> None:
--- a/src/robinthread/_internal/node/handover.py
+++ b/src/robinthread/_internal/node/handover.py
@@ -10,6 +10,7 @@
 from robinthread._internal.durable.errors import StoreError
 from robinthread._internal.durable.ownership import Member, OwnerTable
 from robinthread._internal.node.election import Election
+from robinthread._internal.node.loop_lag import LAG_MAX_S, LoopLag
 from robinthread._internal.node.owned_pools import OwnedPools
 from robinthread._internal.node.peer_calls import PeerCalls, PeerUnreachableError
 from robinthread._internal.node.peer_messages import (
@@ -44,6 +45,7 @@
         owned: OwnedPools,
         peers: PeerCalls,
         events: EventLog,
+        lag: LoopLag,
     ) -> None:
         self._me = me
         self._table = table
@@ -51,6 +53,7 @@
         self._owned = owned
         self._peers = peers
         self._events = events
+        self._lag = lag
         self.stopped_tokens: dict[str, int] = {}
         self.served: tuple[Member, ...] = ()
 
@@ -62,7 +65,7 @@
 
     async def _find_served(self) -> tuple[Member, ...]:
         others = sorted(self._election.members - {self._me})
-        answers = await asyncio.gather(*map(self._ask_store, others))
+        answers = await asyncio.gather(*map(self.ask_store, others))
         served = sorted(
             (answer.owned_count, get_rendezvous_weight(self._me.node, member.node), member)
             for member, answer in zip(others, answers, strict=True)
@@ -86,11 +89,11 @@
 
     def answer_store(self) -> StoreAnswer:
         """Tell whether the store serves this node."""
-        return StoreAnswer(self._election.may_take, len(self._owned.owners))
+        return StoreAnswer(self._election.may_take, len(self._owned.owners), self._lag.lag_s)
 
     async def answer_take(self, question: TakeQuestion) -> TakeAnswer:
         """Take over the pools whose owners have not changed meanwhile."""
-        if not self._election.may_take:
+        if not self._election.may_take or self._lag.lag_s > LAG_MAX_S:
             return TakeAnswer(())
         self.stopped_tokens |= question.tokens
         try:
@@ -103,7 +106,8 @@
             )
             return TakeAnswer(())
 
-    async def _ask_store(self, member: Member) -> StoreAnswer:
+    async def ask_store(self, member: Member) -> StoreAnswer:
+        """Ask a node whether the store serves it, and how it fares."""
         try:
             return await self._peers.ask(member.address, StoreQuestion(), StoreAnswer)
         except PeerUnreachableError:
--- a/src/robinthread/_internal/node/node.py
+++ b/src/robinthread/_internal/node/node.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import math
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable, Collection, Coroutine
 from typing import Any, Final
 
 from robinthread._internal.durable.errors import StoreError
@@ -14,6 +14,7 @@
 from robinthread._internal.node.owned_pools import OwnedPools
 from robinthread._internal.node.pool_owner import PoolOwner
 from robinthread._internal.node.pool_runtime import UNCONFIRMED_MAX_S
+from robinthread._internal.node.relief import ReliefPlanner
 from robinthread._internal.node.steward import Steward
 from robinthread._internal.utils.waiting import wait_for_event
 
@@ -37,6 +38,7 @@
         owned: OwnedPools,
         make_steward: MakeSteward,
         handover: Handover,
+        relief: ReliefPlanner,
         followers: tuple[KeyedFollower, ...],
     ) -> None:
         self._context = context
@@ -47,6 +49,7 @@
         self._owned = owned
         self._make_steward = make_steward
         self._handover = handover
+        self._relief = relief
         self._followers = followers
         self._steward: Steward | None = None
         self._tasks: set[asyncio.Task[Any]] = set()
@@ -84,6 +87,7 @@
             self._table.changed.clear()
             await self._let_go()
             await self._pass_on()
+            await self._relieve()
             await self._release_closed()
             self._open_taken()
             self._follow_if_needed()
@@ -113,14 +117,31 @@
         served = self._handover.served
         if not self._election.is_cut_off or not served:
             return
-        if not self._owned.owners and self._steward is None:
+        if self._owned.owners or self._steward is not None:
+            await self._pass_to(served[0], [*self._owned.owners, FLEET], is_planned=False)
+
+    async def _relieve(self) -> None:
+        """Pass a pool on that another node could carry more easily."""
+        if self.is_stopping:
             return
-        tokens = {owner.pool: owner.token for owner in self._owned.owners.values()}
-        await asyncio.gather(*map(self._close, list(self._owned.owners.values())))
-        if self._steward is not None:
+        found = await self._relief.find()
+        if found is not None:
+            self._events.write(
+                "pool_relieved", pool=found.pool, taker=found.taker.node, reason=found.reason
+            )
+            await self._pass_to(found.taker, [found.pool], is_planned=True)
+            self._relief.note_passed_on()
+
+    async def _pass_to(self, taker: Member, pools: Collection[str], is_planned: bool) -> None:
+        """Stop owning pools here and have another node take them."""
+        owners = [owner for pool, owner in self._owned.owners.items() if pool in pools]
+        tokens = {owner.pool: owner.token for owner in owners}
+        await asyncio.gather(*(self._close(owner, is_planned) for owner in owners))
+        if self._steward is not None and FLEET in pools:
             tokens[FLEET] = self._steward.token
             await self._close_steward(self._steward)
-        await self._handover.pass_on(served[0], tokens)
+        if tokens:
+            await self._handover.pass_on(taker, tokens)
 
     async def _release_closed(self) -> None:
         """Give back what is recorded as ours and closed for good: nobody else would take it."""
@@ -266,10 +287,12 @@
         await self._close(owner)
         await self._release_spent(owner.pool, owner.token)
 
-    async def _close(self, owner: PoolOwner) -> None:
-        """Stop owning a pool under its token for good."""
+    async def _close(self, owner: PoolOwner, is_planned: bool = False) -> None:
+        """Stop owning a pool under its token for good; as planned, record all first."""
         if self._owned.owners.get(owner.pool) is owner:
             self._spent_tokens[owner.pool] = owner.token
             del self._owned.owners[owner.pool]
+            if is_planned:
+                await owner.stop(is_planned=True)
             owner.fenced.set()
             await owner.stop()
--- a/src/robinthread/_internal/node/peer_messages.py
+++ b/src/robinthread/_internal/node/peer_messages.py
@@ -44,10 +44,11 @@
 
 
 class StoreAnswer(msgspec.Struct, frozen=True, array_like=True):
-    """Whether the store serves a node, and how many pools the node owns."""
+    """Whether the store serves a node, how many pools it owns, how late its loop runs."""
 
     is_served: bool
     owned_count: int
+    lag_s: float = 0.0
 
 
 class TakeQuestion(msgspec.Struct, frozen=True, array_like=True):
--- a/src/robinthread/_internal/node/pool_owner.py
+++ b/src/robinthread/_internal/node/pool_owner.py
@@ -135,6 +135,8 @@
         A planned stop records what is known first, so that the next owner
         need not ask for it again.
         """
+        if self._is_stopped:
+            return
         if self.is_open:
             self._context.job_index.unlisten(self._take_job)
             self._context.host_directory.unlisten(self._update_hosts)
--- a/src/robinthread/_internal/settings/policy_settings.py
+++ b/src/robinthread/_internal/settings/policy_settings.py
@@ -9,9 +9,14 @@
 
     ``weighs_capacity``: nodes with more processor and link own more pools; off, all
     nodes own as many.
+    ``spreads_pools``: a node that owns several passes one to a node that could carry it
+    more easily.
+    ``relieves_late_nodes``: a node whose event loop runs late passes its pools on.
     """
 
     weighs_capacity: bool = True
+    spreads_pools: bool = True
+    relieves_late_nodes: bool = True
 
 
 @dataclass(frozen=True)
--- a/src/robinthread/_internal/standins/platform_standin.py
+++ b/src/robinthread/_internal/standins/platform_standin.py
@@ -27,6 +27,7 @@
     PeerUnsentError,
 )
 from robinthread._internal.node.settings_holder import SettingsHolder
+from robinthread._internal.settings.policy_settings import PolicySettings
 from robinthread._internal.standins.advice_standin import AdviceStandin
 from robinthread._internal.standins.job_hosts_standin import (
     JobHostsStandin,
@@ -219,9 +220,11 @@
                 host.crash()
         asyncio.get_running_loop().call_later(4.5, self.unlist_host, host_id)
 
-    def start_node(self, name: str) -> RunningNode:
+    def start_node(
+        self, name: str, capacity_millicores: int = 1000, policy: PolicySettings | None = None
+    ) -> RunningNode:
         """Start a node, in a new life."""
-        me = Member(name, f"life{next(self._lives)}", name)
+        me = Member(name, f"life{next(self._lives)}", name, capacity_millicores)
         environment = NodeEnvironment(
             store=self.store.connect(name),
             hosts=self.hosts.connect(name),
@@ -231,6 +234,7 @@
             records=RECORDS,
             events=EventLog(name, write=self.events.append),
             get_wall_ms=lambda: int(asyncio.get_running_loop().time() * 1000),
+            policy=policy or PolicySettings(),
         )
         settings = make_settings(name)
         holder = SettingsHolder(settings, lambda: settings, environment.events)
--- /dev/null
+++ b/tests/functional/test_relief.py
@@ -0,0 +1,124 @@
+"""Pools pass from nodes that are crowded or late to nodes that have room."""
+
+import asyncio
+from collections import Counter
+
+from testtools import TestCase
+
+from robinthread._internal.models.job_status import JobStatus
+from robinthread._internal.models.pool_policy import PoolPolicy
+from robinthread._internal.settings.policy_settings import OwnerPolicy, PolicySettings
+from robinthread._internal.standins.platform_standin import RESERVE, PlatformStandin
+from tests.lib.job_platforms import (
+    POOL,
+    QUEUE,
+    ROOM,
+    find_breaks,
+    get_owner,
+    hand_in,
+    make_job,
+    plan_second,
+    wait_for_status,
+    wait_until,
+)
+from tests.lib.virtual import run_virtual
+
+POOLS = (POOL, "maps", "proofs", "tiles")
+LATE_S = 0.5
+
+
+def make_platform() -> PlatformStandin:
+    """Make a platform with four pools, of which one has hosts."""
+    platform = PlatformStandin(plan_second, 1)
+    policies = (*map(PoolPolicy, POOLS), PoolPolicy(RESERVE, is_reserve=True))
+    platform.configure(1, (QUEUE,), policies)
+    for number in range(4):
+        platform.machines.add(POOL, f"r{number % 2}", ROOM)
+    return platform
+
+
+def count_owned(platform: PlatformStandin) -> Counter[str]:
+    """Count the pools that each node serves."""
+    return Counter(owner for pool in POOLS if (owner := get_owner(platform, pool)))
+
+
+async def keep_late(platform: PlatformStandin, name: str) -> None:
+    """Have a node's loop run late for as long as this runs."""
+    while True:
+        platform.nodes[name].assembled.lag.lag_s = LATE_S
+        await asyncio.sleep(0.01)
+
+
+class ReliefTest(TestCase):
+    def test_pools_spread_over_nodes_that_come_later(self) -> None:
+        async def work() -> None:
+            platform = make_platform()
+            platform.start_node("first")
+            await wait_until(lambda: count_owned(platform)["first"] == len(POOLS))
+            for number in range(5):
+                platform.start_node(f"later{number}")
+            await wait_until(lambda: max(count_owned(platform).values()) == 1)
+
+        run_virtual(work())
+
+    def test_switched_off_they_stay(self) -> None:
+        async def work() -> None:
+            policy = PolicySettings(OwnerPolicy(spreads_pools=False))
+            platform = make_platform()
+            platform.start_node("first", policy=policy)
+            await wait_until(lambda: count_owned(platform)["first"] == len(POOLS))
+            platform.start_node("later", policy=policy)
+            await asyncio.sleep(20)
+            self.assertEqual(len(POOLS), count_owned(platform)["first"])
+
+        run_virtual(work())
+
+    def test_larger_node_takes_what_a_small_one_owns(self) -> None:
+        async def work() -> None:
+            platform = make_platform()
+            platform.start_node("small", 250)
+            await wait_until(lambda: count_owned(platform)["small"] == len(POOLS))
+            platform.start_node("large", 4000)
+            await wait_until(lambda: count_owned(platform)["large"] >= len(POOLS) - 1)
+
+        run_virtual(work())
+
+    def test_late_node_passes_its_pool_on_and_jobs_go_on(self) -> None:
+        async def work() -> None:
+            platform = make_platform()
+            for number in range(7):
+                platform.start_node(f"node{number}")
+            await wait_until(lambda: len(count_owned(platform)) == len(POOLS))
+            await asyncio.sleep(5)
+            late = get_owner(platform)
+            assert late is not None
+            await hand_in(platform, late, make_job(1))
+            await asyncio.sleep(0.5)
+            task = asyncio.get_running_loop().create_task(keep_late(platform, late))
+            took_s = await wait_until(lambda: get_owner(platform) not in (late, None), 5)
+            self.assertLess(took_s, 2.0)
+            await wait_for_status(platform, f"{1:016x}", JobStatus.SUCCEEDED, 5)
+            self.assertEqual([], find_breaks(platform))
+            await asyncio.sleep(10)
+            self.assertEqual(0, count_owned(platform)[late])
+            task.cancel()
+
+        run_virtual(work())
+
+    def test_pools_do_not_go_to_and_fro_where_all_are_late(self) -> None:
+        async def work() -> None:
+            platform = make_platform()
+            for number in range(7):
+                platform.start_node(f"node{number}")
+            await wait_until(lambda: len(count_owned(platform)) == len(POOLS))
+            await asyncio.sleep(5)
+            loop = asyncio.get_running_loop()
+            tasks = [loop.create_task(keep_late(platform, name)) for name in platform.nodes]
+            before = len(platform.events)
+            await asyncio.sleep(30)
+            moved = [line for line in platform.events[before:] if b'"pool_relieved"' in line]
+            self.assertEqual([], moved)
+            for task in tasks:
+                task.cancel()
+
+        run_virtual(work())
