Lasting tasks that the last owner may have told to stop count as away

Ruled out: two stops by one owner, a silent host. Change: for as long as a stop takes after a host first heard of an owner, its tasks count as away.

--- a/src/robinthread/_internal/jobs/evacuation.py
+++ b/src/robinthread/_internal/jobs/evacuation.py
@@ -41,32 +41,34 @@
     return stopped
 
 
-def may_leave(pool: PoolJobs, job: Job, task: Task) -> bool:
+def may_leave(pool: PoolJobs, job: Job, task: Task, now_s: float) -> bool:
     """Tell whether a lasting task's step can spare it now."""
     step = task.step
     if not step.has_away_limit:
         return True
     members = job.get_tasks(task.key.occurrence, task.key.step)
-    away = sum(not is_at_work(pool, other) for other in members if other is not task)
+    away = sum(not is_at_work(pool, other, now_s) for other in members if other is not task)
     return away < step.away_max
 
 
-def is_at_work(pool: PoolJobs, task: Task) -> bool:
+def is_at_work(pool: PoolJobs, task: Task, now_s: float) -> bool:
     """Tell whether a lasting task does its work, on a host that says so itself.
 
-    What runs on a silent host may have ended.
+    What runs on a silent host may have ended, and what an earlier owner told to stop,
+    just before the host heard of this one, may be about to.
     """
     return any(
         run.phase is RunPhase.PRESENT
         and run.progress_percent >= AT_WORK_PERCENT
         and pool.hosts[run.host_id].contact is HostContact.ANSWERING
+        and now_s >= pool.hosts[run.host_id].foreign_stops_over_at_s
         for run in task.runs
     )
 
 
 def _is_to_leave(pool: PoolJobs, host: Host, job: Job, task: Task, run: Run, now_s: float) -> bool:
     if task.step.is_lasting:
-        return host.record.is_draining or may_leave(pool, job, task)
+        return host.record.is_draining or may_leave(pool, job, task, now_s)
     if not task.step.keeps_checkpoints or host.leaves_at_s is None:
         return False
     left_s = host.leaves_at_s - now_s
--- a/src/robinthread/_internal/jobs/host.py
+++ b/src/robinthread/_internal/jobs/host.py
@@ -31,6 +31,7 @@
     recorded; ``processed_batch`` is the batch of records that closes the gap.
     ``free`` is the room that is left.  ``reported_at_s`` is when its last report
     came, ``leaves_at_s`` the earliest time at which a draining host may be gone.
+    By ``foreign_stops_over_at_s`` all that earlier owners told to stop has ended.
     """
 
     def __init__(self, record: UpstreamHost, lease: HostLease) -> None:
@@ -48,6 +49,7 @@
         self.vacating_until_s = 0.0
         self.reported_at_s = 0.0
         self.leaves_at_s: float | None = None
+        self.foreign_stops_over_at_s = 0.0
 
     @property
     def id(self) -> str:
--- a/src/robinthread/_internal/node/host_follower.py
+++ b/src/robinthread/_internal/node/host_follower.py
@@ -11,7 +11,7 @@
 )
 from robinthread._internal.jobs.run import Run
 from robinthread._internal.models.host_report import EndedRun, HostReport, RunEnd
-from robinthread._internal.node.order_sender import OrderSender
+from robinthread._internal.node.order_sender import STOP_MARGIN_S, OrderSender
 from robinthread._internal.node.pool_runtime import PoolRuntime, get_loop_s
 from robinthread._internal.node.recorder import Recorder
 
@@ -111,6 +111,9 @@
         was_answering = host.contact is HostContact.ANSWERING
         if not was_answering:
             self._events.write("host_heard", host=host.id, pool=self._runtime.pool)
+        if host.contact is HostContact.UNHEARD:
+            stop_s = self._runtime.context.settings.bounds.host_stop_ms / 1000
+            host.foreign_stops_over_at_s = get_loop_s() + stop_s + STOP_MARGIN_S
         host.contact = HostContact.ANSWERING
         host.reported_at_s = get_loop_s()
         host.lease.note_clock(report.clock_ms, get_loop_s())
--- a/tests/unit/test_evacuation.py
+++ b/tests/unit/test_evacuation.py
@@ -53,6 +53,13 @@
         pool.hosts["h1"].contact = HostContact.SILENT
         self.assertEqual([], evacuate(pool, now_s=1.0))
 
+    def test_tasks_that_an_earlier_owner_may_have_stopped_count_as_away(self) -> None:
+        pool = make_pool(LASTING, hosts=4, used_hosts=3)
+        pool.hosts["h0"].vacating_until_s = 10.0
+        pool.hosts["h1"].foreign_stops_over_at_s = 2.0
+        self.assertEqual([], evacuate(pool, now_s=1.9))
+        self.assertEqual(1, len(evacuate(pool, now_s=2.0)))
+
 
 class DrainingTest(TestCase):
     STEP = StepSpec(2, cpu_millicores=1000, estimate_ms=10_000, keeps_checkpoints=True)
