Hosts and halls that leave orders unanswered get no work; machines of silent halls go last

A host counts as lost only after a look of 1.4 s without answer, so most jobs handed in meanwhile have a task there, and a third of the machines fetched are in the hall that cannot be reached. Change: an order unanswered for 0.15 s puts a host in doubt, two in doubt and none heard since the whole hall; the steward takes machines of halls that do not answer last and does not wait for them. Not measured yet.

--- a/src/robinthread/_internal/fleet/fleet_view.py
+++ b/src/robinthread/_internal/fleet/fleet_view.py
@@ -61,7 +61,7 @@
     """All that a decision rests on.
 
     ``reserve`` are the machines that are off and free to be ordered, and
-    ``ordered`` those with an order under way.
+    ``ordered`` those with an order under way.  The hosts of ``silent_halls`` do not answer.
     """
 
     pools: tuple[PoolView, ...]
@@ -69,6 +69,7 @@
     reserve: tuple[Machine, ...]
     ordered: frozenset[str]
     waves: tuple[WaveView, ...]
+    silent_halls: frozenset[str] = frozenset()
 
 
 @dataclass(frozen=True)
--- a/src/robinthread/_internal/fleet/planner.py
+++ b/src/robinthread/_internal/fleet/planner.py
@@ -195,10 +195,17 @@
 
     def __init__(self, view: FleetView, pending: frozenset[str]) -> None:
         free = [machine for machine in view.reserve if machine.name not in view.ordered]
-        self._free = sorted(free, key=lambda machine: (machine.name in pending, machine.name))
+        self._free = sorted(
+            free,
+            key=lambda machine: (
+                machine.hall in view.silent_halls,
+                machine.name in pending,
+                machine.name,
+            ),
+        )
 
     def take(self, count: int) -> list[str]:
-        """Take up to ``count`` machines, those first that are not due for upkeep."""
+        """Take up to ``count`` machines, those last whose hall is silent or that are due."""
         taken = [machine.name for machine in self._free[: max(0, count)]]
         del self._free[: max(0, count)]
         return taken
--- /dev/null
+++ b/src/robinthread/_internal/jobs/doubts.py
@@ -0,0 +1,43 @@
+"""Which hosts are likely to be out of reach, before that is certain."""
+
+from collections import defaultdict
+from collections.abc import Iterable
+from typing import Final
+
+from robinthread._internal.jobs.host import Host, HostContact
+from robinthread._internal.jobs.pool_jobs import PoolJobs
+
+# An order is answered within some 10 ms, by a host five times slower within 50.
+DOUBT_AFTER_S: Final = 0.15
+# So many hosts of a hall must be in doubt before all others there are.
+HALL_DOUBTS_MIN: Final = 2
+
+
+def list_doubted(pool: PoolJobs, now_s: float) -> frozenset[str]:
+    """Return the ids of the hosts that are to get no work until they answer again.
+
+    A host is in doubt that leaves an order unanswered.  Where several of a data hall are,
+    and none of the hall has been heard since, the whole hall is: it has been cut off.
+    """
+    if not pool.policy.doubts_silent_hosts:
+        return frozenset()
+    halls: dict[str, list[Host]] = defaultdict(list)
+    for host in pool.hosts.values():
+        halls[host.record.hall].append(host)
+    return frozenset(host.id for hosts in halls.values() for host in _list_doubted_in(hosts, now_s))
+
+
+def _list_doubted_in(hosts: list[Host], now_s: float) -> Iterable[Host]:
+    """Return the hosts in doubt of one hall."""
+    doubted = [host for host in hosts if _is_in_doubt(host, now_s)]
+    if len(doubted) < HALL_DOUBTS_MIN:
+        return doubted
+    since_s = min(host.unanswered_since_s or now_s for host in doubted)
+    is_heard = any(host.reported_at_s > since_s for host in hosts)
+    return doubted if is_heard else hosts
+
+
+def _is_in_doubt(host: Host, now_s: float) -> bool:
+    if host.contact is HostContact.UNHEARD or host.unanswered_since_s is None:
+        return False
+    return now_s - host.unanswered_since_s > DOUBT_AFTER_S
--- a/src/robinthread/_internal/jobs/host.py
+++ b/src/robinthread/_internal/jobs/host.py
@@ -31,6 +31,7 @@
     recorded; ``processed_batch`` is the batch of records that closes the gap.
     ``free`` is the room that is left.  ``reported_at_s`` is when its last report
     came, ``leaves_at_s`` the earliest time at which a draining host may be gone.
+    ``unanswered_since_s`` is when the first order was sent since it last answered.
     By ``foreign_stops_over_at_s`` all that earlier owners told to stop has ended.
     """
 
@@ -50,6 +51,7 @@
         self.reported_at_s = 0.0
         self.leaves_at_s: float | None = None
         self.foreign_stops_over_at_s = 0.0
+        self.unanswered_since_s: float | None = None
 
     @property
     def id(self) -> str:
@@ -73,6 +75,15 @@
         elif self.leaves_at_s is None:
             self.leaves_at_s = now_s + (self.record.leaves_in_ms / 1000 or default_s)
 
+    def note_sent(self, now_s: float) -> None:
+        """Note that an order is sent, which should be answered at once."""
+        if self.unanswered_since_s is None:
+            self.unanswered_since_s = now_s
+
+    def note_answered(self) -> None:
+        """Note that the host has answered anything."""
+        self.unanswered_since_s = None
+
     def add_run(self, run: Run, room: Resources) -> None:
         """Take room for a run."""
         self.runs[run.key] = run
--- a/src/robinthread/_internal/jobs/placement.py
+++ b/src/robinthread/_internal/jobs/placement.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterable, Iterator
 
+from robinthread._internal.jobs.doubts import list_doubted
 from robinthread._internal.jobs.host import Host
 from robinthread._internal.jobs.job import Job
 from robinthread._internal.jobs.job_timing import get_slack_s
@@ -33,7 +34,10 @@
 
     Where more than half seem unwell, it is the jobs that fail: all are used.
     """
-    hosts = [host for host in pool.hosts.values() if host.may_take_work(now_s)]
+    doubted = list_doubted(pool, now_s)
+    hosts = [
+        host for host in pool.hosts.values() if host.id not in doubted and host.may_take_work(now_s)
+    ]
     well = [host for host in hosts if not host.is_paused(now_s)]
     return well if 2 * len(well) >= len(hosts) else hosts
 
--- a/src/robinthread/_internal/node/host_follower.py
+++ b/src/robinthread/_internal/node/host_follower.py
@@ -76,6 +76,7 @@
     def _lose(self, error: HostError) -> None:
         """Note that the host does not answer; its tasks lapse with its lease."""
         host, now_s = self._host, get_loop_s()
+        host.note_sent(now_s)
         if host.contact is HostContact.ANSWERING:
             host.contact = HostContact.SILENT
             self._events.write(
@@ -115,6 +116,7 @@
             stop_s = self._runtime.context.settings.bounds.host_stop_ms / 1000
             host.foreign_stops_over_at_s = get_loop_s() + stop_s + STOP_MARGIN_S
         host.contact = HostContact.ANSWERING
+        host.note_answered()
         host.reported_at_s = get_loop_s()
         host.lease.note_clock(report.clock_ms, get_loop_s())
         new_ends = [end for end in report.ended if end.number > host.processed_end]
--- a/src/robinthread/_internal/node/order_sender.py
+++ b/src/robinthread/_internal/node/order_sender.py
@@ -151,7 +151,9 @@
             tickets.get(step, host.id, get_loop_s()) or "",
         )
         try:
+            host.note_sent(get_loop_s())
             await self._context.hosts.start(host.record, order)
+            host.note_answered()
         except HostFencedError:
             raise
         except NoRoomError:
@@ -193,6 +195,7 @@
 
     def _reject(self, run: Run, host: Host, reason: str) -> None:
         """Take back a run that its host will not start."""
+        host.note_answered()
         self._events.write(
             "start_rejected",
             job=run.task.job_id,
--- a/src/robinthread/_internal/node/pool_owner.py
+++ b/src/robinthread/_internal/node/pool_owner.py
@@ -12,6 +12,7 @@
 from robinthread._internal.durable.store import NewestRecords, Partition
 from robinthread._internal.fleet.pool_report import FleetQuestion, HostStanding, PoolReport
 from robinthread._internal.jobs.demand import DemandMeter
+from robinthread._internal.jobs.doubts import list_doubted
 from robinthread._internal.jobs.host import Host, HostContact
 from robinthread._internal.jobs.host_lease import get_lapse_time_s
 from robinthread._internal.jobs.job import Job
@@ -175,12 +176,15 @@
         if question.expects_hosts:
             self._context.expect_hosts()
         self._runtime.wake()
+        doubted = list_doubted(self.jobs, now_s)
         return PoolReport(
             is_owner=True,
             fetch_room=_as_tuple(demand.fetch),
             keep_room=_as_tuple(demand.keep),
             hosts=tuple(
-                _make_standing(host, now_s) for host in self.jobs.hosts.values() if host.is_listed
+                _make_standing(host, host.id not in doubted, now_s)
+                for host in self.jobs.hosts.values()
+                if host.is_listed
             ),
             hosts_min=demand.hosts_min,
         )
@@ -323,11 +327,13 @@
     return room.cpu_millicores, room.memory_mb, room.gpu_count
 
 
-def _make_standing(host: Host, now_s: float) -> HostStanding:
+def _make_standing(host: Host, is_trusted: bool, now_s: float) -> HostStanding:
     return HostStanding(
         machine=host.record.machine,
         host_id=host.id,
-        is_usable=host.contact is HostContact.ANSWERING and not host.record.is_draining,
+        is_usable=is_trusted
+        and host.contact is HostContact.ANSWERING
+        and not host.record.is_draining,
         is_vacating=now_s < host.vacating_until_s,
         run_count=len(host.runs),
         lasting_count=sum(run.is_lasting for run in host.runs.values()),
--- a/src/robinthread/_internal/node/steward.py
+++ b/src/robinthread/_internal/node/steward.py
@@ -18,6 +18,7 @@
 from robinthread._internal.fleet.machine_errors import MachineError
 from robinthread._internal.fleet.planner import FleetPlanner
 from robinthread._internal.fleet.pool_report import FleetQuestion, PoolReport
+from robinthread._internal.fleet.silent_halls import find_silent_halls
 from robinthread._internal.fleet.sizing import PoolSize
 from robinthread._internal.models.machine import Machine, MachineState
 from robinthread._internal.models.upkeep_wave import UpkeepWave
@@ -214,9 +215,14 @@
     def _make_view(self, reports: dict[str, PoolReport]) -> FleetView:
         config = self._context.config_holder.config
         assert config is not None
+        silent_halls: frozenset[str] = frozenset()
+        if self._context.policy.fleet.avoids_silent_halls:
+            silent_halls = find_silent_halls(reports.values(), self._known)
         reserves = [pool.name for pool in config.pools.values() if pool.is_reserve]
         return FleetView(
-            pools=tuple(self._make_pool_view(pool, report) for pool, report in reports.items()),
+            pools=tuple(
+                self._make_pool_view(pool, report, silent_halls) for pool, report in reports.items()
+            ),
             reserve_pool=reserves[0] if reserves else "",
             reserve=tuple(
                 machine
@@ -234,9 +240,12 @@
                 for wave in self._get_waves()
                 if self._waves.get_pending(wave, self._known)
             ),
+            silent_halls=silent_halls,
         )
 
-    def _make_pool_view(self, pool: str, report: PoolReport) -> PoolView:
+    def _make_pool_view(
+        self, pool: str, report: PoolReport, silent_halls: frozenset[str]
+    ) -> PoolView:
         machines = {
             machine.name: machine for machine in self._known.values() if machine.pool == pool
         }
@@ -249,7 +258,7 @@
             machine.state in (MachineState.MOVING, MachineState.UPKEEP)
             or self._is_unheard(machine, told)
             for name, machine in machines.items()
-            if name not in self._orders.under_way
+            if name not in self._orders.under_way and machine.hall not in silent_halls
         )
         return PoolView(pool, report, machines, arriving + coming)
 
--- a/src/robinthread/_internal/settings/policy_settings.py
+++ b/src/robinthread/_internal/settings/policy_settings.py
@@ -27,36 +27,39 @@
     reserve, and one that would be late is emptied though its pool has no other.
     ``moves_directly``: a machine that a pool lets go moves straight to one that lacks
     machines, not by way of the reserve, and without waiting whether it is needed again.
+    ``avoids_silent_halls``: pools get machines of halls whose hosts do not answer only
+    where there are no others.
     """
 
     upkeep_first: bool = True
     moves_directly: bool = True
+    avoids_silent_halls: bool = True
 
 
 @dataclass(frozen=True)
 class DemandPolicy:
     """How a pool's need is forecast.
 
-    ``rise_ahead_s``: for how long a rise of demand is taken to go on at its pace; zero
-    takes it to have ended.
     ``late_share``: the share of the room of jobs that can no longer be on time for which
     hosts are asked; 1 treats them as all others.
     """
 
-    rise_ahead_s: float = 0.9
     late_share: float = 0.25
 
 
 @dataclass(frozen=True)
 class PlacementPolicy:
-    """Which job goes first.
+    """Which job goes first, and to which hosts.
 
     ``slack_margin_s``: a job that has not begun counts as late where it has less slack
     than this: what the store, the hosts and the caller's next question take is no part of
     its forecast.  Zero switches the margin off.
+    ``doubts_silent_hosts``: a host that leaves an order unanswered for 0.15 s gets no more
+    work until it answers, nor do all others of its data hall where several do.
     """
 
     slack_margin_s: float = 0.2
+    doubts_silent_hosts: bool = True
 
 
 @dataclass(frozen=True)
--- /dev/null
+++ b/tests/unit/test_doubts.py
@@ -0,0 +1,86 @@
+"""Hosts that leave orders unanswered, and halls that are cut off."""
+
+from testtools import TestCase
+
+from robinthread._internal.fleet.pool_report import HostStanding, PoolReport
+from robinthread._internal.fleet.silent_halls import find_silent_halls
+from robinthread._internal.jobs.doubts import DOUBT_AFTER_S, list_doubted
+from robinthread._internal.jobs.host import HostContact
+from robinthread._internal.jobs.placement import get_usable_hosts
+from robinthread._internal.jobs.pool_jobs import PoolJobs
+from robinthread._internal.models.machine import Machine, MachineState
+from robinthread._internal.models.resources import Resources
+from robinthread._internal.models.upstream_host import UpstreamHost
+from robinthread._internal.settings.policy_settings import PlacementPolicy
+
+ROOM = Resources(4000, 4000, 0)
+SENT_S = 10.0
+LATER_S = SENT_S + DOUBT_AFTER_S + 0.01
+HOSTS = ("a1", "a2", "a3", "b1", "b2")
+
+
+def make_pool(policy: PlacementPolicy | None = None) -> PoolJobs:
+    """Make a pool of five hosts, whose names begin with their halls', all heard just now."""
+    pool = PoolJobs(policy or PlacementPolicy())
+    for name in HOSTS:
+        record = UpstreamHost(name, f"m{name}", "", "", name[0], "r", ROOM, frozenset())
+        host = pool.add_host(record)
+        host.contact = HostContact.ANSWERING
+        host.reported_at_s = SENT_S - 0.01
+    return pool
+
+
+class DoubtTest(TestCase):
+    def test_host_is_in_doubt_from_an_order_it_leaves_unanswered_until_it_answers(self) -> None:
+        pool = make_pool()
+        host = pool.hosts["a1"]
+        host.note_sent(SENT_S)
+        self.assertEqual(frozenset(), list_doubted(pool, SENT_S + 0.1))
+        self.assertEqual({"a1"}, list_doubted(pool, LATER_S))
+        self.assertNotIn(host, get_usable_hosts(pool, LATER_S))
+        host.note_answered()
+        self.assertEqual(frozenset(), list_doubted(pool, LATER_S))
+
+    def test_later_orders_do_not_hide_the_first(self) -> None:
+        pool = make_pool()
+        pool.hosts["a1"].note_sent(SENT_S)
+        pool.hosts["a1"].note_sent(LATER_S)
+        self.assertEqual({"a1"}, list_doubted(pool, LATER_S))
+
+    def test_two_in_doubt_put_their_hall_in_doubt(self) -> None:
+        pool = make_pool()
+        pool.hosts["a1"].note_sent(SENT_S)
+        pool.hosts["a2"].note_sent(SENT_S)
+        self.assertEqual({"a1", "a2", "a3"}, list_doubted(pool, LATER_S))
+
+    def test_hall_that_is_heard_is_not_in_doubt(self) -> None:
+        pool = make_pool()
+        pool.hosts["a1"].note_sent(SENT_S)
+        pool.hosts["a2"].note_sent(SENT_S)
+        pool.hosts["a3"].reported_at_s = SENT_S + 0.05
+        self.assertEqual({"a1", "a2"}, list_doubted(pool, LATER_S))
+
+    def test_switched_off_no_host_is(self) -> None:
+        pool = make_pool(PlacementPolicy(doubts_silent_hosts=False))
+        pool.hosts["a1"].note_sent(SENT_S)
+        self.assertEqual(frozenset(), list_doubted(pool, LATER_S))
+
+
+class SilentHallTest(TestCase):
+    def find(self, usable: str) -> frozenset[str]:
+        hosts = tuple(
+            HostStanding(name, f"host-{name}", name in usable.split(), False, 0, 0)
+            for name in HOSTS
+        )
+        machines = {
+            name: Machine(name, "p", MachineState.UP, name[0], "r", "k", ROOM, f"host-{name}")
+            for name in HOSTS
+        }
+        return find_silent_halls([PoolReport(True, hosts=hosts)], machines)
+
+    def test_hall_is_silent_where_most_of_its_hosts_are(self) -> None:
+        self.assertEqual({"a"}, self.find("a1 b1 b2"))
+        self.assertEqual(frozenset(), self.find("a1 a2 b1 b2"))
+
+    def test_one_silent_host_says_nothing(self) -> None:
+        self.assertEqual(frozenset(), self.find("a1 a2 a3 b1"))
