Tasks of a step follow each other to a host; a bench bounds the looks a start costs

Cause: each task was tried on every host. Change: while a host has room it stays the best one for the next task of the step.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -12,6 +12,7 @@
 from bench.control import run_control
 from bench.overload import run_overload
 from bench.parallel import run_in_processes
+from bench.placing import run_placing
 from bench.result import BenchResult
 from bench.storms import run_storms
 from bench.takeover import run_takeover
@@ -25,6 +26,7 @@
     "black_holes": run_black_holes,
     "storm": run_storms,
     "takeover": run_takeover,
+    "placing": run_placing,
 }
 LONG: dict[str, Callable[[], BenchResult]] = {
     "waves": run_waves,
--- a/src/robinthread/_internal/jobs/placement.py
+++ b/src/robinthread/_internal/jobs/placement.py
@@ -17,6 +17,21 @@
     return max(fitting, key=lambda host: _get_worth(host, task), default=None)
 
 
+def stays_best(task: Task, last: Task, host: Host) -> bool:
+    """Tell whether the host that was best for the last task is so for the next one.
+
+    Hosts are filled one after the other, so for tasks of one step the same host stays best
+    while it has room.  Tasks that last are spread instead.
+    """
+    return (
+        task.key.step_key == last.key.step_key
+        and not task.step.is_lasting
+        and task.room.fits_in(host.free)
+        and host.id not in task.failed_host_ids
+        and may_carry_another(task, host)
+    )
+
+
 def iter_fitting(pool: PoolJobs, task: Task, hosts: Iterable[Host], now_s: float) -> Iterator[Host]:
     """Iterate over those of the usable ``hosts`` that may run a task now."""
     job = pool.jobs[task.key.job_id]
--- a/src/robinthread/_internal/jobs/scheduling.py
+++ b/src/robinthread/_internal/jobs/scheduling.py
@@ -3,7 +3,13 @@
 from collections.abc import Collection
 
 from robinthread._internal.jobs.gangs import place_gang
-from robinthread._internal.jobs.placement import choose_host, get_usable_hosts, sort_waiting
+from robinthread._internal.jobs.host import Host
+from robinthread._internal.jobs.placement import (
+    choose_host,
+    get_usable_hosts,
+    sort_waiting,
+    stays_best,
+)
 from robinthread._internal.jobs.pool_jobs import PoolJobs
 from robinthread._internal.jobs.task import Task
 from robinthread._internal.models.resources import Resources
@@ -15,7 +21,7 @@
 
     In a full pool this costs a look at each host and each waiting task, no more: hosts
     without room for the smallest task are left out, and of a step that found no host no
-    other task is tried.
+    other task is tried.  Tasks of a step follow each other to a host until it is full.
     """
     if not pool.waiting:
         return 0
@@ -25,6 +31,7 @@
     if not hosts:
         return 0
     placed = 0
+    last: tuple[Task, Host] | None = None
     without_host: set[StepKey] = set()
     for task in sort_waiting(pool, now_ms):
         if task.key not in pool.waiting:
@@ -37,13 +44,17 @@
             hosts = [host for host in hosts if smallest.fits_in(host.free)]
             without_host.add(task.key.step_key)
             continue
-        host = choose_host(pool, task, hosts, now_s)
+        if last is not None and stays_best(task, *last):
+            host: Host | None = last[1]
+        else:
+            host = choose_host(pool, task, hosts, now_s)
         if host is None:
             if not task.runs:
                 without_host.add(task.key.step_key)
             continue
         pool.place(task, host)
         placed += 1
+        last = task, host
         if not smallest.fits_in(host.free):
             hosts.remove(host)
             if not hosts:
