Newest records are read page by page, and a failed page alone again; jobs kept in one hall

Cause: a take-over read all progress anew after any failure, each page with the store's usual time-out of 0.3 to 1.2 s, and a follower asked for up to 1 MB at once: over 10 Mbit/s shared with other traffic neither need ever end.

Jobs kept together: a job is late as soon as one of its tasks is, so its tasks run in one data hall where there is room. Not measured yet.

--- a/src/robinthread/_internal/durable/keyed_follower.py
+++ b/src/robinthread/_internal/durable/keyed_follower.py
@@ -6,6 +6,7 @@
 from typing import Final
 
 from robinthread._internal.durable.errors import HistoryGoneError, StoreError
+from robinthread._internal.durable.newest_reader import NewestReader
 from robinthread._internal.durable.store import KeyedRecord, Partition, ReadPage, Store
 from robinthread._internal.telemetry.event_log import EventLog
 
@@ -41,6 +42,8 @@
         self._partition = partition
         self._apply = apply
         self._events = events
+        self._reader = NewestReader(store, partition)
+        self._loading = asyncio.Lock()
         self._is_failing = False
         self._period_s = period_s
         self._hurry_period_s = 0.0
@@ -79,6 +82,7 @@
         """Stop following; what is known from now on is out of date."""
         self._is_wanted.clear()
         self.next_offset = None
+        self._reader = NewestReader(self._store, self._partition)
 
     def resume(self) -> None:
         """Follow again, from the newest record of each key."""
@@ -98,7 +102,9 @@
 
     async def _read_once(self, wait_s: float) -> int:
         if self.next_offset is None:
-            return await self._load()
+            async with self._loading:
+                if self.next_offset is None:
+                    return await self._load()
         try:
             page = await self._store.read(self._partition, self.next_offset, wait_s)
         except HistoryGoneError as error:
@@ -108,8 +114,9 @@
                 next_offset=self.next_offset,
                 first_offset=error.first,
             )
-            self.next_offset = None
-            return await self._load()
+            async with self._loading:
+                self.next_offset = None
+                return await self._load()
         return self._take(page)
 
     def _take(self, page: ReadPage) -> int:
@@ -122,7 +129,8 @@
         return len(new)
 
     async def _load(self) -> int:
-        newest = await self._store.read_newest(self._partition)
+        newest = await self._reader.read()
+        self._reader = NewestReader(self._store, self._partition)
         if self.next_offset is not None and self.next_offset > newest.next_offset:
             # Another read has come further meanwhile.
             return 0
--- a/src/robinthread/_internal/durable/store.py
+++ b/src/robinthread/_internal/durable/store.py
@@ -48,6 +48,18 @@
     end: int
 
 
+@dataclass(frozen=True, slots=True)
+class NewestPage:
+    """Some of the newest records; ``next_key`` is where the next page begins, if any.
+
+    ``next_offset`` is the partition's end when the page was read.
+    """
+
+    records: tuple[KeyedRecord, ...]
+    next_offset: int
+    next_key: str = ""
+
+
 @dataclass(frozen=True, slots=True)
 class NewestRecords:
     """The newest record of each key, and the offset from which to read on."""
@@ -79,8 +91,10 @@
     async def read(self, partition: Partition, from_offset: int, wait_s: float) -> ReadPage:
         """Read from an offset, waiting up to ``wait_s`` for a record."""
 
-    async def read_newest(self, partition: Partition) -> NewestRecords:
-        """Read the newest record of each key of a keyed topic."""
+    async def read_newest(
+        self, partition: Partition, after_key: str, timeout_s: float
+    ) -> NewestPage:
+        """Read a page of the newest record of each key; an empty key for the first page."""
 
     async def join(
         self, group: str, member: str, topics: Sequence[str], ttl_ms: int, generation: int
--- a/src/robinthread/_internal/jobs/pool_jobs.py
+++ b/src/robinthread/_internal/jobs/pool_jobs.py
@@ -88,8 +88,11 @@
         """Give a waiting task a host; the run may be sent once it is recorded."""
         self.waiting.pop(task.key, None)
         run = task.add_run(host.id, number)
-        host.add_run(run, task.step.room)
-        self._mark(self.jobs[task.key.job_id])
+        host.add_run(run, task.room)
+        job = self.jobs[task.key.job_id]
+        if job.hall is None:
+            job.hall = host.record.hall
+        self._mark(job)
         return run
 
     def ask_for_copy(self, task: Task) -> None:
--- a/src/robinthread/_internal/node/pool_owner.py
+++ b/src/robinthread/_internal/node/pool_owner.py
@@ -9,6 +9,7 @@
 from robinthread._internal.durable.errors import StoreError, StoreFencedError
 from robinthread._internal.durable.job_index import IndexedJob
 from robinthread._internal.durable.journal import Journal
+from robinthread._internal.durable.newest_reader import NewestReader
 from robinthread._internal.durable.store import NewestRecords, Partition
 from robinthread._internal.fleet.pool_report import FleetQuestion, HostStanding, PoolReport
 from robinthread._internal.jobs.demand import DemandMeter
@@ -206,9 +207,10 @@
             self._progress[progress.job_id] = progress
 
     async def _read_progress(self) -> NewestRecords:
+        reader = NewestReader(self._context.store, self._partition)
         while True:
             try:
-                return await self._context.store.read_newest(self._partition)
+                return await reader.read()
             except StoreFencedError:
                 raise
             except StoreError as error:
--- a/src/robinthread/_internal/node/steward.py
+++ b/src/robinthread/_internal/node/steward.py
@@ -5,6 +5,7 @@
 
 from robinthread._internal.durable.errors import StoreError, StoreFencedError
 from robinthread._internal.durable.journal import Journal
+from robinthread._internal.durable.newest_reader import NewestReader
 from robinthread._internal.durable.order_records import ORDERS_PARTITION
 from robinthread._internal.durable.ownership import Member, OwnerTable
 from robinthread._internal.durable.store import KeyedRecord, Partition
@@ -124,9 +125,10 @@
         return self._orders.cancel()
 
     async def _read_newest(self, partition: Partition) -> tuple[KeyedRecord, ...]:
+        reader = NewestReader(self._context.store, partition)
         while True:
             try:
-                return (await self._context.store.read_newest(partition)).records
+                return (await reader.read()).records
             except StoreError as error:
                 self._events.write("store_unread", topic=partition.topic, error=str(error))
                 await asyncio.sleep(RETRY_PAUSE_S)
--- a/src/robinthread/_internal/platform/store.py
+++ b/src/robinthread/_internal/platform/store.py
@@ -23,7 +23,7 @@
     AppendResult,
     KeyedRecord,
     Membership,
-    NewestRecords,
+    NewestPage,
     Partition,
     ReadPage,
     WriterStamp,
@@ -43,7 +43,8 @@
 # some 10 ms; when it is slow it may take 60 times that.
 CALL_TIMEOUT_MIN_S: Final = 0.3
 CALL_TIMEOUT_MAX_S: Final = 1.2
-LONG_READ_KB: Final = 1024
+# Most of one read: over 5 Mbit/s it takes 0.2 s, well within the time-out.
+LONG_READ_KB: Final = 128
 T = TypeVar("T")
 REFUSED_STATUSES: Final = frozenset({429, 503, 507})
 
@@ -130,24 +131,19 @@
             raise StoreNoAnswerError(f"malformed page: {error}") from error
         return ReadPage(records, from_offset + len(records), end)
 
-    async def read_newest(self, partition: Partition) -> NewestRecords:
-        """Read the newest record of each key of a keyed topic, over several pages.
-
-        The pages are no snapshot: what changes meanwhile lies at or after the
-        first page's end, so the reader goes on from there.
-        """
-        records: list[KeyedRecord] = []
-        next_offset: int | None = None
+    async def read_newest(
+        self, partition: Partition, after_key: str, timeout_s: float
+    ) -> NewestPage:
+        """Read a page of the newest record of each key; see ``Store``."""
         query = {"topic": partition.topic, "part": partition.number}
-        while True:
-            response = await self._call(f"/log-newest?{urlencode(query)}")
-            page = decode_answer(response, _WireNewest)
-            next_offset = page.end if next_offset is None else next_offset
-            records += [_decode_item(item) for item in page.items]
-            if not page.has_more or not page.items:
-                return NewestRecords(tuple(records), next_offset)
-            # On this call "depends_on" is the key after which the next page begins.
-            query["depends_on"] = page.items[-1].tls_key
+        if after_key:
+            # On this call "depends_on" is the key after which the page begins.
+            query["depends_on"] = after_key
+        response = await self._call(f"/log-newest?{urlencode(query)}", timeout_s=timeout_s)
+        page = decode_answer(response, _WireNewest)
+        records = tuple(map(_decode_item, page.items))
+        next_key = records[-1].key if page.has_more and records else ""
+        return NewestPage(records, page.end, next_key)
 
     async def join(
         self, group: str, member: str, topics: Sequence[str], ttl_ms: int, generation: int
@@ -176,19 +172,25 @@
         return frozenset(str(row[2]) for row in found.parts or found.owners if row[2])
 
     async def _call(
-        self, path: str, body: bytes | None = None, wait_s: float = 0.0
+        self,
+        path: str,
+        body: bytes | None = None,
+        wait_s: float = 0.0,
+        timeout_s: float | None = None,
     ) -> HTTPResponse:
         kind = path.removeprefix("/log-").partition("?")[0]
         with timed_call(self._metrics.note_store_call, kind):
-            return await self._call_once(path, body, wait_s)
+            return await self._call_once(path, body, wait_s, timeout_s)
 
-    async def _call_once(self, path: str, body: bytes | None, wait_s: float) -> HTTPResponse:
+    async def _call_once(
+        self, path: str, body: bytes | None, wait_s: float, timeout_s: float | None
+    ) -> HTTPResponse:
         began_at_s = time.monotonic()
         try:
             response = await call(
                 self._client,
                 self._base + path,
-                timeout_s=self._timeout.seconds + wait_s,
+                timeout_s=timeout_s or self._timeout.seconds + wait_s,
                 body=body,
                 headers=JSON_HEADERS if body is not None else None,
             )
@@ -197,7 +199,7 @@
         except CallLostError as error:
             self._timeout.note_lost()
             raise StoreNoAnswerError(str(error)) from error
-        if not wait_s:
+        if not wait_s and timeout_s is None:
             self._timeout.note_answer(time.monotonic() - began_at_s)
         if response.code != 200:
             raise _make_error(response)
--- a/src/robinthread/_internal/standins/store_standin.py
+++ b/src/robinthread/_internal/standins/store_standin.py
@@ -18,7 +18,7 @@
     AppendResult,
     KeyedRecord,
     Membership,
-    NewestRecords,
+    NewestPage,
     Partition,
     ReadPage,
     WriterStamp,
@@ -33,6 +33,7 @@
 CALL_TIMEOUT_S: Final = 1.2
 LATENCY_S: Final = 0.004
 ANSWERS_KEPT: Final = 5
+PAGE_RECORDS_MAX: Final = 500
 
 T = TypeVar("T")
 
@@ -102,12 +103,16 @@
 
 
 class StoreStandin:
-    """Partitions and groups, with faults and history that can be made to expire."""
+    """Partitions and groups, with faults and history that can be made to expire.
+
+    ``link_bytes_per_s`` is what the links of some callers carry of pages of newest records.
+    """
 
     def __init__(self, seed: int = 1) -> None:
         self.faults = CallFaults(seed, LATENCY_S)
         self._logs: dict[Partition, _Log] = defaultdict(_Log)
         self._groups: dict[str, _Group] = defaultdict(_Group)
+        self.link_bytes_per_s: dict[str, float] = {}
 
     def connect(self, caller: str) -> "StoreClient":
         """Return the store as one caller sees it."""
@@ -198,12 +203,26 @@
             return page
         return await self._call(work, is_change=False)
 
-    async def read_newest(self, partition: Partition) -> NewestRecords:
-        """Read the newest record of each key."""
+    async def read_newest(
+        self, partition: Partition, after_key: str, timeout_s: float
+    ) -> NewestPage:
+        """Read a page of the newest record of each key."""
         log = self._standin.get_log(partition)
-        return await self._call(
-            lambda: NewestRecords(tuple(log.newest.values()), log.end), is_change=False
-        )
+        keys = sorted(key for key in log.newest if key > after_key)
+        page = [log.newest[key] for key in keys[:PAGE_RECORDS_MAX]]
+        await self._carry(sum(len(record.value or b"") for record in page), timeout_s)
+        next_key = page[-1].key if len(keys) > len(page) else ""
+        return await self._call(lambda: NewestPage(tuple(page), log.end, next_key), is_change=False)
+
+    async def _carry(self, size_bytes: int, timeout_s: float) -> None:
+        """Wait for as long as an answer takes over the caller's link."""
+        link_bytes_per_s = self._standin.link_bytes_per_s.get(self._caller)
+        if link_bytes_per_s is None:
+            return
+        takes_s = size_bytes / link_bytes_per_s
+        await asyncio.sleep(min(takes_s, timeout_s))
+        if takes_s > timeout_s:
+            raise StoreNoAnswerError("the answer did not come in time")
 
     async def join(
         self, group: str, member: str, topics: Sequence[str], ttl_ms: int, generation: int
--- /dev/null
+++ b/tests/unit/test_newest_reader.py
@@ -0,0 +1,90 @@
+"""Reading the newest records over pages that fail and links that are slow."""
+
+from testtools import TestCase
+
+from robinthread._internal.durable.errors import StoreNoAnswerError
+from robinthread._internal.durable.newest_reader import PAGE_TIMEOUT_MIN_S, NewestReader
+from robinthread._internal.durable.store import NewestPage, NewestRecords, Partition
+from robinthread._internal.standins.store_standin import StoreClient, StoreStandin
+from tests.lib.virtual import run_virtual
+
+PARTITION = Partition("keyed.progress")
+KEYS = 1200
+VALUE = b"x" * 500
+TRIES_MAX = 20
+
+
+class _Flaky:
+    """A store whose pages of some numbers fail at their first try."""
+
+    def __init__(self, client: StoreClient, failing: set[int]) -> None:
+        self._client = client
+        self._failing = failing
+        self.asked: list[str] = []
+
+    async def read_newest(
+        self, partition: Partition, after_key: str, timeout_s: float
+    ) -> NewestPage:
+        self.asked.append(after_key)
+        if len(self.asked) in self._failing:
+            raise StoreNoAnswerError("lost")
+        return await self._client.read_newest(partition, after_key, timeout_s)
+
+
+def make_standin() -> StoreStandin:
+    """Make a store with more keys than fit into two pages."""
+    standin = StoreStandin()
+    for number in range(KEYS):
+        standin.put(PARTITION, f"{number:05}", VALUE)
+    return standin
+
+
+async def read_all(reader: NewestReader) -> NewestRecords:
+    """Read, trying again where a page fails."""
+    for _try in range(TRIES_MAX):
+        try:
+            return await reader.read()
+        except StoreNoAnswerError:
+            continue
+    raise AssertionError("the reader does not come to an end")
+
+
+class NewestReaderTest(TestCase):
+    def test_page_that_fails_is_read_again_and_none_before_it(self) -> None:
+        async def work() -> None:
+            store = _Flaky(make_standin().connect("n"), failing={3})
+            newest = await read_all(NewestReader(store, PARTITION))  # type: ignore[arg-type]
+            self.assertEqual(KEYS, len({record.key for record in newest.records}))
+            self.assertEqual(KEYS, newest.next_offset)
+            self.assertEqual(["", "00499", "00999", "00999"], store.asked)
+
+        run_virtual(work())
+
+    def test_reading_ends_where_a_page_takes_longer_than_a_call(self) -> None:
+        async def work() -> None:
+            standin = make_standin()
+            takes_s = 1.5 * PAGE_TIMEOUT_MIN_S
+            standin.link_bytes_per_s["n"] = 500 * len(VALUE) / takes_s
+            newest = await read_all(NewestReader(standin.connect("n"), PARTITION))
+            self.assertEqual(KEYS, len(newest.records))
+
+        run_virtual(work())
+
+    def test_records_that_come_between_pages_lie_after_the_end_it_tells(self) -> None:
+        async def work() -> None:
+            standin = make_standin()
+            store = _Flaky(standin.connect("n"), failing={2})
+            reader = NewestReader(store, PARTITION)  # type: ignore[arg-type]
+            await self._expect_failure(reader)
+            standin.put(PARTITION, "00001", b"newer")
+            newest = await reader.read()
+            self.assertEqual(KEYS, newest.next_offset)
+
+        run_virtual(work())
+
+    async def _expect_failure(self, reader: NewestReader) -> None:
+        try:
+            await reader.read()
+        except StoreNoAnswerError:
+            return
+        raise AssertionError("the page did not fail")
