--- a/src/robinthread/_internal/cli/verbs.py
+++ b/src/robinthread/_internal/cli/verbs.py
@@ -108,16 +108,24 @@
         pool: str = "",
         wave: str = "",
         chrome: str = "",
+        losses: bool = False,
     ) -> Deferred:
         """Tell a job's life from the nodes' log lines in a file, or standard input ("-").
 
         Without an id all lines are shown that --node, --host, --pool and --wave
-        leave; --chrome=FILE writes trace-event JSON.
+        leave; --chrome=FILE writes trace-event JSON.  --losses sums up, over all lines,
+        what cost the jobs their time that were late or failed.
         """
 
         def work() -> int:
-            from robinthread._internal.commands.explain import make_filters, run_explain
+            from robinthread._internal.commands.explain import (
+                make_filters,
+                run_explain,
+                run_losses,
+            )
 
+            if losses:
+                return run_losses(str(file), self._connection.is_json)
             pairs = (("node", node), ("host", host), ("pool", pool), ("wave", wave))
             filters = make_filters([(name, str(value)) for name, value in pairs])
             return run_explain(
--- a/src/robinthread/_internal/commands/explain.py
+++ b/src/robinthread/_internal/commands/explain.py
@@ -12,6 +12,7 @@
 from robinthread._internal.timeline.hybrid_clock import LOGICAL_BITS
 from robinthread._internal.timeline.job_story import format_lines, select_lines, sort_by_cause
 from robinthread._internal.timeline.log_line import LogLine, iter_log_lines
+from robinthread._internal.timeline.losses import find_losses, format_losses, sum_losses
 
 STANDARD_INPUT = "-"
 
@@ -35,6 +36,18 @@
     return 0
 
 
+def run_losses(file: str, is_json: bool) -> int:
+    """Print what cost the jobs their time that were late or failed."""
+    lines = list(_read(file))
+    losses = find_losses(lines)
+    rows = sum_losses(losses, lines)
+    if is_json:
+        print(msgspec.json.encode({"rows": rows, "jobs": losses}).decode())
+    else:
+        print("\n".join(format_losses(rows)))
+    return 0
+
+
 def _read(file: str) -> Iterator[LogLine]:
     if file == STANDARD_INPUT:
         yield from iter_log_lines(sys.stdin)
--- a/src/robinthread/_internal/jobs/demand.py
+++ b/src/robinthread/_internal/jobs/demand.py
@@ -136,13 +136,17 @@
         return self._mean_work.scale(self._get_rate_per_s(now_s))
 
     def _get_rate_per_s(self, now_s: float) -> float:
-        """Return the rate over both windows, or over the later one where it has risen."""
+        """Return the rate over both windows, or over the later one where it has risen.
+
+        A rise is carried forward by as much as the policy says.
+        """
         total = len(self._arrivals_s)
         recent = sum(now_s - at_s <= RATE_WINDOW_S for at_s in self._arrivals_s)
         rise = 2 * recent - total
         if recent < 2 or rise < RISE_DEVIATIONS_MIN * math.sqrt(total):
             return total / (2 * RATE_WINDOW_S)
-        return recent / RATE_WINDOW_S
+        ahead_windows = self._policy.rise_ahead_s / RATE_WINDOW_S
+        return (recent + rise * ahead_windows) / RATE_WINDOW_S
 
 
 def _find_late(pool: PoolJobs, now_ms: int) -> frozenset[Place]:
--- a/src/robinthread/_internal/node/election.py
+++ b/src/robinthread/_internal/node/election.py
@@ -17,7 +17,9 @@
 from robinthread._internal.utils.rendezvous import get_rendezvous_weight
 
 GROUP: Final = "robinthread"
-GROUP_TOPICS: Final = ("robinthread.members",)
+# Only members that hold a partition are listed, and a topic may have as few as twelve:
+# with so many topics each of some hundred nodes holds one.
+GROUP_TOPICS: Final = tuple(f"robinthread.members.{number}" for number in range(8))
 # The pool of no hosts whose owner gives all orders for machines.
 FLEET: Final = "fleet/machines"
 # A member that has said nothing for so long is taken as gone.
--- a/src/robinthread/_internal/settings/check.py
+++ b/src/robinthread/_internal/settings/check.py
@@ -12,6 +12,8 @@
 POLICIES: Final = ("planner", "one_at_a_time", "batch")
 # More than callers bear beside a job's own work in any queue seen.
 SLACK_MARGIN_MAX_S: Final = 5.0
+# Beyond it a rise would be carried forward by more than it has lasted.
+RISE_AHEAD_MAX_S: Final = 2.0
 MAY_BE_ZERO: Final = frozenset(
     {
         "buffer_weight",
@@ -48,6 +50,7 @@
 def iter_policy_conflicts(policy: PolicySettings) -> Iterator[Conflict]:
     """Iterate over the settings of a policy that are out of range."""
     bounds = {
+        "demand.rise_ahead_s": (policy.demand.rise_ahead_s, RISE_AHEAD_MAX_S),
         "demand.late_share": (policy.demand.late_share, 1.0),
         "placement.slack_margin_s": (policy.placement.slack_margin_s, SLACK_MARGIN_MAX_S),
     }
--- a/src/robinthread/_internal/settings/policy_settings.py
+++ b/src/robinthread/_internal/settings/policy_settings.py
@@ -40,10 +40,13 @@
 class DemandPolicy:
     """How a pool's need is forecast.
 
+    ``rise_ahead_s``: for how long a rise of demand is taken to go on at its pace; zero
+    takes it to have ended.
     ``late_share``: the share of the room of jobs that can no longer be on time for which
     hosts are asked; 1 treats them as all others.
     """
 
+    rise_ahead_s: float = 0.9
     late_share: float = 0.25
 
 
--- a/src/robinthread/_internal/standins/store_standin.py
+++ b/src/robinthread/_internal/standins/store_standin.py
@@ -1,6 +1,7 @@
 """The platform's store in memory."""
 
 import asyncio
+import itertools
 from collections import defaultdict
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
@@ -34,6 +35,7 @@
 LATENCY_S: Final = 0.004
 ANSWERS_KEPT: Final = 5
 PAGE_RECORDS_MAX: Final = 500
+TOPIC_PARTITIONS: Final = 12
 
 T = TypeVar("T")
 
@@ -99,6 +101,7 @@
 class _Group:
     generation: int = 0
     seen_at_s: dict[str, float] = field(default_factory=dict)
+    topic_count: int = 1
     ttl_s: dict[str, float] = field(default_factory=dict)
 
 
@@ -234,6 +237,7 @@
             found.generation += member not in found.seen_at_s
             found.seen_at_s[member] = asyncio.get_running_loop().time()
             found.ttl_s[member] = ttl_ms / 1000
+            found.topic_count = len(topics)
             return Membership(found.generation)
 
         return await self._call(work)
@@ -248,10 +252,14 @@
         await self._call(work)
 
     async def list_members(self, group: str) -> frozenset[str]:
-        """List the members of a group."""
-        return await self._call(
-            lambda: frozenset(self._standin.get_group(group).seen_at_s), is_change=False
-        )
+        """List the members of a group that hold a partition: the first ones, one each."""
+
+        def work() -> frozenset[str]:
+            found = self._standin.get_group(group)
+            held = found.topic_count * TOPIC_PARTITIONS
+            return frozenset(itertools.islice(found.seen_at_s, held))
+
+        return await self._call(work, is_change=False)
 
     async def _call(self, work: Callable[[], T], is_change: bool = True) -> T:
         faults = self._standin.faults
--- /dev/null
+++ b/src/robinthread/_internal/timeline/losses.py
@@ -0,0 +1,213 @@
+"""Which leg cost the jobs their time that were late or failed, from the log lines of a day."""
+
+import itertools
+import math
+from collections import defaultdict
+from collections.abc import Iterable, Sequence
+from dataclasses import dataclass
+from typing import Final
+
+from robinthread._internal.timeline.log_line import LogLine
+
+# How long a moment is over which losses are summed.
+MOMENT_S: Final = 2.0
+
+OWNER_AWAY: Final = "owner away"
+STORE_AWAY: Final = "store away"
+RUN_AGAIN: Final = "run again"
+NO_ROOM: Final = "no room"
+AT_WORK: Final = "at work"
+SHOWN_LATE: Final = "end recorded late"
+UNKNOWN: Final = "not in the lines"
+
+Span = tuple[float, float]
+
+
+@dataclass(frozen=True, slots=True)
+class JobLoss:
+    """A job that was late or failed, and its seconds by leg.
+
+    ``accepted_at_s`` is Unix time.  A leg that overlaps one that stands before it in
+    ``LEGS`` counts only what is left.
+    """
+
+    job: str
+    queue: str
+    pool: str
+    accepted_at_s: float
+    late_s: float
+    legs_s: dict[str, float]
+
+    @property
+    def cause(self) -> str:
+        """Return the leg beside the work itself that took longest."""
+        legs_s = {leg: took_s for leg, took_s in self.legs_s.items() if leg != AT_WORK}
+        return max(legs_s, key=lambda leg: legs_s[leg], default=UNKNOWN)
+
+
+@dataclass(frozen=True, slots=True)
+class LossRow:
+    """Late jobs of one queue, moment and cause, with the pool's size as last told."""
+
+    queue: str
+    moment_s: float
+    cause: str
+    job_count: int
+    late_s: float
+    pool_size: str
+
+
+LEGS: Final = (OWNER_AWAY, STORE_AWAY, RUN_AGAIN, AT_WORK, NO_ROOM, SHOWN_LATE)
+
+
+def find_losses(lines: Sequence[LogLine]) -> list[JobLoss]:
+    """Return the jobs that the lines show as late or failed, in the order of acceptance."""
+    by_job: dict[str, list[LogLine]] = defaultdict(list)
+    for line in lines:
+        if line.job:
+            by_job[line.job].append(line)
+    owners_away = _find_spans(lines, "pool", {"pool_closed", "pool_fenced"}, {"pool_opened"})
+    stores_away = _find_spans(lines, "writer", {"journal_stalled"}, {"journal_resumed"})
+    losses = (
+        _judge(own, owners_away, stores_away)
+        for own in by_job.values()
+        if any(line.event in ("job_ended", "job_failed") for line in own)
+    )
+    found = [loss for loss in losses if loss is not None]
+    return sorted(found, key=lambda loss: loss.accepted_at_s)
+
+
+def sum_losses(losses: Iterable[JobLoss], lines: Sequence[LogLine]) -> list[LossRow]:
+    """Sum losses by queue, moment and cause, the dearest first; moments count from the first."""
+    losses = list(losses)
+    if not losses:
+        return []
+    began_s = min(line.at_s for line in lines)
+    groups: dict[tuple[str, float, str], list[JobLoss]] = defaultdict(list)
+    for loss in losses:
+        moment_s = MOMENT_S * math.floor((loss.accepted_at_s - began_s) / MOMENT_S)
+        groups[loss.queue, moment_s, loss.cause].append(loss)
+    rows = (
+        LossRow(
+            queue,
+            moment_s,
+            cause,
+            len(group),
+            round(sum(loss.late_s for loss in group), 3),
+            _get_pool_size(lines, group[0].pool, began_s + moment_s + MOMENT_S),
+        )
+        for (queue, moment_s, cause), group in groups.items()
+    )
+    return sorted(rows, key=lambda row: (-row.job_count, row.moment_s, row.queue))
+
+
+def format_losses(rows: Sequence[LossRow]) -> list[str]:
+    """Write a table for a person."""
+    head = f"{'from s':>7s} {'queue':16s} {'cause':18s} {'jobs':>5s} {'late s':>8s}  pool"
+    return [head] + [
+        f"{row.moment_s:7.0f} {row.queue:16s} {row.cause:18s} {row.job_count:5d} "
+        f"{row.late_s:8.1f}  {row.pool_size}"
+        for row in rows
+    ]
+
+
+def _judge(
+    own: Sequence[LogLine],
+    owners_away: dict[str, list[Span]],
+    stores_away: dict[str, list[Span]],
+) -> JobLoss | None:
+    """Return a job's loss, or None where it was on time."""
+    end = next(line for line in own if line.event in ("job_ended", "job_failed"))
+    took_s = end.fields.get("took_ms", 0) / 1000
+    late_s = took_s - end.fields.get("allowed_ms", 0) / 1000
+    if end.fields.get("outcome") == "canceled" or (late_s <= 0 and end.event != "job_failed"):
+        return None
+    accepted_s = next((line.at_s for line in own if line.event == "job_accepted"), math.inf)
+    accepted_s = min(accepted_s, end.at_s - took_s)
+    pool = str(end.fields.get("pool", ""))
+    runs_s = _list_runs(own)
+    again_s = [span for task, spans in runs_s.items() for span in spans[:-1]]
+    work_s = [spans[-1] for spans in runs_s.values()]
+    last_s = max((until_s for _from_s, until_s in work_s), default=end.at_s)
+    known = {
+        OWNER_AWAY: owners_away.get(pool, []) + _before_taken(own, accepted_s),
+        STORE_AWAY: stores_away.get(f"pool/{pool}", []),
+        RUN_AGAIN: again_s,
+        AT_WORK: work_s,
+        SHOWN_LATE: [(last_s, end.at_s)],
+        NO_ROOM: [(accepted_s, last_s)],
+    }
+    return JobLoss(
+        end.job,
+        str(end.fields.get("queue", "")),
+        pool,
+        accepted_s,
+        round(late_s, 3),
+        _share_out((accepted_s, end.at_s), known),
+    )
+
+
+def _before_taken(own: Sequence[LogLine], accepted_s: float) -> list[Span]:
+    taken_s = min((line.at_s for line in own if line.event == "job_taken"), default=accepted_s)
+    return [(accepted_s, max(accepted_s, taken_s))]
+
+
+def _list_runs(own: Sequence[LogLine]) -> dict[str, list[Span]]:
+    """Return, by task, when each of its runs was on a host."""
+    runs_s: dict[str, dict[int, list[float]]] = defaultdict(dict)
+    for line in own:
+        if line.event in ("run_started", "run_ended", "run_failed"):
+            task, run = str(line.fields.get("task")), int(line.fields.get("run", 0))
+            runs_s[task].setdefault(run, []).append(line.at_s)
+    return {
+        task: [(min(at_s), max(at_s)) for _run, at_s in sorted(runs.items())]
+        for task, runs in runs_s.items()
+    }
+
+
+def _share_out(whole: Span, known: dict[str, list[Span]]) -> dict[str, float]:
+    """Cut a job's time at all ends of spans, and give each piece to the first leg it is in."""
+    cuts = sorted(
+        {*whole, *itertools.chain.from_iterable(itertools.chain.from_iterable(known.values()))}
+    )
+    cuts = [cut for cut in cuts if whole[0] <= cut <= whole[1]]
+    legs_s: dict[str, float] = defaultdict(float)
+    for from_s, until_s in itertools.pairwise(cuts):
+        middle_s = (from_s + until_s) / 2
+        leg = next((leg for leg in LEGS if _covers(known[leg], middle_s)), UNKNOWN)
+        legs_s[leg] += until_s - from_s
+    return {leg: round(took_s, 3) for leg, took_s in legs_s.items()}
+
+
+def _covers(spans: Iterable[Span], at_s: float) -> bool:
+    return any(from_s <= at_s < until_s for from_s, until_s in spans)
+
+
+def _find_spans(
+    lines: Sequence[LogLine], key: str, begins: set[str], ends: set[str]
+) -> dict[str, list[Span]]:
+    """Return, by the value of a field, the times between a beginning and the next end."""
+    spans: dict[str, list[Span]] = defaultdict(list)
+    began_s: dict[str, float] = {}
+    for line in sorted(lines, key=lambda line: line.at_s):
+        name = str(line.fields.get(key, ""))
+        if line.event in begins:
+            began_s.setdefault(name, line.at_s)
+        elif line.event in ends and name in began_s:
+            spans[name].append((began_s.pop(name), line.at_s))
+    return spans
+
+
+def _get_pool_size(lines: Sequence[LogLine], pool: str, until_s: float) -> str:
+    """Return a pool's size as the steward last told before a time."""
+    told = [
+        line
+        for line in lines
+        if line.event == "pool_sized" and line.fields.get("pool") == pool and line.at_s <= until_s
+    ]
+    if not told:
+        return "not told"
+    fields = max(told, key=lambda line: line.at_s).fields
+    return (
+        f"{fields['usable']} usable, {fields['arriving']} arriving, {fields['fetch_count']} wanted"
+    )
--- /dev/null
+++ b/tests/functional/test_many_nodes.py
@@ -0,0 +1,30 @@
+"""More nodes than one topic of the store has partitions."""
+
+import asyncio
+
+from testtools import TestCase
+
+from robinthread._internal.standins.store_standin import TOPIC_PARTITIONS
+from tests.lib.job_platforms import get_owner, start_platform, wait_until
+from tests.lib.virtual import run_virtual
+
+NODES = 3 * TOPIC_PARTITIONS
+
+
+class ManyNodesTest(TestCase):
+    def test_owner_that_joined_last_counts_as_living(self) -> None:
+        async def work() -> None:
+            platform = await start_platform(nodes=NODES)
+            platform.start_node("large", capacity_millicores=50_000)
+            await asyncio.sleep(2)
+            first = get_owner(platform)
+            assert first is not None
+            platform.kill_node(first)
+            await wait_until(lambda: get_owner(platform) == "large", 5)
+            before = len(platform.events)
+            await asyncio.sleep(60)
+            taken = [line for line in platform.events[before:] if b'"pool_taken"' in line]
+            self.assertEqual([], taken)
+            self.assertEqual("large", get_owner(platform))
+
+        run_virtual(work())
