--- a/src/robinthread/_internal/jobs/job.py
+++ b/src/robinthread/_internal/jobs/job.py
@@ -14,8 +14,7 @@
 
     ``status`` is what has been decided.  ``recorded_status`` is what the store
     holds, and all that may be shown: a status that is not kept could be taken
-    back by the pool's next owner.  ``hall`` is the data hall of the task that was placed
-    first.
+    back by the pool's next owner.
     """
 
     def __init__(self, spec: JobSpec, policy: QueuePolicy, offset: int) -> None:
@@ -25,7 +24,6 @@
         self.status = JobStatus.QUEUED
         self.recorded_status = JobStatus.QUEUED
         self.ended_at_ms = 0
-        self.hall: str | None = None
         self.has_begun = False
         self.next_occurrence = 0
         self.tasks: dict[TaskKey, Task] = {}
--- a/src/robinthread/_internal/jobs/placement.py
+++ b/src/robinthread/_internal/jobs/placement.py
@@ -14,9 +14,7 @@
 def choose_host(pool: PoolJobs, task: Task, hosts: Iterable[Host], now_s: float) -> Host | None:
     """Return the best of the usable ``hosts`` that may run a task."""
     fitting = iter_fitting(pool, task, hosts, now_s)
-    job = pool.jobs[task.key.job_id]
-    hall = job.hall if pool.policy.keeps_jobs_together else None
-    return max(fitting, key=lambda host: _get_worth(host, task, hall), default=None)
+    return max(fitting, key=lambda host: _get_worth(host, task), default=None)
 
 
 def stays_best(task: Task, last: Task, host: Host) -> bool:
@@ -116,12 +114,11 @@
     return (job.policy.priority, True, is_late, rank_s, job.offset, occurrence)
 
 
-def _get_worth(host: Host, task: Task, hall: str | None) -> tuple[bool, bool, int, float]:
-    """Rank hosts for a task of a job that began in a data hall.
+def _get_worth(host: Host, task: Task) -> tuple[bool, bool, int, float]:
+    """Rank hosts for a task.
 
-    Tasks that end are packed, so that hosts fall empty and can leave the pool, and kept in
-    one hall: a job is late as soon as one of its tasks is.  Those that last are spread, so
-    that few are lost with a host.
+    Tasks that end are packed, so that hosts fall empty and can leave the pool;
+    those that last are spread, so that few are lost with a host.
     """
     step: StepSpec = task.step
     is_near = not step.near_rack or host.record.rack == step.near_rack
@@ -129,4 +126,4 @@
     free_share = host.free.cpu_millicores / max(1, host.record.room.cpu_millicores)
     if step.is_lasting:
         return (has_not_failed, is_near, -count_step_runs(task, host), free_share)
-    return (has_not_failed, is_near, int(host.record.hall == hall), -free_share)
+    return (has_not_failed, is_near, 0, -free_share)
--- a/src/robinthread/_internal/jobs/pool_jobs.py
+++ b/src/robinthread/_internal/jobs/pool_jobs.py
@@ -89,10 +89,7 @@
         self.waiting.pop(task.key, None)
         run = task.add_run(host.id, number)
         host.add_run(run, task.room)
-        job = self.jobs[task.key.job_id]
-        if job.hall is None:
-            job.hall = host.record.hall
-        self._mark(job)
+        self._mark(self.jobs[task.key.job_id])
         return run
 
     def ask_for_copy(self, task: Task) -> None:
--- a/src/robinthread/_internal/settings/policy_settings.py
+++ b/src/robinthread/_internal/settings/policy_settings.py
@@ -59,12 +59,10 @@
     its forecast.  Zero switches the margin off.
     ``doubts_silent_hosts``: a host that leaves an order unanswered for 0.15 s gets no more
     work until it answers, nor do all others of its data hall where several do.
-    ``keeps_jobs_together``: the tasks of a job run in one data hall where there is room.
     """
 
     slack_margin_s: float = 0.2
     doubts_silent_hosts: bool = True
-    keeps_jobs_together: bool = True
 
 
 @dataclass(frozen=True)
