A rejected start is no proof where an earlier one had no answer

A start to be carried out late was forgotten in the same way after a rejection for want of room. Ruled out: ends that were missed: the host lists them until they are acknowledged. Change: too old has the next report tell how the run ended; any other rejection after a start without answer has the run stopped first.

--- a/src/robinthread/_internal/node/order_sender.py
+++ b/src/robinthread/_internal/node/order_sender.py
@@ -1,6 +1,7 @@
 """Sending orders to a pool's hosts until they are answered."""
 
 import asyncio
+import enum
 from typing import Final
 
 from robinthread._internal.jobs.host import Host, HostContact
@@ -12,6 +13,7 @@
     HostUnhealthyError,
     HostUnreachableError,
     NoRoomError,
+    RunTooOldError,
     StartRejectedError,
     TicketRejectedError,
 )
@@ -39,6 +41,20 @@
 STOP_MARGIN_S: Final = 0.2
 
 
+class StartOutcome(enum.Enum):
+    """How one sending of a start went.
+
+    SETTLED: nothing more is to be done for the run here.  UNANSWERED: it may have been
+    carried out, or may be later.  UNSENT: it did not reach the host.  GIVEN_UP: the host
+    rejected it, but an earlier one may be carried out, so the run is to be stopped.
+    """
+
+    SETTLED = "settled"
+    UNANSWERED = "unanswered"
+    UNSENT = "unsent"
+    GIVEN_UP = "given up"
+
+
 class OrderSender:
     """Sends starts and stops; each host takes a few at once."""
 
@@ -58,15 +74,19 @@
         if host is None or job is None:
             return
         async with self._get_slot(host.id):
-            tries = 0
+            tries, sent_count = 0, 0
             while tries < START_TRIES and host.contact is HostContact.ANSWERING:
                 if run.phase is not RunPhase.SENDING:
                     return
                 until_ms = self._grant(host)
                 if until_ms is not None:
                     tries += 1
-                    if await self._try_start(run, host, job, until_ms):
+                    outcome = await self._try_start(run, host, job, until_ms, sent_count > 0)
+                    if outcome is StartOutcome.SETTLED:
                         return
+                    if outcome is StartOutcome.GIVEN_UP:
+                        break
+                    sent_count += outcome is StartOutcome.UNANSWERED
                 await asyncio.sleep(RETRY_PAUSE_S)
         self._runtime.jobs.stop(run)
         self._runtime.wake()
@@ -138,8 +158,14 @@
         lease_ms = self._runtime.get_lease_ms()
         return None if lease_ms is None else host.lease.grant(lease_ms, get_loop_s())
 
-    async def _try_start(self, run: Run, host: Host, job: Job, until_ms: int) -> bool:
-        """Send one start; return whether it is settled."""
+    async def _try_start(
+        self, run: Run, host: Host, job: Job, until_ms: int, may_be_there: bool
+    ) -> StartOutcome:
+        """Send one start.
+
+        ``may_be_there`` where an earlier one had no answer: it may have been carried out,
+        or may be later, whatever the host says to this one.
+        """
         tickets, step = self._runtime.jobs.tickets, run.task.step_key
         order = StartOrder(
             run.task,
@@ -156,17 +182,24 @@
             host.note_answered()
         except HostFencedError:
             raise
+        except RunTooOldError:
+            # The run has ended there: the next report tells how.
+            host.note_answered()
+            run.settled_at_s = get_loop_s()
         except NoRoomError:
             host.health.pause(NO_ROOM_PAUSE_S, get_loop_s())
-            self._reject(run, host, "no room")
+            return self._reject(run, host, "no room", may_be_there)
         except TicketRejectedError:
             tickets.drop(step, host.id)
-            self._reject(run, host, "ticket")
+            return self._reject(run, host, "ticket", may_be_there)
         except HostUnhealthyError as error:
             host.health.pause(UNHEALTHY_PAUSE_S, get_loop_s())
-            self._reject(run, host, str(error))
-        except (StartRejectedError, HostGoneError) as error:
-            self._reject(run, host, f"{type(error).__name__}: {error}")
+            return self._reject(run, host, str(error), may_be_there)
+        except StartRejectedError as error:
+            return self._reject(run, host, f"{type(error).__name__}: {error}", may_be_there)
+        except HostGoneError as error:
+            # Whatever ran there has ended with its life.
+            return self._reject(run, host, str(error), may_be_there=False)
         except (HostNoAnswerError, HostUnreachableError) as error:
             self._events.write(
                 "start_unanswered",
@@ -176,7 +209,8 @@
                 host=host.id,
                 error=type(error).__name__,
             )
-            return False
+            is_sent = isinstance(error, HostNoAnswerError)
+            return StartOutcome.UNANSWERED if is_sent else StartOutcome.UNSENT
         else:
             self._runtime.jobs.confirm_start(run, get_loop_s())
             since_accepted_ms = self._context.get_wall_ms() - job.spec.accepted_at_ms
@@ -191,10 +225,10 @@
                 token=self._runtime.token,
                 since_accepted_ms=since_accepted_ms,
             )
-        return True
+        return StartOutcome.SETTLED
 
-    def _reject(self, run: Run, host: Host, reason: str) -> None:
-        """Take back a run that its host will not start."""
+    def _reject(self, run: Run, host: Host, reason: str, may_be_there: bool) -> StartOutcome:
+        """Take back a run that its host will not start, unless an earlier order may."""
         host.note_answered()
         self._events.write(
             "start_rejected",
@@ -203,9 +237,13 @@
             run=run.number,
             host=host.id,
             reason=reason,
+            may_be_there=may_be_there,
         )
+        if may_be_there:
+            return StartOutcome.GIVEN_UP
         self._runtime.jobs.forget_run(run)
         self._runtime.wake()
+        return StartOutcome.SETTLED
 
     def _find(self, run: Run) -> tuple[Host | None, Job | None]:
         jobs = self._runtime.jobs
