--- a/src/robinthread/_internal/node/pool_owner.py
+++ b/src/robinthread/_internal/node/pool_owner.py
@@ -4,43 +4,37 @@
 from collections import Counter
 from typing import Final
 
-import msgspec
-
-from robinthread._internal.durable.errors import StoreError, StoreFencedError
 from robinthread._internal.durable.job_index import IndexedJob
 from robinthread._internal.durable.journal import Journal
-from robinthread._internal.durable.newest_reader import NewestReader
-from robinthread._internal.durable.store import NewestRecords, Partition
-from robinthread._internal.fleet.pool_report import FleetQuestion, HostStanding, PoolReport
+from robinthread._internal.durable.store import Partition
+from robinthread._internal.fleet.pool_report import FleetQuestion, PoolReport
 from robinthread._internal.jobs.demand import DemandMeter
-from robinthread._internal.jobs.doubts import list_doubted
-from robinthread._internal.jobs.host import Host, HostContact
+from robinthread._internal.jobs.host import Host
 from robinthread._internal.jobs.host_lease import get_lapse_time_s
 from robinthread._internal.jobs.job import Job
 from robinthread._internal.jobs.pool_jobs import PoolJobs
-from robinthread._internal.jobs.progress import JobProgress, decode_progress
+from robinthread._internal.jobs.progress import JobProgress
 from robinthread._internal.jobs.scheduling import place_waiting
 from robinthread._internal.models.job_status import JobStatus
 from robinthread._internal.models.queue_policy import QueuePolicy
-from robinthread._internal.models.resources import Resources
 from robinthread._internal.models.upstream_host import UpstreamHost
 from robinthread._internal.node.advice_taker import AdviceTaker
 from robinthread._internal.node.context import NodeContext
 from robinthread._internal.node.host_follower import HostFollower
 from robinthread._internal.node.order_sender import OrderSender
+from robinthread._internal.node.pool_reporting import make_pool_report
 from robinthread._internal.node.pool_runtime import (
     LEASE_MS,
     PoolRuntime,
     get_loop_s,
 )
+from robinthread._internal.node.progress_loader import load_progress
 from robinthread._internal.node.recorder import Recorder
 from robinthread._internal.node.retention import Retention
 from robinthread._internal.node.run_minder import RunMinder
 from robinthread._internal.utils.waiting import wait_for_event
 
 PROGRESS_TOPIC: Final = "keyed.progress"
-# Pause before a failed read of the store is made again.
-RETRY_PAUSE_S: Final = 0.1
 # After tasks were placed, so many times as long as that took is left to other work: what
 # changes meanwhile is placed together.  A quarter of the processor at most goes there.
 PLACING_PAUSE_SHARE: Final = 3.0
@@ -177,18 +171,7 @@
         if question.expects_hosts:
             self._context.expect_hosts()
         self._runtime.wake()
-        doubted = list_doubted(self.jobs, now_s)
-        return PoolReport(
-            is_owner=True,
-            fetch_room=_as_tuple(demand.fetch),
-            keep_room=_as_tuple(demand.keep),
-            hosts=tuple(
-                _make_standing(host, host.id not in doubted, now_s)
-                for host in self.jobs.hosts.values()
-                if host.is_listed
-            ),
-            hosts_min=demand.hosts_min,
-        )
+        return make_pool_report(self.jobs, demand, now_s)
 
     async def _load_progress(self) -> None:
         """Shut out older owners, then read what they have recorded."""
@@ -196,26 +179,8 @@
         # From here on no older owner is confirmed any more.
         last_grant_s = get_loop_s() + self._predecessors_grant_s
         self.jobs.foreign_lease_over_at_s = get_lapse_time_s(LEASE_MS, last_grant_s)
-        for record in (await self._read_progress()).records:
-            if record.value is None:
-                continue
-            try:
-                progress = decode_progress(record.value)
-            except msgspec.MsgspecError as error:
-                self._events.write("record_malformed", key=record.key, error=str(error))
-                continue
-            self._progress[progress.job_id] = progress
-
-    async def _read_progress(self) -> NewestRecords:
-        reader = NewestReader(self._context.store, self._partition)
-        while True:
-            try:
-                return await reader.read()
-            except StoreFencedError:
-                raise
-            except StoreError as error:
-                self._events.write("progress_unread", pool=self.pool, error=str(error))
-                await asyncio.sleep(RETRY_PAUSE_S)
+        loaded = await load_progress(self._context.store, self._partition, self.pool, self._events)
+        self._progress.update(loaded)
 
     def _take_job(self, indexed: IndexedJob) -> None:
         """Take in a job that is new or newly cancelled."""
@@ -323,20 +288,3 @@
         self._ended_hosts.add(host_id)
         self._events.write("host_ended", host=host_id, pool=self.pool, reason=reason)
         self.jobs.remove_host(host_id, self._context.get_wall_ms())
-
-
-def _as_tuple(room: Resources) -> tuple[int, int, int]:
-    return room.cpu_millicores, room.memory_mb, room.gpu_count
-
-
-def _make_standing(host: Host, is_trusted: bool, now_s: float) -> HostStanding:
-    return HostStanding(
-        machine=host.record.machine,
-        host_id=host.id,
-        is_usable=is_trusted
-        and host.contact is HostContact.ANSWERING
-        and not host.record.is_draining,
-        is_vacating=now_s < host.vacating_until_s,
-        run_count=len(host.runs),
-        lasting_count=sum(run.is_lasting for run in host.runs.values()),
-    )
