--- a/src/robinthread/_internal/node/process.py
+++ b/src/robinthread/_internal/node/process.py
@@ -82,6 +82,7 @@
         capacity_millicores=capacity_millicores,
     )
     assembled = assemble_node(holder, make_environment(settings, events, policy), me)
+    metrics.observe("loop_lag_seconds", "of", lambda: {"event loop": assembled.lag.lag_s})
     callers = _serve(assembled, settings, peer_address, events)
     if metrics_port is not None:
         address = f"{settings.ip}:{metrics_port}"
