Pools are passed to nodes that can carry them, also by nodes that the store turns away

Ruled out: the choice at the start, which gave each large node one pool. Change: least load for its capacity; a single pool is passed on too where another would carry it with three quarters of the load or less. Two tests fail before. test_many_nodes looked at all pools: the largest node is now passed others, so it looks at the one that it took.

--- a/src/robinthread/_internal/node/handover.py
+++ b/src/robinthread/_internal/node/handover.py
@@ -33,8 +33,8 @@
 
     ``stopped_tokens`` are the tokens of owners that stopped before they passed
     their pool on: by pool, the newest.  ``served`` are the other nodes that the
-    store serves while it does not serve this one, the one with the fewest pools
-    first; there are none in an outage for all.
+    store serves while it does not serve this one, the one first that would have the
+    least load for its capacity; there are none in an outage for all.
     """
 
     def __init__(
@@ -67,11 +67,15 @@
         others = sorted(self._election.members - {self._me})
         answers = await asyncio.gather(*map(self.ask_store, others))
         served = sorted(
-            (answer.owned_count, get_rendezvous_weight(self._me.node, member.node), member)
+            (
+                (answer.owned_count + 1) / member.capacity_millicores,
+                get_rendezvous_weight(self._me.node, member.node),
+                member,
+            )
             for member, answer in zip(others, answers, strict=True)
             if answer.is_served
         )
-        return tuple(member for _count, _weight, member in served)
+        return tuple(member for _load, _weight, member in served)
 
     async def pass_on(self, taker: Member, tokens: dict[str, int]) -> None:
         """Have a node take pools over whose owner here has stopped."""
--- a/src/robinthread/_internal/node/relief.py
+++ b/src/robinthread/_internal/node/relief.py
@@ -72,8 +72,7 @@
         is_late = self._policy.relieves_late_nodes and self._lag.lag_s > LAG_MAX_S
         loads = self._count_loads()
         choices = self._list_takers(loads, 1.0 if is_late else CROWDED_SHARE)
-        may_spread = self._policy.spreads_pools and loads[self._me] > 1
-        if not choices or not (is_late or may_spread):
+        if not choices or not (is_late or self._policy.spreads_pools):
             self._wanting_since_s = None
             return None
         if self._wanting_since_s is None:
