Failing tests: reading a partition to its end does not end while it grows

Cause: KeyedFollower.read_to_end reads on until one read brings nothing. A pool's next owner opens only when its inbox and its hosts are read to the end. Ruled out: that two readers of one partition show it.

--- a/src/robinthread/_internal/standins/platform_standin.py
+++ b/src/robinthread/_internal/standins/platform_standin.py
@@ -209,6 +209,19 @@
         """Have the store list a host."""
         self.store.put(HOSTS, record.id, msgspec.msgpack.encode(record))
 
+    async def keep_heartbeats(self, period_s: float) -> None:
+        """Have each listed host renew its entry every ``period_s``, in turn, until cancelled."""
+        while True:
+            entries = self.store.get_newest(HOSTS)
+            for host_id in entries:
+                await asyncio.sleep(period_s / len(entries))
+                # A host may have left the list meanwhile.
+                value = self.store.get_newest(HOSTS).get(host_id)
+                if value is not None:
+                    self.store.put(HOSTS, host_id, value)
+            if not entries:
+                await asyncio.sleep(period_s)
+
     def unlist_host(self, host_id: str) -> None:
         """Have the store list a host no more."""
         self.store.put(HOSTS, host_id, None)
--- /dev/null
+++ b/tests/unit/test_keyed_follower.py
@@ -0,0 +1,86 @@
+"""Reading a partition to the end while it grows as fast as it is read."""
+
+import asyncio
+
+from testtools import TestCase
+
+from robinthread._internal.durable.keyed_follower import KeyedFollower
+from robinthread._internal.durable.store import KeyedRecord, Partition
+from robinthread._internal.standins.store_standin import StoreStandin
+from robinthread._internal.telemetry.event_log import EventLog
+from tests.lib.virtual import run_virtual
+
+PARTITION = Partition("keyed.hosts")
+# A store that is 60 times slower than usual, and entries that change 60 times a second.
+SLOW_ANSWER_S = 0.24
+GROWTH_PERIOD_S = 1 / 60
+GROWS_FOR_S = 60.0
+# One read of the newest records and one of what came meanwhile, and some to spare.
+TO_END_MAX_S = 4 * SLOW_ANSWER_S
+
+
+async def grow(standin: StoreStandin) -> None:
+    """Change one entry again and again, for longer than any reading may take."""
+    for number in range(int(GROWS_FOR_S / GROWTH_PERIOD_S)):
+        standin.put(PARTITION, "host", b"%d" % number)
+        await asyncio.sleep(GROWTH_PERIOD_S)
+
+
+class _Reading:
+    """A follower of a partition that grows, and the records that it was given."""
+
+    def __init__(self) -> None:
+        self.standin = StoreStandin()
+        self.standin.faults.latency_s = SLOW_ANSWER_S
+        self.standin.put(PARTITION, "first", b"")
+        self.taken: list[KeyedRecord] = []
+        self.follower = KeyedFollower(
+            self.standin.connect("node"),
+            PARTITION,
+            lambda records, is_snapshot: self.taken.extend(records),
+            EventLog("node", write=lambda line: None),
+        )
+
+    async def read_to_end(self) -> float:
+        """Read to the end; return how many seconds that took."""
+        loop = asyncio.get_running_loop()
+        began_at_s = loop.time()
+        await self.follower.read_to_end()
+        return loop.time() - began_at_s
+
+
+class ReadToEndTest(TestCase):
+    def test_first_read_ends_while_the_partition_grows(self) -> None:
+        async def work() -> None:
+            reading = _Reading()
+            growing = asyncio.create_task(grow(reading.standin))
+            self.assertLess(await reading.read_to_end(), TO_END_MAX_S)
+            growing.cancel()
+
+        run_virtual(work())
+
+    def test_later_read_ends_while_the_partition_grows(self) -> None:
+        async def work() -> None:
+            reading = _Reading()
+            await reading.read_to_end()
+            growing = asyncio.create_task(grow(reading.standin))
+            await asyncio.sleep(1)
+            self.assertLess(await reading.read_to_end(), TO_END_MAX_S)
+            growing.cancel()
+
+        run_virtual(work())
+
+    def test_all_that_was_there_at_the_call_is_read(self) -> None:
+        async def work() -> None:
+            reading = _Reading()
+            await reading.read_to_end()
+            growing = asyncio.create_task(grow(reading.standin))
+            for _round in range(5):
+                await asyncio.sleep(1)
+                reading.standin.put(PARTITION, "wanted", b"%d" % _round)
+                offset = reading.standin.get_log(PARTITION).end - 1
+                await reading.read_to_end()
+                self.assertIn(offset, [record.offset for record in reading.taken])
+            growing.cancel()
+
+        run_virtual(work())
--- /dev/null
+++ b/tests/unit/test_known_red.py
@@ -0,0 +1,30 @@
+"""The list of tests that are known to fail."""
+
+from pathlib import Path
+from tempfile import TemporaryDirectory
+
+from testtools import TestCase
+
+from tests.conftest import read_known_red
+
+LINES_MAX = 3
+ROOT = Path(__file__).parents[2]
+
+
+class KnownRedTest(TestCase):
+    def test_list_is_short_and_each_line_names_a_test_that_exists_and_an_issue(self) -> None:
+        known = read_known_red()
+        self.assertLessEqual(len(known), LINES_MAX)
+        for test_id, line in known.items():
+            path, _, name = test_id.partition("::")
+            self.assertIn(f"def {name.rpartition('::')[2]}(", (ROOT / path).read_text())
+            self.assertIn("issue", line.rpartition(" | ")[2])
+
+    def test_lines_are_read_by_the_id_of_their_test(self) -> None:
+        with TemporaryDirectory() as folder:
+            path = Path(folder) / "red.txt"
+            path.write_text("tests/a.py::A::test_b | it hangs | issue 1\n\n")
+            self.assertEqual(["tests/a.py::A::test_b"], list(read_known_red(path)))
+
+    def test_no_list_is_an_empty_one(self) -> None:
+        self.assertEqual({}, read_known_red(Path("no-such-file")))
