--- /dev/null
+++ b/src/robinthread/_internal/standins/member_group.py
@@ -0,0 +1,84 @@
+"""A group of the platform's store: who is a member, and which partitions each holds."""
+
+import asyncio
+import zlib
+from collections import Counter
+from dataclasses import dataclass
+from typing import Final
+
+TOPIC_PARTITIONS: Final = 12
+
+
+@dataclass(frozen=True)
+class _Membership:
+    topics: tuple[str, ...]
+    seen_at_s: float
+    ttl_s: float
+
+
+class MemberGroup:
+    """Members, and the partitions of their topics dealt among them.
+
+    Each topic is dealt by itself among the members that joined with it: those that hold
+    some of its partitions keep as many as is their share, and what is left goes to others
+    in an order that differs from topic to topic.  So where members outnumber the partitions
+    of a topic, some hold none of it.
+    """
+
+    def __init__(self) -> None:
+        self.generation = 0
+        self._members: dict[str, _Membership] = {}
+        self._holders: dict[str, list[str | None]] = {}
+
+    def join(self, member: str, topics: tuple[str, ...], ttl_s: float) -> None:
+        """Join, or stay."""
+        before = self._members.get(member)
+        now_s = asyncio.get_running_loop().time()
+        self._members[member] = _Membership(topics, now_s, ttl_s)
+        if before is None or before.topics != topics:
+            self._deal()
+
+    def leave(self, member: str) -> None:
+        """Leave."""
+        if self._members.pop(member, None) is not None:
+            self._deal()
+
+    def drop_lapsed(self) -> None:
+        """Drop the members that have been silent for longer than they may."""
+        now_s = asyncio.get_running_loop().time()
+        lapsed = [
+            name for name, found in self._members.items() if now_s - found.seen_at_s > found.ttl_s
+        ]
+        for name in lapsed:
+            del self._members[name]
+        if lapsed:
+            self._deal()
+
+    def list_holders(self) -> frozenset[str]:
+        """List the members that hold a partition of any topic."""
+        return frozenset(name for held in self._holders.values() for name in held if name)
+
+    def _deal(self) -> None:
+        self.generation += 1
+        topics = {topic for found in self._members.values() for topic in found.topics}
+        self._holders = {topic: self._deal_topic(topic) for topic in sorted(topics)}
+
+    def _deal_topic(self, topic: str) -> list[str | None]:
+        """Return the holder of each partition of a topic."""
+        members = [name for name, found in self._members.items() if topic in found.topics]
+        least, larger_count = divmod(TOPIC_PARTITIONS, len(members))
+        counts: Counter[str] = Counter()
+        holders: list[str | None] = []
+        for holder in self._holders.get(topic, [None] * TOPIC_PARTITIONS):
+            may_keep_more = sum(count > least for count in counts.values()) < larger_count
+            share = least + may_keep_more
+            is_kept = holder is not None and holder in members and counts[holder] < share
+            holders.append(holder if is_kept else None)
+            if holder is not None and is_kept:
+                counts[holder] += 1
+        ranked = sorted(members, key=lambda name: zlib.crc32(f"{topic}/{name}".encode()))
+        for partition in (number for number, holder in enumerate(holders) if holder is None):
+            taker = min(ranked, key=lambda name: counts[name])
+            holders[partition] = taker
+            counts[taker] += 1
+        return holders
--- a/src/robinthread/_internal/standins/store_standin.py
+++ b/src/robinthread/_internal/standins/store_standin.py
@@ -1,7 +1,6 @@
 """The platform's store in memory."""
 
 import asyncio
-import itertools
 from collections import defaultdict
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
@@ -29,13 +28,13 @@
     CallRefusedError,
     CallUnansweredError,
 )
+from robinthread._internal.standins.member_group import MemberGroup
 from robinthread._internal.utils.waiting import wait_for_event
 
 CALL_TIMEOUT_S: Final = 1.2
 LATENCY_S: Final = 0.004
 ANSWERS_KEPT: Final = 5
 PAGE_RECORDS_MAX: Final = 500
-TOPIC_PARTITIONS: Final = 12
 
 T = TypeVar("T")
 
@@ -97,14 +96,6 @@
         self.records.clear()
 
 
-@dataclass
-class _Group:
-    generation: int = 0
-    seen_at_s: dict[str, float] = field(default_factory=dict)
-    topic_count: int = 1
-    ttl_s: dict[str, float] = field(default_factory=dict)
-
-
 class StoreStandin:
     """Partitions and groups, with faults and history that can be made to expire.
 
@@ -114,7 +105,7 @@
     def __init__(self, seed: int = 1) -> None:
         self.faults = CallFaults(seed, LATENCY_S)
         self._logs: dict[Partition, _Log] = defaultdict(_Log)
-        self._groups: dict[str, _Group] = defaultdict(_Group)
+        self._groups: dict[str, MemberGroup] = defaultdict(MemberGroup)
         self.link_bytes_per_s: dict[str, float] = {}
 
     def connect(self, caller: str) -> "StoreClient":
@@ -148,18 +139,10 @@
         """Return a partition."""
         return self._logs[partition]
 
-    def get_group(self, name: str) -> _Group:
+    def get_group(self, name: str) -> MemberGroup:
         """Return a group without the members that have lapsed."""
         group = self._groups[name]
-        now_s = asyncio.get_running_loop().time()
-        lapsed = [
-            member
-            for member, seen_s in group.seen_at_s.items()
-            if now_s - seen_s > group.ttl_s[member]
-        ]
-        for member in lapsed:
-            del group.seen_at_s[member]
-        group.generation += bool(lapsed)
+        group.drop_lapsed()
         return group
 
 
@@ -234,10 +217,7 @@
 
         def work() -> Membership:
             found = self._standin.get_group(group)
-            found.generation += member not in found.seen_at_s
-            found.seen_at_s[member] = asyncio.get_running_loop().time()
-            found.ttl_s[member] = ttl_ms / 1000
-            found.topic_count = len(topics)
+            found.join(member, tuple(topics), ttl_ms / 1000)
             return Membership(found.generation)
 
         return await self._call(work)
@@ -246,20 +226,13 @@
         """Leave a group."""
 
         def work() -> None:
-            found = self._standin.get_group(group)
-            found.generation += found.seen_at_s.pop(member, None) is not None
+            self._standin.get_group(group).leave(member)
 
         await self._call(work)
 
     async def list_members(self, group: str) -> frozenset[str]:
-        """List the members of a group that hold a partition: the first ones, one each."""
-
-        def work() -> frozenset[str]:
-            found = self._standin.get_group(group)
-            held = found.topic_count * TOPIC_PARTITIONS
-            return frozenset(itertools.islice(found.seen_at_s, held))
-
-        return await self._call(work, is_change=False)
+        """List the members of a group that hold a partition."""
+        return await self._call(lambda: self._standin.get_group(group).list_holders(), False)
 
     async def _call(self, work: Callable[[], T], is_change: bool = True) -> T:
         faults = self._standin.faults
--- a/tests/functional/test_many_nodes.py
+++ b/tests/functional/test_many_nodes.py
@@ -3,13 +3,25 @@
 import asyncio
 import json
 
+import msgspec
 from testtools import TestCase
 
-from robinthread._internal.standins.store_standin import TOPIC_PARTITIONS
+from robinthread._internal.durable.ownership import Member
+from robinthread._internal.node.election import GROUP
+from robinthread._internal.standins.member_group import TOPIC_PARTITIONS
+from robinthread._internal.standins.platform_standin import PlatformStandin
 from tests.lib.job_platforms import POOL, get_owner, start_platform, wait_until
 from tests.lib.virtual import run_virtual
 
 NODES = 3 * TOPIC_PARTITIONS
+# How long a node may be out of the list after it has joined.
+LISTED_WITHIN_S = 5.0
+
+
+async def list_nodes(platform: PlatformStandin) -> set[str]:
+    """List the nodes that the store lists as members."""
+    names = await platform.store.connect("test").list_members(GROUP)
+    return {msgspec.json.decode(name, type=Member).node for name in names}
 
 
 class ManyNodesTest(TestCase):
@@ -28,3 +40,33 @@
             self.assertEqual("large", get_owner(platform))
 
         run_virtual(work())
+
+    def test_all_nodes_are_listed_also_those_that_come_back(self) -> None:
+        async def work() -> None:
+            platform = await start_platform(nodes=NODES)
+            await asyncio.sleep(LISTED_WITHIN_S)
+            self.assertEqual(set(platform.nodes), await list_nodes(platform))
+            back = sorted(platform.nodes)[: NODES // 3]
+            for name in back:
+                platform.kill_node(name)
+            await asyncio.sleep(3)
+            for name in back:
+                platform.start_node(name)
+            await asyncio.sleep(LISTED_WITHIN_S)
+            self.assertEqual(set(platform.nodes), await list_nodes(platform))
+
+        run_virtual(work())
+
+    def test_pools_stay_where_they_are_while_all_nodes_live(self) -> None:
+        async def work() -> None:
+            platform = await start_platform(nodes=NODES)
+            # Large nodes that join last are passed the pools.
+            for number in range(6):
+                platform.start_node(f"large{number}", capacity_millicores=50_000)
+            await asyncio.sleep(30)
+            before = len(platform.events)
+            await asyncio.sleep(60)
+            later = [json.loads(line) for line in platform.events[before:]]
+            self.assertEqual([], [event for event in later if event["event"] == "pool_taken"])
+
+        run_virtual(work())
