Each node is a member by a topic of its own choice; owners that are not listed are asked

Cause: the store lists only members that hold a partition, and deals each topic by itself; all nodes joined with the same eight topics, so some were never listed, and an owner that is not listed counts as gone 0.25 s after each take. Class: liveness read from a list that is not one of the living. Ruled out: more topics for all (each is dealt by itself, so chance decides whom they miss). Change: a node joins with one of eight topics by its name, and with another one where it is not listed within 1 s; a node that is not listed takes only pools of its former life; an owner that is missing from the list is asked, while the absence is confirmed, whether the store answers it, and is left alone while it says so.

--- a/src/robinthread/_internal/node/assembly.py
+++ b/src/robinthread/_internal/node/assembly.py
@@ -20,6 +20,7 @@
 from robinthread._internal.node.loop_lag import LoopLag
 from robinthread._internal.node.node import Node
 from robinthread._internal.node.owned_pools import OwnedPools
+from robinthread._internal.node.owner_checks import OwnerChecks
 from robinthread._internal.node.peer_answers import PeerAnswers
 from robinthread._internal.node.relief import ReliefPlanner
 from robinthread._internal.node.settings_holder import SettingsHolder
@@ -84,6 +85,7 @@
         read_inbox_to_end=lambda: _read_to_end(inbox),
         get_unconfirmed_s=lambda: loop.time() - table.follower.confirmed_at_s,
     )
+    checks = OwnerChecks(environment.peers)
     election = Election(
         store,
         table,
@@ -92,6 +94,7 @@
         events,
         settings.store.member_ttl_min_ms,
         environment.policy.owners,
+        checks,
     )
     owned = OwnedPools(context)
     lag = LoopLag()
@@ -109,6 +112,7 @@
         inbox.run(),
         table.follower.run(),
         election.run(),
+        checks.run(),
         handover.run(),
         lag.run(),
         settings_holder.run(),
--- a/src/robinthread/_internal/node/election.py
+++ b/src/robinthread/_internal/node/election.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import math
+import zlib
 from collections import Counter
 from collections.abc import Collection, Mapping
 from typing import Final
@@ -12,14 +13,23 @@
 from robinthread._internal.durable.ownership import Member, OwnerTable
 from robinthread._internal.durable.store import Store
 from robinthread._internal.node.config_holder import ConfigHolder
+from robinthread._internal.node.owner_checks import OwnerChecks
 from robinthread._internal.settings.policy_settings import OwnerPolicy
 from robinthread._internal.telemetry.event_log import EventLog
 from robinthread._internal.utils.rendezvous import get_rendezvous_weight
 
 GROUP: Final = "robinthread"
-# Only members that hold a partition are listed, and a topic may have as few as twelve:
-# with so many topics each of some hundred nodes holds one.
-GROUP_TOPICS: Final = tuple(f"robinthread.members.{number}" for number in range(8))
+# Only members that hold a partition are listed.  A topic has as few as twelve, and each is
+# dealt by itself among the members that joined with it: where all join with the same ones,
+# some never hold any (6 of 37 with eight topics).  So each node joins with one topic, at
+# first one of these,
+FIRST_TOPICS: Final = 8
+# and where it is not listed with the one that follows so many later; the store has room for
+# 100 topics in all.
+TOPICS_MAX: Final = 64
+# How long a node may be missing from the list before it joins with another topic: a
+# partition passes on when its holder has joined twice.
+UNLISTED_MAX_S: Final = 1.0
 # The pool of no hosts whose owner gives all orders for machines.
 FLEET: Final = "fleet/machines"
 # A member that has said nothing for so long is taken as gone.
@@ -32,9 +42,6 @@
 # answer may be lost, and a node that is turned away fails many times in a moment.
 FAILURES_MIN: Final = 2
 FAILING_MIN_S: Final = 0.2
-# How long an owner must be missing from the members: while partitions pass from
-# one member to another, a living one may hold none for a moment.
-MISSING_CONFIRM_S: Final = 0.25
 # How long the members must have been seen without a gap before one counts as missing.
 SETTLE_S: Final = 0.6
 
@@ -55,6 +62,7 @@
         events: EventLog,
         ttl_min_ms: int,
         policy: OwnerPolicy,
+        checks: OwnerChecks,
     ) -> None:
         self._store = store
         self._table = table
@@ -62,14 +70,16 @@
         self._config_holder = config_holder
         self._events = events
         self._policy = policy
+        self._checks = checks
+        self._topic = zlib.crc32(me.node.encode()) % FIRST_TOPICS
+        self._unlisted_since_s = math.inf
         self._ttl_ms = max(ttl_min_ms, int(MEMBER_TTL_S * 1000))
         self._name = msgspec.json.encode(me).decode()
         self._generation = 0
         self._is_stale = True
         self._members: frozenset[Member] = frozenset()
-        self._missing_since_s: dict[str, float] = {}
         self._steady_since_s = math.inf
-        self.last_join_at_s = 0.0
+        self.last_join_at_s = -math.inf
         self._failure_count = 0
         self._failing_since_s = math.inf
         self._turn = asyncio.Lock()
@@ -85,7 +95,8 @@
                 if self._steady_since_s != math.inf:
                     self._events.write("membership_lost", error=f"{type(error).__name__}: {error}")
                 self._steady_since_s = math.inf
-                self._missing_since_s.clear()
+                self._checks.clear()
+                self._unlisted_since_s = math.inf
                 self._is_stale = True
                 self._failure_count += 1
                 now_s = asyncio.get_running_loop().time()
@@ -109,6 +120,11 @@
         failing_s = asyncio.get_running_loop().time() - self._failing_since_s
         return self._failure_count >= FAILURES_MIN and failing_s >= FAILING_MIN_S
 
+    @property
+    def is_member(self) -> bool:
+        """Tell whether the store has heard this node within its time to live."""
+        return not self.is_leaving and self.get_silence_s() < self._ttl_ms / 1000
+
     @property
     def may_take(self) -> bool:
         """Tell whether the store serves this node and it is to stay."""
@@ -124,11 +140,11 @@
 
     def get_pools_to_take(self) -> list[str]:
         """Return the pools that have no living owner and that this node is to take."""
-        now_s = asyncio.get_running_loop().time()
         config = self._config_holder.config
         if config is None or self.is_leaving or self._steady_since_s == math.inf:
             return []
-        if not self._is_settled():
+        if not self._is_settled() or self._is_stale:
+            # What it took now, others would take from it: they do not see it.
             return self._get_former_pools()
         living = self._members | {self._me}
         loads = Counter(
@@ -138,7 +154,7 @@
         )
         pools = []
         for pool in sorted([*config.pools, FLEET]):
-            if not self._is_free(pool, now_s):
+            if not self._is_free(pool):
                 continue
             # One that gave the pool back is stopping, or could not serve it.
             released = self._table.owners.get(pool)
@@ -174,26 +190,23 @@
             and found.owner != self._me
         ]
 
-    def _is_free(self, pool: str, now_s: float) -> bool:
+    def _is_free(self, pool: str) -> bool:
         found = self._table.get(pool)
         if found is None:
-            self._missing_since_s.pop(pool, None)
             return True
         owner = found.owner
         if owner in self._members or owner == self._me:
-            self._missing_since_s.pop(pool, None)
+            self._checks.note_listed(owner)
             return False
-        if any(member.node == owner.node for member in self._members | {self._me}):
-            # The same node has begun another life, so the old one has ended.
-            return True
-        since_s = self._missing_since_s.setdefault(pool, now_s)
-        return now_s - since_s >= MISSING_CONFIRM_S
+        # Where the same node has begun another life, the old one has ended.
+        is_succeeded = any(member.node == owner.node for member in self._members | {self._me})
+        return is_succeeded or self._checks.is_gone(owner)
 
     async def _join(self) -> None:
         if self.is_leaving:
             return
         membership = await self._store.join(
-            GROUP, self._name, GROUP_TOPICS, self._ttl_ms, self._generation
+            GROUP, self._name, [get_topic(self._topic)], self._ttl_ms, self._generation
         )
         now_s = asyncio.get_running_loop().time()
         self.last_join_at_s = now_s
@@ -201,11 +214,31 @@
         self._failing_since_s = math.inf
         if self._steady_since_s == math.inf:
             self._steady_since_s = now_s
-        if membership.generation != self._generation or self._is_stale or self._missing_since_s:
+        is_changed = membership.generation != self._generation
+        if is_changed or self._is_stale or self._checks.is_any_missing:
             self._generation = membership.generation
             self._members = await self._list_members()
             self._is_stale = self._me not in self._members
+        self._change_topic_if_unlisted(now_s)
+
+    def _change_topic_if_unlisted(self, now_s: float) -> None:
+        """Join with another topic from now on where this one's partitions are all taken."""
+        if not self._is_stale:
+            self._unlisted_since_s = math.inf
+            return
+        self._unlisted_since_s = min(self._unlisted_since_s, now_s)
+        if now_s - self._unlisted_since_s >= UNLISTED_MAX_S:
+            self._unlisted_since_s = math.inf
+            self._topic = (self._topic + FIRST_TOPICS) % TOPICS_MAX
+            self._events.write(
+                "member_unlisted", listed_count=len(self._members), next_topic=self._topic
+            )
 
     async def _list_members(self) -> frozenset[Member]:
         names = await self._store.list_members(GROUP)
         return frozenset(msgspec.json.decode(name, type=Member) for name in names)
+
+
+def get_topic(number: int) -> str:
+    """Return the name of a topic whose holders are members."""
+    return f"robinthread.members.{number}"
--- a/src/robinthread/_internal/node/handover.py
+++ b/src/robinthread/_internal/node/handover.py
@@ -93,7 +93,14 @@
 
     def answer_store(self) -> StoreAnswer:
         """Tell whether the store serves this node."""
-        return StoreAnswer(self._election.may_take, len(self._owned.owners), self._lag.lag_s)
+        election = self._election
+        return StoreAnswer(
+            election.may_take,
+            len(self._owned.owners),
+            self._lag.lag_s,
+            election.is_member,
+            self._me.life,
+        )
 
     async def answer_take(self, question: TakeQuestion) -> TakeAnswer:
         """Take over the pools whose owners have not changed meanwhile."""
--- a/src/robinthread/_internal/standins/store_standin.py
+++ b/src/robinthread/_internal/standins/store_standin.py
@@ -99,7 +99,8 @@
 class StoreStandin:
     """Partitions and groups, with faults and history that can be made to expire.
 
-    ``link_bytes_per_s`` is what the links of some callers carry of pages of newest records.
+    ``link_bytes_per_s`` is what the links of some callers carry of pages of newest records;
+    members that are ``unlisted`` hold no partition, for whatever reason.
     """
 
     def __init__(self, seed: int = 1) -> None:
@@ -107,6 +108,7 @@
         self._logs: dict[Partition, _Log] = defaultdict(_Log)
         self._groups: dict[str, MemberGroup] = defaultdict(MemberGroup)
         self.link_bytes_per_s: dict[str, float] = {}
+        self.unlisted: set[str] = set()
 
     def connect(self, caller: str) -> "StoreClient":
         """Return the store as one caller sees it."""
@@ -232,7 +234,11 @@
 
     async def list_members(self, group: str) -> frozenset[str]:
         """List the members of a group that hold a partition."""
-        return await self._call(lambda: self._standin.get_group(group).list_holders(), False)
+
+        def work() -> frozenset[str]:
+            return self._standin.get_group(group).list_holders() - self._standin.unlisted
+
+        return await self._call(work, is_change=False)
 
     async def _call(self, work: Callable[[], T], is_change: bool = True) -> T:
         faults = self._standin.faults
--- a/tests/functional/test_many_nodes.py
+++ b/tests/functional/test_many_nodes.py
@@ -18,10 +18,24 @@
 LISTED_WITHIN_S = 5.0
 
 
+async def list_members(platform: PlatformStandin) -> dict[str, str]:
+    """List the members that the store lists, by their nodes."""
+    names = await platform.store.connect("test").list_members(GROUP)
+    return {msgspec.json.decode(name, type=Member).node: name for name in names}
+
+
 async def list_nodes(platform: PlatformStandin) -> set[str]:
     """List the nodes that the store lists as members."""
-    names = await platform.store.connect("test").list_members(GROUP)
-    return {msgspec.json.decode(name, type=Member).node for name in names}
+    return set(await list_members(platform))
+
+
+async def unlist_owner(platform: PlatformStandin) -> str:
+    """Have the store list the pool's owner no more, as another node joins; return its node."""
+    owner = get_owner(platform)
+    assert owner is not None
+    platform.store.unlisted.add((await list_members(platform))[owner])
+    platform.start_node("late")
+    return owner
 
 
 class ManyNodesTest(TestCase):
@@ -70,3 +84,36 @@
             self.assertEqual([], [event for event in later if event["event"] == "pool_taken"])
 
         run_virtual(work())
+
+
+class UnlistedOwnerTest(TestCase):
+    def test_owner_that_says_it_lives_keeps_its_pool(self) -> None:
+        async def work() -> None:
+            platform = await start_platform(nodes=5)
+            owner = await unlist_owner(platform)
+            for _moment in range(200):
+                await asyncio.sleep(0.05)
+                self.assertEqual(owner, get_owner(platform))
+
+        run_virtual(work())
+
+    def test_owner_that_does_not_answer_is_replaced_at_once(self) -> None:
+        async def work() -> None:
+            platform = await start_platform(nodes=5)
+            owner = await unlist_owner(platform)
+            platform.cut_nodes.add(owner)
+            took_s = await wait_until(lambda: get_owner(platform) not in (None, owner), 10)
+            self.assertLess(took_s, 1.5)
+
+        run_virtual(work())
+
+    def test_owner_that_the_store_does_not_answer_is_replaced(self) -> None:
+        async def work() -> None:
+            platform = await start_platform(nodes=5)
+            owner = get_owner(platform)
+            assert owner is not None
+            platform.store.faults.silent.add(owner)
+            took_s = await wait_until(lambda: get_owner(platform) not in (None, owner), 10)
+            self.assertLess(took_s, 3.0)
+
+        run_virtual(work())
