Failing test: nodes that own nothing read all jobs and hosts when they start

Cause: the followers of the inbox and of the hosts begin wanted, and are paused only once their first read is out.

--- a/src/robinthread/_internal/standins/store_standin.py
+++ b/src/robinthread/_internal/standins/store_standin.py
@@ -1,7 +1,7 @@
 """The platform's store in memory."""
 
 import asyncio
-from collections import defaultdict
+from collections import Counter, defaultdict
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 from typing import Final, TypeVar
@@ -100,7 +100,8 @@
     """Partitions and groups, with faults and history that can be made to expire.
 
     ``link_bytes_per_s`` is what the links of some callers carry of pages of newest records;
-    members that are ``unlisted`` hold no partition, for whatever reason.
+    members that are ``unlisted`` hold no partition, for whatever reason.  ``reads`` counts
+    reads by caller and topic.
     """
 
     def __init__(self, seed: int = 1) -> None:
@@ -109,6 +110,7 @@
         self._groups: dict[str, MemberGroup] = defaultdict(MemberGroup)
         self.link_bytes_per_s: dict[str, float] = {}
         self.unlisted: set[str] = set()
+        self.reads: Counter[tuple[str, str]] = Counter()
 
     def connect(self, caller: str) -> "StoreClient":
         """Return the store as one caller sees it."""
@@ -176,6 +178,7 @@
 
     async def read(self, partition: Partition, from_offset: int, wait_s: float) -> ReadPage:
         """Read from an offset, waiting for a record."""
+        self._standin.reads[self._caller, partition.topic] += 1
         log = self._standin.get_log(partition)
 
         def work() -> ReadPage:
@@ -195,6 +198,7 @@
         self, partition: Partition, after_key: str, timeout_s: float
     ) -> NewestPage:
         """Read a page of the newest record of each key."""
+        self._standin.reads[self._caller, partition.topic] += 1
         log = self._standin.get_log(partition)
         keys = sorted(key for key in log.newest if key > after_key)
         page = [log.newest[key] for key in keys[:PAGE_RECORDS_MAX]]
--- a/tests/unit/test_capacity.py
+++ b/tests/unit/test_capacity.py
@@ -9,10 +9,13 @@
 from robinthread._internal.node.capacity import get_capacity_millicores
 from robinthread._internal.node.config_holder import ConfigHolder
 from robinthread._internal.node.election import Election
+from robinthread._internal.node.owner_checks import OwnerChecks
+from robinthread._internal.node.peer_client import PeerClient
 from robinthread._internal.settings.policy_settings import OwnerPolicy
 from robinthread._internal.standins.platform_standin import RECORDS
 from robinthread._internal.standins.store_standin import StoreStandin
 from robinthread._internal.telemetry.event_log import EventLog
+from robinthread._internal.utils.http_call import make_client
 from tests.lib.virtual import run_virtual
 
 LARGE = tuple(Member(f"large{number}", "1", "", 2000) for number in range(2))
@@ -33,6 +36,7 @@
             events,
             1000,
             policy,
+            OwnerChecks(PeerClient(make_client(1))),
         )
         loads: Counter[Member] = Counter()
         for number in range(pool_count):
