Lines: why a pool was taken and from whom, what its opening took, openings that are slow

Change: pool_taken has reason and previous, pool_opened took_ms and its parts, and a pool that was taken and is not open is told each second with the parts still missing. Ruled out: timing in the owner's task. The reason is told where the pool is found taken, since the next look of the election forgets for how long the owner was missing (a test failed on it).

--- a/src/robinthread/_internal/node/assembly.py
+++ b/src/robinthread/_internal/node/assembly.py
@@ -23,6 +23,7 @@
 from robinthread._internal.node.peer_answers import PeerAnswers
 from robinthread._internal.node.relief import ReliefPlanner
 from robinthread._internal.node.settings_holder import SettingsHolder
+from robinthread._internal.node.standing import StandingReporter
 from robinthread._internal.node.steward import Steward
 
 RETRY_PAUSE_S: Final = 0.2
@@ -114,6 +115,7 @@
         settings_holder.run(),
         writer.run(),
         node.run(),
+        StandingReporter(owned, events).run(),
     ):
         node.spawn(work)
     answers = PeerAnswers(owned, gate, handover)
--- a/src/robinthread/_internal/node/election.py
+++ b/src/robinthread/_internal/node/election.py
@@ -118,6 +118,11 @@
         """Return for how long the store has not answered this node."""
         return asyncio.get_running_loop().time() - self.last_join_at_s
 
+    def get_missing_s(self, pool: str) -> float | None:
+        """Return for how long a pool's owner has not been a member; None where it was one."""
+        since_s = self._missing_since_s.get(pool)
+        return None if since_s is None else asyncio.get_running_loop().time() - since_s
+
     def is_living(self, member: Member) -> bool:
         """Tell whether a process is a member now."""
         return member in self._members
--- a/src/robinthread/_internal/node/handover.py
+++ b/src/robinthread/_internal/node/handover.py
@@ -8,7 +8,7 @@
 from typing import Final
 
 from robinthread._internal.durable.errors import StoreError
-from robinthread._internal.durable.ownership import Member, OwnerTable
+from robinthread._internal.durable.ownership import Member, Ownership, OwnerTable
 from robinthread._internal.node.election import Election
 from robinthread._internal.node.loop_lag import LAG_MAX_S, LoopLag
 from robinthread._internal.node.owned_pools import OwnedPools
@@ -91,6 +91,30 @@
             "pools_passed_on", taker=taker.node, tokens=tokens, taken=sorted(answer.taken)
         )
 
+    def note_taken(self, pool: str, token: int) -> None:
+        """Write that this node has taken a pool, why, and from whom."""
+        previous = self._table.previous.get(pool)
+        self._events.write(
+            "pool_taken",
+            pool=pool,
+            token=token,
+            reason=self._get_take_reason(pool, previous),
+            previous=previous.owner.node if previous is not None else "",
+        )
+
+    def _get_take_reason(self, pool: str, previous: Ownership | None) -> str:
+        if previous is None or previous.is_released:
+            return "free"
+        if self.stopped_tokens.get(pool, 0) >= previous.token:
+            return "passed on"
+        if previous.owner.node == self._me.node:
+            return "former life"
+        missing_s = self._election.get_missing_s(pool)
+        if missing_s is not None:
+            return f"owner missing for {missing_s:.2f} s"
+        is_back = any(member.node == previous.owner.node for member in self._election.members)
+        return "owner began another life" if is_back else "owner missing"
+
     def answer_store(self) -> StoreAnswer:
         """Tell whether the store serves this node."""
         return StoreAnswer(self._election.may_take, len(self._owned.owners), self._lag.lag_s)
--- a/src/robinthread/_internal/node/node.py
+++ b/src/robinthread/_internal/node/node.py
@@ -197,6 +197,7 @@
                 owner = self._owned.make_owner(
                     pool, found.token, self._get_predecessors_grant_s(pool)
                 )
+                self._handover.note_taken(owner.pool, owner.token)
                 self.spawn(self._run_owner(owner))
 
     def _open_steward(self, token: int) -> None:
@@ -265,7 +266,6 @@
         )
 
     async def _run_owner(self, owner: PoolOwner) -> None:
-        self._events.write("pool_taken", pool=owner.pool, token=owner.token)
         try:
             await owner.start()
         except Exception as error:
--- a/src/robinthread/_internal/node/pool_owner.py
+++ b/src/robinthread/_internal/node/pool_owner.py
@@ -22,6 +22,7 @@
 from robinthread._internal.node.context import NodeContext
 from robinthread._internal.node.host_follower import HostFollower
 from robinthread._internal.node.order_sender import OrderSender
+from robinthread._internal.node.pool_opening import PoolOpening
 from robinthread._internal.node.pool_reporting import make_pool_report
 from robinthread._internal.node.pool_runtime import (
     LEASE_MS,
@@ -88,6 +89,8 @@
             context.settings.bounds.machine_move_s + HOST_START_S, context.policy.demand
         )
         self._ended_hosts: set[str] = set()
+        self._progress_count = 0
+        self.opening = PoolOpening()
         self._is_stopped = False
         self.is_open = False
 
@@ -98,10 +101,11 @@
 
     async def start(self) -> None:
         """Shut out older owners, load what they recorded, and begin."""
+        time = self.opening.time
         await asyncio.gather(
             self._load_progress(),
-            self._context.read_inbox_to_end(),
-            self._context.read_hosts_to_end(),
+            time("inbox", self._context.read_inbox_to_end()),
+            time("hosts", self._context.read_hosts_to_end()),
         )
         if self._is_stopped:
             return
@@ -123,6 +127,8 @@
             token=self.token,
             job_count=len(self.jobs.jobs),
             host_count=len(self.jobs.hosts),
+            progress_count=self._progress_count,
+            **self.opening.list_times(),
         )
 
     async def stop(self, is_planned: bool = False) -> None:
@@ -175,12 +181,13 @@
 
     async def _load_progress(self) -> None:
         """Shut out older owners, then read what they have recorded."""
-        await self._journal.open()
+        await self.opening.time("journal", self._journal.open())
         # From here on no older owner is confirmed any more.
         last_grant_s = get_loop_s() + self._predecessors_grant_s
         self.jobs.foreign_lease_over_at_s = get_lapse_time_s(LEASE_MS, last_grant_s)
-        loaded = await load_progress(self._context.store, self._partition, self.pool, self._events)
-        self._progress.update(loaded)
+        reading = load_progress(self._context.store, self._partition, self.pool, self._events)
+        self._progress.update(await self.opening.time("progress", reading))
+        self._progress_count = len(self._progress)
 
     def _take_job(self, indexed: IndexedJob) -> None:
         """Take in a job that is new or newly cancelled."""
--- a/src/robinthread/_internal/timeline/job_story.py
+++ b/src/robinthread/_internal/timeline/job_story.py
@@ -18,6 +18,7 @@
 POOL_EVENTS: Final = frozenset(
     {
         "pool_taken",
+        "pool_opening_slow",
         "pool_opened",
         "pool_closed",
         "pool_fenced",
--- /dev/null
+++ b/tests/unit/test_taking_lines.py
@@ -0,0 +1,98 @@
+"""Lines that tell why a pool was taken and what its opening took."""
+
+import asyncio
+import json
+from typing import Any
+
+from testtools import TestCase
+
+from robinthread._internal.models.pool_policy import PoolPolicy
+from robinthread._internal.standins.platform_standin import RESERVE, PlatformStandin
+from tests.functional.test_slow_takeover import LINK_BYTES_PER_S, fill_progress
+from tests.lib.job_platforms import (
+    POOL,
+    QUEUE,
+    get_owner,
+    plan_second,
+    start_platform,
+    wait_until,
+)
+from tests.lib.virtual import run_virtual
+
+
+def find_lines(platform: PlatformStandin, event: str, pool: str = POOL) -> list[dict[str, Any]]:
+    """Return the lines of one event about a pool."""
+    lines = map(json.loads, platform.events)
+    return [line for line in lines if line["event"] == event and line.get("pool") == pool]
+
+
+class TakingLinesTest(TestCase):
+    def test_first_owner_took_a_free_pool_and_tells_what_opening_took(self) -> None:
+        async def work() -> None:
+            platform = await start_platform()
+            (taken,) = find_lines(platform, "pool_taken")
+            self.assertEqual(("free", ""), (taken["reason"], taken["previous"]))
+            (opened,) = find_lines(platform, "pool_opened")
+            parts = [opened[f"{part}_ms"] for part in ("journal", "progress", "inbox", "hosts")]
+            self.assertTrue(all(0 < part <= opened["took_ms"] for part in parts))
+            self.assertEqual(0, opened["progress_count"])
+            self.assertEqual([], find_lines(platform, "pool_opening_slow"))
+
+        run_virtual(work())
+
+    def test_owner_that_ends_without_a_word_is_missing(self) -> None:
+        async def work() -> None:
+            platform = await start_platform()
+            former = get_owner(platform)
+            assert former is not None
+            platform.kill_node(former)
+            await wait_until(lambda: get_owner(platform) is not None)
+            taken = find_lines(platform, "pool_taken")[-1]
+            self.assertRegex(taken["reason"], r"^owner missing for 0\.\d\d s$")
+            self.assertEqual(former, taken["previous"])
+
+        run_virtual(work())
+
+    def test_node_that_comes_back_takes_the_pool_of_its_former_life(self) -> None:
+        async def work() -> None:
+            platform = await start_platform(nodes=1)
+            platform.kill_node("node0")
+            platform.start_node("node0")
+            await wait_until(lambda: get_owner(platform) is not None)
+            taken = find_lines(platform, "pool_taken")[-1]
+            self.assertEqual(("former life", "node0"), (taken["reason"], taken["previous"]))
+
+        run_virtual(work())
+
+    def test_owner_that_is_turned_away_passes_its_pool_on(self) -> None:
+        async def work() -> None:
+            platform = await start_platform()
+            former = get_owner(platform)
+            assert former is not None
+            platform.store.faults.refused.add(former)
+            await wait_until(lambda: get_owner(platform) not in (None, former))
+            taken = find_lines(platform, "pool_taken")[-1]
+            self.assertEqual(("passed on", former), (taken["reason"], taken["previous"]))
+
+        run_virtual(work())
+
+    def test_slow_opening_is_told_each_second_with_what_is_missing(self) -> None:
+        async def work() -> None:
+            platform = PlatformStandin(plan_second, 1)
+            platform.configure(
+                1, (QUEUE,), (PoolPolicy(POOL), PoolPolicy(RESERVE, is_reserve=True))
+            )
+            fill_progress(platform)
+            platform.store.link_bytes_per_s["slow"] = LINK_BYTES_PER_S
+            platform.start_node("slow")
+            await wait_until(lambda: get_owner(platform) == "slow")
+            slow = find_lines(platform, "pool_opening_slow")
+            (opened,) = find_lines(platform, "pool_opened")
+            self.assertEqual(1000, opened["progress_count"])
+            self.assertEqual(int(opened["took_ms"] / 1000), len(slow))
+            self.assertEqual(["progress"], slow[-1]["missing"])
+            self.assertGreater(slow[-1]["journal_ms"], 0)
+            await asyncio.sleep(2)
+            self.assertEqual(slow, find_lines(platform, "pool_opening_slow"))
+
+        run_virtual(work())
