Lines: a member that is not listed, an owner that is missing

Change: member_unlisted and member_listed at each change (the first listing after a start too), with generation and listed_count; owner_missing when a node first finds an owner not among the members, with how long ago it read them. No decision changed, no call added.

--- a/src/robinthread/_internal/node/election.py
+++ b/src/robinthread/_internal/node/election.py
@@ -67,6 +67,8 @@
         self._generation = 0
         self._is_stale = True
         self._members: frozenset[Member] = frozenset()
+        self._members_read_at_s = -math.inf
+        self._is_listed: bool | None = None
         self._missing_since_s: dict[str, float] = {}
         self._steady_since_s = math.inf
         self.last_join_at_s = 0.0
@@ -191,8 +193,10 @@
         if any(member.node == owner.node for member in self._members | {self._me}):
             # The same node has begun another life, so the old one has ended.
             return True
-        since_s = self._missing_since_s.setdefault(pool, now_s)
-        return now_s - since_s >= MISSING_CONFIRM_S
+        if pool not in self._missing_since_s:
+            self._missing_since_s[pool] = now_s
+            self._note_missing(pool, owner, now_s)
+        return now_s - self._missing_since_s[pool] >= MISSING_CONFIRM_S
 
     async def _join(self) -> None:
         if self.is_leaving:
@@ -209,7 +213,29 @@
         if membership.generation != self._generation or self._is_stale or self._missing_since_s:
             self._generation = membership.generation
             self._members = await self._list_members()
+            self._members_read_at_s = asyncio.get_running_loop().time()
             self._is_stale = self._me not in self._members
+            self._note_listed(not self._is_stale)
+
+    def _note_listed(self, is_listed: bool) -> None:
+        """Write whether the store lists this member, where that has changed."""
+        if is_listed != self._is_listed:
+            self._is_listed = is_listed
+            self._events.write(
+                "member_listed" if is_listed else "member_unlisted",
+                generation=self._generation,
+                listed_count=len(self._members),
+            )
+
+    def _note_missing(self, pool: str, owner: Member, now_s: float) -> None:
+        self._events.write(
+            "owner_missing",
+            pool=pool,
+            owner=owner.node,
+            since_s=round(now_s - self._members_read_at_s, 3),
+            generation=self._generation,
+            listed_count=len(self._members),
+        )
 
     async def _list_members(self) -> frozenset[Member]:
         names = await self._store.list_members(GROUP)
--- a/src/robinthread/_internal/timeline/job_story.py
+++ b/src/robinthread/_internal/timeline/job_story.py
@@ -17,6 +17,7 @@
 # Lines that tell why a job's owner could not go on, whichever job they name.
 POOL_EVENTS: Final = frozenset(
     {
+        "owner_missing",
         "pool_taken",
         "pool_opening_slow",
         "pool_opened",
@@ -39,6 +40,8 @@
         "store_lost",
         "store_regained",
         "membership_lost",
+        "member_listed",
+        "member_unlisted",
         "pools_passed_on",
         "pools_not_passed_on",
         "owner_unreachable",
--- a/tests/unit/test_taking_lines.py
+++ b/tests/unit/test_taking_lines.py
@@ -4,10 +4,14 @@
 import json
 from typing import Any
 
+import msgspec
 from testtools import TestCase
 
+from robinthread._internal.durable.ownership import Member
 from robinthread._internal.models.pool_policy import PoolPolicy
+from robinthread._internal.node.election import GROUP, GROUP_TOPICS
 from robinthread._internal.standins.platform_standin import RESERVE, PlatformStandin
+from robinthread._internal.standins.store_standin import TOPIC_PARTITIONS
 from tests.functional.test_slow_takeover import LINK_BYTES_PER_S, fill_progress
 from tests.lib.job_platforms import (
     POOL,
@@ -19,9 +23,13 @@
 )
 from tests.lib.virtual import run_virtual
 
+MEMBERS_LISTED_MAX = len(GROUP_TOPICS) * TOPIC_PARTITIONS
 
-def find_lines(platform: PlatformStandin, event: str, pool: str = POOL) -> list[dict[str, Any]]:
-    """Return the lines of one event about a pool."""
+
+def find_lines(
+    platform: PlatformStandin, event: str, pool: str | None = POOL
+) -> list[dict[str, Any]]:
+    """Return the lines of one event about a pool, or about none."""
     lines = map(json.loads, platform.events)
     return [line for line in lines if line["event"] == event and line.get("pool") == pool]
 
@@ -96,3 +104,43 @@
             self.assertEqual(slow, find_lines(platform, "pool_opening_slow"))
 
         run_virtual(work())
+
+
+class MemberLinesTest(TestCase):
+    def test_missing_owner_is_told_once_by_each_other_node(self) -> None:
+        async def work() -> None:
+            platform = await start_platform()
+            former = get_owner(platform)
+            assert former is not None
+            self.assertEqual([], find_lines(platform, "owner_missing"))
+            platform.kill_node(former)
+            await wait_until(lambda: get_owner(platform) is not None)
+            missing = find_lines(platform, "owner_missing")
+            self.assertEqual({former}, {line["owner"] for line in missing})
+            self.assertEqual({2}, {line["listed_count"] for line in missing})
+            self.assertEqual(len(missing), len({line["node"] for line in missing}))
+            self.assertTrue(all(0 <= line["since_s"] < 0.5 for line in missing))
+
+        run_virtual(work())
+
+    def test_member_that_the_store_does_not_list_says_so_until_it_is_listed(self) -> None:
+        async def work() -> None:
+            platform = PlatformStandin(plan_second, 1)
+            group = platform.store.get_group(GROUP)
+            for number in range(MEMBERS_LISTED_MAX):
+                name = msgspec.json.encode(Member(f"other{number}", "life", "")).decode()
+                group.seen_at_s[name] = 0.0
+                group.ttl_s[name] = 5.0
+            platform.start_node("late")
+            await asyncio.sleep(3)
+            lines = find_lines(platform, "member_unlisted", None)
+            self.assertEqual([MEMBERS_LISTED_MAX], [line["listed_count"] for line in lines])
+            self.assertEqual([], find_lines(platform, "member_listed", None))
+            await asyncio.sleep(4)
+            self.assertEqual(1, len(find_lines(platform, "member_unlisted", None)))
+            lines = find_lines(platform, "member_listed", None)
+            self.assertEqual(
+                [("late", 1)], [(line["node"], line["listed_count"]) for line in lines]
+            )
+
+        run_virtual(work())
