Lines that come in crowds are told in one line a second and group

Change: EventLog.gather tells the first event of a group at once and the next ones together a second later, with their count, counts and ten names: host_gone, host_ended of hosts without runs, machine_ordered, machines_vacating, pool_sized, request_refused for paths of no pool. Metrics count each. explain finds a host, pool or job that such a line names, and machine_ordered by pool. A host that had runs keeps its line, with run_count. machine_ordered has the error apart from the outcome, which is a metric's label. Ruled out: host_gone of own pools only. A node does not know in its directory what it owns, and one line a second with counts is as small.

--- a/src/robinthread/_internal/commands/explain.py
+++ b/src/robinthread/_internal/commands/explain.py
@@ -1,7 +1,7 @@
 """Tell the life of a request from the log lines of all nodes."""
 
 import sys
-from collections.abc import Callable, Iterator, Sequence
+from collections.abc import Iterator, Sequence
 from pathlib import Path
 
 import msgspec
@@ -60,8 +60,10 @@
 
 
 def _matches(line: LogLine, filters: dict[str, str]) -> bool:
-    get_value: Callable[[str], object] = {"node": line.node, **line.fields}.get
-    return all(str(get_value(name)) == value for name, value in filters.items())
+    return all(
+        line.node == value if name == "node" else line.names(name, value)
+        for name, value in filters.items()
+    )
 
 
 def _make_event(line: LogLine) -> Event:
--- a/src/robinthread/_internal/node/host_directory.py
+++ b/src/robinthread/_internal/node/host_directory.py
@@ -72,6 +72,6 @@
         self._missing.pop(host_id, None)
         host = self.hosts.pop(host_id, None)
         if host is not None:
-            self._events.write("host_gone", host=host_id, pool=host.pool, machine=host.machine)
+            self._events.gather("host_gone", counted_by=host.pool, listed={"hosts": host_id})
         for listener in list(self._listeners):
             listener()
--- a/src/robinthread/_internal/node/machine_orders.py
+++ b/src/robinthread/_internal/node/machine_orders.py
@@ -125,7 +125,7 @@
                 try:
                     await self._send(order)
                 except MachineNoAnswerError as error:
-                    self._note(order, f"no answer: {error}")
+                    self._note(order, "no answer", str(error))
                     await asyncio.sleep(RETRY_PAUSE_S)
                     continue
                 except MachineFencedError:
@@ -133,9 +133,9 @@
                 except MachineBusyError:
                     self._pause(order, "busy")
                 except MachineMisfitError as error:
-                    self._pause(order, f"does not fit: {error}")
+                    self._pause(order, "does not fit", str(error))
                 except MachineError as error:
-                    self._pause(order, f"refused: {error}")
+                    self._pause(order, "refused", str(error))
                 else:
                     self._note(order, "done")
                     await self._note_done(order)
@@ -159,10 +159,15 @@
         else:
             await self._waves.note_begun(order.wave, order.machine)
 
-    def _pause(self, order: Order, reason: str) -> None:
-        self._note(order, reason)
+    def _pause(self, order: Order, outcome: str, error: str = "") -> None:
+        self._note(order, outcome, error)
         self._paused_until_s[order.machine] = get_loop_s() + BUSY_PAUSE_S
 
-    def _note(self, order: Order, outcome: str) -> None:
+    def _note(self, order: Order, outcome: str, error: str = "") -> None:
         target = {"to_pool": order.pool} if isinstance(order, MoveOrder) else {"wave": order.wave}
-        self._events.write("machine_ordered", machine=order.machine, outcome=outcome, **target)
+        self._events.gather(
+            "machine_ordered",
+            by={**target, "outcome": outcome},
+            listed={"machines": order.machine},
+            **({"error": error} if error else {}),
+        )
--- a/src/robinthread/_internal/node/pool_owner.py
+++ b/src/robinthread/_internal/node/pool_owner.py
@@ -1,7 +1,6 @@
 """Owning one pool: its jobs, its hosts and every order to them."""
 
 import asyncio
-from collections import Counter
 from typing import Final
 
 from robinthread._internal.durable.job_index import IndexedJob
@@ -23,7 +22,7 @@
 from robinthread._internal.node.host_follower import HostFollower
 from robinthread._internal.node.order_sender import OrderSender
 from robinthread._internal.node.pool_opening import PoolOpening
-from robinthread._internal.node.pool_reporting import make_pool_report
+from robinthread._internal.node.pool_reporting import count_pending, make_pool_report, tell_ended
 from robinthread._internal.node.pool_runtime import (
     LEASE_MS,
     PoolRuntime,
@@ -161,11 +160,7 @@
 
     def count_pending(self) -> dict[str, int]:
         """Count, by queue, the jobs of which nothing has begun."""
-        return Counter(
-            job.spec.queue
-            for job in self.jobs.jobs.values()
-            if job.shown_status is JobStatus.QUEUED and not job.spec.is_timed
-        )
+        return count_pending(self.jobs)
 
     def report(self, question: FleetQuestion) -> PoolReport:
         """Tell the steward how the pool stands, and empty what it asks for."""
@@ -259,7 +254,7 @@
         """
         for host in list(self.jobs.hosts.values()):
             if host.id not in self._host_tasks and now_s > host.lease.over_at_s:
-                self._remove_host(host.id, "it is not listed and its lease is over")
+                self._remove_host(host, "it is not listed and its lease is over")
 
     def _update_hosts(self) -> None:
         """Take in the listed hosts; one life of a machine ends with the next one."""
@@ -272,7 +267,7 @@
             host.is_listed = host.id in listed
             successor = lives.get(host.record.machine)
             if not host.is_listed and successor is not None:
-                self._remove_host(host.id, f"its machine is {successor.id} now")
+                self._remove_host(host, "its machine is another host now", successor.id)
         self._runtime.wake()
 
     def _add_host(self, record: UpstreamHost) -> None:
@@ -288,10 +283,10 @@
         self._ended_hosts.add(host.id)
         self._host_tasks.pop(host.id, None)
 
-    def _remove_host(self, host_id: str, reason: str) -> None:
-        task = self._host_tasks.pop(host_id, None)
+    def _remove_host(self, host: Host, reason: str, successor: str = "") -> None:
+        task = self._host_tasks.pop(host.id, None)
         if task is not None:
             task.cancel()
-        self._ended_hosts.add(host_id)
-        self._events.write("host_ended", host=host_id, pool=self.pool, reason=reason)
-        self.jobs.remove_host(host_id, self._context.get_wall_ms())
+        self._ended_hosts.add(host.id)
+        tell_ended(self._events, self.pool, host, reason, successor)
+        self.jobs.remove_host(host.id, self._context.get_wall_ms())
--- a/src/robinthread/_internal/node/pool_reporting.py
+++ b/src/robinthread/_internal/node/pool_reporting.py
@@ -1,11 +1,15 @@
-"""What a pool's owner tells the steward."""
+"""What a pool's owner tells of its pool."""
+
+from collections import Counter
 
 from robinthread._internal.fleet.pool_report import HostStanding, PoolReport
 from robinthread._internal.jobs.demand import Demand
 from robinthread._internal.jobs.doubts import list_doubted
 from robinthread._internal.jobs.host import Host, HostContact
 from robinthread._internal.jobs.pool_jobs import PoolJobs
+from robinthread._internal.models.job_status import JobStatus
 from robinthread._internal.models.resources import Resources
+from robinthread._internal.telemetry.event_log import EventLog
 
 
 def make_pool_report(pool: PoolJobs, demand: Demand, now_s: float) -> PoolReport:
@@ -24,6 +28,30 @@
     )
 
 
+def count_pending(pool: PoolJobs) -> dict[str, int]:
+    """Count, by queue, the jobs of which nothing has begun."""
+    return Counter(
+        job.spec.queue
+        for job in pool.jobs.values()
+        if job.shown_status is JobStatus.QUEUED and not job.spec.is_timed
+    )
+
+
+def tell_ended(events: EventLog, pool: str, host: Host, reason: str, successor: str) -> None:
+    """Tell of a host that has ended; one that had no runs with others."""
+    if host.runs:
+        events.write(
+            "host_ended",
+            host=host.id,
+            pool=pool,
+            reason=reason,
+            successor=successor,
+            run_count=len(host.runs),
+        )
+    else:
+        events.gather("host_ended", {"pool": pool, "reason": reason}, listed={"hosts": host.id})
+
+
 def _as_tuple(room: Resources) -> tuple[int, int, int]:
     return room.cpu_millicores, room.memory_mb, room.gpu_count
 
--- a/src/robinthread/_internal/node/process.py
+++ b/src/robinthread/_internal/node/process.py
@@ -92,6 +92,7 @@
     await assembled.node.stop()
     await asyncio.sleep(LINGER_S)
     callers.stop()
+    events.tell_gathered(is_last=True)
     events.write("stopped")
 
 
--- a/src/robinthread/_internal/node/standing.py
+++ b/src/robinthread/_internal/node/standing.py
@@ -29,6 +29,7 @@
 
     def look(self) -> None:
         """Write what is due now."""
+        self._events.tell_gathered()
         for owner in self._owned.owners.values():
             if not owner.is_open and owner.opening.is_due(SLOW_PERIOD_S):
                 self._tell_slow(owner)
--- a/src/robinthread/_internal/node/steward.py
+++ b/src/robinthread/_internal/node/steward.py
@@ -30,6 +30,7 @@
 from robinthread._internal.node.peer_calls import PeerUnreachableError
 from robinthread._internal.node.pool_runtime import get_loop_s
 from robinthread._internal.node.wave_keeper import WaveKeeper
+from robinthread._internal.telemetry.gathered_lines import NAMES_MAX
 
 # How often the pools are asked how they stand, and the fleet is planned.
 STEP_S: Final = 0.1
@@ -143,20 +144,25 @@
         plan = self._planner.plan(view, get_loop_s())
         for pool, machines in plan.vacate.items():
             if machines != self._vacate.get(pool, frozenset()):
-                self._events.write("machines_vacating", pool=pool, machines=sorted(machines))
+                self._events.gather(
+                    "machines_vacating",
+                    by={"pool": pool},
+                    machine_count=len(machines),
+                    machines=sorted(machines)[:NAMES_MAX],
+                )
         self._vacate = plan.vacate
         self._note_sizes(view, plan)
         await self._orders.give(plan.orders)
 
     def _note_sizes(self, view: FleetView, plan: FleetPlan) -> None:
-        """Write a line for each pool whose size has changed."""
+        """Tell of each pool whose size has changed."""
         for pool in view.pools:
             size = plan.sizes[pool.name]
             if self._sizes.get(pool.name) != size:
                 self._sizes[pool.name] = size
-                self._events.write(
+                self._events.gather(
                     "pool_sized",
-                    pool=pool.name,
+                    by={"pool": pool.name},
                     fetch_count=size.fetch_count,
                     keep_count=size.keep_count,
                     usable=sum(host.is_usable for host in pool.hosts),
--- a/src/robinthread/_internal/platform/callers.py
+++ b/src/robinthread/_internal/platform/callers.py
@@ -173,6 +173,9 @@
 
     def _note_refusal(self, status: int, code: ResultCode, error: str) -> None:
         """Write the last word on a request that was not served."""
+        if code is ResultCode.NO_SUCH_POOL:
+            self._gather_refusal(status, code)
+            return
         config = self._config_holder.config
         self._events.write(
             "request_refused",
@@ -188,6 +191,19 @@
             held_ms=round((time.monotonic() - self._began_at_s) * 1000, 1),
         )
 
+    def _gather_refusal(self, status: int, code: ResultCode) -> None:
+        """Tell of a request for what no configuration knows; there may be many."""
+        config = self._config_holder.config
+        self._events.gather(
+            "request_refused",
+            by={"status": status, "code": int(code), "outcome": code.name},
+            counted_by=str(self.request.method),
+            listed={"jobs": self.request.path.rpartition("/")[2]},
+            host=self.request.host_name,
+            path=self.request.path,
+            config_version=config.version if config is not None else None,
+        )
+
 
 def make_callers_application(
     gate: JobGate, config_holder: ConfigHolder, events: EventLog
--- a/src/robinthread/_internal/telemetry/event_log.py
+++ b/src/robinthread/_internal/telemetry/event_log.py
@@ -1,13 +1,15 @@
 """Structured log lines on a descriptor that may never delay the process."""
 
 import collections
+import math
 import os
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from typing import Any, Final
 
 import msgspec
 
+from robinthread._internal.telemetry.gathered_lines import GatheredLines
 from robinthread._internal.telemetry.line_budget import LineBudget
 from robinthread._internal.telemetry.node_metrics import NodeMetrics
 
@@ -16,6 +18,7 @@
 # Lines kept for a reader that is slow; more are lost and counted.  A line has
 # some 200 bytes, so this is about 400 KB.
 LINES_KEPT_MAX: Final = 2000
+NOTHING: Final[Mapping[str, str]] = {}
 STANDARD_OUTPUT: Final = 1
 
 
@@ -23,7 +26,8 @@
     """Writes one JSON line for each event to ``write``, which must not wait.
 
     Every event is counted.  Of one kind only so many lines a second are written;
-    a line each second tells how many were left out.
+    a line each second tells how many were left out.  Of gathered ones a line a second
+    tells how many there were; ``tell_gathered`` must be called now and then for these.
     """
 
     def __init__(
@@ -34,6 +38,7 @@
         self.metrics = metrics or NodeMetrics()
         self._encoder = msgspec.json.Encoder(enc_hook=str)
         self._budget = LineBudget()
+        self._gathered = GatheredLines()
         self._left_out_told_at_s = 0.0
 
     def write(self, event: str, **fields: Any) -> None:
@@ -47,6 +52,29 @@
             if left_out := self._budget.take_left_out():
                 self._write_line("lines_left_out", {"counts": left_out})
 
+    def gather(
+        self,
+        event: str,
+        by: Mapping[str, Any] = NOTHING,
+        counted_by: str = "",
+        listed: Mapping[str, str] = NOTHING,
+        **newest: Any,
+    ) -> None:
+        """Have an event told with others, in one line a second at most; never wait.
+
+        There is a line for each value of ``by``.  It has the ``count`` of its events, their
+        ``counts`` by ``counted_by``, the first names of those ``listed`` under a field, and
+        all other fields as the newest event has them.
+        """
+        self.metrics.count_event(event, str(by.get("outcome", "")))
+        self._gathered.add(event, by, counted_by, listed, newest)
+        self.tell_gathered()
+
+    def tell_gathered(self, is_last: bool = False) -> None:
+        """Write the gathered lines that are due, or all of them."""
+        for event, fields in self._gathered.take_due(math.inf if is_last else time.monotonic()):
+            self._write_line(event, fields)
+
     def _write_line(self, event: str, fields: dict[str, Any]) -> None:
         line = {"at": round(time.time(), 3), "node": self._node, "event": event} | fields
         self._write(self._encoder.encode(line) + b"\n")
--- a/src/robinthread/_internal/timeline/job_story.py
+++ b/src/robinthread/_internal/timeline/job_story.py
@@ -54,7 +54,7 @@
 def select_lines(lines: Iterable[LogLine], job_id: str) -> list[LogLine]:
     """Return the lines of a job and those of its pool, hosts and nodes meanwhile."""
     lines = list(lines)
-    own = [line for line in lines if line.job == job_id]
+    own = [line for line in lines if line.names("job", job_id)]
     if not own:
         return []
     began_s = min(line.at_s for line in own)
@@ -65,7 +65,7 @@
     around = [
         line
         for line in lines
-        if line.job != job_id
+        if not line.names("job", job_id)
         and began_s <= line.at_s <= ended_s
         and (
             (line.event in NODE_EVENTS and line.node in nodes)
--- a/tests/unit/test_explain.py
+++ b/tests/unit/test_explain.py
@@ -20,6 +20,9 @@
     {"at": 10.050, "node": "b", "event": "run_started", "job": JOB, "host": "h1"},
     {"at": 14.000, "node": "b", "event": "run_ended", "job": JOB, "host": "h1"},
     {"at": 10.900, "node": "b", "event": "run_started", "job": "f" * 16, "host": "h1"},
+    {"at": 15.0, "node": "b", "event": "host_gone", "counts": {"fold": 2}, "hosts": ["h8", "h9"]},
+    {"at": 15.1, "node": "b", "event": "machine_ordered", "to_pool": "fold", "machines": ["m1"]},
+    {"at": 15.2, "node": "b", "event": "request_refused", "code": 301, "jobs": ["e" * 16]},
 )
 
 
@@ -51,6 +54,14 @@
         _code, lines = self.explain("--host=h2", f"--file={self.file}")
         self.assertEqual(1, len(lines))
 
+    def test_filters_find_what_is_told_with_others(self) -> None:
+        _code, lines = self.explain("--host=h9", f"--file={self.file}")
+        self.assertEqual(["host_gone"], [line.split()[4] for line in lines])
+        _code, lines = self.explain("--pool=fold", f"--file={self.file}")
+        self.assertEqual(["host_gone", "machine_ordered"], [line.split()[4] for line in lines])
+        _code, lines = self.explain("e" * 16, f"--file={self.file}")
+        self.assertEqual(["request_refused"], [line.split()[4] for line in lines])
+
     def test_trace_is_written_for_a_browser(self) -> None:
         target = self.file.with_name("trace")
         self.explain(JOB, str(self.file), f"--chrome={target}")
--- a/tests/unit/test_telemetry.py
+++ b/tests/unit/test_telemetry.py
@@ -10,6 +10,7 @@
 from testtools import TestCase
 
 from robinthread._internal.telemetry.event_log import EventLog, LineWriter
+from robinthread._internal.telemetry.gathered_lines import GatheredLines
 from robinthread._internal.telemetry.line_budget import ROUTINE_BURST, LineBudget
 
 METRICS_CODE = """
@@ -76,6 +77,44 @@
         self.assertTrue(lines)
 
 
+class GatheredLinesTest(TestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.gathered = GatheredLines()
+
+    def add(self, number: int, pool: str = "press") -> None:
+        self.gathered.add("host_gone", {}, pool, {"hosts": f"h{number}"}, {"last": number})
+
+    def test_first_is_told_at_once_and_the_others_together_a_second_later(self) -> None:
+        self.add(0)
+        first = {"last": 0, "count": 1, "counts": {"press": 1}, "hosts": ["h0"]}
+        self.assertEqual([("host_gone", first)], self.gathered.take_due(10.0))
+        for number in range(1, 40):
+            self.add(number, "press" if number % 2 else "fold")
+            self.assertEqual([], self.gathered.take_due(10.0 + number / 50))
+        ((_event, fields),) = self.gathered.take_due(11.0)
+        self.assertEqual({"press": 20, "fold": 19}, fields["counts"])
+        self.assertEqual((39, 39), (fields["count"], fields["last"]))
+        self.assertEqual([f"h{number}" for number in range(1, 11)], fields["hosts"])
+        self.assertEqual([], self.gathered.take_due(20.0))
+
+    def test_each_group_has_lines_of_its_own(self) -> None:
+        for pool in ("press", "fold", "press"):
+            self.gathered.add("pool_sized", {"pool": pool}, "", {}, {})
+        lines = self.gathered.take_due(0.0)
+        counts = [(fields["pool"], fields["count"]) for _event, fields in lines]
+        self.assertEqual([("press", 2), ("fold", 1)], counts)
+
+    def test_log_tells_what_is_left_at_its_end(self) -> None:
+        lines: list[bytes] = []
+        log = EventLog("n", lines.append)
+        for number in range(5):
+            log.gather("machine_ordered", {"outcome": "done"}, listed={"machines": f"m{number}"})
+        self.assertEqual(1, len(lines))
+        log.tell_gathered(is_last=True)
+        self.assertEqual(["m1", "m2", "m3", "m4"], json.loads(lines[1])["machines"])
+
+
 class MetricsTest(TestCase):
     def test_instruments_made_before_the_exporter_are_served_by_it(self) -> None:
         found = subprocess.run(
