Lines: ready and unready with the reason, the first accept and each pool's first start

Cause: after a stop of all nodes the records could not tell when a node became ready, or why it was not, nor when the first run started; logs had gone by then and counters begin later. Change: Readiness holds what Node.is_ready told, unchanged, and writes a line at each change, looked at where the balancer asks and each 0.25 s. first_accept of a process and pool_first_start of an owner, with up_s since the process began. Nothing for each run but one comparison.

--- a/src/robinthread/_internal/node/assembly.py
+++ b/src/robinthread/_internal/node/assembly.py
@@ -21,6 +21,7 @@
 from robinthread._internal.node.node import Node
 from robinthread._internal.node.owned_pools import OwnedPools
 from robinthread._internal.node.peer_answers import PeerAnswers
+from robinthread._internal.node.readiness import Readiness
 from robinthread._internal.node.relief import ReliefPlanner
 from robinthread._internal.node.settings_holder import SettingsHolder
 from robinthread._internal.node.standing import StandingReporter
@@ -46,6 +47,8 @@
     answers: PeerAnswers
     config_holder: ConfigHolder
     lag: LoopLag
+    readiness: Readiness
+    standing: StandingReporter
 
 
 def assemble_node(
@@ -104,6 +107,8 @@
         return Steward(context, environment, table, owned, me, token, turn_s)
 
     node = Node(context, me, table, election, owned, make_steward, handover, relief, (hosts, inbox))
+    readiness = Readiness(node, election, config_holder, events)
+    standing = StandingReporter(owned, readiness, events)
     for work in (
         operators.run(),
         hosts.run(),
@@ -115,11 +120,11 @@
         settings_holder.run(),
         writer.run(),
         node.run(),
-        StandingReporter(owned, events).run(),
+        standing.run(),
     ):
         node.spawn(work)
     answers = PeerAnswers(owned, gate, handover)
-    return AssembledNode(node, gate, owned, answers, config_holder, lag)
+    return AssembledNode(node, gate, owned, answers, config_holder, lag, readiness, standing)
 
 
 async def _read_to_end(follower: KeyedFollower) -> None:
--- a/src/robinthread/_internal/node/job_gate.py
+++ b/src/robinthread/_internal/node/job_gate.py
@@ -105,6 +105,10 @@
                 config_version=spec.config_version,
                 task_count=sum(step.task_count for step in spec.steps),
             )
+            if len(self._accepted) == 1:
+                self._events.write(
+                    "first_accept", job=spec.job_id, pool=spec.pool, up_s=self._events.up_s
+                )
         return outcome
 
     async def cancel(self, queue: QueuePolicy, job_id: str, deadline_s: float) -> GateOutcome:
--- a/src/robinthread/_internal/node/node.py
+++ b/src/robinthread/_internal/node/node.py
@@ -22,8 +22,6 @@
 
 # How often a node looks whether there are pools to take, beside every change.
 LOOK_PERIOD_S: Final = 0.2
-# A node without word from the store for so long is not ready for callers.
-STORE_AGE_MAX_S: Final = 1.5
 
 
 class Node:
@@ -56,16 +54,6 @@
         self._spent_tokens: dict[str, int] = {}
         self.is_stopping = False
 
-    @property
-    def is_ready(self) -> bool:
-        """Tell whether callers should be sent here."""
-        now_s = asyncio.get_running_loop().time()
-        return (
-            not self.is_stopping
-            and self._context.config_holder.config is not None
-            and now_s - self._election.last_join_at_s < STORE_AGE_MAX_S
-        )
-
     def spawn(self, work: Coroutine[Any, Any, None]) -> None:
         """Run a task for the node's life."""
         task = asyncio.get_running_loop().create_task(work)
--- a/src/robinthread/_internal/node/order_sender.py
+++ b/src/robinthread/_internal/node/order_sender.py
@@ -225,6 +225,7 @@
                 token=self._runtime.token,
                 since_accepted_ms=since_accepted_ms,
             )
+            self._runtime.note_started(run)
         return StartOutcome.SETTLED
 
     def _reject(self, run: Run, host: Host, reason: str, may_be_there: bool) -> StartOutcome:
--- a/src/robinthread/_internal/node/pool_runtime.py
+++ b/src/robinthread/_internal/node/pool_runtime.py
@@ -1,6 +1,7 @@
 """What the parts of a pool's owner share."""
 
 import asyncio
+import math
 from collections.abc import Coroutine
 from typing import Any, Final
 
@@ -8,6 +9,7 @@
 from robinthread._internal.durable.journal import Journal
 from robinthread._internal.jobs.host_errors import HostFencedError
 from robinthread._internal.jobs.pool_jobs import PoolJobs
+from robinthread._internal.jobs.run import Run
 from robinthread._internal.node.context import NodeContext
 
 # How long a task may run on without word from its pool's owner.  It must outlast a
@@ -34,6 +36,8 @@
         self.changed = asyncio.Event()
         self.unrecorded = asyncio.Event()
         self.fenced = asyncio.Event()
+        self.opened_at_s = math.inf
+        self._has_started = False
         self._tasks: set[asyncio.Task[Any]] = set()
 
     def wake(self) -> None:
@@ -42,12 +46,27 @@
         if self.jobs.unrecorded:
             self.unrecorded.set()
 
+    def get_unconfirmed_s(self) -> float:
+        """Return for how long the store has not confirmed the owner."""
+        return min(self.context.get_unconfirmed_s(), get_loop_s() - self.journal.confirmed_at_s)
+
+    def note_started(self, run: Run) -> None:
+        """Write a line for the first run that was started since the pool was opened."""
+        if not self._has_started:
+            self._has_started = True
+            self.events.write(
+                "pool_first_start",
+                job=run.task.job_id,
+                host=run.host_id,
+                pool=self.pool,
+                token=self.token,
+                since_opened_s=round(get_loop_s() - self.opened_at_s, 3),
+                up_s=self.events.up_s,
+            )
+
     def get_lease_ms(self) -> float | None:
         """Return how long a lease to grant now, or None where none may be granted."""
-        unconfirmed_s = min(
-            self.context.get_unconfirmed_s(), get_loop_s() - self.journal.confirmed_at_s
-        )
-        if unconfirmed_s > UNCONFIRMED_MAX_S:
+        if self.get_unconfirmed_s() > UNCONFIRMED_MAX_S:
             return None
         return min(LEASE_MS, self.context.settings.bounds.lease_max_ms)
 
--- a/src/robinthread/_internal/node/process.py
+++ b/src/robinthread/_internal/node/process.py
@@ -119,8 +119,7 @@
     assembled: AssembledNode, settings: NodeSettings, peer_address: str, events: EventLog
 ) -> HTTPServer:
     """Listen for the balancer, for other nodes and for callers; return the last."""
-    node = assembled.node
-    _listen(make_ready_application(lambda: node.is_ready), settings.ready_address)
+    _listen(make_ready_application(assembled.readiness.look), settings.ready_address)
     _listen(make_peer_application(assembled.answers), peer_address)
     application = make_callers_application(assembled.gate, assembled.config_holder, events)
     return _listen(application, settings.caller_address)
--- /dev/null
+++ b/src/robinthread/_internal/node/readiness.py
@@ -0,0 +1,46 @@
+"""Whether callers should be sent to a node, and why not."""
+
+from typing import Final
+
+from robinthread._internal.node.config_holder import ConfigHolder
+from robinthread._internal.node.election import Election
+from robinthread._internal.node.node import Node
+from robinthread._internal.telemetry.event_log import EventLog
+
+# A node without word from the store for so long is not ready for callers.
+STORE_AGE_MAX_S: Final = 1.5
+
+
+class Readiness:
+    """Tells whether a node is ready, with a line at each change."""
+
+    def __init__(
+        self, node: Node, election: Election, config_holder: ConfigHolder, events: EventLog
+    ) -> None:
+        self._node = node
+        self._election = election
+        self._config_holder = config_holder
+        self._events = events
+        self._told: str | None = None
+
+    def look(self) -> bool:
+        """Tell whether callers should be sent here."""
+        obstacle = self._find_obstacle()
+        if obstacle != self._told:
+            self._told = obstacle
+            self._tell(obstacle)
+        return not obstacle
+
+    def _find_obstacle(self) -> str:
+        if self._node.is_stopping:
+            return "stopping"
+        if self._config_holder.config is None:
+            return "no configuration"
+        is_heard = self._election.get_silence_s() < STORE_AGE_MAX_S
+        return "" if is_heard else "no word from the store"
+
+    def _tell(self, obstacle: str) -> None:
+        if obstacle:
+            self._events.write("unready", reason=obstacle, up_s=self._events.up_s)
+        else:
+            self._events.write("ready", up_s=self._events.up_s)
--- a/src/robinthread/_internal/node/standing.py
+++ b/src/robinthread/_internal/node/standing.py
@@ -1,10 +1,11 @@
-"""Lines that tell, time and again, how a node's pools stand."""
+"""Lines that tell, time and again, how a node and its pools stand."""
 
 import asyncio
 from typing import Final
 
 from robinthread._internal.node.owned_pools import OwnedPools
 from robinthread._internal.node.pool_owner import PoolOwner
+from robinthread._internal.node.readiness import Readiness
 from robinthread._internal.telemetry.event_log import EventLog
 
 # How often there is a look at what has changed.
@@ -15,10 +16,11 @@
 
 
 class StandingReporter:
-    """Tells of pools that were taken and do not open."""
+    """Tells of pools that were taken and do not open, and of the node's readiness."""
 
-    def __init__(self, owned: OwnedPools, events: EventLog) -> None:
+    def __init__(self, owned: OwnedPools, readiness: Readiness, events: EventLog) -> None:
         self._owned = owned
+        self._readiness = readiness
         self._events = events
 
     async def run(self) -> None:
@@ -30,6 +32,7 @@
     def look(self) -> None:
         """Write what is due now."""
         self._events.tell_gathered()
+        self._readiness.look()
         for owner in self._owned.owners.values():
             if not owner.is_open and owner.opening.is_due(SLOW_PERIOD_S):
                 self._tell_slow(owner)
--- a/src/robinthread/_internal/telemetry/event_log.py
+++ b/src/robinthread/_internal/telemetry/event_log.py
@@ -40,6 +40,12 @@
         self._budget = LineBudget()
         self._gathered = GatheredLines()
         self._left_out_told_at_s = 0.0
+        self._began_at_s = time.monotonic()
+
+    @property
+    def up_s(self) -> float:
+        """Return for how long the process has been logging, to the millisecond."""
+        return round(time.monotonic() - self._began_at_s, 3)
 
     def write(self, event: str, **fields: Any) -> None:
         """Write a line if its kind's budget allows; never wait."""
--- a/src/robinthread/_internal/timeline/job_story.py
+++ b/src/robinthread/_internal/timeline/job_story.py
@@ -35,6 +35,8 @@
 NODE_EVENTS: Final = frozenset(
     {
         "started",
+        "ready",
+        "unready",
         "stopping",
         "stopped",
         "store_lost",
