owner_standing: how each owned pool stands, each 2 s, also before it is open

Change: one line a pool each 2 s, from one pass over its hosts and waiting tasks; the gauges robinthread_pool_state and robinthread_lasting_away beside it.

--- a/src/robinthread/_internal/node/assembly.py
+++ b/src/robinthread/_internal/node/assembly.py
@@ -108,7 +108,7 @@
 
     node = Node(context, me, table, election, owned, make_steward, handover, relief, (hosts, inbox))
     readiness = Readiness(node, election, config_holder, events)
-    standing = StandingReporter(owned, readiness, events)
+    standing = StandingReporter(owned, lag, readiness, events)
     for work in (
         operators.run(),
         hosts.run(),
--- a/src/robinthread/_internal/node/pool_owner.py
+++ b/src/robinthread/_internal/node/pool_owner.py
@@ -159,6 +159,10 @@
         job = self.jobs.jobs.get(job_id)
         return None if job is None else job.shown_status
 
+    def get_unconfirmed_s(self) -> float:
+        """Return for how long the store has not confirmed this owner."""
+        return self._runtime.get_unconfirmed_s()
+
     def count_pending(self) -> dict[str, int]:
         """Count, by queue, the jobs of which nothing has begun."""
         return count_pending(self.jobs)
--- a/src/robinthread/_internal/node/process.py
+++ b/src/robinthread/_internal/node/process.py
@@ -83,6 +83,8 @@
     )
     assembled = assemble_node(holder, make_environment(settings, events, policy), me)
     metrics.observe("loop_lag_seconds", "of", lambda: {"event loop": assembled.lag.lag_s})
+    metrics.observe("pool_state", "pool", assembled.standing.read_states)
+    metrics.observe("lasting_away", "pool", assembled.standing.count_lasting_away)
     callers = _serve(assembled, settings, peer_address, events)
     if metrics_port is not None:
         address = f"{settings.ip}:{metrics_port}"
--- a/src/robinthread/_internal/node/standing.py
+++ b/src/robinthread/_internal/node/standing.py
@@ -1,10 +1,14 @@
 """Lines that tell, time and again, how a node and its pools stand."""
 
 import asyncio
-from typing import Final
+from collections import Counter
+from typing import Any, Final
 
+from robinthread._internal.jobs.host import Host
+from robinthread._internal.node.loop_lag import LoopLag
 from robinthread._internal.node.owned_pools import OwnedPools
 from robinthread._internal.node.pool_owner import PoolOwner
+from robinthread._internal.node.pool_runtime import get_loop_s
 from robinthread._internal.node.readiness import Readiness
 from robinthread._internal.telemetry.event_log import EventLog
 
@@ -13,15 +17,22 @@
 # How often a pool is told that is not open yet.  Openings took 0.2 to 0.3 s with a store
 # that answers.
 SLOW_PERIOD_S: Final = 1.0
+# How often each pool is told.  Its line has some 400 bytes, so that a minute of a pool takes
+# a fifth of what collectors keep of a process at least (54 KB).
+STANDING_PERIOD_S: Final = 2.0
 
 
 class StandingReporter:
-    """Tells of pools that were taken and do not open, and of the node's readiness."""
+    """Tells how the pools stand that are owned here, open or not."""
 
-    def __init__(self, owned: OwnedPools, readiness: Readiness, events: EventLog) -> None:
+    def __init__(
+        self, owned: OwnedPools, lag: LoopLag, readiness: Readiness, events: EventLog
+    ) -> None:
         self._owned = owned
+        self._lag = lag
         self._readiness = readiness
         self._events = events
+        self._told_at_s = 0.0
 
     async def run(self) -> None:
         """Tell until cancelled."""
@@ -33,9 +44,25 @@
         """Write what is due now."""
         self._events.tell_gathered()
         self._readiness.look()
+        is_due = get_loop_s() - self._told_at_s >= STANDING_PERIOD_S
+        if is_due:
+            self._told_at_s = get_loop_s()
         for owner in self._owned.owners.values():
             if not owner.is_open and owner.opening.is_due(SLOW_PERIOD_S):
                 self._tell_slow(owner)
+            if is_due:
+                self._tell_standing(owner)
+
+    def read_states(self) -> dict[str, float]:
+        """Return 1 for each pool that is open and 0 for each that was only taken."""
+        return {pool: float(owner.is_open) for pool, owner in self._owned.owners.items()}
+
+    def count_lasting_away(self) -> dict[str, float]:
+        """Count, by pool, the lasting tasks that run nowhere."""
+        return {
+            pool: sum(task.step.is_lasting for task in owner.jobs.waiting.values())
+            for pool, owner in self._owned.owners.items()
+        }
 
     def _tell_slow(self, owner: PoolOwner) -> None:
         self._events.write(
@@ -45,3 +72,28 @@
             missing=owner.opening.missing,
             **owner.opening.list_times(),
         )
+
+    def _tell_standing(self, owner: PoolOwner) -> None:
+        waiting = owner.jobs.waiting.values()
+        self._events.write(
+            "owner_standing",
+            pool=owner.pool,
+            token=owner.token,
+            phase="open" if owner.is_open else "+".join(owner.opening.missing),
+            loop_lag_s=round(self._lag.lag_s, 3),
+            job_count=len(owner.jobs.jobs),
+            waiting=len(waiting),
+            waiting_lasting=sum(task.step.is_lasting for task in waiting),
+            **_count_hosts(list(owner.jobs.hosts.values()), get_loop_s()),
+            store_unconfirmed_for_s=round(owner.get_unconfirmed_s(), 3),
+        )
+
+
+def _count_hosts(hosts: list[Host], now_s: float) -> dict[str, Any]:
+    """Count hosts by how they are heard, and find the lease with runs that ends first."""
+    counts = Counter(host.contact.value if host.is_listed else "unlisted" for host in hosts)
+    left_s = min((host.lease.over_at_s - now_s for host in hosts if host.runs), default=None)
+    return {
+        **{f"{how}_hosts": count for how, count in counts.items()},
+        "lease_left_s": None if left_s is None else round(left_s, 3),
+    }
--- a/src/robinthread/_internal/timeline/job_story.py
+++ b/src/robinthread/_internal/timeline/job_story.py
@@ -21,6 +21,7 @@
         "pool_taken",
         "pool_opening_slow",
         "pool_opened",
+        "owner_standing",
         "pool_closed",
         "pool_fenced",
         "pool_open_failed",
--- a/tests/unit/test_standing.py
+++ b/tests/unit/test_standing.py
@@ -4,21 +4,86 @@
 
 from testtools import TestCase
 
+from robinthread._internal.models.job_spec import StepSpec
 from robinthread._internal.models.pool_policy import PoolPolicy
 from robinthread._internal.standins.platform_standin import RESERVE, PlatformStandin
+from tests.functional.test_slow_takeover import LINK_BYTES_PER_S, fill_progress
 from tests.lib.job_platforms import (
     POOL,
     QUEUE,
+    get_owner,
     hand_in,
     make_job,
     plan_second,
     start_platform,
+    wait_until,
 )
 from tests.lib.virtual import run_virtual
 from tests.unit.test_taking_lines import find_lines
 
+LASTING = StepSpec(2, cpu_millicores=1000, memory_mb=100, is_lasting=True)
+# More than any host has.
+TOO_WIDE = StepSpec(1, cpu_millicores=900_000, memory_mb=100)
+
 
 class StandingTest(TestCase):
+    def test_open_pool_is_told_each_two_seconds_with_what_it_has(self) -> None:
+        async def work() -> None:
+            platform = await start_platform(nodes=1)
+            await hand_in(platform, "node0", make_job(1, LASTING))
+            await hand_in(platform, "node0", make_job(2, TOO_WIDE))
+            await asyncio.sleep(2)
+            before = len(find_lines(platform, "owner_standing"))
+            await asyncio.sleep(10)
+            lines = find_lines(platform, "owner_standing")
+            self.assertEqual(5, len(lines) - before)
+            last = lines[-1]
+            self.assertEqual(("open", 2), (last["phase"], last["job_count"]))
+            self.assertEqual((1, 0), (last["waiting"], last["waiting_lasting"]))
+            self.assertGreater(last["answering_hosts"], 0)
+            self.assertNotIn("silent_hosts", last)
+            self.assertTrue(2.5 < last["lease_left_s"] < 4.5)
+            self.assertTrue(0 <= last["store_unconfirmed_for_s"] < 2)
+            standing = platform.nodes["node0"].assembled.standing
+            self.assertEqual(1.0, standing.read_states()[POOL])
+            self.assertEqual(0, standing.count_lasting_away()[POOL])
+
+        run_virtual(work())
+
+    def test_silent_hosts_and_lasting_tasks_away_show(self) -> None:
+        async def work() -> None:
+            platform = await start_platform(nodes=1)
+            await hand_in(platform, "node0", make_job(1, LASTING))
+            await asyncio.sleep(3)
+            platform.hosts.faults.silent.add("node0")
+            await asyncio.sleep(9)
+            last = find_lines(platform, "owner_standing")[-1]
+            self.assertGreater(last["silent_hosts"], 0)
+            self.assertNotIn("answering_hosts", last)
+            self.assertEqual((2, 2), (last["waiting"], last["waiting_lasting"]))
+            self.assertIsNone(last["lease_left_s"])
+            standing = platform.nodes["node0"].assembled.standing
+            self.assertEqual(2, standing.count_lasting_away()[POOL])
+
+        run_virtual(work())
+
+    def test_pool_is_told_before_it_is_open(self) -> None:
+        async def work() -> None:
+            platform = PlatformStandin(plan_second, 1)
+            platform.configure(
+                1, (QUEUE,), (PoolPolicy(POOL), PoolPolicy(RESERVE, is_reserve=True))
+            )
+            fill_progress(platform)
+            platform.store.link_bytes_per_s["slow"] = LINK_BYTES_PER_S
+            platform.start_node("slow")
+            await wait_until(lambda: bool(find_lines(platform, "owner_standing")))
+            self.assertIsNone(get_owner(platform))
+            self.assertEqual("progress", find_lines(platform, "owner_standing")[-1]["phase"])
+            standing = platform.nodes["slow"].assembled.standing
+            self.assertEqual(0.0, standing.read_states()[POOL])
+
+        run_virtual(work())
+
     def test_first_accept_and_first_start_are_told_once(self) -> None:
         async def work() -> None:
             platform = await start_platform(nodes=1)
