--- a/src/robinthread/_internal/commands/node.py
+++ b/src/robinthread/_internal/commands/node.py
@@ -10,6 +10,7 @@
 from robinthread._internal.results import FaultError
 from robinthread._internal.settings.parse import parse_policy
 from robinthread._internal.settings.policy_settings import PolicySettings
+from robinthread._internal.telemetry.node_metrics import NodeMetrics
 from robinthread._internal.utils.files import read_text
 
 
@@ -32,8 +33,8 @@
     raise FaultError(result.failure())
 
 
-def _begin_metrics() -> Application:
+def _begin_metrics(metrics: NodeMetrics) -> Application:
     from robinthread._internal.telemetry.exporter import begin_metrics, make_metrics_application
 
-    begin_metrics()
+    begin_metrics(metrics)
     return make_metrics_application()
--- a/src/robinthread/_internal/node/process.py
+++ b/src/robinthread/_internal/node/process.py
@@ -1,6 +1,7 @@
 """The process of a node: its real interfaces, its signals, its end."""
 
 import asyncio
+import importlib
 import secrets
 import signal
 import time
@@ -46,12 +47,21 @@
 LINGER_S: Final = 3.5
 # The exporter takes 0.2 s of a core to load: after a restart of all nodes jobs go first.
 METRICS_DELAY_S: Final = 5.0
+# What the exporter is made of, loaded one by one: each holds the event loop for half of that
+# time or less, and between them calls are answered whose time-outs are as short as 0.3 s.
+METRICS_MODULES: Final = (
+    "prometheus_client",
+    "opentelemetry.sdk.resources",
+    "opentelemetry.sdk.metrics",
+    "opentelemetry.exporter.prometheus",
+)
+METRICS_PAUSE_S: Final = 0.1
 
 
 async def run_node(
     read_settings: Callable[[], NodeSettings],
     metrics_port: int | None,
-    begin_metrics: Callable[[], Application],
+    begin_metrics: Callable[[NodeMetrics], Application],
     policy: PolicySettings,
 ) -> None:
     """Run a node until SIGTERM; raise ``FaultError`` where its settings are not valid.
@@ -88,7 +98,7 @@
     callers = _serve(assembled, settings, peer_address, events)
     if metrics_port is not None:
         address = f"{settings.ip}:{metrics_port}"
-        loop.call_later(METRICS_DELAY_S, lambda: _listen(begin_metrics(), address))
+        assembled.node.spawn(_serve_metrics(begin_metrics, metrics, address))
     await stopped.wait()
     events.write("stopping")
     await assembled.node.stop()
@@ -127,6 +137,17 @@
     return _listen(application, settings.caller_address)
 
 
+async def _serve_metrics(
+    begin_metrics: Callable[[NodeMetrics], Application], metrics: NodeMetrics, address: str
+) -> None:
+    """Load the exporter, bit by bit, and serve it."""
+    await asyncio.sleep(METRICS_DELAY_S)
+    for name in METRICS_MODULES:
+        importlib.import_module(name)
+        await asyncio.sleep(METRICS_PAUSE_S)
+    _listen(begin_metrics(metrics), address)
+
+
 def _listen(application: Application, address: str) -> HTTPServer:
     host, _, port = address.rpartition(":")
     server = HTTPServer(application)
--- a/src/robinthread/_internal/telemetry/node_metrics.py
+++ b/src/robinthread/_internal/telemetry/node_metrics.py
@@ -1,14 +1,17 @@
-"""Counters and latency histograms of a node, by OpenTelemetry."""
+"""What a node counts and times, kept plainly, and its gauges."""
 
+from collections import Counter
 from collections.abc import Callable, Iterable, Mapping
 
 from opentelemetry.metrics import CallbackOptions, Meter, NoOpMeterProvider, Observation
 
+from robinthread._internal.telemetry.latencies import Latencies
+
 ReadGauge = Callable[[], Mapping[str, float]]
 
 
 class NodeMetrics:
-    """What a node counts and times; without a meter nothing is kept.
+    """What a node counts and times from its start; an exporter that is loaded later reads it.
 
     Latencies are in seconds.  An outcome is a word or the name of an error.
     """
@@ -16,41 +19,54 @@
     def __init__(self, meter: Meter | None = None) -> None:
         meter = meter or NoOpMeterProvider().get_meter("robinthread")
         self._meter = meter
-        self._events = meter.create_counter("robinthread_events")
-        self._requests = meter.create_histogram("robinthread_request_seconds")
-        self._store_calls = meter.create_histogram("robinthread_store_call_seconds")
-        self._host_calls = meter.create_histogram("robinthread_host_call_seconds")
-        self._machine_calls = meter.create_histogram("robinthread_machine_call_seconds")
-        self._starts = meter.create_histogram("robinthread_acceptance_to_start_seconds")
-        self._jobs = meter.create_histogram("robinthread_acceptance_to_end_seconds")
+        self._events: Counter[tuple[str, str]] = Counter()
+        meter.create_observable_counter("robinthread_events", callbacks=[self._read_events])
+        self._requests = Latencies("robinthread_request_seconds", "kind", "code")
+        self._store_calls = Latencies("robinthread_store_call_seconds", "kind", "outcome")
+        self._host_calls = Latencies("robinthread_host_call_seconds", "kind", "outcome")
+        self._machine_calls = Latencies("robinthread_machine_call_seconds", "kind", "outcome")
+        self._starts = Latencies("robinthread_acceptance_to_start_seconds", "pool")
+        self._jobs = Latencies("robinthread_acceptance_to_end_seconds", "pool", "status")
+
+    @property
+    def latencies(self) -> tuple[Latencies, ...]:
+        """Return all latencies, those first that tell most of how callers fare."""
+        return (
+            self._starts,
+            self._jobs,
+            self._requests,
+            self._store_calls,
+            self._host_calls,
+            self._machine_calls,
+        )
 
     def count_event(self, event: str, outcome: str) -> None:
         """Count a log line, written or left out."""
-        self._events.add(1, {"event": event, "outcome": outcome})
+        self._events[event, outcome] += 1
 
     def note_request(self, kind: str, code: int, took_s: float) -> None:
         """Note a caller's request and the number of its result code."""
-        self._requests.record(took_s, {"kind": kind, "code": str(code)})
+        self._requests.record(took_s, kind, str(code))
 
     def note_store_call(self, kind: str, outcome: str, took_s: float) -> None:
         """Note a call to the store."""
-        self._store_calls.record(took_s, {"kind": kind, "outcome": outcome})
+        self._store_calls.record(took_s, kind, outcome)
 
     def note_host_call(self, kind: str, outcome: str, took_s: float) -> None:
         """Note an order to a job host."""
-        self._host_calls.record(took_s, {"kind": kind, "outcome": outcome})
+        self._host_calls.record(took_s, kind, outcome)
 
     def note_machine_call(self, kind: str, outcome: str, took_s: float) -> None:
         """Note a call about the fleet's machines."""
-        self._machine_calls.record(took_s, {"kind": kind, "outcome": outcome})
+        self._machine_calls.record(took_s, kind, outcome)
 
     def note_start(self, pool: str, since_accepted_s: float) -> None:
         """Note a run's start."""
-        self._starts.record(max(0.0, since_accepted_s), {"pool": pool})
+        self._starts.record(max(0.0, since_accepted_s), pool)
 
     def note_job_end(self, pool: str, status: str, since_accepted_s: float) -> None:
         """Note a job's end."""
-        self._jobs.record(max(0.0, since_accepted_s), {"pool": pool, "status": status})
+        self._jobs.record(max(0.0, since_accepted_s), pool, status)
 
     def observe(self, name: str, label: str, read: ReadGauge) -> None:
         """Publish a gauge; ``read`` returns its values by label."""
@@ -59,3 +75,9 @@
             return [Observation(value, {label: key}) for key, value in read().items()]
 
         self._meter.create_observable_gauge(f"robinthread_{name}", callbacks=[callback])
+
+    def _read_events(self, options: CallbackOptions) -> Iterable[Observation]:
+        return [
+            Observation(count, {"event": event, "outcome": outcome})
+            for (event, outcome), count in self._events.items()
+        ]
--- a/tests/unit/test_telemetry.py
+++ b/tests/unit/test_telemetry.py
@@ -11,18 +11,21 @@
 
 from robinthread._internal.telemetry.event_log import EventLog, LineWriter
 from robinthread._internal.telemetry.gathered_lines import GatheredLines
+from robinthread._internal.telemetry.latencies import Latencies
 from robinthread._internal.telemetry.line_budget import ROUTINE_BURST, LineBudget
 
 METRICS_CODE = """
 from opentelemetry.metrics import get_meter
 from robinthread._internal.telemetry.node_metrics import NodeMetrics
 metrics = NodeMetrics(get_meter("robinthread"))
-from robinthread._internal.telemetry.exporter import REGISTRY, begin_metrics, generate_latest
-begin_metrics()
 metrics.count_event("job_ended", "succeeded")
 metrics.note_store_call("append", "ok", 0.004)
+from robinthread._internal.telemetry.exporter import begin_metrics, write_metrics
+begin_metrics(metrics)
+metrics.count_event("job_ended", "succeeded")
+metrics.note_store_call("append", "ok", 0.3)
 metrics.observe("lines_lost", "by", lambda: {"slow reader": 3})
-print(generate_latest(REGISTRY).decode())
+print(write_metrics().decode())
 """
 
 
@@ -116,11 +119,41 @@
 
 
 class MetricsTest(TestCase):
-    def test_instruments_made_before_the_exporter_are_served_by_it(self) -> None:
+    def setUp(self) -> None:
+        super().setUp()
         found = subprocess.run(
             [sys.executable, "-c", METRICS_CODE], capture_output=True, check=True
         )
-        text = found.stdout.decode()
+        self.lines = [line for line in found.stdout.decode().splitlines() if line]
+
+    def test_instruments_made_before_the_exporter_are_served_by_it(self) -> None:
+        text = "\n".join(self.lines)
         self.assertIn('robinthread_events_total{event="job_ended",', text)
         self.assertIn("robinthread_store_call_seconds_bucket{", text)
         self.assertIn('robinthread_lines_lost{by="slow reader"', text)
+
+    def test_what_came_before_the_exporter_counts(self) -> None:
+        text = "\n".join(self.lines)
+        self.assertIn('_events_total{event="job_ended",outcome="succeeded"} 2.0', text)
+        self.assertIn('_call_seconds_bucket{kind="append",le="0.02",outcome="ok"} 1.0', text)
+        self.assertIn('_call_seconds_bucket{kind="append",le="0.1",outcome="ok"} 1.0', text)
+        self.assertIn('_call_seconds_bucket{kind="append",le="0.5",outcome="ok"} 2.0', text)
+        self.assertIn('_call_seconds_bucket{kind="append",le="+Inf",outcome="ok"} 2.0', text)
+        self.assertIn('_call_seconds_count{kind="append",outcome="ok"} 2.0', text)
+        self.assertIn('_call_seconds_sum{kind="append",outcome="ok"} 0.304', text)
+
+    def test_only_our_metrics_are_told_and_histograms_come_last(self) -> None:
+        names = [line.split("{")[0] for line in self.lines if not line.startswith("#")]
+        self.assertTrue(all(name.startswith("robinthread_") for name in names))
+        self.assertEqual(["robinthread_lines_lost", "robinthread_events_total"], names[:2])
+        self.assertEqual(
+            {"robinthread_store_call_seconds"}, {x.rpartition("_")[0] for x in names[2:]}
+        )
+
+    def test_latencies_are_counted_up_to_each_bound(self) -> None:
+        latencies = Latencies("seconds", "pool")
+        for took_s in (0.0, 0.02, 0.021, 0.5, 2.0, 2.1, 60.0):
+            latencies.record(took_s, "press")
+        latency = latencies.kept["press",]
+        self.assertEqual([2, 1, 1, 1, 2], latency.counts)
+        self.assertAlmostEqual(64.641, latency.sum_s)
