--- a/src/robinthread/_internal/node/pool_opening.py
+++ b/src/robinthread/_internal/node/pool_opening.py
@@ -20,6 +20,7 @@
         self._began_at_s = _get_now_s()
         self._told_at_s = self._began_at_s
         self._took_ms: dict[str, float] = {}
+        self.opened_at_s: float | None = None
 
     async def time(self, part: str, work: Awaitable[T]) -> T:
         """Await a part and note how long it took."""
@@ -33,15 +34,24 @@
         """Return the parts that are not done."""
         return tuple(part for part in PARTS if part not in self._took_ms)
 
-    @property
-    def lasts_s(self) -> float:
-        """Return for how long the pool has been opening."""
-        return _get_now_s() - self._began_at_s
+    def end(self) -> None:
+        """Note that the pool is open."""
+        self.opened_at_s = _get_now_s()
+
+    def tell_end(self) -> dict[str, float]:
+        """Return what opening took and for how long the pool is open, as fields of a line."""
+        if self.opened_at_s is None:
+            return {}
+        return {
+            "opened_in_s": round(self.opened_at_s - self._began_at_s, 3),
+            "open_for_s": round(_get_now_s() - self.opened_at_s, 1),
+        }
 
     def list_times(self) -> dict[str, float]:
         """Return what the whole and each part that is done took, as fields of a line."""
         parts = {f"{part}_ms": self._took_ms[part] for part in PARTS if part in self._took_ms}
-        return {"took_ms": round(self.lasts_s * 1000, 1)} | parts
+        until_s = _get_now_s() if self.opened_at_s is None else self.opened_at_s
+        return {"took_ms": round((until_s - self._began_at_s) * 1000, 1)} | parts
 
     def is_due(self, period_s: float) -> bool:
         """Tell whether so long has passed since the beginning, or since this was last so."""
--- a/src/robinthread/_internal/node/pool_owner.py
+++ b/src/robinthread/_internal/node/pool_owner.py
@@ -112,6 +112,7 @@
         self._context.host_directory.listen(self._update_hosts)
         self._update_hosts()
         self.is_open = True
+        self.opening.end()
         self._runtime.opened_at_s = get_loop_s()
         orphans = list(self._progress.values())
         self._progress.clear()
--- a/src/robinthread/_internal/node/standing.py
+++ b/src/robinthread/_internal/node/standing.py
@@ -80,6 +80,7 @@
             pool=owner.pool,
             token=owner.token,
             phase="open" if owner.is_open else "+".join(owner.opening.missing),
+            **owner.opening.tell_end(),
             loop_lag_s=round(self._lag.lag_s, 3),
             job_count=len(owner.jobs.jobs),
             waiting=len(waiting),
--- a/tests/unit/test_standing.py
+++ b/tests/unit/test_standing.py
@@ -40,6 +40,8 @@
             last = lines[-1]
             self.assertEqual(("open", 2), (last["phase"], last["job_count"]))
             self.assertEqual((1, 0), (last["waiting"], last["waiting_lasting"]))
+            self.assertTrue(0 < last["opened_in_s"] < 1)
+            self.assertTrue(11 <= last["open_for_s"] <= 13.1)
             self.assertGreater(last["answering_hosts"], 0)
             self.assertNotIn("silent_hosts", last)
             self.assertTrue(2.5 < last["lease_left_s"] < 4.5)
@@ -79,6 +81,7 @@
             await wait_until(lambda: bool(find_lines(platform, "owner_standing")))
             self.assertIsNone(get_owner(platform))
             self.assertEqual("progress", find_lines(platform, "owner_standing")[-1]["phase"])
+            self.assertNotIn("opened_in_s", find_lines(platform, "owner_standing")[-1])
             standing = platform.nodes["slow"].assembled.standing
             self.assertEqual(0.0, standing.read_states()[POOL])
 
