--- a/src/robinthread/_internal/node/election.py
+++ b/src/robinthread/_internal/node/election.py
@@ -78,6 +78,8 @@
         self._generation = 0
         self._is_stale = True
         self._members: frozenset[Member] = frozenset()
+        self._members_read_at_s = -math.inf
+        self._is_listed: bool | None = None
         self._steady_since_s = math.inf
         self.last_join_at_s = -math.inf
         self._failure_count = 0
@@ -134,6 +136,11 @@
         """Return for how long the store has not answered this node."""
         return asyncio.get_running_loop().time() - self.last_join_at_s
 
+    def get_missing_s(self, pool: str) -> float | None:
+        """Return for how long a pool's last owner was no member; None where it was one."""
+        previous = self._table.previous.get(pool)
+        return None if previous is None else self._checks.get_missing_s(previous.owner)
+
     def is_living(self, member: Member) -> bool:
         """Tell whether a process is a member now."""
         return member in self._members
@@ -153,7 +160,11 @@
             if (found := self._table.get(pool)) is not None and found.owner in living
         )
         pools = []
-        for pool in sorted([*config.pools, FLEET]):
+        wanted = sorted([*config.pools, FLEET])
+        self._checks.keep_only(
+            found.owner for pool in wanted if (found := self._table.get(pool)) is not None
+        )
+        for pool in wanted:
             if not self._is_free(pool):
                 continue
             # One that gave the pool back is stopping, or could not serve it.
@@ -198,9 +209,12 @@
         if owner in self._members or owner == self._me:
             self._checks.note_listed(owner)
             return False
-        # Where the same node has begun another life, the old one has ended.
-        is_succeeded = any(member.node == owner.node for member in self._members | {self._me})
-        return is_succeeded or self._checks.is_gone(owner)
+        if any(member.node == owner.node for member in self._members | {self._me}):
+            # The same node has begun another life, so the old one has ended.
+            return True
+        if self._checks.get_missing_s(owner) is None:
+            self._note_missing(pool, owner)
+        return self._checks.is_gone(owner)
 
     async def _join(self) -> None:
         if self.is_leaving:
@@ -218,7 +232,9 @@
         if is_changed or self._is_stale or self._checks.is_any_missing:
             self._generation = membership.generation
             self._members = await self._list_members()
+            self._members_read_at_s = asyncio.get_running_loop().time()
             self._is_stale = self._me not in self._members
+            self._note_listed(not self._is_stale)
         self._change_topic_if_unlisted(now_s)
 
     def _change_topic_if_unlisted(self, now_s: float) -> None:
@@ -230,10 +246,29 @@
         if now_s - self._unlisted_since_s >= UNLISTED_MAX_S:
             self._unlisted_since_s = math.inf
             self._topic = (self._topic + FIRST_TOPICS) % TOPICS_MAX
+
+    def _note_listed(self, is_listed: bool) -> None:
+        """Write whether the store lists this member, where that has changed."""
+        if is_listed != self._is_listed:
+            self._is_listed = is_listed
             self._events.write(
-                "member_unlisted", listed_count=len(self._members), next_topic=self._topic
+                "member_listed" if is_listed else "member_unlisted",
+                generation=self._generation,
+                listed_count=len(self._members),
+                topic=self._topic,
             )
 
+    def _note_missing(self, pool: str, owner: Member) -> None:
+        now_s = asyncio.get_running_loop().time()
+        self._events.write(
+            "owner_missing",
+            pool=pool,
+            owner=owner.node,
+            since_s=round(now_s - self._members_read_at_s, 3),
+            generation=self._generation,
+            listed_count=len(self._members),
+        )
+
     async def _list_members(self) -> frozenset[Member]:
         names = await self._store.list_members(GROUP)
         return frozenset(msgspec.json.decode(name, type=Member) for name in names)
--- a/src/robinthread/_internal/node/owner_checks.py
+++ b/src/robinthread/_internal/node/owner_checks.py
@@ -1,6 +1,7 @@
 """Asking owners that the store does not list whether they live."""
 
 import asyncio
+from collections.abc import Iterable
 from typing import Final
 
 from robinthread._internal.durable.ownership import Member
@@ -53,10 +54,23 @@
         lives = now_s < self._lives_until_s.get(owner, 0.0)
         return now_s - since_s >= MISSING_CONFIRM_S and not lives
 
+    def get_missing_s(self, owner: Member) -> float | None:
+        """Return for how long an owner has been missing; None where it was listed."""
+        since_s = self._missing_since_s.get(owner)
+        return None if since_s is None else asyncio.get_running_loop().time() - since_s
+
     def note_listed(self, owner: Member) -> None:
         """Note that an owner is listed."""
         self._missing_since_s.pop(owner, None)
 
+    def keep_only(self, owners: Iterable[Member]) -> None:
+        """Forget the members that own nothing any more."""
+        kept = set(owners)
+        for gone in self._missing_since_s.keys() - kept:
+            del self._missing_since_s[gone]
+        for gone in self._lives_until_s.keys() - kept:
+            del self._lives_until_s[gone]
+
     def clear(self) -> None:
         """Forget all absences: the members have not been seen without a gap."""
         self._missing_since_s.clear()
--- a/src/robinthread/_internal/node/pool_owner.py
+++ b/src/robinthread/_internal/node/pool_owner.py
@@ -1,7 +1,6 @@
 """Owning one pool: its jobs, its hosts and every order to them."""
 
 import asyncio
-from collections import Counter
 from typing import Final
 
 from robinthread._internal.durable.job_index import IndexedJob
@@ -22,7 +21,8 @@
 from robinthread._internal.node.context import NodeContext
 from robinthread._internal.node.host_follower import HostFollower
 from robinthread._internal.node.order_sender import OrderSender
-from robinthread._internal.node.pool_reporting import make_pool_report
+from robinthread._internal.node.pool_opening import PoolOpening
+from robinthread._internal.node.pool_reporting import count_pending, make_pool_report, tell_ended
 from robinthread._internal.node.pool_runtime import (
     LEASE_MS,
     PoolRuntime,
@@ -88,6 +88,8 @@
             context.settings.bounds.machine_move_s + HOST_START_S, context.policy.demand
         )
         self._ended_hosts: set[str] = set()
+        self._progress_count = 0
+        self.opening = PoolOpening()
         self._is_stopped = False
         self.is_open = False
 
@@ -98,10 +100,11 @@
 
     async def start(self) -> None:
         """Shut out older owners, load what they recorded, and begin."""
+        time = self.opening.time
         await asyncio.gather(
             self._load_progress(),
-            self._context.read_inbox_to_end(),
-            self._context.read_hosts_to_end(),
+            time("inbox", self._context.read_inbox_to_end()),
+            time("hosts", self._context.read_hosts_to_end()),
         )
         if self._is_stopped:
             return
@@ -109,6 +112,8 @@
         self._context.host_directory.listen(self._update_hosts)
         self._update_hosts()
         self.is_open = True
+        self.opening.end()
+        self._runtime.opened_at_s = get_loop_s()
         orphans = list(self._progress.values())
         self._progress.clear()
         self._runtime.spawn(self._retention.drop_orphans(orphans))
@@ -123,6 +128,8 @@
             token=self.token,
             job_count=len(self.jobs.jobs),
             host_count=len(self.jobs.hosts),
+            progress_count=self._progress_count,
+            **self.opening.list_times(),
         )
 
     async def stop(self, is_planned: bool = False) -> None:
@@ -153,13 +160,13 @@
         job = self.jobs.jobs.get(job_id)
         return None if job is None else job.shown_status
 
+    def get_unconfirmed_s(self) -> float:
+        """Return for how long the store has not confirmed this owner."""
+        return self._runtime.get_unconfirmed_s()
+
     def count_pending(self) -> dict[str, int]:
         """Count, by queue, the jobs of which nothing has begun."""
-        return Counter(
-            job.spec.queue
-            for job in self.jobs.jobs.values()
-            if job.shown_status is JobStatus.QUEUED and not job.spec.is_timed
-        )
+        return count_pending(self.jobs)
 
     def report(self, question: FleetQuestion) -> PoolReport:
         """Tell the steward how the pool stands, and empty what it asks for."""
@@ -175,12 +182,13 @@
 
     async def _load_progress(self) -> None:
         """Shut out older owners, then read what they have recorded."""
-        await self._journal.open()
+        await self.opening.time("journal", self._journal.open())
         # From here on no older owner is confirmed any more.
         last_grant_s = get_loop_s() + self._predecessors_grant_s
         self.jobs.foreign_lease_over_at_s = get_lapse_time_s(LEASE_MS, last_grant_s)
-        loaded = await load_progress(self._context.store, self._partition, self.pool, self._events)
-        self._progress.update(loaded)
+        reading = load_progress(self._context.store, self._partition, self.pool, self._events)
+        self._progress.update(await self.opening.time("progress", reading))
+        self._progress_count = len(self._progress)
 
     def _take_job(self, indexed: IndexedJob) -> None:
         """Take in a job that is new or newly cancelled."""
@@ -252,7 +260,7 @@
         """
         for host in list(self.jobs.hosts.values()):
             if host.id not in self._host_tasks and now_s > host.lease.over_at_s:
-                self._remove_host(host.id, "it is not listed and its lease is over")
+                self._remove_host(host, "it is not listed and its lease is over")
 
     def _update_hosts(self) -> None:
         """Take in the listed hosts; one life of a machine ends with the next one."""
@@ -265,7 +273,7 @@
             host.is_listed = host.id in listed
             successor = lives.get(host.record.machine)
             if not host.is_listed and successor is not None:
-                self._remove_host(host.id, f"its machine is {successor.id} now")
+                self._remove_host(host, "its machine is another host now", successor.id)
         self._runtime.wake()
 
     def _add_host(self, record: UpstreamHost) -> None:
@@ -281,10 +289,10 @@
         self._ended_hosts.add(host.id)
         self._host_tasks.pop(host.id, None)
 
-    def _remove_host(self, host_id: str, reason: str) -> None:
-        task = self._host_tasks.pop(host_id, None)
+    def _remove_host(self, host: Host, reason: str, successor: str = "") -> None:
+        task = self._host_tasks.pop(host.id, None)
         if task is not None:
             task.cancel()
-        self._ended_hosts.add(host_id)
-        self._events.write("host_ended", host=host_id, pool=self.pool, reason=reason)
-        self.jobs.remove_host(host_id, self._context.get_wall_ms())
+        self._ended_hosts.add(host.id)
+        tell_ended(self._events, self.pool, host, reason, successor)
+        self.jobs.remove_host(host.id, self._context.get_wall_ms())
--- a/src/robinthread/_internal/standins/platform_standin.py
+++ b/src/robinthread/_internal/standins/platform_standin.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import itertools
+from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Final, TypeVar
@@ -123,6 +124,7 @@
         timeout_s: float = ASK_TIMEOUT_S,
     ) -> T:
         """Ask a node."""
+        self._platform.questions[address] += 1
         await asyncio.sleep(PEER_LATENCY_S)
         peer = self._platform.nodes.get(address)
         if peer is None or {self._caller, address} & self._platform.cut_nodes:
@@ -180,7 +182,10 @@
 
 
 class PlatformStandin:
-    """Store, hosts, machines and nodes; ``plan_task`` tells how tasks behave."""
+    """Store, hosts, machines and nodes; ``plan_task`` tells how tasks behave.
+
+    ``questions`` counts what nodes were asked by others, by node.
+    """
 
     def __init__(self, plan_task: Callable[[TaskKey], TaskPlan], seed: int = 1) -> None:
         self.plan_task = plan_task
@@ -191,6 +196,7 @@
         self.asks_for_tickets = False
         self.nodes: dict[str, RunningNode] = {}
         self.cut_nodes: set[str] = set()
+        self.questions: Counter[str] = Counter()
         self.events: list[bytes] = []
         self._lives = itertools.count(1)
 
--- a/src/robinthread/_internal/standins/store_standin.py
+++ b/src/robinthread/_internal/standins/store_standin.py
@@ -101,7 +101,7 @@
 
     ``link_bytes_per_s`` is what the links of some callers carry of pages of newest records;
     members that are ``unlisted`` hold no partition, for whatever reason.  ``reads`` counts
-    reads by caller and topic.
+    reads by caller and topic, or group.
     """
 
     def __init__(self, seed: int = 1) -> None:
@@ -238,6 +238,7 @@
 
     async def list_members(self, group: str) -> frozenset[str]:
         """List the members of a group that hold a partition."""
+        self._standin.reads[self._caller, group] += 1
 
         def work() -> frozenset[str]:
             return self._standin.get_group(group).list_holders() - self._standin.unlisted
--- a/src/robinthread/_internal/timeline/job_story.py
+++ b/src/robinthread/_internal/timeline/job_story.py
@@ -17,8 +17,11 @@
 # Lines that tell why a job's owner could not go on, whichever job they name.
 POOL_EVENTS: Final = frozenset(
     {
+        "owner_missing",
         "pool_taken",
+        "pool_opening_slow",
         "pool_opened",
+        "owner_standing",
         "pool_closed",
         "pool_fenced",
         "pool_open_failed",
@@ -33,11 +36,15 @@
 NODE_EVENTS: Final = frozenset(
     {
         "started",
+        "ready",
+        "unready",
         "stopping",
         "stopped",
         "store_lost",
         "store_regained",
         "membership_lost",
+        "member_listed",
+        "member_unlisted",
         "pools_passed_on",
         "pools_not_passed_on",
         "owner_unreachable",
@@ -50,7 +57,7 @@
 def select_lines(lines: Iterable[LogLine], job_id: str) -> list[LogLine]:
     """Return the lines of a job and those of its pool, hosts and nodes meanwhile."""
     lines = list(lines)
-    own = [line for line in lines if line.job == job_id]
+    own = [line for line in lines if line.names("job", job_id)]
     if not own:
         return []
     began_s = min(line.at_s for line in own)
@@ -61,7 +68,7 @@
     around = [
         line
         for line in lines
-        if line.job != job_id
+        if not line.names("job", job_id)
         and began_s <= line.at_s <= ended_s
         and (
             (line.event in NODE_EVENTS and line.node in nodes)
--- a/tests/functional/test_many_nodes.py
+++ b/tests/functional/test_many_nodes.py
@@ -117,3 +117,19 @@
             self.assertLess(took_s, 3.0)
 
         run_virtual(work())
+
+    def test_nobody_is_asked_any_more_once_the_pool_has_a_new_owner(self) -> None:
+        async def work() -> None:
+            platform = await start_platform(nodes=5)
+            owner = get_owner(platform)
+            assert owner is not None
+            platform.kill_node(owner)
+            await wait_until(lambda: get_owner(platform) is not None, 10)
+            await asyncio.sleep(1)
+            platform.questions.clear()
+            platform.store.reads.clear()
+            await asyncio.sleep(10)
+            self.assertNotIn(owner, platform.questions)
+            self.assertEqual([], [caller for caller, what in platform.store.reads if what == GROUP])
+
+        run_virtual(work())
--- a/tests/unit/test_telemetry.py
+++ b/tests/unit/test_telemetry.py
@@ -10,18 +10,22 @@
 from testtools import TestCase
 
 from robinthread._internal.telemetry.event_log import EventLog, LineWriter
+from robinthread._internal.telemetry.gathered_lines import GatheredLines
+from robinthread._internal.telemetry.latencies import Latencies
 from robinthread._internal.telemetry.line_budget import ROUTINE_BURST, LineBudget
 
 METRICS_CODE = """
 from opentelemetry.metrics import get_meter
 from robinthread._internal.telemetry.node_metrics import NodeMetrics
 metrics = NodeMetrics(get_meter("robinthread"))
-from robinthread._internal.telemetry.exporter import REGISTRY, begin_metrics, generate_latest
-begin_metrics()
 metrics.count_event("job_ended", "succeeded")
 metrics.note_store_call("append", "ok", 0.004)
+from robinthread._internal.telemetry.exporter import begin_metrics, write_metrics
+begin_metrics(metrics)
+metrics.count_event("job_ended", "succeeded")
+metrics.note_store_call("append", "ok", 0.3)
 metrics.observe("lines_lost", "by", lambda: {"slow reader": 3})
-print(generate_latest(REGISTRY).decode())
+print(write_metrics().decode())
 """
 
 
@@ -76,12 +80,80 @@
         self.assertTrue(lines)
 
 
+class GatheredLinesTest(TestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.gathered = GatheredLines()
+
+    def add(self, number: int, pool: str = "press") -> None:
+        self.gathered.add("host_gone", {}, pool, {"hosts": f"h{number}"}, {"last": number})
+
+    def test_first_is_told_at_once_and_the_others_together_a_second_later(self) -> None:
+        self.add(0)
+        first = {"last": 0, "count": 1, "counts": {"press": 1}, "hosts": ["h0"]}
+        self.assertEqual([("host_gone", first)], self.gathered.take_due(10.0))
+        for number in range(1, 40):
+            self.add(number, "press" if number % 2 else "fold")
+            self.assertEqual([], self.gathered.take_due(10.0 + number / 50))
+        ((_event, fields),) = self.gathered.take_due(11.0)
+        self.assertEqual({"press": 20, "fold": 19}, fields["counts"])
+        self.assertEqual((39, 39), (fields["count"], fields["last"]))
+        self.assertEqual([f"h{number}" for number in range(1, 11)], fields["hosts"])
+        self.assertEqual([], self.gathered.take_due(20.0))
+
+    def test_each_group_has_lines_of_its_own(self) -> None:
+        for pool in ("press", "fold", "press"):
+            self.gathered.add("pool_sized", {"pool": pool}, "", {}, {})
+        lines = self.gathered.take_due(0.0)
+        counts = [(fields["pool"], fields["count"]) for _event, fields in lines]
+        self.assertEqual([("press", 2), ("fold", 1)], counts)
+
+    def test_log_tells_what_is_left_at_its_end(self) -> None:
+        lines: list[bytes] = []
+        log = EventLog("n", lines.append)
+        for number in range(5):
+            log.gather("machine_ordered", {"outcome": "done"}, listed={"machines": f"m{number}"})
+        self.assertEqual(1, len(lines))
+        log.tell_gathered(is_last=True)
+        self.assertEqual(["m1", "m2", "m3", "m4"], json.loads(lines[1])["machines"])
+
+
 class MetricsTest(TestCase):
-    def test_instruments_made_before_the_exporter_are_served_by_it(self) -> None:
+    def setUp(self) -> None:
+        super().setUp()
         found = subprocess.run(
             [sys.executable, "-c", METRICS_CODE], capture_output=True, check=True
         )
-        text = found.stdout.decode()
+        self.lines = [line for line in found.stdout.decode().splitlines() if line]
+
+    def test_instruments_made_before_the_exporter_are_served_by_it(self) -> None:
+        text = "\n".join(self.lines)
         self.assertIn('robinthread_events_total{event="job_ended",', text)
         self.assertIn("robinthread_store_call_seconds_bucket{", text)
         self.assertIn('robinthread_lines_lost{by="slow reader"', text)
+
+    def test_what_came_before_the_exporter_counts(self) -> None:
+        text = "\n".join(self.lines)
+        self.assertIn('_events_total{event="job_ended",outcome="succeeded"} 2.0', text)
+        self.assertIn('_call_seconds_bucket{kind="append",le="0.02",outcome="ok"} 1.0', text)
+        self.assertIn('_call_seconds_bucket{kind="append",le="0.1",outcome="ok"} 1.0', text)
+        self.assertIn('_call_seconds_bucket{kind="append",le="0.5",outcome="ok"} 2.0', text)
+        self.assertIn('_call_seconds_bucket{kind="append",le="+Inf",outcome="ok"} 2.0', text)
+        self.assertIn('_call_seconds_count{kind="append",outcome="ok"} 2.0', text)
+        self.assertIn('_call_seconds_sum{kind="append",outcome="ok"} 0.304', text)
+
+    def test_only_our_metrics_are_told_and_histograms_come_last(self) -> None:
+        names = [line.split("{")[0] for line in self.lines if not line.startswith("#")]
+        self.assertTrue(all(name.startswith("robinthread_") for name in names))
+        self.assertEqual(["robinthread_lines_lost", "robinthread_events_total"], names[:2])
+        self.assertEqual(
+            {"robinthread_store_call_seconds"}, {x.rpartition("_")[0] for x in names[2:]}
+        )
+
+    def test_latencies_are_counted_up_to_each_bound(self) -> None:
+        latencies = Latencies("seconds", "pool")
+        for took_s in (0.0, 0.02, 0.021, 0.5, 2.0, 2.1, 60.0):
+            latencies.record(took_s, "press")
+        latency = latencies.kept["press",]
+        self.assertEqual([2, 1, 1, 1, 2], latency.counts)
+        self.assertAlmostEqual(64.641, latency.sum_s)
