Test, which fails: a node's process outlives its grace time

Cause: a stop takes as long as its parts, one after the other: the last records of each pool (0.5 s), giving the pools back (a call of up to 1.2 s and reads, again after each conflict), the rest of a join under way and leaving (up to 1.2 s each), and only then 3.5 s for callers. Nothing knows the grace time. At the end the open requests are cut: their tasks are cancelled.

The three tests run a real process on a store of its own over HTTP.

--- /dev/null
+++ b/tests/functional/test_node_stop.py
@@ -0,0 +1,169 @@
+"""A node's real process ends within the time that it is given, and answers until then."""
+
+import asyncio
+import json
+import os
+import signal
+import socket
+import sys
+import tempfile
+import time
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from pathlib import Path
+from typing import Any
+
+from testtools import TestCase
+
+from robinthread._internal.platform.operators import PLATFORM_RECORDS
+from robinthread._internal.standins.store_standin import StoreStandin
+from tests.lib.store_server import serve_store
+
+SETTINGS = """
+node = "n0"
+ip = "127.0.0.1"
+zone = "hall"
+port_range = [{peer}, {peer}]
+
+[listen]
+front = "127.0.0.1:{front}"
+ready = "127.0.0.1:{ready}"
+
+[bounds]
+grace_s = {grace_s}
+
+[platform]
+address = "{store}"
+
+[cloud]
+address = "127.0.0.1:1"
+"""
+POOLS = ("press", "bindery", "reserve")
+CONFIG = {
+    "version": 1,
+    "routes": [
+        {"name": "sheets", "host": "a.example", "path_prefix": "/sheets/", "service": POOLS[0]}
+    ],
+    "services": [{"name": name} for name in POOLS],
+}
+GRACE_S = 6.0
+SHORT_GRACE_S = 2.5
+START_MAX_S = 30.0
+SILENT_S = 3.0
+# A job handed in so long after the signal is still taken by a node with the usual grace.
+LATE_S = 3.3
+
+
+class NodeStopTest(TestCase):
+    def test_process_ends_in_time_while_the_store_is_silent(self) -> None:
+        async def work() -> None:
+            async with run_process(GRACE_S) as node:
+                node.store.faults.silent.add("*")
+                # By then a call waits for as long as the store may ever take.
+                await asyncio.sleep(SILENT_S)
+                self.assertLess(await node.stop(), GRACE_S)
+
+        asyncio.run(work())
+
+    def test_process_ends_in_time_where_its_grace_is_short(self) -> None:
+        async def work() -> None:
+            async with run_process(SHORT_GRACE_S) as node:
+                self.assertLess(await node.stop(), SHORT_GRACE_S)
+
+        asyncio.run(work())
+
+    def test_request_that_was_read_gets_a_whole_answer(self) -> None:
+        async def work() -> None:
+            async with run_process(GRACE_S) as node:
+                stop = asyncio.create_task(node.stop())
+                await asyncio.sleep(LATE_S)
+                node.store.faults.silent.add("*")
+                answer = await node.hand_in()
+                self.assertIn(b'"error"', answer.partition(b"\r\n\r\n")[2])
+                self.assertLess(await stop, GRACE_S)
+
+        asyncio.run(work())
+
+
+class NodeProcess:
+    def __init__(
+        self, process: asyncio.subprocess.Process, store: StoreStandin, front: int
+    ) -> None:
+        self._process = process
+        self._front = front
+        self.store = store
+        self.events: list[dict[str, Any]] = []
+
+    async def read(self, until: str) -> None:
+        """Read what it writes up to an event."""
+        assert self._process.stdout is not None
+        async with asyncio.timeout(START_MAX_S):
+            async for line in self._process.stdout:
+                if line.startswith(b"{"):
+                    self.events.append(json.loads(line))
+                    if self.events[-1]["event"] == until:
+                        return
+        raise AssertionError(f"no {until} in {self.events}")
+
+    async def stop(self) -> float:
+        """Stop as planned; return how long the process took to end."""
+        began_at_s = time.monotonic()
+        self._process.send_signal(signal.SIGTERM)
+        await self._process.wait()
+        return time.monotonic() - began_at_s
+
+    async def hand_in(self) -> bytes:
+        """Hand a job in; return all that comes back."""
+        reader, writer = await asyncio.open_connection("127.0.0.1", self._front)
+        body = json.dumps({"spec": "text", "steps": [{"count": 1}]}).encode()
+        writer.write(
+            b"POST /sheets/%016x HTTP/1.1\r\nHost: a.example\r\nConnection: close\r\n"
+            b"Content-Length: %d\r\n\r\n%s" % (1, len(body), body)
+        )
+        answer = await reader.read()
+        writer.close()
+        return answer
+
+
+@asynccontextmanager
+async def run_process(grace_s: float) -> AsyncIterator[NodeProcess]:
+    """Run a node that owns three pools on a store of its own."""
+    store = StoreStandin()
+    store.put(
+        PLATFORM_RECORDS.operators_partition,
+        PLATFORM_RECORDS.config_key,
+        json.dumps(CONFIG).encode(),
+    )
+    server, address = serve_store(store)
+    ports = find_free_ports(3)
+    with tempfile.TemporaryDirectory() as folder:
+        path = Path(folder) / "node.toml"
+        names = dict(zip(("peer", "front", "ready"), ports, strict=True))
+        path.write_text(SETTINGS.format(grace_s=grace_s, store=address, **names))
+        process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            *("-m", "robinthread", "node"),
+            env=os.environ | {"ROBINTHREAD_NODE_FILE": str(path)},
+            stdout=asyncio.subprocess.PIPE,
+        )
+        try:
+            node = NodeProcess(process, store, names["front"])
+            for _ in POOLS:
+                await node.read("pool_opened")
+            yield node
+        finally:
+            if process.returncode is None:
+                process.kill()
+                await process.wait()
+            server.stop()
+
+
+def find_free_ports(count: int) -> list[int]:
+    """Return ports that are free now."""
+    sockets = [socket.socket() for _ in range(count)]
+    for opened in sockets:
+        opened.bind(("127.0.0.1", 0))
+    ports = [opened.getsockname()[1] for opened in sockets]
+    for opened in sockets:
+        opened.close()
+    return ports
