A node that stops says that it takes no pools

Cause: between the signal and leaving (some 10 ms, seconds with a slow store) a node answered others that the store serves it, and still took free pools. It opens none of them, and has given back before what it gives back: such a pool waits until the node's membership is gone, and its next owner for 6 s more, as after a crash.

Change: the election has `is_taking`, false from the signal on; it stays a member until it leaves.

The new test fails without the change: 0.1 s after the signal the node says that it is served.

--- a/src/robinthread/_internal/node/election.py
+++ b/src/robinthread/_internal/node/election.py
@@ -44,6 +44,7 @@
 
     The platform's group tells who lives; ownership itself is one record a pool,
     taken under a condition, so a wrong guess here costs time and no safety.
+    ``is_taking`` is false once this node stops: nobody here would own what it took.
     """
 
     def __init__(
@@ -73,6 +74,7 @@
         self._failure_count = 0
         self._failing_since_s = math.inf
         self._turn = asyncio.Lock()
+        self.is_taking = True
         self.is_leaving = False
 
     async def run(self) -> None:
@@ -94,6 +96,7 @@
 
     async def leave(self) -> None:
         """Stop being a member; a join under way must not follow."""
+        self.is_taking = False
         self.is_leaving = True
         async with self._turn:
             await self._store.leave(GROUP, self._name)
@@ -112,7 +115,7 @@
     @property
     def may_take(self) -> bool:
         """Tell whether the store serves this node and it is to stay."""
-        return not self._failure_count and not self.is_leaving and self._is_settled()
+        return not self._failure_count and self.is_taking and self._is_settled()
 
     def get_silence_s(self) -> float:
         """Return for how long the store has not answered this node."""
@@ -126,7 +129,7 @@
         """Return the pools that have no living owner and that this node is to take."""
         now_s = asyncio.get_running_loop().time()
         config = self._config_holder.config
-        if config is None or self.is_leaving or self._steady_since_s == math.inf:
+        if config is None or not self.is_taking or self._steady_since_s == math.inf:
             return []
         if not self._is_settled():
             return self._get_former_pools()
--- a/src/robinthread/_internal/node/node.py
+++ b/src/robinthread/_internal/node/node.py
@@ -98,6 +98,7 @@
     async def stop(self, budget: StopBudget) -> None:
         """Give all pools back, so that others take them at once, once no order is made."""
         self.is_stopping = True
+        self._election.is_taking = False
         owners, self._owned.owners = self._owned.owners, {}
         if await budget.run("orders", self._stop_orders(owners.values())):
             await budget.run("release", self._table.release([*owners, FLEET], self._me, True))
--- a/tests/functional/test_stops_on_platform.py
+++ b/tests/functional/test_stops_on_platform.py
@@ -6,6 +6,7 @@
 
 from robinthread._internal.models.job_status import JobStatus
 from robinthread._internal.models.resources import Resources
+from robinthread._internal.node.peer_messages import StoreAnswer, StoreQuestion
 from robinthread._internal.node.stop_budget import BUDGET_SHARE
 from robinthread._internal.standins.job_hosts_standin import TaskPlan
 from robinthread._internal.standins.platform_standin import BOUNDS, PlatformStandin
@@ -63,3 +64,20 @@
         for name, seeds in (("silent", (1,)), ("refused", (1,)), ("lost", SEEDS)):
             for seed in seeds:
                 run_virtual(work(name, seed))
+
+    def test_node_that_stops_is_given_no_pool(self) -> None:
+        async def work() -> None:
+            platform = await start_platform()
+            owner = get_owner(platform)
+            assert owner is not None
+            node = platform.nodes[owner].assembled
+            # Leaving takes as long as a call may, and others still take it for a member.
+            platform.store.faults.silent.add(owner)
+            stop = asyncio.create_task(node.node.stop(make_stop_budget(platform)))
+            await asyncio.sleep(0.1)
+            answer = await node.answers.answer(StoreQuestion())
+            assert isinstance(answer, StoreAnswer)
+            self.assertFalse(answer.is_served)
+            await stop
+
+        run_virtual(work())
