--- a/tests/functional/test_node_stop.py
+++ b/tests/functional/test_node_stop.py
@@ -5,6 +5,7 @@
 import os
 import signal
 import socket
+import subprocess
 import sys
 import tempfile
 import time
@@ -110,6 +111,21 @@
 
         asyncio.run(work())
 
+    def test_process_ends_in_time_though_a_task_refuses_to(self) -> None:
+        done = subprocess.run(
+            [sys.executable, "-m", "tests.lib.stubborn_process", str(SHORT_GRACE_S)],
+            capture_output=True,
+            check=False,
+            timeout=START_MAX_S,
+        )
+        events = [json.loads(line) for line in done.stdout.splitlines()]
+        self.assertEqual(
+            ["stopping", "stopped", "end_forced"], [event["event"] for event in events]
+        )
+        self.assertLess(events[-1]["at"] - events[0]["at"], SHORT_GRACE_S)
+        self.assertIn("refuse_to_end", str(events[-1]["waited_for"]))
+        self.assertEqual(1, done.returncode)
+
 
 class NodeProcess:
     def __init__(
--- a/tests/unit/test_stop_budget.py
+++ b/tests/unit/test_stop_budget.py
@@ -7,6 +7,7 @@
 
 from robinthread._internal.node.stop_budget import BUDGET_SHARE, StopBudget
 from robinthread._internal.telemetry.event_log import EventLog
+from tests.lib.stubborn_process import refuse_to_end
 from tests.lib.virtual import run_virtual
 
 GRACE_S = 6.0
@@ -14,16 +15,6 @@
 PART_S = 2.0
 
 
-async def refuse_to_end() -> None:
-    """Go on for long in spite of every cancellation."""
-    ends_at_s = asyncio.get_running_loop().time() + 10 * GRACE_S
-    while (left_s := ends_at_s - asyncio.get_running_loop().time()) > 0:
-        try:
-            await asyncio.sleep(left_s)
-        except asyncio.CancelledError:
-            continue
-
-
 async def fail() -> None:
     raise ValueError("odd")
 
