--- /dev/null
+++ b/tests/functional/test_node_stop.py
@@ -0,0 +1,232 @@
+"""A node's real process ends within the time that it is given, and answers until then."""
+
+import asyncio
+import json
+import os
+import signal
+import socket
+import sys
+import tempfile
+import time
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from pathlib import Path
+from typing import Any
+
+from testtools import TestCase
+
+from robinthread._internal.platform.operators import PLATFORM_RECORDS
+from robinthread._internal.standins.store_standin import StoreStandin
+from tests.lib.job_platforms import QUEUE
+from tests.lib.store_server import serve_store
+
+SETTINGS = """
+node = "n0"
+ip = "127.0.0.1"
+zone = "hall"
+port_range = [{peer}, {peer}]
+
+[listen]
+front = "127.0.0.1:{front}"
+ready = "127.0.0.1:{ready}"
+
+[bounds]
+grace_s = {grace_s}
+
+[platform]
+address = "{store}"
+
+[cloud]
+address = "127.0.0.1:1"
+"""
+POOLS = ("press", "bindery", "reserve")
+CONFIG = {
+    "version": 1,
+    "routes": [
+        {
+            "name": QUEUE.name,
+            "host": QUEUE.host,
+            "path_prefix": QUEUE.path_prefix,
+            "service": POOLS[0],
+        }
+    ],
+    "services": [{"name": name} for name in POOLS],
+}
+GRACE_S = 6.0
+SHORT_GRACE_S = 2.5
+START_MAX_S = 30.0
+SILENT_S = 3.0
+# A job handed in so long after the signal is still taken by a node with the usual grace.
+LATE_S = 3.0
+# By then a request has surely been read.
+SENT_S = 0.5
+
+
+class NodeStopTest(TestCase):
+    def test_process_ends_in_time_while_the_store_is_silent(self) -> None:
+        async def work() -> None:
+            async with run_process(GRACE_S) as node:
+                node.store.faults.silent.add("*")
+                # By then a call waits for as long as the store may ever take.
+                await asyncio.sleep(SILENT_S)
+                self.assertLess(await node.stop(), GRACE_S)
+
+        asyncio.run(work())
+
+    def test_process_ends_in_time_where_its_grace_is_short(self) -> None:
+        async def work() -> None:
+            async with run_process(SHORT_GRACE_S) as node:
+                self.assertLess(await node.stop(), SHORT_GRACE_S)
+
+        asyncio.run(work())
+
+    def test_request_that_was_read_gets_a_whole_answer(self) -> None:
+        async def work() -> None:
+            async with run_process(GRACE_S) as node:
+                stop = asyncio.create_task(node.stop())
+                await asyncio.sleep(LATE_S)
+                node.store.faults.silent.add("*")
+                answer = await node.hand_in()
+                self.assertIn(b'"error"', answer.partition(b"\r\n\r\n")[2])
+                self.assertLess(await stop, GRACE_S)
+
+        asyncio.run(work())
+
+    def test_process_that_has_just_begun_ends_in_time(self) -> None:
+        async def work() -> None:
+            async with run_process(SHORT_GRACE_S, until="started", is_silent=True) as node:
+                self.assertLess(await node.stop(), SHORT_GRACE_S)
+                last = json.loads((await node.read_rest()).splitlines()[-1])
+                self.assertEqual("stopped", last["event"])
+                self.assertEqual(
+                    {"orders", "release", "leave", "callers", "answers"}, set(last["parts_ms"])
+                )
+
+        asyncio.run(work())
+
+    def test_process_ends_in_time_though_its_tasks_refuse_to(self) -> None:
+        async def work() -> None:
+            process = await asyncio.create_subprocess_exec(
+                *(sys.executable, "-m", "tests.lib.stubborn_process", str(SHORT_GRACE_S)),
+                stdout=asyncio.subprocess.PIPE,
+            )
+            node = NodeProcess(process, StoreStandin())
+            await node.read("started")
+            node.front = node.events[0]["port"]
+            calls = [asyncio.create_task(node.hand_in()), asyncio.create_task(node.ask())]
+            await asyncio.sleep(SENT_S)
+            self.assertLess(await node.stop(), SHORT_GRACE_S)
+            statuses = [(await call).split()[1] for call in calls]
+            self.assertEqual([b"504", b"503"], statuses)
+            await node.read("stopped")
+            self.assertEqual(2, node.events[-1]["given_up_count"])
+            self.assertEqual(["answers"], node.events[-1]["left_undone"])
+            await node.read("end_forced")
+            self.assertEqual(["RequestHandler._execute"] * 2, node.events[-1]["waited_for"])
+            self.assertEqual(1, process.returncode)
+
+        asyncio.run(work())
+
+
+class NodeProcess:
+    def __init__(
+        self, process: asyncio.subprocess.Process, store: StoreStandin, front: int = 0
+    ) -> None:
+        self._process = process
+        self.front = front
+        self.store = store
+        self.events: list[dict[str, Any]] = []
+
+    async def read(self, until: str) -> None:
+        """Read what it writes up to an event."""
+        assert self._process.stdout is not None
+        async with asyncio.timeout(START_MAX_S):
+            async for line in self._process.stdout:
+                if line.startswith(b"{"):
+                    self.events.append(json.loads(line))
+                    if self.events[-1]["event"] == until:
+                        return
+        raise AssertionError(f"no {until} in {self.events}")
+
+    async def read_rest(self) -> bytes:
+        """Read what it writes until it ends."""
+        assert self._process.stdout is not None
+        return await self._process.stdout.read()
+
+    async def stop(self) -> float:
+        """Stop as planned; return how long the process took to end."""
+        began_at_s = time.monotonic()
+        self._process.send_signal(signal.SIGTERM)
+        await self._process.wait()
+        return time.monotonic() - began_at_s
+
+    async def hand_in(self) -> bytes:
+        """Hand a job in; return all that comes back."""
+        return await self._call("POST", json.dumps({"spec": "text", "steps": [{"count": 1}]}))
+
+    async def ask(self) -> bytes:
+        """Ask for the job; return all that comes back."""
+        return await self._call("GET", "")
+
+    async def _call(self, method: str, body: str) -> bytes:
+        reader, writer = await asyncio.open_connection("127.0.0.1", self.front)
+        lines = (
+            f"{method} {QUEUE.path_prefix}{1:016x} HTTP/1.1",
+            f"Host: {QUEUE.host}",
+            "Connection: close",
+            f"Content-Length: {len(body)}",
+            "",
+            body,
+        )
+        writer.write("\r\n".join(lines).encode())
+        answer = await reader.read()
+        writer.close()
+        return answer
+
+
+@asynccontextmanager
+async def run_process(
+    grace_s: float, until: str = "pool_opened", is_silent: bool = False
+) -> AsyncIterator[NodeProcess]:
+    """Run a node on a store of its own until each of three pools was opened, or the like."""
+    store = StoreStandin()
+    if is_silent:
+        store.faults.silent.add("*")
+    store.put(
+        PLATFORM_RECORDS.operators_partition,
+        PLATFORM_RECORDS.config_key,
+        json.dumps(CONFIG).encode(),
+    )
+    server, address = serve_store(store)
+    ports = find_free_ports(3)
+    with tempfile.TemporaryDirectory() as folder:
+        path = Path(folder) / "node.toml"
+        names = dict(zip(("peer", "front", "ready"), ports, strict=True))
+        path.write_text(SETTINGS.format(grace_s=grace_s, store=address, **names))
+        process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            *("-m", "robinthread", "node"),
+            env=os.environ | {"ROBINTHREAD_NODE_FILE": str(path)},
+            stdout=asyncio.subprocess.PIPE,
+        )
+        try:
+            node = NodeProcess(process, store, names["front"])
+            for _ in POOLS if until == "pool_opened" else (until,):
+                await node.read(until)
+            yield node
+        finally:
+            if process.returncode is None:
+                process.kill()
+                await process.wait()
+            server.stop()
+
+
+def find_free_ports(count: int) -> list[int]:
+    """Return ports that are free now."""
+    sockets = [socket.socket() for _ in range(count)]
+    for opened in sockets:
+        opened.bind(("127.0.0.1", 0))
+    ports = [opened.getsockname()[1] for opened in sockets]
+    for opened in sockets:
+        opened.close()
+    return ports
--- a/tests/unit/test_gathered_events.py
+++ b/tests/unit/test_gathered_events.py
@@ -12,6 +12,7 @@
 from robinthread._internal.models.fleet_config import make_fleet_config
 from robinthread._internal.node.config_holder import ConfigHolder
 from robinthread._internal.node.job_gate import JobGate
+from robinthread._internal.node.open_requests import OpenRequests
 from robinthread._internal.platform.callers import make_callers_application
 from robinthread._internal.standins.platform_standin import RECORDS, RESERVE, PlatformStandin
 from robinthread._internal.telemetry.event_log import EventLog
@@ -62,7 +63,9 @@
         async def work() -> None:
             socket, port = bind_unused_port()
             # Nothing that is refused here gets as far as the gate.
-            server = HTTPServer(make_callers_application(cast(JobGate, None), holder, events))
+            server = HTTPServer(
+                make_callers_application(cast(JobGate, None), holder, events, OpenRequests())
+            )
             server.add_sockets([socket])
             await ask(port, REQUESTS)
             holder.config = make_fleet_config(1, (QUEUE,), (), 1000)
--- a/tests/unit/test_standing.py
+++ b/tests/unit/test_standing.py
@@ -14,6 +14,7 @@
     get_owner,
     hand_in,
     make_job,
+    make_stop_budget,
     plan_second,
     start_platform,
     wait_until,
@@ -122,7 +123,7 @@
             unready = [line["reason"] for line in find_lines(platform, "unready", None)]
             self.assertEqual(["no configuration", "no word from the store"], unready)
             self.assertEqual(2, len(find_lines(platform, "ready", None)))
-            await node.node.stop()
+            await node.node.stop(make_stop_budget(platform))
             self.assertFalse(node.readiness.look())
             self.assertEqual("stopping", find_lines(platform, "unready", None)[-1]["reason"])
 
