Failing test: connections that go silent cost one call each

Cause, measured with the client of http_call.py against a service on loopback whose open connections go silent while new ones work: libcurl takes the idle connection that was opened first, a timed-out call closes only its own, so a caller loses as many calls in a row as it has idle connections.

kept connections 1 5 20 calls lost in a row 1 5 20 for, at 0.3 s a call 0.30 s 1.51 s 6.03 s

Callers at once: 5 callers beside 20 kept connections lose 4 rounds of 5 in 1.21 s; as many callers as connections lose one round.

Ruled out: that a lost call makes libcurl doubt others to the same address, and that it takes the connection used last: four calls in a row all went out on connection 0 of 5 and of 20.

5 of the 9 tests fail on the code as it is; the other four hold what must stay: nothing new is opened while calls are answered, and at most one connection a call where nothing answers.

--- /dev/null
+++ b/tests/functional/test_silent_connections.py
@@ -0,0 +1,195 @@
+"""Connections that go silent for good cost one call, and are not used again."""
+
+import asyncio
+from typing import Final
+
+from testtools import TestCase
+from tornado.httpclient import AsyncHTTPClient
+
+from robinthread._internal.durable.errors import StoreNoAnswerError
+from robinthread._internal.platform.store import PlatformStore
+from robinthread._internal.telemetry.node_metrics import NodeMetrics
+from robinthread._internal.utils.http_call import CallLostError, call, make_client
+from tests.lib.silent_service import SilentService
+
+CONNECTIONS_MAX: Final = 64
+KEPT_COUNTS: Final = (1, 5, 20)
+CALLS: Final = 30
+# For calls that shall be lost.
+SHORT_S: Final = 0.1
+# For calls that shall be answered: far more than loopback takes on a busy machine.
+LONG_S: Final = 1.0
+
+
+class SilentConnectionsTest(TestCase):
+    def test_one_call_is_lost_however_many_connections_went_silent(self) -> None:
+        async def work(kept: int) -> None:
+            async with SilentService() as service:
+                client = make_client(CONNECTIONS_MAX)
+                await _open(client, service, kept)
+                service.silence()
+                await self._lose(client, service)
+                answered = [await _ask(client, service) for _ in range(kept)]
+                self.assertEqual([True] * kept, answered)
+                self.assertEqual(kept + 1, service.opened)
+                # Each call was sent once, and all but the lost one on the new connection.
+                self.assertEqual([kept] * kept, service.requests[kept + 1 :])
+                client.close()
+
+        for kept in KEPT_COUNTS:
+            asyncio.run(work(kept))
+
+    def test_store_is_not_lost_twice_in_a_row(self) -> None:
+        async def work() -> None:
+            async with SilentService() as service:
+                client = make_client(CONNECTIONS_MAX)
+                store = PlatformStore(client, service.address, NodeMetrics())
+                await _open(client, service, KEPT_COUNTS[-1])
+                service.silence()
+                outcomes = [await _join(store) for _ in range(4)]
+                self.assertEqual([False, True, True, True], outcomes)
+                client.close()
+
+        asyncio.run(work())
+
+    def test_callers_at_once_lose_one_call_each(self) -> None:
+        async def work() -> None:
+            async with SilentService() as service:
+                client = make_client(CONNECTIONS_MAX)
+                await _open(client, service, 20)
+                service.silence()
+                lost = await asyncio.gather(*(_ask(client, service, SHORT_S) for _ in range(5)))
+                self.assertEqual([False] * 5, lost)
+                answered = await asyncio.gather(*(_ask(client, service) for _ in range(5)))
+                self.assertEqual([True] * 5, answered)
+                client.close()
+
+        asyncio.run(work())
+
+    def test_connections_that_go_silent_again_cost_one_call_again(self) -> None:
+        async def work() -> None:
+            async with SilentService() as service:
+                client = make_client(CONNECTIONS_MAX)
+                for _ in range(3):
+                    await _open(client, service, 5)
+                    service.silence()
+                    await self._lose(client, service)
+                    self.assertTrue(await _ask(client, service))
+                client.close()
+
+        asyncio.run(work())
+
+    def test_other_addresses_keep_their_connections(self) -> None:
+        async def work() -> None:
+            async with SilentService() as silent, SilentService() as sound:
+                client = make_client(CONNECTIONS_MAX)
+                await _open(client, silent, 5)
+                await _open(client, sound, 5)
+                silent.silence()
+                await self._lose(client, silent)
+                answered = [await _ask(client, sound) for _ in range(CALLS)]
+                self.assertEqual([True] * CALLS, answered)
+                self.assertEqual(5, sound.opened)
+                client.close()
+
+        asyncio.run(work())
+
+    def test_late_loss_on_an_old_connection_leaves_the_new_ones(self) -> None:
+        async def work() -> None:
+            async with SilentService() as service:
+                client = make_client(CONNECTIONS_MAX)
+                await _open(client, service, 5)
+                service.silence()
+                watch = asyncio.ensure_future(_ask(client, service, 4 * SHORT_S))
+                await self._lose(client, service)
+                self.assertTrue(await _ask(client, service))
+                opened = service.opened
+                self.assertFalse(await watch)
+                answered = [await _ask(client, service) for _ in range(CALLS)]
+                self.assertEqual([True] * CALLS, answered)
+                self.assertEqual(opened, service.opened)
+                client.close()
+
+        asyncio.run(work())
+
+    def test_calls_that_are_answered_open_nothing(self) -> None:
+        async def work() -> None:
+            async with SilentService() as service:
+                client = make_client(CONNECTIONS_MAX)
+                await _open(client, service, 5)
+                for _ in range(CALLS):
+                    answered = await asyncio.gather(*(_ask(client, service) for _ in range(5)))
+                    self.assertEqual([True] * 5, answered)
+                self.assertEqual(5, service.opened)
+                client.close()
+
+        asyncio.run(work())
+
+    def test_service_that_answers_nothing_costs_one_connection_a_call_at_most(self) -> None:
+        async def work() -> None:
+            async with SilentService() as service:
+                client = make_client(CONNECTIONS_MAX)
+                await _open(client, service, 5)
+                service.answers.clear()
+                lost = [await _ask(client, service, SHORT_S / 4) for _ in range(CALLS)]
+                self.assertEqual([False] * CALLS, lost)
+                service.answers.set()
+                self.assertTrue(await _ask(client, service))
+                opened = service.opened
+                self.assertLessEqual(opened, 5 + CALLS)
+                answered = [await _ask(client, service) for _ in range(CALLS)]
+                self.assertEqual([True] * CALLS, answered)
+                self.assertEqual(opened, service.opened)
+                client.close()
+
+        asyncio.run(work())
+
+    def test_loss_on_a_new_connection_leaves_the_kept_ones(self) -> None:
+        async def work() -> None:
+            async with SilentService() as service:
+                client = make_client(CONNECTIONS_MAX)
+                service.answers.clear()
+                held = [
+                    asyncio.ensure_future(_ask(client, service, seconds))
+                    for seconds in (LONG_S, LONG_S, SHORT_S)
+                ]
+                self.assertFalse(await held[-1])
+                service.answers.set()
+                self.assertEqual([True, True], await asyncio.gather(*held[:-1]))
+                answered = await asyncio.gather(*(_ask(client, service) for _ in range(2)))
+                self.assertEqual([True, True], answered)
+                self.assertEqual(3, service.opened)
+                client.close()
+
+        asyncio.run(work())
+
+    async def _lose(self, client: AsyncHTTPClient, service: SilentService) -> None:
+        self.assertFalse(await _ask(client, service, SHORT_S))
+
+
+async def _ask(client: AsyncHTTPClient, service: SilentService, timeout_s: float = LONG_S) -> bool:
+    """Make a call that may be sent once only, and tell whether it was answered."""
+    try:
+        await call(client, f"http://{service.address}/", timeout_s=timeout_s, body=b"{}")
+    except CallLostError:
+        return False
+    return True
+
+
+async def _join(store: PlatformStore) -> bool:
+    try:
+        await store.join("group", "member", (), 1000, 0)
+    except StoreNoAnswerError:
+        return False
+    return True
+
+
+async def _open(client: AsyncHTTPClient, service: SilentService, count: int) -> None:
+    """Have ``count`` connections open and idle, all of them answered."""
+    before = len(service.requests)
+    service.answers.clear()
+    calls = [asyncio.ensure_future(_ask(client, service)) for _ in range(count)]
+    while len(service.requests) < before + count:
+        await asyncio.sleep(0.001)
+    service.answers.set()
+    assert all(await asyncio.gather(*calls))
--- /dev/null
+++ b/tests/lib/silent_service.py
@@ -0,0 +1,84 @@
+"""An HTTP service on loopback whose open connections can go silent, without a reset."""
+
+import asyncio
+import contextlib
+import itertools
+from collections.abc import Iterator
+
+# What the store answers to a join; other callers look at the status only.
+ANSWER = b'HTTP/1.1 200 OK\r\nContent-Length: 16\r\n\r\n{"generation":1}'
+HEAD_END = b"\r\n\r\n"
+LENGTH_FIELD = b"content-length:"
+
+
+class SilentService:
+    """Answers each request at once, and notes on which connection it came.
+
+    After ``silence`` the connections that were open are read, but nothing is
+    answered there; later ones are served.  With ``answers`` cleared none are.
+    """
+
+    def __init__(self) -> None:
+        self.answers = asyncio.Event()
+        self.answers.set()
+        self.requests: list[int] = []
+        self.opened = 0
+        self.open: set[int] = set()
+        self._silent: set[int] = set()
+        self._numbers = itertools.count()
+        self._writers: set[asyncio.StreamWriter] = set()
+        self._server: asyncio.Server | None = None
+
+    @property
+    def address(self) -> str:
+        """Return where it listens."""
+        assert self._server is not None
+        host, port = self._server.sockets[0].getsockname()
+        return f"{host}:{port}"
+
+    async def __aenter__(self) -> "SilentService":
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0, backlog=1024)
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        assert self._server is not None
+        self._server.close()
+        self.answers.set()
+        for writer in self._writers:
+            writer.transport.abort()
+        while self._writers:
+            await asyncio.sleep(0)
+
+    def silence(self) -> None:
+        """Have the connections that are open now go silent for good."""
+        self._silent |= self.open
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self._writers.add(writer)
+        number = next(self._numbers)
+        self.opened += 1
+        self.open.add(number)
+        try:
+            with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
+                await self._answer_all(number, reader, writer)
+        finally:
+            self.open.discard(number)
+            self._writers.discard(writer)
+            writer.close()
+
+    async def _answer_all(
+        self, number: int, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        while True:
+            head = await reader.readuntil(HEAD_END)
+            await reader.readexactly(sum(_find_lengths(head)))
+            self.requests.append(number)
+            if number not in self._silent:
+                await self.answers.wait()
+                writer.write(ANSWER)
+
+
+def _find_lengths(head: bytes) -> Iterator[int]:
+    for line in head.lower().split(b"\r\n"):
+        if line.startswith(LENGTH_FIELD):
+            yield int(line.removeprefix(LENGTH_FIELD))
