Kept connections are given up once one of them has lost a call

The store's members are let go after 1.0 s, and two calls lost in a row pass for a store that serves this node no more.

Change: each address has a generation of connections. A call lost on a kept connection begins the next generation, and only its connections carry new calls. A loss on a connection that was opened for the call, or of an older generation, begins none, and there is at most one a second: a slow service loses calls on kept connections all the time. Idle connections are closed after 10 s (118 s was libcurl's own), those in doubt with them. Nothing is sent again: callers decide as before.

The generation is set as the scope of IPv6 addresses, which libcurl compares when it looks for a connection and which does nothing on IPv4.

Ruled out: MAXLIFETIME_CONN (whole seconds, and it closes connections to all addresses of the client), FRESH_CONNECT (a new connection for each call, and the silent ones stay first in line), LOCALPORTRANGE (compared only where a local address is set: all ten calls of a probe went out on connection 0), NETWORK_CHANGED (pycurl 7.49 lacks it, and it drops all addresses).

--- a/src/robinthread/_internal/node/peer_client.py
+++ b/src/robinthread/_internal/node/peer_client.py
@@ -3,7 +3,6 @@
 from typing import TypeVar
 
 import msgspec
-from tornado.httpclient import AsyncHTTPClient
 
 from robinthread._internal.node.peer_calls import (
     ASK_TIMEOUT_S,
@@ -11,7 +10,7 @@
     PeerUnsentError,
 )
 from robinthread._internal.node.peer_messages import QUESTION_PATHS
-from robinthread._internal.utils.http_call import CallLostError, CallUnsentError, call
+from robinthread._internal.utils.http_call import CallLostError, CallUnsentError, HttpClient, call
 
 T = TypeVar("T")
 
@@ -19,7 +18,7 @@
 class PeerClient:
     """Asks nodes over HTTP."""
 
-    def __init__(self, client: AsyncHTTPClient) -> None:
+    def __init__(self, client: HttpClient) -> None:
         self._client = client
 
     async def ask(
--- a/src/robinthread/_internal/platform/advice.py
+++ b/src/robinthread/_internal/platform/advice.py
@@ -3,7 +3,6 @@
 from collections.abc import Sequence
 
 import msgspec
-from tornado.httpclient import AsyncHTTPClient
 
 from robinthread._internal.jobs.advice_calls import AdviceError
 from robinthread._internal.models.host_advice import HostAdvice
@@ -12,6 +11,7 @@
     JSON_HEADERS,
     CallLostError,
     CallUnsentError,
+    HttpClient,
     call,
     decode,
 )
@@ -26,7 +26,7 @@
 class PlatformAdvice:
     """The service over HTTP."""
 
-    def __init__(self, client: AsyncHTTPClient, address: str) -> None:
+    def __init__(self, client: HttpClient, address: str) -> None:
         self._client = client
         self._url = f"http://{address}/advise"
 
--- a/src/robinthread/_internal/platform/hosts.py
+++ b/src/robinthread/_internal/platform/hosts.py
@@ -3,7 +3,7 @@
 from typing import Any, Final
 
 import msgspec
-from tornado.httpclient import AsyncHTTPClient, HTTPResponse
+from tornado.httpclient import HTTPResponse
 
 from robinthread._internal.jobs.host_errors import (
     HostError,
@@ -29,6 +29,7 @@
     JSON_HEADERS,
     CallLostError,
     CallUnsentError,
+    HttpClient,
     call,
     decode,
 )
@@ -73,7 +74,7 @@
 class PlatformHosts:
     """Job hosts over HTTP."""
 
-    def __init__(self, client: AsyncHTTPClient, metrics: NodeMetrics) -> None:
+    def __init__(self, client: HttpClient, metrics: NodeMetrics) -> None:
         self._client = client
         self._metrics = metrics
 
--- a/src/robinthread/_internal/platform/machines.py
+++ b/src/robinthread/_internal/platform/machines.py
@@ -3,7 +3,7 @@
 from typing import Any, Final
 
 import msgspec
-from tornado.httpclient import AsyncHTTPClient, HTTPResponse
+from tornado.httpclient import HTTPResponse
 
 from robinthread._internal.fleet.machine_errors import (
     MachineBusyError,
@@ -21,6 +21,7 @@
     JSON_HEADERS,
     CallLostError,
     CallUnsentError,
+    HttpClient,
     call,
     decode,
 )
@@ -54,7 +55,7 @@
 class PlatformMachines:
     """The platform's machines over HTTP."""
 
-    def __init__(self, client: AsyncHTTPClient, address: str, metrics: NodeMetrics) -> None:
+    def __init__(self, client: HttpClient, address: str, metrics: NodeMetrics) -> None:
         self._client = client
         self._metrics = metrics
         self._base = f"http://{address}"
--- a/src/robinthread/_internal/platform/store.py
+++ b/src/robinthread/_internal/platform/store.py
@@ -8,7 +8,7 @@
 from urllib.parse import quote, urlencode
 
 import msgspec
-from tornado.httpclient import AsyncHTTPClient, HTTPResponse
+from tornado.httpclient import HTTPResponse
 
 from robinthread._internal.durable.errors import (
     HistoryGoneError,
@@ -35,6 +35,7 @@
     JSON_HEADERS,
     CallLostError,
     CallUnsentError,
+    HttpClient,
     call,
     decode,
 )
@@ -87,7 +88,7 @@
 class PlatformStore:
     """The platform's store over HTTP."""
 
-    def __init__(self, client: AsyncHTTPClient, address: str, metrics: NodeMetrics) -> None:
+    def __init__(self, client: HttpClient, address: str, metrics: NodeMetrics) -> None:
         self._client = client
         self._base = f"http://{address}"
         self._metrics = metrics
--- a/src/robinthread/_internal/utils/http_call.py
+++ b/src/robinthread/_internal/utils/http_call.py
@@ -1,6 +1,8 @@
 """One HTTP call, and what is known of it where it fails."""
 
+from dataclasses import dataclass, field
 from typing import Final, TypeVar
+from urllib.parse import urlsplit
 
 import msgspec
 import pycurl
@@ -8,6 +10,7 @@
 from tornado.httpclient import AsyncHTTPClient, HTTPClientError, HTTPRequest, HTTPResponse
 
 from robinthread._internal.utils.http_errors import was_never_sent
+from robinthread._internal.utils.kept_connections import ConnectionUse, KeptConnections
 
 JSON_HEADERS: Final = {"Content-Type": "application/json"}
 # Longest wait for a connection.  A lost SYN is sent again after a second; every
@@ -25,15 +28,23 @@
     """The request was sent, at least in part, and no whole answer came."""
 
 
-def make_client(connections_max: int) -> AsyncHTTPClient:
+@dataclass(frozen=True)
+class HttpClient:
+    """An HTTP client, and what it knows of the connections that it keeps open."""
+
+    fetcher: AsyncHTTPClient
+    kept: KeptConnections = field(default_factory=KeptConnections)
+
+
+def make_client(connections_max: int) -> HttpClient:
     """Make an HTTP client that keeps up to ``connections_max`` connections open."""
-    client = CurlAsyncHTTPClient(force_instance=True, max_clients=connections_max)
-    client._multi.setopt(pycurl.M_MAXCONNECTS, connections_max)
-    return client
+    fetcher = CurlAsyncHTTPClient(force_instance=True, max_clients=connections_max)
+    fetcher._multi.setopt(pycurl.M_MAXCONNECTS, connections_max)
+    return HttpClient(fetcher)
 
 
 async def call(
-    client: AsyncHTTPClient,
+    client: HttpClient,
     url: str,
     *,
     timeout_s: float,
@@ -43,8 +54,10 @@
     """Make one call: POST where there is a body, else GET.
 
     Returns the answer whatever its status.  Raises ``CallUnsentError`` or
-    ``CallLostError``; the connection of a lost call is not used again.
+    ``CallLostError``; the connection of a lost call is not used again, and if it
+    was a kept one, none that was open to that address then.
     """
+    use = ConnectionUse(client.kept, urlsplit(url).netloc)
     request = HTTPRequest(
         url,
         method="GET" if body is None else "POST",
@@ -53,10 +66,12 @@
         request_timeout=timeout_s,
         connect_timeout=min(timeout_s, CONNECT_TIMEOUT_S),
         decompress_response=False,
+        prepare_curl_callback=use.prepare,
     )
     try:
-        response = await client.fetch(request, raise_error=False)
+        response = await client.fetcher.fetch(request, raise_error=False)
     except (HTTPClientError, OSError) as error:
+        use.note_lost()
         raise CallLostError(str(error)) from error
     if response.code == 599:
         cause = response.error
