--- a/src/robinthread/_internal/node/process.py
+++ b/src/robinthread/_internal/node/process.py
@@ -9,7 +9,6 @@
 
 from opentelemetry.metrics import get_meter
 from tornado.httpserver import HTTPServer
-from tornado.netutil import bind_sockets
 from tornado.web import Application
 
 from robinthread._internal.durable.ownership import Member
@@ -32,6 +31,7 @@
 from robinthread._internal.telemetry.log_bridge import bridge_libraries
 from robinthread._internal.telemetry.node_metrics import NodeMetrics
 from robinthread._internal.utils.http_call import make_client
+from robinthread._internal.utils.listener import listen
 
 # Connections to the store: one for each partition followed, some for appends.
 STORE_CONNECTIONS_MAX: Final = 64
@@ -86,7 +86,7 @@
     callers = _serve(assembled, settings, peer_address, events)
     if metrics_port is not None:
         address = f"{settings.ip}:{metrics_port}"
-        loop.call_later(METRICS_DELAY_S, lambda: _listen(begin_metrics(), address))
+        loop.call_later(METRICS_DELAY_S, lambda: listen(begin_metrics(), address))
     await stopped.wait()
     events.write("stopping")
     await assembled.node.stop()
@@ -119,14 +119,7 @@
 ) -> HTTPServer:
     """Listen for the balancer, for other nodes and for callers; return the last."""
     node = assembled.node
-    _listen(make_ready_application(lambda: node.is_ready), settings.ready_address)
-    _listen(make_peer_application(assembled.answers), peer_address)
+    listen(make_ready_application(lambda: node.is_ready), settings.ready_address)
+    listen(make_peer_application(assembled.answers), peer_address)
     application = make_callers_application(assembled.gate, assembled.config_holder, events)
-    return _listen(application, settings.caller_address)
-
-
-def _listen(application: Application, address: str) -> HTTPServer:
-    host, _, port = address.rpartition(":")
-    server = HTTPServer(application)
-    server.add_sockets(bind_sockets(int(port), host))
-    return server
+    return listen(application, settings.caller_address)
