--- a/src/robinthread/_internal/node/process.py
+++ b/src/robinthread/_internal/node/process.py
@@ -10,7 +10,6 @@
 
 from opentelemetry.metrics import get_meter
 from tornado.httpserver import HTTPServer
-from tornado.netutil import bind_sockets
 from tornado.web import Application
 
 from robinthread._internal.durable.ownership import Member
@@ -35,6 +34,7 @@
 from robinthread._internal.telemetry.log_bridge import bridge_libraries
 from robinthread._internal.telemetry.node_metrics import NodeMetrics
 from robinthread._internal.utils.http_call import make_client
+from robinthread._internal.utils.listener import listen
 
 # Connections to the store: one for each partition followed, some for appends.
 STORE_CONNECTIONS_MAX: Final = 64
@@ -131,12 +131,12 @@
     requests: OpenRequests,
 ) -> HTTPServer:
     """Listen for the balancer, for other nodes and for callers; return the last."""
-    _listen(make_ready_application(assembled.readiness.look), settings.ready_address)
-    _listen(make_peer_application(assembled.answers), peer_address)
+    listen(make_ready_application(assembled.readiness.look), settings.ready_address)
+    listen(make_peer_application(assembled.answers), peer_address)
     application = make_callers_application(
         assembled.gate, assembled.config_holder, events, requests
     )
-    return _listen(application, settings.caller_address)
+    return listen(application, settings.caller_address)
 
 
 async def _serve_metrics(
@@ -147,11 +147,4 @@
     for name in METRICS_MODULES:
         importlib.import_module(name)
         await asyncio.sleep(METRICS_PAUSE_S)
-    _listen(begin_metrics(metrics), address)
-
-
-def _listen(application: Application, address: str) -> HTTPServer:
-    host, _, port = address.rpartition(":")
-    server = HTTPServer(application)
-    server.add_sockets(bind_sockets(int(port), host))
-    return server
+    listen(begin_metrics(metrics), address)
