A call is unsent where its request was never begun to be sent

Cause: see the failing test. Class: an error path that only the stand-ins ever took. Ruled out: the errno of the last error; libcurl repeats a request by itself, so 'could not connect' may follow a request that was read (third test). Change: libcurl tells when a request is about to be sent; without that the call was unsent.

--- a/src/robinthread/_internal/utils/http_call.py
+++ b/src/robinthread/_internal/utils/http_call.py
@@ -9,7 +9,6 @@
 from tornado.curl_httpclient import CurlAsyncHTTPClient
 from tornado.httpclient import AsyncHTTPClient, HTTPClientError, HTTPRequest, HTTPResponse
 
-from robinthread._internal.utils.http_errors import was_never_sent
 from robinthread._internal.utils.kept_connections import ConnectionUse, KeptConnections
 
 JSON_HEADERS: Final = {"Content-Type": "application/json"}
@@ -69,16 +68,12 @@
         prepare_curl_callback=use.prepare,
     )
     try:
-        response = await client.fetcher.fetch(request, raise_error=False)
+        return await client.fetcher.fetch(request, raise_error=False)
     except (HTTPClientError, OSError) as error:
+        if not use.is_sent:
+            raise CallUnsentError(str(error)) from error
         use.note_lost()
         raise CallLostError(str(error)) from error
-    if response.code == 599:
-        cause = response.error
-        if cause is not None and was_never_sent(cause):
-            raise CallUnsentError(str(cause)) from cause
-        raise CallLostError(str(cause)) from cause
-    return response
 
 
 def decode(body: bytes, type_: type[T]) -> T:
--- a/src/robinthread/_internal/utils/kept_connections.py
+++ b/src/robinthread/_internal/utils/kept_connections.py
@@ -41,13 +41,18 @@
 
 
 class ConnectionUse:
-    """The use that one call makes of a connection."""
+    """The use that one call makes of a connection.
+
+    ``is_sent`` tells whether its request was begun to be sent at least once.  libcurl sends
+    it again by itself where a kept connection ends, so its last error does not tell that.
+    """
 
     def __init__(self, kept: KeptConnections, address: str) -> None:
         self._kept = kept
         self._address = address
         self._generation = 0
         self._is_new = False
+        self.is_sent = False
 
     def prepare(self, curl: pycurl.Curl) -> None:
         """Have a call go out on a connection that is not in doubt."""
@@ -57,6 +62,7 @@
         curl.setopt(pycurl.ADDRESS_SCOPE, self._generation)
         curl.setopt(pycurl.MAXAGE_CONN, IDLE_MAX_S)
         curl.setopt(pycurl.SOCKOPTFUNCTION, self._note_opened)
+        curl.setopt(pycurl.PREREQFUNCTION, self._note_sending)
 
     def note_lost(self) -> None:
         """Note that no answer came; on a new connection that tells nothing of others."""
@@ -66,3 +72,7 @@
     def _note_opened(self, _descriptor: int, _purpose: int) -> int:
         self._is_new = True
         return pycurl.SOCKOPT_OK
+
+    def _note_sending(self, *_addresses: object) -> int:
+        self.is_sent = True
+        return pycurl.PREREQFUNC_OK
