Test: a lasting task must run again within 9 s, also when its owner is lost with its host

Suspected here: the next owner of a pool waits for the leases that the one before may still grant, 6 s from the takeover and a lease more, at every change of owner, though the process before has ended or knows that it was replaced.

--- /dev/null
+++ b/tests/lib/lasting.py
@@ -0,0 +1,74 @@
+"""Tasks that last, and for how long each did not run."""
+
+import asyncio
+import itertools
+from collections import defaultdict
+
+from robinthread._internal.models.job_spec import StepSpec
+from robinthread._internal.models.resources import Resources
+from robinthread._internal.models.task_key import TaskKey
+from robinthread._internal.standins.job_hosts_standin import JobHostStandin, TaskPlan
+from robinthread._internal.standins.platform_standin import PlatformStandin
+from robinthread._internal.standins.run_ledger import LedgerRun
+from tests.lib.job_platforms import get_owner, hand_in, make_job, start_platform, wait_until
+
+# A lasting task must run again so soon after the end of its last run.
+AGAIN_MAX_S = 9.0
+LASTING_NUMBER = 1
+LASTING_JOB = f"{LASTING_NUMBER:016x}"
+STEP = StepSpec(4, cpu_millicores=1000, memory_mb=100, is_lasting=True)
+
+
+def plan_lasting(task: TaskKey) -> TaskPlan:
+    """Have each task last."""
+    return TaskPlan(None, Resources(1000, 100))
+
+
+async def start_lasting(
+    nodes: int = 4, hosts: int = 4, step: StepSpec = STEP, plan_task=plan_lasting
+) -> PlatformStandin:  # type: ignore[no-untyped-def]
+    """Start a platform on which the tasks of one job last, and run."""
+    platform = await start_platform(plan_task, nodes, hosts)
+    await hand_in(platform, "node0", make_job(LASTING_NUMBER, step))
+    await wait_until(lambda: len(list_runs(platform)) == step.task_count)
+    await asyncio.sleep(2)
+    return platform
+
+
+def list_runs(platform: PlatformStandin) -> list[LedgerRun]:
+    """List the runs of the tasks that last."""
+    return [run for run in platform.hosts.ledger.runs if run.task.job_id == LASTING_JOB]
+
+
+def get_first_host(platform: PlatformStandin) -> JobHostStandin:
+    """Return the host on which the first task began."""
+    host_id = list_runs(platform)[0].host_id
+    return next(host for host in platform.hosts.hosts.values() if host.record.id == host_id)
+
+
+def cut_host(platform: PlatformStandin, host: JobHostStandin) -> None:
+    """Cut a host off from all nodes, those too that begin later."""
+    platform.hosts.cut_ways |= {(f"node{number}", host.record.address) for number in range(9)}
+
+
+def kill_owner(platform: PlatformStandin) -> str:
+    """Kill the node that owns the pool; return its name."""
+    owner = get_owner(platform)
+    assert owner is not None
+    platform.kill_node(owner)
+    return owner
+
+
+def get_longest_gap_s(platform: PlatformStandin) -> float:
+    """Return the longest time from the end of a task's run until it ran again, or until now."""
+    by_task: dict[TaskKey, list[LedgerRun]] = defaultdict(list)
+    for run in list_runs(platform):
+        by_task[run.task].append(run)
+    now_s = asyncio.get_running_loop().time()
+    gaps_s = [
+        (later.began_at_s if later else now_s) - run.ended_at_s
+        for runs in by_task.values()
+        for run, later in itertools.zip_longest(runs, runs[1:])
+        if run.ended_at_s is not None
+    ]
+    return max(gaps_s, default=0.0)
