Next owner of a pool asks the ones before whether they have stopped

Cause: runs on a host that the next owner cannot reach were left alone for as long as an earlier owner might go on without hearing of its end, 6 s from each takeover, and a lease more. A process that was killed has ended, and one that hears of its replacement stops at once; neither was ever asked. A second change of owner began the wait anew. Change: while tasks wait on hosts that do not answer, each earlier owner's node is asked every 0.3 s whether it has stopped under its token. It says so itself, or the next life of its process does; its leases are over a lease after that. Owners that were replaced are all kept in mind, not the last two. A host that has answered under the new token keeps nothing of earlier owners for longer than a lease. What is never answered is waited for as before. Ruled out: a wait counted from the membership's end. A living member may hold no partition, and so be missing, for a moment. An owner that alone still reaches a host is waited for: that test fails if all are taken as stopped. test_ownership: what the table keeps has another form; the same facts are checked, and more.

--- a/src/robinthread/_internal/durable/ownership.py
+++ b/src/robinthread/_internal/durable/ownership.py
@@ -16,6 +16,9 @@
 from robinthread._internal.telemetry.event_log import EventLog
 
 OWNERS_PARTITION: Final = Partition("keyed.owners")
+# How long an owner that was replaced is kept in mind: ten times as long as one that does
+# not hear of it may go on.
+LOST_KEPT_S: Final = 60.0
 
 
 class Member(msgspec.Struct, frozen=True, array_like=True, order=True):
@@ -51,11 +54,21 @@
     is_stopping: bool
 
 
+class LostOwner(msgspec.Struct, frozen=True):
+    """An owner that was replaced and had not given its pool back: it may be running still.
+
+    ``lost_at_s`` is when that was seen, by the event loop's clock.
+    """
+
+    owner: Member
+    token: int
+    lost_at_s: float
+
+
 class OwnerTable:
     """The newest owner of each pool, and the one before it where that was seen.
 
-    ``earlier_lost_at_s`` is when an owner before that one was last replaced that had not
-    given the pool back, by the event loop's clock: it may still be running as well.
+    ``lost`` are, by pool, those of late that did not give it back, the last one last.
     """
 
     def __init__(self, store: Store, events: EventLog) -> None:
@@ -63,8 +76,7 @@
         self._events = events
         self.owners: dict[str, Ownership] = {}
         self.previous: dict[str, Ownership] = {}
-        self.earlier_lost_at_s: dict[str, float] = {}
-        self._lost_at_s: dict[str, float] = {}
+        self.lost: dict[str, tuple[LostOwner, ...]] = {}
         self.changed = asyncio.Event()
         self.follower = KeyedFollower(store, OWNERS_PARTITION, self._apply, events)
 
@@ -135,7 +147,8 @@
 
     def _note_replaced(self, pool: str, replaced: Ownership, author: Member) -> None:
         self.previous[pool] = replaced
-        if pool in self._lost_at_s:
-            self.earlier_lost_at_s[pool] = self._lost_at_s[pool]
-        if not replaced.is_released and author != replaced.owner:
-            self._lost_at_s[pool] = asyncio.get_running_loop().time()
+        if replaced.is_released or author == replaced.owner:
+            return
+        now_s = asyncio.get_running_loop().time()
+        kept = (lost for lost in self.lost.get(pool, ()) if now_s - lost.lost_at_s < LOST_KEPT_S)
+        self.lost[pool] = (*kept, LostOwner(replaced.owner, replaced.token, now_s))
--- a/src/robinthread/_internal/jobs/host_lease.py
+++ b/src/robinthread/_internal/jobs/host_lease.py
@@ -1,5 +1,6 @@
 """The lease under which a host runs its tasks."""
 
+import math
 from typing import Final
 
 # Hosts' clocks may run this much slow.
@@ -9,18 +10,39 @@
 LAPSE_MARGIN_S: Final = 0.1
 
 
-class HostLease:
-    """What was granted to one host, in the host's clock and in ours.
+class ForeignLeases:
+    """What earlier owners of a pool granted to its hosts.
 
-    Times in seconds are of the event loop's clock.  ``over_at_s`` is when all
-    that was ever granted has surely lapsed; it only rises.
+    ``over_at_s`` is when all of that has surely lapsed, by the event loop's clock.  It
+    falls when it becomes known that an earlier owner stopped sooner.
     """
 
     def __init__(self, over_at_s: float = 0.0) -> None:
         self.over_at_s = over_at_s
+
+
+class HostLease:
+    """What was granted to one host, in the host's clock and in ours.
+
+    Times in seconds are of the event loop's clock.
+    """
+
+    def __init__(self, foreign: ForeignLeases | None = None) -> None:
+        self._foreign = foreign or ForeignLeases()
+        self._foreign_over_max_s = math.inf
+        self._own_over_at_s = 0.0
         self._clock_ms: int | None = None
         self._clock_read_at_s = 0.0
 
+    @property
+    def over_at_s(self) -> float:
+        """Return when all that was ever granted has surely lapsed."""
+        return max(self._own_over_at_s, min(self._foreign.over_at_s, self._foreign_over_max_s))
+
+    def note_fenced(self, length_ms: float, now_s: float) -> None:
+        """Note that the host now refuses earlier owners, who granted ``length_ms`` at most."""
+        self._foreign_over_max_s = min(self._foreign_over_max_s, get_lapse_time_s(length_ms, now_s))
+
     def note_clock(self, clock_ms: int, now_s: float) -> None:
         """Note the host's clock as an answer that came just now tells it."""
         self._clock_ms = clock_ms
@@ -35,7 +57,7 @@
         if self._clock_ms is None:
             return None
         elapsed_ms = (now_s - self._clock_read_at_s) * 1000 * (1 - CLOCK_SLOW_SHARE)
-        self.over_at_s = max(self.over_at_s, get_lapse_time_s(length_ms, now_s))
+        self._own_over_at_s = max(self._own_over_at_s, get_lapse_time_s(length_ms, now_s))
         return int(self._clock_ms + elapsed_ms + length_ms)
 
 
--- a/src/robinthread/_internal/jobs/pool_jobs.py
+++ b/src/robinthread/_internal/jobs/pool_jobs.py
@@ -4,7 +4,7 @@
 from typing import Final
 
 from robinthread._internal.jobs.host import Host
-from robinthread._internal.jobs.host_lease import HostLease
+from robinthread._internal.jobs.host_lease import ForeignLeases, HostLease
 from robinthread._internal.jobs.job import Job
 from robinthread._internal.jobs.progress import JobProgress, restore_progress
 from robinthread._internal.jobs.run import Run, RunPhase
@@ -28,13 +28,12 @@
 
     ``unrecorded`` are the jobs whose progress the store does not hold yet, and
     ``to_stop`` the runs that must be told to stop.  Times in seconds are of the
-    event loop's clock.  ``foreign_lease_over_at_s`` is when all that an earlier
-    owner granted has surely lapsed.
+    event loop's clock.  ``foreign_leases`` are those that earlier owners granted.
     """
 
     def __init__(self, policy: PlacementPolicy = DEFAULT_PLACEMENT) -> None:
         self.policy = policy
-        self.foreign_lease_over_at_s = 0.0
+        self.foreign_leases = ForeignLeases()
         self.jobs: dict[str, Job] = {}
         self.hosts: dict[str, Host] = {}
         self.waiting: dict[TaskKey, Task] = {}
@@ -190,7 +189,7 @@
     def _get_host(self, host_id: str) -> Host:
         host = self.hosts.get(host_id)
         if host is None:
-            lease = HostLease(self.foreign_lease_over_at_s)
+            lease = HostLease(self.foreign_leases)
             host = self.hosts[host_id] = Host(_make_unknown_host(host_id), lease)
         return host
 
--- a/src/robinthread/_internal/node/handover.py
+++ b/src/robinthread/_internal/node/handover.py
@@ -14,6 +14,8 @@
 from robinthread._internal.node.owned_pools import OwnedPools
 from robinthread._internal.node.peer_calls import PeerCalls, PeerUnreachableError
 from robinthread._internal.node.peer_messages import (
+    StoppedAnswer,
+    StoppedQuestion,
     StoreAnswer,
     StoreQuestion,
     TakeAnswer,
@@ -110,6 +112,20 @@
             )
             return TakeAnswer(())
 
+    async def ask_stopped(self, owner: Member, pool: str, token: int) -> bool:
+        """Ask an earlier owner's node whether it has stopped under a token and lower ones.
+
+        Another life that answers there tells as much: the process before it has ended.
+        """
+        try:
+            answer = await self._peers.ask(
+                owner.address, StoppedQuestion(pool, token), StoppedAnswer
+            )
+        except PeerUnreachableError:
+            # It may be running, cut off from here: nothing is known.
+            return False
+        return answer.node == owner.node and answer.has_stopped
+
     async def ask_store(self, member: Member) -> StoreAnswer:
         """Ask a node whether the store serves it, and how it fares."""
         try:
--- a/src/robinthread/_internal/node/host_follower.py
+++ b/src/robinthread/_internal/node/host_follower.py
@@ -12,7 +12,7 @@
 from robinthread._internal.jobs.run import Run
 from robinthread._internal.models.host_report import EndedRun, HostReport, RunEnd
 from robinthread._internal.node.order_sender import STOP_MARGIN_S, OrderSender
-from robinthread._internal.node.pool_runtime import PoolRuntime, get_loop_s
+from robinthread._internal.node.pool_runtime import LEASE_MS, PoolRuntime, get_loop_s
 from robinthread._internal.node.recorder import Recorder
 
 # Longest wait of one look at a host.  Each look renews the lease, so a lease is
@@ -115,6 +115,7 @@
         if host.contact is HostContact.UNHEARD:
             stop_s = self._runtime.context.settings.bounds.host_stop_ms / 1000
             host.foreign_stops_over_at_s = get_loop_s() + stop_s + STOP_MARGIN_S
+            host.lease.note_fenced(LEASE_MS, get_loop_s())
         host.contact = HostContact.ANSWERING
         host.note_answered()
         host.reported_at_s = get_loop_s()
--- a/src/robinthread/_internal/node/node.py
+++ b/src/robinthread/_internal/node/node.py
@@ -1,7 +1,6 @@
 """A node: follows the store, takes jobs in, owns pools."""
 
 import asyncio
-import math
 from collections.abc import Callable, Collection, Coroutine
 from typing import Any, Final
 
@@ -13,7 +12,7 @@
 from robinthread._internal.node.handover import Handover
 from robinthread._internal.node.owned_pools import OwnedPools
 from robinthread._internal.node.pool_owner import PoolOwner
-from robinthread._internal.node.pool_runtime import UNCONFIRMED_MAX_S
+from robinthread._internal.node.predecessors import find_predecessors
 from robinthread._internal.node.relief import ReliefPlanner
 from robinthread._internal.node.steward import Steward
 from robinthread._internal.utils.waiting import wait_for_event
@@ -194,9 +193,14 @@
                 continue
             owner = self._owned.owners.get(pool)
             if owner is None and self._spent_tokens.get(pool, 0) < found.token:
-                owner = self._owned.make_owner(
-                    pool, found.token, self._get_predecessors_grant_s(pool)
+                predecessors = find_predecessors(
+                    pool,
+                    self._me,
+                    self._table,
+                    self._handover.stopped_tokens,
+                    self._handover.ask_stopped,
                 )
+                owner = self._owned.make_owner(pool, found.token, predecessors)
                 self.spawn(self._run_owner(owner))
 
     def _open_steward(self, token: int) -> None:
@@ -243,27 +247,6 @@
             else:
                 follower.pause()
 
-    def _get_predecessors_grant_s(self, pool: str) -> float:
-        """Return for how long from now earlier owners may still grant leases.
-
-        The last one may have given the pool back, and one before it may live on.
-        """
-        if self._may_have_live_predecessor(pool):
-            return UNCONFIRMED_MAX_S
-        lost_at_s = self._table.earlier_lost_at_s.get(pool, -math.inf)
-        lost_for_s = asyncio.get_running_loop().time() - lost_at_s
-        return max(0.0, UNCONFIRMED_MAX_S - lost_for_s)
-
-    def _may_have_live_predecessor(self, pool: str) -> bool:
-        """Tell whether an earlier owner may live on without knowing of its end."""
-        previous = self._table.previous.get(pool)
-        return (
-            previous is not None
-            and not previous.is_released
-            and previous.owner.node != self._me.node
-            and previous.token > self._handover.stopped_tokens.get(pool, 0)
-        )
-
     async def _run_owner(self, owner: PoolOwner) -> None:
         self._events.write("pool_taken", pool=owner.pool, token=owner.token)
         try:
--- a/src/robinthread/_internal/node/owned_pools.py
+++ b/src/robinthread/_internal/node/owned_pools.py
@@ -11,8 +11,11 @@
     JobQuestion,
     PendingAnswer,
     PendingQuestion,
+    StoppedAnswer,
+    StoppedQuestion,
 )
 from robinthread._internal.node.pool_owner import PoolOwner
+from robinthread._internal.node.predecessors import Predecessors
 
 
 class OwnedPools:
@@ -21,16 +24,29 @@
     def __init__(self, context: NodeContext) -> None:
         self._context = context
         self.owners: dict[str, PoolOwner] = {}
+        self._unstopped: list[PoolOwner] = []
 
-    def make_owner(self, pool: str, token: int, predecessors_grant_s: float) -> PoolOwner:
+    def make_owner(self, pool: str, token: int, predecessors: Predecessors) -> PoolOwner:
         """Make the owner of a pool."""
         partitions = self._context.settings.store.partition_count
         partition = zlib.crc32(pool.encode()) % partitions
-        owner = self.owners[pool] = PoolOwner(
-            self._context, pool, token, partition, predecessors_grant_s
-        )
+        owner = self.owners[pool] = PoolOwner(self._context, pool, token, partition, predecessors)
+        self._unstopped = [other for other in self._unstopped if not other.has_stopped]
+        self._unstopped.append(owner)
         return owner
 
+    def answer_stopped(self, question: StoppedQuestion) -> StoppedAnswer:
+        """Tell whether no owner of a pool under a token or a lower one gives orders here.
+
+        None will later: whoever asks has shut such owners out of the pool's journal, which
+        an owner must open before its first order.
+        """
+        is_running = any(
+            owner.pool == question.pool and owner.token <= question.token and not owner.has_stopped
+            for owner in self._unstopped
+        )
+        return StoppedAnswer(self._context.settings.name, not is_running)
+
     async def answer_job(self, question: JobQuestion) -> JobAnswer:
         """Tell what is known of a job, reading the inbox again before saying nothing is."""
         owner = self.owners.get(question.pool)
--- a/src/robinthread/_internal/node/peer_answers.py
+++ b/src/robinthread/_internal/node/peer_answers.py
@@ -14,6 +14,7 @@
     PendingQuestion,
     RelayAnswer,
     RelayQuestion,
+    StoppedQuestion,
     StoreQuestion,
     TakeQuestion,
 )
@@ -40,6 +41,8 @@
                 return self._handover.answer_store()
             case TakeQuestion():
                 return await self._handover.answer_take(question)
+            case StoppedQuestion():
+                return self._owned.answer_stopped(question)
             case RelayQuestion():
                 return await self._relay(question)
         raise TypeError(f"unknown question: {type(question).__name__}")
--- a/src/robinthread/_internal/node/peer_messages.py
+++ b/src/robinthread/_internal/node/peer_messages.py
@@ -63,6 +63,20 @@
     taken: tuple[str, ...]
 
 
+class StoppedQuestion(msgspec.Struct, frozen=True, array_like=True):
+    """Ask a node whether it has stopped owning a pool under a token and any lower one."""
+
+    pool: str
+    token: int
+
+
+class StoppedAnswer(msgspec.Struct, frozen=True, array_like=True):
+    """Whether all such owners at a node have stopped: they give no order any more."""
+
+    node: str
+    has_stopped: bool
+
+
 class RelayQuestion(msgspec.Struct, frozen=True, array_like=True):
     """Ask a node to append a record to the inbox, within ``left_s`` seconds."""
 
@@ -83,5 +97,6 @@
     FleetQuestion: "/fleet",
     StoreQuestion: "/store",
     TakeQuestion: "/take",
+    StoppedQuestion: "/stopped",
     RelayQuestion: "/relay",
 }
--- a/src/robinthread/_internal/node/pool_owner.py
+++ b/src/robinthread/_internal/node/pool_owner.py
@@ -10,7 +10,6 @@
 from robinthread._internal.fleet.pool_report import FleetQuestion, PoolReport
 from robinthread._internal.jobs.demand import DemandMeter
 from robinthread._internal.jobs.host import Host
-from robinthread._internal.jobs.host_lease import get_lapse_time_s
 from robinthread._internal.jobs.job import Job
 from robinthread._internal.jobs.pool_jobs import PoolJobs
 from robinthread._internal.jobs.progress import JobProgress
@@ -23,11 +22,8 @@
 from robinthread._internal.node.host_follower import HostFollower
 from robinthread._internal.node.order_sender import OrderSender
 from robinthread._internal.node.pool_reporting import make_pool_report
-from robinthread._internal.node.pool_runtime import (
-    LEASE_MS,
-    PoolRuntime,
-    get_loop_s,
-)
+from robinthread._internal.node.pool_runtime import PoolRuntime, get_loop_s
+from robinthread._internal.node.predecessors import Predecessors
 from robinthread._internal.node.progress_loader import load_progress
 from robinthread._internal.node.recorder import Recorder
 from robinthread._internal.node.retention import Retention
@@ -54,8 +50,8 @@
 class PoolOwner:
     """The owner of one pool under one token, until it is fenced or stopped.
 
-    ``predecessors_grant_s`` is for how long earlier owners may still grant leases,
-    for they may be running without knowing that they were replaced.
+    ``predecessors`` are earlier owners, which may be running without knowing that they
+    were replaced.
     """
 
     def __init__(
@@ -64,7 +60,7 @@
         pool: str,
         token: int,
         partition: int,
-        predecessors_grant_s: float,
+        predecessors: Predecessors,
     ) -> None:
         self._context = context
         self._events = context.events
@@ -72,7 +68,7 @@
         self.token = token
         self._partition = Partition(PROGRESS_TOPIC, partition)
         self._progress: dict[str, JobProgress] = {}
-        self._predecessors_grant_s = predecessors_grant_s
+        self._predecessors = predecessors
         self.jobs = PoolJobs(context.policy.placement)
         self._journal = Journal(
             context.store, self._partition, f"pool/{pool}", token, context.events
@@ -91,6 +87,11 @@
         self._is_stopped = False
         self.is_open = False
 
+    @property
+    def has_stopped(self) -> bool:
+        """Tell whether no order is made any more."""
+        return self._is_stopped
+
     @property
     def fenced(self) -> asyncio.Event:
         """Return the event that is set once the owner must stop for good."""
@@ -112,6 +113,7 @@
         orphans = list(self._progress.values())
         self._progress.clear()
         self._runtime.spawn(self._retention.drop_orphans(orphans))
+        self._runtime.spawn(self._predecessors.watch(self.jobs, self._events))
         self._runtime.spawn(self._retention.run())
         self._runtime.spawn(self._advice_taker.run())
         self._runtime.spawn(self._recorder.run())
@@ -177,8 +179,7 @@
         """Shut out older owners, then read what they have recorded."""
         await self._journal.open()
         # From here on no older owner is confirmed any more.
-        last_grant_s = get_loop_s() + self._predecessors_grant_s
-        self.jobs.foreign_lease_over_at_s = get_lapse_time_s(LEASE_MS, last_grant_s)
+        self._predecessors.note_shut_out(get_loop_s(), self.jobs.foreign_leases)
         loaded = await load_progress(self._context.store, self._partition, self.pool, self._events)
         self._progress.update(loaded)
 
--- /dev/null
+++ b/src/robinthread/_internal/node/predecessors.py
@@ -0,0 +1,100 @@
+"""Earlier owners of a pool, which may be running without knowing that they were replaced."""
+
+import asyncio
+from collections.abc import Awaitable, Callable, Iterable, Mapping
+from typing import Final
+
+from robinthread._internal.durable.ownership import LostOwner, Member, OwnerTable
+from robinthread._internal.jobs.host import HostContact
+from robinthread._internal.jobs.host_lease import ForeignLeases, get_lapse_time_s
+from robinthread._internal.jobs.pool_jobs import PoolJobs
+from robinthread._internal.node.pool_runtime import LEASE_MS, UNCONFIRMED_MAX_S, get_loop_s
+from robinthread._internal.telemetry.event_log import EventLog
+
+# How often an earlier owner is asked whether it has stopped, while tasks wait for that:
+# small beside the lease that they wait for in any case.
+ASK_PERIOD_S: Final = 0.3
+
+AskStopped = Callable[[Member, str, int], Awaitable[bool]]
+
+
+class Predecessors:
+    """Until when earlier owners of a pool may have granted leases.
+
+    One that cannot be asked may go on until it has not been confirmed for too long.  One
+    that has stopped says so, or the next life of its process does.
+    """
+
+    def __init__(
+        self, pool: str, found: Iterable[LostOwner], last_token: int, ask_stopped: AskStopped
+    ) -> None:
+        self._pool = pool
+        self._last_token = last_token
+        self._ask_stopped = ask_stopped
+        self._grants_until_s = {lost: lost.lost_at_s + UNCONFIRMED_MAX_S for lost in found}
+        self._shut_out_at_s = 0.0
+        self._leases = ForeignLeases()
+
+    def note_shut_out(self, now_s: float, leases: ForeignLeases) -> None:
+        """Note that no earlier owner is confirmed any more; keep ``leases`` from now on."""
+        self._shut_out_at_s = now_s
+        self._leases = leases
+        for lost in self._grants_until_s:
+            if lost.token == self._last_token:
+                # The store may have confirmed it until now; those before, until the next came.
+                self._grants_until_s[lost] = now_s + UNCONFIRMED_MAX_S
+        self._update()
+
+    async def watch(self, jobs: PoolJobs, events: EventLog) -> None:
+        """Ask earlier owners whether they have stopped, while tasks wait for that."""
+        while running := self._list_running():
+            if _has_silent_runs(jobs):
+                await asyncio.gather(*(self._ask(lost, events) for lost in running))
+            await asyncio.sleep(ASK_PERIOD_S)
+
+    def _list_running(self) -> list[LostOwner]:
+        now_s = get_loop_s()
+        return [lost for lost, until_s in self._grants_until_s.items() if until_s > now_s]
+
+    async def _ask(self, lost: LostOwner, events: EventLog) -> None:
+        if not await self._ask_stopped(lost.owner, self._pool, lost.token):
+            return
+        self._grants_until_s[lost] = get_loop_s()
+        self._update()
+        events.write(
+            "predecessor_stopped",
+            pool=self._pool,
+            node=lost.owner.node,
+            token=lost.token,
+            leases_over_in_s=round(self._leases.over_at_s - get_loop_s(), 3),
+        )
+
+    def _update(self) -> None:
+        last_grant_s = max(self._shut_out_at_s, *self._grants_until_s.values(), 0.0)
+        self._leases.over_at_s = get_lapse_time_s(LEASE_MS, last_grant_s)
+
+
+def find_predecessors(
+    pool: str,
+    me: Member,
+    table: OwnerTable,
+    stopped_tokens: Mapping[str, int],
+    ask_stopped: AskStopped,
+) -> Predecessors:
+    """Return the earlier owners of a pool that this node has taken.
+
+    An earlier life of this node has ended; one that passed the pool on here stopped first.
+    """
+    found = (
+        lost
+        for lost in table.lost.get(pool, ())
+        if lost.token != stopped_tokens.get(pool) and lost.owner.node != me.node
+    )
+    previous = table.previous.get(pool)
+    return Predecessors(pool, found, previous.token if previous else 0, ask_stopped)
+
+
+def _has_silent_runs(jobs: PoolJobs) -> bool:
+    return any(
+        host.runs and host.contact is not HostContact.ANSWERING for host in jobs.hosts.values()
+    )
