Test: a lasting task gets room again in a pool full of small tasks

Cause: tasks that find no host are passed over, and those after them in the order fill whatever falls free. A task that needs more room than one small task leaves waits for as long as the pool is full. The test fails on this code: of three hosts one is lost, half a host is wanted, tasks of an eighth of a host come without end; the lasting task does not run again in 25 s, where the test ends.

--- a/tests/functional/test_lasting_again.py
+++ b/tests/functional/test_lasting_again.py
@@ -1,16 +1,22 @@
 """A lasting task runs again soon, whatever ended its last run."""
 
 import asyncio
+import itertools
 from collections.abc import Awaitable, Callable
 from typing import NoReturn
 
 from testtools import TestCase
 
+from robinthread._internal.models.job_spec import StepSpec
+from robinthread._internal.models.task_key import TaskKey
 from robinthread._internal.node.peer_calls import PeerUnreachableError
+from robinthread._internal.standins.job_hosts_standin import TaskPlan
 from robinthread._internal.standins.platform_standin import PlatformStandin
-from tests.lib.job_platforms import POOL, find_breaks, wait_until
+from tests.lib.job_platforms import POOL, find_breaks, hand_in, make_job, wait_until
 from tests.lib.lasting import (
     AGAIN_MAX_S,
+    LASTING_JOB,
+    LASTING_NUMBER,
     cut_host,
     get_first_host,
     get_longest_gap_s,
@@ -24,6 +30,9 @@
 RESTART_S = 2.5
 # Longer than any wait that follows from a lease.
 WATCH_S = 25.0
+# Two of these lasting tasks fill a host; of the small ones eight do.
+LARGE = StepSpec(2, cpu_millicores=8000, memory_mb=100, is_lasting=True)
+SMALL = StepSpec(6, cpu_millicores=2000, memory_mb=100)
 
 
 class LastingAgainTest(TestCase):
@@ -105,6 +114,31 @@
         for peers_are_cut in (True, False):
             run_virtual(work(peers_are_cut))
 
+    def test_pool_full_of_small_tasks_makes_room_for_a_large_one(self) -> None:
+        """A host is lost; the others have room for a small task whenever one ends."""
+
+        def plan(task: TaskKey) -> TaskPlan:
+            if task.job_id == LASTING_JOB:
+                return TaskPlan(None, LARGE.room)
+            return TaskPlan(1.0 + 0.13 * task.index, SMALL.room)
+
+        async def feed(platform: PlatformStandin) -> None:
+            for number in itertools.count(LASTING_NUMBER + 1):
+                await hand_in(platform, next(iter(platform.nodes)), make_job(number, SMALL))
+                await asyncio.sleep(0.25)
+
+        async def work() -> None:
+            platform = await start_lasting(hosts=3, step=LARGE, plan_task=plan)
+            feeding = asyncio.create_task(feed(platform))
+            await asyncio.sleep(3)
+            platform.crash_host(get_first_host(platform).record.id)
+            await asyncio.sleep(WATCH_S)
+            feeding.cancel()
+            self.assertEqual([], find_breaks(platform))
+            self.assertLess(get_longest_gap_s(platform), AGAIN_MAX_S)
+
+        run_virtual(work())
+
 
 class _NoPeers:
     """Peers that never answer."""
