A host of a full pool is kept for a lasting task until it fits there

Cause: a task that found no host was passed over, and smaller ones after it took each piece of room that fell free. A lasting task that needs more than one such piece waited for as long as the pool was full. Change: the host that lacks least for it gets nothing that comes later in the order, until it fits. Tasks that end are kept no room for: what that costs and brings was not measured. A switch in the policy file, `placement.keeps_room_for_lasting`, turns this off. Ruled out: stopping other tasks, whose work would be lost; they end within seconds.

--- a/src/robinthread/_internal/jobs/gangs.py
+++ b/src/robinthread/_internal/jobs/gangs.py
@@ -1,7 +1,7 @@
 """Placing a gang: tasks of a step that work only as a group."""
 
 from collections import defaultdict
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 
 from robinthread._internal.jobs.host import Host
 from robinthread._internal.jobs.job import Job
@@ -10,8 +10,10 @@
 from robinthread._internal.jobs.task import Task
 
 
-def place_gang(pool: PoolJobs, task: Task, now_s: float) -> int:
-    """Place all members of a task's gang, or none; return how many.
+def place_gang(
+    pool: PoolJobs, task: Task, now_s: float, kept: Collection[str] = frozenset()
+) -> int:
+    """Place all members of a task's gang, or none, on hosts not ``kept``; return how many.
 
     The members share one run number and one checkpoint, so the group begins
     only when no run of an earlier try is left.
@@ -20,7 +22,7 @@
     members = job.get_tasks(task.key.occurrence, task.key.step)
     if not all(member.key in pool.waiting for member in members):
         return 0
-    hosts = choose_gang_hosts(pool, job, members, now_s)
+    hosts = choose_gang_hosts(pool, job, members, now_s, kept)
     if not hosts:
         return 0
     number = 1 + max(member.last_run for member in members)
@@ -32,7 +34,11 @@
 
 
 def choose_gang_hosts(
-    pool: PoolJobs, job: Job, members: list[Task], now_s: float
+    pool: PoolJobs,
+    job: Job,
+    members: list[Task],
+    now_s: float,
+    kept: Collection[str] = frozenset(),
 ) -> list[Host] | None:
     """Return a host for each member, or None where not all have room at once.
 
@@ -42,7 +48,7 @@
     usable = [
         host
         for host in get_usable_hosts(pool, now_s)
-        if may_run(pool, job, members[0], host, now_s)
+        if host.id not in kept and may_run(pool, job, members[0], host, now_s)
     ]
     if step.wants_one_rack:
         racks = _group_by_rack(usable)
--- a/src/robinthread/_internal/jobs/scheduling.py
+++ b/src/robinthread/_internal/jobs/scheduling.py
@@ -11,6 +11,7 @@
     stays_best,
 )
 from robinthread._internal.jobs.pool_jobs import PoolJobs
+from robinthread._internal.jobs.room_keeping import RoomKeeper
 from robinthread._internal.jobs.task import Task
 from robinthread._internal.models.resources import Resources
 from robinthread._internal.models.step_key import StepKey
@@ -22,6 +23,7 @@
     In a full pool this costs a look at each host and each waiting task, no more: hosts
     without room for the smallest task are left out, and of a step that found no host no
     other task is tried.  Tasks of a step follow each other to a host until it is full.
+    A host that is kept for a lasting task gets none that comes after it.
     """
     if not pool.waiting:
         return 0
@@ -33,14 +35,16 @@
     placed = 0
     last: tuple[Task, Host] | None = None
     without_host: set[StepKey] = set()
+    keeper = RoomKeeper(pool, now_s)
     for task in sort_waiting(pool, now_ms):
         if task.key not in pool.waiting:
             # It has been placed with its gang.
             continue
         if task.key.step_key in without_host:
+            keeper.keep_for(task, hosts)
             continue
         if task.step.is_gang:
-            placed += place_gang(pool, task, now_s)
+            placed += place_gang(pool, task, now_s, keeper.kept)
             hosts = [host for host in hosts if smallest.fits_in(host.free)]
             without_host.add(task.key.step_key)
             continue
@@ -51,14 +55,15 @@
         if host is None:
             if not task.runs:
                 without_host.add(task.key.step_key)
+                keeper.keep_for(task, hosts)
             continue
         pool.place(task, host)
         placed += 1
         last = task, host
         if not smallest.fits_in(host.free):
             hosts.remove(host)
-            if not hosts:
-                break
+        if not hosts:
+            break
     return placed
 
 
--- a/src/robinthread/_internal/settings/policy_settings.py
+++ b/src/robinthread/_internal/settings/policy_settings.py
@@ -59,10 +59,13 @@
     its forecast.  Zero switches the margin off.
     ``doubts_silent_hosts``: a host that leaves an order unanswered for 0.15 s gets no more
     work until it answers, nor do all others of its data hall where several do.
+    ``keeps_room_for_lasting``: a host of a full pool gets no other work until a lasting
+    task that waits fits there.
     """
 
     slack_margin_s: float = 0.2
     doubts_silent_hosts: bool = True
+    keeps_room_for_lasting: bool = True
 
 
 @dataclass(frozen=True)
--- a/tests/unit/test_placement.py
+++ b/tests/unit/test_placement.py
@@ -9,6 +9,7 @@
 from robinthread._internal.jobs.placement import sort_waiting
 from robinthread._internal.jobs.pool_jobs import PoolJobs
 from robinthread._internal.jobs.scheduling import place_waiting
+from robinthread._internal.models.host_report import RunEnd
 from robinthread._internal.models.job_spec import JobSpec, StepSpec
 from robinthread._internal.models.queue_policy import QueuePolicy
 from robinthread._internal.models.resources import Resources
@@ -47,6 +48,32 @@
         self.assertEqual(8, place_waiting(pool, 0.0, 1_000))
         self.assertEqual({0}, {host.free.memory_mb for host in pool.hosts.values()})
 
+    def test_host_that_lacks_least_is_kept_for_a_lasting_task(self) -> None:
+        pool = make_pool(2)
+        add_job(pool, 1, StepSpec(8, cpu_millicores=1000, estimate_ms=1000))
+        self.assertEqual(8, place_waiting(pool, 0.0, 1_000))
+        add_job(pool, 2, StepSpec(1, cpu_millicores=3000, is_lasting=True))
+        add_job(pool, 3, StepSpec(8, cpu_millicores=1000, estimate_ms=1000))
+        lasting = next(task for task in pool.waiting.values() if task.step.is_lasting)
+        for host_id in ("h1", "h0", "h1", "h1"):
+            run = next(iter(pool.hosts[host_id].runs.values()))
+            pool.end_run(run, RunEnd.DONE, "", 1_000)
+            place_waiting(pool, 0.0, 1_000)
+        self.assertEqual(["h1"], [run.host_id for run in lasting.runs])
+        self.assertEqual(0, pool.hosts["h0"].free.cpu_millicores)
+
+    def test_no_host_is_kept_where_that_is_switched_off_or_in_vain(self) -> None:
+        for policy, millicores in (
+            (PlacementPolicy(keeps_room_for_lasting=False), 3000),
+            (PlacementPolicy(), 5000),
+        ):
+            pool = make_pool(1, policy)
+            add_job(pool, 1, StepSpec(3, cpu_millicores=1000, estimate_ms=1000))
+            place_waiting(pool, 0.0, 1_000)
+            add_job(pool, 2, StepSpec(1, cpu_millicores=millicores, is_lasting=True))
+            add_job(pool, 3, StepSpec(1, cpu_millicores=1000, estimate_ms=1000))
+            self.assertEqual(1, place_waiting(pool, 0.0, 1_000))
+
     def test_full_pool_costs_no_choice_of_host(self) -> None:
         pool = make_pool(10)
         for number in range(100):
