Test: a start that did not reach its host holds its task up no longer

Cause: a run whose start never reached its host is stopped, as if it might have begun, and waits for the host's lease, which each try of the start renews here.

--- a/tests/functional/test_lasting_again.py
+++ b/tests/functional/test_lasting_again.py
@@ -12,7 +12,7 @@
 from robinthread._internal.node.peer_calls import PeerUnreachableError
 from robinthread._internal.standins.job_hosts_standin import TaskPlan
 from robinthread._internal.standins.platform_standin import PlatformStandin
-from tests.lib.job_platforms import POOL, find_breaks, hand_in, make_job, wait_until
+from tests.lib.job_platforms import POOL, ROOM, find_breaks, hand_in, make_job, wait_until
 from tests.lib.lasting import (
     AGAIN_MAX_S,
     LASTING_JOB,
@@ -78,6 +78,23 @@
 
         self._check(bring_about)
 
+    def test_host_that_is_chosen_next_has_just_gone_as_well(self) -> None:
+        async def bring_about(platform: PlatformStandin) -> None:
+            lost = get_first_host(platform)
+            platform.crash_host(lost.record.id)
+            owner = kill_owner(platform)
+            await asyncio.sleep(RESTART_S)
+            platform.start_node(owner)
+            # Just before the first host's tasks are placed again, 7.0 s after it was lost.
+            await asyncio.sleep(4.4)
+            hosts = [host for host in platform.hosts.hosts.values() if host.is_up]
+            for host in hosts:
+                platform.crash_host(host.record.id)
+            for number in range(2):
+                platform.machines.add(POOL, f"r{number}", ROOM)
+
+        self._check(bring_about)
+
     def test_owner_cut_off_for_a_while_as_a_host_is_lost(self) -> None:
         async def bring_about(platform: PlatformStandin) -> None:
             platform.crash_host(get_first_host(platform).record.id)
