A run that no start has reached its host for is taken back at once

Cause: a start that was given up had its run stopped, though nothing was sent: the host did not listen, or was already silent when its turn came. A host that is gone answers no stop, so the task waited for a lease that the tries themselves had renewed. Change: where no try reached the host the run is taken back, as is done for one that a host rejects without an earlier try unanswered.

--- a/src/robinthread/_internal/node/order_sender.py
+++ b/src/robinthread/_internal/node/order_sender.py
@@ -68,7 +68,7 @@
         """Send a start until the host has answered it, or give the run up.
 
         The same run is sent to the same host again: a host that has it already
-        says so, and starts it once.
+        says so, and starts it once.  One that no start has reached never begins.
         """
         host, job = self._find(run)
         if host is None or job is None:
@@ -88,7 +88,10 @@
                         break
                     sent_count += outcome is StartOutcome.UNANSWERED
                 await asyncio.sleep(RETRY_PAUSE_S)
-        self._runtime.jobs.stop(run)
+        if sent_count:
+            self._runtime.jobs.stop(run)
+        else:
+            self._runtime.jobs.forget_run(run)
         self._runtime.wake()
 
     async def send_stop(self, run: Run) -> None:
