A run in neither list of a host may be stopping for an earlier owner

The next owner took back at once what a host did not list when it was first heard; a run that the last owner had told to stop may be at work until its stop is over. Change: what is recorded on a host settles only when all stops of earlier owners are over, `stop_ms` and 0.2 s after the host was first heard, as counts already where a lasting task is moved. Runs that the host lists, and ends, are taken in at once as before.

--- a/src/robinthread/_internal/node/host_follower.py
+++ b/src/robinthread/_internal/node/host_follower.py
@@ -113,9 +113,7 @@
         if not was_answering:
             self._events.write("host_heard", host=host.id, pool=self._runtime.pool)
         if host.contact is HostContact.UNHEARD:
-            stop_s = self._runtime.context.settings.bounds.host_stop_ms / 1000
-            host.foreign_stops_over_at_s = get_loop_s() + stop_s + STOP_MARGIN_S
-            host.lease.note_fenced(LEASE_MS, get_loop_s())
+            self._note_first_heard()
         host.contact = HostContact.ANSWERING
         host.note_answered()
         host.reported_at_s = get_loop_s()
@@ -134,6 +132,19 @@
             host.acknowledged_end = host.processed_end
         return WATCH_WAIT_S if was_answering else 0.0
 
+    def _note_first_heard(self) -> None:
+        """Note that the host refuses earlier owners from now on.
+
+        What one of them told to stop just before may be in none of the report's lists
+        until it has stopped.
+        """
+        host, now_s = self._host, get_loop_s()
+        host.lease.note_fenced(LEASE_MS, now_s)
+        stop_s = self._runtime.context.settings.bounds.host_stop_ms / 1000
+        host.foreign_stops_over_at_s = now_s + stop_s + STOP_MARGIN_S
+        for run in host.runs.values():
+            run.settled_at_s = host.foreign_stops_over_at_s
+
     def _take_end(self, end: EndedRun) -> None:
         host = self._host
         run = host.runs.get((end.task, end.run))
