Test: a host that was lost is not counted as one that comes

Cause: a machine that the list of machines shows as up, and whose host the pool's owner does not name, counts as arriving for 3 s. A host that has long served is in the same case when its entry in the store has gone. The pool seems to have one host to spare, and one that serves is sent away.

--- a/tests/functional/test_lasting_again.py
+++ b/tests/functional/test_lasting_again.py
@@ -28,10 +28,13 @@
 
 # How long a process that was killed takes to begin anew.
 RESTART_S = 2.5
+# So late that the host's entry in the store has gone before its lease is surely over.
+LATE_RESTART_S = 4.0
 # Longer than any wait that follows from a lease.
 WATCH_S = 25.0
 # Two of these lasting tasks fill a host; of the small ones eight do.
 LARGE = StepSpec(2, cpu_millicores=8000, memory_mb=100, is_lasting=True)
+SPREAD = StepSpec(5, cpu_millicores=1000, memory_mb=100, is_lasting=True, per_host_max=2)
 SMALL = StepSpec(6, cpu_millicores=2000, memory_mb=100)
 
 
@@ -156,6 +159,22 @@
 
         run_virtual(work())
 
+    def test_host_that_was_lost_is_not_taken_for_one_that_comes(self) -> None:
+        """The store lists it no more, the machines' list does; a host is still needed for it."""
+
+        async def work() -> None:
+            platform = await start_lasting(hosts=3, reserve=2, step=SPREAD)
+            platform.crash_host(get_first_host(platform).record.id)
+            owner = kill_owner(platform)
+            await asyncio.sleep(LATE_RESTART_S)
+            platform.start_node(owner)
+            await asyncio.sleep(WATCH_S)
+            self.assertEqual([], find_breaks(platform))
+            self.assertLess(get_longest_gap_s(platform), AGAIN_MAX_S)
+            self.assertEqual(1, platform.machines.move_count)
+
+        run_virtual(work())
+
 
 class _NoPeers:
     """Peers that never answer."""
