A host that its pool has named before does not count as one that comes

The steward took "up, and not named by the pool's owner" for a machine that has just come up, also where the owner had named its host for long and the store lists it no more. The pool's size seemed exceeded by one for 3 s, and a host that serves was moved to the reserve, to be fetched again 2.5 s later. Change: hosts that an owner has named since this steward began are kept in mind.

--- a/src/robinthread/_internal/node/steward.py
+++ b/src/robinthread/_internal/node/steward.py
@@ -85,6 +85,7 @@
         self._known: dict[str, Machine] = {}
         self._listed_at_s = -LIST_PERIOD_S
         self._unheard_since_s: dict[str, float] = {}
+        self._told: set[str] = set()
         self._sizes: dict[str, PoolSize] = {}
         self._vacate: dict[str, frozenset[str]] = {}
         self.fenced = asyncio.Event()
@@ -178,6 +179,7 @@
             return False
         self._listed_at_s = asked_at_s
         self._known = {machine.name: machine for machine in listed}
+        self._told &= {machine.host_id for machine in listed}
         self._orders.note_listed(asked_at_s)
         return True
 
@@ -251,22 +253,24 @@
         machines = {
             machine.name: machine for machine in self._known.values() if machine.pool == pool
         }
-        told = {host.host_id for host in report.hosts}
+        self._told |= {host.host_id for host in report.hosts}
         coming = sum(
             isinstance(order, MoveOrder) and order.pool == pool
             for order in self._orders.under_way.values()
         )
         arriving = sum(
-            machine.state in (MachineState.MOVING, MachineState.UPKEEP)
-            or self._is_unheard(machine, told)
+            machine.state in (MachineState.MOVING, MachineState.UPKEEP) or self._is_unheard(machine)
             for name, machine in machines.items()
             if name not in self._orders.under_way and machine.hall not in silent_halls
         )
         return PoolView(pool, report, machines, arriving + coming)
 
-    def _is_unheard(self, machine: Machine, told: set[str]) -> bool:
-        """Tell whether a machine is up so newly that its pool has not heard of it."""
-        if machine.state is not MachineState.UP or machine.host_id in told:
+    def _is_unheard(self, machine: Machine) -> bool:
+        """Tell whether a machine is up so newly that its pool has not heard of it.
+
+        One that its pool named before, and names no more, is lost.
+        """
+        if machine.state is not MachineState.UP or machine.host_id in self._told:
             self._unheard_since_s.pop(machine.name, None)
             return False
         since_s = self._unheard_since_s.setdefault(machine.name, get_loop_s())
--- a/tests/functional/test_lasting_again.py
+++ b/tests/functional/test_lasting_again.py
@@ -164,6 +164,7 @@
 
         async def work() -> None:
             platform = await start_lasting(hosts=3, reserve=2, step=SPREAD)
+            moves_before = platform.machines.move_count
             platform.crash_host(get_first_host(platform).record.id)
             owner = kill_owner(platform)
             await asyncio.sleep(LATE_RESTART_S)
@@ -171,7 +172,7 @@
             await asyncio.sleep(WATCH_S)
             self.assertEqual([], find_breaks(platform))
             self.assertLess(get_longest_gap_s(platform), AGAIN_MAX_S)
-            self.assertEqual(1, platform.machines.move_count)
+            self.assertEqual(1, platform.machines.move_count - moves_before)
 
         run_virtual(work())
 
