A run that is present and told to stop is over when its end is listed

Time alone settled a run that the host had confirmed, also while it stopped. Ruled out: that a run stays so for good. A host lists each end until it is acknowledged, stops are sent until one is answered, and a host that is gone ends with its lease.

--- a/src/robinthread/_internal/jobs/pool_jobs.py
+++ b/src/robinthread/_internal/jobs/pool_jobs.py
@@ -1,5 +1,6 @@
 """The jobs of one pool and what happens to them."""
 
+import math
 from collections.abc import Iterable
 from typing import Final
 
@@ -172,6 +173,9 @@
         if run.phase is RunPhase.RECORDING:
             self.forget_run(run)
         elif run.phase in (RunPhase.SENDING, RunPhase.PRESENT):
+            if run.phase is RunPhase.PRESENT:
+                # While it stops it may be in neither list of its host; its end will be.
+                run.settled_at_s = math.inf
             run.phase = RunPhase.STOPPING
             self.to_stop.append(run)
 
