--- a/src/robinthread/_internal/jobs/pool_jobs.py
+++ b/src/robinthread/_internal/jobs/pool_jobs.py
@@ -1,10 +1,11 @@
 """The jobs of one pool and what happens to them."""
 
+import math
 from collections.abc import Iterable
 from typing import Final
 
 from robinthread._internal.jobs.host import Host
-from robinthread._internal.jobs.host_lease import HostLease
+from robinthread._internal.jobs.host_lease import ForeignLeases, HostLease
 from robinthread._internal.jobs.job import Job
 from robinthread._internal.jobs.progress import JobProgress, restore_progress
 from robinthread._internal.jobs.run import Run, RunPhase
@@ -27,19 +28,20 @@
     """Jobs, hosts and the tasks that wait for a host.
 
     ``unrecorded`` are the jobs whose progress the store does not hold yet, and
-    ``to_stop`` the runs that must be told to stop.  Times in seconds are of the
-    event loop's clock.  ``foreign_lease_over_at_s`` is when all that an earlier
-    owner granted has surely lapsed.
+    ``to_stop`` the runs that must be told to stop.  ``kept_hosts`` are those that get no
+    other work until a waiting task fits there.  Times in seconds are of the
+    event loop's clock.  ``foreign_leases`` are those that earlier owners granted.
     """
 
     def __init__(self, policy: PlacementPolicy = DEFAULT_PLACEMENT) -> None:
         self.policy = policy
-        self.foreign_lease_over_at_s = 0.0
+        self.foreign_leases = ForeignLeases()
         self.jobs: dict[str, Job] = {}
         self.hosts: dict[str, Host] = {}
         self.waiting: dict[TaskKey, Task] = {}
         self.unrecorded: dict[str, Job] = {}
         self.to_stop: list[Run] = []
+        self.kept_hosts: dict[TaskKey, str] = {}
         self.run_times = RunTimes()
         self.tickets = TicketBook()
 
@@ -171,6 +173,9 @@
         if run.phase is RunPhase.RECORDING:
             self.forget_run(run)
         elif run.phase in (RunPhase.SENDING, RunPhase.PRESENT):
+            if run.phase is RunPhase.PRESENT:
+                # While it stops it may be in neither list of its host; its end will be.
+                run.settled_at_s = math.inf
             run.phase = RunPhase.STOPPING
             self.to_stop.append(run)
 
@@ -190,7 +195,7 @@
     def _get_host(self, host_id: str) -> Host:
         host = self.hosts.get(host_id)
         if host is None:
-            lease = HostLease(self.foreign_lease_over_at_s)
+            lease = HostLease(self.foreign_leases)
             host = self.hosts[host_id] = Host(_make_unknown_host(host_id), lease)
         return host
 
--- /dev/null
+++ b/tests/functional/test_lasting_again.py
@@ -0,0 +1,189 @@
+"""A lasting task runs again soon, whatever ended its last run."""
+
+import asyncio
+import itertools
+from collections.abc import Awaitable, Callable
+from typing import NoReturn
+
+from testtools import TestCase
+
+from robinthread._internal.models.job_spec import StepSpec
+from robinthread._internal.models.task_key import TaskKey
+from robinthread._internal.node.peer_calls import PeerUnreachableError
+from robinthread._internal.standins.job_hosts_standin import TaskPlan
+from robinthread._internal.standins.platform_standin import PlatformStandin
+from tests.lib.job_platforms import POOL, ROOM, find_breaks, hand_in, make_job, wait_until
+from tests.lib.lasting import (
+    AGAIN_MAX_S,
+    LASTING_JOB,
+    LASTING_NUMBER,
+    cut_host,
+    get_first_host,
+    get_longest_gap_s,
+    kill_owner,
+    list_runs,
+    start_lasting,
+)
+from tests.lib.virtual import run_virtual
+
+# How long a process that was killed takes to begin anew.
+RESTART_S = 2.5
+# So late that the host's entry in the store has gone before its lease is surely over.
+LATE_RESTART_S = 4.0
+# Longer than any wait that follows from a lease.
+WATCH_S = 25.0
+# Two of these lasting tasks fill a host; of the small ones eight do.
+LARGE = StepSpec(2, cpu_millicores=8000, memory_mb=100, is_lasting=True)
+SPREAD = StepSpec(5, cpu_millicores=1000, memory_mb=100, is_lasting=True, per_host_max=2)
+SMALL = StepSpec(6, cpu_millicores=2000, memory_mb=100)
+
+
+class LastingAgainTest(TestCase):
+    def _check(self, bring_about: Callable[[PlatformStandin], Awaitable[None]]) -> None:
+        """Bring trouble about; a task must run again in time, and never twice."""
+
+        async def work() -> None:
+            platform = await start_lasting()
+            await bring_about(platform)
+            await asyncio.sleep(WATCH_S)
+            self.assertEqual([], find_breaks(platform))
+            self.assertLess(get_longest_gap_s(platform), AGAIN_MAX_S)
+
+        run_virtual(work())
+
+    def test_host_lost_for_good_as_the_owner_is_killed(self) -> None:
+        async def bring_about(platform: PlatformStandin) -> None:
+            platform.crash_host(get_first_host(platform).record.id)
+            owner = kill_owner(platform)
+            await asyncio.sleep(RESTART_S)
+            platform.start_node(owner)
+
+        self._check(bring_about)
+
+    def test_owner_killed_while_a_host_is_cut_off(self) -> None:
+        async def bring_about(platform: PlatformStandin) -> None:
+            cut_host(platform, get_first_host(platform))
+            await asyncio.sleep(3)
+            owner = kill_owner(platform)
+            await asyncio.sleep(RESTART_S)
+            platform.start_node(owner)
+
+        self._check(bring_about)
+
+    def test_two_owners_killed_one_after_the_other(self) -> None:
+        async def bring_about(platform: PlatformStandin) -> None:
+            cut_host(platform, get_first_host(platform))
+            await asyncio.sleep(2)
+            for _ in range(2):
+                owner = kill_owner(platform)
+                await asyncio.sleep(RESTART_S)
+                platform.start_node(owner)
+
+        self._check(bring_about)
+
+    def test_host_that_is_chosen_next_has_just_gone_as_well(self) -> None:
+        async def bring_about(platform: PlatformStandin) -> None:
+            lost = get_first_host(platform)
+            platform.crash_host(lost.record.id)
+            owner = kill_owner(platform)
+            await asyncio.sleep(RESTART_S)
+            platform.start_node(owner)
+            # Just before the first host's tasks are placed again, 7.0 s after it was lost.
+            await asyncio.sleep(4.4)
+            hosts = [host for host in platform.hosts.hosts.values() if host.is_up]
+            for host in hosts:
+                platform.crash_host(host.record.id)
+            for number in range(2):
+                platform.machines.add(POOL, f"r{number}", ROOM)
+
+        self._check(bring_about)
+
+    def test_owner_cut_off_for_a_while_as_a_host_is_lost(self) -> None:
+        async def bring_about(platform: PlatformStandin) -> None:
+            platform.crash_host(get_first_host(platform).record.id)
+            owner = next(name for name in platform.nodes if _owns(platform, name))
+            platform.cut_node(owner)
+            await asyncio.sleep(3)
+            platform.heal_node(owner)
+
+        self._check(bring_about)
+
+    def test_owner_that_still_reaches_a_host_is_waited_for(self) -> None:
+        """The owner is cut off from the store, and is the only one that reaches a host."""
+
+        async def work(peers_are_cut: bool) -> None:
+            platform = await start_lasting()
+            host = get_first_host(platform)
+            old = next(name for name in platform.nodes if _owns(platform, name))
+            others = [name for name in platform.nodes if name != old]
+            platform.hosts.cut_ways |= {(name, host.record.address) for name in others}
+            # Any other host would tell it of the next owner.
+            away = platform.hosts.hosts.keys() - {host.record.address}
+            platform.hosts.cut_ways |= {(old, address) for address in away}
+            platform.store.faults.silent.add(old)
+            platform.cut_nodes.add(old)
+            await wait_until(lambda: any(_owns(platform, name) for name in others))
+            if not peers_are_cut:
+                # Nothing tells it that the store serves others.
+                platform.cut_nodes.discard(old)
+                platform.nodes[old].assembled.node._handover._peers = _NoPeers()
+            await asyncio.sleep(WATCH_S)
+            self.assertEqual([], find_breaks(platform))
+            self.assertEqual("lapsed", list_runs(platform)[0].end)
+
+        for peers_are_cut in (True, False):
+            run_virtual(work(peers_are_cut))
+
+    def test_pool_full_of_small_tasks_makes_room_for_a_large_one(self) -> None:
+        """A host is lost; the others have room for a small task whenever one ends."""
+
+        def plan(task: TaskKey) -> TaskPlan:
+            if task.job_id == LASTING_JOB:
+                return TaskPlan(None, LARGE.room)
+            return TaskPlan(1.0 + 0.13 * task.index, SMALL.room)
+
+        async def feed(platform: PlatformStandin) -> None:
+            for number in itertools.count(LASTING_NUMBER + 1):
+                await hand_in(platform, next(iter(platform.nodes)), make_job(number, SMALL))
+                await asyncio.sleep(0.25)
+
+        async def work() -> None:
+            platform = await start_lasting(hosts=3, step=LARGE, plan_task=plan)
+            feeding = asyncio.create_task(feed(platform))
+            await asyncio.sleep(3)
+            platform.crash_host(get_first_host(platform).record.id)
+            await asyncio.sleep(WATCH_S)
+            feeding.cancel()
+            self.assertEqual([], find_breaks(platform))
+            self.assertLess(get_longest_gap_s(platform), AGAIN_MAX_S)
+
+        run_virtual(work())
+
+    def test_host_that_was_lost_is_not_taken_for_one_that_comes(self) -> None:
+        """The store lists it no more, the machines' list does; a host is still needed for it."""
+
+        async def work() -> None:
+            platform = await start_lasting(hosts=3, reserve=2, step=SPREAD)
+            moves_before = platform.machines.move_count
+            platform.crash_host(get_first_host(platform).record.id)
+            owner = kill_owner(platform)
+            await asyncio.sleep(LATE_RESTART_S)
+            platform.start_node(owner)
+            await asyncio.sleep(WATCH_S)
+            self.assertEqual([], find_breaks(platform))
+            self.assertLess(get_longest_gap_s(platform), AGAIN_MAX_S)
+            self.assertEqual(1, platform.machines.move_count - moves_before)
+
+        run_virtual(work())
+
+
+class _NoPeers:
+    """Peers that never answer."""
+
+    async def ask(self, address: str, *rest: object) -> NoReturn:
+        """Find nobody."""
+        raise PeerUnreachableError(address)
+
+
+def _owns(platform: PlatformStandin, node: str) -> bool:
+    return POOL in platform.nodes[node].assembled.owned.owners
