Being a member and choosing owners stand apart

Change: group_member.py joins, lists and tells who is served; election.py tells which pools to take. No decision changed.

--- a/src/robinthread/_internal/node/assembly.py
+++ b/src/robinthread/_internal/node/assembly.py
@@ -14,6 +14,7 @@
 from robinthread._internal.node.context import NodeContext
 from robinthread._internal.node.election import Election
 from robinthread._internal.node.environment import NodeEnvironment
+from robinthread._internal.node.group_member import GroupMember
 from robinthread._internal.node.handover import Handover
 from robinthread._internal.node.host_directory import HostDirectory
 from robinthread._internal.node.job_gate import JobGate
@@ -97,34 +98,29 @@
         get_unconfirmed_s=lambda: loop.time() - table.follower.confirmed_at_s,
     )
     checks = OwnerChecks(environment.peers)
-    election = Election(
-        store,
-        table,
-        me,
-        config_holder,
-        events,
-        settings.store.member_ttl_min_ms,
-        environment.policy.owners,
-        checks,
-    )
+    member = GroupMember(store, me, events, settings.store.member_ttl_min_ms, checks)
+    policy = environment.policy.owners
+    election = Election(table, me, member, checks, config_holder, events, policy)
     owned = OwnedPools(context)
     lag = LoopLag()
-    handover = Handover(me, table, election, owned, environment.peers, events, lag)
-    relief = ReliefPlanner(me, table, election, handover, lag, environment.policy.owners)
-    gate = JobGate(me, writer, owned, table, election, handover, environment.peers, events)
+    handover = Handover(me, table, election, member, owned, environment.peers, events, lag)
+    relief = ReliefPlanner(me, table, election, member, handover, lag, policy)
+    gate = JobGate(me, writer, owned, table, member, handover, environment.peers, events)
 
     def make_steward(token: int, turn_s: float) -> Steward:
         return Steward(context, environment, table, owned, me, token, turn_s)
 
-    node = Node(context, me, table, election, owned, make_steward, handover, relief, (hosts, inbox))
-    readiness = Readiness(node, election, config_holder, events)
+    node = Node(
+        context, me, table, election, member, owned, make_steward, handover, relief, (hosts, inbox)
+    )
+    readiness = Readiness(node, member, config_holder, events)
     standing = StandingReporter(owned, lag, readiness, events)
     for work in (
         operators.run(),
         hosts.run(),
         inbox.run(),
         table.follower.run(),
-        election.run(),
+        member.run(),
         checks.run(),
         handover.run(),
         lag.run(),
--- /dev/null
+++ b/src/robinthread/_internal/node/group_member.py
@@ -0,0 +1,169 @@
+"""Being a member of the store's group, and knowing who else is one."""
+
+import asyncio
+import math
+import zlib
+from typing import Final
+
+import msgspec
+
+from robinthread._internal.durable.errors import StoreError
+from robinthread._internal.durable.ownership import Member
+from robinthread._internal.durable.store import Store
+from robinthread._internal.node.owner_checks import OwnerChecks
+from robinthread._internal.telemetry.event_log import EventLog
+
+GROUP: Final = "robinthread"
+# Only members that hold a partition are listed.  A topic has as few as twelve, and each is
+# dealt by itself among the members that joined with it: where all join with the same ones,
+# some never hold any (6 of 37 with eight topics).  So each node joins with one topic, at
+# first one of these,
+FIRST_TOPICS: Final = 8
+# and where it is not listed with the one that follows so many later; the store has room for
+# 100 topics in all.
+TOPICS_MAX: Final = 64
+# How long a node may be missing from the list before it joins with another topic: a
+# partition passes on when its holder has joined twice.
+UNLISTED_MAX_S: Final = 1.0
+# A member that has said nothing for so long is taken as gone.
+MEMBER_TTL_S: Final = 1.0
+# How often a member says that it lives: three times within its time to live.
+JOIN_PERIOD_S: Final = 0.3
+# How often a member tries whom the store does not serve.
+REJOIN_PERIOD_S: Final = 0.1
+# After so many failures in a row, over so long, the store does not serve this node: one
+# answer may be lost, and a node that is turned away fails many times in a moment.
+FAILURES_MIN: Final = 2
+FAILING_MIN_S: Final = 0.2
+# How long the members must have been seen without a gap before one counts as missing.
+SETTLE_S: Final = 0.6
+
+
+class GroupMember:
+    """Keeps this node a member; ``members`` are those that the store listed last.
+
+    ``listed_at_s`` is when that was, by the event loop's clock.  ``is_listed`` tells whether
+    this node was among them: others do not see it otherwise.
+    """
+
+    def __init__(
+        self, store: Store, me: Member, events: EventLog, ttl_min_ms: int, checks: OwnerChecks
+    ) -> None:
+        self._store = store
+        self._me = me
+        self._events = events
+        self._checks = checks
+        self._ttl_ms = max(ttl_min_ms, int(MEMBER_TTL_S * 1000))
+        self._name = msgspec.json.encode(me).decode()
+        self._topic = zlib.crc32(me.node.encode()) % FIRST_TOPICS
+        self._unlisted_since_s = math.inf
+        self._was_listed: bool | None = None
+        self._steady_since_s = math.inf
+        self._joined_at_s = -math.inf
+        self._failure_count = 0
+        self._failing_since_s = math.inf
+        self._turn = asyncio.Lock()
+        self.generation = 0
+        self.members: frozenset[Member] = frozenset()
+        self.listed_at_s = -math.inf
+        self.is_listed = False
+        self.is_leaving = False
+
+    async def run(self) -> None:
+        """Stay a member until cancelled or left."""
+        while not self.is_leaving:
+            try:
+                async with self._turn:
+                    await self._join()
+            except StoreError as error:
+                self._note_failure(error)
+            await asyncio.sleep(REJOIN_PERIOD_S if self._failure_count else JOIN_PERIOD_S)
+
+    async def leave(self) -> None:
+        """Stop being a member; a join under way must not follow."""
+        self.is_leaving = True
+        async with self._turn:
+            await self._store.leave(GROUP, self._name)
+
+    @property
+    def is_cut_off(self) -> bool:
+        """Tell whether the store does not serve this node."""
+        failing_s = asyncio.get_running_loop().time() - self._failing_since_s
+        return self._failure_count >= FAILURES_MIN and failing_s >= FAILING_MIN_S
+
+    @property
+    def is_heard(self) -> bool:
+        """Tell whether the store has heard this node within its time to live."""
+        return not self.is_leaving and self.get_silence_s() < self._ttl_ms / 1000
+
+    @property
+    def is_served(self) -> bool:
+        """Tell whether the store answered this node's last join."""
+        return not self._failure_count and self._steady_since_s != math.inf
+
+    @property
+    def is_settled(self) -> bool:
+        """Tell whether the members have been heard for a while without a gap."""
+        return asyncio.get_running_loop().time() - self._steady_since_s >= SETTLE_S
+
+    def get_silence_s(self) -> float:
+        """Return for how long the store has not answered this node."""
+        return asyncio.get_running_loop().time() - self._joined_at_s
+
+    def _note_failure(self, error: StoreError) -> None:
+        if self._steady_since_s != math.inf:
+            self._events.write("membership_lost", error=f"{type(error).__name__}: {error}")
+        self._steady_since_s = math.inf
+        self._checks.clear()
+        self._unlisted_since_s = math.inf
+        self.is_listed = False
+        self._failure_count += 1
+        now_s = asyncio.get_running_loop().time()
+        self._failing_since_s = min(self._failing_since_s, now_s)
+
+    async def _join(self) -> None:
+        if self.is_leaving:
+            return
+        membership = await self._store.join(
+            GROUP, self._name, [get_topic(self._topic)], self._ttl_ms, self.generation
+        )
+        now_s = asyncio.get_running_loop().time()
+        self._joined_at_s = now_s
+        self._failure_count = 0
+        self._failing_since_s = math.inf
+        if self._steady_since_s == math.inf:
+            self._steady_since_s = now_s
+        is_changed = membership.generation != self.generation
+        if is_changed or not self.is_listed or self._checks.is_any_missing:
+            self.generation = membership.generation
+            await self._list_members()
+        self._change_topic_if_unlisted(now_s)
+
+    async def _list_members(self) -> None:
+        names = await self._store.list_members(GROUP)
+        self.members = frozenset(msgspec.json.decode(name, type=Member) for name in names)
+        self.listed_at_s = asyncio.get_running_loop().time()
+        self.is_listed = self._me in self.members
+        if self.is_listed != self._was_listed:
+            self._was_listed = self.is_listed
+            self._events.write(
+                "member_listed" if self.is_listed else "member_unlisted",
+                generation=self.generation,
+                listed_count=len(self.members),
+                topic=self._topic,
+            )
+
+    def _change_topic_if_unlisted(self, now_s: float) -> None:
+        """Join with another topic from now on where this one's partitions are all taken."""
+        if self.is_listed:
+            self._unlisted_since_s = math.inf
+            return
+        self._unlisted_since_s = min(self._unlisted_since_s, now_s)
+        if now_s - self._unlisted_since_s >= UNLISTED_MAX_S:
+            self._unlisted_since_s = math.inf
+            self._topic = (self._topic + FIRST_TOPICS) % TOPICS_MAX
+
+
+def get_topic(number: int) -> str:
+    """Return the name of a topic whose holders are members."""
+    return f"robinthread.members.{number}"
--- a/src/robinthread/_internal/node/handover.py
+++ b/src/robinthread/_internal/node/handover.py
@@ -10,6 +10,7 @@
 from robinthread._internal.durable.errors import StoreError
 from robinthread._internal.durable.ownership import Member, Ownership, OwnerTable
 from robinthread._internal.node.election import Election
+from robinthread._internal.node.group_member import GroupMember
 from robinthread._internal.node.loop_lag import LAG_MAX_S, LoopLag
 from robinthread._internal.node.owned_pools import OwnedPools
 from robinthread._internal.node.peer_calls import PeerCalls, PeerUnreachableError
@@ -44,6 +45,7 @@
         me: Member,
         table: OwnerTable,
         election: Election,
+        member: GroupMember,
         owned: OwnedPools,
         peers: PeerCalls,
         events: EventLog,
@@ -52,6 +54,7 @@
         self._me = me
         self._table = table
         self._election = election
+        self._member = member
         self._owned = owned
         self._peers = peers
         self._events = events
@@ -62,11 +65,11 @@
     async def run(self) -> None:
         """Keep ``served`` up to date until cancelled."""
         while True:
-            self.served = await self._find_served() if self._election.is_cut_off else ()
+            self.served = await self._find_served() if self._member.is_cut_off else ()
             await asyncio.sleep(ASK_PERIOD_S)
 
     async def _find_served(self) -> tuple[Member, ...]:
-        others = sorted(self._election.members - {self._me})
+        others = sorted(self._member.members - {self._me})
         answers = await asyncio.gather(*map(self.ask_store, others))
         served = sorted(
             (
@@ -114,17 +117,16 @@
         missing_s = self._election.get_missing_s(pool)
         if missing_s is not None:
             return f"owner missing for {missing_s:.2f} s"
-        is_back = any(member.node == previous.owner.node for member in self._election.members)
+        is_back = any(member.node == previous.owner.node for member in self._member.members)
         return "owner began another life" if is_back else "owner missing"
 
     def answer_store(self) -> StoreAnswer:
         """Tell whether the store serves this node."""
-        election = self._election
         return StoreAnswer(
-            election.may_take,
+            self._election.may_take,
             len(self._owned.owners),
             self._lag.lag_s,
-            election.is_member,
+            self._member.is_heard,
             self._me.life,
         )
 
--- a/src/robinthread/_internal/node/job_gate.py
+++ b/src/robinthread/_internal/node/job_gate.py
@@ -14,7 +14,7 @@
 from robinthread._internal.models.job_spec import JobSpec
 from robinthread._internal.models.job_status import JobStatus
 from robinthread._internal.models.queue_policy import QueuePolicy
-from robinthread._internal.node.election import Election
+from robinthread._internal.node.group_member import GroupMember
 from robinthread._internal.node.handover import Handover
 from robinthread._internal.node.owned_pools import OwnedPools
 from robinthread._internal.node.peer_calls import (
@@ -71,13 +71,13 @@
         writer: GroupWriter,
         owned: OwnedPools,
         table: OwnerTable,
-        election: Election,
+        member: GroupMember,
         handover: Handover,
         peers: PeerCalls,
         events: EventLog,
     ) -> None:
         self._me = me
-        self._election = election
+        self._member = member
         self._handover = handover
         self._writer = writer
         self._owned = owned
@@ -181,13 +181,13 @@
 
     async def write_relayed(self, record: KeyedRecord, deadline_s: float) -> GateOutcome:
         """Append a record for a node that the store does not serve."""
-        if self._election.is_cut_off:
+        if self._member.is_cut_off:
             return GateOutcome.REFUSED
         return await self._append(record, deadline_s)
 
     async def _write(self, record: KeyedRecord, deadline_s: float) -> GateOutcome:
         """Append a record, here or through another node."""
-        if self._election.is_cut_off:
+        if self._member.is_cut_off:
             outcome = await self._relay(record, deadline_s)
         else:
             outcome = await self._append(record, deadline_s)
@@ -196,8 +196,8 @@
                 "record_refused",
                 job=record.key.split("/")[1],
                 key=record.key,
-                is_cut_off=self._election.is_cut_off,
-                store_silent_for_s=round(self._election.get_silence_s(), 3),
+                is_cut_off=self._member.is_cut_off,
+                store_silent_for_s=round(self._member.get_silence_s(), 3),
                 served_nodes=[member.node for member in self._handover.served],
             )
         return outcome
--- a/src/robinthread/_internal/node/node.py
+++ b/src/robinthread/_internal/node/node.py
@@ -9,6 +9,7 @@
 from robinthread._internal.durable.ownership import Member, OwnerTable
 from robinthread._internal.node.context import NodeContext
 from robinthread._internal.node.election import FLEET, Election
+from robinthread._internal.node.group_member import GroupMember
 from robinthread._internal.node.handover import Handover
 from robinthread._internal.node.owned_pools import OwnedPools
 from robinthread._internal.node.pool_owner import PoolOwner
@@ -33,6 +34,7 @@
         me: Member,
         table: OwnerTable,
         election: Election,
+        member: GroupMember,
         owned: OwnedPools,
         make_steward: MakeSteward,
         handover: Handover,
@@ -44,6 +46,7 @@
         self._me = me
         self._table = table
         self._election = election
+        self._member = member
         self._owned = owned
         self._make_steward = make_steward
         self._handover = handover
@@ -89,7 +92,7 @@
         owners, self._owned.owners = self._owned.owners, {}
         if await budget.run("orders", self._stop_orders(owners.values())):
             await budget.run("release", self._table.release([*owners, FLEET], self._me, True))
-        await budget.run("leave", self._election.leave())
+        await budget.run("leave", self._member.leave())
 
     async def _stop_orders(self, owners: Collection[PoolOwner]) -> None:
         if self._steward is not None:
@@ -103,7 +106,7 @@
         Owners stop first: the next ones need not wait for orders of theirs.
         """
         served = self._handover.served
-        if not self._election.is_cut_off or not served:
+        if not self._member.is_cut_off or not served:
             return
         if self._owned.owners or self._steward is not None:
             await self._pass_to(served[0], [*self._owned.owners, FLEET], is_planned=False)
@@ -142,7 +145,7 @@
             and pool not in self._owned.owners
             and (pool != FLEET or self._steward is None)
         ]
-        if closed and not self._election.is_cut_off:
+        if closed and not self._member.is_cut_off:
             await self._release(closed)
 
     async def _release_spent(self, pool: str, token: int) -> None:
@@ -207,7 +210,7 @@
         process ends, or which the platform has not heard, gives no more orders.
         """
         previous = self._table.previous.get(FLEET)
-        if previous is None or previous.is_stopping or not self._election.is_living(previous.owner):
+        if previous is None or previous.is_stopping or previous.owner not in self._member.members:
             return 0.0
         return self._context.settings.bounds.steward_turn_ms / 1000
 
--- a/src/robinthread/_internal/node/readiness.py
+++ b/src/robinthread/_internal/node/readiness.py
@@ -3,7 +3,7 @@
 from typing import Final
 
 from robinthread._internal.node.config_holder import ConfigHolder
-from robinthread._internal.node.election import Election
+from robinthread._internal.node.group_member import GroupMember
 from robinthread._internal.node.node import Node
 from robinthread._internal.telemetry.event_log import EventLog
 
@@ -15,10 +15,10 @@
     """Tells whether a node is ready, with a line at each change."""
 
     def __init__(
-        self, node: Node, election: Election, config_holder: ConfigHolder, events: EventLog
+        self, node: Node, member: GroupMember, config_holder: ConfigHolder, events: EventLog
     ) -> None:
         self._node = node
-        self._election = election
+        self._member = member
         self._config_holder = config_holder
         self._events = events
         self._told: str | None = None
@@ -36,7 +36,7 @@
             return "stopping"
         if self._config_holder.config is None:
             return "no configuration"
-        is_heard = self._election.get_silence_s() < STORE_AGE_MAX_S
+        is_heard = self._member.get_silence_s() < STORE_AGE_MAX_S
         return "" if is_heard else "no word from the store"
 
     def _tell(self, obstacle: str) -> None:
--- a/src/robinthread/_internal/node/relief.py
+++ b/src/robinthread/_internal/node/relief.py
@@ -9,6 +9,7 @@
 
 from robinthread._internal.durable.ownership import Member, OwnerTable
 from robinthread._internal.node.election import Election
+from robinthread._internal.node.group_member import GroupMember
 from robinthread._internal.node.handover import Handover
 from robinthread._internal.node.loop_lag import LAG_MAX_S, LoopLag
 from robinthread._internal.settings.policy_settings import OwnerPolicy
@@ -51,6 +52,7 @@
         me: Member,
         table: OwnerTable,
         election: Election,
+        member: GroupMember,
         handover: Handover,
         lag: LoopLag,
         policy: OwnerPolicy,
@@ -58,6 +60,7 @@
         self._me = me
         self._table = table
         self._election = election
+        self._member = member
         self._handover = handover
         self._lag = lag
         self._policy = policy
@@ -112,6 +115,6 @@
         most = share * loads[self._me] / self._me.capacity_millicores
         ranked = sorted(
             ((loads[member] + 1) / member.capacity_millicores, member)
-            for member in self._election.members - {self._me}
+            for member in self._member.members - {self._me}
         )
         return [member for load, member in ranked if load <= most]
--- a/tests/functional/test_many_nodes.py
+++ b/tests/functional/test_many_nodes.py
@@ -7,7 +7,7 @@
 from testtools import TestCase
 
 from robinthread._internal.durable.ownership import Member
-from robinthread._internal.node.election import GROUP
+from robinthread._internal.node.group_member import GROUP
 from robinthread._internal.standins.member_group import TOPIC_PARTITIONS
 from robinthread._internal.standins.platform_standin import PlatformStandin
 from tests.lib.job_platforms import POOL, get_owner, start_platform, wait_until
--- a/tests/unit/test_capacity.py
+++ b/tests/unit/test_capacity.py
@@ -9,6 +9,7 @@
 from robinthread._internal.node.capacity import get_capacity_millicores
 from robinthread._internal.node.config_holder import ConfigHolder
 from robinthread._internal.node.election import Election
+from robinthread._internal.node.group_member import GroupMember
 from robinthread._internal.node.owner_checks import OwnerChecks
 from robinthread._internal.node.peer_client import PeerClient
 from robinthread._internal.settings.policy_settings import OwnerPolicy
@@ -28,16 +29,11 @@
     async def work() -> Counter[str]:
         events = EventLog("n", lambda line: None)
         store = StoreStandin().connect("n")
-        election = Election(
-            store,
-            OwnerTable(store, events),
-            SMALL[0],
-            ConfigHolder(RECORDS, events),
-            events,
-            1000,
-            policy,
-            OwnerChecks(PeerClient(make_client(1))),
-        )
+        checks = OwnerChecks(PeerClient(make_client(1)))
+        member = GroupMember(store, SMALL[0], events, 1000, checks)
+        config = ConfigHolder(RECORDS, events)
+        table = OwnerTable(store, events)
+        election = Election(table, SMALL[0], member, checks, config, events, policy)
         loads: Counter[Member] = Counter()
         for number in range(pool_count):
             loads[election._choose_owner(f"pool{number}", LARGE + SMALL, loads)] += 1
