A pool's size counts on which hosts its waiting tasks would fit

Cause: the size was the sum of the room asked for over the room of one host. Tasks that do not fit beside lasting ones, that a label binds to some hosts or of which a host carries only so many vanished in the sum: no host came for them, and those that fitted were emptied. Ruled out: room for whole tasks in the sum (rounding up each step): it asks for hosts for tasks that fit where they are, and says nothing of which host is given away. Change: the owner looks, step by step, where tasks that wait would find room beside lasting ones; only steps that do not fit on every host are looked at, 20 at most. It reports the hosts that they need and those that are missing, with the least room and the label. The steward empties none of the former, takes them back, and fetches machines that have what is missing. Tasks that wait are counted by step, once a report.

--- a/src/robinthread/_internal/fleet/planner.py
+++ b/src/robinthread/_internal/fleet/planner.py
@@ -9,7 +9,6 @@
 import math
 from collections import Counter
 from collections.abc import Iterable
-from itertools import islice
 from typing import Final
 
 from robinthread._internal.fleet.fleet_view import (
@@ -21,6 +20,7 @@
     WaveView,
 )
 from robinthread._internal.fleet.pool_report import HostStanding
+from robinthread._internal.fleet.reserve import Reserve
 from robinthread._internal.fleet.sizing import HOSTS_MIN, PoolSize, get_pool_size
 from robinthread._internal.models.machine import Machine
 from robinthread._internal.models.resources import NO_RESOURCES, Resources
@@ -47,15 +47,16 @@
         pending = frozenset().union(*(wave.pending for wave in view.waves))
         room = _get_room(view)
         sizes = {pool.name: get_pool_size(pool.report, room) for pool in view.pools}
-        reserve = _Reserve(view, pending)
+        reserve = Reserve(view, pending)
         slots = {wave.number: wave.free_slots for wave in view.waves}
         orders: list[MoveOrder | UpkeepOrder] = []
         if self._policy.upkeep_first:
             # A machine that a pool takes unkept may not pass through the reserve in time again.
             orders += _order_upkeep(view, reserve, slots)
         self._is_short = any(
-            sizes[pool.name].fetch_count
-            > _count_serving(pool, self._vacating.get(pool.name, frozenset()), view.ordered)
+            _count_lacking(
+                view, pool, sizes[pool.name], self._vacating.get(pool.name, frozenset()), room
+            )
             for pool in view.pools
         )
         self._vacating = {
@@ -64,11 +65,12 @@
         }
         lacks: Counter[str] = Counter()
         for pool in sorted(view.pools, key=lambda pool: -pool.report.fetch_room[0]):
-            lack = sizes[pool.name].fetch_count - _count_serving(
-                pool, self._vacating[pool.name], view.ordered
-            )
-            taken = reserve.take(lack)
+            size, vacating = sizes[pool.name], self._vacating[pool.name]
+            taken = reserve.take_for(pool.report.lacks, size.lack_count - pool.arriving)
+            serving = _count_serving(pool, vacating, view.ordered)
+            taken += reserve.take(size.fetch_count - serving - len(taken))
             orders += [MoveOrder(machine, pool.name) for machine in taken]
+            lack = _count_lacking(view, pool, size, vacating, room)
             lacks[pool.name] = max(0, lack - len(taken))
         orders += self._order_emptied(view, sizes, slots, lacks)
         if not self._policy.upkeep_first:
@@ -83,10 +85,11 @@
         size: PoolSize,
         now_s: float,
     ) -> frozenset[str]:
-        """Return the machines that a pool is to empty."""
+        """Return the machines that a pool is to empty, none of which a waiting task needs."""
         present = {host.machine: host for host in pool.hosts if host.is_usable}
         ordered = frozenset(name for name in present if name in view.ordered)
-        vacating = self._vacating.get(pool.name, frozenset()) & present.keys()
+        needed = frozenset(name for name, host in present.items() if host.is_needed)
+        vacating = self._vacating.get(pool.name, frozenset()) & present.keys() - needed
         serving = _count_serving(pool, vacating, view.ordered)
         if serving < size.keep_count:
             # Hosts that are still here serve sooner than any that are fetched.
@@ -96,7 +99,8 @@
         if spare <= 0:
             self._surplus_since_s.pop(pool.name, None)
         elif now_s - self._surplus_since_s.setdefault(pool.name, now_s) >= self._get_hold_s():
-            candidates = (host for name, host in present.items() if name not in vacating)
+            staying = vacating | needed
+            candidates = (host for name, host in present.items() if name not in staying)
             leaving = sorted(candidates, key=lambda host: _get_leaving_order(host, pending))
             if view.reserve_pool:
                 vacating |= frozenset(host.machine for host in leaving[:spare])
@@ -138,7 +142,7 @@
         is_idle = size.keep_count <= max(HOSTS_MIN, pool.report.hosts_min)
         if begun_count or not is_idle or not is_replaceable:
             return frozenset()
-        return frozenset(host.machine for host in due[:1])
+        return frozenset([host.machine for host in due if not host.is_needed][:1])
 
     def _order_emptied(
         self,
@@ -190,35 +194,8 @@
     )
 
 
-class _Reserve:
-    """The machines of the reserve that are still free in this plan."""
-
-    def __init__(self, view: FleetView, pending: frozenset[str]) -> None:
-        free = [machine for machine in view.reserve if machine.name not in view.ordered]
-        self._free = sorted(
-            free,
-            key=lambda machine: (
-                machine.hall in view.silent_halls,
-                machine.name in pending,
-                machine.name,
-            ),
-        )
-
-    def take(self, count: int) -> list[str]:
-        """Take up to ``count`` machines, those last whose hall is silent or that are due."""
-        taken = [machine.name for machine in self._free[: max(0, count)]]
-        del self._free[: max(0, count)]
-        return taken
-
-    def take_due(self, due: frozenset[str], count: int) -> list[str]:
-        """Take up to ``count`` of the machines in ``due``."""
-        taken = list(islice((item for item in self._free if item.name in due), count))
-        self._free = [machine for machine in self._free if machine not in taken]
-        return [machine.name for machine in taken]
-
-
 def _order_upkeep(
-    view: FleetView, reserve: _Reserve, slots: dict[int, int]
+    view: FleetView, reserve: Reserve, slots: dict[int, int]
 ) -> Iterable[UpkeepOrder]:
     for wave in view.waves:
         for machine in reserve.take_due(wave.pending, slots[wave.number]):
@@ -233,6 +210,16 @@
     return serving + pool.arriving
 
 
+def _count_lacking(
+    view: FleetView, pool: PoolView, size: PoolSize, vacating: frozenset[str], room: Resources
+) -> int:
+    """Return how many hosts a pool lacks that any machine of ``room`` could be."""
+    lacks = (lack for lack in pool.report.lacks if not lack.label)
+    missing = sum(lack.count for lack in lacks if Resources(*lack.room).fits_in(room))
+    serving = _count_serving(pool, vacating, view.ordered)
+    return max(0, size.fetch_count - serving, missing - pool.arriving)
+
+
 def _count_free(view: FleetView) -> int:
     return sum(machine.name not in view.ordered for machine in view.reserve)
 
--- a/src/robinthread/_internal/fleet/pool_report.py
+++ b/src/robinthread/_internal/fleet/pool_report.py
@@ -16,6 +16,7 @@
 
     ``is_usable`` tells whether it answers and takes work, or would if it were
     not to be emptied.  ``is_vacating`` confirms that it gets no new work.
+    ``is_needed`` tells that tasks wait for it which do not fit on every host.
     """
 
     machine: str
@@ -24,13 +25,26 @@
     is_vacating: bool
     run_count: int
     lasting_count: int
+    is_needed: bool = False
+
+
+class LackReport(msgspec.Struct, frozen=True, array_like=True):
+    """Hosts that a pool lacks for tasks that fit on none that it has.
+
+    They need at least ``room`` and, unless it is "", the label.
+    """
+
+    count: int
+    room: tuple[int, int, int]
+    label: str = ""
 
 
 class PoolReport(msgspec.Struct, frozen=True, array_like=True):
     """How a pool stands: the room to fetch and to keep hosts for, and its hosts.
 
     Rooms are thousandths of a core, MB and accelerators.  ``hosts_min`` hosts are
-    needed for tasks that may not share one.
+    needed for tasks that may not share one.  ``lasting_room`` is the part of the room that
+    lasting tasks take.
     """
 
     is_owner: bool
@@ -38,3 +52,10 @@
     keep_room: tuple[int, int, int] = (0, 0, 0)
     hosts: tuple[HostStanding, ...] = ()
     hosts_min: int = 0
+    lasting_room: tuple[int, int, int] = (0, 0, 0)
+    lacks: tuple[LackReport, ...] = ()
+
+    @property
+    def lack_count(self) -> int:
+        """Return how many hosts the pool lacks for tasks that fit on none that it has."""
+        return sum(lack.count for lack in self.lacks)
--- a/src/robinthread/_internal/fleet/sizing.py
+++ b/src/robinthread/_internal/fleet/sizing.py
@@ -16,23 +16,42 @@
 
 @dataclass(frozen=True, slots=True)
 class PoolSize:
-    """Hosts below which a pool fetches more, and above which it lets some go."""
+    """Hosts below which a pool fetches more, and above which it lets some go.
+
+    ``lack_count`` hosts are to come in any case, for tasks that fit on none that is there.
+    """
 
     fetch_count: int
     keep_count: int
+    lack_count: int = 0
 
 
 def get_pool_size(report: PoolReport, room: Resources) -> PoolSize:
-    """Return how many hosts of ``room`` a pool needs."""
-    fetch_count = max(report.hosts_min, _count_hosts(report.fetch_room, room))
-    return PoolSize(fetch_count, max(fetch_count, _count_hosts(report.keep_room, room)))
+    """Return how many hosts of ``room`` a pool needs.
+
+    Room in sum is not room on a host: the hosts that tasks need which do not fit beside
+    lasting ones come on top of those that the lasting ones need.
+    """
+    lasting_count = max(report.hosts_min, _count_full_hosts(report.lasting_room, room))
+    apart_count = sum(host.is_needed and not host.lasting_count for host in report.hosts)
+    fetch_count = max(_count_hosts(report.fetch_room, room), lasting_count + apart_count)
+    keep_count = max(
+        fetch_count,
+        _count_hosts(report.keep_room, room),
+        lasting_count + apart_count + report.lack_count,
+    )
+    return PoolSize(fetch_count, keep_count, report.lack_count)
 
 
 def _count_hosts(needs: tuple[int, int, int], room: Resources) -> int:
+    return max(HOSTS_MIN, _count_full_hosts(needs, room))
+
+
+def _count_full_hosts(needs: tuple[int, int, int], room: Resources) -> int:
     cpu_millicores, memory_mb, gpu_count = needs
     ratios = (
         cpu_millicores / max(1, room.cpu_millicores),
         memory_mb / max(1, room.memory_mb),
         gpu_count / room.gpu_count if room.gpu_count else 0.0,
     )
-    return max(HOSTS_MIN, math.ceil(max(ratios) / FILL_SHARE))
+    return math.ceil(max(ratios) / FILL_SHARE)
--- a/src/robinthread/_internal/jobs/demand.py
+++ b/src/robinthread/_internal/jobs/demand.py
@@ -15,7 +15,9 @@
     iter_forecasts,
 )
 from robinthread._internal.jobs.pool_jobs import PoolJobs
+from robinthread._internal.jobs.room_need import RoomNeed, StepNeed, find_room_need
 from robinthread._internal.jobs.run_times import RunTimes
+from robinthread._internal.jobs.waiting_steps import WaitingStep, list_waiting_steps
 from robinthread._internal.jobs.work import NO_WORK, Work, as_work
 from robinthread._internal.models.resources import NO_RESOURCES, Resources
 from robinthread._internal.settings.policy_settings import DemandPolicy
@@ -43,11 +45,15 @@
     """Room for which to fetch hosts, and room for which to keep them.
 
     Whatever the room, ``hosts_min`` hosts are needed for tasks that may not share one.
+    ``lasting`` is the part of the room that lasting tasks take.  ``on_hosts`` tells what
+    is needed for tasks that do not fit on every host.
     """
 
     fetch: Resources
     keep: Resources
     hosts_min: int
+    lasting: Resources
+    on_hosts: RoomNeed
 
 
 class DemandMeter:
@@ -79,7 +85,9 @@
         late = _find_late(pool, now_ms) if self._policy.late_share < 1 else frozenset()
         forecasts = list(self._iter_all_forecasts(pool, late, now_s))
         lasting = _sum_lasting(pool)
-        waiting = self._sum_waiting(pool, late).scale(1 / DRAIN_S)
+        steps = list_waiting_steps(pool)
+        needs = [self._get_need(pool, step, late) for step in steps]
+        waiting = self._sum_waiting(pool, steps, late).scale(1 / DRAIN_S)
         arriving = self._get_arriving_work(now_s)
         soon = self._forecast(forecasts, arriving, self._lead_s).scale(1 + HEADROOM_SHARE)
         fetch = soon + waiting
@@ -87,8 +95,13 @@
         keep = fetch
         for ahead_s in horizons_s:
             keep = keep.max(self._forecast(forecasts, arriving, ahead_s))
-        hosts_min = _count_hosts_for_lasting(pool)
-        return Demand((fetch + lasting).round(), (keep + lasting).round(), hosts_min)
+        return Demand(
+            (fetch + lasting).round(),
+            (keep + lasting).round(),
+            _count_hosts_for_lasting(pool),
+            lasting.round(),
+            find_room_need(pool, needs, now_s) if needs else RoomNeed(),
+        )
 
     def _forecast(self, forecasts: Iterable[StepForecast], arriving: Work, ahead_s: float) -> Work:
         """Return the room that all tasks would take ``ahead_s`` from now, given room."""
@@ -108,18 +121,31 @@
                 for step in iter_forecasts(job, occurrence, pool.run_times, now_s):
                     yield replace(step, room=step.room.scale(share)) if share < 1 else step
 
-    def _sum_waiting(self, pool: PoolJobs, late: frozenset[Place]) -> Work:
+    def _sum_waiting(
+        self, pool: PoolJobs, steps: Iterable[WaitingStep], late: frozenset[Place]
+    ) -> Work:
         """Sum the work of the tasks that wait for a host."""
         parts = (
-            as_work(task.room).scale(
-                pool.run_times.estimate_s(pool.jobs[task.key.job_id].spec.queue, task.step)
-                * self._get_share((task.key.job_id, task.key.occurrence), late)
+            as_work(step.spec.room).scale(
+                step.task_count
+                * pool.run_times.estimate_s(step.job.spec.queue, step.spec)
+                * self._get_share((step.job.id, step.occurrence), late)
             )
-            for task in pool.waiting.values()
-            if not task.step.is_lasting
+            for step in steps
+            if not step.spec.is_lasting
         )
         return sum(parts, start=NO_WORK)
 
+    def _get_need(self, pool: PoolJobs, step: WaitingStep, late: frozenset[Place]) -> StepNeed:
+        """Return how many tasks of a step should run at a time for all to begin in time."""
+        count = step.task_count - step.copy_count
+        if step.spec.is_lasting:
+            return StepNeed(step, count)
+        takes_s = pool.run_times.estimate_s(step.job.spec.queue, step.spec)
+        share = self._get_share((step.job.id, step.occurrence), late)
+        at_once = 1.0 if step.spec.is_gang else min(1.0, takes_s / DRAIN_S)
+        return StepNeed(step, share * count * at_once)
+
     def _get_share(self, place: Place, late: frozenset[Place]) -> float:
         """Return the share of an occurrence's room for which to ask for hosts."""
         return self._policy.late_share if place in late else 1.0
--- a/src/robinthread/_internal/jobs/evacuation.py
+++ b/src/robinthread/_internal/jobs/evacuation.py
@@ -77,4 +77,4 @@
 
 
 def _is_leaving(host: Host, now_s: float) -> bool:
-    return host.record.is_draining or now_s < host.vacating_until_s
+    return host.record.is_draining or host.is_vacating(now_s)
--- a/src/robinthread/_internal/jobs/host.py
+++ b/src/robinthread/_internal/jobs/host.py
@@ -29,8 +29,9 @@
     Times are of the event loop's clock, in seconds.  Ends up to
     ``processed_end`` have been taken in, those up to ``acknowledged_end`` are
     recorded; ``processed_batch`` is the batch of records that closes the gap.
-    ``free`` is the room that is left.  ``reported_at_s`` is when its last report
-    came, ``leaves_at_s`` the earliest time at which a draining host may be gone.
+    ``free`` is the room that is left; ``lasting_count`` runs stay.  ``reported_at_s`` is
+    when its last report came, ``leaves_at_s`` the earliest time at which a draining host
+    may be gone.
     ``unanswered_since_s`` is when the first order was sent since it last answered.
     By ``foreign_stops_over_at_s`` all that earlier owners told to stop has ended.
     """
@@ -38,6 +39,8 @@
     def __init__(self, record: UpstreamHost, lease: HostLease) -> None:
         self._record = record
         self._used = NO_RESOURCES
+        self._used_by_lasting = NO_RESOURCES
+        self.lasting_count = 0
         self.free = record.room
         self.lease = lease
         self.health = HostHealth()
@@ -88,25 +91,42 @@
         """Take room for a run."""
         self.runs[run.key] = run
         self._note_used(self._used + room)
+        if run.is_lasting:
+            self._used_by_lasting += room
+            self.lasting_count += 1
 
     def remove_run(self, run: Run, room: Resources) -> None:
         """Give a run's room back."""
-        if self.runs.pop(run.key, None) is not None:
-            self._note_used(self._used - room)
+        if self.runs.pop(run.key, None) is None:
+            return
+        self._note_used(self._used - room)
+        if run.is_lasting:
+            self._used_by_lasting -= room
+            self.lasting_count -= 1
 
     def _note_used(self, used: Resources) -> None:
         self._used = used
         self.free = self._record.room - used
 
+    @property
+    def room_beside_lasting(self) -> Resources:
+        """Return the room that is there for tasks that end."""
+        return self._record.room - self._used_by_lasting
+
     def may_take_work(self, now_s: float) -> bool:
         """Tell whether new work may be placed here, if the host is well."""
+        return self.is_willing() and not self.is_vacating(now_s)
+
+    def is_willing(self) -> bool:
+        """Tell whether the host would take work, were it not to be emptied."""
         return (
-            self.contact is HostContact.ANSWERING
-            and self.is_listed
-            and not self.record.is_draining
-            and now_s >= self.vacating_until_s
+            self.contact is HostContact.ANSWERING and self.is_listed and not self.record.is_draining
         )
 
+    def is_vacating(self, now_s: float) -> bool:
+        """Tell whether the host is to be emptied for the steward."""
+        return now_s < self.vacating_until_s
+
     def is_paused(self, now_s: float) -> bool:
         """Tell whether the host does not seem well."""
         return now_s < self.health.paused_until_s
--- a/src/robinthread/_internal/jobs/placement.py
+++ b/src/robinthread/_internal/jobs/placement.py
@@ -53,6 +53,17 @@
     hosts = [
         host for host in pool.hosts.values() if host.id not in doubted and host.may_take_work(now_s)
     ]
+    return _prefer_well(hosts, now_s)
+
+
+def get_willing_hosts(pool: PoolJobs, now_s: float) -> list[Host]:
+    """Return the hosts that may take work, and those that could were they not emptied."""
+    doubted = list_doubted(pool, now_s)
+    hosts = [host for host in pool.hosts.values() if host.is_willing() and host.id not in doubted]
+    return _prefer_well(hosts, now_s)
+
+
+def _prefer_well(hosts: list[Host], now_s: float) -> list[Host]:
     well = [host for host in hosts if not host.is_paused(now_s)]
     return well if 2 * len(well) >= len(hosts) else hosts
 
--- /dev/null
+++ b/src/robinthread/_internal/jobs/room_need.py
@@ -0,0 +1,164 @@
+"""On which hosts tasks would find room that not every host of a pool has.
+
+Room in sum is not room on a host: a task may be too wide for what lasting tasks leave
+free, be kept off by a label, or share a host with too few of its like.
+"""
+
+import math
+from collections import Counter, defaultdict
+from collections.abc import Iterable, Sequence
+from dataclasses import dataclass, field
+from functools import reduce
+from typing import Final
+
+from robinthread._internal.jobs.host import Host
+from robinthread._internal.jobs.placement import get_willing_hosts
+from robinthread._internal.jobs.pool_jobs import PoolJobs
+from robinthread._internal.jobs.waiting_steps import WaitingStep
+from robinthread._internal.models.job_spec import StepSpec
+from robinthread._internal.models.resources import NO_RESOURCES, Resources
+
+# Most steps that are looked at, the widest first: each is compared with every host.  What
+# is left out counts once these have begun.
+STEPS_MAX: Final = 20
+# Shares of a host's time below this are what rounding leaves.
+SHARE_MIN: Final = 1e-6
+
+
+@dataclass(frozen=True, slots=True)
+class StepNeed:
+    """A step of which tasks wait, and how many should run at a time."""
+
+    waiting: WaitingStep
+    parallel: float
+
+    @property
+    def spec(self) -> StepSpec:
+        """Return what the step's tasks are like."""
+        return self.waiting.spec
+
+
+@dataclass(frozen=True, slots=True)
+class MissingHosts:
+    """Hosts that a pool lacks: how many, with what room at least, and which label."""
+
+    count: int
+    room: Resources
+    label: str
+
+
+@dataclass(frozen=True, slots=True)
+class RoomNeed:
+    """The pool's hosts that tasks wait for which do not fit on all, and hosts it lacks."""
+
+    host_ids: frozenset[str] = frozenset()
+    missing: tuple[MissingHosts, ...] = ()
+
+
+class _Space:
+    """What a host has for tasks that wait: its room beside lasting ones, and its time."""
+
+    def __init__(self, host: Host) -> None:
+        self.host = host
+        self.room = host.room_beside_lasting
+        self.share = 1.0
+
+
+@dataclass
+class _Lack:
+    """Hosts of one label that are missing, as a real number."""
+
+    hosts: float = 0.0
+    room: Resources = field(default=NO_RESOURCES)
+
+
+def find_room_need(pool: PoolJobs, needs: Iterable[StepNeed], now_s: float) -> RoomNeed:
+    """Return the hosts for tasks that do not fit on every host.
+
+    What ends leaves its room to others: a host that is full now counts by what it has
+    beside its lasting tasks.  Hosts that are being emptied count after all others.
+    """
+    hosts = get_willing_hosts(pool, now_s)
+    serving = [host for host in hosts if not host.is_vacating(now_s)]
+    if not serving:
+        return RoomNeed()
+    common = reduce(Resources.min, (host.room_beside_lasting for host in serving))
+    narrow = [need for need in needs if not _fits_everywhere(need.spec, common)]
+    if not narrow:
+        return RoomNeed()
+    largest = max((host.record.room for host in hosts), key=lambda room: room.cpu_millicores)
+    narrow.sort(key=lambda need: _get_width(need.spec, largest), reverse=True)
+    spaces = [_Space(host) for host in sorted(hosts, key=lambda host: _get_order(host, now_s))]
+    needed: set[str] = set()
+    lacks: dict[str, _Lack] = defaultdict(_Lack)
+    for need in narrow[:STEPS_MAX]:
+        left = _fill(need, spaces, needed)
+        if left > SHARE_MIN:
+            lack = lacks[need.spec.required_label]
+            lack.hosts += left / max(1, _count_slots(need.spec, largest))
+            lack.room = lack.room.max(need.spec.room)
+    missing = (
+        MissingHosts(math.ceil(lack.hosts - SHARE_MIN), lack.room, label)
+        for label, lack in lacks.items()
+    )
+    return RoomNeed(frozenset(needed), tuple(missing))
+
+
+def _fits_everywhere(step: StepSpec, common: Resources) -> bool:
+    return not step.required_label and not step.per_host_max and step.room.fits_in(common)
+
+
+def _get_width(step: StepSpec, room: Resources) -> tuple[bool, float]:
+    """Order steps: those that keep their room first, then the widest."""
+    shares = (
+        step.room.cpu_millicores / max(1, room.cpu_millicores),
+        step.room.memory_mb / max(1, room.memory_mb),
+        step.room.gpu_count / max(1, room.gpu_count),
+    )
+    return (step.is_lasting, max(shares))
+
+
+def _get_order(host: Host, now_s: float) -> tuple[bool, int, int, str]:
+    """Order hosts: those first that stay in any case, and the roomiest that do not."""
+    if host.is_vacating(now_s):
+        return (True, 0, -host.free.cpu_millicores, host.id)
+    return (False, -host.lasting_count, -len(host.runs), host.id)
+
+
+def _fill(need: StepNeed, spaces: Sequence[_Space], needed: set[str]) -> float:
+    """Give a step's tasks room, and note where; return how many are left."""
+    step, room, left = need.spec, need.spec.room, need.parallel
+    counts = _count_lasting_runs(need.waiting)
+    for space in spaces:
+        if left <= SHARE_MIN:
+            break
+        if not room.fits_in(space.room):
+            continue
+        if step.required_label and step.required_label not in space.host.record.labels:
+            continue
+        slots = _count_slots(step, space.room, counts[space.host.id])
+        taken = min(left, slots * space.share)
+        if taken <= SHARE_MIN:
+            continue
+        if step.is_lasting:
+            taken = min(slots, math.ceil(left - SHARE_MIN))
+            space.room -= room.scale(taken)
+        else:
+            space.share -= taken / slots
+        needed.add(space.host.id)
+        left -= taken
+    return left
+
+
+def _count_slots(step: StepSpec, room: Resources, present_count: int = 0) -> int:
+    """Return how many tasks of a step fit in a room beside those that stay there."""
+    limit = step.per_host_max - present_count if step.per_host_max else step.task_count
+    return max(0, min(limit, room.count(step.room)))
+
+
+def _count_lasting_runs(waiting: WaitingStep) -> Counter[str]:
+    """Count by host the runs of a step that stay."""
+    if not (waiting.spec.is_lasting and waiting.spec.per_host_max):
+        return Counter()
+    tasks = waiting.job.get_tasks(waiting.occurrence, waiting.number)
+    return Counter(run.host_id for task in tasks for run in task.runs)
--- /dev/null
+++ b/src/robinthread/_internal/jobs/waiting_steps.py
@@ -0,0 +1,39 @@
+"""Which steps have tasks that wait for a host."""
+
+from collections import Counter
+from dataclasses import dataclass
+
+from robinthread._internal.jobs.job import Job
+from robinthread._internal.jobs.pool_jobs import PoolJobs
+from robinthread._internal.models.job_spec import StepSpec
+
+
+@dataclass(frozen=True, slots=True)
+class WaitingStep:
+    """A step of an occurrence of a job, and how many of its tasks wait.
+
+    ``copy_count`` of them run already and wait for a second host.
+    """
+
+    job: Job
+    occurrence: int
+    number: int
+    task_count: int
+    copy_count: int
+
+    @property
+    def spec(self) -> StepSpec:
+        """Return what the step's tasks are like."""
+        return self.job.spec.steps[self.number]
+
+
+def list_waiting_steps(pool: PoolJobs) -> list[WaitingStep]:
+    """Return the steps of which tasks wait: tasks of a step are alike."""
+    keys = [(key.job_id, key.occurrence, key.step) for key in pool.waiting]
+    copies = Counter(
+        (key.job_id, key.occurrence, key.step) for key, task in pool.waiting.items() if task.runs
+    )
+    return [
+        WaitingStep(pool.jobs[place[0]], place[1], place[2], count, copies[place])
+        for place, count in Counter(keys).items()
+    ]
--- a/src/robinthread/_internal/models/resources.py
+++ b/src/robinthread/_internal/models/resources.py
@@ -1,5 +1,6 @@
 """Room on a host, and what a task takes of it."""
 
+import sys
 from dataclasses import dataclass
 
 
@@ -31,6 +32,31 @@
             self.cpu_millicores * count, self.memory_mb * count, self.gpu_count * count
         )
 
+    def min(self, other: "Resources") -> "Resources":
+        """Return the lesser of each kind."""
+        return Resources(
+            min(self.cpu_millicores, other.cpu_millicores),
+            min(self.memory_mb, other.memory_mb),
+            min(self.gpu_count, other.gpu_count),
+        )
+
+    def max(self, other: "Resources") -> "Resources":
+        """Return the greater of each kind."""
+        return Resources(
+            max(self.cpu_millicores, other.cpu_millicores),
+            max(self.memory_mb, other.memory_mb),
+            max(self.gpu_count, other.gpu_count),
+        )
+
+    def count(self, part: "Resources") -> int:
+        """Return how many times ``part`` fits in; without bound for nothing."""
+        pairs = (
+            (self.cpu_millicores, part.cpu_millicores),
+            (self.memory_mb, part.memory_mb),
+            (self.gpu_count, part.gpu_count),
+        )
+        return min((have // takes for have, takes in pairs if takes), default=sys.maxsize)
+
     def fits_in(self, room: "Resources") -> bool:
         """Tell whether ``room`` holds this much."""
         return (
--- a/src/robinthread/_internal/node/pool_owner.py
+++ b/src/robinthread/_internal/node/pool_owner.py
@@ -164,13 +164,13 @@
     def report(self, question: FleetQuestion) -> PoolReport:
         """Tell the steward how the pool stands, and empty what it asks for."""
         now_s = get_loop_s()
-        demand = self._demand.read(self.jobs, now_s, self._context.get_wall_ms())
         for host in self.jobs.hosts.values():
             is_vacating = host.record.machine in question.vacate
             host.vacating_until_s = now_s + VACATE_S if is_vacating else 0.0
         if question.expects_hosts:
             self._context.expect_hosts()
         self._runtime.wake()
+        demand = self._demand.read(self.jobs, now_s, self._context.get_wall_ms())
         return make_pool_report(self.jobs, demand, now_s)
 
     async def _load_progress(self) -> None:
--- a/src/robinthread/_internal/node/pool_reporting.py
+++ b/src/robinthread/_internal/node/pool_reporting.py
@@ -1,6 +1,6 @@
 """What a pool's owner tells the steward."""
 
-from robinthread._internal.fleet.pool_report import HostStanding, PoolReport
+from robinthread._internal.fleet.pool_report import HostStanding, LackReport, PoolReport
 from robinthread._internal.jobs.demand import Demand
 from robinthread._internal.jobs.doubts import list_doubted
 from robinthread._internal.jobs.host import Host, HostContact
@@ -11,16 +11,22 @@
 def make_pool_report(pool: PoolJobs, demand: Demand, now_s: float) -> PoolReport:
     """Tell how a pool stands, and which of its listed hosts can be used."""
     doubted = list_doubted(pool, now_s)
+    needed = demand.on_hosts.host_ids
     return PoolReport(
         is_owner=True,
         fetch_room=_as_tuple(demand.fetch),
         keep_room=_as_tuple(demand.keep),
         hosts=tuple(
-            _make_standing(host, host.id not in doubted, now_s)
+            _make_standing(host, host.id not in doubted, host.id in needed, now_s)
             for host in pool.hosts.values()
             if host.is_listed
         ),
         hosts_min=demand.hosts_min,
+        lasting_room=_as_tuple(demand.lasting),
+        lacks=tuple(
+            LackReport(missing.count, _as_tuple(missing.room), missing.label)
+            for missing in demand.on_hosts.missing
+        ),
     )
 
 
@@ -28,14 +34,15 @@
     return room.cpu_millicores, room.memory_mb, room.gpu_count
 
 
-def _make_standing(host: Host, is_trusted: bool, now_s: float) -> HostStanding:
+def _make_standing(host: Host, is_trusted: bool, is_needed: bool, now_s: float) -> HostStanding:
     return HostStanding(
         machine=host.record.machine,
         host_id=host.id,
         is_usable=is_trusted
         and host.contact is HostContact.ANSWERING
         and not host.record.is_draining,
-        is_vacating=now_s < host.vacating_until_s,
+        is_vacating=host.is_vacating(now_s),
         run_count=len(host.runs),
-        lasting_count=sum(run.is_lasting for run in host.runs.values()),
+        lasting_count=host.lasting_count,
+        is_needed=is_needed,
     )
--- a/src/robinthread/_internal/node/steward.py
+++ b/src/robinthread/_internal/node/steward.py
@@ -162,6 +162,8 @@
                     usable=sum(host.is_usable for host in pool.hosts),
                     arriving=pool.arriving,
                     vacating=len(plan.vacate[pool.name]),
+                    lacking=size.lack_count,
+                    needed=sum(host.is_needed for host in pool.hosts),
                     fetch_room=pool.report.fetch_room,
                     keep_room=pool.report.keep_room,
                 )
--- a/tests/functional/test_room_on_a_host.py
+++ b/tests/functional/test_room_on_a_host.py
@@ -77,6 +77,11 @@
     return sum(machine.pool == POOL for machine in platform.machines.machines.values())
 
 
+def count_fetched(platform: PlatformStandin) -> int:
+    """Count the machines that the steward has moved to the pool."""
+    return sum(f'"to_pool":"{POOL}"'.encode() in line for line in platform.events)
+
+
 def count_vacating(platform: PlatformStandin) -> int:
     """Count the pool's hosts that are being emptied."""
     owner = platform.nodes[get_owner(platform) or ""].assembled.owned.owners[POOL]
@@ -176,7 +181,7 @@
             await hand_in(platform, "node0", wide)
             took_s = await wait_for_starts(platform, wide, 1)
             self.assertLess(took_s, FETCHED_S)
-            self.assertEqual(1, platform.machines.move_count)
+            self.assertEqual(1, count_fetched(platform))
 
         run_virtual(work())
 
@@ -184,10 +189,10 @@
         async def work() -> None:
             platform = await start(2, 4, make_job(1, SPREAD), ending_s=1.0)
             await asyncio.sleep(3)
-            moved = platform.machines.move_count
+            fetched = count_fetched(platform)
             await hand_in(platform, "node0", make_job(2, StepSpec(1, required_label="none")))
             await hand_in(platform, "node0", make_job(3, StepSpec(1, cpu_millicores=17_000)))
             await asyncio.sleep(6)
-            self.assertEqual(moved, platform.machines.move_count)
+            self.assertEqual(fetched, count_fetched(platform))
 
         run_virtual(work())
