Tests and bounds: what waiting tasks need of a host, and what looking for it costs

Change: unit tests of the owner's look (wide, lasting, gang, label, per_host_max, copies, hosts that are being emptied; nothing is needed where each host fits) and of the steward's plan (fetched, not twice, only machines with the room and label, not emptied, taken back, hosts of lasting tasks kept, upkeep that would be late goes first).

--- a/bench/placing.py
+++ b/bench/placing.py
@@ -1,10 +1,11 @@
-"""How many looks at a host's room a start costs, by how much waits and how many hosts are."""
+"""How many looks at a host's room a start and a report of a pool's need cost."""
 
 from collections.abc import Iterator
 from contextlib import contextmanager
 from typing import Final
 
 from bench.result import BenchResult
+from robinthread._internal.jobs.demand import DemandMeter
 from robinthread._internal.jobs.host import HostContact
 from robinthread._internal.jobs.pool_jobs import PoolJobs
 from robinthread._internal.jobs.scheduling import place_waiting
@@ -12,10 +13,14 @@
 from robinthread._internal.models.queue_policy import QueuePolicy
 from robinthread._internal.models.resources import Resources
 from robinthread._internal.models.upstream_host import UpstreamHost
+from robinthread._internal.settings.policy_settings import DemandPolicy
 
 SIZES: Final = (10, 100, 1000)
 ROOM: Final = Resources(16_000, 32_000, 0)
 STEP: Final = StepSpec(10, cpu_millicores=1000, memory_mb=1000, estimate_ms=1000)
+# Beside one of these on each host there is no room for a wide task.
+LASTING: Final = StepSpec(100, cpu_millicores=6000, is_lasting=True, per_host_max=1)
+WIDE: Final = StepSpec(10, cpu_millicores=13_000, memory_mb=1000, estimate_ms=1000)
 
 
 def run_placing() -> BenchResult:
@@ -26,6 +31,9 @@
     for hosts in SIZES:
         counts[f"looks_a_start_{hosts}_hosts_100_waiting"] = _count_a_start(hosts, 100)
     counts["looks_in_a_full_pool_100_hosts_1000_waiting"] = _count_in_full_pool(100, 1000)
+    for waiting in SIZES:
+        counts[f"looks_a_report_100_hosts_{waiting}_wide"] = _count_a_report(100, waiting, WIDE)
+    counts["looks_a_report_100_hosts_1000_that_fit"] = _count_a_report(100, 1000, STEP)
     return BenchResult("placing", counts)
 
 
@@ -47,6 +55,16 @@
     return sum(looks)
 
 
+def _count_a_report(hosts: int, waiting: int, step: StepSpec) -> float:
+    pool = _make_pool(hosts)
+    _add_jobs(pool, LASTING.task_count, LASTING)
+    place_waiting(pool, 0.0, 0)
+    _add_jobs(pool, waiting, step)
+    with _counted_looks() as looks:
+        DemandMeter(1.8, DemandPolicy()).read(pool, 0.0, 0)
+    return sum(looks)
+
+
 def _make_pool(hosts: int) -> PoolJobs:
     pool = PoolJobs()
     for number in range(hosts):
@@ -55,11 +73,11 @@
     return pool
 
 
-def _add_jobs(pool: PoolJobs, task_count: int) -> None:
+def _add_jobs(pool: PoolJobs, task_count: int, step: StepSpec = STEP) -> None:
     policy = QueuePolicy("queue", "", "", "pool", 0, 3, 1.6, 600)
     first = len(pool.jobs)
-    for number in range(first, first + task_count // STEP.task_count):
-        spec = JobSpec(f"{number:016x}", "queue", "pool", "", (STEP,))
+    for number in range(first, first + task_count // step.task_count):
+        spec = JobSpec(f"{number:016x}", "queue", "pool", "", (step,))
         pool.open_due(pool.add_job(spec, policy, number, 0.0), 0)
 
 
--- a/tests/unit/test_fleet_planner.py
+++ b/tests/unit/test_fleet_planner.py
@@ -2,6 +2,7 @@
 
 from dataclasses import replace
 
+import msgspec
 from testtools import TestCase
 
 from robinthread._internal.fleet.fleet_view import (
@@ -13,7 +14,7 @@
     WaveView,
 )
 from robinthread._internal.fleet.planner import FleetPlanner
-from robinthread._internal.fleet.pool_report import HostStanding, PoolReport
+from robinthread._internal.fleet.pool_report import HostStanding, LackReport, PoolReport
 from robinthread._internal.models.machine import Machine, MachineState
 from robinthread._internal.models.resources import Resources
 from robinthread._internal.settings.policy_settings import FleetPolicy
@@ -63,6 +64,103 @@
     return replace(pool, report=report)
 
 
+def mark_hosts(pool: PoolView, needed: str = "", lasting: str = "") -> PoolView:
+    """Have waiting tasks need some hosts of a pool, and others carry one lasting task each."""
+    hosts = tuple(
+        msgspec.structs.replace(
+            host, is_needed=host.machine in needed, lasting_count=int(host.machine in lasting)
+        )
+        for host in pool.report.hosts
+    )
+    return replace(pool, report=msgspec.structs.replace(pool.report, hosts=hosts))
+
+
+def with_lacks(pool: PoolView, *lacking: LackReport, hosts_min: int = 0) -> PoolView:
+    """Have a pool lack hosts for tasks that fit on none it has."""
+    report = msgspec.structs.replace(pool.report, lacks=lacking, hosts_min=hosts_min)
+    return replace(pool, report=report)
+
+
+def list_moves(plan: FleetPlan) -> list[tuple[str, str]]:
+    """Return which machine is to move where."""
+    return [(o.machine, o.pool) for o in plan.orders if isinstance(o, MoveOrder)]
+
+
+class RoomOnHostTest(TestCase):
+    """Tasks wait that do not fit on every host."""
+
+    wide = LackReport(1, (13_000, 1_000, 0))
+
+    def test_host_is_fetched_though_the_sum_asks_for_none(self) -> None:
+        pool = with_lacks(make_pool("p", "abc", 10), self.wide, hosts_min=3)
+        plan = FleetPlanner(ALL).plan(make_view(pool, reserve="xy"), 0.0)
+        self.assertEqual([("x", "p")], list_moves(plan))
+
+    def test_none_is_fetched_while_one_arrives(self) -> None:
+        pool = replace(with_lacks(make_pool("p", "abc", 10), self.wide, hosts_min=3), arriving=1)
+        plan = FleetPlanner(ALL).plan(make_view(pool, reserve="xy"), 0.0)
+        self.assertEqual([], list_moves(plan))
+
+    def test_hosts_that_the_sum_asks_for_are_not_fetched_twice(self) -> None:
+        pool = with_lacks(make_pool("p", "abc", 80), self.wide)
+        plan = FleetPlanner(ALL).plan(make_view(pool, reserve="uvwxyz"), 0.0)
+        self.assertEqual(2, len(list_moves(plan)))
+
+    def test_machine_that_has_the_room_and_the_label_is_fetched(self) -> None:
+        pool = make_pool("p", "abc", 10)
+        view = make_view(pool, reserve="xyz")
+        small, other, right = view.reserve
+        reserve = (
+            replace(small, rack="q", room=Resources(8_000, 32_000)),
+            replace(other, rack="q"),
+            replace(right, rack="s"),
+        )
+        for lack, expected in (
+            (self.wide, [("y", "p")]),
+            (LackReport(1, (13_000, 0, 0), "s"), [("z", "p")]),
+            (LackReport(1, (8_000, 0, 0), "a"), [("x", "p")]),
+            (LackReport(1, (17_000, 0, 0)), []),
+            (LackReport(1, (1, 0, 0), "t"), []),
+        ):
+            view = replace(view, pools=(with_lacks(pool, lack),), reserve=reserve)
+            self.assertEqual(expected, list_moves(FleetPlanner(ALL).plan(view, 0.0)))
+
+    def test_host_that_a_task_waits_for_is_not_emptied(self) -> None:
+        calm = mark_hosts(make_pool("p", "abcd", 0), needed="a")
+        planner = FleetPlanner(ALL)
+        planner.plan(make_view(calm), 0.0)
+        vacating = planner.plan(make_view(calm), 1.0).vacate["p"]
+        self.assertEqual(frozenset("bc"), vacating)
+
+    def test_host_that_is_being_emptied_is_taken_back(self) -> None:
+        calm = make_pool("p", "abcd", 0)
+        planner = FleetPlanner(ALL)
+        planner.plan(make_view(calm), 0.0)
+        self.assertEqual(frozenset("ab"), planner.plan(make_view(calm), 1.0).vacate["p"])
+        wanting = mark_hosts(make_pool("p", "abcd", 0, vacating="ab"), needed="a")
+        plan = planner.plan(make_view(wanting), 1.1)
+        self.assertNotIn("a", plan.vacate["p"])
+        self.assertEqual([("b", RESERVE)], list_moves(plan))
+
+    def test_hosts_of_lasting_tasks_are_not_given_for_one_that_a_wide_task_needs(self) -> None:
+        pool = mark_hosts(with_lacks(make_pool("p", "abcd", 10), hosts_min=3), "d", lasting="abc")
+        planner = FleetPlanner(ALL)
+        planner.plan(make_view(pool), 0.0)
+        self.assertEqual(frozenset(), planner.plan(make_view(pool), 1.0).vacate["p"])
+
+    def test_pool_does_not_shrink_while_its_host_is_on_the_way(self) -> None:
+        pool = with_lacks(make_pool("p", "abc", 10), self.wide, hosts_min=3)
+        pool = mark_hosts(replace(pool, arriving=1), lasting="abc")
+        planner = FleetPlanner(ALL)
+        planner.plan(make_view(pool), 0.0)
+        self.assertEqual(frozenset(), planner.plan(make_view(pool), 1.0).vacate["p"])
+
+    def test_what_would_be_late_is_kept_up_all_the_same(self) -> None:
+        wave = WaveView(1, frozenset("a"), 2, 0, left_s=5.0)
+        view = make_view(mark_hosts(make_pool("p", "abcd", 0), needed="a"), waves=(wave,))
+        self.assertIn("a", FleetPlanner(ALL).plan(view, 0.0).vacate["p"])
+
+
 class UpkeepTest(TestCase):
     wave = WaveView(1, frozenset("xy"), 2, 0, left_s=100.0)
 
--- /dev/null
+++ b/tests/unit/test_room_need.py
@@ -0,0 +1,148 @@
+"""On which hosts waiting tasks would find room, and what hosts a pool lacks for them."""
+
+from testtools import TestCase
+
+from robinthread._internal.jobs.demand import Demand, DemandMeter
+from robinthread._internal.jobs.host import HostContact
+from robinthread._internal.jobs.pool_jobs import PoolJobs
+from robinthread._internal.jobs.room_need import MissingHosts, RoomNeed
+from robinthread._internal.jobs.scheduling import place_waiting
+from robinthread._internal.models.job_spec import JobSpec, StepSpec
+from robinthread._internal.models.queue_policy import QueuePolicy
+from robinthread._internal.models.resources import Resources
+from robinthread._internal.models.upstream_host import UpstreamHost
+from robinthread._internal.settings.policy_settings import DemandPolicy
+
+ROOM = Resources(16_000, 32_000, 0)
+POLICY = QueuePolicy("queue", "", "", "pool", stretch=1.5, latency_target_ms=500)
+# On each host, 10 of 16 cores are left beside it.
+LASTING = StepSpec(3, cpu_millicores=6_000, memory_mb=1_000, is_lasting=True, per_host_max=1)
+WIDE = StepSpec(4, cpu_millicores=13_000, memory_mb=1_000, estimate_ms=1_000)
+
+
+def make_pool(hosts: int = 3) -> PoolJobs:
+    """Make a pool of hosts in racks r0 and r1 by turns."""
+    pool = PoolJobs()
+    for number in range(hosts):
+        rack = f"r{number % 2}"
+        record = UpstreamHost(
+            f"h{number}", f"m{number}", "pool", "", "", rack, ROOM, frozenset({rack})
+        )
+        pool.add_host(record).contact = HostContact.ANSWERING
+    return pool
+
+
+def add_job(pool: PoolJobs, *steps: StepSpec, accepted_at_ms: int = 0) -> None:
+    """Take a job in and place what fits."""
+    number = len(pool.jobs)
+    spec = JobSpec(f"{number:016x}", "queue", "pool", "", steps, accepted_at_ms=accepted_at_ms)
+    pool.open_due(pool.add_job(spec, POLICY, number, 0.0), 0)
+    place_waiting(pool, 0.0, 0)
+
+
+def read(pool: PoolJobs) -> Demand:
+    """Return what the pool's tasks need now."""
+    return DemandMeter(1.8, DemandPolicy()).read(pool, 0.0, 0)
+
+
+def vacate(pool: PoolJobs, host_id: str) -> None:
+    """Have a host emptied."""
+    pool.hosts[host_id].vacating_until_s = 10.0
+
+
+class CalmPoolTest(TestCase):
+    def test_nothing_is_needed_where_nothing_waits(self) -> None:
+        pool = make_pool()
+        add_job(pool, LASTING)
+        self.assertEqual(RoomNeed(), read(pool).on_hosts)
+
+    def test_tasks_that_fit_on_each_host_are_left_to_the_sum(self) -> None:
+        pool = make_pool()
+        add_job(pool, LASTING)
+        add_job(pool, StepSpec(400, cpu_millicores=10_000, estimate_ms=1_000))
+        self.assertEqual(397, len(pool.waiting))
+        self.assertEqual(RoomNeed(), read(pool).on_hosts)
+
+    def test_copies_ask_for_no_host(self) -> None:
+        pool = make_pool(1)
+        add_job(pool, StepSpec(1, cpu_millicores=1_000, allows_copies=True, per_host_max=1))
+        (task,) = next(iter(pool.jobs.values())).tasks.values()
+        pool.ask_for_copy(task)
+        self.assertEqual(1, len(pool.waiting))
+        self.assertEqual(RoomNeed(), read(pool).on_hosts)
+
+
+class WideTaskTest(TestCase):
+    def test_hosts_are_missing_for_what_fits_beside_no_lasting_task(self) -> None:
+        pool = make_pool()
+        add_job(pool, LASTING)
+        add_job(pool, WIDE)
+        # Four tasks of a second, to begin within two: two at a time.
+        missing = MissingHosts(2, Resources(13_000, 1_000), "")
+        self.assertEqual(RoomNeed(frozenset(), (missing,)), read(pool).on_hosts)
+
+    def test_a_late_job_asks_for_one_host_at_least(self) -> None:
+        pool = make_pool()
+        add_job(pool, LASTING)
+        add_job(pool, WIDE, accepted_at_ms=-60_000)
+        (missing,) = read(pool).on_hosts.missing
+        self.assertEqual(1, missing.count)
+
+    def test_host_that_is_full_for_a_while_is_room(self) -> None:
+        pool = make_pool(4)
+        add_job(pool, LASTING)
+        add_job(pool, WIDE)
+        (bare,) = (host for host in pool.hosts.values() if not host.lasting_count)
+        self.assertEqual(1, len(bare.runs))
+        self.assertEqual(frozenset({bare.id}), read(pool).on_hosts.host_ids)
+
+    def test_host_that_is_being_emptied_is_needed_only_where_no_other_fits(self) -> None:
+        pool = make_pool(5)
+        add_job(pool, LASTING)
+        bare = sorted(host.id for host in pool.hosts.values() if not host.lasting_count)
+        for host_id in bare:
+            vacate(pool, host_id)
+        add_job(pool, StepSpec(1, cpu_millicores=13_000, estimate_ms=1_000))
+        need = read(pool).on_hosts
+        self.assertEqual(1, len(need.host_ids & set(bare)))
+        self.assertEqual((), need.missing)
+        pool.hosts[bare[0]].vacating_until_s = 0.0
+        self.assertEqual(frozenset({bare[0]}), read(pool).on_hosts.host_ids)
+
+    def test_lasting_tasks_each_take_their_room(self) -> None:
+        pool = make_pool()
+        add_job(pool, LASTING)
+        wide = StepSpec(3, cpu_millicores=1_000, memory_mb=20_000, is_lasting=True)
+        add_job(pool, wide, wide, wide)
+        # Three found room beside the others; each of the rest fills a host.
+        (missing,) = read(pool).on_hosts.missing
+        self.assertEqual(6, missing.count)
+
+    def test_gang_needs_all_its_hosts_at_once(self) -> None:
+        pool = make_pool()
+        add_job(pool, LASTING)
+        add_job(pool, StepSpec(4, cpu_millicores=13_000, estimate_ms=500, is_gang=True))
+        (missing,) = read(pool).on_hosts.missing
+        self.assertEqual(4, missing.count)
+
+
+class KeptOffTest(TestCase):
+    def test_host_that_carries_as_many_as_it_may_is_no_room(self) -> None:
+        pool = make_pool(2)
+        add_job(
+            pool, StepSpec(3, cpu_millicores=1_000, memory_mb=1, is_lasting=True, per_host_max=1)
+        )
+        self.assertEqual((MissingHosts(1, Resources(1_000, 1), ""),), read(pool).on_hosts.missing)
+
+    def test_host_without_the_label_is_no_room(self) -> None:
+        pool = make_pool(2)
+        lasting = StepSpec(1, cpu_millicores=10_000, is_lasting=True, required_label="r1")
+        add_job(pool, lasting)
+        add_job(pool, StepSpec(1, cpu_millicores=8_000, required_label="r1"))
+        self.assertEqual((MissingHosts(1, Resources(8_000), "r1"),), read(pool).on_hosts.missing)
+        self.assertEqual(frozenset(), read(pool).on_hosts.host_ids)
+
+    def test_host_that_has_the_label_is_needed(self) -> None:
+        pool = make_pool(2)
+        add_job(pool, StepSpec(20, cpu_millicores=16_000, required_label="r1", estimate_ms=1_000))
+        self.assertEqual(frozenset({"h1"}), read(pool).on_hosts.host_ids)
