Hosts missing for lasting tasks count once, and what leaves all the same is replaced

A host that is emptied for an upkeep that would be late stayed the one that a task waited for. Change: missing hosts are told apart by whether they are for lasting tasks; those come on top of the hosts that carry some, the others on top of what lasting tasks need. Hosts that are needed and leave all the same are replaced.

--- a/src/robinthread/_internal/fleet/pool_report.py
+++ b/src/robinthread/_internal/fleet/pool_report.py
@@ -31,12 +31,14 @@
 class LackReport(msgspec.Struct, frozen=True, array_like=True):
     """Hosts that a pool lacks for tasks that fit on none that it has.
 
-    They need at least ``room`` and, unless it is "", the label.
+    They need at least ``room`` and, unless it is "", the label.  ``is_lasting`` tells
+    whether the tasks last or end.
     """
 
     count: int
     room: tuple[int, int, int]
     label: str = ""
+    is_lasting: bool = False
 
 
 class PoolReport(msgspec.Struct, frozen=True, array_like=True):
@@ -44,7 +46,7 @@
 
     Rooms are thousandths of a core, MB and accelerators.  ``hosts_min`` hosts are
     needed for tasks that may not share one.  ``lasting_room`` is the part of the room that
-    lasting tasks take.
+    lasting tasks take.  ``apart_count`` hosts that carry none are needed by tasks that end.
     """
 
     is_owner: bool
@@ -53,9 +55,5 @@
     hosts: tuple[HostStanding, ...] = ()
     hosts_min: int = 0
     lasting_room: tuple[int, int, int] = (0, 0, 0)
+    apart_count: int = 0
     lacks: tuple[LackReport, ...] = ()
-
-    @property
-    def lack_count(self) -> int:
-        """Return how many hosts the pool lacks for tasks that fit on none that it has."""
-        return sum(lack.count for lack in self.lacks)
--- a/src/robinthread/_internal/fleet/sizing.py
+++ b/src/robinthread/_internal/fleet/sizing.py
@@ -30,17 +30,23 @@
     """Return how many hosts of ``room`` a pool needs.
 
     Room in sum is not room on a host: the hosts that tasks need which do not fit beside
-    lasting ones come on top of those that the lasting ones need.
+    lasting ones are kept on top of those that the lasting ones need, and what carries
+    lasting tasks is kept while hosts are missing for more of these.
     """
     lasting_count = max(report.hosts_min, _count_full_hosts(report.lasting_room, room))
-    apart_count = sum(host.is_needed and not host.lasting_count for host in report.hosts)
-    fetch_count = max(_count_hosts(report.fetch_room, room), lasting_count + apart_count)
+    carrying_count = sum(
+        host.is_usable and not host.is_vacating and host.lasting_count > 0 for host in report.hosts
+    )
+    lasting_lack = sum(lack.count for lack in report.lacks if lack.is_lasting)
+    lack_count = sum(lack.count for lack in report.lacks)
+    fetch_count = max(report.hosts_min, _count_hosts(report.fetch_room, room))
     keep_count = max(
         fetch_count,
         _count_hosts(report.keep_room, room),
-        lasting_count + apart_count + report.lack_count,
+        lasting_count + report.apart_count + lack_count - lasting_lack,
+        carrying_count + lasting_lack,
     )
-    return PoolSize(fetch_count, keep_count, report.lack_count)
+    return PoolSize(fetch_count, keep_count, lack_count)
 
 
 def _count_hosts(needs: tuple[int, int, int], room: Resources) -> int:
--- a/src/robinthread/_internal/jobs/room_need.py
+++ b/src/robinthread/_internal/jobs/room_need.py
@@ -40,18 +40,26 @@
 
 @dataclass(frozen=True, slots=True)
 class MissingHosts:
-    """Hosts that a pool lacks: how many, with what room at least, and which label."""
+    """Hosts that a pool lacks: how many, with what room at least, and which label.
+
+    ``is_lasting`` tells whether they are for lasting tasks or for such as end.
+    """
 
     count: int
     room: Resources
     label: str
+    is_lasting: bool
 
 
 @dataclass(frozen=True, slots=True)
 class RoomNeed:
-    """The pool's hosts that tasks wait for which do not fit on all, and hosts it lacks."""
+    """The pool's hosts that tasks wait for which do not fit on all, and hosts it lacks.
+
+    ``apart_count`` of the hosts are needed by tasks that end and carry no lasting ones.
+    """
 
     host_ids: frozenset[str] = frozenset()
+    apart_count: int = 0
     missing: tuple[MissingHosts, ...] = ()
 
 
@@ -62,11 +70,12 @@
         self.host = host
         self.room = host.room_beside_lasting
         self.share = 1.0
+        self.is_needed = False
 
 
 @dataclass
 class _Lack:
-    """Hosts of one label that are missing, as a real number."""
+    """Hosts that are missing, as a real number."""
 
     hosts: float = 0.0
     room: Resources = field(default=NO_RESOURCES)
@@ -89,19 +98,20 @@
     largest = max((host.record.room for host in hosts), key=lambda room: room.cpu_millicores)
     narrow.sort(key=lambda need: _get_width(need.spec, largest), reverse=True)
     spaces = [_Space(host) for host in sorted(hosts, key=lambda host: _get_order(host, now_s))]
-    needed: set[str] = set()
-    lacks: dict[str, _Lack] = defaultdict(_Lack)
+    lacks: dict[tuple[str, bool], _Lack] = defaultdict(_Lack)
     for need in narrow[:STEPS_MAX]:
-        left = _fill(need, spaces, needed)
+        left = _fill(need, spaces)
         if left > SHARE_MIN:
-            lack = lacks[need.spec.required_label]
+            lack = lacks[need.spec.required_label, need.spec.is_lasting]
             lack.hosts += left / max(1, _count_slots(need.spec, largest))
             lack.room = lack.room.max(need.spec.room)
     missing = (
-        MissingHosts(math.ceil(lack.hosts - SHARE_MIN), lack.room, label)
-        for label, lack in lacks.items()
+        MissingHosts(math.ceil(lack.hosts - SHARE_MIN), lack.room, label, is_lasting)
+        for (label, is_lasting), lack in lacks.items()
     )
-    return RoomNeed(frozenset(needed), tuple(missing))
+    needed = [space for space in spaces if space.is_needed]
+    apart_count = sum(space.share < 1.0 and not space.host.lasting_count for space in needed)
+    return RoomNeed(frozenset(space.host.id for space in needed), apart_count, tuple(missing))
 
 
 def _fits_everywhere(step: StepSpec, common: Resources) -> bool:
@@ -125,7 +135,7 @@
     return (False, -host.lasting_count, -len(host.runs), host.id)
 
 
-def _fill(need: StepNeed, spaces: Sequence[_Space], needed: set[str]) -> float:
+def _fill(need: StepNeed, spaces: Sequence[_Space]) -> float:
     """Give a step's tasks room, and note where; return how many are left."""
     step, room, left = need.spec, need.spec.room, need.parallel
     counts = _count_lasting_runs(need.waiting)
@@ -145,7 +155,7 @@
             space.room -= room.scale(taken)
         else:
             space.share -= taken / slots
-        needed.add(space.host.id)
+        space.is_needed = True
         left -= taken
     return left
 
--- a/src/robinthread/_internal/node/pool_reporting.py
+++ b/src/robinthread/_internal/node/pool_reporting.py
@@ -23,8 +23,9 @@
         ),
         hosts_min=demand.hosts_min,
         lasting_room=_as_tuple(demand.lasting),
+        apart_count=demand.on_hosts.apart_count,
         lacks=tuple(
-            LackReport(missing.count, _as_tuple(missing.room), missing.label)
+            LackReport(missing.count, _as_tuple(missing.room), missing.label, missing.is_lasting)
             for missing in demand.on_hosts.missing
         ),
     )
--- a/tests/unit/test_fleet_planner.py
+++ b/tests/unit/test_fleet_planner.py
@@ -15,6 +15,7 @@
 )
 from robinthread._internal.fleet.planner import FleetPlanner
 from robinthread._internal.fleet.pool_report import HostStanding, LackReport, PoolReport
+from robinthread._internal.fleet.sizing import PoolSize
 from robinthread._internal.models.machine import Machine, MachineState
 from robinthread._internal.models.resources import Resources
 from robinthread._internal.settings.policy_settings import FleetPolicy
@@ -72,7 +73,9 @@
         )
         for host in pool.report.hosts
     )
-    return replace(pool, report=msgspec.structs.replace(pool.report, hosts=hosts))
+    apart_count = len(set(needed) - set(lasting))
+    report = msgspec.structs.replace(pool.report, hosts=hosts, apart_count=apart_count)
+    return replace(pool, report=report)
 
 
 def with_lacks(pool: PoolView, *lacking: LackReport, hosts_min: int = 0) -> PoolView:
@@ -155,10 +158,24 @@
         planner.plan(make_view(pool), 0.0)
         self.assertEqual(frozenset(), planner.plan(make_view(pool), 1.0).vacate["p"])
 
-    def test_what_would_be_late_is_kept_up_all_the_same(self) -> None:
+    def test_hosts_missing_for_lasting_tasks_count_once(self) -> None:
+        pool = with_lacks(
+            make_pool("p", "ab", 10), LackReport(7, (1, 1, 0), is_lasting=True), hosts_min=9
+        )
+        plan = FleetPlanner(ALL).plan(make_view(mark_hosts(pool, lasting="ab")), 0.0)
+        self.assertEqual(PoolSize(9, 9, 7), plan.sizes["p"])
+
+    def test_what_carries_lasting_tasks_is_kept_while_more_of_them_lack_a_host(self) -> None:
+        pool = with_lacks(make_pool("p", "abc", 10), LackReport(1, (1, 20_000, 0), is_lasting=True))
+        plan = FleetPlanner(ALL).plan(make_view(mark_hosts(pool, lasting="abc")), 0.0)
+        self.assertEqual(PoolSize(2, 4, 1), plan.sizes["p"])
+
+    def test_what_would_be_late_is_kept_up_all_the_same_and_replaced(self) -> None:
         wave = WaveView(1, frozenset("a"), 2, 0, left_s=5.0)
-        view = make_view(mark_hosts(make_pool("p", "abcd", 0), needed="a"), waves=(wave,))
-        self.assertIn("a", FleetPlanner(ALL).plan(view, 0.0).vacate["p"])
+        pool = mark_hosts(make_pool("p", "abcd", 0), needed="a")
+        plan = FleetPlanner(ALL).plan(make_view(pool, reserve="xy", waves=(wave,)), 0.0)
+        self.assertIn("a", plan.vacate["p"])
+        self.assertEqual([("x", "p")], list_moves(plan))
 
 
 class UpkeepTest(TestCase):
--- a/tests/unit/test_room_need.py
+++ b/tests/unit/test_room_need.py
@@ -78,8 +78,8 @@
         add_job(pool, LASTING)
         add_job(pool, WIDE)
         # Four tasks of a second, to begin within two: two at a time.
-        missing = MissingHosts(2, Resources(13_000, 1_000), "")
-        self.assertEqual(RoomNeed(frozenset(), (missing,)), read(pool).on_hosts)
+        missing = MissingHosts(2, Resources(13_000, 1_000), "", False)
+        self.assertEqual(RoomNeed(missing=(missing,)), read(pool).on_hosts)
 
     def test_a_late_job_asks_for_one_host_at_least(self) -> None:
         pool = make_pool()
@@ -94,7 +94,9 @@
         add_job(pool, WIDE)
         (bare,) = (host for host in pool.hosts.values() if not host.lasting_count)
         self.assertEqual(1, len(bare.runs))
-        self.assertEqual(frozenset({bare.id}), read(pool).on_hosts.host_ids)
+        # Three are left, of which one and a half should run at a time.
+        missing = MissingHosts(1, Resources(13_000, 1_000), "", False)
+        self.assertEqual(RoomNeed(frozenset({bare.id}), 1, (missing,)), read(pool).on_hosts)
 
     def test_host_that_is_being_emptied_is_needed_only_where_no_other_fits(self) -> None:
         pool = make_pool(5)
@@ -132,14 +134,18 @@
         add_job(
             pool, StepSpec(3, cpu_millicores=1_000, memory_mb=1, is_lasting=True, per_host_max=1)
         )
-        self.assertEqual((MissingHosts(1, Resources(1_000, 1), ""),), read(pool).on_hosts.missing)
+        self.assertEqual(
+            (MissingHosts(1, Resources(1_000, 1), "", True),), read(pool).on_hosts.missing
+        )
 
     def test_host_without_the_label_is_no_room(self) -> None:
         pool = make_pool(2)
         lasting = StepSpec(1, cpu_millicores=10_000, is_lasting=True, required_label="r1")
         add_job(pool, lasting)
         add_job(pool, StepSpec(1, cpu_millicores=8_000, required_label="r1"))
-        self.assertEqual((MissingHosts(1, Resources(8_000), "r1"),), read(pool).on_hosts.missing)
+        self.assertEqual(
+            (MissingHosts(1, Resources(8_000), "r1", False),), read(pool).on_hosts.missing
+        )
         self.assertEqual(frozenset(), read(pool).on_hosts.host_ids)
 
     def test_host_that_has_the_label_is_needed(self) -> None:
