Hosts that carry lasting tasks are kept for these only while more of them lack a host

Change: the term counts only where a host is missing for a lasting task; a test that fails without it.

--- a/src/robinthread/_internal/fleet/sizing.py
+++ b/src/robinthread/_internal/fleet/sizing.py
@@ -44,7 +44,7 @@
         fetch_count,
         _count_hosts(report.keep_room, room),
         lasting_count + report.apart_count + lack_count - lasting_lack,
-        carrying_count + lasting_lack,
+        carrying_count + lasting_lack if lasting_lack else 0,
     )
     return PoolSize(fetch_count, keep_count, lack_count)
 
--- a/tests/unit/test_fleet_planner.py
+++ b/tests/unit/test_fleet_planner.py
@@ -170,6 +170,11 @@
         plan = FleetPlanner(ALL).plan(make_view(mark_hosts(pool, lasting="abc")), 0.0)
         self.assertEqual(PoolSize(2, 4, 1), plan.sizes["p"])
 
+    def test_hosts_that_carry_lasting_tasks_are_let_go_where_none_lacks_a_host(self) -> None:
+        pool = mark_hosts(make_pool("p", "abcde", 10), lasting="abcde")
+        plan = FleetPlanner(ALL).plan(make_view(pool), 0.0)
+        self.assertEqual(PoolSize(2, 2, 0), plan.sizes["p"])
+
     def test_what_would_be_late_is_kept_up_all_the_same(self) -> None:
         wave = WaveView(1, frozenset("a"), 2, 0, left_s=5.0)
         view = make_view(mark_hosts(make_pool("p", "abcd", 0), needed="a"), waves=(wave,))
