--- a/src/robinthread/_internal/fleet/pool_report.py
+++ b/src/robinthread/_internal/fleet/pool_report.py
@@ -16,6 +16,7 @@
 
     ``is_usable`` tells whether it answers and takes work, or would if it were
     not to be emptied.  ``is_vacating`` confirms that it gets no new work.
+    ``is_needed`` tells that tasks wait for it which do not fit on every host.
     """
 
     machine: str
@@ -24,13 +25,28 @@
     is_vacating: bool
     run_count: int
     lasting_count: int
+    is_needed: bool = False
+
+
+class LackReport(msgspec.Struct, frozen=True, array_like=True):
+    """Hosts that a pool lacks for tasks that fit on none that it has.
+
+    They need at least ``room`` and, unless it is "", the label.  ``is_lasting`` tells
+    whether the tasks last or end.
+    """
+
+    count: int
+    room: tuple[int, int, int]
+    label: str = ""
+    is_lasting: bool = False
 
 
 class PoolReport(msgspec.Struct, frozen=True, array_like=True):
     """How a pool stands: the room to fetch and to keep hosts for, and its hosts.
 
     Rooms are thousandths of a core, MB and accelerators.  ``hosts_min`` hosts are
-    needed for tasks that may not share one.
+    needed for tasks that may not share one.  ``lasting_room`` is the part of the room that
+    lasting tasks take.  ``apart_count`` hosts that carry none are needed by tasks that end.
     """
 
     is_owner: bool
@@ -38,3 +54,6 @@
     keep_room: tuple[int, int, int] = (0, 0, 0)
     hosts: tuple[HostStanding, ...] = ()
     hosts_min: int = 0
+    lasting_room: tuple[int, int, int] = (0, 0, 0)
+    apart_count: int = 0
+    lacks: tuple[LackReport, ...] = ()
--- a/src/robinthread/_internal/fleet/sizing.py
+++ b/src/robinthread/_internal/fleet/sizing.py
@@ -16,23 +16,48 @@
 
 @dataclass(frozen=True, slots=True)
 class PoolSize:
-    """Hosts below which a pool fetches more, and above which it lets some go."""
+    """Hosts below which a pool fetches more, and above which it lets some go.
+
+    ``lack_count`` hosts are to come in any case, for tasks that fit on none that is there.
+    """
 
     fetch_count: int
     keep_count: int
+    lack_count: int = 0
 
 
 def get_pool_size(report: PoolReport, room: Resources) -> PoolSize:
-    """Return how many hosts of ``room`` a pool needs."""
+    """Return how many hosts of ``room`` a pool needs.
+
+    Room in sum is not room on a host: the hosts that tasks need which do not fit beside
+    lasting ones are kept on top of those that the lasting ones need, and what carries
+    lasting tasks is kept while hosts are missing for more of these.
+    """
+    lasting_count = max(report.hosts_min, _count_full_hosts(report.lasting_room, room))
+    carrying_count = sum(
+        host.is_usable and not host.is_vacating and host.lasting_count > 0 for host in report.hosts
+    )
+    lasting_lack = sum(lack.count for lack in report.lacks if lack.is_lasting)
+    lack_count = sum(lack.count for lack in report.lacks)
     fetch_count = max(report.hosts_min, _count_hosts(report.fetch_room, room))
-    return PoolSize(fetch_count, max(fetch_count, _count_hosts(report.keep_room, room)))
+    keep_count = max(
+        fetch_count,
+        _count_hosts(report.keep_room, room),
+        lasting_count + report.apart_count + lack_count - lasting_lack,
+        carrying_count + lasting_lack if lasting_lack else 0,
+    )
+    return PoolSize(fetch_count, keep_count, lack_count)
 
 
 def _count_hosts(needs: tuple[int, int, int], room: Resources) -> int:
+    return max(HOSTS_MIN, _count_full_hosts(needs, room))
+
+
+def _count_full_hosts(needs: tuple[int, int, int], room: Resources) -> int:
     cpu_millicores, memory_mb, gpu_count = needs
     ratios = (
         cpu_millicores / max(1, room.cpu_millicores),
         memory_mb / max(1, room.memory_mb),
         gpu_count / room.gpu_count if room.gpu_count else 0.0,
     )
-    return max(HOSTS_MIN, math.ceil(max(ratios) / FILL_SHARE))
+    return math.ceil(max(ratios) / FILL_SHARE)
