--- a/src/robinthread/_internal/standins/job_hosts_standin.py
+++ b/src/robinthread/_internal/standins/job_hosts_standin.py
@@ -1,6 +1,7 @@
 """Job hosts in memory: they run tasks under leases on clocks of their own."""
 
 import asyncio
+from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Final, TypeVar
@@ -234,7 +235,7 @@
 
 
 class JobHostsStandin:
-    """All hosts by address, with faults of the ways to them."""
+    """All hosts by address, with faults of the ways to them; ``looks`` counts looks by host."""
 
     def __init__(self, seed: int = 1) -> None:
         self.faults = CallFaults(seed, LATENCY_S)
@@ -242,6 +243,7 @@
         self.gangs = GangBoard()
         self.hosts: dict[str, JobHostStandin] = {}
         self.cut_ways: set[tuple[str, str]] = set()
+        self.looks: Counter[str] = Counter()
 
     def connect(self, caller: str) -> "JobHostsClient":
         """Return the hosts as one caller reaches them."""
@@ -268,6 +270,7 @@
         wait_s: float,
     ) -> HostReport:
         """Ask what runs, waiting for an end."""
+        self._standin.looks[host.id] += 1
         report = await self._call(
             host, lambda life: life.look(token, acknowledged, lease_until_ms), is_order=False
         )
--- /dev/null
+++ b/tests/functional/test_lost_hosts.py
@@ -0,0 +1,62 @@
+"""How often a host that does not answer is looked at."""
+
+import asyncio
+
+from testtools import TestCase
+
+from robinthread._internal.standins.platform_standin import PlatformStandin
+from tests.lib.job_platforms import get_owner, start_platform
+from tests.lib.lasting import get_first_host, list_runs, start_lasting
+from tests.lib.virtual import run_virtual
+
+# An entry lapses so long after its host has ended.
+LISTED_FOR_S = 4.0
+# Looks after 0, 0.2, 0.6, 1.4, 2.4 and 3.4 s.
+LOOKS_MAX = 8
+# Looks each 0.2 s.
+LOOKS_MIN = 12
+BACK_MAX_S = 1.1
+
+
+async def count_looks(platform: PlatformStandin, host_id: str) -> int:
+    """Count the looks at a host that ends now, while it is listed."""
+    platform.crash_host(host_id)
+    await asyncio.sleep(0.1)
+    platform.hosts.looks.clear()
+    await asyncio.sleep(LISTED_FOR_S)
+    return platform.hosts.looks[host_id]
+
+
+class LostHostsTest(TestCase):
+    def test_host_on_which_nothing_runs_is_looked_at_less_and_less(self) -> None:
+        async def work() -> None:
+            platform = await start_platform(hosts=2)
+            host = next(iter(platform.hosts.hosts.values()))
+            self.assertLess(await count_looks(platform, host.record.id), LOOKS_MAX)
+
+        run_virtual(work())
+
+    def test_host_with_runs_is_looked_at_until_its_lease_is_over(self) -> None:
+        async def work() -> None:
+            platform = await start_lasting(hosts=2)
+            host = get_first_host(platform)
+            self.assertGreater(await count_looks(platform, host.record.id), LOOKS_MIN)
+
+        run_virtual(work())
+
+    def test_host_that_answers_again_is_heard_within_a_second(self) -> None:
+        async def work() -> None:
+            platform = await start_platform(hosts=2)
+            host = next(iter(platform.hosts.hosts.values()))
+            owner = get_owner(platform)
+            assert owner is not None
+            way = (owner, host.record.address)
+            platform.hosts.cut_ways.add(way)
+            await asyncio.sleep(5)
+            platform.hosts.cut_ways.discard(way)
+            platform.hosts.looks.clear()
+            await asyncio.sleep(BACK_MAX_S)
+            self.assertGreater(platform.hosts.looks[host.record.id], 0)
+            self.assertEqual(0, len(list_runs(platform)))
+
+        run_virtual(work())
