An answer to a request that was sent twice counts only where it is a success

Cause: see the failing tests. Class: an answer taken for that of another request. Ruled out: to forbid the repeat; a connection that ends while it is idle would then cost a call each time. Change: libcurl tells each time that it begins to send; any status but 200 to a repeat is a lost answer.

--- a/src/robinthread/_internal/utils/http_call.py
+++ b/src/robinthread/_internal/utils/http_call.py
@@ -68,12 +68,16 @@
         prepare_curl_callback=use.prepare,
     )
     try:
-        return await client.fetcher.fetch(request, raise_error=False)
+        response = await client.fetcher.fetch(request, raise_error=False)
     except (HTTPClientError, OSError) as error:
-        if not use.is_sent:
+        if not use.sent_count:
             raise CallUnsentError(str(error)) from error
         use.note_lost()
         raise CallLostError(str(error)) from error
+    if use.sent_count > 1 and response.code != 200:
+        # A refusal of the repeat says nothing of the first one, which may have been read.
+        raise CallLostError(f"status {response.code} to a request that was sent twice")
+    return response
 
 
 def decode(body: bytes, type_: type[T]) -> T:
--- a/src/robinthread/_internal/utils/kept_connections.py
+++ b/src/robinthread/_internal/utils/kept_connections.py
@@ -43,8 +43,9 @@
 class ConnectionUse:
     """The use that one call makes of a connection.
 
-    ``is_sent`` tells whether its request was begun to be sent at least once.  libcurl sends
-    it again by itself where a kept connection ends, so its last error does not tell that.
+    ``sent_count`` is how often its request was begun to be sent.  libcurl sends it again by
+    itself where a kept connection ends, so neither its last error nor the last answer tells
+    what became of the first one.
     """
 
     def __init__(self, kept: KeptConnections, address: str) -> None:
@@ -52,7 +53,7 @@
         self._address = address
         self._generation = 0
         self._is_new = False
-        self.is_sent = False
+        self.sent_count = 0
 
     def prepare(self, curl: pycurl.Curl) -> None:
         """Have a call go out on a connection that is not in doubt."""
@@ -74,5 +75,5 @@
         return pycurl.SOCKOPT_OK
 
     def _note_sending(self, *_addresses: object) -> int:
-        self.is_sent = True
+        self.sent_count += 1
         return pycurl.PREREQFUNC_OK
