--- a/tests/unit/test_keyed_follower.py
+++ b/tests/unit/test_keyed_follower.py
@@ -84,3 +84,16 @@
             growing.cancel()
 
         run_virtual(work())
+
+    def test_all_is_read_where_the_follower_is_paused_meanwhile(self) -> None:
+        async def work() -> None:
+            reading = _Reading()
+            await reading.read_to_end()
+            reading.standin.put(PARTITION, "wanted", b"")
+            task = asyncio.create_task(reading.read_to_end())
+            await asyncio.sleep(SLOW_ANSWER_S / 2)
+            reading.follower.pause()
+            await task
+            self.assertIn("wanted", [record.key for record in reading.taken])
+
+        run_virtual(work())
