A paused read to the end goes on; a connection that takes long gets more time

Change: reading to the end goes on where a pause has forgotten how far it had come; a call to the store that was not sent makes the time-out grow as a lost one does.

--- a/src/robinthread/_internal/durable/keyed_follower.py
+++ b/src/robinthread/_internal/durable/keyed_follower.py
@@ -104,7 +104,8 @@
         end = None
         while end is None:
             end = await self._follow_once(0)
-        while self.next_offset is not None and self.next_offset < end:
+        # A pause forgets how far the reading had come, and what was under way.
+        while self.next_offset is None or self.next_offset < end:
             await self._follow_once(READ_ON_WAIT_S)
 
     async def _follow_once(self, wait_s: float) -> int | None:
--- a/src/robinthread/_internal/platform/store.py
+++ b/src/robinthread/_internal/platform/store.py
@@ -196,6 +196,8 @@
                 headers=JSON_HEADERS if body is not None else None,
             )
         except CallUnsentError as error:
+            # Connecting may take longer than was allowed.
+            self._timeout.note_lost()
             raise StoreRefusedError(f"the store cannot be reached: {error}") from error
         except CallLostError as error:
             self._timeout.note_lost()
