The record of a pool's owner names those before it that may be running still

What a node remembered of earlier owners died with it, and a node that read only the newest record knew of none. Change: OwnerRecord carries the earlier owners that had not given the pool back (member and token, of the last 60 s, the last one of each node, 16 at most). Who takes a pool adds the one that it replaces, unless that one gave back, or stopped and passed the pool on. A release carries them on. Who reads a record keeps those that it does not know from then on: they were replaced before that, so their grants end 6 s after the first reading at the latest, and they are asked as before. Why that is safe: the store keeps a record only if the author has read all before it, so each names all that any earlier one named and that is not settled. A record of a process that writes no such list is read as one without earlier owners; such a process reads a record with one. Ruled out: counting from the record's writing, which no clock here tells; waiting for all after each takeover, as a planned handover would.

--- a/src/robinthread/_internal/durable/ownership.py
+++ b/src/robinthread/_internal/durable/ownership.py
@@ -5,7 +5,7 @@
 """
 
 import asyncio
-from collections.abc import Collection, Mapping, Sequence
+from collections.abc import Collection, Iterable, Mapping, Sequence
 from typing import Final
 
 import msgspec
@@ -19,6 +19,9 @@
 # How long an owner that was replaced is kept in mind: ten times as long as one that does
 # not hear of it may go on.
 LOST_KEPT_S: Final = 60.0
+# How many a record names at most, one a node: a change of owner takes some 2 s, so 16 in
+# turn outlast by far what one that does not hear of it may go on.
+EARLIER_MAX: Final = 16
 
 
 class Member(msgspec.Struct, frozen=True, array_like=True, order=True):
@@ -34,15 +37,25 @@
     capacity_millicores: int = 1000
 
 
+class EarlierOwner(msgspec.Struct, frozen=True, array_like=True):
+    """An owner that was replaced, with its token."""
+
+    owner: Member
+    token: int
+
+
 class OwnerRecord(msgspec.Struct, frozen=True, array_like=True):
     """Who took a pool; ``is_released`` where the owner has given it back.
 
-    One that ``is_stopping`` gave it back because its process ends.
+    One that ``is_stopping`` gave it back because its process ends.  ``earlier`` are those
+    replaced of late that had not given it back: whoever reads only the newest record must
+    know of them too.
     """
 
     owner: Member
     is_released: bool = False
     is_stopping: bool = False
+    earlier: tuple[EarlierOwner, ...] = ()
 
 
 class Ownership(msgspec.Struct, frozen=True):
@@ -57,7 +70,8 @@
 class LostOwner(msgspec.Struct, frozen=True):
     """An owner that was replaced and had not given its pool back: it may be running still.
 
-    ``lost_at_s`` is when that was seen, by the event loop's clock.
+    ``lost_at_s`` is when that was seen or read, by the event loop's clock: it was replaced
+    by then.
     """
 
     owner: Member
@@ -87,22 +101,65 @@
 
     async def take(self, pool: str, member: Member) -> bool:
         """Take a pool unless anything has changed; the fold tells the outcome."""
-        return await self._put({pool: OwnerRecord(member)})
+        earlier = self._list_earlier(pool, member, self._get_lost(pool, member))
+        return await self._put({pool: OwnerRecord(member, earlier=earlier)})
 
     async def take_over(self, tokens: Mapping[str, int], member: Member) -> list[str]:
-        """Take pools, all at once, that still have these tokens; return which."""
+        """Take pools, all at once, that still have these tokens; return which.
+
+        Their owners under these tokens have stopped.
+        """
         while held := [pool for pool, token in tokens.items() if self._has_token(pool, token)]:
-            if await self._put(dict.fromkeys(held, OwnerRecord(member))):
+            records = {
+                pool: OwnerRecord(member, earlier=self._list_earlier(pool, member)) for pool in held
+            }
+            if await self._put(records):
+                self._drop_stopped({pool: tokens[pool] for pool in held})
                 return held
         return []
 
     async def release(self, pools: Collection[str], member: Member, is_stopping: bool) -> None:
         """Give pools back, all at once, but for those that others have taken."""
-        record = OwnerRecord(member, True, is_stopping)
         while held := [pool for pool in pools if self._is_held(pool, member)]:
-            if await self._put(dict.fromkeys(held, record)):
+            records = {
+                pool: OwnerRecord(member, True, is_stopping, self._list_earlier(pool, member))
+                for pool in held
+            }
+            if await self._put(records):
                 return
 
+    def _get_lost(self, pool: str, author: Member) -> tuple[EarlierOwner, ...]:
+        """Return a pool's owner as one that ``author`` replaces and that may be running still."""
+        found = self.get(pool)
+        if found is None or found.owner == author:
+            return ()
+        return (EarlierOwner(found.owner, found.token),)
+
+    def _list_earlier(
+        self, pool: str, author: Member, replaced: tuple[EarlierOwner, ...] = ()
+    ) -> tuple[EarlierOwner, ...]:
+        """List the earlier owners that a record of ``author`` names, the last one last.
+
+        Of each node the last one: a node's former life ended before the next one began.  Of
+        the author's node none: whoever replaces the author waits for this life.
+        """
+        kept = (EarlierOwner(lost.owner, lost.token) for lost in self._list_lost(pool))
+        by_node = {
+            earlier.owner.node: earlier
+            for earlier in (*kept, *replaced)
+            if earlier.owner.node != author.node
+        }
+        return tuple(sorted(by_node.values(), key=lambda earlier: earlier.token)[-EARLIER_MAX:])
+
+    def _list_lost(self, pool: str) -> list[LostOwner]:
+        now_s = asyncio.get_running_loop().time()
+        return [lost for lost in self.lost.get(pool, ()) if now_s - lost.lost_at_s < LOST_KEPT_S]
+
+    def _drop_stopped(self, tokens: Mapping[str, int]) -> None:
+        """Forget owners that have stopped under these tokens."""
+        for pool, token in tokens.items():
+            self.lost[pool] = tuple(lost for lost in self.lost.get(pool, ()) if lost.token != token)
+
     def _has_token(self, pool: str, token: int) -> bool:
         current = self.get(pool)
         return current is not None and current.token == token
@@ -138,17 +195,21 @@
                 continue
             token = record.offset + 1
             replaced = self.owners.get(record.key)
-            if replaced is not None and replaced.token < token:
-                self._note_replaced(record.key, replaced, found.owner)
+            if replaced is None or replaced.token < token:
+                self._note_lost(
+                    record.key, (*found.earlier, *self._get_lost(record.key, found.owner))
+                )
+                if replaced is not None:
+                    self.previous[record.key] = replaced
             self.owners[record.key] = Ownership(
                 found.owner, token, found.is_released, found.is_stopping
             )
         self.changed.set()
 
-    def _note_replaced(self, pool: str, replaced: Ownership, author: Member) -> None:
-        self.previous[pool] = replaced
-        if replaced.is_released or author == replaced.owner:
-            return
+    def _note_lost(self, pool: str, found: Iterable[EarlierOwner]) -> None:
+        """Keep those in mind, from now on, that are not known yet."""
         now_s = asyncio.get_running_loop().time()
-        kept = (lost for lost in self.lost.get(pool, ()) if now_s - lost.lost_at_s < LOST_KEPT_S)
-        self.lost[pool] = (*kept, LostOwner(replaced.owner, replaced.token, now_s))
+        lost = {
+            earlier.token: LostOwner(earlier.owner, earlier.token, now_s) for earlier in found
+        } | {lost.token: lost for lost in self._list_lost(pool)}
+        self.lost[pool] = tuple(lost[token] for token in sorted(lost))
