Failing test: a member of a gang runs again while its stop is under way on a host heard late

Cause: a run that an earlier owner recorded settles by time when it is told to stop before its host lists it; the host's first answer sets that time anew. A stop that is carried out late without an answer leaves the run in neither list while it stops, and the run is taken back as not there.

--- a/tests/functional/test_stop_under_way.py
+++ b/tests/functional/test_stop_under_way.py
@@ -5,10 +5,14 @@
 
 from testtools import TestCase
 
+from robinthread._internal.jobs.run import RunPhase
+from robinthread._internal.models.host_report import RunEnd
 from robinthread._internal.models.job_spec import StepSpec
 from robinthread._internal.models.task_key import TaskKey
 from robinthread._internal.standins.job_hosts_standin import TaskPlan
+from robinthread._internal.standins.platform_standin import PlatformStandin
 from tests.lib.job_platforms import (
+    POOL,
     find_breaks,
     get_owner,
     hand_in,
@@ -16,13 +20,33 @@
     make_stop_budget,
     wait_until,
 )
-from tests.lib.lasting import LASTING_JOB, get_first_host, list_runs, start_lasting
+from tests.lib.lasting import (
+    LASTING_JOB,
+    get_first_host,
+    kill_owner,
+    list_runs,
+    start_lasting,
+)
 from tests.lib.virtual import run_virtual
 
 ALONE = StepSpec(1, cpu_millicores=1000, memory_mb=100, is_lasting=True)
 # They take room on the same host, and end one after the other, each 0.05 s.
 MANY = StepSpec(28, cpu_millicores=500, memory_mb=10)
 
+PAIR = StepSpec(2, cpu_millicores=1000, memory_mb=100, is_gang=True, per_host_max=1)
+BESIDE_PAIR = StepSpec(28, cpu_millicores=500, memory_mb=10, per_host_max=14)
+# Longer than a stop takes at most, and the way of its answer.
+LATE_S = 0.9
+
+
+def count_stopping(platform: PlatformStandin) -> int:
+    """Count the runs that the pool's owner has told to stop."""
+    owner = get_owner(platform)
+    if owner is None:
+        return 0
+    hosts = platform.nodes[owner].assembled.owned.owners[POOL].jobs.hosts.values()
+    return sum(run.phase is RunPhase.STOPPING for host in hosts for run in host.runs.values())
+
 
 def plan_many(task: TaskKey) -> TaskPlan:
     """Have one task last, and many end."""
@@ -31,6 +55,13 @@
     return TaskPlan(0.4 + 0.05 * task.index, MANY.room)
 
 
+def plan_beside_pair(task: TaskKey) -> TaskPlan:
+    """Have a pair last, and on each host a task end each 0.15 s once the owner is replaced."""
+    if task.job_id == LASTING_JOB:
+        return TaskPlan(None, PAIR.room)
+    return TaskPlan(2.0 + 0.15 * (task.index % 14), BESIDE_PAIR.room)
+
+
 class StopUnderWayTest(TestCase):
     def test_task_whose_stop_is_not_answered_is_waited_for(self) -> None:
         async def work() -> None:
@@ -67,3 +98,31 @@
             self.assertEqual([], find_breaks(platform))
 
         run_virtual(work())
+
+    def test_member_of_a_gang_on_a_host_not_heard_yet_is_waited_for(self) -> None:
+        """The next owner hears first that another member failed; its stop has no answer."""
+
+        async def work() -> None:
+            platform = await start_lasting(hosts=2, step=PAIR, plan_task=plan_beside_pair)
+            await hand_in(platform, "node0", make_job(2, BESIDE_PAIR))
+            await wait_until(lambda: len(platform.hosts.ledger.runs) == 30)
+            hosts = {host.record.id: host for host in platform.hosts.hosts.values()}
+            failing, other = list_runs(platform)
+            host, away = hosts[failing.host_id], hosts[other.host_id]
+            ways = {(name, away.record.address) for name in platform.nodes}
+            platform.hosts.cut_ways |= ways
+            kill_owner(platform)
+            host._end((failing.task, failing.number), RunEnd.FAILED)
+            await wait_until(lambda: count_stopping(platform) == 1)
+            # Orders are carried out later than what settles a run by time alone.
+            platform.hosts.faults.lost_share = 1.0
+            platform.hosts.faults.late_s = (LATE_S, LATE_S)
+            platform.hosts.cut_ways -= ways
+            await wait_until(lambda: any(run.is_stopping for run in away._present.values()))
+            platform.hosts.faults.lost_share = 0.0
+            await asyncio.sleep(3)
+            self.assertEqual("stopped", other.end)
+            self.assertEqual([], find_breaks(platform))
+            self.assertEqual(4, len(list_runs(platform)))
+
+        run_virtual(work())
