A run that an earlier owner recorded and that is told to stop is over when its end is known

Change: any run that is told to stop after its start may have been sent counts as there until its end is listed, or its stop is answered and the longest time of a stop has passed; a host's first answer leaves the time of such runs alone. Why that is safe: it only ever waits longer, and not for good: a stop is sent until one is answered, a host that is gone ends with its lease, and one that nobody follows as well. Ruled out: keeping by time the runs whose start has certainly ended ("too old"); their ends are listed by the next report in any case.

--- a/src/robinthread/_internal/jobs/pool_jobs.py
+++ b/src/robinthread/_internal/jobs/pool_jobs.py
@@ -173,9 +173,9 @@
         if run.phase is RunPhase.RECORDING:
             self.forget_run(run)
         elif run.phase in (RunPhase.SENDING, RunPhase.PRESENT):
-            if run.phase is RunPhase.PRESENT:
-                # While it stops it may be in neither list of its host; its end will be.
-                run.settled_at_s = math.inf
+            # While it stops it may be in neither list of its host; its end will be.  That goes
+            # too for a start under way, which the host may have taken from an earlier owner.
+            run.settled_at_s = math.inf
             run.phase = RunPhase.STOPPING
             self.to_stop.append(run)
 
--- a/src/robinthread/_internal/node/host_follower.py
+++ b/src/robinthread/_internal/node/host_follower.py
@@ -9,7 +9,7 @@
     HostFencedError,
     HostGoneError,
 )
-from robinthread._internal.jobs.run import Run
+from robinthread._internal.jobs.run import Run, RunPhase
 from robinthread._internal.models.host_report import EndedRun, HostReport, RunEnd
 from robinthread._internal.node.order_sender import STOP_MARGIN_S, OrderSender
 from robinthread._internal.node.pool_runtime import LEASE_MS, PoolRuntime, get_loop_s
@@ -150,7 +150,9 @@
         stop_s = self._runtime.context.settings.bounds.host_stop_ms / 1000
         host.foreign_stops_over_at_s = now_s + stop_s + STOP_MARGIN_S
         for run in host.runs.values():
-            run.settled_at_s = host.foreign_stops_over_at_s
+            # The answer to a stop of this owner settles what it told to stop already.
+            if run.phase is not RunPhase.STOPPING:
+                run.settled_at_s = host.foreign_stops_over_at_s
 
     def _take_end(self, end: EndedRun) -> None:
         host = self._host
