A run that its host lists during the last try of its start goes on

Change: send_start looks at the run's phase after the last try too. Why that is safe: a run that is present is followed by its host's reports, and one that is being stopped by its stop; only one that is still SENDING is stopped, or taken back, here. One that is being stopped and that no start has reached waits for the stop's answer, as before the last try.

--- a/src/robinthread/_internal/node/order_sender.py
+++ b/src/robinthread/_internal/node/order_sender.py
@@ -88,6 +88,9 @@
                         break
                     sent_count += outcome is StartOutcome.UNANSWERED
                 await asyncio.sleep(RETRY_PAUSE_S)
+        if run.phase is not RunPhase.SENDING:
+            # Its host has listed it during the last try, or it is being stopped.
+            return
         if sent_count:
             self._runtime.jobs.stop(run)
         else:
