--- a/tests/functional/test_forgotten_owners.py
+++ b/tests/functional/test_forgotten_owners.py
@@ -4,12 +4,30 @@
 
 from testtools import TestCase
 
+from robinthread._internal.jobs.host_lease import get_lapse_time_s
+from robinthread._internal.node.pool_runtime import LEASE_MS
 from robinthread._internal.standins.platform_standin import PlatformStandin
-from tests.lib.job_platforms import POOL, find_breaks, make_stop_budget, wait_until
-from tests.lib.lasting import get_first_host, start_lasting
+from tests.lib.job_platforms import (
+    POOL,
+    find_breaks,
+    get_owner,
+    make_stop_budget,
+    wait_until,
+)
+from tests.lib.lasting import (
+    cut_host,
+    get_first_host,
+    kill_owner,
+    list_runs,
+    start_lasting,
+)
 from tests.lib.virtual import run_virtual
 
 WATCH_S = 15.0
+# In this time a host that answers has heard of an owner that has opened its pool,
+HEARD_S = 0.2
+# and tasks whose host's lease is over are begun on another one.
+AGAIN_S = 0.8
 NAMES = [f"node{number}" for number in range(9)]
 
 
@@ -84,3 +102,22 @@
             self.assertEqual([], find_breaks(platform))
 
         run_virtual(work())
+
+    def test_host_that_heard_of_the_next_owner_is_waited_for_no_longer_than_its_lease(
+        self,
+    ) -> None:
+        """Nobody tells whether the owner that was killed has stopped; the host refuses it."""
+
+        async def work() -> None:
+            platform = await start_lasting()
+            host, old = get_first_host(platform), kill_owner(platform)
+            await wait_until(lambda: get_owner(platform) not in (None, old))
+            await asyncio.sleep(HEARD_S)
+            cut_host(platform, host)
+            cut_at_s = asyncio.get_running_loop().time()
+            await asyncio.sleep(WATCH_S)
+            again = max(run.began_at_s for run in list_runs(platform))
+            self.assertLess(again - cut_at_s, get_lapse_time_s(LEASE_MS, AGAIN_S))
+            self.assertEqual([], find_breaks(platform))
+
+        run_virtual(work())
