--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -1,7 +1,8 @@
 """Run benches and print their counts beside the last accepted ones.
 
 ``python -m bench`` runs those whose bounds are kept, ``python -m bench NAME``
-one; ``--check`` ends with an error where a bound is broken.
+one; ``--check`` ends with an error where a bound is broken.  ``drawn_days`` plays ``--days=N``
+days from the seed ``--first=N`` on.
 """
 
 import sys
@@ -10,6 +11,7 @@
 from bench.black_holes import run_black_holes
 from bench.bounds import Bound, iter_broken, read_bounds
 from bench.control import run_control
+from bench.drawn_days import DAYS, FIRST_SEED, run_drawn_days
 from bench.overload import run_overload
 from bench.parallel import run_in_processes
 from bench.placing import run_placing
@@ -38,20 +40,27 @@
 def main(arguments: list[str]) -> int:
     """Run the named benches, or all with kept bounds; return the exit code."""
     is_check = "--check" in arguments
+    long = LONG | {"drawn_days": lambda: _run_drawn_days(arguments)}
     names = [name for name in arguments if not name.startswith("--")]
-    unknown = [name for name in names if name not in CHECKED | LONG]
+    unknown = [name for name in names if name not in CHECKED | long]
     if unknown:
-        print(f"Unknown benches {', '.join(unknown)}; know {', '.join(CHECKED | LONG)}")
+        print(f"Unknown benches {', '.join(unknown)}; know {', '.join(CHECKED | long)}")
         return 2
     short = [name for name in names or CHECKED if name in CHECKED]
     results = run_in_processes(_run_checked, short)
-    results += [LONG[name]() for name in names or ("waves",) if name in LONG]
+    results += [long[name]() for name in names or ("waves",) if name in long]
     bounds = read_bounds()
     broken = [name for result in results for name in _print(result, bounds.get(result.name, {}))]
     print(f"bounds broken: {', '.join(broken) or 'none'}")
     return int(is_check and bool(broken))
 
 
+def _run_drawn_days(arguments: list[str]) -> BenchResult:
+    given = dict(each.split("=", 1) for each in arguments if "=" in each)
+    first_seed, days = given.get("--first", FIRST_SEED), given.get("--days", DAYS)
+    return run_drawn_days(int(first_seed), int(days))
+
+
 def _run_checked(name: str) -> BenchResult:
     return CHECKED[name]()
 
--- a/bench/parallel.py
+++ b/bench/parallel.py
@@ -11,7 +11,9 @@
 PROCESSES_MAX = max(1, (os.cpu_count() or 1) - 1)
 
 
-def run_in_processes(work: Callable[[Job], Found], jobs: Sequence[Job]) -> list[Found]:
+def run_in_processes(
+    work: Callable[[Job], Found], jobs: Sequence[Job], processes_max: int = PROCESSES_MAX
+) -> list[Found]:
     """Return ``work`` of each job, in order."""
-    with ProcessPoolExecutor(PROCESSES_MAX) as executor:
+    with ProcessPoolExecutor(min(processes_max, PROCESSES_MAX)) as executor:
         return list(executor.map(work, jobs))
--- a/src/robinthread/_internal/standins/machines_standin.py
+++ b/src/robinthread/_internal/standins/machines_standin.py
@@ -69,6 +69,12 @@
         self._come_up(record)
         return name
 
+    def restart(self, host_id: str) -> None:
+        """Have the machine of a host that has ended come up again, unless it was moved."""
+        for record in self.machines.values():
+            if record.host_id == host_id:
+                self._come_up(record)
+
     def connect(self, caller: str) -> "MachinesClient":
         """Return the machines as one caller reaches them."""
         return MachinesClient(self, caller)
--- /dev/null
+++ b/tests/functional/test_drawn_days.py
@@ -0,0 +1,27 @@
+"""Days of troubles that are drawn from seeds; ``python -m bench drawn_days`` plays more."""
+
+from testtools import TestCase
+
+from tests.lib.drawn_days import find_on_day
+
+FRESH_SEEDS = (0, 2)
+# Days that have shown a fault once, and its cause.
+FAILED_SEEDS = {
+    9: "the next owner waited a whole lease for runs on a host that had gone before it",
+    44: "the same, with two owners killed one after the other as a host goes",
+    55: "the same, with starts under way to a host where nobody listened any more",
+    21: "the store's stand-in told an end that was later than the records of its page",
+    25: "the hosts' ledger held a run against an end whose host's lease lapsed before its note",
+}
+
+
+class DrawnDaysTest(TestCase):
+    def test_days_break_no_promise(self) -> None:
+        self.assertEqual(
+            [], [found for found in map(find_on_day, FRESH_SEEDS) if not found.is_clean]
+        )
+
+    def test_days_that_failed_once_break_no_promise(self) -> None:
+        found = {day: find_on_day(day) for day in FAILED_SEEDS}
+        broken = {seed: FAILED_SEEDS[seed] for seed, day in found.items() if not day.is_clean}
+        self.assertEqual({}, broken, [found[seed] for seed in broken])
--- /dev/null
+++ b/tests/lib/drawn_days.py
@@ -0,0 +1,249 @@
+"""Days of troubles on the stand-in, each drawn wholly from its seed before it is played."""
+
+import asyncio
+import itertools
+import random
+from collections import defaultdict
+from collections.abc import Iterator
+from dataclasses import dataclass
+
+from robinthread._internal.models.job_spec import StepSpec
+from robinthread._internal.models.job_status import JobStatus
+from robinthread._internal.models.resources import Resources
+from robinthread._internal.models.task_key import TaskKey
+from robinthread._internal.node.job_gate import GateOutcome
+from robinthread._internal.standins.job_hosts_standin import TaskPlan
+from robinthread._internal.standins.platform_standin import PlatformStandin
+from robinthread._internal.standins.run_ledger import LedgerRun
+from tests.lib.day_troubles import HOST_KINDS, HOSTS_MIN, Trouble, TroubleKind, bring_about
+from tests.lib.job_platforms import find_breaks, get_owner, get_status, hand_in, make_job
+from tests.lib.lasting import (
+    LASTING_JOB,
+    LASTING_NUMBER,
+    get_longest_gap_s,
+    list_runs,
+    start_lasting,
+)
+from tests.lib.virtual import run_virtual
+
+# Troubles begin within so long, so many at a time and so long after each other.
+TROUBLES_S = 60.0
+AT_ONCE = (1, 2, 3)
+PAUSES_S = (4.0, 8.0, 16.0)
+SPREAD_S = 3.0
+# A day has troubles of some kinds only: those that meet do so more often than among all.
+HOST_KINDS_A_DAY = 2
+OTHER_KINDS_A_DAY = 3
+LENGTHS_S = (1.0, 8.0)
+# A lasting task must run again once so long has passed since its end, and of that ...
+SINCE_END_S = 6.0
+# ... so long has been calm, after so long that was calm as well.
+CALM_S = 3.0
+CALM_BEFORE_S = 4.0
+# After the last trouble the pool is served within so long, a quarter of what comes at least.
+RECOVERY_S = 9.0
+SERVED_SHARE_MIN = 0.25
+# How long jobs come after the last trouble, and how long they are then waited for.
+FEED_AFTER_S = 18.0
+DONE_WITHIN_S = 40.0
+# Whoever hands a job in gives the node 3 s for its answer.
+ANSWERED_WITHIN_S = 4.0
+# Eight tasks of the jobs that come all the while fill a host.
+SMALL = StepSpec(6, cpu_millicores=2000, memory_mb=100)
+
+Span = tuple[float, float]
+
+
+@dataclass(frozen=True)
+class DrawnDay:
+    """A day: its platform, what runs there, and what goes wrong when."""
+
+    seed: int
+    nodes: int
+    hosts: int
+    reserve: int
+    lasting: StepSpec
+    job_period_s: float
+    heartbeat_s: float
+    latency_spread: float
+    troubles: tuple[Trouble, ...]
+
+
+@dataclass(frozen=True)
+class HandedIn:
+    """A job that was handed in."""
+
+    job_id: str
+    at_s: float
+    is_accepted: bool
+
+
+@dataclass(frozen=True)
+class DayFindings:
+    """What was seen on a day and must not be, and for how long a lasting task did not run."""
+
+    seed: int
+    lost: tuple[str, ...]
+    breaks: tuple[str, ...]
+    undone: tuple[str, ...]
+    unserved: tuple[str, ...]
+    longest_gap_s: float
+
+    @property
+    def is_clean(self) -> bool:
+        """Tell whether nothing was found."""
+        return not (self.lost or self.breaks or self.undone or self.unserved)
+
+
+def draw_day(seed: int) -> DrawnDay:
+    """Draw a day."""
+    drawn = random.Random(seed)
+    lasting = StepSpec(
+        5,
+        cpu_millicores=drawn.choice((2000, 4000, 8000)),
+        memory_mb=100,
+        is_lasting=True,
+        per_host_max=drawn.choice((0, 1, 2)),
+    )
+    return DrawnDay(
+        seed,
+        # A topic of the store has 12 partitions.
+        nodes=drawn.choice((3, 5, 5, 8, 15)),
+        hosts=HOSTS_MIN + 2,
+        reserve=drawn.choice((0, 0, 2)),
+        lasting=lasting,
+        # The first fills the hosts, once some are away.
+        job_period_s=drawn.choice((0.3, 0.6, 2.0)),
+        heartbeat_s=drawn.choice((0.0, 1.0, 3.0)),
+        latency_spread=drawn.choice((0.0, 0.5, 0.9)),
+        troubles=tuple(_iter_troubles(drawn)),
+    )
+
+
+def _iter_troubles(drawn: random.Random) -> Iterator[Trouble]:
+    others = [kind for kind in TroubleKind if kind not in HOST_KINDS]
+    kinds = drawn.sample(HOST_KINDS, HOST_KINDS_A_DAY) + drawn.sample(others, OTHER_KINDS_A_DAY)
+    # Most of what was ever found takes a lost owner besides.
+    kinds.append(TroubleKind.KILL_OWNER)
+    at_s = 0.0
+    while at_s < TROUBLES_S:
+        for kind in drawn.sample(kinds, drawn.choice(AT_ONCE)):
+            later_s, target = drawn.uniform(0, SPREAD_S), drawn.randrange(1000)
+            yield Trouble(at_s + later_s, kind, target, drawn.uniform(*LENGTHS_S))
+        at_s += drawn.choice(PAUSES_S)
+
+
+def find_on_day(seed: int) -> DayFindings:
+    """Draw a day and play it on virtual time; that it does not go on is found as well."""
+    try:
+        return run_virtual(play_day(draw_day(seed)))
+    except AssertionError as error:
+        return DayFindings(seed, (), (), (), (str(error),), 0.0)
+
+
+async def play_day(day: DrawnDay) -> DayFindings:
+    """Play a day, and tell what was found."""
+    platform = await _start(day)
+    loop = asyncio.get_running_loop()
+    beating = asyncio.create_task(platform.keep_heartbeats(day.heartbeat_s or TROUBLES_S * 10))
+    jobs: list[asyncio.Task[HandedIn]] = []
+    feeding = asyncio.create_task(_feed(platform, day.job_period_s, jobs))
+    spans = await asyncio.gather(*(_play_trouble(platform, each) for each in day.troubles))
+    ended_at_s = loop.time()
+    await asyncio.sleep(RECOVERY_S)
+    owner = get_owner(platform)
+    await asyncio.sleep(FEED_AFTER_S - RECOVERY_S)
+    feeding.cancel()
+    handed_in = await asyncio.gather(*jobs)
+    undone = await _wait_until_shown(platform, {job.job_id for job in handed_in if job.is_accepted})
+    late = [job for job in handed_in if job.at_s > ended_at_s + RECOVERY_S]
+    served = sum(job.is_accepted and job.job_id not in undone for job in late)
+    unserved = [f"{served} of {len(late)} jobs served"] * (served < len(late) * SERVED_SHARE_MIN)
+    unserved += [f"no owner {RECOVERY_S:g} s after the last trouble"] * (owner is None)
+    beating.cancel()
+    return DayFindings(
+        day.seed,
+        tuple(find_lost(list_runs(platform), list(itertools.chain(*spans)), loop.time())),
+        tuple(find_breaks(platform)),
+        tuple(sorted(undone)),
+        tuple(unserved),
+        get_longest_gap_s(platform),
+    )
+
+
+async def _start(day: DrawnDay) -> PlatformStandin:
+    def plan(task: TaskKey) -> TaskPlan:
+        if task.job_id == LASTING_JOB:
+            return TaskPlan(None, Resources(day.lasting.cpu_millicores, 100))
+        return TaskPlan(1.0 + 0.5 * task.index, Resources(SMALL.cpu_millicores, 100))
+
+    platform = await start_lasting(
+        day.nodes, day.hosts, day.reserve, day.lasting, plan, seed=day.seed
+    )
+    platform.store.faults.latency_spread = day.latency_spread
+    return platform
+
+
+async def _play_trouble(platform: PlatformStandin, trouble: Trouble) -> list[Span]:
+    await asyncio.sleep(trouble.at_s)
+    return await bring_about(platform, trouble)
+
+
+async def _feed(
+    platform: PlatformStandin, period_s: float, jobs: list[asyncio.Task[HandedIn]]
+) -> None:
+    """Hand jobs in at the nodes that run, in turn."""
+    for number in itertools.count(LASTING_NUMBER + 1):
+        if names := sorted(platform.nodes):
+            job = _hand_in(platform, names[number % len(names)], number)
+            jobs.append(asyncio.create_task(job))
+        await asyncio.sleep(period_s)
+
+
+async def _hand_in(platform: PlatformStandin, node: str, number: int) -> HandedIn:
+    at_s, spec, outcome = asyncio.get_running_loop().time(), make_job(number, SMALL), None
+    asked = platform.nodes[node]
+    try:
+        async with asyncio.timeout(ANSWERED_WITHIN_S):
+            outcome = await hand_in(platform, node, spec)
+    except TimeoutError:
+        # Whoever asks a node that is killed sees its connection end.
+        assert platform.nodes.get(node) is not asked, f"{node} has not answered"
+    return HandedIn(spec.job_id, at_s, outcome is GateOutcome.DONE)
+
+
+async def _wait_until_shown(platform: PlatformStandin, jobs: set[str]) -> set[str]:
+    """Wait until jobs are shown as succeeded, for a bounded time; return those that are not."""
+    loop = asyncio.get_running_loop()
+    until_s, names, undone = loop.time() + DONE_WITHIN_S, sorted(platform.nodes), sorted(jobs)
+    for name in itertools.cycle(names):
+        found = await asyncio.gather(*(get_status(platform, name, job) for job in undone))
+        pairs = zip(undone, found, strict=True)
+        undone = [job for job, status in pairs if status is not JobStatus.SUCCEEDED]
+        if not undone or loop.time() > until_s:
+            break
+        await asyncio.sleep(0.5)
+    return set(undone)
+
+
+def find_lost(runs: list[LedgerRun], troubled: list[Span], now_s: float) -> list[str]:
+    """Return the lasting tasks that did not run at the end of a calm time, in words."""
+    by_task: dict[TaskKey, list[LedgerRun]] = defaultdict(list)
+    for run in sorted(runs, key=lambda run: run.began_at_s):
+        by_task[run.task].append(run)
+    pairs = (pair for each in by_task.values() for pair in itertools.zip_longest(each, each[1:]))
+    return [
+        f"{run.task} {run.end} on {run.host_id} at {run.ended_at_s:.2f} s, again {again_s:.2f} s"
+        for run, later in pairs
+        if run.ended_at_s is not None
+        and (again_s := later.began_at_s if later else now_s)
+        >= _find_calm_end_s(run.ended_at_s + SINCE_END_S, troubled)
+    ]
+
+
+def _find_calm_end_s(from_s: float, troubled: list[Span]) -> float:
+    """Return when the first calm time from a moment on ends."""
+    for began_at_s, ended_at_s in sorted(troubled):
+        if began_at_s < from_s + CALM_S and ended_at_s > from_s - CALM_BEFORE_S:
+            from_s = max(from_s, ended_at_s + CALM_BEFORE_S)
+    return from_s + CALM_S
--- a/tests/lib/lasting.py
+++ b/tests/lib/lasting.py
@@ -25,10 +25,15 @@
 
 
 async def start_lasting(
-    nodes: int = 4, hosts: int = 4, reserve: int = 0, step: StepSpec = STEP, plan_task=plan_lasting
+    nodes: int = 4,
+    hosts: int = 4,
+    reserve: int = 0,
+    step: StepSpec = STEP,
+    plan_task=plan_lasting,
+    seed: int = 1,
 ) -> PlatformStandin:  # type: ignore[no-untyped-def]
     """Start a platform on which the tasks of one job last, and run."""
-    platform = await start_platform(plan_task, nodes, hosts, reserve)
+    platform = await start_platform(plan_task, nodes, hosts, reserve, seed)
     await hand_in(platform, "node0", make_job(LASTING_NUMBER, step))
     await wait_until(lambda: len(list_runs(platform)) == step.task_count)
     await asyncio.sleep(2)
