The store's stand-in tells the end of the moment at which a page is read

Cause: a page of newest records was taken as the call began, its end 4 ms later, as it was answered.

Ruled out: the reader, which goes on from the first page's end as the platform says.

--- a/src/robinthread/_internal/standins/store_standin.py
+++ b/src/robinthread/_internal/standins/store_standin.py
@@ -200,11 +200,16 @@
         """Read a page of the newest record of each key."""
         self._standin.reads[self._caller, partition.topic] += 1
         log = self._standin.get_log(partition)
-        keys = sorted(key for key in log.newest if key > after_key)
-        page = [log.newest[key] for key in keys[:PAGE_RECORDS_MAX]]
-        await self._carry(sum(len(record.value or b"") for record in page), timeout_s)
-        next_key = page[-1].key if len(keys) > len(page) else ""
-        return await self._call(lambda: NewestPage(tuple(page), log.end, next_key), is_change=False)
+
+        def work() -> NewestPage:
+            # The end is that of the moment at which the page is read.
+            keys = sorted(key for key in log.newest if key > after_key)
+            page = tuple(log.newest[key] for key in keys[:PAGE_RECORDS_MAX])
+            return NewestPage(page, log.end, page[-1].key if len(keys) > len(page) else "")
+
+        found = await self._call(work, is_change=False)
+        await self._carry(sum(len(record.value or b"") for record in found.records), timeout_s)
+        return found
 
     async def _carry(self, size_bytes: int, timeout_s: float) -> None:
         """Wait for as long as an answer takes over the caller's link."""
