Hosts' ledger: a note after the host's lease lapsed is none

Cause: a run after one that was done counted as a break also where the host's lease lapsed between the end and its note, which the rule on two runs allows ("observed takes note of an end when it reaches it, unless the worker's lease lapsed between the two").

Only a note after the lapse is passed over: one before it counts as it did (a test of each), and so do runs at the same time.

--- a/src/robinthread/_internal/standins/job_hosts_standin.py
+++ b/src/robinthread/_internal/standins/job_hosts_standin.py
@@ -86,6 +86,7 @@
         self._ledger_ends: dict[int, LedgerRun] = {}
         self._highest: dict[TaskKey, int] = {}
         self._end_count = 0
+        self._lapsed_ends = 0
         self._changed = asyncio.Event()
 
     @property
@@ -133,7 +134,7 @@
         self._check_token(token)
         for end in self._ended:
             if end.number <= acknowledged:
-                self._ledger_ends[end.number].is_noted = True
+                self._ledger_ends[end.number].is_noted = end.number > self._lapsed_ends
         self._ended = [end for end in self._ended if end.number > acknowledged]
         if lease_until_ms is not None:
             self._extend(lease_until_ms)
@@ -225,6 +226,8 @@
         if self.is_up and self.clock_ms >= self._lease_until_ms:
             for key in list(self._present):
                 self._end(key, RunEnd.LAPSED)
+            # A note of these that comes now does not count: they may have run again.
+            self._lapsed_ends = self._end_count
 
     def _progress(self, present: _Present) -> int:
         if present.plan.work_s is None:
--- /dev/null
+++ b/tests/unit/test_noted_ends.py
@@ -0,0 +1,43 @@
+"""What the hosts' ledger makes of a run that begins after another was done."""
+
+import asyncio
+
+from testtools import TestCase
+
+from robinthread._internal.models.resources import Resources
+from robinthread._internal.models.start_order import StartOrder
+from robinthread._internal.models.task_key import TaskKey
+from robinthread._internal.models.upstream_host import UpstreamHost
+from robinthread._internal.standins.gang_board import GangBoard
+from robinthread._internal.standins.job_hosts_standin import JobHostStandin, TaskPlan
+from robinthread._internal.standins.run_ledger import RunLedger
+from tests.lib.virtual import run_virtual
+
+TASK = TaskKey("1", 0, 0, 0)
+ROOM = Resources(1000, 1000)
+WORK_S = 0.5
+LEASE_MS = 1000
+
+
+class NotedEndsTest(TestCase):
+    def _count_breaks(self, noted_at_s: float) -> int:
+        """Note a run's end at a time, and run its task again."""
+
+        async def work() -> int:
+            ledger = RunLedger()
+            record = UpstreamHost("i-1", "m-1", "press", "m-1:80", "", "r0", ROOM, frozenset())
+            host = JobHostStandin(record, ledger, lambda task: TaskPlan(WORK_S), GangBoard())
+            host.start(StartOrder(TASK, 1, "", LEASE_MS, 1))
+            await asyncio.sleep(noted_at_s)
+            host.look(1, 1, 3 * LEASE_MS)
+            host.start(StartOrder(TASK, 2, "", 3 * LEASE_MS, 1))
+            await asyncio.sleep(WORK_S)
+            return len(ledger.find_breaks(0))
+
+        return run_virtual(work())
+
+    def test_run_after_an_end_that_was_noted_breaks_a_promise(self) -> None:
+        self.assertEqual(1, self._count_breaks(0.9))
+
+    def test_run_after_an_end_whose_lease_lapsed_before_its_note_is_allowed(self) -> None:
+        self.assertEqual(0, self._count_breaks(1.1))
