--- a/tests/lib/day_troubles.py
+++ b/tests/lib/day_troubles.py
@@ -8,7 +8,7 @@
 import msgspec
 
 from robinthread._internal.durable.ownership import Member
-from robinthread._internal.node.election import GROUP
+from robinthread._internal.node.group_member import GROUP
 from robinthread._internal.standins.job_hosts_standin import JobHostStandin
 from robinthread._internal.standins.platform_standin import PlatformStandin
 from robinthread._internal.standins.store_standin import LATENCY_S
