The type check covers benches, tests, the specification and tools

Class: code that no check reads breaks when what it calls changes. Change: mypy reads src, bench, tests, spec and tools; the bench hands the stop its budget.

--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -8,6 +8,7 @@
 import tracemalloc
 from collections.abc import Callable
 from dataclasses import replace
+from functools import partial
 
 import msgspec
 
@@ -43,11 +44,11 @@
         _print("fold a change of configuration", _time_folds(hosts, pools, _make_change))
         _print("fold a host's failure", _time_folds(hosts, pools, _make_failure))
         data = encode_snapshot(image)
-        _print("digest of the state", _time(lambda image=image: make_digest(image)))
-        _print("write a snapshot", _time(lambda image=image: encode_snapshot(image)))
-        _print("read a snapshot", _time(lambda data=data: decode_snapshot(data)))
-        _print("index hosts by pool", _time(lambda image=image: _index(image)))
-        _print("plan every pool's wave", _time(lambda image=image: _plan(image)))
+        _print("digest of the state", _time(partial(make_digest, image)))
+        _print("write a snapshot", _time(partial(encode_snapshot, image)))
+        _print("read a snapshot", _time(partial(decode_snapshot, data)))
+        _print("index hosts by pool", _time(partial(_index, image)))
+        _print("plan every pool's wave", _time(partial(_plan, image)))
         print(f"{'memory of that plan':32s}{_measure_plan_kb(image):12.1f} KB")
     frame = Frame("entry-01", "", 12345, 0, 1 << 60, Heartbeat(12345, (), "0" * 16, 12288))
     data = msgspec.msgpack.encode(frame)
--- a/bench/takeover.py
+++ b/bench/takeover.py
@@ -11,6 +11,7 @@
     get_owner,
     hand_in,
     make_job,
+    make_stop_budget,
     start_platform,
     wait_until,
 )
@@ -88,7 +89,9 @@
 
 
 def _stop(platform: PlatformStandin, name: str) -> object:
-    return asyncio.ensure_future(platform.nodes[name].assembled.node.stop())
+    return asyncio.ensure_future(
+        platform.nodes[name].assembled.node.stop(make_stop_budget(platform))
+    )
 
 
 WAYS: Final[dict[str, LoseOwner]] = {
--- a/tests/functional/test_drawn_days.py
+++ b/tests/functional/test_drawn_days.py
@@ -26,4 +26,4 @@
     def test_days_that_failed_once_break_no_promise(self) -> None:
         found = {day: find_on_day(day) for day in FAILED_SEEDS}
         broken = {seed: FAILED_SEEDS[seed] for seed, day in found.items() if not day.is_clean}
-        self.assertEqual({}, broken, [found[seed] for seed in broken])
+        self.assertEqual({}, broken, str([found[seed] for seed in broken]))
--- a/tests/functional/test_processes.py
+++ b/tests/functional/test_processes.py
@@ -6,6 +6,7 @@
 import time
 import urllib.error
 import urllib.request
+from email.message import Message
 from typing import ClassVar
 
 from testtools import TestCase
@@ -15,7 +16,7 @@
 from robinthread._internal.standins.job import Job, encode_job
 from tests.lib.processes import Site
 
-WRONG_CALLS = (
+WRONG_CALLS: tuple[tuple[tuple[str, ...], ResultCode, str], ...] = (
     (("pool", "create"), ResultCode.BAD_ARGUMENT, "name"),
     (("pool", "create", "x", "--bogus=1"), ResultCode.BAD_ARGUMENT, "bogus"),
     (("pool", "create", "a b"), ResultCode.BAD_ARGUMENT, "name"),
@@ -72,7 +73,7 @@
     def test_3_wrong_calls_give_a_numbered_error_and_no_traceback(self) -> None:
         for arguments, code, text in WRONG_CALLS:
             done = self.site.run(*arguments)
-            self.assertEqual(get_exit_code(code), done.returncode, (arguments, done.stderr))
+            self.assertEqual(get_exit_code(code), done.returncode, f"{arguments}: {done.stderr}")
             self.assertIn(f"[{code.value} {code.name}]", done.stderr)
             self.assertIn(text, done.stderr)
             self.assertNotIn("Traceback", done.stderr)
@@ -132,7 +133,7 @@
         self.assertEqual(0, done.returncode, done.stderr)
         return done.stdout
 
-    def _request(self, daemon: int, name: str, may_repeat: str, run_s: float = 0.0) -> object:
+    def _request(self, daemon: int, name: str, may_repeat: str, run_s: float = 0.0) -> Message:
         request = urllib.request.Request(
             f"http://{self.site.get_address('callers', daemon)}/v1/pools/tiles/requests",
             data=encode_job(Job(run_s=run_s, payload=name)),
--- a/tests/functional/test_tls.py
+++ b/tests/functional/test_tls.py
@@ -45,7 +45,7 @@
             self.assertTrue(status.is_ready)
             with self.assertRaises(FaultError) as caught:
                 await call_async(Target(address), "GetStatus", {})
-            self.assertEqual(ResultCode.UNREACHABLE, caught.exception.fault.code)
+            self.assertEqual(ResultCode.UNREACHABLE, self._get_code(caught.exception))
             process.daemon.close()
 
         asyncio.run(work())
@@ -54,7 +54,10 @@
         (self.folder / "cert.pem").write_text("nothing")
         with self.assertRaises(FaultError) as caught:
             DaemonProcess(self._make_settings("127.0.0.1:1"), Counters())
-        self.assertEqual(ResultCode.BAD_SETTINGS, caught.exception.fault.code)
+        self.assertEqual(ResultCode.BAD_SETTINGS, self._get_code(caught.exception))
+
+    def _get_code(self, error: FaultError | None) -> ResultCode | None:
+        return None if error is None else error.fault.code
 
     def _make_settings(self, platform: str) -> DaemonSettings:
         listen = ListenSettings(
--- a/tests/functional/test_whole_path.py
+++ b/tests/functional/test_whole_path.py
@@ -4,10 +4,12 @@
 
 from testtools import TestCase
 
+from robinthread._internal.entry.caller_answer import CallerAnswer
 from robinthread._internal.fold.kinds.wave_created import WaveCreated
 from robinthread._internal.models.budget import Budget
 from robinthread._internal.models.wave import WaveKind, WaveState
 from robinthread._internal.results import ResultCode
+from robinthread._internal.standins.fleet_standin import FleetStandin
 from tests.lib.fleets import POOL, get_daemon, publish, serve, start_fleet, wait_until
 from tests.lib.virtual import run_virtual
 
@@ -75,7 +77,7 @@
 
         run_virtual(work())
 
-    async def _serve_later(self, fleet: object, number: int) -> object:
+    async def _serve_later(self, fleet: FleetStandin, number: int) -> CallerAnswer:
         await asyncio.sleep(number * 0.01)
-        daemon = get_daemon(fleet, number % 4)  # type: ignore[arg-type]
+        daemon = get_daemon(fleet, number % 4)
         return await serve(daemon, number, is_repeatable=number % 3 != 0)
--- a/tests/lib/lasting.py
+++ b/tests/lib/lasting.py
@@ -3,6 +3,7 @@
 import asyncio
 import itertools
 from collections import defaultdict
+from collections.abc import Callable
 
 from robinthread._internal.models.job_spec import StepSpec
 from robinthread._internal.models.resources import Resources
@@ -29,9 +30,9 @@
     hosts: int = 4,
     reserve: int = 0,
     step: StepSpec = STEP,
-    plan_task=plan_lasting,
+    plan_task: Callable[[TaskKey], TaskPlan] = plan_lasting,
     seed: int = 1,
-) -> PlatformStandin:  # type: ignore[no-untyped-def]
+) -> PlatformStandin:
     """Start a platform on which the tasks of one job last, and run."""
     platform = await start_platform(plan_task, nodes, hosts, reserve, seed)
     await hand_in(platform, "node0", make_job(LASTING_NUMBER, step))
--- a/tests/lib/stubborn_process.py
+++ b/tests/lib/stubborn_process.py
@@ -30,9 +30,14 @@
             continue
 
 
+def write_line(line: bytes) -> None:
+    """Write a line to standard output."""
+    os.write(1, line)
+
+
 async def run(grace_s: float) -> None:
     """Serve until SIGTERM, then stop."""
-    events = EventLog("n0", write=lambda line: os.write(1, line) and None)
+    events = EventLog("n0", write=write_line)
     requests = OpenRequests()
     gate = SimpleNamespace(accept=refuse_to_end, get_status=refuse_to_end)
     holder = SimpleNamespace(config=make_fleet_config(1, (QUEUE,), POOLS, 262_144))
