A member's time to live follows the pace of its joins, and members are listed beside them

Cause: a join and a list took turns, each 0.6 s where the store is 60 times slower than usual, so a member was heard every 1.5 s and gone after 1.0 s. Living owners were replaced again and again. Class: a wait that ends only when others are quick; liveness read from a list. Change: joins keep their own clock, a list is read beside them; a member may be silent for three of its own joins, 1 to 3 s. A node joins with another topic only where a list that was asked for so long after its join does not name it. A list that could not be read is asked for again (before, a change whose list failed was listed with the next change only).

--- a/src/robinthread/_internal/node/group_member.py
+++ b/src/robinthread/_internal/node/group_member.py
@@ -22,15 +22,23 @@
 # and where it is not listed with the one that follows so many later; the store has room for
 # 100 topics in all.
 TOPICS_MAX: Final = 64
-# How long a node may be missing from the list before it joins with another topic: a
-# partition passes on when its holder has joined twice.
-UNLISTED_MAX_S: Final = 1.0
-# A member that has said nothing for so long is taken as gone.
-MEMBER_TTL_S: Final = 1.0
-# How often a member says that it lives: three times within its time to live.
+# How often a member says that it lives.
 JOIN_PERIOD_S: Final = 0.3
+# A member is gone that has said nothing for so long, and a node that no list has named for
+# as long joins with another topic: a partition passes on when its holder has joined twice.
+PATIENCE_MIN_S: Final = 1.0
+# Where the store takes long, joins arrive that much more rarely: so many of them may be
+# due before a member is gone.  With 1 s at answers of 0.6 s, living members were taken as
+# gone 11 times in 30 s.
+PATIENCE_JOINS: Final = 3
+# A member that is gone is noticed after so long at the latest: half of the time for which
+# an owner goes on without the store.
+PATIENCE_MAX_S: Final = 3.0
 # How often a member tries whom the store does not serve.
 REJOIN_PERIOD_S: Final = 0.1
+# What the longest time between two joins counts for at the next one: a tenth is left after
+# ten joins, some 3 s at the usual pace.
+GAP_KEPT_SHARE: Final = 0.8
 # After so many failures in a row, over so long, the store does not serve this node: one
 # answer may be lost, and a node that is turned away fails many times in a moment.
 FAILURES_MIN: Final = 2
@@ -53,11 +61,14 @@
         self._me = me
         self._events = events
         self._checks = checks
-        self._ttl_ms = max(ttl_min_ms, int(MEMBER_TTL_S * 1000))
+        self._ttl_min_ms = ttl_min_ms
         self._name = msgspec.json.encode(me).decode()
         self._topic = zlib.crc32(me.node.encode()) % FIRST_TOPICS
-        self._unlisted_since_s = math.inf
+        self._topic_joined_at_s = math.inf
         self._was_listed: bool | None = None
+        self._began_joining_at_s = -math.inf
+        self._join_gap_s = 0.0
+        self._wants_list = asyncio.Event()
         self._steady_since_s = math.inf
         self._joined_at_s = -math.inf
         self._failure_count = 0
@@ -70,14 +81,22 @@
         self.is_leaving = False
 
     async def run(self) -> None:
-        """Stay a member until cancelled or left."""
-        while not self.is_leaving:
-            try:
-                async with self._turn:
-                    await self._join()
-            except StoreError as error:
-                self._note_failure(error)
-            await asyncio.sleep(REJOIN_PERIOD_S if self._failure_count else JOIN_PERIOD_S)
+        """Stay a member until cancelled or left.
+
+        Members are listed beside that: a join that waits for a list comes late.
+        """
+        listing = asyncio.create_task(self._follow_list())
+        try:
+            while not self.is_leaving:
+                began_at_s = asyncio.get_running_loop().time()
+                try:
+                    async with self._turn:
+                        await self._join(began_at_s)
+                except StoreError as error:
+                    self._note_failure(error)
+                await asyncio.sleep(self._get_pause_s(began_at_s))
+        finally:
+            listing.cancel()
 
     async def leave(self) -> None:
         """Stop being a member; a join under way must not follow."""
@@ -94,7 +113,7 @@
     @property
     def is_heard(self) -> bool:
         """Tell whether the store has heard this node within its time to live."""
-        return not self.is_leaving and self.get_silence_s() < self._ttl_ms / 1000
+        return not self.is_leaving and self.get_silence_s() < self._get_ttl_ms() / 1000
 
     @property
     def is_served(self) -> bool:
@@ -110,40 +129,81 @@
         """Return for how long the store has not answered this node."""
         return asyncio.get_running_loop().time() - self._joined_at_s
 
+    def _get_pause_s(self, began_at_s: float) -> float:
+        if self._failure_count:
+            return REJOIN_PERIOD_S
+        return max(0.0, began_at_s + JOIN_PERIOD_S - asyncio.get_running_loop().time())
+
+    def _get_patience_s(self) -> float:
+        """Return for how long a member may say nothing, at the pace of the last joins."""
+        due_s = PATIENCE_JOINS * self._join_gap_s
+        return min(max(PATIENCE_MIN_S, due_s), PATIENCE_MAX_S)
+
+    def _get_ttl_ms(self) -> int:
+        return max(self._ttl_min_ms, int(self._get_patience_s() * 1000))
+
     def _note_failure(self, error: StoreError) -> None:
         if self._steady_since_s != math.inf:
             self._events.write("membership_lost", error=f"{type(error).__name__}: {error}")
         self._steady_since_s = math.inf
         self._checks.clear()
-        self._unlisted_since_s = math.inf
+        self._topic_joined_at_s = math.inf
         self.is_listed = False
         self._failure_count += 1
         now_s = asyncio.get_running_loop().time()
         self._failing_since_s = min(self._failing_since_s, now_s)
 
-    async def _join(self) -> None:
+    async def _join(self, began_at_s: float) -> None:
         if self.is_leaving:
             return
+        self._note_pace(began_at_s)
         membership = await self._store.join(
-            GROUP, self._name, [get_topic(self._topic)], self._ttl_ms, self.generation
+            GROUP, self._name, [get_topic(self._topic)], self._get_ttl_ms(), self.generation
         )
         now_s = asyncio.get_running_loop().time()
         self._joined_at_s = now_s
         self._failure_count = 0
         self._failing_since_s = math.inf
-        if self._steady_since_s == math.inf:
-            self._steady_since_s = now_s
+        self._steady_since_s = min(self._steady_since_s, now_s)
+        self._topic_joined_at_s = min(self._topic_joined_at_s, now_s)
         is_changed = membership.generation != self.generation
+        self.generation = membership.generation
         if is_changed or not self.is_listed or self._checks.is_any_missing:
-            self.generation = membership.generation
-            await self._list_members()
-        self._change_topic_if_unlisted(now_s)
+            self._wants_list.set()
+
+    def _note_pace(self, began_at_s: float) -> None:
+        """Note the time between two joins; the longest one counts less with each further join."""
+        gap_s = began_at_s - self._began_joining_at_s
+        if gap_s != math.inf:
+            self._join_gap_s = max(gap_s, GAP_KEPT_SHARE * self._join_gap_s)
+        self._began_joining_at_s = began_at_s
+
+    async def _follow_list(self) -> None:
+        """List the members whenever that is wanted, until cancelled."""
+        while True:
+            await self._wants_list.wait()
+            self._wants_list.clear()
+            try:
+                await self._list_members()
+            except StoreError as error:
+                self._note_unread(error)
+                await asyncio.sleep(REJOIN_PERIOD_S)
+
+    def _note_unread(self, error: StoreError) -> None:
+        """Note that the members could not be listed: what was seen of them has a gap."""
+        self._events.write("members_unread", error=f"{type(error).__name__}: {error}")
+        self._checks.clear()
+        if self._steady_since_s != math.inf:
+            self._steady_since_s = asyncio.get_running_loop().time()
+        self._wants_list.set()
 
     async def _list_members(self) -> None:
+        asked_at_s = asyncio.get_running_loop().time()
         names = await self._store.list_members(GROUP)
         self.members = frozenset(msgspec.json.decode(name, type=Member) for name in names)
         self.listed_at_s = asyncio.get_running_loop().time()
-        self.is_listed = self._me in self.members
+        # A list that was asked for before the last failure says nothing of now.
+        self.is_listed = self._me in self.members and not self._failure_count
         if self.is_listed != self._was_listed:
             self._was_listed = self.is_listed
             self._events.write(
@@ -152,16 +212,13 @@
                 listed_count=len(self.members),
                 topic=self._topic,
             )
+        if not self.is_listed and asked_at_s - self._topic_joined_at_s >= self._get_patience_s():
+            self._change_topic()
 
-    def _change_topic_if_unlisted(self, now_s: float) -> None:
-        """Join with another topic from now on where this one's partitions are all taken."""
-        if self.is_listed:
-            self._unlisted_since_s = math.inf
-            return
-        self._unlisted_since_s = min(self._unlisted_since_s, now_s)
-        if now_s - self._unlisted_since_s >= UNLISTED_MAX_S:
-            self._unlisted_since_s = math.inf
-            self._topic = (self._topic + FIRST_TOPICS) % TOPICS_MAX
+    def _change_topic(self) -> None:
+        """Join with another topic from now on: this one's partitions are all taken."""
+        self._topic_joined_at_s = math.inf
+        self._topic = (self._topic + FIRST_TOPICS) % TOPICS_MAX
 
 
 def get_topic(number: int) -> str:
