--- a/src/robinthread/_internal/node/pool_owner.py
+++ b/src/robinthread/_internal/node/pool_owner.py
@@ -183,12 +183,17 @@
         return make_pool_report(self.jobs, demand, now_s)
 
     async def _load_progress(self) -> None:
-        """Shut out older owners, then read what they have recorded."""
+        """Shut out older owners, then read what they have recorded, and of which jobs."""
         await self.opening.time("journal", self._journal.open())
         # From here on no older owner is confirmed any more.
         self._predecessors.note_shut_out(get_loop_s(), self.jobs.foreign_leases)
         reading = load_progress(self._context.store, self._partition, self.pool, self._events)
-        self._progress.update(await self.opening.time("progress", reading))
+        progress, _ = await asyncio.gather(
+            self.opening.time("progress", reading),
+            # The last owner may have taken jobs in, and recorded them, until now.
+            self._context.read_inbox_to_end(),
+        )
+        self._progress.update(progress)
         self._progress_count = len(self._progress)
 
     def _take_job(self, indexed: IndexedJob) -> None:
