Failing test: an owner two before that is still written for is not waited for

Where the one that replaced it is killed before that, the next but one counts the first one's grants from when it was replaced, though appends confirm it still.

--- /dev/null
+++ b/tests/functional/test_owner_killed_while_opening.py
@@ -0,0 +1,79 @@
+"""An owner that ends before it has shut the one before it out of the journal."""
+
+import asyncio
+
+from testtools import TestCase
+
+from robinthread._internal.durable.keyed_follower import FOLLOW_WAIT_S
+from robinthread._internal.durable.ownership import OWNERS_PARTITION
+from robinthread._internal.models.job_spec import StepSpec
+from robinthread._internal.models.resources import Resources
+from robinthread._internal.models.task_key import TaskKey
+from robinthread._internal.node.pool_owner import PROGRESS_TOPIC
+from robinthread._internal.standins.job_hosts_standin import TaskPlan
+from robinthread._internal.standins.platform_standin import PlatformStandin
+from tests.functional.test_recorded_while_opening import (
+    get_client,
+    lose_first_append,
+    lose_reads,
+    unlist,
+)
+from tests.lib.job_platforms import POOL, find_breaks, hand_in, make_job, wait_until
+from tests.lib.lasting import LASTING_JOB, get_first_host, start_lasting
+from tests.lib.virtual import run_virtual
+
+NAMES = ["node0", "node1", "node2", "node3", "late"]
+LONG = StepSpec(1, cpu_millicores=1000, memory_mb=100)
+WATCH_S = 20.0
+# The next owner is killed so long after its take.
+KILLED_AFTER_S = 0.3
+
+
+def plan(task: TaskKey) -> TaskPlan:
+    """Have some tasks last, and others work for longer than is watched."""
+    return TaskPlan(None if task.job_id == LASTING_JOB else 100.0, Resources(1000, 100))
+
+
+def find_owner(platform: PlatformStandin, names: list[str]) -> str | None:
+    """Return the node that owns the pool, open or not."""
+    return next(
+        (
+            name
+            for name in names
+            if name in platform.nodes and POOL in platform.nodes[name].assembled.owned.owners
+        ),
+        None,
+    )
+
+
+class KilledWhileOpeningTest(TestCase):
+    def test_owner_before_it_that_still_writes_to_the_journal_is_waited_for(self) -> None:
+        async def work() -> None:
+            platform = await start_lasting(plan_task=plan)
+            host = get_first_host(platform)
+            old = find_owner(platform, NAMES)
+            assert old is not None
+            names = [name for name in NAMES if name != old]
+            platform.hosts.cut_ways |= {(name, host.record.address) for name in names}
+            away = platform.hosts.hosts.keys() - {host.record.address}
+            platform.hosts.cut_ways |= {(old, address) for address in away}
+            lose_reads(get_client(platform, old), OWNERS_PARTITION)
+            # The read that is under way is the last one that is answered.
+            await asyncio.sleep(FOLLOW_WAIT_S + 0.1)
+            await unlist(platform, old)
+            for name in names:
+                lose_first_append(get_client(platform, name), PROGRESS_TOPIC)
+            await wait_until(lambda: find_owner(platform, names) is not None)
+            second = find_owner(platform, names)
+            assert second is not None
+            await asyncio.sleep(KILLED_AFTER_S)
+            platform.kill_node(second)
+            await wait_until(lambda: find_owner(platform, names) is not None)
+            # The third owner has not shut out the first one, which begins another task.
+            await hand_in(platform, old, make_job(9, LONG))
+            await asyncio.sleep(1.0)
+            platform.start_node(second)
+            await asyncio.sleep(WATCH_S)
+            self.assertEqual([], find_breaks(platform))
+
+        run_virtual(work())
