--- a/src/robinthread/_internal/node/pool_runtime.py
+++ b/src/robinthread/_internal/node/pool_runtime.py
@@ -19,6 +19,10 @@
 # It must outlast the store's usual outages (4 to 6 s), and bounds how long a new
 # owner waits for hosts that it cannot reach but an older owner may.
 UNCONFIRMED_MAX_S: Final = 6.0
+# Records that the store takes confirm an owner too, for nobody has opened its journal since:
+# they carry it over an outage of the owners' partition alone.  One that has not read the
+# owners for so long grants nothing all the same: by then a later owner need not wait for it.
+OWNERS_UNREAD_MAX_S: Final = 2 * UNCONFIRMED_MAX_S
 
 
 class PoolRuntime:
@@ -68,6 +72,8 @@
         """Return how long a lease to grant now, or None where none may be granted."""
         if self.get_unconfirmed_s() > UNCONFIRMED_MAX_S:
             return None
+        if self.context.get_unconfirmed_s() > OWNERS_UNREAD_MAX_S:
+            return None
         return min(LEASE_MS, self.context.settings.bounds.lease_max_ms)
 
     def spawn(self, work: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
--- a/src/robinthread/_internal/node/predecessors.py
+++ b/src/robinthread/_internal/node/predecessors.py
@@ -8,7 +8,12 @@
 from robinthread._internal.jobs.host import HostContact
 from robinthread._internal.jobs.host_lease import ForeignLeases, get_lapse_time_s
 from robinthread._internal.jobs.pool_jobs import PoolJobs
-from robinthread._internal.node.pool_runtime import LEASE_MS, UNCONFIRMED_MAX_S, get_loop_s
+from robinthread._internal.node.pool_runtime import (
+    LEASE_MS,
+    OWNERS_UNREAD_MAX_S,
+    UNCONFIRMED_MAX_S,
+    get_loop_s,
+)
 from robinthread._internal.telemetry.event_log import EventLog
 
 # How often an earlier owner is asked whether it has stopped, while tasks wait for that:
@@ -25,24 +30,25 @@
     that has stopped says so, or the next life of its process does.
     """
 
-    def __init__(
-        self, pool: str, found: Iterable[LostOwner], last_token: int, ask_stopped: AskStopped
-    ) -> None:
+    def __init__(self, pool: str, found: Iterable[LostOwner], ask_stopped: AskStopped) -> None:
         self._pool = pool
-        self._last_token = last_token
         self._ask_stopped = ask_stopped
         self._grants_until_s = {lost: lost.lost_at_s + UNCONFIRMED_MAX_S for lost in found}
         self._shut_out_at_s = 0.0
         self._leases = ForeignLeases()
 
     def note_shut_out(self, now_s: float, leases: ForeignLeases) -> None:
-        """Note that no earlier owner is confirmed any more; keep ``leases`` from now on."""
+        """Note that no earlier owner is confirmed any more; keep ``leases`` from now on.
+
+        Until now records may have confirmed any of them: whoever came between need not have
+        opened the journal.  None has read the owners since it was replaced.
+        """
         self._shut_out_at_s = now_s
         self._leases = leases
-        for lost in self._grants_until_s:
-            if lost.token == self._last_token:
-                # The store may have confirmed it until now; those before, until the next came.
-                self._grants_until_s[lost] = now_s + UNCONFIRMED_MAX_S
+        self._grants_until_s = {
+            lost: min(now_s + UNCONFIRMED_MAX_S, lost.lost_at_s + OWNERS_UNREAD_MAX_S)
+            for lost in self._grants_until_s
+        }
         self._update()
 
     async def watch(self, jobs: PoolJobs, events: EventLog) -> None:
@@ -90,8 +96,7 @@
         for lost in table.lost.get(pool, ())
         if lost.token != stopped_tokens.get(pool) and lost.owner.node != me.node
     )
-    previous = table.previous.get(pool)
-    return Predecessors(pool, found, previous.token if previous else 0, ask_stopped)
+    return Predecessors(pool, found, ask_stopped)
 
 
 def _has_silent_runs(jobs: PoolJobs) -> bool:
