--- a/src/robinthread/_internal/durable/job_index.py
+++ b/src/robinthread/_internal/durable/job_index.py
@@ -53,11 +53,13 @@
         self._listeners.remove(listener)
 
     def apply(self, records: Sequence[KeyedRecord], is_snapshot: bool) -> None:
-        """Fold records in; a snapshot adds what was missed, and removes nothing.
+        """Fold records in; a snapshot is all that is left.
 
-        Records are dropped only long after a job's end, so a job that is missing
-        from a snapshot has ended and its owner forgets it by itself.
+        A job that is missing from a snapshot ended long ago and was dropped with its
+        progress: an owner that still found it here would run it again.
         """
+        if is_snapshot:
+            self._keep_only(frozenset(record.key for record in records))
         for record in records:
             try:
                 self._apply_one(record)
@@ -102,6 +104,13 @@
             if not job.keys:
                 del self.jobs[job_id]
 
+    def _keep_only(self, keys: frozenset[str]) -> None:
+        self._cancelled_ahead.clear()
+        for job_id, job in list(self.jobs.items()):
+            job.keys &= keys
+            if not job.keys:
+                del self.jobs[job_id]
+
     def _tell(self, job: IndexedJob) -> None:
         for listener in list(self._listeners):
             listener(job)
