Failing test: refusals make a page's time-out grow to 4.8 s

A node that was turned away for a moment then waits 4.8 s on a connection that has gone silent; it is to notice within 3 s.

--- a/tests/unit/test_newest_reader.py
+++ b/tests/unit/test_newest_reader.py
@@ -1,8 +1,14 @@
 """Reading the newest records over pages that fail and links that are slow."""
 
+import contextlib
+
 from testtools import TestCase
 
-from robinthread._internal.durable.errors import StoreNoAnswerError
+from robinthread._internal.durable.errors import (
+    StoreError,
+    StoreNoAnswerError,
+    StoreRefusedError,
+)
 from robinthread._internal.durable.newest_reader import PAGE_TIMEOUT_MIN_S, NewestReader
 from robinthread._internal.durable.store import NewestPage, NewestRecords, Partition
 from robinthread._internal.standins.store_standin import StoreClient, StoreStandin
@@ -70,6 +76,27 @@
 
         run_virtual(work())
 
+    def test_refusal_leaves_the_time_that_a_page_may_take(self) -> None:
+        """Else a connection that goes silent then costs 4.8 s."""
+
+        async def work() -> None:
+            timeouts_s: list[float] = []
+
+            class _Refusing:
+                async def read_newest(
+                    self, partition: Partition, after_key: str, timeout_s: float
+                ) -> NewestPage:
+                    timeouts_s.append(timeout_s)
+                    raise StoreRefusedError("turned away")
+
+            reader = NewestReader(_Refusing(), PARTITION)  # type: ignore[arg-type]
+            for _try in range(4):
+                with contextlib.suppress(StoreError):
+                    await reader.read()
+            self.assertEqual([PAGE_TIMEOUT_MIN_S] * 4, timeouts_s)
+
+        run_virtual(work())
+
     def test_records_that_come_between_pages_lie_after_the_end_it_tells(self) -> None:
         async def work() -> None:
             standin = make_standin()
