--- a/src/robinthread/_internal/durable/newest_reader.py
+++ b/src/robinthread/_internal/durable/newest_reader.py
@@ -2,7 +2,7 @@
 
 from typing import Final
 
-from robinthread._internal.durable.errors import StoreError
+from robinthread._internal.durable.errors import StoreNoAnswerError
 from robinthread._internal.durable.store import (
     KeyedRecord,
     NewestRecords,
@@ -11,7 +11,8 @@
 )
 
 # A page has up to 1 MB.  The first try of each takes no longer than the store takes at its
-# slowest; each further one has twice the time, up to what 1 MB takes over 2 Mbit/s.
+# slowest; one that follows a lost answer has twice the time, up to what 1 MB takes over
+# 2 Mbit/s.
 PAGE_TIMEOUT_MIN_S: Final = 1.2
 PAGE_TIMEOUT_MAX_S: Final = 4.8
 
@@ -38,7 +39,7 @@
                 page = await self._store.read_newest(
                     self._partition, self._after_key, self._timeout_s
                 )
-            except StoreError:
+            except StoreNoAnswerError:
                 self._timeout_s = min(2 * self._timeout_s, PAGE_TIMEOUT_MAX_S)
                 raise
             self._timeout_s = PAGE_TIMEOUT_MIN_S
