A relay takes 1.5 s at most

Class: a wait without a bound of its own. Change: whoever relays waits 1.5 s at most and tells its caller then that nothing is known, so that the caller can ask again elsewhere; the node that appends has the same time. Ruled out: asking the next node after a lost relay; the first may have appended, and which of the two answers first says nothing of the other.

--- a/src/robinthread/_internal/node/job_gate.py
+++ b/src/robinthread/_internal/node/job_gate.py
@@ -38,6 +38,9 @@
 ACCEPTED_KEPT_MAX: Final = 20_000
 # Nodes asked in turn to append what the store does not take here.
 RELAYS_MAX: Final = 3
+# Longest wait for one of them: one append takes 1.2 s at most, and the way.  A caller that
+# has time left then asks again elsewhere; its job stays one.
+RELAY_TIMEOUT_S: Final = 1.5
 
 
 class GateOutcome(enum.Enum):
@@ -216,9 +219,10 @@
         left_s = deadline_s - asyncio.get_running_loop().time()
         if left_s <= 0:
             return GateOutcome.REFUSED
-        question = RelayQuestion(record.key, record.value or b"", left_s)
+        timeout_s = min(left_s, RELAY_TIMEOUT_S)
+        question = RelayQuestion(record.key, record.value or b"", timeout_s)
         try:
-            answer = await self._peers.ask(member.address, question, RelayAnswer, left_s)
+            answer = await self._peers.ask(member.address, question, RelayAnswer, timeout_s)
         except PeerUnsentError:
             return GateOutcome.REFUSED
         except PeerUnreachableError as error:
