--- a/tests/functional/test_nodes_left_out.py
+++ b/tests/functional/test_nodes_left_out.py
@@ -5,12 +5,17 @@
 
 from testtools import TestCase
 
+from robinthread._internal.durable.errors import StoreNoAnswerError
+from robinthread._internal.durable.ownership import OWNERS_PARTITION
+from robinthread._internal.durable.store import NewestPage, Partition
 from robinthread._internal.node.job_gate import GateOutcome
 from robinthread._internal.node.peer_calls import ASK_TIMEOUT_S, PeerUnreachableError
 from robinthread._internal.node.peer_messages import RelayQuestion
 from robinthread._internal.standins.platform_standin import PlatformStandin
+from robinthread._internal.standins.store_standin import StoreClient
 from tests.lib.job_platforms import (
     get_others,
+    get_status,
     hand_in,
     make_job,
     start_platform,
@@ -19,6 +24,7 @@
 
 # A relay takes one append, of which the slowest takes 1.2 s; callers wait 3 s.
 RELAYED_WITHIN_S = 2.0
+LOST_READS = 2
 
 
 def silence_relays(platform: PlatformStandin, node: str) -> None:
@@ -37,6 +43,21 @@
     peers.ask = lose  # type: ignore[method-assign]
 
 
+def lose_first_reads_of_owners(client: StoreClient) -> None:
+    """Have the first reads of the owners go unanswered."""
+    read = client.read_newest
+    lost: list[str] = []
+
+    async def lose(partition: Partition, after_key: str, timeout_s: float) -> NewestPage:
+        if partition == OWNERS_PARTITION and len(lost) < LOST_READS:
+            lost.append(after_key)
+            await asyncio.sleep(timeout_s)
+            raise StoreNoAnswerError("lost")
+        return await read(partition, after_key, timeout_s)
+
+    client.read_newest = lose  # type: ignore[method-assign]
+
+
 class NodesLeftOutTest(TestCase):
     def test_relay_on_a_silent_connection_does_not_hold_its_caller_to_the_deadline(self) -> None:
         async def work() -> None:
@@ -50,3 +71,21 @@
             self.assertLess(asyncio.get_running_loop().time() - began_at_s, RELAYED_WITHIN_S)
 
         run_virtual(work())
+
+    def test_node_that_has_not_read_the_owners_is_not_ready(self) -> None:
+        async def work() -> None:
+            platform = await start_platform()
+            await hand_in(platform, "node0", make_job(1))
+            await asyncio.sleep(4)
+            late = platform.start_node("late").assembled
+            client = late.owned._context.store
+            assert isinstance(client, StoreClient)
+            lose_first_reads_of_owners(client)
+            for _look in range(60):
+                await asyncio.sleep(0.1)
+                if late.readiness.look():
+                    told = await get_status(platform, "late", make_job(1).job_id)
+                    self.assertIsNotNone(told)
+            self.assertTrue(late.readiness.look())
+
+        run_virtual(work())
