A node is ready once it has read who owns what

Change: one more reason not to be ready, with its line: the owners are not read. Ruled out: asking any other node for the state; it would hide a node that the store does not answer.

--- a/src/robinthread/_internal/node/assembly.py
+++ b/src/robinthread/_internal/node/assembly.py
@@ -113,7 +113,7 @@
     node = Node(
         context, me, table, election, member, owned, make_steward, handover, relief, (hosts, inbox)
     )
-    readiness = Readiness(node, member, config_holder, events)
+    readiness = Readiness(node, member, table, config_holder, events)
     standing = StandingReporter(owned, lag, readiness, events)
     for work in (
         operators.run(),
--- a/src/robinthread/_internal/node/readiness.py
+++ b/src/robinthread/_internal/node/readiness.py
@@ -2,6 +2,7 @@
 
 from typing import Final
 
+from robinthread._internal.durable.ownership import OwnerTable
 from robinthread._internal.node.config_holder import ConfigHolder
 from robinthread._internal.node.group_member import GroupMember
 from robinthread._internal.node.node import Node
@@ -15,10 +16,16 @@
     """Tells whether a node is ready, with a line at each change."""
 
     def __init__(
-        self, node: Node, member: GroupMember, config_holder: ConfigHolder, events: EventLog
+        self,
+        node: Node,
+        member: GroupMember,
+        table: OwnerTable,
+        config_holder: ConfigHolder,
+        events: EventLog,
     ) -> None:
         self._node = node
         self._member = member
+        self._table = table
         self._config_holder = config_holder
         self._events = events
         self._told: str | None = None
@@ -36,6 +43,9 @@
             return "stopping"
         if self._config_holder.config is None:
             return "no configuration"
+        if not self._table.follower.first_read.is_set():
+            # It could tell no job's state: nobody knows here whom to ask.
+            return "owners not read"
         is_heard = self._member.get_silence_s() < STORE_AGE_MAX_S
         return "" if is_heard else "no word from the store"
 
