Failing test: a steward that the store does not list is replaced without its turn

One that lives, answers the store and is merely out of its peers' reach may order a machine that its successor orders as well. Class: liveness read from a list that is not one of the living.

--- a/tests/functional/test_nodes_left_out.py
+++ b/tests/functional/test_nodes_left_out.py
@@ -8,10 +8,11 @@
 from robinthread._internal.durable.errors import StoreNoAnswerError
 from robinthread._internal.durable.ownership import OWNERS_PARTITION
 from robinthread._internal.durable.store import NewestPage, Partition
+from robinthread._internal.node.election import FLEET
 from robinthread._internal.node.job_gate import GateOutcome
 from robinthread._internal.node.peer_calls import ASK_TIMEOUT_S, PeerUnreachableError
 from robinthread._internal.node.peer_messages import RelayQuestion
-from robinthread._internal.standins.platform_standin import PlatformStandin
+from robinthread._internal.standins.platform_standin import BOUNDS, PlatformStandin
 from robinthread._internal.standins.store_standin import StoreClient
 from tests.lib.job_platforms import (
     get_others,
@@ -89,3 +90,30 @@
             self.assertTrue(late.readiness.look())
 
         run_virtual(work())
+
+    def test_steward_that_may_live_is_given_its_turn(self) -> None:
+        """It is not listed and peers do not reach it, but the store and the platform do."""
+
+        async def work() -> None:
+            platform = await start_platform(nodes=5)
+            await asyncio.sleep(2)
+            others = [name for name in platform.nodes if not is_steward(platform, name)]
+            (last,) = platform.nodes.keys() - set(others)
+            member = platform.nodes[last].assembled.node._me
+            platform.store.unlisted.add(platform.nodes[last].assembled.node._member._name)
+            platform.cut_nodes.add(last)
+            platform.start_node("late")
+            await asyncio.sleep(5)
+            (new,) = (name for name in platform.nodes if is_steward(platform, name))
+            self.assertNotEqual(last, new)
+            node = platform.nodes[new].assembled.node
+            self.assertEqual(member, node._table.previous[FLEET].owner)
+            turn_s = node._get_turn_s()
+            self.assertEqual(BOUNDS.steward_turn_ms / 1000, turn_s)
+
+        run_virtual(work())
+
+
+def is_steward(platform: PlatformStandin, name: str) -> bool:
+    """Tell whether a node gives the orders for machines."""
+    return platform.nodes[name].assembled.node._steward is not None
