A steward that may live is given its turn

Whether it is listed says nothing. Ruled out: asking it; one that peers cannot reach may still reach the platform. Only machines that the last steward had just ordered wait.

--- a/src/robinthread/_internal/node/node.py
+++ b/src/robinthread/_internal/node/node.py
@@ -207,10 +207,11 @@
         """Return for how long to leave alone what the last steward ordered.
 
         Two stewards that both reach the platform must not take turns.  One whose
-        process ends, or which the platform has not heard, gives no more orders.
+        process ends, or a former life of this one, gives no more orders.  That the last one
+        is no member proves nothing: one that lives may hold no partition.
         """
         previous = self._table.previous.get(FLEET)
-        if previous is None or previous.is_stopping or previous.owner not in self._member.members:
+        if previous is None or previous.is_stopping or previous.owner.node == self._me.node:
             return 0.0
         return self._context.settings.bounds.steward_turn_ms / 1000
 
