Failing test: a lasting task behind a more urgent queue runs again

Cause: room is kept for a lasting task only when its turn comes, and urgent queues come first: while one of them fills the pool with small tasks, these take each piece of room before. Ruled out: want of room or of a host (two hosts of 16 cores serve, the task takes 8; the same pool with one queue has the task running again in time, test_lasting_again).

--- /dev/null
+++ b/tests/functional/test_lasting_behind_urgent.py
@@ -0,0 +1,66 @@
+"""A lasting task of a queue that is less urgent than the one that fills the pool."""
+
+import asyncio
+import itertools
+
+from testtools import TestCase
+
+from robinthread._internal.models.job_spec import StepSpec
+from robinthread._internal.models.queue_policy import QueuePolicy
+from robinthread._internal.models.task_key import TaskKey
+from robinthread._internal.standins.job_hosts_standin import TaskPlan
+from robinthread._internal.standins.platform_standin import PlatformStandin
+from tests.lib.job_platforms import (
+    POOL,
+    POOLS,
+    QUEUE,
+    find_breaks,
+    hand_in,
+    make_job,
+    start_platform,
+    wait_until,
+)
+from tests.lib.lasting import (
+    AGAIN_MAX_S,
+    LASTING_JOB,
+    LASTING_NUMBER,
+    get_first_host,
+    get_longest_gap_s,
+    list_runs,
+)
+from tests.lib.virtual import run_virtual
+
+URGENT = QueuePolicy("urgent", "urgent.example", "/urgent/", POOL, 0, 3, 1.6, 600)
+LESS = QueuePolicy(QUEUE.name, "press.example", "/sheets/", POOL, 1, 3, 1.6, 600)
+LARGE = StepSpec(2, cpu_millicores=8000, memory_mb=100, is_lasting=True)
+SMALL = StepSpec(6, cpu_millicores=2000, memory_mb=100)
+
+
+class LastingBehindUrgentTest(TestCase):
+    def test_lasting_task_of_a_less_urgent_queue_runs_again(self) -> None:
+        def plan(task: TaskKey) -> TaskPlan:
+            if task.job_id == LASTING_JOB:
+                return TaskPlan(None, LARGE.room)
+            return TaskPlan(1.0 + 0.13 * task.index, SMALL.room)
+
+        async def feed(platform: PlatformStandin) -> None:
+            for number in itertools.count(LASTING_NUMBER + 1):
+                job = make_job(number, SMALL, queue=URGENT.name)
+                await hand_in(platform, next(iter(platform.nodes)), job)
+                await asyncio.sleep(0.25)
+
+        async def work() -> None:
+            platform = await start_platform(plan, nodes=4, hosts=3)
+            platform.configure(2, (LESS, URGENT), POOLS)
+            await asyncio.sleep(1)
+            await hand_in(platform, "node0", make_job(LASTING_NUMBER, LARGE))
+            await wait_until(lambda: len(list_runs(platform)) == LARGE.task_count)
+            feeding = asyncio.create_task(feed(platform))
+            await asyncio.sleep(3)
+            platform.crash_host(get_first_host(platform).record.id)
+            await asyncio.sleep(25)
+            feeding.cancel()
+            self.assertEqual([], find_breaks(platform))
+            self.assertLess(get_longest_gap_s(platform), AGAIN_MAX_S)
+
+        run_virtual(work())
