A lasting task that has been without a run for 4 s goes before more urgent ones

Cause: a host's room was kept for a lasting task only in its turn; in a pool that a more urgent queue fills with small tasks all room was taken before it, for as long as the pool was full. Class: a bound that holds only where others leave room. Change: lasting tasks that ran before and have not for 4 s are looked at before all others, the one longest without a run first, and pass through the same path as all: placed, or a host is kept for it. At most half of the usable hosts are kept so; the rest of these tasks has its usual turn. The wait begins with the last report of the host of the last run. It is not recorded: the next owner takes a task that was started before and has no run for overdue at once, which makes no bound longer; a start that never left, or a task that never ran, does not count. Weighed: keeping hosts before the placing loop (a second path, which would not place what fits at once); raising the urgency in the sort (the same path, but the bound of hosts is known only while placing, and all would be sorted also where every free host is kept). So: ahead of the sort, in the same loop, and the sort is made only while hosts are left. Left: gangs that last are tried first but no room is kept for them.

--- a/src/robinthread/_internal/jobs/pool_jobs.py
+++ b/src/robinthread/_internal/jobs/pool_jobs.py
@@ -127,6 +127,8 @@
         task = job.get_task(run.task)
         if not self._take_run(task, run):
             return
+        if run.is_lasting:
+            self._note_ran(task, run)
         task.checkpoint = checkpoint or task.checkpoint
         self._mark(job)
         is_done = end is RunEnd.DONE and not task.step.is_lasting
@@ -192,6 +194,16 @@
         self.hosts[run.host_id].remove_run(run, task.step.room)
         return True
 
+    def _note_ran(self, task: Task, run: Run) -> None:
+        """Note until when a lasting task ran, by the last report of its host.
+
+        A run that no host confirmed may have been there or not: what came before it counts.
+        """
+        heard_at_s = self.hosts[run.host_id].reported_at_s
+        if run.present_since_s is None:
+            heard_at_s = min(heard_at_s, task.ran_until_s)
+        task.ran_until_s = heard_at_s
+
     def _get_host(self, host_id: str) -> Host:
         host = self.hosts.get(host_id)
         if host is None:
--- a/src/robinthread/_internal/jobs/progress.py
+++ b/src/robinthread/_internal/jobs/progress.py
@@ -1,5 +1,7 @@
 """The record of a job's progress, as the store keeps it."""
 
+import math
+
 import msgspec
 
 from robinthread._internal.jobs.job import Job
@@ -93,6 +95,8 @@
 
 def _restore_task(job: Job, task: Task, row: TaskProgress, hosts: tuple[str, ...]) -> None:
     task.last_run = row.last_run
+    # When it last ran is not recorded.  To take the wait for long makes no bound longer.
+    task.ran_until_s = -math.inf
     task.failure_count = row.failure_count
     task.last_failed_run = row.last_failed_run
     task.checkpoint = row.checkpoint
--- a/src/robinthread/_internal/jobs/room_keeping.py
+++ b/src/robinthread/_internal/jobs/room_keeping.py
@@ -1,14 +1,31 @@
 """Keeping a host's room for a lasting task that fits nowhere yet.
 
 A full pool frees room in small pieces, which small tasks take at once: without this, a
-task that needs several of them would wait for as long as the pool is full.
+task that needs several of them would wait for as long as the pool is full.  A lasting task
+that has been without a run for long comes before more urgent tasks, which in a full pool would
+take all room before its turn.
 """
 
+from collections.abc import Collection, Iterator
+from itertools import takewhile
+from typing import Final
+
 from robinthread._internal.jobs.host import Host
 from robinthread._internal.jobs.placement import may_carry_another, may_run
 from robinthread._internal.jobs.pool_jobs import PoolJobs
 from robinthread._internal.jobs.task import Task
 from robinthread._internal.models.resources import Resources
+from robinthread._internal.models.step_key import StepKey
+
+# A lasting task should run again 9 s after its last run at the latest: the platform's rules
+# ask for it from 6 s on and allow 3 s.  A host's room is free once its usual tasks of 1 to 2 s
+# have ended; as much again is left for a task that waits its turn behind another overdue one,
+# and 1 s for the record and the order.
+OVERDUE_S: Final = 4.0
+# Share of the usable hosts, one at least, that are kept ahead of more urgent tasks at a time.
+# Of a pool of eight hosts on the stand-in, full of tasks of 1.6 to 2.25 s, four were lost with
+# eight lasting tasks of half a host: all ran again after 8.9 s, with a quarter after 12.5 s.
+KEPT_AHEAD_SHARE: Final = 0.5
 
 
 class RoomKeeper:
@@ -22,16 +39,36 @@
         self._now_s = now_s
         self._rooms: dict[str, Resources] = {}
         self._last_kept, pool.kept_hosts = pool.kept_hosts, {}
+        self._in_vain: set[StepKey] = set()
         self.kept: set[str] = set()
 
+    def iter_overdue(self, usable: Collection[Host]) -> Iterator[Task]:
+        """Iterate over the lasting tasks that go before all others, longest without a run first.
+
+        They end once as many of the ``usable`` hosts are kept as may be ahead of other tasks;
+        the rest has its usual turn.  Only tasks that ran before are overdue, so that urgent
+        queues give up no more than the room that these had.
+        """
+        if not self._pool.policy.keeps_room_for_lasting:
+            return iter(())
+        ran_until_max_s = self._now_s - OVERDUE_S
+        overdue = sorted(
+            (
+                task
+                for task in self._pool.waiting.values()
+                if task.ran_until_s <= ran_until_max_s and task.step.is_lasting
+            ),
+            key=lambda task: (task.ran_until_s, task.key),
+        )
+        kept_max = max(1, int(KEPT_AHEAD_SHARE * len(usable)))
+        return takewhile(lambda _task: len(self.kept) < kept_max, overdue)
+
     def keep_for(self, task: Task, hosts: list[Host]) -> None:
         """Take the host off ``hosts`` to which nothing is to go until the task fits there.
 
         A task that ends is not kept room for: others like it will end.
         """
-        if not task.step.is_lasting or task.step.is_gang:
-            return
-        if not self._pool.policy.keeps_room_for_lasting:
+        if task.step.is_gang or task.key.step_key in self._in_vain or not self._may_keep(task):
             return
         job = self._pool.jobs[task.key.job_id]
         fitting = (
@@ -45,10 +82,19 @@
         host = min(
             fitting, key=lambda host: (_get_lack(task, host), host.id != last_id), default=None
         )
-        if host is not None:
-            self._pool.kept_hosts[task.key] = host.id
-            self.kept.add(host.id)
-            hosts.remove(host)
+        if host is None:
+            # Tasks of a step are alike, and hosts only grow fewer in a look.
+            self._in_vain.add(task.key.step_key)
+            return
+        self._keep(task, host)
+        hosts.remove(host)
+
+    def _may_keep(self, task: Task) -> bool:
+        return task.step.is_lasting and self._pool.policy.keeps_room_for_lasting
+
+    def _keep(self, task: Task, host: Host) -> None:
+        self._pool.kept_hosts[task.key] = host.id
+        self.kept.add(host.id)
 
     def _get_room_to_come(self, host: Host) -> Resources:
         """Return the room that a host has once all that ends by itself has ended."""
--- a/src/robinthread/_internal/jobs/scheduling.py
+++ b/src/robinthread/_internal/jobs/scheduling.py
@@ -1,6 +1,6 @@
 """Placing all waiting tasks that fit somewhere."""
 
-from collections.abc import Collection
+from collections.abc import Collection, Iterator
 
 from robinthread._internal.jobs.gangs import place_gang
 from robinthread._internal.jobs.host import Host
@@ -23,7 +23,8 @@
     In a full pool this costs a look at each host and each waiting task, no more: hosts
     without room for the smallest task are left out, and of a step that found no host no
     other task is tried.  Tasks of a step follow each other to a host until it is full.
-    A host that is kept for a lasting task gets none that comes after it.
+    A host that is kept for a lasting task gets none that comes after it.  Lasting tasks
+    that are overdue come before all others, as far as the keeper takes them.
     """
     if not pool.waiting:
         return 0
@@ -36,16 +37,18 @@
     last: tuple[Task, Host] | None = None
     without_host: set[StepKey] = set()
     keeper = RoomKeeper(pool, now_s)
-    for task in sort_waiting(pool, now_ms):
-        if task.key not in pool.waiting:
-            # It has been placed with its gang.
+    for task in _iter_in_order(pool, keeper, usable, hosts, now_ms):
+        if not hosts:
+            break
+        if task.key not in pool.waiting or task.key in pool.kept_hosts:
+            # It has been placed, with its gang or as overdue, or a host is kept for it.
             continue
         if task.key.step_key in without_host:
             keeper.keep_for(task, hosts)
             continue
         if task.step.is_gang:
             placed += place_gang(pool, task, now_s, keeper.kept)
-            hosts = [host for host in hosts if smallest.fits_in(host.free)]
+            hosts[:] = [host for host in hosts if smallest.fits_in(host.free)]
             without_host.add(task.key.step_key)
             continue
         if last is not None and stays_best(task, *last):
@@ -62,11 +65,21 @@
         last = task, host
         if not smallest.fits_in(host.free):
             hosts.remove(host)
-        if not hosts:
-            break
     return placed
 
 
+def _iter_in_order(
+    pool: PoolJobs, keeper: RoomKeeper, usable: list[Host], hosts: list[Host], now_ms: int
+) -> Iterator[Task]:
+    """Iterate over the overdue tasks, then over all in their usual order while hosts are left.
+
+    Putting all in order costs most of a look, and is spared where every host with room is kept.
+    """
+    yield from keeper.iter_overdue(usable)
+    if hosts:
+        yield from sort_waiting(pool, now_ms)
+
+
 def _get_smallest_room(tasks: Collection[Task]) -> Resources:
     """Return, of each kind of room, the least that any of the tasks takes."""
     rooms = [task.room for task in tasks]
--- a/src/robinthread/_internal/jobs/task.py
+++ b/src/robinthread/_internal/jobs/task.py
@@ -1,5 +1,7 @@
 """A task of a job."""
 
+import math
+
 from robinthread._internal.jobs.run import Run
 from robinthread._internal.models.job_spec import StepSpec
 from robinthread._internal.models.task_key import TaskKey
@@ -11,7 +13,9 @@
     There is one run at most, except where the step allows copies.  Run numbers
     rise from 1 over all owners of the pool.  ``last_failed_run`` counts for the
     first member of a gang, whose failures are the gang's.  ``took_s`` is how long
-    the run took that was done, where this owner saw it begin.
+    the run took that was done, where this owner saw it begin.  ``ran_until_s`` is when a
+    lasting task was last heard to run, in seconds of the event loop's clock: infinite for one
+    that never ran, and minus infinite for one that an earlier owner started.
     """
 
     __slots__ = (
@@ -22,6 +26,7 @@
         "key",
         "last_failed_run",
         "last_run",
+        "ran_until_s",
         "room",
         "runs",
         "step",
@@ -38,6 +43,7 @@
         self.failed_host_ids: set[str] = set()
         self.last_run = 0
         self.took_s: float | None = None
+        self.ran_until_s = math.inf
         self.checkpoint = ""
         self.runs: list[Run] = []
 
--- a/src/robinthread/_internal/settings/policy_settings.py
+++ b/src/robinthread/_internal/settings/policy_settings.py
@@ -60,7 +60,7 @@
     ``doubts_silent_hosts``: a host that leaves an order unanswered for 0.15 s gets no more
     work until it answers, nor do all others of its data hall where several do.
     ``keeps_room_for_lasting``: a host of a full pool gets no other work until a lasting
-    task that waits fits there.
+    task that waits fits there; after 4 s without a run also ahead of more urgent tasks.
     """
 
     slack_margin_s: float = 0.2
--- /dev/null
+++ b/tests/functional/test_lasting_in_full_pool.py
@@ -0,0 +1,135 @@
+"""Lasting tasks that are lost while a more urgent queue fills their pool."""
+
+import asyncio
+import itertools
+from collections.abc import Awaitable, Callable
+
+from testtools import TestCase
+
+from robinthread._internal.models.job_spec import StepSpec
+from robinthread._internal.models.queue_policy import QueuePolicy
+from robinthread._internal.models.task_key import TaskKey
+from robinthread._internal.standins.job_hosts_standin import TaskPlan
+from robinthread._internal.standins.platform_standin import PlatformStandin
+from tests.lib.job_platforms import (
+    POOL,
+    POOLS,
+    QUEUE,
+    find_breaks,
+    hand_in,
+    make_job,
+    start_platform,
+    wait_until,
+)
+from tests.lib.lasting import (
+    AGAIN_MAX_S,
+    LASTING_JOB,
+    LASTING_NUMBER,
+    get_first_host,
+    get_longest_gap_s,
+    kill_owner,
+    list_runs,
+)
+from tests.lib.virtual import run_virtual
+
+URGENT = QueuePolicy("urgent", "urgent.example", "/urgent/", POOL, 0, 3, 1.6, 600)
+LESS = QueuePolicy(QUEUE.name, "press.example", "/sheets/", POOL, 1, 3, 1.6, 600)
+# Two of these fill a host; of the small ones eight do.
+LARGE = StepSpec(2, cpu_millicores=8000, memory_mb=100, is_lasting=True)
+SMALL = StepSpec(6, cpu_millicores=2000, memory_mb=100)
+# The tasks of a usual job of a pool take 1 to 2 s.
+SMALL_MIN_S = 1.5
+SMALL_STEP_S = 0.1
+# How long a process that was killed takes to begin anew.
+RESTART_S = 2.5
+WATCH_S = 25.0
+
+
+async def feed(platform: PlatformStandin, period_s: float) -> None:
+    """Hand urgent jobs in, at each node in turn that is there."""
+    for number in itertools.count(LASTING_NUMBER + 1):
+        nodes = sorted(platform.nodes)
+        await hand_in(platform, nodes[number % len(nodes)], make_job(number, SMALL, queue="urgent"))
+        await asyncio.sleep(period_s)
+
+
+def crash_hosts(platform: PlatformStandin, count: int) -> None:
+    """Crash the first hosts on which lasting tasks run."""
+    host_ids = list(dict.fromkeys(run.host_id for run in list_runs(platform)))[:count]
+    for host_id in host_ids:
+        platform.crash_host(host_id)
+
+
+class LastingInFullPoolTest(TestCase):
+    def _check(
+        self,
+        bring_about: Callable[[PlatformStandin], Awaitable[None]],
+        step: StepSpec = LARGE,
+        hosts: int = 3,
+        period_s: float = 0.25,
+    ) -> None:
+        """Bring trouble about; a task must run again in time, and urgent ones go on."""
+
+        def plan(task: TaskKey) -> TaskPlan:
+            if task.job_id == LASTING_JOB:
+                return TaskPlan(None, step.room)
+            return TaskPlan(SMALL_MIN_S + SMALL_STEP_S * task.index, SMALL.room)
+
+        async def work() -> None:
+            platform = await start_platform(plan, nodes=4, hosts=hosts)
+            platform.configure(2, (LESS, URGENT), POOLS)
+            await asyncio.sleep(1)
+            await hand_in(platform, "node0", make_job(LASTING_NUMBER, step))
+            await wait_until(lambda: len(list_runs(platform)) == step.task_count)
+            feeding = asyncio.create_task(feed(platform, period_s))
+            await asyncio.sleep(3)
+            await bring_about(platform)
+            await asyncio.sleep(WATCH_S)
+            feeding.cancel()
+            self.assertEqual([], find_breaks(platform))
+            self.assertGreater(len(list_runs(platform)), step.task_count)
+            self.assertLess(get_longest_gap_s(platform), AGAIN_MAX_S)
+            late_s = asyncio.get_running_loop().time() - WATCH_S / 2
+            self.assertTrue(
+                any(
+                    run.began_at_s > late_s
+                    for run in platform.hosts.ledger.runs
+                    if run.task.job_id != LASTING_JOB
+                )
+            )
+
+        run_virtual(work())
+
+    def test_host_is_lost(self) -> None:
+        async def bring_about(platform: PlatformStandin) -> None:
+            platform.crash_host(get_first_host(platform).record.id)
+
+        self._check(bring_about)
+
+    def test_host_is_lost_as_the_owner_is_killed(self) -> None:
+        async def bring_about(platform: PlatformStandin) -> None:
+            platform.crash_host(get_first_host(platform).record.id)
+            owner = kill_owner(platform)
+            await asyncio.sleep(RESTART_S)
+            platform.start_node(owner)
+
+        self._check(bring_about)
+
+    def test_owner_is_killed_while_the_task_waits(self) -> None:
+        """The next owner counts the wait from before its own beginning."""
+
+        async def bring_about(platform: PlatformStandin) -> None:
+            platform.crash_host(get_first_host(platform).record.id)
+            await asyncio.sleep(4.25)
+            owner = kill_owner(platform)
+            await asyncio.sleep(RESTART_S)
+            platform.start_node(owner)
+
+        self._check(bring_about)
+
+    def test_half_of_the_hosts_are_lost(self) -> None:
+        async def bring_about(platform: PlatformStandin) -> None:
+            crash_hosts(platform, 4)
+
+        step = StepSpec(8, cpu_millicores=6000, memory_mb=100, is_lasting=True)
+        self._check(bring_about, step, hosts=8, period_s=0.1)
--- /dev/null
+++ b/tests/unit/test_overdue_lasting.py
@@ -0,0 +1,145 @@
+"""Lasting tasks that have been without a run for long, in a pool that urgent queues fill."""
+
+from testtools import TestCase
+
+from robinthread._internal.jobs.host import HostContact
+from robinthread._internal.jobs.pool_jobs import PoolJobs
+from robinthread._internal.jobs.progress import decode_progress, encode_progress
+from robinthread._internal.jobs.room_keeping import OVERDUE_S
+from robinthread._internal.jobs.scheduling import place_waiting
+from robinthread._internal.jobs.task import Task
+from robinthread._internal.models.host_report import RunEnd
+from robinthread._internal.models.job_spec import JobSpec, StepSpec
+from robinthread._internal.models.queue_policy import QueuePolicy
+from robinthread._internal.models.resources import Resources
+from robinthread._internal.models.upstream_host import UpstreamHost
+
+ROOM = Resources(4000, 4000, 0)
+URGENT = QueuePolicy("urgent", "", "", "pool", 0)
+LESS = QueuePolicy("less", "", "", "pool", 1)
+SMALL = StepSpec(4, cpu_millicores=1000, estimate_ms=1000)
+LARGE = StepSpec(1, cpu_millicores=3000, is_lasting=True)
+# When the lasting tasks were last heard to run.
+HEARD_AT_S = 100.0
+OVERDUE_AT_S = HEARD_AT_S + OVERDUE_S
+LASTING_ID = f"{1:016x}"
+
+
+def make_pool(host_count: int) -> PoolJobs:
+    """Make a pool of hosts that answer."""
+    pool = PoolJobs()
+    for number in range(host_count):
+        record = UpstreamHost(f"h{number}", f"m{number}", "", "", "", "r", ROOM, frozenset())
+        pool.add_host(record).contact = HostContact.ANSWERING
+    return pool
+
+
+def add_job(pool: PoolJobs, number: int, policy: QueuePolicy, step: StepSpec) -> list[Task]:
+    """Have a job's tasks wait; return them."""
+    spec = JobSpec(f"{number:016x}", policy.name, "pool", "", (step,))
+    job = pool.add_job(spec, policy, number, 0.0)
+    pool.open_due(job, 1_000)
+    return job.get_tasks(0, 0)
+
+
+def place(pool: PoolJobs, now_s: float) -> int:
+    """Place what fits; return how many."""
+    return place_waiting(pool, now_s, 1_000)
+
+
+def lose_runs(pool: PoolJobs, tasks: list[Task]) -> None:
+    """Have lasting tasks run, each until a second after the one before it."""
+    place(pool, 0.0)
+    for late_s, task in enumerate(tasks):
+        run = task.runs[0]
+        pool.confirm_start(run, 1.0)
+        pool.hosts[run.host_id].reported_at_s = HEARD_AT_S + late_s
+        pool.end_run(run, RunEnd.LAPSED, "", 1_000)
+
+
+def fill(pool: PoolJobs) -> None:
+    """Fill the pool with urgent tasks, and have as many again wait."""
+    for number in range(2 * len(pool.hosts)):
+        add_job(pool, 100 + number, URGENT, SMALL)
+    placed = place(pool, HEARD_AT_S)
+    assert placed == 4 * len(pool.hosts)
+
+
+def end_one_on_each(pool: PoolJobs) -> None:
+    """Have one task end on each host."""
+    for host in pool.hosts.values():
+        run = next(run for run in host.runs.values() if not run.is_lasting)
+        pool.end_run(run, RunEnd.DONE, "", 1_000)
+
+
+class OverdueLastingTest(TestCase):
+    def test_room_is_kept_ahead_of_urgent_tasks_once_it_is_overdue(self) -> None:
+        pool = make_pool(1)
+        (lasting,) = add_job(pool, 1, LESS, LARGE)
+        lose_runs(pool, [lasting])
+        fill(pool)
+        end_one_on_each(pool)
+        self.assertEqual(1, place(pool, OVERDUE_AT_S - 0.01))
+        for _ in range(2):
+            end_one_on_each(pool)
+            self.assertEqual(0, place(pool, OVERDUE_AT_S))
+        end_one_on_each(pool)
+        self.assertEqual(1, place(pool, OVERDUE_AT_S))
+        self.assertEqual(1, len(lasting.runs))
+
+    def test_task_that_never_ran_has_its_usual_turn(self) -> None:
+        pool = make_pool(1)
+        fill(pool)
+        add_job(pool, 1, LESS, LARGE)
+        end_one_on_each(pool)
+        self.assertEqual(1, place(pool, 10 * OVERDUE_AT_S))
+
+    def test_start_that_never_left_is_no_run(self) -> None:
+        pool = make_pool(1)
+        (lasting,) = add_job(pool, 1, LESS, LARGE)
+        place(pool, 0.0)
+        pool.forget_run(lasting.runs[0])
+        fill(pool)
+        end_one_on_each(pool)
+        self.assertEqual(1, place(pool, 10 * OVERDUE_AT_S))
+
+    def test_run_that_was_not_confirmed_does_not_begin_the_wait_anew(self) -> None:
+        pool = make_pool(1)
+        (lasting,) = add_job(pool, 1, LESS, LARGE)
+        lose_runs(pool, [lasting])
+        place(pool, HEARD_AT_S)
+        pool.hosts["h0"].reported_at_s = OVERDUE_AT_S
+        pool.end_run(lasting.runs[0], RunEnd.LAPSED, "", 1_000)
+        self.assertEqual(HEARD_AT_S, lasting.ran_until_s)
+
+    def test_those_longest_without_a_run_go_first_and_leave_half_of_the_hosts(self) -> None:
+        pool = make_pool(4)
+        tasks = [add_job(pool, number, LESS, LARGE)[0] for number in (1, 2, 3, 4)]
+        lose_runs(pool, tasks)
+        fill(pool)
+        end_one_on_each(pool)
+        self.assertEqual(2, place(pool, OVERDUE_AT_S + 10))
+        self.assertEqual({task.key for task in tasks[:2]}, pool.kept_hosts.keys())
+
+    def test_task_that_fits_nowhere_takes_no_turn_of_another(self) -> None:
+        pool = make_pool(2)
+        wide, other = (add_job(pool, number, LESS, LARGE)[0] for number in (1, 2))
+        lose_runs(pool, [wide, other])
+        wide.room = Resources(5000)
+        fill(pool)
+        end_one_on_each(pool)
+        self.assertEqual(1, place(pool, OVERDUE_AT_S + 10))
+        self.assertEqual({other.key}, pool.kept_hosts.keys())
+
+    def test_next_owner_takes_a_task_without_run_for_overdue(self) -> None:
+        before = make_pool(1)
+        (lasting,) = add_job(before, 1, LESS, LARGE)
+        lose_runs(before, [lasting])
+        job = before.jobs[LASTING_ID]
+        progress = decode_progress(encode_progress(job))
+        pool = make_pool(1)
+        fill(pool)
+        pool.open_due(pool.add_job(job.spec, LESS, 1, 0.0, progress), 1_000)
+        end_one_on_each(pool)
+        self.assertEqual(0, place(pool, HEARD_AT_S))
+        self.assertEqual({lasting.key}, pool.kept_hosts.keys())
