A gang that lasts and is overdue keeps a host for each of its members

Cause: room was kept for single tasks only; the members of a gang need theirs at once, which a full pool never has. Change: where a lasting gang that ran before has not for 4 s and does not fit, the hosts on which it will fit once what ends there has ended get no other work; none where one of its runs is left. A gang begins whole, so its hosts may be more than the half that is kept ahead of other tasks. Ruled out: keeping hosts for a gang that never ran (it would take hosts from work that had them, and no bound asks for it); choosing the hosts that lack least (members share hosts and racks, which the choice of hosts for a gang already weighs; the same hosts come out of it at each look). A look tries each such gang once more; nothing for pools without one. Left: a gang that never ran waits in a full pool as before.

--- a/src/robinthread/_internal/jobs/gangs.py
+++ b/src/robinthread/_internal/jobs/gangs.py
@@ -1,13 +1,14 @@
 """Placing a gang: tasks of a step that work only as a group."""
 
 from collections import defaultdict
-from collections.abc import Collection, Iterable
+from collections.abc import Callable, Collection, Iterable
 
 from robinthread._internal.jobs.host import Host
 from robinthread._internal.jobs.job import Job
 from robinthread._internal.jobs.placement import count_step_runs, get_usable_hosts, may_run
 from robinthread._internal.jobs.pool_jobs import PoolJobs
 from robinthread._internal.jobs.task import Task
+from robinthread._internal.models.resources import Resources
 
 
 def place_gang(
@@ -19,8 +20,8 @@
     only when no run of an earlier try is left.
     """
     job = pool.jobs[task.key.job_id]
-    members = job.get_tasks(task.key.occurrence, task.key.step)
-    if not all(member.key in pool.waiting for member in members):
+    members = get_waiting_gang(pool, task)
+    if not members:
         return 0
     hosts = choose_gang_hosts(pool, job, members, now_s, kept)
     if not hosts:
@@ -33,15 +34,28 @@
     return len(members)
 
 
+def get_waiting_gang(pool: PoolJobs, task: Task) -> list[Task]:
+    """Return all members of a task's gang, or none where not all of them wait."""
+    members = pool.jobs[task.key.job_id].get_tasks(task.key.occurrence, task.key.step)
+    return members if all(member.key in pool.waiting for member in members) else []
+
+
+def _get_free(host: Host) -> Resources:
+    return host.free
+
+
 def choose_gang_hosts(
     pool: PoolJobs,
     job: Job,
     members: list[Task],
     now_s: float,
     kept: Collection[str] = frozenset(),
+    get_room: Callable[[Host], Resources] = _get_free,
 ) -> list[Host] | None:
     """Return a host for each member, or None where not all have room at once.
 
+    ``get_room`` tells what room of a host counts.
+
     One rack is taken where that is asked for and a rack has the room.
     """
     step = members[0].step
@@ -53,10 +67,10 @@
     if step.wants_one_rack:
         racks = _group_by_rack(usable)
         for rack in sorted(racks, key=lambda name: (name != step.near_rack, name)):
-            if chosen := _fill(members, racks[rack]):
+            if chosen := _fill(members, racks[rack], get_room):
                 return chosen
     near_first = sorted(usable, key=lambda host: (host.record.rack != step.near_rack, host.id))
-    return _fill(members, near_first)
+    return _fill(members, near_first, get_room)
 
 
 def _group_by_rack(hosts: Iterable[Host]) -> dict[str, list[Host]]:
@@ -66,9 +80,11 @@
     return racks
 
 
-def _fill(members: list[Task], hosts: list[Host]) -> list[Host] | None:
+def _fill(
+    members: list[Task], hosts: list[Host], get_room: Callable[[Host], Resources]
+) -> list[Host] | None:
     """Give each member the first host that still has room for it."""
-    free = {host.id: host.free for host in hosts}
+    free = {host.id: get_room(host) for host in hosts}
     counts = {host.id: count_step_runs(members[0], host) for host in hosts}
     chosen: list[Host] = []
     for member in members:
--- a/src/robinthread/_internal/jobs/room_keeping.py
+++ b/src/robinthread/_internal/jobs/room_keeping.py
@@ -10,6 +10,7 @@
 from itertools import takewhile
 from typing import Final
 
+from robinthread._internal.jobs.gangs import choose_gang_hosts, get_waiting_gang
 from robinthread._internal.jobs.host import Host
 from robinthread._internal.jobs.placement import may_carry_another, may_run
 from robinthread._internal.jobs.pool_jobs import PoolJobs
@@ -31,12 +32,14 @@
 class RoomKeeper:
     """The hosts that are kept for lasting tasks, in one look at all waiting tasks.
 
-    A task keeps the one that lacks least, of equal ones the one that it kept before.
+    A task keeps the one that lacks least, of equal ones the one that it kept before.  A gang
+    that is overdue keeps as many as all its members need.
     """
 
     def __init__(self, pool: PoolJobs, now_s: float) -> None:
         self._pool = pool
         self._now_s = now_s
+        self._ran_until_max_s = now_s - OVERDUE_S
         self._rooms: dict[str, Resources] = {}
         self._last_kept, pool.kept_hosts = pool.kept_hosts, {}
         self._in_vain: set[StepKey] = set()
@@ -51,12 +54,11 @@
         """
         if not self._pool.policy.keeps_room_for_lasting:
             return iter(())
-        ran_until_max_s = self._now_s - OVERDUE_S
         overdue = sorted(
             (
                 task
                 for task in self._pool.waiting.values()
-                if task.ran_until_s <= ran_until_max_s and task.step.is_lasting
+                if task.ran_until_s <= self._ran_until_max_s and task.step.is_lasting
             ),
             key=lambda task: (task.ran_until_s, task.key),
         )
@@ -89,6 +91,23 @@
         self._keep(task, host)
         hosts.remove(host)
 
+    def keep_for_gang(self, task: Task) -> None:
+        """Keep the hosts to which nothing is to go until a task's overdue gang fits there.
+
+        It begins whole or not at all, so it may keep more than the share that is kept ahead.
+        """
+        if not self._may_keep(task) or task.ran_until_s > self._ran_until_max_s:
+            return
+        members = get_waiting_gang(self._pool, task)
+        if not members:
+            return
+        job = self._pool.jobs[task.key.job_id]
+        hosts = choose_gang_hosts(
+            self._pool, job, members, self._now_s, self.kept, self._get_room_to_come
+        )
+        for member, host in zip(members, hosts or (), strict=False):
+            self._keep(member, host)
+
     def _may_keep(self, task: Task) -> bool:
         return task.step.is_lasting and self._pool.policy.keeps_room_for_lasting
 
--- a/src/robinthread/_internal/jobs/scheduling.py
+++ b/src/robinthread/_internal/jobs/scheduling.py
@@ -47,8 +47,13 @@
             keeper.keep_for(task, hosts)
             continue
         if task.step.is_gang:
-            placed += place_gang(pool, task, now_s, keeper.kept)
-            hosts[:] = [host for host in hosts if smallest.fits_in(host.free)]
+            begun_count = place_gang(pool, task, now_s, keeper.kept)
+            if not begun_count:
+                keeper.keep_for_gang(task)
+            placed += begun_count
+            hosts[:] = [
+                host for host in hosts if smallest.fits_in(host.free) and host.id not in keeper.kept
+            ]
             without_host.add(task.key.step_key)
             continue
         if last is not None and stays_best(task, *last):
--- a/tests/unit/test_overdue_lasting.py
+++ b/tests/unit/test_overdue_lasting.py
@@ -6,6 +6,7 @@
 from robinthread._internal.jobs.pool_jobs import PoolJobs
 from robinthread._internal.jobs.progress import decode_progress, encode_progress
 from robinthread._internal.jobs.room_keeping import OVERDUE_S
+from robinthread._internal.jobs.run import Run, RunPhase
 from robinthread._internal.jobs.scheduling import place_waiting
 from robinthread._internal.jobs.task import Task
 from robinthread._internal.models.host_report import RunEnd
@@ -19,6 +20,7 @@
 LESS = QueuePolicy("less", "", "", "pool", 1)
 SMALL = StepSpec(4, cpu_millicores=1000, estimate_ms=1000)
 LARGE = StepSpec(1, cpu_millicores=3000, is_lasting=True)
+GANG = StepSpec(2, cpu_millicores=3000, is_lasting=True, is_gang=True)
 # When the lasting tasks were last heard to run.
 HEARD_AT_S = 100.0
 OVERDUE_AT_S = HEARD_AT_S + OVERDUE_S
@@ -47,12 +49,20 @@
     return place_waiting(pool, now_s, 1_000)
 
 
-def lose_runs(pool: PoolJobs, tasks: list[Task]) -> None:
-    """Have lasting tasks run, each until a second after the one before it."""
+def begin(pool: PoolJobs, tasks: list[Task]) -> list[Run]:
+    """Place lasting tasks, and have their hosts confirm the runs; return these."""
     place(pool, 0.0)
-    for late_s, task in enumerate(tasks):
-        run = task.runs[0]
+    runs = [task.runs[0] for task in tasks]
+    for run in runs:
+        run.phase = RunPhase.SENDING
         pool.confirm_start(run, 1.0)
+    return runs
+
+
+def lose_runs(pool: PoolJobs, tasks: list[Task]) -> None:
+    """Have lasting tasks run, each until a second after the one before it."""
+    runs = begin(pool, tasks)
+    for late_s, run in enumerate(runs):
         pool.hosts[run.host_id].reported_at_s = HEARD_AT_S + late_s
         pool.end_run(run, RunEnd.LAPSED, "", 1_000)
 
@@ -143,3 +153,37 @@
         end_one_on_each(pool)
         self.assertEqual(0, place(pool, HEARD_AT_S))
         self.assertEqual({lasting.key}, pool.kept_hosts.keys())
+
+    def test_overdue_gang_keeps_a_host_for_each_member_that_fits_on_none_together(self) -> None:
+        pool = make_pool(3)
+        gang = add_job(pool, 1, LESS, GANG)
+        lose_runs(pool, gang)
+        fill(pool)
+        end_one_on_each(pool)
+        self.assertEqual(3, place(pool, OVERDUE_AT_S - 0.01))
+        for _ in range(2):
+            end_one_on_each(pool)
+            self.assertEqual(1, place(pool, OVERDUE_AT_S + 1))
+            self.assertEqual({task.key for task in gang}, pool.kept_hosts.keys())
+        end_one_on_each(pool)
+        self.assertEqual(3, place(pool, OVERDUE_AT_S + 1))
+        self.assertEqual([1, 1], [len(task.runs) for task in gang])
+
+    def test_no_host_is_kept_for_a_gang_that_never_ran(self) -> None:
+        pool = make_pool(2)
+        fill(pool)
+        add_job(pool, 1, LESS, GANG)
+        end_one_on_each(pool)
+        self.assertEqual(2, place(pool, 10 * OVERDUE_AT_S))
+
+    def test_no_host_is_kept_for_a_gang_of_which_a_run_is_left(self) -> None:
+        pool = make_pool(2)
+        gang = add_job(pool, 1, LESS, GANG)
+        first, _second = begin(pool, gang)
+        pool.end_run(first, RunEnd.LAPSED, "", 1_000)
+        for number in range(4):
+            add_job(pool, 100 + number, URGENT, SMALL)
+        self.assertEqual(5, place(pool, HEARD_AT_S))
+        end_one_on_each(pool)
+        self.assertEqual(2, place(pool, 10 * OVERDUE_AT_S))
+        self.assertEqual({}, pool.kept_hosts)
