Failing test: a living owner counts as gone before it could answer

Missing owners are asked in rounds of 0.25 s at least that wait for the slowest answer. An owner first missed while a round runs is asked in the next one only, yet counts as gone 0.25 s after it was first missed. The same follows where the asker's own loop stalls for 0.25 s: the time has passed, nobody was asked.

test_living_owner_that_is_missed_just_after_another_one_that_is_dead fails: an owner that answers in 0.1 s counts as gone. test_living_owner_alone passes.

--- /dev/null
+++ b/tests/functional/test_owners_asked_in_time.py
@@ -0,0 +1,58 @@
+"""An owner that is not listed is asked before it counts as gone."""
+
+import asyncio
+from collections.abc import Callable
+
+import msgspec
+from testtools import TestCase
+
+from robinthread._internal.durable.ownership import Member
+from robinthread._internal.node.owner_checks import MISSING_CONFIRM_S, OwnerChecks
+from robinthread._internal.node.peer_calls import PeerUnreachableError
+from robinthread._internal.node.peer_messages import StoreAnswer
+from tests.lib.virtual import run_virtual
+
+DEAD, LIVING = Member("dead", "life", "dead"), Member("living", "life", "living")
+# How long a living owner takes to answer, well below the time that it is given.
+ANSWER_S = 0.1
+LOOK_PERIOD_S = 0.01
+
+
+class _Peers:
+    """Peers of which one lives."""
+
+    async def ask(
+        self, address: str, question: msgspec.Struct, answer_type: type, timeout_s: float
+    ) -> StoreAnswer:
+        """Answer as the node that lives, or not in time."""
+        if address == DEAD.address:
+            await asyncio.sleep(timeout_s)
+            raise PeerUnreachableError(address)
+        await asyncio.sleep(ANSWER_S)
+        return StoreAnswer(True, 1, 0.0, True, LIVING.life)
+
+
+class OwnersAskedInTimeTest(TestCase):
+    def _check(self, miss: Callable[[OwnerChecks], float]) -> None:
+        """Have owners miss; the living one must never count as gone."""
+
+        async def work() -> None:
+            checks = OwnerChecks(_Peers())  # type: ignore[arg-type]
+            asking = asyncio.create_task(checks.run())
+            await asyncio.sleep(miss(checks))
+            for _look in range(200):
+                self.assertFalse(checks.is_gone(LIVING))
+                await asyncio.sleep(LOOK_PERIOD_S)
+            asking.cancel()
+
+        run_virtual(work())
+
+    def test_living_owner_alone(self) -> None:
+        self._check(lambda checks: 0.0)
+
+    def test_living_owner_that_is_missed_just_after_another_one_that_is_dead(self) -> None:
+        def miss(checks: OwnerChecks) -> float:
+            checks.is_gone(DEAD)
+            return MISSING_CONFIRM_S / 10
+
+        self._check(miss)
