An owner is gone only after it was asked and did not answer, each on its own clock

Cause: absences were confirmed by time alone. Missing owners were asked in rounds that wait for the slowest answer and last 0.25 s at least, so one first missed during a round was asked after it already counted as gone; and where the asker's own loop stalled for the 0.25 s, nobody had been asked, or the answer came and could not be read before the time-out.

Ruled out: a longer confirmation (it delays each takeover and does not end the race); a mean of the loop's lag (a stall of 0.3 s is 0.05 s of it when the ask ends); asks that are void whenever the loop is late (a node that always is would never take a pool).

Change: each missing owner has a task that asks at once and again each 0.25 s. It is gone once its absence is confirmed and the last ask since ended without a yes. Silence while the own loop ran more than 0.1 s late proves nothing, unless the loop was on time for as much as an answer may take less that; the next ask gets what was late on top. A refusal that comes before the time-out counts at once.

A dead owner is gone within 0.03 s of the confirmation as before.

Conclusion: no time added where the owner is dead and the asker's loop runs on time.

--- a/src/robinthread/_internal/node/owner_checks.py
+++ b/src/robinthread/_internal/node/owner_checks.py
@@ -2,6 +2,8 @@
 
 import asyncio
 from collections.abc import Iterable
+from dataclasses import dataclass
+from enum import Enum, auto
 from typing import Final
 
 from robinthread._internal.durable.ownership import Member
@@ -9,80 +11,139 @@
 from robinthread._internal.node.peer_messages import StoreAnswer, StoreQuestion
 
 # How long an owner must be missing from the members: while partitions pass from
-# one member to another, a living one may hold none for a moment.
+# one member to another, a living one may hold none for a moment.  It has as long to answer.
 MISSING_CONFIRM_S: Final = 0.25
 # How long the word of an owner counts that the store answers it.  It is asked again
 # meanwhile, once for each time that an answer may take.
 ANSWER_COUNTS_S: Final = 2 * MISSING_CONFIRM_S
+# By how much the own loop may run late while an answer is waited for, so that silence still
+# counts: what is left is three times the 50 ms that a peer needs that runs five times slower.
+LATE_MAX_S: Final = 0.1
+# How often it is looked whether the loop runs late: a stall below that is not seen.
+TICK_S: Final = 0.05
+
+
+class _Word(Enum):
+    """What came of asking an owner."""
+
+    LIVES = auto()
+    # It did not answer, or answered that the store does not.
+    IS_SILENT = auto()
+
+
+@dataclass
+class _Absence:
+    """An owner that is missing; ``word`` is the last one that was had since."""
+
+    since_s: float
+    word: _Word | None = None
+    lives_until_s: float = 0.0
 
 
 class OwnerChecks:
     """Owners that are missing from the members, and what they say themselves.
 
     The store lists only the members that hold a partition; one that lives may hold none.
-    An owner is gone that has been missing for a while and does not say that the store
-    answers it.  That is asked while the absence is confirmed, so it delays nothing.
+    An owner is gone that has been missing for a while, was asked since it is missing and
+    did not say that the store answers it.  Each is asked by itself while its absence is
+    confirmed, so that delays nothing.
     """
 
     def __init__(self, peers: PeerCalls) -> None:
         self._peers = peers
-        self._missing_since_s: dict[Member, float] = {}
-        self._lives_until_s: dict[Member, float] = {}
-        self._added = asyncio.Event()
+        self._absences: dict[Member, _Absence] = {}
+        self._added: asyncio.Queue[tuple[Member, _Absence]] = asyncio.Queue()
 
     @property
     def is_any_missing(self) -> bool:
         """Tell whether there are owners that are missing."""
-        return bool(self._missing_since_s)
+        return bool(self._absences)
 
     async def run(self) -> None:
         """Ask the owners that are missing until cancelled."""
-        loop = asyncio.get_running_loop()
-        while True:
-            await self._added.wait()
-            began_at_s = loop.time()
-            await asyncio.gather(*map(self._ask, list(self._missing_since_s)))
-            await asyncio.sleep(max(0.0, began_at_s + MISSING_CONFIRM_S - loop.time()))
-            if not self._missing_since_s:
-                self._added.clear()
+        async with asyncio.TaskGroup() as asking:
+            while True:
+                owner, absence = await self._added.get()
+                asking.create_task(self._keep_asking(owner, absence))
 
     def is_gone(self, owner: Member) -> bool:
         """Note that an owner is not listed, and tell whether it is gone."""
         now_s = asyncio.get_running_loop().time()
-        since_s = self._missing_since_s.setdefault(owner, now_s)
-        self._added.set()
-        lives = now_s < self._lives_until_s.get(owner, 0.0)
-        return now_s - since_s >= MISSING_CONFIRM_S and not lives
+        absence = self._absences.get(owner)
+        if absence is None:
+            absence = self._absences[owner] = _Absence(now_s)
+            self._added.put_nowait((owner, absence))
+        is_confirmed = now_s - absence.since_s >= MISSING_CONFIRM_S
+        lives = absence.word is not _Word.IS_SILENT or now_s < absence.lives_until_s
+        return is_confirmed and not lives
 
     def get_missing_s(self, owner: Member) -> float | None:
         """Return for how long an owner has been missing; None where it was listed."""
-        since_s = self._missing_since_s.get(owner)
-        return None if since_s is None else asyncio.get_running_loop().time() - since_s
+        absence = self._absences.get(owner)
+        return None if absence is None else asyncio.get_running_loop().time() - absence.since_s
 
     def note_listed(self, owner: Member) -> None:
         """Note that an owner is listed."""
-        self._missing_since_s.pop(owner, None)
+        self._absences.pop(owner, None)
 
     def keep_only(self, owners: Iterable[Member]) -> None:
         """Forget the members that own nothing any more."""
-        kept = set(owners)
-        for gone in self._missing_since_s.keys() - kept:
-            del self._missing_since_s[gone]
-        for gone in self._lives_until_s.keys() - kept:
-            del self._lives_until_s[gone]
+        for gone in self._absences.keys() - set(owners):
+            del self._absences[gone]
 
     def clear(self) -> None:
         """Forget all absences: the members have not been seen without a gap."""
-        self._missing_since_s.clear()
+        self._absences.clear()
 
-    async def _ask(self, owner: Member) -> None:
+    async def _keep_asking(self, owner: Member, absence: _Absence) -> None:
+        """Ask an owner time and again until it is not missing any more."""
         loop = asyncio.get_running_loop()
+        late_s = 0.0
+        while self._absences.get(owner) is absence:
+            began_at_s = loop.time()
+            # What the loop was late the last time is added: one that always is late must
+            # come to an end too.
+            word, late_s = await self._ask(owner, MISSING_CONFIRM_S + late_s)
+            absence.word = word or absence.word
+            if word is _Word.LIVES:
+                absence.lives_until_s = loop.time() + ANSWER_COUNTS_S
+            if word is not None:
+                await asyncio.sleep(max(0.0, began_at_s + MISSING_CONFIRM_S - loop.time()))
+
+    async def _ask(self, owner: Member, timeout_s: float) -> tuple[_Word | None, float]:
+        """Return what came of asking an owner, None for nothing, and how late the loop ran.
+
+        Nothing follows from an answer that did not come while the own loop could not read it.
+        """
+        loop = asyncio.get_running_loop()
+        began_at_s = loop.time()
+        asking = asyncio.ensure_future(
+            self._peers.ask(owner.address, StoreQuestion(), StoreAnswer, timeout_s)
+        )
+        late_s = await _measure_late_s(asking)
         try:
-            answer = await self._peers.ask(
-                owner.address, StoreQuestion(), StoreAnswer, MISSING_CONFIRM_S
-            )
+            return _read_answer(owner, asking.result()), late_s
         except PeerUnreachableError:
-            # It is taken as gone, as an owner is that answers and is no member.
-            return
-        if answer.is_member and answer.life == owner.life:
-            self._lives_until_s[owner] = loop.time() + ANSWER_COUNTS_S
+            took_s = loop.time() - began_at_s
+            was_told = took_s < timeout_s - TICK_S
+            was_on_time = took_s - late_s >= MISSING_CONFIRM_S - LATE_MAX_S
+            return _Word.IS_SILENT if was_told or was_on_time else None, late_s
+
+
+def _read_answer(owner: Member, answer: StoreAnswer) -> _Word:
+    lives = answer.is_member and answer.life == owner.life
+    return _Word.LIVES if lives else _Word.IS_SILENT
+
+
+async def _measure_late_s(work: asyncio.Future[StoreAnswer]) -> float:
+    """Wait for some work; return how late the loop came back to what was due meanwhile."""
+    loop = asyncio.get_running_loop()
+    late_s = 0.0
+    try:
+        while not work.done():
+            due_s = loop.time() + TICK_S
+            await asyncio.wait({work}, timeout=TICK_S)
+            late_s += max(0.0, loop.time() - due_s)
+    finally:
+        work.cancel()
+    return late_s
--- a/tests/lib/virtual.py
+++ b/tests/lib/virtual.py
@@ -21,6 +21,13 @@
         loop.close()
 
 
+def stall_loop(stall_s: float) -> None:
+    """Let time pass without any task being run, as work does that holds the loop."""
+    loop = asyncio.get_running_loop()
+    assert isinstance(loop, looptime.LoopTimeEventLoop)
+    loop.setup_looptime(start=loop.time() + stall_s, end=VIRTUAL_LIMIT_S, noop_cycles=0)
+
+
 def _cancel_all(loop: asyncio.AbstractEventLoop) -> None:
     tasks = asyncio.all_tasks(loop)
     for task in tasks:
--- /dev/null
+++ b/tests/unit/test_owner_checks.py
@@ -0,0 +1,126 @@
+"""Owners that are not listed, and what follows from what they answer or do not."""
+
+import asyncio
+from collections.abc import Callable
+
+import msgspec
+from testtools import TestCase
+
+from robinthread._internal.durable.ownership import Member
+from robinthread._internal.node.owner_checks import MISSING_CONFIRM_S, OwnerChecks
+from robinthread._internal.node.peer_calls import PeerUnreachableError
+from robinthread._internal.node.peer_messages import StoreAnswer
+from tests.lib.virtual import run_virtual, stall_loop
+
+OWNER = Member("owner", "life", "owner")
+LIVING = StoreAnswer(True, 1, 0.0, True, OWNER.life)
+# How long a living owner takes to answer.
+ANSWER_S = 0.01
+# As long as a new node's loop may be held by what it loads, and more.
+STALL_S = 0.3
+LOOK_PERIOD_S = 0.01
+WATCH_S = 2.0
+# How much later than the absence is confirmed an owner may count as gone: a look or two.
+SLACK_S = 0.03
+
+
+class _Peers:
+    """A peer that answers in time, or none."""
+
+    def __init__(self, answer: StoreAnswer | None, refuses: bool = False) -> None:
+        self.asked_count = 0
+        self.answer = answer
+        self._refuses = refuses
+
+    async def ask(
+        self, address: str, question: msgspec.Struct, answer_type: type, timeout_s: float
+    ) -> StoreAnswer:
+        """Answer, but not to one whose time-out has passed when it could read that."""
+        self.asked_count += 1
+        began_at_s = asyncio.get_running_loop().time()
+        answers_in_time = self.answer is not None or self._refuses
+        await asyncio.sleep(ANSWER_S if answers_in_time else timeout_s)
+        took_s = asyncio.get_running_loop().time() - began_at_s
+        if self.answer is None or took_s >= timeout_s:
+            raise PeerUnreachableError(address)
+        return self.answer
+
+
+def watch(peers: _Peers, hinder: Callable[[float], None] = lambda at_s: None) -> float | None:
+    """Miss the owner; return when it counted as gone, None for not at all.
+
+    ``hinder`` is called before each look.
+    """
+
+    async def work() -> float | None:
+        loop = asyncio.get_running_loop()
+        checks = OwnerChecks(peers)  # type: ignore[arg-type]
+        asking = asyncio.create_task(checks.run())
+        began_at_s = loop.time()
+        while (at_s := loop.time() - began_at_s) < WATCH_S:
+            hinder(at_s)
+            if checks.is_gone(OWNER):
+                return loop.time() - began_at_s
+            await asyncio.sleep(LOOK_PERIOD_S)
+        asking.cancel()
+        return None
+
+    return run_virtual(work())
+
+
+def stall_at(*moments_s: float) -> Callable[[float], None]:
+    """Stall the loop once at each of some moments."""
+    left = list(moments_s)
+
+    def stall(at_s: float) -> None:
+        if left and at_s >= left[0]:
+            left.pop(0)
+            stall_loop(STALL_S)
+
+    return stall
+
+
+class OwnerChecksTest(TestCase):
+    def _check_gone(self, gone_at_s: float | None, limit_s: float) -> None:
+        assert gone_at_s is not None
+        self.assertTrue(MISSING_CONFIRM_S <= gone_at_s <= limit_s, gone_at_s)
+
+    def test_owner_that_does_not_answer_is_gone_once_its_absence_is_confirmed(self) -> None:
+        self._check_gone(watch(_Peers(None)), MISSING_CONFIRM_S + SLACK_S)
+
+    def test_owner_that_refuses_is_gone_once_its_absence_is_confirmed(self) -> None:
+        self._check_gone(watch(_Peers(None, refuses=True)), MISSING_CONFIRM_S + SLACK_S)
+
+    def test_owner_that_the_store_does_not_hear_is_gone(self) -> None:
+        unheard = msgspec.structs.replace(LIVING, is_member=False)
+        self._check_gone(watch(_Peers(unheard)), MISSING_CONFIRM_S + SLACK_S)
+
+    def test_living_owner_stays_whenever_the_loop_of_who_asks_stalls(self) -> None:
+        for number in range(30):
+            moments_s = (0.02 * number, 0.02 * number + STALL_S + 0.05)
+            self.assertIsNone(watch(_Peers(LIVING), stall_at(*moments_s)), str(moments_s))
+
+    def test_dead_owner_is_gone_soon_after_a_stall(self) -> None:
+        for number in range(30):
+            gone_at_s = watch(_Peers(None), stall_at(0.02 * number))
+            # One ask that proves nothing, and one that has the time of the stall added.
+            self._check_gone(gone_at_s, 2 * MISSING_CONFIRM_S + 2 * STALL_S + SLACK_S)
+
+    def test_dead_owner_is_gone_also_where_the_loop_always_runs_late(self) -> None:
+        for is_refused in (False, True):
+            gone_at_s = watch(_Peers(None, is_refused), lambda at_s: stall_loop(STALL_S / 3))
+            self._check_gone(gone_at_s, WATCH_S)
+
+    def test_owner_that_dies_after_it_was_asked_is_gone_soon(self) -> None:
+        peers = _Peers(LIVING)
+
+        def die(at_s: float) -> None:
+            if at_s >= 1.0:
+                peers.answer = None
+
+        self._check_gone(watch(peers, die), 1.0 + 3 * MISSING_CONFIRM_S)
+
+    def test_living_owner_is_asked_once_in_the_time_that_an_answer_may_take(self) -> None:
+        peers = _Peers(LIVING)
+        watch(peers)
+        self.assertLessEqual(peers.asked_count, WATCH_S / MISSING_CONFIRM_S + 1)
