A pool is not taken from a new life of its owner's node while the former one is listed

Cause: that a node "has begun another life" was read from the list of members, by the node's name alone. A life that was killed is listed for its time to live, so the shortcut took the former life for the next one, and the pool from the living one without asking it.

Ruled out: comparing lives in the list (their order is not known: a life is a random word); giving the shortcut up without more (a node whose owner's node answers in another life would wait for the confirmation).

Change: the shortcut is kept for the own node's former life only. Other owners are asked; another life that answers at an owner's address proves that the owner's process has ended, and the pool is free at once. An answer without a life (older versions) proves nothing, nor does a refused connection: that one counts as silence once the absence is confirmed.

--- a/src/robinthread/_internal/node/election.py
+++ b/src/robinthread/_internal/node/election.py
@@ -54,6 +54,11 @@
         previous = self._table.previous.get(pool)
         return None if previous is None else self._checks.get_missing_s(previous.owner)
 
+    def has_ended(self, pool: str) -> bool:
+        """Tell whether another life answers where a pool's last owner was."""
+        previous = self._table.previous.get(pool)
+        return previous is not None and self._checks.has_ended(previous.owner)
+
     def get_pools_to_take(self) -> list[str]:
         """Return the pools that have no living owner and that this node is to take."""
         config = self._config_holder.config
@@ -112,8 +117,9 @@
         if owner in members or owner == self._me:
             self._checks.note_listed(owner)
             return False
-        if any(member.node == owner.node for member in members | {self._me}):
-            # The same node has begun another life, so the old one has ended.
+        if owner.node == self._me.node:
+            # This node has begun another life, so the old one has ended.  Of another node
+            # the list does not tell: the life that it names may be the former one.
             return True
         if self._checks.get_missing_s(owner) is None:
             self._note_missing(pool, owner)
--- a/src/robinthread/_internal/node/handover.py
+++ b/src/robinthread/_internal/node/handover.py
@@ -114,11 +114,10 @@
             return "passed on"
         if previous.owner.node == self._me.node:
             return "former life"
+        if self._election.has_ended(pool):
+            return "owner began another life"
         missing_s = self._election.get_missing_s(pool)
-        if missing_s is not None:
-            return f"owner missing for {missing_s:.2f} s"
-        is_back = any(member.node == previous.owner.node for member in self._member.members)
-        return "owner began another life" if is_back else "owner missing"
+        return "owner missing" if missing_s is None else f"owner missing for {missing_s:.2f} s"
 
     def answer_store(self) -> StoreAnswer:
         """Tell whether the store serves this node."""
--- a/src/robinthread/_internal/node/owner_checks.py
+++ b/src/robinthread/_internal/node/owner_checks.py
@@ -29,6 +29,8 @@
     LIVES = auto()
     # It did not answer, or answered that the store does not.
     IS_SILENT = auto()
+    # Another process has its address.
+    HAS_ENDED = auto()
 
 
 @dataclass
@@ -46,7 +48,7 @@
     The store lists only the members that hold a partition; one that lives may hold none.
     An owner is gone that has been missing for a while, was asked since it is missing and
     did not say that the store answers it.  Each is asked by itself while its absence is
-    confirmed, so that delays nothing.
+    confirmed, so that delays nothing.  Where another life answers, it is gone at once.
     """
 
     def __init__(self, peers: PeerCalls) -> None:
@@ -73,9 +75,14 @@
         if absence is None:
             absence = self._absences[owner] = _Absence(now_s)
             self._added.put_nowait((owner, absence))
-        is_confirmed = now_s - absence.since_s >= MISSING_CONFIRM_S
-        lives = absence.word is not _Word.IS_SILENT or now_s < absence.lives_until_s
-        return is_confirmed and not lives
+        if absence.word is not _Word.IS_SILENT:
+            return absence.word is _Word.HAS_ENDED
+        return now_s - absence.since_s >= MISSING_CONFIRM_S and now_s >= absence.lives_until_s
+
+    def has_ended(self, owner: Member) -> bool:
+        """Tell whether another life answers where an owner was that is missing."""
+        absence = self._absences.get(owner)
+        return absence is not None and absence.word is _Word.HAS_ENDED
 
     def get_missing_s(self, owner: Member) -> float | None:
         """Return for how long an owner has been missing; None where it was listed."""
@@ -96,10 +103,10 @@
         self._absences.clear()
 
     async def _keep_asking(self, owner: Member, absence: _Absence) -> None:
-        """Ask an owner time and again until it is not missing any more."""
+        """Ask an owner time and again until it is not missing any more, or has ended."""
         loop = asyncio.get_running_loop()
         late_s = 0.0
-        while self._absences.get(owner) is absence:
+        while self._absences.get(owner) is absence and absence.word is not _Word.HAS_ENDED:
             began_at_s = loop.time()
             # What the loop was late the last time is added: one that always is late must
             # come to an end too.
@@ -131,8 +138,10 @@
 
 
 def _read_answer(owner: Member, answer: StoreAnswer) -> _Word:
-    lives = answer.is_member and answer.life == owner.life
-    return _Word.LIVES if lives else _Word.IS_SILENT
+    # A node of an older version does not tell its life.
+    if answer.life and answer.life != owner.life:
+        return _Word.HAS_ENDED
+    return _Word.LIVES if answer.life and answer.is_member else _Word.IS_SILENT
 
 
 async def _measure_late_s(work: asyncio.Future[StoreAnswer]) -> float:
--- a/tests/unit/test_owner_checks.py
+++ b/tests/unit/test_owner_checks.py
@@ -95,6 +95,16 @@
         unheard = msgspec.structs.replace(LIVING, is_member=False)
         self._check_gone(watch(_Peers(unheard)), MISSING_CONFIRM_S + SLACK_S)
 
+    def test_owner_is_gone_at_once_where_another_life_answers(self) -> None:
+        gone_at_s = watch(_Peers(msgspec.structs.replace(LIVING, life="next")))
+        assert gone_at_s is not None
+        self.assertLess(gone_at_s, ANSWER_S + SLACK_S)
+
+    def test_answer_that_tells_no_life_is_no_proof_that_the_owner_has_ended(self) -> None:
+        self._check_gone(
+            watch(_Peers(msgspec.structs.replace(LIVING, life=""))), MISSING_CONFIRM_S + SLACK_S
+        )
+
     def test_living_owner_stays_whenever_the_loop_of_who_asks_stalls(self) -> None:
         for number in range(30):
             moments_s = (0.02 * number, 0.02 * number + STALL_S + 0.05)
