A missing owner is asked first by the few nodes that would take its pools

Cause: whoever misses an owner asks it and lists the members, whether or not it would take anything.

Ruled out: asking by the one node that is to take alone (what it has not asked yet, it would have to ask after each take of others, and members lists may differ); an order of the nodes by hash alone (the one to take a pool is chosen by load for its capacity and need not be among the first).

Change: all pools without a listed owner are dealt in one order, whatever is known of their owners, so that all nodes that see the same members come to the same. The first three of a pool's order ask at once and each 0.25 s; each further three ask, and list the members, a second later and that much more rarely. A node that becomes one of the first asks at once. As words now may be old, silence counts for 0.5 s like a yes does. Pools of a missing owner that lives count as a load of the one that would take them while that lasts.

--- a/src/robinthread/_internal/node/election.py
+++ b/src/robinthread/_internal/node/election.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from collections import Counter
-from collections.abc import Collection, Mapping
+from collections.abc import Collection, Iterable, Mapping, Sequence
 from typing import Final
 
 from robinthread._internal.durable.ownership import Member, OwnerTable
@@ -77,27 +77,53 @@
             for pool in self._table.owners
             if (found := self._table.get(pool)) is not None and found.owner in living
         )
-        pools = []
-        for pool in filter(self._is_free, wanted):
+        orders = self._deal(filter(self._may_be_free, wanted), living, loads)
+        gone = self._find_gone(orders)
+        return [
+            pool
+            for pool, order in orders.items()
+            if order[0] == self._me and self._is_free(pool, gone)
+        ]
+
+    def _deal(
+        self, pools: Iterable[str], living: Collection[Member], loads: Counter[Member]
+    ) -> dict[str, list[Member]]:
+        """Order, for each pool, the members that may take it, the one that is to do so first.
+
+        All that see the same members come to the same, whatever they know of the owners.
+        """
+        orders = {}
+        for pool in pools:
             # One that gave the pool back is stopping, or could not serve it.
             released = self._table.owners.get(pool)
-            candidates = living - {released.owner} if released is not None else living
-            best = self._choose_owner(pool, candidates or living, loads)
-            loads[best] += 1
-            if best == self._me:
-                pools.append(pool)
-        return pools
-
-    def _choose_owner(
+            candidates = set(living) - {released.owner} if released is not None else living
+            orders[pool] = self._order_members(pool, candidates or living, loads)
+            loads[orders[pool][0]] += 1
+        return orders
+
+    def _order_members(
         self, pool: str, members: Collection[Member], loads: Mapping[Member, int]
-    ) -> Member:
-        """Return the member that would have the least load for its capacity with the pool."""
+    ) -> list[Member]:
+        """Order members by the load that each would have for its capacity with the pool."""
 
         def rank(member: Member) -> tuple[float, bytes]:
             capacity = member.capacity_millicores if self._policy.weighs_capacity else 1
             return (loads[member] + 1) / capacity, get_rendezvous_weight(pool, member.node)
 
-        return min(sorted(members), key=rank)
+        return sorted(sorted(members), key=rank)
+
+    def _find_gone(self, orders: Mapping[str, Sequence[Member]]) -> frozenset[Member]:
+        """Note the owners that are missing, and return those that are gone."""
+        ranks: dict[Member, int] = {}
+        for pool, order in orders.items():
+            found = self._table.get(pool)
+            if found is not None and found.owner.node != self._me.node:
+                rank = order.index(self._me) if self._me in order else len(order)
+                if found.owner not in ranks and self._checks.get_missing_s(found.owner) is None:
+                    self._note_missing(pool, found.owner)
+                ranks[found.owner] = min(rank, ranks.get(found.owner, rank))
+        is_gone = self._checks.is_gone
+        return frozenset(owner for owner, rank in ranks.items() if is_gone(owner, rank))
 
     def _get_former_pools(self) -> list[str]:
         """Return the pools of this node's former life: that one has surely ended."""
@@ -109,21 +135,22 @@
             and found.owner != self._me
         ]
 
-    def _is_free(self, pool: str) -> bool:
+    def _may_be_free(self, pool: str) -> bool:
+        """Tell whether no member that is listed owns a pool."""
         found = self._table.get(pool)
         if found is None:
             return True
-        owner, members = found.owner, self._member.members
-        if owner in members or owner == self._me:
-            self._checks.note_listed(owner)
+        if found.owner in self._member.members or found.owner == self._me:
+            self._checks.note_listed(found.owner)
             return False
-        if owner.node == self._me.node:
-            # This node has begun another life, so the old one has ended.  Of another node
-            # the list does not tell: the life that it names may be the former one.
-            return True
-        if self._checks.get_missing_s(owner) is None:
-            self._note_missing(pool, owner)
-        return self._checks.is_gone(owner)
+        return True
+
+    def _is_free(self, pool: str, gone: Collection[Member]) -> bool:
+        """Tell whether a pool, whose owner is not listed, has none any more."""
+        found = self._table.get(pool)
+        # This node has begun another life, so the old one has ended.  Of another node the
+        # list does not tell: the life that it names may be the former one.
+        return found is None or found.owner.node == self._me.node or found.owner in gone
 
     def _note_missing(self, pool: str, owner: Member) -> None:
         now_s = asyncio.get_running_loop().time()
--- a/src/robinthread/_internal/node/group_member.py
+++ b/src/robinthread/_internal/node/group_member.py
@@ -168,7 +168,7 @@
         self._topic_joined_at_s = min(self._topic_joined_at_s, now_s)
         is_changed = membership.generation != self.generation
         self.generation = membership.generation
-        if is_changed or not self.is_listed or self._checks.is_any_missing:
+        if is_changed or not self.is_listed or self._checks.is_list_due(self.listed_at_s):
             self._wants_list.set()
 
     def _note_pace(self, began_at_s: float) -> None:
--- a/src/robinthread/_internal/node/owner_checks.py
+++ b/src/robinthread/_internal/node/owner_checks.py
@@ -21,6 +21,13 @@
 LATE_MAX_S: Final = 0.1
 # How often it is looked whether the loop runs late: a stall below that is not seen.
 TICK_S: Final = 0.05
+# So many nodes ask at once whether a missing owner lives, those that would take its pool
+# first: one is to take it, and nodes may differ in whom they see.  With all of 37 asking, a
+# living owner was asked 144 times a second, and the members were listed 122 times.
+FIRST_ASKERS: Final = 3
+# Each further such number of nodes asks so much later and more rarely, in case that those
+# before it do not know of each other: a takeover takes some 2 s, so half of that.
+FOLLOW_S: Final = 1.0
 
 
 class _Word(Enum):
@@ -35,12 +42,28 @@
 
 @dataclass
 class _Absence:
-    """An owner that is missing; ``word`` is the last one that was had since."""
+    """An owner that is missing; ``word`` is the last one that was had since.
+
+    ``patience_s`` is how much longer than the first ones this node waits before it asks.
+    """
 
     since_s: float
+    patience_s: float = 0.0
     word: _Word | None = None
+    heard_at_s: float = 0.0
     lives_until_s: float = 0.0
 
+    def note(self, word: _Word, now_s: float) -> None:
+        """Note what came of asking the owner."""
+        self.word, self.heard_at_s = word, now_s
+        if word is _Word.LIVES:
+            self.lives_until_s = now_s + ANSWER_COUNTS_S
+
+    def is_silent(self, now_s: float) -> bool:
+        """Tell whether the owner was asked of late and did not say that it lives."""
+        is_recent = now_s - self.heard_at_s < ANSWER_COUNTS_S
+        return self.word is _Word.IS_SILENT and is_recent and now_s >= self.lives_until_s
+
 
 class OwnerChecks:
     """Owners that are missing from the members, and what they say themselves.
@@ -56,10 +79,10 @@
         self._absences: dict[Member, _Absence] = {}
         self._added: asyncio.Queue[tuple[Member, _Absence]] = asyncio.Queue()
 
-    @property
-    def is_any_missing(self) -> bool:
-        """Tell whether there are owners that are missing."""
-        return bool(self._absences)
+    def is_list_due(self, listed_at_s: float) -> bool:
+        """Tell whether members listed last at a moment are to be listed for missing owners."""
+        listed_for_s = asyncio.get_running_loop().time() - listed_at_s
+        return any(listed_for_s >= absence.patience_s for absence in self._absences.values())
 
     async def run(self) -> None:
         """Ask the owners that are missing until cancelled."""
@@ -68,16 +91,20 @@
                 owner, absence = await self._added.get()
                 asking.create_task(self._keep_asking(owner, absence))
 
-    def is_gone(self, owner: Member) -> bool:
-        """Note that an owner is not listed, and tell whether it is gone."""
+    def is_gone(self, owner: Member, rank: int = 0) -> bool:
+        """Note that an owner is not listed, and tell whether it is gone.
+
+        ``rank`` counts the nodes that would take a pool of it before this one.
+        """
         now_s = asyncio.get_running_loop().time()
         absence = self._absences.get(owner)
         if absence is None:
             absence = self._absences[owner] = _Absence(now_s)
             self._added.put_nowait((owner, absence))
-        if absence.word is not _Word.IS_SILENT:
-            return absence.word is _Word.HAS_ENDED
-        return now_s - absence.since_s >= MISSING_CONFIRM_S and now_s >= absence.lives_until_s
+        absence.patience_s = rank // FIRST_ASKERS * FOLLOW_S
+        if absence.word is _Word.HAS_ENDED:
+            return True
+        return now_s - absence.since_s >= MISSING_CONFIRM_S and absence.is_silent(now_s)
 
     def has_ended(self, owner: Member) -> bool:
         """Tell whether another life answers where an owner was that is missing."""
@@ -105,16 +132,18 @@
     async def _keep_asking(self, owner: Member, absence: _Absence) -> None:
         """Ask an owner time and again until it is not missing any more, or has ended."""
         loop = asyncio.get_running_loop()
-        late_s = 0.0
+        late_s, from_s = 0.0, absence.since_s
         while self._absences.get(owner) is absence and absence.word is not _Word.HAS_ENDED:
-            began_at_s = loop.time()
+            # The patience may change meanwhile.
+            if loop.time() < from_s + absence.patience_s:
+                await asyncio.sleep(TICK_S)
+                continue
+            began_at_s = from_s = loop.time()
             # What the loop was late the last time is added: one that always is late must
             # come to an end too.
             word, late_s = await self._ask(owner, MISSING_CONFIRM_S + late_s)
-            absence.word = word or absence.word
-            if word is _Word.LIVES:
-                absence.lives_until_s = loop.time() + ANSWER_COUNTS_S
             if word is not None:
+                absence.note(word, loop.time())
                 await asyncio.sleep(max(0.0, began_at_s + MISSING_CONFIRM_S - loop.time()))
 
     async def _ask(self, owner: Member, timeout_s: float) -> tuple[_Word | None, float]:
--- a/tests/unit/test_owner_checks.py
+++ b/tests/unit/test_owner_checks.py
@@ -7,7 +7,12 @@
 from testtools import TestCase
 
 from robinthread._internal.durable.ownership import Member
-from robinthread._internal.node.owner_checks import MISSING_CONFIRM_S, OwnerChecks
+from robinthread._internal.node.owner_checks import (
+    FIRST_ASKERS,
+    FOLLOW_S,
+    MISSING_CONFIRM_S,
+    OwnerChecks,
+)
 from robinthread._internal.node.peer_calls import PeerUnreachableError
 from robinthread._internal.node.peer_messages import StoreAnswer
 from tests.lib.virtual import run_virtual, stall_loop
@@ -46,8 +51,13 @@
         return self.answer
 
 
-def watch(peers: _Peers, hinder: Callable[[float], None] = lambda at_s: None) -> float | None:
-    """Miss the owner; return when it counted as gone, None for not at all.
+def watch(
+    peers: _Peers,
+    hinder: Callable[[float], None] = lambda at_s: None,
+    get_rank: Callable[[float], int] = lambda at_s: 0,
+    from_s: float = 0.0,
+) -> float | None:
+    """Miss the owner; return when it counted as gone, from a moment on, None for not at all.
 
     ``hinder`` is called before each look.
     """
@@ -59,7 +69,7 @@
         began_at_s = loop.time()
         while (at_s := loop.time() - began_at_s) < WATCH_S:
             hinder(at_s)
-            if checks.is_gone(OWNER):
+            if checks.is_gone(OWNER, get_rank(at_s)) and at_s >= from_s:
                 return loop.time() - began_at_s
             await asyncio.sleep(LOOK_PERIOD_S)
         asking.cancel()
@@ -134,3 +144,33 @@
         peers = _Peers(LIVING)
         watch(peers)
         self.assertLessEqual(peers.asked_count, WATCH_S / MISSING_CONFIRM_S + 1)
+
+    def test_node_that_is_not_among_the_first_to_take_asks_later(self) -> None:
+        peers = _Peers(LIVING)
+        self.assertIsNone(watch(peers, get_rank=lambda at_s: FIRST_ASKERS))
+        self.assertLessEqual(peers.asked_count, WATCH_S / FOLLOW_S)
+        gone_at_s = watch(_Peers(None), get_rank=lambda at_s: FIRST_ASKERS)
+        self._check_gone(gone_at_s, FOLLOW_S + MISSING_CONFIRM_S + 2 * SLACK_S)
+
+    def test_node_that_becomes_the_first_to_take_asks_at_once(self) -> None:
+        change_at_s = FOLLOW_S / 2
+        gone_at_s = watch(
+            _Peers(None), get_rank=lambda at_s: FIRST_ASKERS if at_s < change_at_s else 0
+        )
+        self._check_gone(gone_at_s, change_at_s + MISSING_CONFIRM_S + 3 * SLACK_S)
+
+    def test_node_that_becomes_the_first_to_take_does_not_go_by_what_it_heard_long_ago(
+        self,
+    ) -> None:
+        peers = _Peers(None)
+        first_at_s = FOLLOW_S + 3 * MISSING_CONFIRM_S + 2 * SLACK_S
+
+        def come_back(at_s: float) -> None:
+            if at_s >= FOLLOW_S + MISSING_CONFIRM_S + SLACK_S:
+                peers.answer = LIVING
+
+        def get_rank(at_s: float) -> int:
+            return FIRST_ASKERS if at_s < first_at_s else 0
+
+        self.assertIsNone(watch(peers, come_back, get_rank, first_at_s))
+        self.assertGreater(peers.asked_count, 1)
