An owner records once that all leases of earlier owners have lapsed

Class: a bound counted from the wrong moment. Why that is safe: only the owner of the moment can write there, and it has waited for all that the next one would wait for. A record that is missing leaves things as they were. Ruled out: the time of day in the record of earlier owners; clocks differ, and step. Dropping the list at a restart; owners that are cut off live through it.

--- a/src/robinthread/_internal/node/pool_owner.py
+++ b/src/robinthread/_internal/node/pool_owner.py
@@ -5,6 +5,7 @@
 
 from robinthread._internal.durable.job_index import IndexedJob
 from robinthread._internal.durable.journal import Journal
+from robinthread._internal.durable.settled_record import make_settled_record
 from robinthread._internal.durable.store import Partition
 from robinthread._internal.fleet.pool_report import FleetQuestion, PoolReport
 from robinthread._internal.jobs.demand import DemandMeter
@@ -118,7 +119,7 @@
         orphans = list(self._progress.values())
         self._progress.clear()
         self._runtime.spawn(self._retention.drop_orphans(orphans))
-        self._runtime.spawn(self._predecessors.watch(self.jobs, self._events))
+        self._runtime.spawn(self._settle_predecessors())
         self._runtime.spawn(self._retention.run())
         self._runtime.spawn(self._advice_taker.run())
         self._runtime.spawn(self._recorder.run())
@@ -188,14 +189,23 @@
         # From here on no older owner is confirmed any more.
         self._predecessors.note_shut_out(get_loop_s(), self.jobs.foreign_leases)
         reading = load_progress(self._context.store, self._partition, self.pool, self._events)
-        progress, _ = await asyncio.gather(
+        loaded, _ = await asyncio.gather(
             self.opening.time("progress", reading),
             # The last owner may have taken jobs in, and recorded them, until now.
             self._context.read_inbox_to_end(),
         )
-        self._progress.update(progress)
+        self._predecessors.drop_settled(loaded.settled_before_token)
+        self._progress.update(loaded.jobs)
         self._progress_count = len(self._progress)
 
+    async def _settle_predecessors(self) -> None:
+        """Record once that all that earlier owners granted has lapsed, where there were any."""
+        if self._predecessors.is_empty:
+            return
+        await self._predecessors.watch(self.jobs, self._events)
+        await asyncio.sleep(max(0.0, self.jobs.foreign_leases.over_at_s - get_loop_s()))
+        await self._journal.write([make_settled_record(self.pool, self.token)])
+
     def _take_job(self, indexed: IndexedJob) -> None:
         """Take in a job that is new or newly cancelled."""
         spec = indexed.spec
--- a/src/robinthread/_internal/node/predecessors.py
+++ b/src/robinthread/_internal/node/predecessors.py
@@ -51,6 +51,24 @@
         }
         self._update()
 
+    @property
+    def is_empty(self) -> bool:
+        """Tell whether there is no earlier owner that may have granted leases."""
+        return not self._grants_until_s
+
+    def drop_settled(self, before_token: int) -> None:
+        """Forget owners with a lower token: a later one saw all their leases lapse.
+
+        The store does not tell how long ago an owner was replaced, so a process that begins
+        anew would count each from its own start, for up to a minute after it was lost.
+        """
+        self._grants_until_s = {
+            lost: until_s
+            for lost, until_s in self._grants_until_s.items()
+            if lost.token >= before_token
+        }
+        self._update()
+
     async def watch(self, jobs: PoolJobs, events: EventLog) -> None:
         """Ask earlier owners whether they have stopped, while tasks wait for that."""
         while running := self._list_running():
--- a/src/robinthread/_internal/node/progress_loader.py
+++ b/src/robinthread/_internal/node/progress_loader.py
@@ -1,13 +1,15 @@
 """Loading what earlier owners of a pool recorded of its jobs."""
 
 import asyncio
+from dataclasses import dataclass, field
 from typing import Final
 
 import msgspec
 
 from robinthread._internal.durable.errors import StoreError, StoreFencedError
 from robinthread._internal.durable.newest_reader import NewestReader
-from robinthread._internal.durable.store import NewestRecords, Partition, Store
+from robinthread._internal.durable.settled_record import KEY_PREFIX, parse_settled_record
+from robinthread._internal.durable.store import KeyedRecord, NewestRecords, Partition, Store
 from robinthread._internal.jobs.progress import JobProgress, decode_progress
 from robinthread._internal.telemetry.event_log import EventLog
 
@@ -15,22 +17,37 @@
 RETRY_PAUSE_S: Final = 0.1
 
 
+@dataclass(frozen=True)
+class LoadedProgress:
+    """The progress of each job by id, and below which token owners' leases have lapsed."""
+
+    jobs: dict[str, JobProgress] = field(default_factory=dict)
+    settled_before_token: int = 0
+
+
 async def load_progress(
     store: Store, partition: Partition, pool: str, events: EventLog
-) -> dict[str, JobProgress]:
-    """Return the progress of each job by id, trying until the store has told all of it."""
+) -> LoadedProgress:
+    """Return what is recorded, trying until the store has told all of it."""
     records = (await _read_all(store, partition, pool, events)).records
     found: dict[str, JobProgress] = {}
+    settled_before_token = 0
     for record in records:
         if record.value is None:
             continue
         try:
-            progress = decode_progress(record.value)
+            if record.key == KEY_PREFIX + pool:
+                settled_before_token = parse_settled_record(record).before_token
+            elif not record.key.startswith(KEY_PREFIX):
+                _add(found, record)
         except msgspec.MsgspecError as error:
             events.write("record_malformed", key=record.key, error=str(error))
-            continue
-        found[progress.job_id] = progress
-    return found
+    return LoadedProgress(found, settled_before_token)
+
+
+def _add(found: dict[str, JobProgress], record: KeyedRecord) -> None:
+    progress = decode_progress(record.value or b"")
+    found[progress.job_id] = progress
 
 
 async def _read_all(
