Earlier owners are asked as soon as they are shut out, and leases count from the take

Class: a bound counted from the wrong moment. Change: both; unit tests of both, of which the first fails on the code before (2.0 s later) and the second too (0.5 s later). Figures: with an opening of 2.0 s leases are over 2.0 s sooner in the unit test.

--- a/src/robinthread/_internal/node/pool_owner.py
+++ b/src/robinthread/_internal/node/pool_owner.py
@@ -119,7 +119,6 @@
         orphans = list(self._progress.values())
         self._progress.clear()
         self._runtime.spawn(self._retention.drop_orphans(orphans))
-        self._runtime.spawn(self._settle_predecessors())
         self._runtime.spawn(self._retention.run())
         self._runtime.spawn(self._advice_taker.run())
         self._runtime.spawn(self._recorder.run())
@@ -188,6 +187,7 @@
         await self.opening.time("journal", self._journal.open())
         # From here on no older owner is confirmed any more.
         self._predecessors.note_shut_out(get_loop_s(), self.jobs.foreign_leases)
+        self._runtime.spawn(self._settle_predecessors())
         reading = load_progress(self._context.store, self._partition, self.pool, self._events)
         loaded, _ = await asyncio.gather(
             self.opening.time("progress", reading),
@@ -202,7 +202,10 @@
         """Record once that all that earlier owners granted has lapsed, where there were any."""
         if self._predecessors.is_empty:
             return
-        await self._predecessors.watch(self.jobs, self._events)
+        # Until the pool is open it is not known here what runs on which host.
+        await self._predecessors.watch(
+            lambda: not self.is_open or self.jobs.has_silent_runs(), self._events
+        )
         await asyncio.sleep(max(0.0, self.jobs.foreign_leases.over_at_s - get_loop_s()))
         await self._journal.write([make_settled_record(self.pool, self.token)])
 
--- a/src/robinthread/_internal/node/predecessors.py
+++ b/src/robinthread/_internal/node/predecessors.py
@@ -6,7 +6,6 @@
 
 from robinthread._internal.durable.ownership import LostOwner, Member, OwnerTable
 from robinthread._internal.jobs.host_lease import ForeignLeases, get_lapse_time_s
-from robinthread._internal.jobs.pool_jobs import PoolJobs
 from robinthread._internal.node.pool_runtime import (
     LEASE_MS,
     OWNERS_UNREAD_MAX_S,
@@ -33,7 +32,7 @@
         self._pool = pool
         self._ask_stopped = ask_stopped
         self._grants_until_s = {lost: lost.lost_at_s + UNCONFIRMED_MAX_S for lost in found}
-        self._shut_out_at_s = 0.0
+        self._taken_at_s = get_loop_s()
         self._leases = ForeignLeases()
 
     def note_shut_out(self, now_s: float, leases: ForeignLeases) -> None:
@@ -42,7 +41,6 @@
         Until now records may have confirmed any of them: whoever came between need not have
         opened the journal.  None has read the owners since it was replaced.
         """
-        self._shut_out_at_s = now_s
         self._leases = leases
         self._grants_until_s = {
             lost: min(now_s + UNCONFIRMED_MAX_S, lost.lost_at_s + OWNERS_UNREAD_MAX_S)
@@ -68,10 +66,13 @@
         }
         self._update()
 
-    async def watch(self, jobs: PoolJobs, events: EventLog) -> None:
-        """Ask earlier owners whether they have stopped, while tasks wait for that."""
+    async def watch(self, is_awaited: Callable[[], bool], events: EventLog) -> None:
+        """Ask earlier owners whether they have stopped, while that is awaited.
+
+        Not before they are shut out of the journal: one that has not begun might begin still.
+        """
         while running := self._list_running():
-            if jobs.has_silent_runs():
+            if is_awaited():
                 await asyncio.gather(*(self._ask(lost, events) for lost in running))
             await asyncio.sleep(ASK_PERIOD_S)
 
@@ -93,7 +94,8 @@
         )
 
     def _update(self) -> None:
-        last_grant_s = max(self._shut_out_at_s, *self._grants_until_s.values(), 0.0)
+        # Owners that are not known here had stopped when this one took the pool.
+        last_grant_s = max(self._taken_at_s, *self._grants_until_s.values(), 0.0)
         self._leases.over_at_s = get_lapse_time_s(LEASE_MS, last_grant_s)
 
 
--- /dev/null
+++ b/tests/unit/test_predecessors.py
@@ -0,0 +1,56 @@
+"""Until when earlier owners of a pool may have granted leases."""
+
+import asyncio
+
+from testtools import TestCase
+
+from robinthread._internal.durable.ownership import LostOwner, Member
+from robinthread._internal.jobs.host_lease import ForeignLeases, get_lapse_time_s
+from robinthread._internal.node.pool_runtime import LEASE_MS
+from robinthread._internal.node.predecessors import Predecessors
+from robinthread._internal.telemetry.event_log import EventLog
+from tests.lib.virtual import run_virtual
+
+LOST = Member("lost", "life", "lost")
+EVENTS = EventLog("n", write=lambda line: None)
+# From a take to the shutting out of earlier owners, and on to an open pool, on a slow store.
+SHUT_OUT_S = 0.5
+OPENING_S = 2.0
+
+
+async def say_stopped(owner: Member, pool: str, token: int) -> bool:
+    """Answer for an owner that has stopped."""
+    return True
+
+
+class PredecessorsTest(TestCase):
+    def test_owner_is_asked_as_soon_as_it_is_shut_out(self) -> None:
+        """What it says counts from then on, however long the pool takes to open."""
+
+        async def work() -> None:
+            loop = asyncio.get_running_loop()
+            leases = ForeignLeases()
+            predecessors = Predecessors("press", [LostOwner(LOST, 7, loop.time())], say_stopped)
+            await asyncio.sleep(SHUT_OUT_S)
+            shut_out_at_s = loop.time()
+            predecessors.note_shut_out(shut_out_at_s, leases)
+            watching = asyncio.create_task(predecessors.watch(lambda: True, EVENTS))
+            await asyncio.sleep(OPENING_S)
+            self.assertAlmostEqual(
+                get_lapse_time_s(LEASE_MS, shut_out_at_s), leases.over_at_s, delta=0.1
+            )
+            await watching
+
+        run_virtual(work())
+
+    def test_leases_count_from_the_take_where_all_before_it_have_stopped(self) -> None:
+        async def work() -> None:
+            loop = asyncio.get_running_loop()
+            taken_at_s = loop.time()
+            leases = ForeignLeases()
+            predecessors = Predecessors("press", [], say_stopped)
+            await asyncio.sleep(SHUT_OUT_S)
+            predecessors.note_shut_out(loop.time(), leases)
+            self.assertEqual(get_lapse_time_s(LEASE_MS, taken_at_s), leases.over_at_s)
+
+        run_virtual(work())
