--- a/bench/takeover.py
+++ b/bench/takeover.py
@@ -20,7 +20,7 @@
 from bench.result import BenchResult
 from robinthread._internal.models.resources import Resources
 from robinthread._internal.models.task_key import TaskKey
-from robinthread._internal.standins.job_hosts_standin import TaskPlan
+from robinthread._internal.standins.job_host_standin import TaskPlan
 from robinthread._internal.standins.platform_standin import PlatformStandin
 
 SEEDS: Final = range(1, 9)
--- a/src/robinthread/_internal/standins/platform_standin.py
+++ b/src/robinthread/_internal/standins/platform_standin.py
@@ -30,11 +30,8 @@
 from robinthread._internal.node.settings_holder import SettingsHolder
 from robinthread._internal.settings.policy_settings import PolicySettings
 from robinthread._internal.standins.advice_standin import AdviceStandin
-from robinthread._internal.standins.job_hosts_standin import (
-    JobHostsStandin,
-    JobHostStandin,
-    TaskPlan,
-)
+from robinthread._internal.standins.job_host_standin import JobHostStandin, TaskPlan
+from robinthread._internal.standins.job_hosts_standin import JobHostsStandin
 from robinthread._internal.standins.machines_standin import LifeKeeper, MachinesStandin
 from robinthread._internal.standins.store_standin import StoreStandin
 from robinthread._internal.telemetry.event_log import EventLog
--- a/tests/functional/test_jobs_on_platform.py
+++ b/tests/functional/test_jobs_on_platform.py
@@ -14,7 +14,7 @@
 from robinthread._internal.node.election import FLEET
 from robinthread._internal.node.job_gate import GateOutcome
 from robinthread._internal.node.pool_owner import PROGRESS_TOPIC
-from robinthread._internal.standins.job_hosts_standin import TaskPlan
+from robinthread._internal.standins.job_host_standin import TaskPlan
 from robinthread._internal.standins.platform_standin import STATUS, PlatformStandin
 from tests.lib.job_platforms import (
     POOL,
--- a/tests/functional/test_lasting_again.py
+++ b/tests/functional/test_lasting_again.py
@@ -10,7 +10,7 @@
 from robinthread._internal.models.job_spec import StepSpec
 from robinthread._internal.models.task_key import TaskKey
 from robinthread._internal.node.peer_calls import PeerUnreachableError
-from robinthread._internal.standins.job_hosts_standin import TaskPlan
+from robinthread._internal.standins.job_host_standin import TaskPlan
 from robinthread._internal.standins.platform_standin import PlatformStandin
 from tests.lib.job_platforms import POOL, ROOM, find_breaks, hand_in, make_job, wait_until
 from tests.lib.lasting import (
--- a/tests/functional/test_lost_start_answers.py
+++ b/tests/functional/test_lost_start_answers.py
@@ -7,7 +7,7 @@
 from robinthread._internal.models.job_status import JobStatus
 from robinthread._internal.models.resources import Resources
 from robinthread._internal.models.task_key import TaskKey
-from robinthread._internal.standins.job_hosts_standin import TaskPlan
+from robinthread._internal.standins.job_host_standin import TaskPlan
 from tests.lib.job_platforms import find_breaks, hand_in, make_job, start_platform, wait_for_status
 from tests.lib.virtual import run_virtual
 
--- a/tests/functional/test_room_on_a_host.py
+++ b/tests/functional/test_room_on_a_host.py
@@ -8,7 +8,7 @@
 from robinthread._internal.models.job_status import JobStatus
 from robinthread._internal.models.resources import Resources
 from robinthread._internal.models.task_key import TaskKey
-from robinthread._internal.standins.job_hosts_standin import TaskPlan
+from robinthread._internal.standins.job_host_standin import TaskPlan
 from robinthread._internal.standins.platform_standin import PlatformStandin
 from tests.lib.job_platforms import (
     POOL,
--- a/tests/functional/test_starts_under_way.py
+++ b/tests/functional/test_starts_under_way.py
@@ -8,7 +8,8 @@
 from robinthread._internal.models.resources import Resources
 from robinthread._internal.models.task_key import TaskKey
 from robinthread._internal.node.order_sender import RETRY_PAUSE_S, START_TRIES
-from robinthread._internal.standins.job_hosts_standin import ORDER_TIMEOUT_S, TaskPlan
+from robinthread._internal.standins.job_host_standin import TaskPlan
+from robinthread._internal.standins.job_hosts_standin import ORDER_TIMEOUT_S
 from robinthread._internal.standins.platform_standin import PlatformStandin
 from tests.lib.job_platforms import find_breaks, hand_in, make_job, start_platform, wait_until
 from tests.lib.virtual import run_virtual
--- a/tests/functional/test_stops_on_platform.py
+++ b/tests/functional/test_stops_on_platform.py
@@ -8,7 +8,7 @@
 from robinthread._internal.models.resources import Resources
 from robinthread._internal.node.peer_messages import StoreAnswer, StoreQuestion
 from robinthread._internal.node.stop_budget import BUDGET_SHARE
-from robinthread._internal.standins.job_hosts_standin import TaskPlan
+from robinthread._internal.standins.job_host_standin import TaskPlan
 from robinthread._internal.standins.platform_standin import BOUNDS, PlatformStandin
 from tests.lib.job_platforms import (
     find_breaks,
--- a/tests/functional/test_takeover_under_load.py
+++ b/tests/functional/test_takeover_under_load.py
@@ -7,7 +7,7 @@
 from robinthread._internal.models.job_spec import StepSpec
 from robinthread._internal.models.resources import Resources
 from robinthread._internal.models.task_key import TaskKey
-from robinthread._internal.standins.job_hosts_standin import TaskPlan
+from robinthread._internal.standins.job_host_standin import TaskPlan
 from robinthread._internal.standins.platform_standin import PlatformStandin
 from tests.lib.job_platforms import (
     find_breaks,
--- a/tests/lib/day_troubles.py
+++ b/tests/lib/day_troubles.py
@@ -9,7 +9,7 @@
 
 from robinthread._internal.durable.ownership import Member
 from robinthread._internal.node.group_member import GROUP
-from robinthread._internal.standins.job_hosts_standin import JobHostStandin
+from robinthread._internal.standins.job_host_standin import JobHostStandin
 from robinthread._internal.standins.platform_standin import PlatformStandin
 from robinthread._internal.standins.store_standin import LATENCY_S
 from tests.lib.job_platforms import get_owner, make_stop_budget
--- a/tests/lib/drawn_days.py
+++ b/tests/lib/drawn_days.py
@@ -12,7 +12,7 @@
 from robinthread._internal.models.resources import Resources
 from robinthread._internal.models.task_key import TaskKey
 from robinthread._internal.node.job_gate import GateOutcome
-from robinthread._internal.standins.job_hosts_standin import TaskPlan
+from robinthread._internal.standins.job_host_standin import TaskPlan
 from robinthread._internal.standins.platform_standin import PlatformStandin
 from robinthread._internal.standins.run_ledger import LedgerRun
 from tests.lib.day_troubles import HOST_KINDS, HOSTS_MIN, Trouble, TroubleKind, bring_about
--- a/tests/lib/job_platforms.py
+++ b/tests/lib/job_platforms.py
@@ -11,7 +11,7 @@
 from robinthread._internal.models.task_key import TaskKey
 from robinthread._internal.node.job_gate import GateOutcome
 from robinthread._internal.node.stop_budget import StopBudget
-from robinthread._internal.standins.job_hosts_standin import TaskPlan
+from robinthread._internal.standins.job_host_standin import TaskPlan
 from robinthread._internal.standins.platform_standin import BOUNDS, RESERVE, PlatformStandin
 from robinthread._internal.telemetry.event_log import EventLog
 
--- a/tests/lib/lasting.py
+++ b/tests/lib/lasting.py
@@ -8,7 +8,7 @@
 from robinthread._internal.models.job_spec import StepSpec
 from robinthread._internal.models.resources import Resources
 from robinthread._internal.models.task_key import TaskKey
-from robinthread._internal.standins.job_hosts_standin import JobHostStandin, TaskPlan
+from robinthread._internal.standins.job_host_standin import JobHostStandin, TaskPlan
 from robinthread._internal.standins.platform_standin import PlatformStandin
 from robinthread._internal.standins.run_ledger import LedgerRun
 from tests.lib.job_platforms import get_owner, hand_in, make_job, start_platform, wait_until
--- a/tests/unit/test_noted_ends.py
+++ b/tests/unit/test_noted_ends.py
@@ -9,7 +9,7 @@
 from robinthread._internal.models.task_key import TaskKey
 from robinthread._internal.models.upstream_host import UpstreamHost
 from robinthread._internal.standins.gang_board import GangBoard
-from robinthread._internal.standins.job_hosts_standin import JobHostStandin, TaskPlan
+from robinthread._internal.standins.job_host_standin import JobHostStandin, TaskPlan
 from robinthread._internal.standins.run_ledger import RunLedger
 from tests.lib.virtual import run_virtual
 
