Tests share the setup that several of them repeated

Change: tests/lib/slow_link.py, event_lines.py and loopback_service.py; hand_in_all and wait_until_done in job_platforms.py; ONE_HALL in fleets.py. Left: what tests/ still shares by shape are lists of imports, constants and the open and close of a client in test_silent_connections.py.

--- a/tests/functional/test_advice.py
+++ b/tests/functional/test_advice.py
@@ -14,9 +14,11 @@
     QUEUE,
     get_status,
     hand_in,
+    hand_in_all,
     make_job,
     start_platform,
     wait_for_status,
+    wait_until_done,
 )
 from tests.lib.virtual import run_virtual
 
@@ -56,10 +58,8 @@
             platform = await start_advised_platform()
             platform.advice.valid_s = 0.5
             specs = [make_job(number) for number in range(1, 30)]
-            for spec in specs:
-                await hand_in(platform, "node0", spec)
-            for spec in specs:
-                await wait_for_status(platform, spec.job_id, JobStatus.SUCCEEDED, limit_s=60)
+            await hand_in_all(platform, "node0", specs)
+            await wait_until_done(platform, specs, limit_s=60)
             self.assertEqual(6 * len(specs), len(platform.hosts.ledger.runs))
 
         run_virtual(work())
--- a/tests/functional/test_failing_hosts.py
+++ b/tests/functional/test_failing_hosts.py
@@ -13,10 +13,12 @@
 from tests.lib.job_platforms import (
     find_breaks,
     hand_in,
+    hand_in_all,
     make_job,
     start_platform,
     wait_for_status,
     wait_until,
+    wait_until_done,
 )
 from tests.lib.virtual import run_virtual
 
@@ -45,12 +47,10 @@
             platform.hosts.faults.lost_share = 0.2
             platform.hosts.faults.late_s = (2.0, 12.0)
             specs = [make_job(number) for number in range(1, 9)]
-            for spec in specs:
-                await hand_in(platform, "node0", spec)
+            await hand_in_all(platform, "node0", specs)
             await asyncio.sleep(6)
             platform.hosts.faults.lost_share = 0.0
-            for spec in specs:
-                await wait_for_status(platform, spec.job_id, JobStatus.SUCCEEDED)
+            await wait_until_done(platform, specs)
             await asyncio.sleep(15)
             self.assertEqual([], find_breaks(platform))
 
@@ -62,10 +62,8 @@
             bad = next(iter(platform.hosts.hosts.values()))
             bad.fails_all = True
             specs = [make_job(number) for number in range(1, 13)]
-            for spec in specs:
-                await hand_in(platform, "node0", spec)
-            for spec in specs:
-                await wait_for_status(platform, spec.job_id, JobStatus.SUCCEEDED)
+            await hand_in_all(platform, "node0", specs)
+            await wait_until_done(platform, specs)
             failed = [run for run in platform.hosts.ledger.runs if run.end == "failed"]
             self.assertTrue(len(failed) <= 24, len(failed))
 
--- a/tests/functional/test_forgotten_owners.py
+++ b/tests/functional/test_forgotten_owners.py
@@ -49,6 +49,16 @@
     return old
 
 
+async def start_with_second_owner() -> tuple[PlatformStandin, str]:
+    """Cut the first owner off and start a node once another owns the pool; return that one."""
+    platform = await start_lasting(nodes=2)
+    old = cut_with_a_host(platform)
+    (second,) = [name for name in platform.nodes if name != old]
+    await wait_until(lambda: owns(platform, second))
+    platform.start_node("node2")
+    return platform, second
+
+
 class ForgottenOwnerTest(TestCase):
     def test_next_owner_that_begins_anew_waits_for_the_one_that_is_cut_off(self) -> None:
         """The next owner's new life reads only the newest record, in which it finds itself."""
@@ -71,11 +81,7 @@
         """The third owner hears that the second one has ended; it has not seen the first."""
 
         async def work() -> None:
-            platform = await start_lasting(nodes=2)
-            old = cut_with_a_host(platform)
-            (second,) = [name for name in platform.nodes if name != old]
-            await wait_until(lambda: owns(platform, second))
-            platform.start_node("node2")
+            platform, second = await start_with_second_owner()
             await asyncio.sleep(0.2)
             platform.kill_node(second)
             await wait_until(lambda: owns(platform, "node2"))
@@ -90,11 +96,7 @@
         """The second owner gives the pool back; the third one has not seen the first."""
 
         async def work() -> None:
-            platform = await start_lasting(nodes=2)
-            old = cut_with_a_host(platform)
-            (second,) = [name for name in platform.nodes if name != old]
-            await wait_until(lambda: owns(platform, second))
-            platform.start_node("node2")
+            platform, second = await start_with_second_owner()
             await asyncio.sleep(1.0)
             await platform.nodes[second].assembled.node.stop(make_stop_budget(platform))
             await wait_until(lambda: owns(platform, "node2"))
--- a/tests/functional/test_gangs.py
+++ b/tests/functional/test_gangs.py
@@ -15,10 +15,12 @@
     find_breaks,
     get_owner,
     hand_in,
+    hand_in_all,
     make_job,
     start_platform,
     wait_for_status,
     wait_until,
+    wait_until_done,
 )
 from tests.lib.virtual import run_virtual
 
@@ -51,10 +53,8 @@
         async def work() -> None:
             platform = await start_platform(plan_gang, hosts=3)
             specs = [make_job(number, GANG) for number in range(1, 5)]
-            for spec in specs:
-                await hand_in(platform, "node0", spec)
-            for spec in specs:
-                await wait_for_status(platform, spec.job_id, JobStatus.SUCCEEDED)
+            await hand_in_all(platform, "node0", specs)
+            await wait_until_done(platform, specs)
             self.assertEqual(0, count_ends(platform, RunEnd.GANG_ALONE))
             self.assertEqual(16, len(platform.hosts.ledger.runs))
 
--- a/tests/functional/test_jobs_on_platform.py
+++ b/tests/functional/test_jobs_on_platform.py
@@ -16,6 +16,7 @@
     start_platform,
     wait_for_status,
     wait_until,
+    wait_until_done,
 )
 from tests.lib.virtual import run_virtual
 
@@ -76,8 +77,7 @@
             )
             platform.store.faults.lost_share = 0.0
             self.assertTrue(set(outcomes) <= {GateOutcome.DONE, GateOutcome.UNKNOWN})
-            for spec in specs:
-                await wait_for_status(platform, spec.job_id, JobStatus.SUCCEEDED)
+            await wait_until_done(platform, specs)
             self.assertEqual(30, len(platform.hosts.ledger.runs))
             self.assertEqual([], find_breaks(platform))
 
--- a/tests/functional/test_limits.py
+++ b/tests/functional/test_limits.py
@@ -8,8 +8,8 @@
 from robinthread._internal.fold.kinds.quota_set import QuotaSet
 from robinthread._internal.models.urgency import Urgency
 from robinthread._internal.results import ResultCode
-from robinthread._internal.standins.fleet_standin import HallSize
 from tests.lib.fleets import (
+    ONE_HALL,
     get_daemon,
     publish,
     serve,
@@ -17,8 +17,6 @@
 )
 from tests.lib.virtual import run_virtual
 
-ONE_HALL = (HallSize("kandy", 2, 4),)
-
 
 class LimitsTest(TestCase):
     def test_waves_of_cancellations_are_answered_truthfully(self) -> None:
--- a/tests/functional/test_owner_changes.py
+++ b/tests/functional/test_owner_changes.py
@@ -15,11 +15,13 @@
     get_owner,
     get_status,
     hand_in,
+    hand_in_all,
     make_job,
     make_stop_budget,
     start_platform,
     wait_for_status,
     wait_until,
+    wait_until_done,
 )
 from tests.lib.virtual import run_virtual
 
@@ -29,16 +31,14 @@
         async def work() -> None:
             platform = await start_platform(lambda task: TaskPlan(2.0, Resources(1000, 100)))
             specs = [make_job(number) for number in range(1, 6)]
-            for spec in specs:
-                await hand_in(platform, "node0", spec)
+            await hand_in_all(platform, "node0", specs)
             await asyncio.sleep(1)
             owner = get_owner(platform)
             assert owner is not None
             platform.kill_node(owner)
             took_s = await wait_until(lambda: get_owner(platform) is not None)
             self.assertTrue(took_s < 2.5, took_s)
-            for spec in specs:
-                await wait_for_status(platform, spec.job_id, JobStatus.SUCCEEDED)
+            await wait_until_done(platform, specs)
             self.assertEqual([], find_breaks(platform))
             self.assertEqual(30, sum(run.end == "done" for run in platform.hosts.ledger.runs))
 
@@ -48,8 +48,7 @@
         async def work() -> None:
             platform = await start_platform(lambda task: TaskPlan(2.0, Resources(1000, 100)))
             specs = [make_job(number) for number in range(1, 6)]
-            for spec in specs:
-                await hand_in(platform, "node0", spec)
+            await hand_in_all(platform, "node0", specs)
             await asyncio.sleep(0.8)
             old = get_owner(platform)
             assert old is not None
@@ -57,8 +56,7 @@
             await wait_until(lambda: any(get_owner_at(platform, name) for name in others))
             await asyncio.sleep(5)
             platform.heal_node(old)
-            for spec in specs:
-                await wait_for_status(platform, spec.job_id, JobStatus.SUCCEEDED)
+            await wait_until_done(platform, specs)
             await asyncio.sleep(3)
             self.assertEqual([], find_breaks(platform))
 
@@ -96,16 +94,14 @@
         async def work() -> None:
             platform = await start_platform(lambda task: TaskPlan(2.0, Resources(1000, 100)))
             specs = [make_job(number) for number in range(1, 6)]
-            for spec in specs:
-                await hand_in(platform, "node1", spec)
+            await hand_in_all(platform, "node1", specs)
             await asyncio.sleep(1.2)
             for name in list(platform.nodes):
                 platform.kill_node(name)
             await asyncio.sleep(1)
             for name in ("node0", "node1", "node2"):
                 platform.start_node(name)
-            for spec in specs:
-                await wait_for_status(platform, spec.job_id, JobStatus.SUCCEEDED)
+            await wait_until_done(platform, specs)
             self.assertEqual([], find_breaks(platform))
 
         run_virtual(work())
--- a/tests/functional/test_platform_outages.py
+++ b/tests/functional/test_platform_outages.py
@@ -7,8 +7,8 @@
 
 from robinthread._internal.fold.kinds.config_published import ConfigPublished
 from robinthread._internal.results import Family, ResultCode
-from robinthread._internal.standins.fleet_standin import HallSize
 from tests.lib.fleets import (
+    ONE_HALL,
     SETTINGS,
     get_daemon,
     make_request,
@@ -19,8 +19,6 @@
 )
 from tests.lib.virtual import run_virtual
 
-ONE_HALL = (HallSize("kandy", 2, 4),)
-
 
 class PlatformTest(TestCase):
     def test_platform_out_serves_what_it_can_and_refuses_claims_at_once(self) -> None:
--- a/tests/functional/test_repeated_calls.py
+++ b/tests/functional/test_repeated_calls.py
@@ -21,36 +21,23 @@
 from robinthread._internal.standins.store_standin import StoreStandin
 from robinthread._internal.telemetry.node_metrics import NodeMetrics
 from robinthread._internal.utils.http_call import make_client
+from tests.lib.loopback_service import LoopbackService
 from tests.lib.store_server import parse_records
 
 INBOX = Partition("keyed.inbox")
 HEAD_END = b"\r\n\r\n"
 
 
-class RepeatService:
+class RepeatService(LoopbackService):
     """Carries requests out; what ``script`` tells is done to the next ones instead.
 
     "reset": carry it out, then end the connection without an answer.  "503": refuse it.
     """
 
     def __init__(self) -> None:
+        super().__init__()
         self.script: deque[str] = deque()
         self.log = StoreStandin().get_log(INBOX)
-        self._server: asyncio.Server | None = None
-
-    @property
-    def address(self) -> str:
-        assert self._server is not None
-        host, port = self._server.sockets[0].getsockname()
-        return f"{host}:{port}"
-
-    async def __aenter__(self) -> "RepeatService":
-        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
-        return self
-
-    async def __aexit__(self, *_: object) -> None:
-        assert self._server is not None
-        self._server.close()
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
--- a/tests/functional/test_store_outages.py
+++ b/tests/functional/test_store_outages.py
@@ -12,10 +12,12 @@
     get_others,
     get_owner,
     hand_in,
+    hand_in_all,
     make_job,
     start_platform,
     wait_for_status,
     wait_until,
+    wait_until_done,
 )
 from tests.lib.virtual import run_virtual
 
@@ -25,14 +27,12 @@
         async def work() -> None:
             platform = await start_platform()
             specs = [make_job(number) for number in range(1, 6)]
-            for spec in specs:
-                await hand_in(platform, "node0", spec)
+            await hand_in_all(platform, "node0", specs)
             await asyncio.sleep(0.5)
             platform.store.faults.silent.add("*")
             await asyncio.sleep(5)
             platform.store.faults.silent.clear()
-            for spec in specs:
-                await wait_for_status(platform, spec.job_id, JobStatus.SUCCEEDED)
+            await wait_until_done(platform, specs)
             self.assertEqual([], find_breaks(platform))
 
         run_virtual(work())
--- a/tests/functional/test_worker_failures.py
+++ b/tests/functional/test_worker_failures.py
@@ -7,9 +7,9 @@
 
 from robinthread._internal.models.host_phase import HostPhase
 from robinthread._internal.results import ResultCode
-from robinthread._internal.standins.fleet_standin import HallSize
 from robinthread._internal.standins.worker_standin import WorkerMode
 from tests.lib.fleets import (
+    ONE_HALL,
     get_daemon,
     make_request,
     serve,
@@ -18,8 +18,6 @@
 )
 from tests.lib.virtual import run_virtual
 
-ONE_HALL = (HallSize("kandy", 2, 4),)
-
 
 class WorkersFailTest(TestCase):
     def test_worker_that_fails_everything_gets_no_more_work(self) -> None:
--- a/tests/lib/fleets.py
+++ b/tests/lib/fleets.py
@@ -19,6 +19,7 @@
 
 POOL = "tiles"
 SETTINGS = DaemonSettings(waves=WaveSettings(reboot_estimate_s=1.0))
+ONE_HALL = (HallSize("kandy", 2, 4),)
 TWO_HALLS = (HallSize("kandy", 2, 4), HallSize("matale", 2, 4))
 
 
--- a/tests/lib/job_platforms.py
+++ b/tests/lib/job_platforms.py
@@ -1,7 +1,7 @@
 """Platforms with nodes, hosts and jobs for tests, on virtual time."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 from robinthread._internal.models.job_spec import JobSpec, StepSpec
 from robinthread._internal.models.job_status import JobStatus
@@ -85,6 +85,12 @@
     return await gate.accept(spec, asyncio.get_running_loop().time() + 3)
 
 
+async def hand_in_all(platform: PlatformStandin, node: str, specs: Iterable[JobSpec]) -> None:
+    """Hand jobs in at a node one after another."""
+    for spec in specs:
+        await hand_in(platform, node, spec)
+
+
 async def cancel(platform: PlatformStandin, node: str, job_id: str) -> GateOutcome:
     """Cancel a job at a node."""
     gate = platform.nodes[node].assembled.gate
@@ -114,6 +120,14 @@
     raise AssertionError(f"{job_id} was not shown as {status} within {limit_s} s")
 
 
+async def wait_until_done(
+    platform: PlatformStandin, specs: Iterable[JobSpec], limit_s: float = 30
+) -> None:
+    """Wait until each job is shown as succeeded, ``limit_s`` at most for each."""
+    for spec in specs:
+        await wait_for_status(platform, spec.job_id, JobStatus.SUCCEEDED, limit_s)
+
+
 async def wait_until(is_so: Callable[[], bool], limit_s: float = 30) -> float:
     """Wait for a condition; return how long that took."""
     loop = asyncio.get_running_loop()
--- a/tests/lib/silent_service.py
+++ b/tests/lib/silent_service.py
@@ -5,13 +5,15 @@
 import itertools
 from collections.abc import Iterator
 
+from tests.lib.loopback_service import LoopbackService
+
 # What the store answers to a join; other callers look at the status only.
 ANSWER = b'HTTP/1.1 200 OK\r\nContent-Length: 16\r\n\r\n{"generation":1}'
 HEAD_END = b"\r\n\r\n"
 LENGTH_FIELD = b"content-length:"
 
 
-class SilentService:
+class SilentService(LoopbackService):
     """Answers each request at once, and notes on which connection it came.
 
     After ``silence`` the connections that were open are read, but nothing is
@@ -19,6 +21,7 @@
     """
 
     def __init__(self) -> None:
+        super().__init__()
         self.answers = asyncio.Event()
         self.answers.set()
         self.requests: list[int] = []
@@ -27,22 +30,9 @@
         self._silent: set[int] = set()
         self._numbers = itertools.count()
         self._writers: set[asyncio.StreamWriter] = set()
-        self._server: asyncio.Server | None = None
-
-    @property
-    def address(self) -> str:
-        """Return where it listens."""
-        assert self._server is not None
-        host, port = self._server.sockets[0].getsockname()
-        return f"{host}:{port}"
-
-    async def __aenter__(self) -> "SilentService":
-        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0, backlog=1024)
-        return self
 
     async def __aexit__(self, *_: object) -> None:
-        assert self._server is not None
-        self._server.close()
+        await super().__aexit__()
         self.answers.set()
         for writer in self._writers:
             writer.transport.abort()
--- a/tests/unit/test_standing.py
+++ b/tests/unit/test_standing.py
@@ -7,7 +7,7 @@
 from robinthread._internal.models.job_spec import StepSpec
 from robinthread._internal.models.pool_policy import PoolPolicy
 from robinthread._internal.standins.platform_standin import RESERVE, PlatformStandin
-from tests.functional.test_slow_takeover import LINK_BYTES_PER_S, fill_progress
+from tests.lib.event_lines import find_lines
 from tests.lib.job_platforms import (
     POOL,
     QUEUE,
@@ -19,8 +19,8 @@
     start_platform,
     wait_until,
 )
+from tests.lib.slow_link import start_on_slow_link
 from tests.lib.virtual import run_virtual
-from tests.unit.test_taking_lines import find_lines
 
 LASTING = StepSpec(2, cpu_millicores=1000, memory_mb=100, is_lasting=True)
 # More than any host has.
@@ -72,13 +72,7 @@
 
     def test_pool_is_told_before_it_is_open(self) -> None:
         async def work() -> None:
-            platform = PlatformStandin(plan_second, 1)
-            platform.configure(
-                1, (QUEUE,), (PoolPolicy(POOL), PoolPolicy(RESERVE, is_reserve=True))
-            )
-            fill_progress(platform)
-            platform.store.link_bytes_per_s["slow"] = LINK_BYTES_PER_S
-            platform.start_node("slow")
+            platform = start_on_slow_link()
             await wait_until(lambda: bool(find_lines(platform, "owner_standing")))
             self.assertIsNone(get_owner(platform))
             self.assertEqual("progress", find_lines(platform, "owner_standing")[-1]["phase"])
--- a/tests/unit/test_taking_lines.py
+++ b/tests/unit/test_taking_lines.py
@@ -1,35 +1,23 @@
 """Lines that tell why a pool was taken and what its opening took."""
 
 import asyncio
-import json
-from typing import Any
 
 import msgspec
 from testtools import TestCase
 
 from robinthread._internal.durable.ownership import Member
-from robinthread._internal.models.pool_policy import PoolPolicy
-from robinthread._internal.standins.platform_standin import RESERVE, PlatformStandin
-from tests.functional.test_slow_takeover import LINK_BYTES_PER_S, fill_progress
+from robinthread._internal.standins.platform_standin import PlatformStandin
+from tests.lib.event_lines import find_lines
 from tests.lib.job_platforms import (
-    POOL,
-    QUEUE,
     get_owner,
     plan_second,
     start_platform,
     wait_until,
 )
+from tests.lib.slow_link import start_on_slow_link
 from tests.lib.virtual import run_virtual
 
 
-def find_lines(
-    platform: PlatformStandin, event: str, pool: str | None = POOL
-) -> list[dict[str, Any]]:
-    """Return the lines of one event about a pool, or about none."""
-    lines = map(json.loads, platform.events)
-    return [line for line in lines if line["event"] == event and line.get("pool") == pool]
-
-
 class TakingLinesTest(TestCase):
     def test_first_owner_took_a_free_pool_and_tells_what_opening_took(self) -> None:
         async def work() -> None:
@@ -82,13 +70,7 @@
 
     def test_slow_opening_is_told_each_second_with_what_is_missing(self) -> None:
         async def work() -> None:
-            platform = PlatformStandin(plan_second, 1)
-            platform.configure(
-                1, (QUEUE,), (PoolPolicy(POOL), PoolPolicy(RESERVE, is_reserve=True))
-            )
-            fill_progress(platform)
-            platform.store.link_bytes_per_s["slow"] = LINK_BYTES_PER_S
-            platform.start_node("slow")
+            platform = start_on_slow_link()
             await wait_until(lambda: get_owner(platform) == "slow")
             slow = find_lines(platform, "pool_opening_slow")
             (opened,) = find_lines(platform, "pool_opened")
