The dispatcher is split along its jobs

Cause: dispatcher.py had 406 lines: queue, choice of hosts, quotas, preemption, what outcomes teach. No logic changed; the tuple of what goes first is the same.

--- a/src/robinthread/_internal/dispatch/dispatcher.py
+++ b/src/robinthread/_internal/dispatch/dispatcher.py
@@ -2,22 +2,19 @@
 
 import asyncio
 import itertools
-from collections import Counter
-from collections.abc import Awaitable, Callable, Coroutine, Iterator
+from collections.abc import Awaitable, Callable, Coroutine
 from dataclasses import dataclass
 from typing import Any, Final
 
+from robinthread._internal.dispatch.host_choice import HostChoice
 from robinthread._internal.dispatch.host_health import HostHealth
-from robinthread._internal.dispatch.host_slots import HostSlots
-from robinthread._internal.dispatch.job_record import JobRecord
-from robinthread._internal.dispatch.run_estimate import RunEstimate
+from robinthread._internal.dispatch.host_slots import HostSlots, pick_victim
+from robinthread._internal.dispatch.job_record import OutcomeRecord
 from robinthread._internal.dispatch.slot_lease import SlotLease
 from robinthread._internal.dispatch.slot_outcome import SlotOutcome
-from robinthread._internal.dispatch.waiting_queue import WaitingAsk, WaitingQueue
-from robinthread._internal.fold.kinds.host_set_aside import HostSetAside
+from robinthread._internal.dispatch.waiting_queue import TeamSlots, WaitingAsk, WaitingQueue
 from robinthread._internal.models.fleet_state import FleetState
 from robinthread._internal.models.host import Host
-from robinthread._internal.models.host_phase import HostPhase
 from robinthread._internal.models.urgency import Urgency
 from robinthread._internal.peers.messages import Preempt, SlotAsk, SlotRelease, SlotReply
 from robinthread._internal.peers.router import PeerRouter, Sender
@@ -29,8 +26,6 @@
 from robinthread._internal.upstream.errors import UpstreamLostError, UpstreamUnsentError
 from robinthread._internal.upstream.service import UpstreamService
 
-UNLIMITED_SLOTS: Final = 1_000_000
-LEAVING_PHASES: Final = (HostPhase.PERMITTED, HostPhase.DRAINING, HostPhase.LEAVING)
 RETRY_AFTER_MIN_S: Final = 0.05
 
 
@@ -61,14 +56,14 @@
         self.pool = pool
         self.queue = WaitingQueue()
         self.hosts: dict[str, HostSlots] = {}
-        self.estimate = RunEstimate(settings)
         self._context = context
         self._settings = settings
-        self._jobs = JobRecord(settings)
-        self._steered_since_s: dict[str, float] = {}
-        self._leaving_rank: dict[str, int] = {}
-        self._done_hosts: frozenset[str] = frozenset()
-        self._team_slots: Counter[str] = Counter()
+        self._teams = TeamSlots(context.get_state)
+        self._choice = HostChoice(self.hosts, settings)
+        self._outcomes = OutcomeRecord(
+            pool, self.hosts, context, settings, self.pump, self._start_task
+        )
+        self.estimate = self._outcomes.estimate
         self._tasks: set[asyncio.Task[None]] = set()
         self._lease_ids = itertools.count(1)
         self._lease_prefix = context.make_id()
@@ -120,10 +115,10 @@
             return
         lease = slots.release(release.lease_id)
         if lease is not None:
-            self._team_slots[lease.team] -= 1
+            self._teams.give_back(lease.team)
             if outcome is SlotOutcome.LOST:
                 slots.keep_in_use()
-        self._learn(slots, outcome, release)
+        self._outcomes.learn(slots, outcome, release)
         if outcome is SlotOutcome.NOT_STARTED:
             self._recount(slots)
         self.pump()
@@ -134,29 +129,17 @@
             waiting = self._pick_next()
             if waiting is None:
                 return
-            slots = self._pick_host(waiting.ask)
+            slots = self._choice.pick(waiting.ask)
             assert slots is not None
             self._grant(waiting, slots)
 
     def steer(self, names: tuple[str, ...], order: tuple[str, ...], done: frozenset[str]) -> None:
-        """Place new work elsewhere than on ``names`` while there is room.
-
-        ``order`` is that in which hosts are to leave: work that has to go to
-        one of them goes to the last.  Work goes to hosts in ``done`` first, so
-        that it moves once at most.
-        """
-        now_s = asyncio.get_running_loop().time()
-        away = [name for name, slots in self.hosts.items() if slots.host.phase in LEAVING_PHASES]
-        self._steered_since_s = {
-            name: self._steered_since_s.get(name, now_s) for name in (*names, *away)
-        }
-        self._leaving_rank = {name: -rank for rank, name in enumerate(order)}
-        self._done_hosts = done
+        """Place new work elsewhere than on ``names`` while there is room; see ``HostChoice``."""
+        self._choice.steer(names, order, done)
 
     def get_steered_s(self, name: str) -> float:
         """Return for how many seconds work has been steered away from a host."""
-        now_s = asyncio.get_running_loop().time()
-        return now_s - self._steered_since_s.get(name, now_s)
+        return self._choice.get_steered_s(name)
 
     def refuse_all(self, code: ResultCode) -> None:
         """Refuse every waiting ask, as when the dispatcher hands over."""
@@ -192,7 +175,7 @@
         if slots is None:
             return
         for lease in slots.reconcile(reported, asyncio.get_running_loop().time()):
-            self._team_slots[lease.team] -= 1
+            self._teams.give_back(lease.team)
             self._context.counters.add("leases_reclaimed")
         self.pump()
 
@@ -201,12 +184,6 @@
         slots.is_counted = False
         self._start_task(self.count_slots(slots.host.name))
 
-    async def _set_aside(self, host: Host) -> None:
-        """Ask to have a host that fails on and on set aside; its budget may forbid it."""
-        if host.is_serving:
-            self._context.counters.add("hosts_set_aside_asked")
-            await self._context.publish(HostSetAside(host.name, host.token))
-
     def _start_task(self, work: Coroutine[Any, Any, None]) -> None:
         task = asyncio.get_running_loop().create_task(work)
         self._tasks.add(task)
@@ -214,19 +191,14 @@
 
     def count_idle_slots(self) -> int:
         """Return the free slots of hosts that may get work."""
-        now_s = asyncio.get_running_loop().time()
-        return sum(
-            slots.limit - slots.in_use
-            for slots in self.hosts.values()
-            if slots.has_room() and not slots.health.is_suspended(now_s)
-        )
+        return self._choice.count_idle_slots()
 
     def _refuse(self, ask: SlotAsk) -> SlotReply | None:
         now_s = asyncio.get_running_loop().time()
         serving = [slots for slots in self.hosts.values() if slots.host.is_serving]
         if not serving:
             return SlotReply(ResultCode.NO_HOST_REACHABLE, retry_after_s=1.0)
-        if self._jobs.is_set_aside(ask.job, now_s):
+        if self._outcomes.jobs.is_set_aside(ask.job, now_s):
             return SlotReply(ResultCode.JOB_CANNOT_RUN, retry_after_s=self._settings.set_aside_s)
         if len(self.queue) >= self._settings.queue_max:
             return SlotReply(ResultCode.QUEUE_FULL, retry_after_s=self._estimate_wait_s(ask))
@@ -243,9 +215,9 @@
     def _refuse_to_queue(self, ask: SlotAsk) -> SlotReply | None:
         if ask.may_wait or (
             not self.queue.count_ahead(ask.urgency)
-            and not self._is_over_quota(ask.team)
-            and (found := self._pick_host(ask)) is not None
-            and found.host.name not in self._steered_since_s
+            and not self._teams.is_over_quota(ask.team)
+            and (found := self._choice.pick(ask)) is not None
+            and not self._choice.is_steered(found.host.name)
         ):
             return None
         return SlotReply(ResultCode.NO_SLOT_FREE, retry_after_s=self._estimate_wait_s(ask))
@@ -259,7 +231,7 @@
         return max(0, ahead) * self.estimate.mean_s / max(1, limit)
 
     def _pick_next(self) -> WaitingAsk | None:
-        for waiting in tuple(self.queue.iter_heads(self._get_team_share)):
+        for waiting in tuple(self.queue.iter_heads(self._teams.get_share)):
             left_s = waiting.ask.deadline_at_s - self._context.wall_clock()
             if left_s < self.estimate.get_needed_s():
                 retry_after_s = max(RETRY_AFTER_MIN_S, self._estimate_wait_s(waiting.ask))
@@ -268,44 +240,12 @@
                     SlotReply(ResultCode.DEADLINE_UNREACHABLE, retry_after_s=retry_after_s),
                 )
                 return self._pick_next()
-            if self._is_over_quota(waiting.ask.team):
+            if self._teams.is_over_quota(waiting.ask.team):
                 continue
-            if self._pick_host(waiting.ask) is not None:
+            if self._choice.pick(waiting.ask) is not None:
                 return waiting
         return None
 
-    def _pick_host(self, ask: SlotAsk) -> HostSlots | None:
-        now_s = asyncio.get_running_loop().time()
-        roomy = [slots for slots in self.hosts.values() if slots.has_room()]
-        fit = [slots for slots in roomy if self._is_fit(slots, ask, now_s)]
-        avoided = [slots for slots in fit if slots.host.name not in ask.avoid]
-        return min(avoided or fit, key=self._get_preference, default=None)
-
-    def _get_preference(self, slots: HostSlots) -> tuple[bool, bool, bool, int, float, str]:
-        name = slots.host.name
-        return (
-            slots.health.has_failed and self._settings.route_by_outcome,
-            name in self._steered_since_s,
-            bool(self._done_hosts) and name not in self._done_hosts,
-            self._leaving_rank.get(name, -len(self._leaving_rank)),
-            slots.in_use / max(1, slots.limit),
-            name,
-        )
-
-    def _is_fit(self, slots: HostSlots, ask: SlotAsk, now_s: float) -> bool:
-        health = slots.health
-        if health.is_suspended(now_s):
-            return False
-        if not health.is_on_probation or self._is_all_on_probation():
-            return True
-        is_overdue = now_s > health.suspended_until_s + self._settings.suspend_max_s
-        return slots.in_use == 0 and (ask.is_repeatable or is_overdue)
-
-    def _is_all_on_probation(self) -> bool:
-        return all(
-            slots.health.is_on_probation for slots in self.hosts.values() if slots.host.is_serving
-        )
-
     def _grant(self, waiting: WaitingAsk, slots: HostSlots) -> None:
         ask = waiting.ask
         now_s = asyncio.get_running_loop().time()
@@ -320,7 +260,7 @@
             now_s + left_s + self._settings.lease_grace_s,
         )
         slots.leases[lease.id] = lease
-        self._team_slots[ask.team] += 1
+        self._teams.take(ask.team)
         self._context.counters.add("slots_leased")
         reply = SlotReply(
             ResultCode.OK,
@@ -336,51 +276,18 @@
         if not waiting.future.done():
             waiting.future.set_result(reply)
 
-    def _learn(self, slots: HostSlots, outcome: SlotOutcome, release: SlotRelease) -> None:
-        now_s = asyncio.get_running_loop().time()
-        if outcome is SlotOutcome.RAN:
-            self.estimate.note(release.run_s)
-        is_blameless = (
-            outcome is SlotOutcome.TIMED_OUT
-            and release.run_s < self.estimate.mean_s * self._settings.slow_factor
-        )
-        if not is_blameless and slots.health.note(outcome, release.job, now_s):
-            self._context.counters.add("hosts_suspended")
-            self._context.events.note("host_suspended", slots.host.name, self.pool)
-            pause_s = slots.health.suspended_until_s - now_s
-            asyncio.get_running_loop().call_later(pause_s, self.pump)
-            if slots.health.suspensions >= self._settings.set_aside_after_suspensions:
-                self._start_task(self._set_aside(slots.host))
-        if self._jobs.note(outcome, release.job, slots.host.name, now_s):
-            self._context.counters.add("jobs_set_aside")
-            for other in self.hosts.values():
-                other.health.forgive(release.job)
-
-    def _get_team_share(self, team: str) -> float:
-        return self._team_slots[team] / self._get_quota(team)
-
-    def _is_over_quota(self, team: str) -> bool:
-        return self._team_slots[team] >= self._get_quota(team)
-
-    def _get_quota(self, team: str) -> int:
-        quota = self._context.get_state().quotas.get(team)
-        return max(1, quota.max_slots) if quota else UNLIMITED_SLOTS
-
     def _arm(self, waiting: WaitingAsk) -> None:
         """Set the timers of an ask that must wait."""
         loop = asyncio.get_running_loop()
         left_s = max(0.0, waiting.ask.deadline_at_s - self._context.wall_clock())
-        loop.call_later(left_s, self._expire, waiting)
+        loop.call_later(left_s, self._finish, waiting, SlotReply(ResultCode.DEADLINE_PASSED))
         if waiting.ask.urgency == Urgency.URGENT:
             loop.call_later(self._settings.preempt_after_s, self._preempt_for, waiting)
 
-    def _expire(self, waiting: WaitingAsk) -> None:
-        self._finish(waiting, SlotReply(ResultCode.DEADLINE_PASSED))
-
     def _preempt_for(self, waiting: WaitingAsk) -> None:
         if waiting.future.done():
             return
-        victim = min(self._iter_preemptible(), key=_get_preemption_order, default=None)
+        victim = pick_victim(self.hosts.values())
         if victim is None:
             return
         slots, lease = victim
@@ -390,17 +297,3 @@
         loop = asyncio.get_running_loop()
         self._context.router.tell(lease.holder_address, Preempt(lease.id))
         loop.call_later(self._settings.preempt_after_s, self._preempt_for, waiting)
-
-    def _iter_preemptible(self) -> Iterator[tuple[HostSlots, SlotLease]]:
-        return (
-            (slots, lease)
-            for slots in self.hosts.values()
-            for lease in slots.leases.values()
-            if lease.urgency != Urgency.URGENT and not lease.is_preempted
-        )
-
-
-def _get_preemption_order(victim: tuple[HostSlots, SlotLease]) -> tuple[bool, int, float]:
-    """Order leases: what may be repeated, is least urgent and started last gives way first."""
-    _, lease = victim
-    return (not lease.is_repeatable, -lease.urgency, -lease.granted_at_s)
--- a/src/robinthread/_internal/dispatch/host_slots.py
+++ b/src/robinthread/_internal/dispatch/host_slots.py
@@ -1,10 +1,12 @@
 """Slots of one host as its dispatcher accounts for them."""
 
+from collections.abc import Iterable, Iterator
 from dataclasses import replace
 
 from robinthread._internal.dispatch.host_health import HostHealth
 from robinthread._internal.dispatch.slot_lease import SlotLease
 from robinthread._internal.models.host import Host
+from robinthread._internal.models.urgency import Urgency
 
 
 class HostSlots:
@@ -76,3 +78,23 @@
 
 def _get_grant_time(lease: SlotLease) -> float:
     return lease.granted_at_s
+
+
+def pick_victim(hosts: Iterable[HostSlots]) -> tuple[HostSlots, SlotLease] | None:
+    """Return the lease that is to give way next and its host, if there is any."""
+    return min(_iter_preemptible(hosts), key=_get_preemption_order, default=None)
+
+
+def _iter_preemptible(hosts: Iterable[HostSlots]) -> Iterator[tuple[HostSlots, SlotLease]]:
+    return (
+        (slots, lease)
+        for slots in hosts
+        for lease in slots.leases.values()
+        if lease.urgency != Urgency.URGENT and not lease.is_preempted
+    )
+
+
+def _get_preemption_order(victim: tuple[HostSlots, SlotLease]) -> tuple[bool, int, float]:
+    """Order leases: what may be repeated, is least urgent and started last gives way first."""
+    _, lease = victim
+    return (not lease.is_repeatable, -lease.urgency, -lease.granted_at_s)
--- a/src/robinthread/_internal/dispatch/job_record.py
+++ b/src/robinthread/_internal/dispatch/job_record.py
@@ -1,11 +1,23 @@
-"""Jobs that fail on host after host."""
+"""What the outcomes of tasks teach about jobs and hosts."""
 
+from __future__ import annotations
+
+import asyncio
 from collections import OrderedDict
-from typing import Final
+from collections.abc import Callable, Coroutine
+from typing import TYPE_CHECKING, Any, Final
 
+from robinthread._internal.dispatch.host_slots import HostSlots
+from robinthread._internal.dispatch.run_estimate import RunEstimate
 from robinthread._internal.dispatch.slot_outcome import SlotOutcome
+from robinthread._internal.fold.kinds.host_set_aside import HostSetAside
+from robinthread._internal.models.host import Host
+from robinthread._internal.peers.messages import SlotRelease
 from robinthread._internal.settings.dispatch_settings import DispatchSettings
 
+if TYPE_CHECKING:
+    from robinthread._internal.dispatch.dispatcher import DispatchContext
+
 JOBS_MAX: Final = 4096
 
 
@@ -38,3 +50,59 @@
         if len(self._set_aside_until_s) > JOBS_MAX:
             self._set_aside_until_s.popitem(last=False)
         return True
+
+
+class OutcomeRecord:
+    """Suspend hosts and set jobs aside by the outcomes of one pool's tasks.
+
+    ``pump`` leases what is free once a suspension ends; ``start_task`` runs
+    work beside the caller's.
+    """
+
+    def __init__(
+        self,
+        pool: str,
+        hosts: dict[str, HostSlots],
+        context: DispatchContext,
+        settings: DispatchSettings,
+        pump: Callable[[], None],
+        start_task: Callable[[Coroutine[Any, Any, None]], None],
+    ) -> None:
+        self.estimate = RunEstimate(settings)
+        self.jobs = JobRecord(settings)
+        self._pool = pool
+        self._hosts = hosts
+        self._context = context
+        self._settings = settings
+        self._pump = pump
+        self._start_task = start_task
+
+    def learn(self, slots: HostSlots, outcome: SlotOutcome, release: SlotRelease) -> None:
+        """Learn from how a task on a host ended."""
+        now_s = asyncio.get_running_loop().time()
+        if outcome is SlotOutcome.RAN:
+            self.estimate.note(release.run_s)
+        is_blameless = (
+            outcome is SlotOutcome.TIMED_OUT
+            and release.run_s < self.estimate.mean_s * self._settings.slow_factor
+        )
+        if not is_blameless and slots.health.note(outcome, release.job, now_s):
+            self._suspend(slots, now_s)
+        if self.jobs.note(outcome, release.job, slots.host.name, now_s):
+            self._context.counters.add("jobs_set_aside")
+            for other in self._hosts.values():
+                other.health.forgive(release.job)
+
+    def _suspend(self, slots: HostSlots, now_s: float) -> None:
+        self._context.counters.add("hosts_suspended")
+        self._context.events.note("host_suspended", slots.host.name, self._pool)
+        pause_s = slots.health.suspended_until_s - now_s
+        asyncio.get_running_loop().call_later(pause_s, self._pump)
+        if slots.health.suspensions >= self._settings.set_aside_after_suspensions:
+            self._start_task(self._set_aside(slots.host))
+
+    async def _set_aside(self, host: Host) -> None:
+        """Ask to have a host that fails on and on set aside; its budget may forbid it."""
+        if host.is_serving:
+            self._context.counters.add("hosts_set_aside_asked")
+            await self._context.publish(HostSetAside(host.name, host.token))
--- a/src/robinthread/_internal/dispatch/waiting_queue.py
+++ b/src/robinthread/_internal/dispatch/waiting_queue.py
@@ -1,13 +1,17 @@
-"""Asks for slots that wait, by urgency and team."""
+"""Asks for slots that wait, by urgency and team, and the slots that teams hold."""
 
 import asyncio
-from collections import deque
+from collections import Counter, deque
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass
+from typing import Final
 
+from robinthread._internal.models.fleet_state import FleetState
 from robinthread._internal.models.urgency import Urgency
 from robinthread._internal.peers.messages import SlotAsk, SlotReply
 
+UNLIMITED_SLOTS: Final = 1_000_000
+
 
 @dataclass(frozen=True)
 class WaitingAsk:
@@ -72,3 +76,31 @@
             for asks in tuple(teams.values())
             for waiting in tuple(asks)
         )
+
+
+class TeamSlots:
+    """Count the slots that each team holds in a pool's part of one data hall."""
+
+    def __init__(self, get_state: Callable[[], FleetState]) -> None:
+        self._get_state = get_state
+        self._in_use: Counter[str] = Counter()
+
+    def take(self, team: str) -> None:
+        """Count a slot that was leased to a team."""
+        self._in_use[team] += 1
+
+    def give_back(self, team: str) -> None:
+        """Count a slot of a team as free again."""
+        self._in_use[team] -= 1
+
+    def get_share(self, team: str) -> float:
+        """Return the share of its quota that a team holds."""
+        return self._in_use[team] / self._get_quota(team)
+
+    def is_over_quota(self, team: str) -> bool:
+        """Tell whether a team may get no further slot."""
+        return self._in_use[team] >= self._get_quota(team)
+
+    def _get_quota(self, team: str) -> int:
+        quota = self._get_state().quotas.get(team)
+        return max(1, quota.max_slots) if quota else UNLIMITED_SLOTS
