--- a/src/robinthread/_internal/waves/steward.py
+++ b/src/robinthread/_internal/waves/steward.py
@@ -12,11 +12,7 @@
 from robinthread._internal.dispatch.slot_lease import SlotLease
 from robinthread._internal.fold.folder import FoldedRecord
 from robinthread._internal.fold.kinds.drain_permitted import DrainPermitted
-from robinthread._internal.fold.kinds.drain_started import DrainStarted
 from robinthread._internal.fold.kinds.host_assigned import HostAssigned
-from robinthread._internal.fold.kinds.host_drained import HostDrained
-from robinthread._internal.fold.kinds.host_failed import HostFailed
-from robinthread._internal.fold.kinds.host_returned import HostReturned
 from robinthread._internal.models.fleet_state import FleetState
 from robinthread._internal.models.host import Host
 from robinthread._internal.models.host_phase import HostPhase
@@ -26,16 +22,13 @@
 from robinthread._internal.settings.wave_settings import WaveSettings
 from robinthread._internal.telemetry.counters import Counters
 from robinthread._internal.timeline.event_ring import EventRing
-from robinthread._internal.upstream.control import ControlAction, ControlCall
-from robinthread._internal.upstream.errors import UpstreamLostError, UpstreamUnsentError
 from robinthread._internal.upstream.service import UpstreamService
+from robinthread._internal.waves.host_maintenance import HostMaintenance, fence, read_boot_id
 from robinthread._internal.waves.host_view import HostView
 from robinthread._internal.waves.measures import WaveMeasures
 from robinthread._internal.waves.policy import make_policy
 from robinthread._internal.waves.pool_view import PoolView
 
-DRAINED_CHECK_S: Final = 0.1
-RETURN_CHECK_S: Final = 0.2
 HELD_PHASES: Final = (HostPhase.PERMITTED, HostPhase.DRAINING, HostPhase.OUT)
 
 Publish = Callable[[object], Awaitable[Result[FoldedRecord, Fault]]]
@@ -61,6 +54,12 @@
     events: EventRing
     measures: WaveMeasures
 
+    def owns_pool(self, pool: str) -> bool:
+        """Tell whether this daemon dispatches a pool here, or with no pool, the free hosts."""
+        if not pool:
+            return self.owns_free_hosts()
+        return pool in self.get_dispatchers()
+
 
 class Steward:
     """Ask for permits, drain, reboot or release, verify the return.
@@ -74,6 +73,7 @@
         self._context = context
         self._settings = settings
         self._policy = make_policy(settings)
+        self._maintenance = HostMaintenance(context, settings, self._move_overdue)
         self._fenced: dict[str, int] = {}
         self._tasks: dict[str, asyncio.Task[None]] = {}
 
@@ -162,7 +162,7 @@
             host.pool == wave.to_pool and host.hall == wave.to_hall for host in state.hosts.values()
         )
         for host in free[: max(0, wave.to_count - there)]:
-            if await self._read_boot_id(host):
+            if await read_boot_id(self._context, host):
                 await self._context.publish(HostAssigned(host.name, wave.to_pool))
 
     def _iter_wave_hosts(self, state: FleetState, wave: Wave, pool: str) -> Iterator[Host]:
@@ -179,12 +179,7 @@
             for name in wave.waiting
             if (host := state.hosts.get(name)) is not None and host.hall == self._context.hall
         }
-        return tuple(sorted(pool for pool in pools if self._is_ours(pool)))
-
-    def _is_ours(self, pool: str) -> bool:
-        if not pool:
-            return self._context.owns_free_hosts()
-        return pool in self._context.get_dispatchers()
+        return tuple(sorted(pool for pool in pools if self._context.owns_pool(pool)))
 
     async def _empty_leaving(self) -> None:
         """Fence hosts that the platform takes away, and move what outlasts the wait."""
@@ -196,109 +191,18 @@
                 continue
             if self._fenced.get(host.name) != host.token:
                 self._fenced[host.name] = host.token
-                await self._fence(host)
+                await fence(self._context, host)
             self._move_overdue(dispatcher, (host.name,))
 
     def _start_tasks(self) -> None:
         for host in tuple(self._context.get_state().hosts.values()):
             is_held = host.phase in HELD_PHASES and host.hall == self._context.hall
             task = self._tasks.get(host.name)
-            if is_held and self._is_ours(host.pool) and (task is None or task.done()):
+            if is_held and self._context.owns_pool(host.pool) and (task is None or task.done()):
                 self._tasks[host.name] = asyncio.get_running_loop().create_task(
-                    self._carry_host(host.name)
+                    self._maintenance.carry(host.name)
                 )
 
-    async def _carry_host(self, name: str) -> None:
-        """Take one host through the steps that are left for it."""
-        steps = {
-            HostPhase.PERMITTED: self._start_drain,
-            HostPhase.DRAINING: self._drain,
-            HostPhase.OUT: self._reboot,
-        }
-        while True:
-            host = self._context.get_state().hosts.get(name)
-            if host is None or host.phase not in steps or not self._is_ours(host.pool):
-                return
-            if not await steps[host.phase](host):
-                await asyncio.sleep(self._settings.steward_interval_s)
-
-    async def _start_drain(self, host: Host) -> bool:
-        """Let the permit be known, then start; a permit taken back voids the record."""
-        idle = host.slots - self._count_in_use(host)
-        await asyncio.sleep(self._settings.permit_effect_s)
-        self._context.measures.note_held_back(idle, self._settings.permit_effect_s)
-        return await self._publish_step(DrainStarted(host.name, host.token))
-
-    async def _drain(self, host: Host) -> bool:
-        await self._fence(host)
-        while not await self._is_empty(host):
-            dispatcher = self._context.get_dispatchers().get(host.pool)
-            if dispatcher is not None:
-                self._move_overdue(dispatcher, (host.name,))
-            if not self._is_still(host):
-                return False
-            idle = host.slots - self._count_in_use(host)
-            await asyncio.sleep(DRAINED_CHECK_S)
-            self._context.measures.note_held_back(idle, DRAINED_CHECK_S)
-        self._context.events.note("drained", host.name, host.wave)
-        boot_id = await self._read_boot_id(host)
-        return await self._publish_step(HostDrained(host.name, host.token, boot_id))
-
-    async def _reboot(self, host: Host) -> bool:
-        """Reboot the host once, and verify that it is back under a new boot id."""
-        started_at_s = asyncio.get_running_loop().time()
-        if await self._read_boot_id(host) == host.boot_id:
-            await self._control(host, ControlCall(ControlAction.REBOOT, host.token))
-        while self._is_still(host):
-            boot_id = await self._read_boot_id(host)
-            if boot_id and boot_id != host.boot_id:
-                self._context.events.note("returned", host.name, host.wave)
-                return await self._publish_step(HostReturned(host.name, host.token))
-            if asyncio.get_running_loop().time() - started_at_s > self._settings.return_timeout_s:
-                self._context.events.note("not_returned", host.name, host.wave)
-                self._context.counters.add("hosts_not_returned")
-                return await self._publish_step(HostFailed(host.name, host.token))
-            await asyncio.sleep(RETURN_CHECK_S)
-            self._context.measures.note_held_back(host.slots, RETURN_CHECK_S)
-        return False
-
-    async def _publish_step(self, body: object) -> bool:
-        if not self._context.is_fresh():
-            return False
-        return isinstance(await self._context.publish(body), Success)
-
-    async def _fence(self, host: Host) -> None:
-        await self._control(host, ControlCall(ControlAction.FENCE, host.token))
-
-    async def _control(self, host: Host, call: ControlCall) -> None:
-        try:
-            await self._context.upstream.control(host.address, call)
-        except (UpstreamUnsentError, UpstreamLostError):
-            self._context.counters.add("control_calls_failed")
-
-    async def _read_boot_id(self, host: Host) -> str:
-        try:
-            return (await self._context.upstream.report(host.address)).boot_id
-        except (UpstreamUnsentError, UpstreamLostError):
-            return ""
-
-    async def _is_empty(self, host: Host) -> bool:
-        """Tell whether nothing runs on the host, by our count and by its own report.
-
-        A dispatcher that has just taken over has not counted yet.
-        """
-        if self._count_in_use(host) > 0:
-            return False
-        try:
-            return (await self._context.upstream.report(host.address)).slots_in_use == 0
-        except (UpstreamUnsentError, UpstreamLostError):
-            return False
-
-    def _count_in_use(self, host: Host) -> int:
-        dispatcher = self._context.get_dispatchers().get(host.pool)
-        slots = dispatcher.hosts.get(host.name) if dispatcher else None
-        return slots.in_use if slots else 0
-
     def _move_overdue(self, dispatcher: Dispatcher, names: tuple[str, ...]) -> None:
         """Move tasks that have outlasted the allowed wait on hosts that could leave now.
 
@@ -332,15 +236,6 @@
             self._context.events.note("move", lease.id, slots.host.name)
             self._context.tell_holder(lease.holder_address, Preempt(lease.id))
 
-    def _is_still(self, host: Host) -> bool:
-        current = self._context.get_state().hosts.get(host.name)
-        return (
-            current is not None
-            and current.token == host.token
-            and current.phase is host.phase
-            and self._is_ours(host.pool)
-        )
-
 
 def _would_hold(state: FleetState, pool: str, names: tuple[str, ...]) -> bool:
     """Tell whether the pool's budget holds without the named hosts."""
