--- a/src/robinthread/_internal/entry/answer_cache.py
+++ b/src/robinthread/_internal/entry/answer_cache.py
@@ -1,10 +1,25 @@
-"""Final answers kept for duplicates."""
+"""Answers to requests that this daemon carries now or has carried."""
 
+from __future__ import annotations
+
+import asyncio
 from collections import OrderedDict
 from dataclasses import dataclass
+from typing import TYPE_CHECKING, Final
 
 from robinthread._internal.claims.claim import Claim
+from robinthread._internal.claims.claim_service import ClaimService
 from robinthread._internal.entry.caller_answer import CallerAnswer
+from robinthread._internal.entry.running_request import RunningRequest
+from robinthread._internal.peers.messages import AnswerAsk
+from robinthread._internal.results import Family, ResultCode
+from robinthread._internal.settings.entry_settings import EntrySettings
+
+if TYPE_CHECKING:
+    from robinthread._internal.entry.entry_service import EntryContext
+
+_UNKNOWN: Final = CallerAnswer(ResultCode.OUTCOME_UNKNOWN)
+_DIFFERS: Final = CallerAnswer(ResultCode.BODY_DIFFERS)
 
 
 @dataclass(frozen=True)
@@ -43,3 +58,57 @@
         entry = self._entries.pop(key, None)
         if entry is not None:
             self._bytes -= len(entry.answer.body)
+
+
+class KnownAnswers:
+    """Requests without a final answer in ``running``, and kept answers of others."""
+
+    def __init__(
+        self, context: EntryContext, settings: EntrySettings, claims: ClaimService
+    ) -> None:
+        self.running: dict[bytes, RunningRequest] = {}
+        self._context = context
+        self._settings = settings
+        self._claims = claims
+        self._answers = AnswerCache(settings.answers_max_bytes)
+
+    def get(self, key: bytes) -> CachedAnswer | None:
+        """Return the kept answer for ``key``."""
+        return self._answers.get(key)
+
+    def keep(self, running: RunningRequest, answer: CallerAnswer) -> None:
+        """Keep the final answer of a request that holds a claim."""
+        claim = running.claim
+        if claim is None:
+            return
+        expires_at_s = claim.expires_at_s + self._settings.answer_keep_s
+        entry = CachedAnswer(claim, answer, expires_at_s)
+        self._answers.put(claim.key, entry, self._context.wall_clock())
+
+    def repeat(self, key: bytes) -> CallerAnswer:
+        """Return the kept answer to a duplicate whose claim this daemon holds."""
+        cached = self._answers.get(key)
+        return self._repeat_answer(cached) if cached else _UNKNOWN
+
+    async def find(self, ask: AnswerAsk) -> CallerAnswer:
+        """Return the answer to a duplicate that another daemon got."""
+        running = self.running.get(ask.key)
+        if running is not None:
+            if running.digest != ask.digest:
+                return _DIFFERS
+            try:
+                return await asyncio.wait_for(asyncio.shield(running.answer), ask.wait_s)
+            except TimeoutError:
+                return CallerAnswer(ResultCode.ANSWER_TIMED_OUT)
+        cached = self._answers.get(ask.key)
+        if cached is None:
+            return _UNKNOWN
+        if cached.claim.digest != ask.digest:
+            return _DIFFERS
+        return self._repeat_answer(cached)
+
+    def _repeat_answer(self, cached: CachedAnswer) -> CallerAnswer:
+        """Return a kept answer; release its claim again if the owner has missed that."""
+        if cached.answer.code.family is Family.DID_NOT_RUN:
+            self._claims.release(cached.claim)
+        return cached.answer
