--- a/src/robinthread/_internal/node/node.py
+++ b/src/robinthread/_internal/node/node.py
@@ -169,7 +169,7 @@
     async def _take(self, pool: str) -> bool:
         """Take a pool; return whether that succeeded."""
         try:
-            is_taken = await self._table.take(pool, self._me)
+            is_taken = await self._table.take(pool, self._me, self._election.get_returned())
         except StoreError as error:
             self._events.write("take_failed", pool=pool, error=f"{type(error).__name__}: {error}")
             return False
@@ -207,10 +207,11 @@
         """Return for how long to leave alone what the last steward ordered.
 
         Two stewards that both reach the platform must not take turns.  One whose
-        process ends, or which the platform has not heard, gives no more orders.
+        process ends, or a former life of this one, gives no more orders.  That the last one
+        is no member proves nothing: one that lives may hold no partition.
         """
         previous = self._table.previous.get(FLEET)
-        if previous is None or previous.is_stopping or previous.owner not in self._member.members:
+        if previous is None or previous.is_stopping or previous.owner.node == self._me.node:
             return 0.0
         return self._context.settings.bounds.steward_turn_ms / 1000
 
