Failing tests: all nodes come back while hosts or the store take their time

Store that answers in 0.6 s: pools pass between nodes that live. 8 pools of 8 owners, store at 0.24 s: the last one is open after 6.0 s, the first after 1.3 s.

--- /dev/null
+++ b/tests/functional/test_restart_of_all.py
@@ -0,0 +1,108 @@
+"""All nodes end and come back at once, while hosts or the store take their time."""
+
+import asyncio
+import json
+from collections.abc import Callable
+
+from testtools import TestCase
+
+from robinthread._internal.models.host_report import RunEnd
+from robinthread._internal.models.job_spec import StepSpec
+from robinthread._internal.models.pool_policy import PoolPolicy
+from robinthread._internal.models.resources import Resources
+from robinthread._internal.standins.job_hosts_standin import TaskPlan
+from robinthread._internal.standins.platform_standin import RESERVE, PlatformStandin
+from tests.lib.job_platforms import (
+    QUEUE,
+    ROOM,
+    get_owner,
+    hand_in,
+    make_job,
+    plan_second,
+    start_platform,
+    wait_until,
+)
+from tests.lib.virtual import run_virtual
+
+LASTING_ROOM = Resources(4000, 100)
+# What a host five times slower than usual takes to answer, or one of many that an owner
+# with half a core asks at once.
+SLOW_HOST_S = 0.05
+# What the store takes to answer when it is slow: 60 times some 10 ms.
+SLOW_STORE_S = 0.6
+SLOW_STORE_SPREAD = 0.2
+OFF_S = 1.0
+POOLS = tuple(f"pool{number}" for number in range(8))
+# What the store of the stand-in takes to answer when it is 60 times slower than usual.
+SLOW_TAKES_S = 0.24
+# A join, the list of members, the owners, a take with its read, an opening: seven answers
+# in turn, and as much again to spare.
+ALL_OPEN_WITHIN_S = 14 * SLOW_TAKES_S
+
+
+async def _restart_all(platform: PlatformStandin, comes_back: Callable[[str], bool]) -> None:
+    names = list(platform.nodes)
+    for name in names:
+        platform.kill_node(name)
+    await asyncio.sleep(OFF_S)
+    for name in filter(comes_back, names):
+        platform.start_node(name)
+
+
+class RestartOfAllTest(TestCase):
+    def test_hosts_that_are_not_heard_yet_are_not_replaced(self) -> None:
+        async def work() -> None:
+            platform = await start_platform(
+                lambda task: TaskPlan(None, LASTING_ROOM), nodes=5, hosts=10, reserve=10
+            )
+            for number in range(8):
+                step = StepSpec(4, cpu_millicores=4000, memory_mb=100, is_lasting=True)
+                await hand_in(platform, "node0", make_job(number, step))
+            await asyncio.sleep(15)
+            moved, runs = platform.machines.move_count, list(platform.hosts.ledger.runs)
+            platform.hosts.faults.latency_s = SLOW_HOST_S
+            await _restart_all(platform, lambda name: True)
+            await asyncio.sleep(10)
+            stopped = [run for run in runs if run.end == RunEnd.STOPPED.value]
+            self.assertEqual((0, 0), (platform.machines.move_count - moved, len(stopped)))
+
+        run_virtual(work())
+
+    def test_slow_store_does_not_make_living_owners_lose_their_pools(self) -> None:
+        async def work() -> None:
+            platform = await start_platform(nodes=12)
+            owner = get_owner(platform)
+            platform.store.faults.latency_s = SLOW_STORE_S
+            platform.store.faults.latency_spread = SLOW_STORE_SPREAD
+            await _restart_all(platform, lambda name: name != owner)
+            # In the first seconds the pools of the node that is gone are taken.
+            await asyncio.sleep(10)
+            before = len(platform.events)
+            await asyncio.sleep(30)
+            later = [json.loads(line) for line in platform.events[before:]]
+            taken = [event["reason"] for event in later if event["event"] == "pool_taken"]
+            self.assertEqual([], taken)
+
+        run_virtual(work())
+
+    def test_pools_of_several_owners_open_side_by_side_on_a_slow_store(self) -> None:
+        async def work() -> None:
+            platform = PlatformStandin(plan_second)
+            policies = (*map(PoolPolicy, POOLS), PoolPolicy(RESERVE, is_reserve=True))
+            platform.configure(1, (QUEUE,), policies)
+            for pool in POOLS:
+                platform.machines.add(pool, "r0", ROOM)
+            for number in range(16):
+                platform.start_node(f"node{number}")
+            await asyncio.sleep(10)
+            owners = {get_owner(platform, pool) for pool in POOLS}
+            self.assertEqual(len(POOLS), len(owners - {None}))
+            platform.store.faults.latency_s = SLOW_TAKES_S
+            platform.store.faults.latency_spread = SLOW_STORE_SPREAD
+            await _restart_all(platform, lambda name: True)
+            took_s = await wait_until(
+                lambda: all(get_owner(platform, pool) is not None for pool in POOLS)
+            )
+            self.assertLess(took_s, ALL_OPEN_WITHIN_S)
+
+        run_virtual(work())
