Test of hosts not heard yet counts what ran at the restart, and has two more cases

It counted every run that was ever stopped: 12 of the 44 ended before the restart, while the pool was still growing. Now the 32 that run then must all run on, whatever would end them. The other cases: only the pool's owner is killed, with hosts that answer in 0.1 s, and a restart in which the first look at each host is lost.

--- a/tests/functional/test_restart_of_all.py
+++ b/tests/functional/test_restart_of_all.py
@@ -2,11 +2,10 @@
 
 import asyncio
 import json
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 from testtools import TestCase
 
-from robinthread._internal.models.host_report import RunEnd
 from robinthread._internal.models.job_spec import StepSpec
 from robinthread._internal.models.pool_policy import PoolPolicy
 from robinthread._internal.models.resources import Resources
@@ -22,12 +21,15 @@
     start_platform,
     wait_until,
 )
+from tests.lib.lasting import kill_owner
 from tests.lib.virtual import run_virtual
 
 LASTING_ROOM = Resources(4000, 100)
 # What a host five times slower than usual takes to answer, or one of many that an owner
 # with half a core asks at once.
 SLOW_HOST_S = 0.05
+# All first looks of an owner that has just opened its pool have been sent by then.
+FIRST_LOOKS_S = 0.1
 # What the store takes to answer when it is slow: 60 times some 10 ms.
 SLOW_STORE_S = 0.6
 SLOW_STORE_SPREAD = 0.2
@@ -39,6 +41,8 @@
 # in turn, and as much again to spare.
 ALL_OPEN_WITHIN_S = 14 * SLOW_TAKES_S
 
+BringAbout = Callable[[PlatformStandin], Awaitable[None]]
+
 
 async def _restart_all(platform: PlatformStandin, comes_back: Callable[[str], bool]) -> None:
     names = list(platform.nodes)
@@ -49,9 +53,21 @@
         platform.start_node(name)
 
 
+async def _kill_owner(platform: PlatformStandin) -> None:
+    kill_owner(platform)
+
+
+async def _restart_and_lose_first_looks(platform: PlatformStandin) -> None:
+    platform.hosts.faults.silent.add("*")
+    await _restart_all(platform, lambda name: True)
+    await wait_until(lambda: get_owner(platform) is not None)
+    await asyncio.sleep(FIRST_LOOKS_S)
+    platform.hosts.faults.silent.remove("*")
+
+
 class RestartOfAllTest(TestCase):
     def test_hosts_that_are_not_heard_yet_are_not_replaced(self) -> None:
-        async def work() -> None:
+        async def work(latency_s: float, bring_about: BringAbout) -> None:
             platform = await start_platform(
                 lambda task: TaskPlan(None, LASTING_ROOM), nodes=5, hosts=10, reserve=10
             )
@@ -59,14 +75,21 @@
                 step = StepSpec(4, cpu_millicores=4000, memory_mb=100, is_lasting=True)
                 await hand_in(platform, "node0", make_job(number, step))
             await asyncio.sleep(15)
-            moved, runs = platform.machines.move_count, list(platform.hosts.ledger.runs)
-            platform.hosts.faults.latency_s = SLOW_HOST_S
-            await _restart_all(platform, lambda name: True)
+            moved = platform.machines.move_count
+            runs = [run for run in platform.hosts.ledger.runs if run.ended_at_s is None]
+            self.assertEqual(32, len(runs))
+            platform.hosts.faults.latency_s = latency_s
+            await bring_about(platform)
             await asyncio.sleep(10)
-            stopped = [run for run in runs if run.end == RunEnd.STOPPED.value]
-            self.assertEqual((0, 0), (platform.machines.move_count - moved, len(stopped)))
+            ended = [run for run in runs if run.ended_at_s is not None]
+            self.assertEqual((0, 0), (platform.machines.move_count - moved, len(ended)))
 
-        run_virtual(work())
+        async def restart(platform: PlatformStandin) -> None:
+            await _restart_all(platform, lambda name: True)
+
+        run_virtual(work(SLOW_HOST_S, restart))
+        run_virtual(work(2 * SLOW_HOST_S, _kill_owner))
+        run_virtual(work(SLOW_HOST_S, _restart_and_lose_first_looks))
 
     def test_slow_store_does_not_make_living_owners_lose_their_pools(self) -> None:
         async def work() -> None:
