Hosts that a pool's owner has not heard yet are not replaced

An owner opens its pool with all hosts unheard and names them in its report. Named ones did not count as arriving and unheard ones not as serving, so the steward saw an empty pool and fetched as many again: more than the first answer of a host takes is enough, a step of the steward is 0.1 s. Once all were heard the pool's own hosts were the surplus.

The report tells which hosts are awaited: unheard, listed, not draining, not in doubt with their hall, for 3 s from the opening or their listing, or until two looks were left unanswered. They count where hosts are fetched, not where hosts are let go; a silent hall's do not count, and none makes its hall a silent one. What tasks lack is found with them too, by their room beside what the records say runs there, so that it is still fetched at once.

Counting them where hosts are let go: the ones that answer would leave for the sake of others that may never.

--- a/src/robinthread/_internal/fleet/planner.py
+++ b/src/robinthread/_internal/fleet/planner.py
@@ -68,7 +68,8 @@
             size, vacating = sizes[pool.name], self._vacating[pool.name]
             taken = reserve.take_for(pool.report.lacks, size.lack_count - pool.arriving)
             serving = _count_serving(pool, vacating, view.ordered)
-            taken += reserve.take(size.fetch_count - serving - len(taken))
+            awaited = _count_awaited(view, pool)
+            taken += reserve.take(size.fetch_count - serving - awaited - len(taken))
             orders += [MoveOrder(machine, pool.name) for machine in taken]
             lack = _count_lacking(view, pool, size, vacating, room)
             lacks[pool.name] = max(0, lack - len(taken))
@@ -210,13 +211,26 @@
     return serving + pool.arriving
 
 
+def _count_awaited(view: FleetView, pool: PoolView) -> int:
+    """Return how many hosts need no replacement, though their pool has not heard them yet.
+
+    None is let go on their account before they are heard.
+    """
+    return sum(
+        host.is_awaited
+        and host.machine not in view.ordered
+        and pool.machines[host.machine].hall not in view.silent_halls
+        for host in pool.hosts
+    )
+
+
 def _count_lacking(
     view: FleetView, pool: PoolView, size: PoolSize, vacating: frozenset[str], room: Resources
 ) -> int:
     """Return how many hosts a pool lacks that any machine of ``room`` could be."""
     lacks = (lack for lack in pool.report.lacks if not lack.label)
     missing = sum(lack.count for lack in lacks if Resources(*lack.room).fits_in(room))
-    serving = _count_serving(pool, vacating, view.ordered)
+    serving = _count_serving(pool, vacating, view.ordered) + _count_awaited(view, pool)
     return max(0, size.fetch_count - serving, missing - pool.arriving)
 
 
--- a/src/robinthread/_internal/fleet/pool_report.py
+++ b/src/robinthread/_internal/fleet/pool_report.py
@@ -17,6 +17,7 @@
     ``is_usable`` tells whether it answers and takes work, or would if it were
     not to be emptied.  ``is_vacating`` confirms that it gets no new work.
     ``is_needed`` tells that tasks wait for it which do not fit on every host.
+    ``is_awaited`` tells that its owner has not heard it yet, and expects to.
     """
 
     machine: str
@@ -26,6 +27,7 @@
     run_count: int
     lasting_count: int
     is_needed: bool = False
+    is_awaited: bool = False
 
 
 class LackReport(msgspec.Struct, frozen=True, array_like=True):
--- a/src/robinthread/_internal/fleet/silent_halls.py
+++ b/src/robinthread/_internal/fleet/silent_halls.py
@@ -14,13 +14,17 @@
 def find_silent_halls(
     reports: Iterable[PoolReport], machines: Mapping[str, Machine]
 ) -> frozenset[str]:
-    """Return the halls most of whose hosts cannot be used by the owners of their pools."""
+    """Return the halls most of whose hosts cannot be used by the owners of their pools.
+
+    A host that is still awaited tells nothing of its hall.
+    """
     silent: Counter[str] = Counter()
     usable: Counter[str] = Counter()
     for report in reports:
         for host in report.hosts:
             machine = machines.get(host.machine)
-            if machine is not None and machine.host_id == host.host_id:
+            is_current = machine is not None and machine.host_id == host.host_id
+            if machine is not None and is_current and not host.is_awaited:
                 (usable if host.is_usable else silent)[machine.hall] += 1
     return frozenset(
         hall for hall, count in silent.items() if count >= SILENT_MIN and count > usable[hall]
--- a/src/robinthread/_internal/jobs/host.py
+++ b/src/robinthread/_internal/jobs/host.py
@@ -33,6 +33,7 @@
     when its last report came, ``leaves_at_s`` the earliest time at which a draining host
     may be gone.
     ``unanswered_since_s`` is when the first order was sent since it last answered.
+    Until ``awaited_until_s`` a host that is UNHEARD is taken for one that will answer.
     By ``foreign_stops_over_at_s`` all that earlier owners told to stop has ended.
     """
 
@@ -55,6 +56,7 @@
         self.leaves_at_s: float | None = None
         self.foreign_stops_over_at_s = 0.0
         self.unanswered_since_s: float | None = None
+        self.awaited_until_s = 0.0
 
     @property
     def id(self) -> str:
@@ -123,6 +125,11 @@
             self.contact is HostContact.ANSWERING and self.is_listed and not self.record.is_draining
         )
 
+    def is_awaited(self, now_s: float) -> bool:
+        """Tell whether the host was not heard yet, and had no time to answer either."""
+        is_coming = self.contact is HostContact.UNHEARD and now_s < self.awaited_until_s
+        return is_coming and self.is_listed and not self.record.is_draining
+
     def is_vacating(self, now_s: float) -> bool:
         """Tell whether the host is to be emptied for the steward."""
         return now_s < self.vacating_until_s
--- a/src/robinthread/_internal/jobs/room_need.py
+++ b/src/robinthread/_internal/jobs/room_need.py
@@ -85,9 +85,10 @@
     """Return the hosts for tasks that do not fit on every host.
 
     What ends leaves its room to others: a host that is full now counts by what it has
-    beside its lasting tasks.  Hosts that are being emptied count after all others.
+    beside its lasting tasks.  Hosts that are being emptied count after all others, and
+    those that are still awaited as if they answered.
     """
-    hosts = get_willing_hosts(pool, now_s)
+    hosts = [*get_willing_hosts(pool, now_s), *_list_awaited(pool, now_s)]
     serving = [host for host in hosts if not host.is_vacating(now_s)]
     if not serving:
         return RoomNeed()
@@ -114,6 +115,10 @@
     return RoomNeed(frozenset(space.host.id for space in needed), apart_count, tuple(missing))
 
 
+def _list_awaited(pool: PoolJobs, now_s: float) -> list[Host]:
+    return [host for host in pool.hosts.values() if host.is_awaited(now_s)]
+
+
 def _fits_everywhere(step: StepSpec, common: Resources) -> bool:
     return not step.required_label and not step.per_host_max and step.room.fits_in(common)
 
--- a/src/robinthread/_internal/node/host_follower.py
+++ b/src/robinthread/_internal/node/host_follower.py
@@ -25,6 +25,13 @@
 # and the longest one, to which it doubles where nothing runs there.  Of some hundred hosts
 # that leave a pool together, looks each 0.2 s took half a core until their entries lapsed.
 IDLE_RETRY_PAUSE_MAX_S: Final = 1.0
+# How long a host that was never heard is taken for one that will answer.  Two looks that
+# time out, with the pause between them, take 1.0 s; the rest is for an owner that is late
+# itself, as one with half a core that looks at some hundred hosts at once.
+FIRST_ANSWER_MAX_S: Final = 3.0
+# So many looks without an answer end that sooner.  One may be lost to the load of an owner
+# that has just opened; where nobody listens, a second one costs the pause between them.
+FIRST_LOOKS_MAX: Final = 2
 
 
 class HostFollower:
@@ -38,9 +45,11 @@
         self._host = host
         self._recorder = recorder
         self._orders = orders
+        self._lost_looks = 0
 
     async def run(self) -> None:
         """Follow until the host is gone."""
+        self._host.awaited_until_s = get_loop_s() + FIRST_ANSWER_MAX_S
         wait_s, pause_s = 0.0, RETRY_PAUSE_S
         while True:
             asked_at_s = get_loop_s()
@@ -84,6 +93,9 @@
         """Note that the host does not answer; its tasks lapse with its lease."""
         host, now_s = self._host, get_loop_s()
         host.note_sent(now_s)
+        self._lost_looks += 1
+        if self._lost_looks >= FIRST_LOOKS_MAX:
+            host.awaited_until_s = now_s
         if host.contact is HostContact.ANSWERING:
             host.contact = HostContact.SILENT
             self._events.write(
--- a/src/robinthread/_internal/node/pool_reporting.py
+++ b/src/robinthread/_internal/node/pool_reporting.py
@@ -74,4 +74,5 @@
         run_count=len(host.runs),
         lasting_count=host.lasting_count,
         is_needed=is_needed,
+        is_awaited=is_trusted and host.is_awaited(now_s),
     )
--- a/src/robinthread/_internal/node/steward.py
+++ b/src/robinthread/_internal/node/steward.py
@@ -167,6 +167,7 @@
                     fetch_count=size.fetch_count,
                     keep_count=size.keep_count,
                     usable=sum(host.is_usable for host in pool.hosts),
+                    awaited=sum(host.is_awaited for host in pool.hosts),
                     arriving=pool.arriving,
                     vacating=len(plan.vacate[pool.name]),
                     lacking=size.lack_count,
--- a/tests/functional/test_lost_hosts.py
+++ b/tests/functional/test_lost_hosts.py
@@ -4,9 +4,16 @@
 
 from testtools import TestCase
 
+from robinthread._internal.models.job_spec import StepSpec
 from robinthread._internal.standins.platform_standin import PlatformStandin
-from tests.lib.job_platforms import get_owner, start_platform
-from tests.lib.lasting import get_first_host, list_runs, start_lasting
+from tests.lib.job_platforms import get_owner, start_platform, wait_until
+from tests.lib.lasting import (
+    cut_host,
+    get_first_host,
+    kill_owner,
+    list_runs,
+    start_lasting,
+)
 from tests.lib.virtual import run_virtual
 
 # An entry lapses so long after its host has ended.
@@ -17,6 +24,10 @@
 LOOKS_MIN = 12
 # A look under way that will not be answered, and the longest pause.
 BACK_MAX_S = 1.5
+# Three hosts are needed for these.
+SPREAD = StepSpec(5, cpu_millicores=1000, memory_mb=100, is_lasting=True, per_host_max=2)
+# Two looks that time out, the pause between them, and two steps of the steward.
+REPLACED_MAX_S = 0.4 + 0.2 + 0.4 + 0.2
 
 
 async def count_looks(platform: PlatformStandin, host_id: str) -> int:
@@ -61,3 +72,15 @@
             self.assertEqual(0, len(list_runs(platform)))
 
         run_virtual(work())
+
+    def test_host_that_the_next_owner_never_hears_is_replaced_soon(self) -> None:
+        async def work() -> None:
+            platform = await start_lasting(hosts=3, reserve=2, step=SPREAD)
+            moves_before = platform.machines.move_count
+            cut_host(platform, get_first_host(platform))
+            kill_owner(platform)
+            await wait_until(lambda: get_owner(platform) is not None)
+            took_s = await wait_until(lambda: platform.machines.move_count > moves_before)
+            self.assertLess(took_s, REPLACED_MAX_S)
+
+        run_virtual(work())
--- a/tests/unit/test_fleet_planner.py
+++ b/tests/unit/test_fleet_planner.py
@@ -15,6 +15,7 @@
 )
 from robinthread._internal.fleet.planner import FleetPlanner
 from robinthread._internal.fleet.pool_report import HostStanding, LackReport, PoolReport
+from robinthread._internal.fleet.silent_halls import find_silent_halls
 from robinthread._internal.fleet.sizing import PoolSize
 from robinthread._internal.models.machine import Machine, MachineState
 from robinthread._internal.models.resources import Resources
@@ -84,6 +85,17 @@
     return replace(pool, report=report)
 
 
+def await_hosts(pool: PoolView, names: str) -> PoolView:
+    """Have a pool's owner not have heard some of its hosts yet."""
+    hosts = tuple(
+        msgspec.structs.replace(host, is_usable=False, is_awaited=True)
+        if host.machine in names
+        else host
+        for host in pool.report.hosts
+    )
+    return replace(pool, report=msgspec.structs.replace(pool.report, hosts=hosts))
+
+
 def list_moves(plan: FleetPlan) -> list[tuple[str, str]]:
     """Return which machine is to move where."""
     return [(o.machine, o.pool) for o in plan.orders if isinstance(o, MoveOrder)]
@@ -181,6 +193,52 @@
         self.assertIn("a", FleetPlanner(ALL).plan(view, 0.0).vacate["p"])
 
 
+class AwaitedHostsTest(TestCase):
+    """A pool's owner has not heard some of its hosts yet."""
+
+    def test_none_is_fetched_for_them(self) -> None:
+        pool = await_hosts(make_pool("p", "abc", 48), "abc")
+        plan = FleetPlanner(ALL).plan(make_view(pool, reserve="xyz"), 0.0)
+        self.assertEqual([], list_moves(plan))
+
+    def test_what_the_pool_lacks_beside_them_is_fetched_at_once(self) -> None:
+        pool = await_hosts(make_pool("p", "abc", 80), "bc")
+        plan = FleetPlanner(ALL).plan(make_view(pool, reserve="xyz"), 0.0)
+        self.assertEqual([("x", "p"), ("y", "p")], list_moves(plan))
+
+    def test_what_is_to_come_for_wide_tasks_is_fetched_beside_them(self) -> None:
+        lack = LackReport(1, (13_000, 1_000, 0))
+        pool = with_lacks(await_hosts(make_pool("p", "abc", 10), "abc"), lack)
+        plan = FleetPlanner(ALL).plan(make_view(pool, reserve="xyz"), 0.0)
+        self.assertEqual([("x", "p")], list_moves(plan))
+
+    def test_none_that_serves_is_let_go_on_their_account(self) -> None:
+        view = make_view(await_hosts(make_pool("p", "abcd", 32), "cd"))
+        planner = FleetPlanner(ALL)
+        planner.plan(view, 0.0)
+        self.assertEqual(frozenset(), planner.plan(view, 1.0).vacate["p"])
+
+    def test_other_pools_keep_what_they_have_to_spare(self) -> None:
+        short = await_hosts(make_pool("short", "abc", 48), "abc")
+        view = make_view(short, make_pool("cold", "efgh", 0))
+        self.assertEqual(frozenset(), FleetPlanner(ALL).plan(view, 0.0).vacate["cold"])
+
+    def test_those_of_a_silent_hall_are_replaced(self) -> None:
+        pool = await_hosts(make_pool("p", "abc", 48), "bc")
+        view = replace(make_view(pool, reserve="xyz"), silent_halls=frozenset({"hall"}))
+        self.assertEqual(2, len(list_moves(FleetPlanner(ALL).plan(view, 0.0))))
+
+    def test_they_do_not_make_their_hall_a_silent_one(self) -> None:
+        pool = make_pool("p", "abc", 48)
+        for awaited, expected in (("abc", frozenset()), ("", {"hall"})):
+            hosts = tuple(
+                msgspec.structs.replace(host, is_usable=False, is_awaited=host.machine in awaited)
+                for host in pool.report.hosts
+            )
+            report = msgspec.structs.replace(pool.report, hosts=hosts)
+            self.assertEqual(expected, find_silent_halls([report], pool.machines))
+
+
 class UpkeepTest(TestCase):
     wave = WaveView(1, frozenset("xy"), 2, 0, left_s=100.0)
 
--- a/tests/unit/test_pool_reporting.py
+++ b/tests/unit/test_pool_reporting.py
@@ -5,13 +5,16 @@
 
 from testtools import TestCase
 
-from robinthread._internal.jobs.host import Host
+from robinthread._internal.jobs.demand import DemandMeter
+from robinthread._internal.jobs.host import Host, HostContact
 from robinthread._internal.jobs.host_lease import HostLease
+from robinthread._internal.jobs.pool_jobs import PoolJobs
 from robinthread._internal.jobs.run import Run
 from robinthread._internal.models.resources import NO_RESOURCES
 from robinthread._internal.models.task_key import TaskKey
 from robinthread._internal.models.upstream_host import UpstreamHost
-from robinthread._internal.node.pool_reporting import tell_ended
+from robinthread._internal.node.pool_reporting import make_pool_report, tell_ended
+from robinthread._internal.settings.policy_settings import DemandPolicy
 from robinthread._internal.telemetry.event_log import EventLog
 
 
@@ -44,3 +47,26 @@
         self.events.tell_gathered(is_last=True)
         self.assertEqual([1, 29], [line["count"] for line in self.lines])
         self.assertEqual(["h0"], self.lines[0]["hosts"])
+
+
+class AwaitedTest(TestCase):
+    def test_host_is_awaited_for_a_bounded_time_and_while_it_may_serve(self) -> None:
+        host = make_host("h1")
+        self.assertFalse(host.is_awaited(0.0))
+        host.awaited_until_s = 3.0
+        self.assertTrue(host.is_awaited(2.9))
+        self.assertFalse(host.is_awaited(3.0))
+        for contact in (HostContact.ANSWERING, HostContact.SILENT):
+            host.contact = contact
+            self.assertFalse(host.is_awaited(0.0))
+        host.contact, host.is_listed = HostContact.UNHEARD, False
+        self.assertFalse(host.is_awaited(0.0))
+
+    def test_report_tells_of_it(self) -> None:
+        pool = PoolJobs()
+        record = UpstreamHost("h1", "m1", "", "", "", "", NO_RESOURCES, frozenset())
+        pool.add_host(record).awaited_until_s = 3.0
+        demand = DemandMeter(1.8, DemandPolicy()).read(pool, 0.0, 0)
+        for now_s, expected in ((0.0, True), (3.0, False)):
+            (standing,) = make_pool_report(pool, demand, now_s).hosts
+            self.assertEqual((False, expected), (standing.is_usable, standing.is_awaited))
--- a/tests/unit/test_room_need.py
+++ b/tests/unit/test_room_need.py
@@ -152,3 +152,26 @@
         pool = make_pool(2)
         add_job(pool, StepSpec(20, cpu_millicores=16_000, required_label="r1", estimate_ms=1_000))
         self.assertEqual(frozenset({"h1"}), read(pool).on_hosts.host_ids)
+
+
+class AwaitedHostTest(TestCase):
+    """One of three hosts has not been heard yet; each carries a lasting task."""
+
+    def _read(self, wide: StepSpec, leaves_runs: bool) -> Demand:
+        pool = make_pool()
+        if leaves_runs:
+            add_job(pool, LASTING)
+        host = pool.hosts["h2"]
+        host.contact, host.awaited_until_s = HostContact.UNHEARD, 1.0
+        add_job(pool, wide)
+        return read(pool)
+
+    def test_it_counts_by_its_room(self) -> None:
+        step = StepSpec(3, cpu_millicores=13_000, memory_mb=1_000, is_lasting=True, per_host_max=1)
+        need = self._read(step, leaves_runs=False).on_hosts
+        self.assertEqual(((), {"h2"}), (need.missing, need.host_ids))
+
+    def test_it_does_not_count_by_room_that_its_lasting_tasks_take(self) -> None:
+        step = StepSpec(1, cpu_millicores=13_000, memory_mb=1_000, is_lasting=True)
+        (missing,) = self._read(step, leaves_runs=True).on_hosts.missing
+        self.assertEqual(MissingHosts(1, step.room, "", True), missing)
