The planner knows which machines arrive; failing test: they hide what they do not supply

A pool that lacks one host with a label or a room is fetched none while any machine arrives. The view names the machines that arrive instead of counting them; nothing else changes. The tests that had one arrive have one of usual room and kind arrive, which suits.

--- a/src/robinthread/_internal/fleet/fleet_view.py
+++ b/src/robinthread/_internal/fleet/fleet_view.py
@@ -33,14 +33,14 @@
     The report may be older than the list of machines: only ``hosts`` that the
     list still shows as up are there.
 
-    ``arriving`` counts machines that will serve soon: they move here, come back
-    from upkeep, or their host has not been heard yet.
+    ``arriving`` are machines that will serve soon: they move here, come back
+    from upkeep, or their host has not been heard of yet.
     """
 
     name: str
     report: PoolReport
     machines: dict[str, Machine]
-    arriving: int
+    arriving: tuple[Machine, ...] = ()
 
     @property
     def hosts(self) -> tuple[HostStanding, ...]:
--- a/src/robinthread/_internal/fleet/planner.py
+++ b/src/robinthread/_internal/fleet/planner.py
@@ -66,7 +66,7 @@
         lacks: Counter[str] = Counter()
         for pool in sorted(view.pools, key=lambda pool: -pool.report.fetch_room[0]):
             size, vacating = sizes[pool.name], self._vacating[pool.name]
-            taken = reserve.take_for(pool.report.lacks, size.lack_count - pool.arriving)
+            taken = reserve.take_for(pool.report.lacks, size.lack_count - len(pool.arriving))
             serving = _count_serving(pool, vacating, view.ordered)
             awaited = _count_awaited(view, pool)
             taken += reserve.take(size.fetch_count - serving - awaited - len(taken))
@@ -208,7 +208,7 @@
         host.is_usable and host.machine not in vacating and host.machine not in ordered
         for host in pool.hosts
     )
-    return serving + pool.arriving
+    return serving + len(pool.arriving)
 
 
 def _count_awaited(view: FleetView, pool: PoolView) -> int:
@@ -231,7 +231,7 @@
     lacks = (lack for lack in pool.report.lacks if not lack.label)
     missing = sum(lack.count for lack in lacks if Resources(*lack.room).fits_in(room))
     serving = _count_serving(pool, vacating, view.ordered) + _count_awaited(view, pool)
-    return max(0, size.fetch_count - serving, missing - pool.arriving)
+    return max(0, size.fetch_count - serving, missing - len(pool.arriving))
 
 
 def _count_free(view: FleetView) -> int:
--- a/src/robinthread/_internal/node/steward.py
+++ b/src/robinthread/_internal/node/steward.py
@@ -168,7 +168,7 @@
                     keep_count=size.keep_count,
                     usable=sum(host.is_usable for host in pool.hosts),
                     awaited=sum(host.is_awaited for host in pool.hosts),
-                    arriving=pool.arriving,
+                    arriving=len(pool.arriving),
                     vacating=len(plan.vacate[pool.name]),
                     lacking=size.lack_count,
                     needed=sum(host.is_needed for host in pool.hosts),
@@ -263,16 +263,22 @@
             machine.name: machine for machine in self._known.values() if machine.pool == pool
         }
         self._told |= {host.host_id for host in report.hosts}
-        coming = sum(
-            isinstance(order, MoveOrder) and order.pool == pool
-            for order in self._orders.under_way.values()
+        coming = (
+            self._known[name]
+            for name, order in self._orders.under_way.items()
+            if isinstance(order, MoveOrder) and order.pool == pool and name in self._known
         )
-        arriving = sum(
-            machine.state in (MachineState.MOVING, MachineState.UPKEEP) or self._is_unheard(machine)
+        arriving = (
+            machine
             for name, machine in machines.items()
-            if name not in self._orders.under_way and machine.hall not in silent_halls
+            if name not in self._orders.under_way
+            and machine.hall not in silent_halls
+            and (
+                machine.state in (MachineState.MOVING, MachineState.UPKEEP)
+                or self._is_unheard(machine)
+            )
         )
-        return PoolView(pool, report, machines, arriving + coming)
+        return PoolView(pool, report, machines, (*coming, *arriving))
 
     def _is_unheard(self, machine: Machine) -> bool:
         """Tell whether a machine is up so newly that its pool has not heard of it.
--- a/tests/unit/test_fleet_planner.py
+++ b/tests/unit/test_fleet_planner.py
@@ -39,7 +39,7 @@
     )
     room = (1000 * cores, 0, 0)
     report = PoolReport(True, room, room, hosts)
-    return PoolView(pool, report, {name: make_machine(name, pool) for name in names}, 0)
+    return PoolView(pool, report, {name: make_machine(name, pool) for name in names})
 
 
 def make_view(*pools: PoolView, reserve: str = "", waves: tuple[WaveView, ...] = ()) -> FleetView:
@@ -112,10 +112,25 @@
         self.assertEqual([("x", "p")], list_moves(plan))
 
     def test_none_is_fetched_while_one_arrives(self) -> None:
-        pool = replace(with_lacks(make_pool("p", "abc", 10), self.wide, hosts_min=3), arriving=1)
+        pool = replace(
+            with_lacks(make_pool("p", "abc", 10), self.wide, hosts_min=3),
+            arriving=(make_machine("w", "p"),),
+        )
         plan = FleetPlanner(ALL).plan(make_view(pool, reserve="xy"), 0.0)
         self.assertEqual([], list_moves(plan))
 
+    def test_machine_that_arrives_counts_for_no_lack_that_it_does_not_supply(self) -> None:
+        narrow = replace(make_machine("w", "p"), room=Resources(8_000, 32_000))
+        for lack, arriving in (
+            (self.wide, (narrow,)),
+            (LackReport(1, (13_000, 1_000, 0), "a"), (narrow,)),
+            (LackReport(1, (1_000, 1_000, 0), "a"), (replace(narrow, kind="b"),)),
+            (LackReport(2, (13_000, 1_000, 0)), (narrow, make_machine("v", "p"))),
+        ):
+            pool = replace(with_lacks(make_pool("p", "abc", 10), lack), arriving=arriving)
+            plan = FleetPlanner(ALL).plan(make_view(pool, reserve="xy"), 0.0)
+            self.assertEqual([("x", "p")], list_moves(plan))
+
     def test_hosts_that_the_sum_asks_for_are_not_fetched_twice(self) -> None:
         pool = with_lacks(make_pool("p", "abc", 80), self.wide)
         plan = FleetPlanner(ALL).plan(make_view(pool, reserve="uvwxyz"), 0.0)
@@ -165,7 +180,7 @@
 
     def test_pool_does_not_shrink_while_its_host_is_on_the_way(self) -> None:
         pool = with_lacks(make_pool("p", "abc", 10), self.wide, hosts_min=3)
-        pool = mark_hosts(replace(pool, arriving=1), lasting="abc")
+        pool = mark_hosts(replace(pool, arriving=(make_machine("w", "p"),)), lasting="abc")
         planner = FleetPlanner(ALL)
         planner.plan(make_view(pool), 0.0)
         self.assertEqual(frozenset(), planner.plan(make_view(pool), 1.0).vacate["p"])
