What arrives counts only for what it supplies of a pool's lack

The count of the machines that arrive was taken off the count of the hosts that a pool lacks, whatever label or room these were lacking for. One narrow machine on its way put off a wide one, or one with a label, until it had come, and what other pools could give as well.

The choice from the reserve: it looked at room and label all along.

Each machine that arrives is matched with one host of one lack that it supplies, the lack that fewest of them supply first; what is left is fetched, and asked of other pools. Hosts that are awaited need no matching: what is lacking is found with them.

A lack waits for no machine that does not end it.

--- a/src/robinthread/_internal/fleet/planner.py
+++ b/src/robinthread/_internal/fleet/planner.py
@@ -20,7 +20,7 @@
     WaveView,
 )
 from robinthread._internal.fleet.pool_report import HostStanding
-from robinthread._internal.fleet.reserve import Reserve
+from robinthread._internal.fleet.reserve import Reserve, list_unsupplied
 from robinthread._internal.fleet.sizing import HOSTS_MIN, PoolSize, get_pool_size
 from robinthread._internal.models.machine import Machine
 from robinthread._internal.models.resources import NO_RESOURCES, Resources
@@ -66,7 +66,7 @@
         lacks: Counter[str] = Counter()
         for pool in sorted(view.pools, key=lambda pool: -pool.report.fetch_room[0]):
             size, vacating = sizes[pool.name], self._vacating[pool.name]
-            taken = reserve.take_for(pool.report.lacks, size.lack_count - len(pool.arriving))
+            taken = reserve.take_for(list_unsupplied(pool.report.lacks, pool.arriving))
             serving = _count_serving(pool, vacating, view.ordered)
             awaited = _count_awaited(view, pool)
             taken += reserve.take(size.fetch_count - serving - awaited - len(taken))
@@ -228,10 +228,12 @@
     view: FleetView, pool: PoolView, size: PoolSize, vacating: frozenset[str], room: Resources
 ) -> int:
     """Return how many hosts a pool lacks that any machine of ``room`` could be."""
-    lacks = (lack for lack in pool.report.lacks if not lack.label)
-    missing = sum(lack.count for lack in lacks if Resources(*lack.room).fits_in(room))
+    lacks = list_unsupplied(pool.report.lacks, pool.arriving)
+    missing = sum(
+        lack.count for lack in lacks if not lack.label and Resources(*lack.room).fits_in(room)
+    )
     serving = _count_serving(pool, vacating, view.ordered) + _count_awaited(view, pool)
-    return max(0, size.fetch_count - serving, missing - len(pool.arriving))
+    return max(0, size.fetch_count - serving, missing)
 
 
 def _count_free(view: FleetView) -> int:
--- a/src/robinthread/_internal/fleet/reserve.py
+++ b/src/robinthread/_internal/fleet/reserve.py
@@ -3,6 +3,8 @@
 from collections.abc import Callable, Iterable
 from itertools import islice
 
+import msgspec
+
 from robinthread._internal.fleet.fleet_view import FleetView
 from robinthread._internal.fleet.pool_report import LackReport
 from robinthread._internal.models.machine import Machine
@@ -31,12 +33,11 @@
         """Take up to ``count`` of the machines in ``due``."""
         return self._take(lambda machine: machine.name in due, count)
 
-    def take_for(self, lacks: Iterable[LackReport], count: int) -> list[str]:
-        """Take up to ``count`` machines that have what a pool lacks."""
+    def take_for(self, lacks: Iterable[LackReport]) -> list[str]:
+        """Take machines that have what a pool lacks, as far as there are any."""
         taken: list[str] = []
         for lack in lacks:
-            wanted = min(lack.count, count - len(taken))
-            taken += self._take(lambda machine, lack=lack: supplies(machine, lack), wanted)  # type: ignore[misc]
+            taken += self._take(lambda machine, lack=lack: supplies(machine, lack), lack.count)  # type: ignore[misc]
         return taken
 
     def _take(self, suits: Callable[[Machine], bool], count: int) -> list[str]:
@@ -46,6 +47,22 @@
         return taken
 
 
+def list_unsupplied(
+    lacks: Iterable[LackReport], arriving: Iterable[Machine]
+) -> tuple[LackReport, ...]:
+    """Return what a pool lacks beside the machines that arrive.
+
+    Each counts for one host of one lack; what fewest of them supply is served first.
+    """
+    coming = list(arriving)
+    left: list[LackReport] = []
+    for lack in sorted(lacks, key=lambda lack: sum(supplies(machine, lack) for machine in coming)):
+        suiting = [machine for machine in coming if supplies(machine, lack)][: lack.count]
+        coming = [machine for machine in coming if machine not in suiting]
+        left.append(msgspec.structs.replace(lack, count=lack.count - len(suiting)))
+    return tuple(left)
+
+
 def supplies(machine: Machine, lack: LackReport) -> bool:
     """Tell whether a machine has the room and the label that a pool lacks."""
     has_label = not lack.label or lack.label in (machine.kind, machine.rack)
--- a/tests/unit/test_fleet_planner.py
+++ b/tests/unit/test_fleet_planner.py
@@ -57,6 +57,14 @@
     return planner.plan(replace(view, pools=pools), 1.1)
 
 
+def plan_spare(view: FleetView) -> FleetPlan:
+    """Plan, have the first pool confirm what it empties, and plan again."""
+    planner = FleetPlanner(ALL)
+    vacating = planner.plan(view, 0.0).vacate[view.pools[0].name]
+    first = _confirm(view.pools[0], vacating)
+    return planner.plan(replace(view, pools=(first, *view.pools[1:])), 0.1)
+
+
 def _confirm(pool: PoolView, vacating: frozenset[str]) -> PoolView:
     hosts = tuple(
         HostStanding(host.machine, host.host_id, True, host.machine in vacating, host.run_count, 0)
@@ -131,6 +139,27 @@
             plan = FleetPlanner(ALL).plan(make_view(pool, reserve="xy"), 0.0)
             self.assertEqual([("x", "p")], list_moves(plan))
 
+    def test_machine_that_arrives_counts_for_one_lack(self) -> None:
+        """The one with the label is left to the lack that only it supplies."""
+        labelled = make_machine("v", "p")
+        other = replace(make_machine("w", "p"), kind="b")
+        label = LackReport(1, (1_000, 1_000, 0), "a")
+        for arriving, lacks, count in (
+            ((labelled,), (self.wide, label), 1),
+            ((labelled, other), (self.wide, label), 0),
+            ((labelled, other), (label, label), 1),
+        ):
+            pool = with_lacks(make_pool("p", "abc", 10), *lacks)
+            pool = replace(pool, arriving=arriving)
+            plan = FleetPlanner(ALL).plan(make_view(pool, reserve="xy"), 0.0)
+            self.assertEqual(count, len(list_moves(plan)))
+
+    def test_other_pools_give_what_one_lacks_though_a_narrow_machine_arrives(self) -> None:
+        narrow = replace(make_machine("w", "hot"), room=Resources(8_000, 32_000))
+        hot = replace(with_lacks(make_pool("hot", "abc", 10), self.wide), arriving=(narrow,))
+        view = make_view(make_pool("cold", "efgh", 0), hot)
+        self.assertEqual([("e", "hot")], list_moves(plan_spare(view))[:1])
+
     def test_hosts_that_the_sum_asks_for_are_not_fetched_twice(self) -> None:
         pool = with_lacks(make_pool("p", "abc", 80), self.wide)
         plan = FleetPlanner(ALL).plan(make_view(pool, reserve="uvwxyz"), 0.0)
