Failing test: a steward that need not wait records none of its orders

The first steward of all, and the first one after all nodes have restarted, has nobody to wait for. It counts no order as recent then, and its successor knows of none.

--- /dev/null
+++ b/tests/unit/test_machine_orders.py
@@ -0,0 +1,70 @@
+"""What a steward records of its orders, and what the next one leaves alone for a while."""
+
+import asyncio
+
+from testtools import TestCase
+
+from robinthread._internal.durable.journal import Journal
+from robinthread._internal.durable.order_records import (
+    ORDERS_KEY,
+    ORDERS_PARTITION,
+    parse_orders_record,
+)
+from robinthread._internal.durable.store import KeyedRecord
+from robinthread._internal.fleet.fleet_view import MoveOrder
+from robinthread._internal.node.machine_orders import MachineOrders
+from robinthread._internal.node.wave_keeper import WaveKeeper
+from robinthread._internal.standins.platform_standin import (
+    BOUNDS,
+    RECORDS,
+    RESERVE,
+    PlatformStandin,
+)
+from robinthread._internal.telemetry.event_log import EventLog
+from tests.lib.job_platforms import POOL, ROOM, plan_second
+from tests.lib.virtual import run_virtual
+
+TURN_S = BOUNDS.steward_turn_ms / 1000
+
+
+def make_orders(platform: PlatformStandin, token: int, turn_s: float) -> MachineOrders:
+    """Make the orders of a steward that leaves alone for ``turn_s`` what the last one ordered."""
+    events = EventLog("n", platform.events.append)
+    journal = Journal(platform.store.connect("n"), ORDERS_PARTITION, "steward", token, events)
+    return MachineOrders(
+        platform.machines.connect("n"),
+        journal,
+        WaveKeeper(journal, journal, RECORDS, events),
+        events,
+        f"n/{token}",
+        token,
+        turn_s,
+        lambda reason: None,
+    )
+
+
+def read_machines(platform: PlatformStandin) -> tuple[str, ...]:
+    """Return the machines that the last record of orders names."""
+    value = platform.store.get_newest(ORDERS_PARTITION)[ORDERS_KEY]
+    return parse_orders_record(KeyedRecord(ORDERS_KEY, value)).machines
+
+
+class RecordedOrdersTest(TestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.platform = PlatformStandin(plan_second)
+
+    def _add_machines(self, count: int) -> list[str]:
+        return [self.platform.machines.add(RESERVE, "r", ROOM) for _ in range(count)]
+
+    def test_steward_that_need_not_wait_records_what_it_is_about_to_order(self) -> None:
+        async def work() -> None:
+            first, second = self._add_machines(2)
+            orders = make_orders(self.platform, 1, turn_s=0.0)
+            await orders.give((MoveOrder(first, POOL),))
+            self.assertEqual((first,), read_machines(self.platform))
+            await asyncio.sleep(TURN_S / 2)
+            await orders.give((MoveOrder(second, POOL),))
+            self.assertEqual((first, second), read_machines(self.platform))
+
+        run_virtual(work())
