A steward records its orders whether or not it had to wait for the last one

One time served two ends: how long to leave alone what the last steward ordered, which is 0 where that one surely gives no more orders, and how long an order of one's own counts as recent. At 0 none did. So nothing was recorded after the first start and after a restart of all nodes, unless the last steward's former life was still listed, and a successor that had to wait held back nothing.

The reading of the record, and what is loaded from it: both as they should be.

The settings' time between two stewards bounds what is recorded; the wait is told apart from it and only bounds what is left alone.

What was ordered longer ago than the time between two stewards is off the next record.

Each steward's orders are known to the next one.

--- a/src/robinthread/_internal/node/assembly.py
+++ b/src/robinthread/_internal/node/assembly.py
@@ -107,8 +107,8 @@
     relief = ReliefPlanner(me, table, election, member, handover, lag, policy)
     gate = JobGate(me, writer, owned, table, member, handover, environment.peers, events)
 
-    def make_steward(token: int, turn_s: float) -> Steward:
-        return Steward(context, environment, table, owned, me, token, turn_s)
+    def make_steward(token: int, wait_s: float) -> Steward:
+        return Steward(context, environment, table, owned, me, token, wait_s)
 
     node = Node(
         context, me, table, election, member, owned, make_steward, handover, relief, (hosts, inbox)
--- a/src/robinthread/_internal/node/machine_orders.py
+++ b/src/robinthread/_internal/node/machine_orders.py
@@ -36,6 +36,10 @@
     An order that was done counts as under way until a list of machines that was
     asked for later shows what it did.  ``moved`` tells when a machine was last
     moved, and to which pool.
+
+    What the last steward ordered is left alone for ``wait_s``, which is 0 where that one gives
+    no more orders.  The next one may have to wait all the same, so what was ordered within
+    ``turn_s`` is recorded in any case.
     """
 
     def __init__(
@@ -47,6 +51,7 @@
         holder: str,
         token: int,
         turn_s: float,
+        wait_s: float,
         note_fenced: NoteFenced,
     ) -> None:
         self._machines = machines
@@ -56,6 +61,7 @@
         self._holder = holder
         self._token = token
         self._turn_s = turn_s
+        self._wait_s = wait_s
         self._note_fenced = note_fenced
         self.under_way: dict[str, Order] = {}
         self.moved: dict[str, tuple[float, str]] = {}
@@ -71,7 +77,7 @@
         now_s = get_loop_s()
         for record in records:
             for machine in parse_orders_record(record).machines:
-                self._paused_until_s[machine] = now_s + self._turn_s
+                self._paused_until_s[machine] = now_s + self._wait_s
                 self._ordered_at_s[machine] = now_s
 
     def list_held(self) -> frozenset[str]:
--- a/src/robinthread/_internal/node/node.py
+++ b/src/robinthread/_internal/node/node.py
@@ -198,12 +198,12 @@
 
     def _open_steward(self, token: int) -> None:
         if self._steward is None and self._spent_tokens.get(FLEET, 0) < token:
-            turn_s = self._get_turn_s()
-            self._steward = self._make_steward(token, turn_s)
+            wait_s = self._get_wait_s()
+            self._steward = self._make_steward(token, wait_s)
             self._events.write("fleet_taken", token=token)
             self.spawn(self._run_steward(self._steward))
 
-    def _get_turn_s(self) -> float:
+    def _get_wait_s(self) -> float:
         """Return for how long to leave alone what the last steward ordered.
 
         Two stewards that both reach the platform must not take turns.  One whose
--- a/src/robinthread/_internal/node/steward.py
+++ b/src/robinthread/_internal/node/steward.py
@@ -52,7 +52,7 @@
 
     It orders a machine only where its pool's owner has emptied it, or where it
     is in the reserve.  Machines that an earlier steward may just have ordered
-    are left alone until ``turn_s`` has passed.
+    are left alone until ``wait_s`` has passed.
     """
 
     def __init__(
@@ -63,7 +63,7 @@
         owned: OwnedPools,
         me: Member,
         token: int,
-        turn_s: float,
+        wait_s: float,
     ) -> None:
         self._context = context
         self._events = context.events
@@ -100,7 +100,8 @@
             self._events,
             f"{me.node}/{me.life}",
             token,
-            turn_s,
+            context.settings.bounds.steward_turn_ms / 1000,
+            wait_s,
             self._note_fenced,
         )
 
--- a/tests/unit/test_machine_orders.py
+++ b/tests/unit/test_machine_orders.py
@@ -27,8 +27,8 @@
 TURN_S = BOUNDS.steward_turn_ms / 1000
 
 
-def make_orders(platform: PlatformStandin, token: int, turn_s: float) -> MachineOrders:
-    """Make the orders of a steward that leaves alone for ``turn_s`` what the last one ordered."""
+def make_orders(platform: PlatformStandin, token: int, wait_s: float) -> MachineOrders:
+    """Make the orders of a steward that leaves alone for ``wait_s`` what the last one ordered."""
     events = EventLog("n", platform.events.append)
     journal = Journal(platform.store.connect("n"), ORDERS_PARTITION, "steward", token, events)
     return MachineOrders(
@@ -38,11 +38,18 @@
         events,
         f"n/{token}",
         token,
-        turn_s,
+        TURN_S,
+        wait_s,
         lambda reason: None,
     )
 
 
+def read_records(platform: PlatformStandin) -> tuple[KeyedRecord, ...]:
+    """Return what stewards have recorded."""
+    newest = platform.store.get_newest(ORDERS_PARTITION)
+    return tuple(KeyedRecord(key, value) for key, value in newest.items())
+
+
 def read_machines(platform: PlatformStandin) -> tuple[str, ...]:
     """Return the machines that the last record of orders names."""
     value = platform.store.get_newest(ORDERS_PARTITION)[ORDERS_KEY]
@@ -60,7 +67,7 @@
     def test_steward_that_need_not_wait_records_what_it_is_about_to_order(self) -> None:
         async def work() -> None:
             first, second = self._add_machines(2)
-            orders = make_orders(self.platform, 1, turn_s=0.0)
+            orders = make_orders(self.platform, 1, wait_s=0.0)
             await orders.give((MoveOrder(first, POOL),))
             self.assertEqual((first,), read_machines(self.platform))
             await asyncio.sleep(TURN_S / 2)
@@ -68,3 +75,26 @@
             self.assertEqual((first, second), read_machines(self.platform))
 
         run_virtual(work())
+
+    def test_next_steward_leaves_it_alone_if_it_is_to_wait(self) -> None:
+        async def work() -> None:
+            (machine,) = self._add_machines(1)
+            await make_orders(self.platform, 1, wait_s=0.0).give((MoveOrder(machine, POOL),))
+            for wait_s, held in ((TURN_S, {machine}), (0.0, set())):
+                following = make_orders(self.platform, 2, wait_s)
+                following.load(read_records(self.platform))
+                self.assertEqual(held, following.list_held())
+
+        run_virtual(work())
+
+    def test_what_was_ordered_long_ago_is_named_no_more(self) -> None:
+        async def work() -> None:
+            first, second = self._add_machines(2)
+            orders = make_orders(self.platform, 1, wait_s=0.0)
+            await orders.give((MoveOrder(first, POOL),))
+            await asyncio.sleep(TURN_S)
+            orders.note_listed(asyncio.get_running_loop().time())
+            await orders.give((MoveOrder(second, POOL),))
+            self.assertEqual((second,), read_machines(self.platform))
+
+        run_virtual(work())
