--- a/tests/unit/test_machine_orders.py
+++ b/tests/unit/test_machine_orders.py
@@ -21,7 +21,7 @@
     PlatformStandin,
 )
 from robinthread._internal.telemetry.event_log import EventLog
-from tests.lib.job_platforms import POOL, ROOM, plan_second
+from tests.lib.job_platforms import POOL, ROOM, plan_second, wait_until
 from tests.lib.virtual import run_virtual
 
 TURN_S = BOUNDS.steward_turn_ms / 1000
@@ -98,3 +98,21 @@
             self.assertEqual((second,), read_machines(self.platform))
 
         run_virtual(work())
+
+    def test_order_counts_as_recent_from_when_it_was_last_given(self) -> None:
+        """The platform leaves it unanswered for longer than the time between two stewards."""
+
+        async def work() -> None:
+            first, second = self._add_machines(2)
+            orders = make_orders(self.platform, 1, wait_s=0.0)
+            self.platform.machines.faults.silent.add("*")
+            await orders.give((MoveOrder(first, POOL),))
+            await asyncio.sleep(TURN_S)
+            self.platform.machines.faults.silent.clear()
+            await wait_until(lambda: first in orders.moved)
+            await asyncio.sleep(TURN_S / 2)
+            orders.note_listed(asyncio.get_running_loop().time())
+            await orders.give((MoveOrder(second, POOL),))
+            self.assertEqual((first, second), read_machines(self.platform))
+
+        run_virtual(work())
