An order counts as recent from when it was last given

Its time was taken before it was recorded. A store that keeps the record waiting, or a platform that leaves the order unanswered, for longer than the time between two stewards had it off the next record as soon as it was done, though it had just been given.

Orders under way: they were on the record for as long as they were tried.

The time is taken each time that an order is given; what is about to be given or under way is recorded whatever its time. Times that no longer count are dropped.

The record names all that was ordered within the time.

--- a/src/robinthread/_internal/node/machine_orders.py
+++ b/src/robinthread/_internal/node/machine_orders.py
@@ -39,7 +39,7 @@
 
     What the last steward ordered is left alone for ``wait_s``, which is 0 where that one gives
     no more orders.  The next one may have to wait all the same, so what was ordered within
-    ``turn_s`` is recorded in any case.
+    ``turn_s``, or is still tried, is recorded in any case.
     """
 
     def __init__(
@@ -113,13 +113,13 @@
         if not orders:
             return
         now_s = get_loop_s()
-        for order in orders:
-            self._ordered_at_s[order.machine] = now_s
-        recent = frozenset(
-            name
+        self._ordered_at_s = {
+            name: ordered_s
             for name, ordered_s in self._ordered_at_s.items()
-            if name in self.under_way or now_s - ordered_s < self._turn_s
-        )
+            if now_s - ordered_s < self._turn_s
+        }
+        given = (order.machine for order in orders)
+        recent = frozenset({*given, *self.under_way, *self._ordered_at_s})
         if not recent <= self._recorded:
             await self._journal.write([make_orders_record(recent)])
             self._recorded = recent
@@ -153,6 +153,7 @@
                 self.under_way.pop(order.machine, None)
 
     async def _send(self, order: Order) -> None:
+        self._ordered_at_s[order.machine] = get_loop_s()
         if isinstance(order, MoveOrder):
             await self._machines.move(order.machine, order.pool, self._holder, self._token)
         else:
