--- a/tests/functional/test_relief.py
+++ b/tests/functional/test_relief.py
@@ -9,7 +9,7 @@
 from robinthread._internal.models.pool_policy import PoolPolicy
 from robinthread._internal.models.resources import Resources
 from robinthread._internal.settings.policy_settings import OwnerPolicy, PolicySettings
-from robinthread._internal.standins.job_hosts_standin import TaskPlan
+from robinthread._internal.standins.job_host_standin import TaskPlan
 from robinthread._internal.standins.platform_standin import RESERVE, PlatformStandin
 from tests.lib.job_platforms import (
     POOL,
--- /dev/null
+++ b/tests/unit/test_machine_orders.py
@@ -0,0 +1,118 @@
+"""What a steward records of its orders, and what the next one leaves alone for a while."""
+
+import asyncio
+
+from testtools import TestCase
+
+from robinthread._internal.durable.journal import Journal
+from robinthread._internal.durable.order_records import (
+    ORDERS_KEY,
+    ORDERS_PARTITION,
+    parse_orders_record,
+)
+from robinthread._internal.durable.store import KeyedRecord
+from robinthread._internal.fleet.fleet_view import MoveOrder
+from robinthread._internal.node.machine_orders import MachineOrders
+from robinthread._internal.node.wave_keeper import WaveKeeper
+from robinthread._internal.standins.platform_standin import (
+    BOUNDS,
+    RECORDS,
+    RESERVE,
+    PlatformStandin,
+)
+from robinthread._internal.telemetry.event_log import EventLog
+from tests.lib.job_platforms import POOL, ROOM, plan_second, wait_until
+from tests.lib.virtual import run_virtual
+
+TURN_S = BOUNDS.steward_turn_ms / 1000
+
+
+def make_orders(platform: PlatformStandin, token: int, wait_s: float) -> MachineOrders:
+    """Make the orders of a steward that leaves alone for ``wait_s`` what the last one ordered."""
+    events = EventLog("n", platform.events.append)
+    journal = Journal(platform.store.connect("n"), ORDERS_PARTITION, "steward", token, events)
+    return MachineOrders(
+        platform.machines.connect("n"),
+        journal,
+        WaveKeeper(journal, journal, RECORDS, events),
+        events,
+        f"n/{token}",
+        token,
+        TURN_S,
+        wait_s,
+        lambda reason: None,
+    )
+
+
+def read_records(platform: PlatformStandin) -> tuple[KeyedRecord, ...]:
+    """Return what stewards have recorded."""
+    newest = platform.store.get_newest(ORDERS_PARTITION)
+    return tuple(KeyedRecord(key, value) for key, value in newest.items())
+
+
+def read_machines(platform: PlatformStandin) -> tuple[str, ...]:
+    """Return the machines that the last record of orders names."""
+    value = platform.store.get_newest(ORDERS_PARTITION)[ORDERS_KEY]
+    return parse_orders_record(KeyedRecord(ORDERS_KEY, value)).machines
+
+
+class RecordedOrdersTest(TestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.platform = PlatformStandin(plan_second)
+
+    def _add_machines(self, count: int) -> list[str]:
+        return [self.platform.machines.add(RESERVE, "r", ROOM) for _ in range(count)]
+
+    def test_steward_that_need_not_wait_records_what_it_is_about_to_order(self) -> None:
+        async def work() -> None:
+            first, second = self._add_machines(2)
+            orders = make_orders(self.platform, 1, wait_s=0.0)
+            await orders.give((MoveOrder(first, POOL),))
+            self.assertEqual((first,), read_machines(self.platform))
+            await asyncio.sleep(TURN_S / 2)
+            await orders.give((MoveOrder(second, POOL),))
+            self.assertEqual((first, second), read_machines(self.platform))
+
+        run_virtual(work())
+
+    def test_next_steward_leaves_it_alone_if_it_is_to_wait(self) -> None:
+        async def work() -> None:
+            (machine,) = self._add_machines(1)
+            await make_orders(self.platform, 1, wait_s=0.0).give((MoveOrder(machine, POOL),))
+            for wait_s, held in ((TURN_S, {machine}), (0.0, set())):
+                following = make_orders(self.platform, 2, wait_s)
+                following.load(read_records(self.platform))
+                self.assertEqual(held, following.list_held())
+
+        run_virtual(work())
+
+    def test_what_was_ordered_long_ago_is_named_no_more(self) -> None:
+        async def work() -> None:
+            first, second = self._add_machines(2)
+            orders = make_orders(self.platform, 1, wait_s=0.0)
+            await orders.give((MoveOrder(first, POOL),))
+            await asyncio.sleep(TURN_S)
+            orders.note_listed(asyncio.get_running_loop().time())
+            await orders.give((MoveOrder(second, POOL),))
+            self.assertEqual((second,), read_machines(self.platform))
+
+        run_virtual(work())
+
+    def test_order_counts_as_recent_from_when_it_was_last_given(self) -> None:
+        """The platform leaves it unanswered for longer than the time between two stewards."""
+
+        async def work() -> None:
+            first, second = self._add_machines(2)
+            orders = make_orders(self.platform, 1, wait_s=0.0)
+            self.platform.machines.faults.silent.add("*")
+            await orders.give((MoveOrder(first, POOL),))
+            await asyncio.sleep(TURN_S)
+            self.platform.machines.faults.silent.clear()
+            await wait_until(lambda: first in orders.moved)
+            await asyncio.sleep(TURN_S / 2)
+            orders.note_listed(asyncio.get_running_loop().time())
+            await orders.give((MoveOrder(second, POOL),))
+            self.assertEqual((first, second), read_machines(self.platform))
+
+        run_virtual(work())
