Failing test: a steward that begins anew takes a lost host for one that comes

The machines' list shows its machine as up, with the id of the life that ended; the new owner knows no such host, so no report names it, and the new steward counts it as arriving for UNHEARD_MAX_S (3 s).

Cause's class: presence told by absence from a report; the steward's memory of what pools named before (mended for one steward) ends with its process.

--- a/tests/functional/test_lasting_again.py
+++ b/tests/functional/test_lasting_again.py
@@ -30,6 +30,8 @@
 RESTART_S = 2.5
 # So late that the host's entry in the store has gone before its lease is surely over.
 LATE_RESTART_S = 4.0
+# How long all nodes are without power.
+AWAY_S = 1.0
 # No lease that an owner granted lasts so long: 6 s without the store, and 4.2 s.
 LONG_AGO_S = 12.0
 # Longer than any wait that follows from a lease.
@@ -37,9 +39,20 @@
 # Two of these lasting tasks fill a host; of the small ones eight do.
 LARGE = StepSpec(2, cpu_millicores=8000, memory_mb=100, is_lasting=True)
 SPREAD = StepSpec(5, cpu_millicores=1000, memory_mb=100, is_lasting=True, per_host_max=2)
+ALONE = StepSpec(3, cpu_millicores=1000, memory_mb=100, is_lasting=True, per_host_max=1)
 SMALL = StepSpec(6, cpu_millicores=2000, memory_mb=100)
 
 
+async def lose_power(platform: PlatformStandin) -> None:
+    """Kill all nodes at one moment and start them again."""
+    names = list(platform.nodes)
+    for name in names:
+        platform.kill_node(name)
+    await asyncio.sleep(AWAY_S)
+    for name in names:
+        platform.start_node(name)
+
+
 class LastingAgainTest(TestCase):
     def _check(self, bring_about: Callable[[PlatformStandin], Awaitable[None]]) -> None:
         """Bring trouble about; a task must run again in time, and never twice."""
@@ -77,13 +90,8 @@
         async def bring_about(platform: PlatformStandin) -> None:
             kill_owner(platform)
             await asyncio.sleep(LONG_AGO_S)
-            names = list(platform.nodes)
-            for name in names:
-                platform.kill_node(name)
             platform.crash_host(get_first_host(platform).record.id)
-            await asyncio.sleep(1)
-            for name in names:
-                platform.start_node(name)
+            await lose_power(platform)
 
         self._check(bring_about)
 
@@ -203,6 +211,23 @@
 
         run_virtual(work())
 
+    def test_host_that_came_for_a_lost_one_stays_when_all_nodes_begin_anew(self) -> None:
+        """The machines' list shows the lost one as up; no node has seen its pool name it."""
+
+        async def work() -> None:
+            platform = await start_lasting(hosts=3, reserve=2, step=ALONE)
+            moves_before = platform.machines.move_count
+            platform.crash_host(get_first_host(platform).record.id)
+            await lose_power(platform)
+            # By the second loss the pool has got another host; the lost one's entry goes.
+            await asyncio.sleep(2.5)
+            await lose_power(platform)
+            await asyncio.sleep(WATCH_S)
+            self.assertEqual([], find_breaks(platform))
+            self.assertEqual(1, platform.machines.move_count - moves_before)
+
+        run_virtual(work())
+
 
 class _NoPeers:
     """Peers that never answer."""
