Stand-in: open connections go silent for good, without a reset

The stand-in on virtual time had no connections, so no test could have that beside other troubles; the tests of the HTTP client have it alone.

Change: callers of the store, hosts, machines and nodes keep a connection to each address. What is under way as they go silent is done, if it had come through, and not answered; the next call there is lost unread, and those after it use a new one, as the client does. Simplified: once one call was lost none of the others kept to that address is used again, and long reads and looks count as lost once their wait is over.

--- a/src/robinthread/_internal/standins/call_faults.py
+++ b/src/robinthread/_internal/standins/call_faults.py
@@ -3,7 +3,9 @@
 import asyncio
 import random
 from collections.abc import Callable
-from typing import TypeVar
+from typing import NoReturn, TypeVar
+
+from robinthread._internal.standins.open_connections import OpenConnections
 
 T = TypeVar("T")
 
@@ -22,7 +24,8 @@
     ``silent`` callers get no answer and ``refused`` ones are turned away; "*"
     stands for all.  A share ``lost_share`` of the changes is done without an
     answer, and where ``late_s`` is set only after up to so many seconds.  Each call takes
-    ``latency_s``, give or take a share of up to ``latency_spread`` of it.
+    ``latency_s``, give or take a share of up to ``latency_spread`` of it.  Calls on
+    ``connections`` that have gone silent get no answer; only what was sent before is done.
     """
 
     def __init__(self, seed: int, latency_s: float) -> None:
@@ -33,15 +36,29 @@
         self.latency_spread = 0.0
         self.lost_share = 0.0
         self.late_s: tuple[float, float] = (0.0, 0.0)
+        self.connections = OpenConnections()
 
     async def carry_out(
-        self, caller: str, work: Callable[[], T], timeout_s: float, is_change: bool = True
+        self,
+        caller: str,
+        work: Callable[[], T],
+        timeout_s: float,
+        is_change: bool = True,
+        target: str = "",
     ) -> T:
         """Do ``work`` as the faults let it, and return its result to the caller."""
+        began_silences = self.connections.silences
+        if self.connections.use(caller, target):
+            await self._lose_in_silence(caller, target, timeout_s)
         await asyncio.sleep(self._draw_latency_s())
+        is_heard = not self._covers(self.refused, caller) and not self._covers(self.silent, caller)
+        if self.connections.silences > began_silences:
+            if is_heard:
+                _do_unheard(work)
+            await self._lose_in_silence(caller, target, timeout_s)
         if self._covers(self.refused, caller):
             raise CallRefusedError
-        if self._covers(self.silent, caller):
+        if not is_heard:
             await asyncio.sleep(timeout_s)
             raise CallUnansweredError
         if is_change and self._random.random() < self.lost_share:
@@ -50,6 +67,11 @@
             raise CallUnansweredError
         return work()
 
+    async def _lose_in_silence(self, caller: str, target: str, timeout_s: float) -> NoReturn:
+        await asyncio.sleep(timeout_s)
+        self.connections.note_lost(caller, target)
+        raise CallUnansweredError
+
     def _draw_latency_s(self) -> float:
         if not self.latency_spread:
             return self.latency_s
--- a/src/robinthread/_internal/standins/job_hosts_standin.py
+++ b/src/robinthread/_internal/standins/job_hosts_standin.py
@@ -274,12 +274,18 @@
     ) -> HostReport:
         """Ask what runs, waiting for an end."""
         self._standin.looks[host.id] += 1
+        connections = self._standin.faults.connections
+        began_silences = connections.silences
         report = await self._call(
             host, lambda life: life.look(token, acknowledged, lease_until_ms), is_order=False
         )
         if wait_s <= 0 or report.ended:
             return report
         await self._find(host).wait_for_end(wait_s)
+        if connections.silences > began_silences:
+            await asyncio.sleep(ORDER_TIMEOUT_S)
+            connections.note_lost(self._caller, host.address)
+            raise HostNoAnswerError("silent")
         return await self._call(host, lambda life: life.look(token, acknowledged, None), False)
 
     async def start(self, host: UpstreamHost, order: StartOrder) -> int:
@@ -305,7 +311,11 @@
         faults = self._standin.faults
         try:
             return await faults.carry_out(
-                self._caller, lambda: work(self._find(host)), ORDER_TIMEOUT_S, is_order
+                self._caller,
+                lambda: work(self._find(host)),
+                ORDER_TIMEOUT_S,
+                is_order,
+                host.address,
             )
         except (CallUnansweredError, CallRefusedError) as error:
             raise HostNoAnswerError("no answer") from error
--- a/src/robinthread/_internal/standins/platform_standin.py
+++ b/src/robinthread/_internal/standins/platform_standin.py
@@ -36,6 +36,7 @@
     TaskPlan,
 )
 from robinthread._internal.standins.machines_standin import LifeKeeper, MachinesStandin
+from robinthread._internal.standins.open_connections import OpenConnections
 from robinthread._internal.standins.store_standin import StoreStandin
 from robinthread._internal.telemetry.event_log import EventLog
 
@@ -129,11 +130,24 @@
         peer = self._platform.nodes.get(address)
         if peer is None or {self._caller, address} & self._platform.cut_nodes:
             raise PeerUnsentError(address)
+        connections = self._platform.peer_connections
+        began_silences = connections.silences
+        is_silent = connections.use(self._caller, address)
         try:
             async with asyncio.timeout(timeout_s):
-                return await peer.assembled.answers.answer(question)  # type: ignore[return-value]
+                if is_silent:
+                    await _wait_for_ever()
+                answer = await peer.assembled.answers.answer(question)
+                if connections.silences > began_silences:
+                    await _wait_for_ever()
         except TimeoutError as error:
+            connections.note_lost(self._caller, address)
             raise PeerUnreachableError(address) from error
+        return answer  # type: ignore[return-value]
+
+
+async def _wait_for_ever() -> None:
+    await asyncio.Event().wait()
 
 
 @dataclass(frozen=True)
@@ -196,6 +210,7 @@
         self.asks_for_tickets = False
         self.nodes: dict[str, RunningNode] = {}
         self.cut_nodes: set[str] = set()
+        self.peer_connections = OpenConnections()
         self.questions: Counter[str] = Counter()
         self.events: list[bytes] = []
         self._lives = itertools.count(1)
@@ -264,6 +279,21 @@
     def kill_node(self, name: str) -> None:
         """End a node without a word."""
         self.nodes.pop(name).assembled.node.cancel()
+        for connections in self._list_connections():
+            connections.close(name)
+
+    def silence_connections(self) -> None:
+        """Have all open connections of nodes go silent for good; new ones work."""
+        for connections in self._list_connections():
+            connections.silence()
+
+    def _list_connections(self) -> tuple[OpenConnections, ...]:
+        return (
+            self.peer_connections,
+            self.store.faults.connections,
+            self.hosts.faults.connections,
+            self.machines.faults.connections,
+        )
 
     def cut_node(self, name: str) -> None:
         """Cut a node off from everything."""
--- a/src/robinthread/_internal/standins/store_standin.py
+++ b/src/robinthread/_internal/standins/store_standin.py
@@ -187,12 +187,17 @@
             records = tuple(log.records[from_offset - log.first :])
             return ReadPage(records, from_offset + len(records), log.end)
 
+        connections = self._standin.faults.connections
+        began_silences = connections.silences
         page = await self._call(work, is_change=False)
         if page.records or wait_s <= 0:
             return page
-        if not await wait_for_event(log.grown, wait_s):
-            return page
-        return await self._call(work, is_change=False)
+        is_grown = await wait_for_event(log.grown, wait_s)
+        if connections.silences > began_silences:
+            await asyncio.sleep(CALL_TIMEOUT_S)
+            connections.note_lost(self._caller, "")
+            raise StoreNoAnswerError("silent")
+        return await self._call(work, is_change=False) if is_grown else page
 
     async def read_newest(
         self, partition: Partition, after_key: str, timeout_s: float
