Test at size: from 'machines are back' to first accept, first starts and full service

No test told how long a platform at size takes from the return of its nodes' power to its first accept, the first start in each pool, each lasting task running and full service.

Test: 30 nodes (10 of 2.15 cores and 200 Mbit/s, 20 of 0.5 core and 10 Mbit/s), 4 pools of 26 hosts and 8 more, 80 lasting tasks, 4 jobs a second; all nodes lose power at one moment and start within 1 s of its return 1 s later. Callers are sent to ready nodes and try five times.

Not in the stand-in: processor and links of nodes (but for pages of newest records), the store's rate limits, a start of processes slower than 1 s.

--- /dev/null
+++ b/tests/lib/back_callers.py
@@ -0,0 +1,99 @@
+"""Callers that hand jobs in at a steady rate, and look whether they are done."""
+
+import asyncio
+import itertools
+
+from robinthread._internal.models.job_spec import JobSpec
+from robinthread._internal.models.job_status import JobStatus
+from robinthread._internal.models.queue_policy import QueuePolicy
+from robinthread._internal.node.job_gate import GateOutcome
+from tests.lib.back_site import FIRST_QUICK, QUICK, SLACK_S, STRETCH, TASK_S, Handed, Site
+from tests.lib.job_platforms import make_job
+
+# So many tries within the time that a caller has, with pauses between them.
+TRIES_MAX = 5
+RETRY_PAUSE_S = 0.25
+BUDGET_S = 3.0
+# A job counts as served up to three times the time within which it is in time.
+IN_TIME_S = STRETCH * TASK_S + SLACK_S
+SERVED_S = 3 * IN_TIME_S
+# Within so long after the last one is handed in any job that was accepted is done.
+DONE_WITHIN_S = 12.0
+
+
+async def feed(site: Site, jobs: list["asyncio.Task[None]"]) -> None:
+    """Hand jobs in at a steady rate, for the pools in turn."""
+    for number in itertools.count(FIRST_QUICK):
+        jobs.append(asyncio.create_task(_hand_in(site, number)))
+        await asyncio.sleep(1 / site.size.jobs_per_s)
+
+
+async def _hand_in(site: Site, number: int) -> None:
+    """Hand a job in as a caller does, and look whether it is done in time."""
+    loop = asyncio.get_running_loop()
+    pool = site.pools[number % len(site.pools)]
+    spec = make_job(number, QUICK, queue=f"queue-{pool}", pool=pool)
+    handed = Handed(spec, loop.time())
+    site.handed.append(handed)
+    for _try in range(TRIES_MAX):
+        if await _try_once(site, spec, handed.at_s + BUDGET_S) is GateOutcome.DONE:
+            handed.accepted_at_s = loop.time()
+            break
+        await asyncio.sleep(RETRY_PAUSE_S)
+    await asyncio.sleep(max(0.0, handed.at_s + IN_TIME_S - loop.time()))
+    while handed.accepted_at_s is not None and loop.time() <= handed.at_s + SERVED_S:
+        if await _is_done(site, spec):
+            handed.is_served = True
+            return
+        await asyncio.sleep(RETRY_PAUSE_S)
+
+
+def _draw_node(site: Site) -> str | None:
+    """Draw a node as the platform does: a ready one, any where fewer than half are."""
+    nodes = site.platform.nodes
+    ready = [name for name in sorted(nodes) if nodes[name].assembled.readiness.look()]
+    names = ready if 2 * len(ready) >= len(nodes) else sorted(nodes)
+    return site.random.choice(names) if names else None
+
+
+async def _try_once(site: Site, spec: JobSpec, until_s: float) -> GateOutcome | None:
+    name = _draw_node(site)
+    left_s = until_s - asyncio.get_running_loop().time()
+    if name is None or left_s <= 0:
+        return None
+    node = site.platform.nodes[name].assembled
+    if node.config_holder.config is None:
+        # One that knows no queues yet takes nothing.
+        return GateOutcome.REFUSED
+    try:
+        async with asyncio.timeout(left_s):
+            return await node.gate.accept(spec, until_s)
+    except TimeoutError:
+        # A node that was killed answers nothing.
+        return None
+
+
+async def _is_done(site: Site, spec: JobSpec) -> bool:
+    """Ask any node whether a job is shown as succeeded."""
+    name = _draw_node(site)
+    if name is None:
+        return False
+    queue = QueuePolicy(spec.queue, "", "/", spec.pool)
+    try:
+        async with asyncio.timeout(BUDGET_S):
+            told = await site.platform.nodes[name].assembled.gate.get_status(queue, spec.job_id)
+    except TimeoutError:
+        return False
+    return told.status is JobStatus.SUCCEEDED
+
+
+async def wait_until_done(site: Site) -> tuple[str, ...]:
+    """Wait until all accepted jobs are shown as succeeded; return those that are not in time."""
+    loop = asyncio.get_running_loop()
+    until_s = loop.time() + DONE_WITHIN_S
+    undone = [job.spec for job in site.handed if job.accepted_at_s is not None]
+    while undone and loop.time() < until_s:
+        done = await asyncio.gather(*(_is_done(site, spec) for spec in undone))
+        undone = [spec for spec, is_done in zip(undone, done, strict=True) if not is_done]
+        await asyncio.sleep(0.5 if undone else 0)
+    return tuple(f"{spec.job_id} of {spec.pool}" for spec in undone)
--- /dev/null
+++ b/tests/lib/back_troubles.py
@@ -0,0 +1,238 @@
+"""Troubles that come beside a loss of power of all nodes; see ``back_at_size``.
+
+Times that troubles are given are seconds since the machines were back.
+"""
+
+import asyncio
+import random
+from collections.abc import Callable
+from typing import Final
+
+from robinthread._internal.standins.job_hosts_standin import JobHostStandin
+from robinthread._internal.standins.store_standin import LATENCY_S
+from tests.lib.back_site import Site, Trouble, start_node
+from tests.lib.job_platforms import get_owner
+
+# Answers take 30 to 50 times as long.
+SLOW_STORE_S = 40 * LATENCY_S
+SLOW_SPREAD = 0.25
+# A share of the appends is done without an answer, up to a second late.
+LOST_SHARE = 0.3
+LATE_APPEND_S = (0.0, 1.0)
+# Troubles that are there as power is lost end so long after the machines are back.
+ENDS_S = 6.0
+# Troubles that come once all serves again, and are over before that time as well.
+LATER_S = 5.0
+HOST_SHARE = 0.15
+# Owners grant leases of 4 s and renew each about once a second: those of hosts that are cut
+# off so long before power is lost lapse about then.
+CUT_BEFORE_S = (3.0, 4.5)
+LAPSES_IN_S = 4.0
+# Owners have seen by then that a host has ended, and have started nothing elsewhere.
+NOTICED_IN_S = 0.05
+# How long owners are away that are killed while others open their pools.
+EARLY_BACK_S = 1.0
+
+
+async def wait_for(site: Site, at_s: float) -> None:
+    """Wait until so long after the machines are back; before, where negative."""
+    await asyncio.sleep(max(0.0, site.back_at_s + at_s - asyncio.get_running_loop().time()))
+
+
+def note_trouble(site: Site, began_s: float, ended_s: float) -> None:
+    """Note when a trouble was there."""
+    site.troubled.append((site.back_at_s + began_s, site.back_at_s + ended_s))
+
+
+def make_slow_store(from_s: float, until_s: float) -> Trouble:
+    """Make the store slow for a while."""
+
+    async def work(site: Site) -> None:
+        faults = site.platform.store.faults
+        await wait_for(site, from_s)
+        faults.latency_s, faults.latency_spread = SLOW_STORE_S, SLOW_SPREAD
+        await wait_for(site, until_s)
+        faults.latency_s, faults.latency_spread = LATENCY_S, 0.0
+        note_trouble(site, from_s, until_s)
+
+    return work
+
+
+def make_refusals(from_s: float, until_s: float) -> Trouble:
+    """Have the store turn a third of the nodes away, those that owned pools first."""
+
+    async def work(site: Site) -> None:
+        await wait_for(site, from_s)
+        names = list_third(site)
+        site.platform.store.faults.refused |= names
+        await wait_for(site, until_s)
+        site.platform.store.faults.refused -= names
+        note_trouble(site, from_s, until_s)
+
+    return work
+
+
+def make_lost_answers(from_s: float, until_s: float) -> Trouble:
+    """Have the store lose answers, and do some of what it was asked late."""
+
+    async def work(site: Site) -> None:
+        faults = site.platform.store.faults
+        await wait_for(site, from_s)
+        faults.lost_share, faults.late_s = LOST_SHARE, LATE_APPEND_S
+        await wait_for(site, until_s)
+        faults.lost_share = 0.0
+        note_trouble(site, from_s, until_s)
+
+    return work
+
+
+def make_silence(*moments_s: float) -> Trouble:
+    """Have all open connections go silent at some moments."""
+
+    async def work(site: Site) -> None:
+        for at_s in moments_s:
+            await wait_for(site, at_s)
+            site.platform.silence_connections()
+            note_trouble(site, at_s, at_s)
+
+    return work
+
+
+async def keep_third_away(site: Site) -> None:
+    """Have one node in three not come back, those that owned pools first."""
+    await wait_for(site, -site.size.away_s)
+    # Power is lost at this moment: the owners are as they were just before.
+    site.absent |= list_third(site)
+
+
+def make_earlier_losses(before_s: float) -> Trouble:
+    """Have the pools' owners end for good, some time before all others lose power."""
+
+    async def work(site: Site) -> None:
+        at_s = -site.size.away_s - before_s
+        await wait_for(site, at_s)
+        owners = sorted(list_owners(site))
+        for name in owners:
+            site.platform.kill_node(name)
+        site.absent |= set(owners)
+        note_trouble(site, at_s, at_s)
+
+    return work
+
+
+async def lose_hosts_while_away(site: Site) -> None:
+    """Have hosts with lasting tasks end for good while no node is there."""
+    await wait_for(site, -site.size.away_s / 2)
+    for host in site.pick_hosts(HOST_SHARE):
+        site.platform.crash_host(host.record.id)
+
+
+async def lapse_hosts_while_away(site: Site) -> None:
+    """Cut hosts off, one after the other, so that their leases lapse around the loss of power."""
+    first_s, last_s = (-site.size.away_s - each for each in reversed(CUT_BEFORE_S))
+    await wait_for(site, first_s)
+    hosts = site.pick_hosts(HOST_SHARE)
+    for number, host in enumerate(hosts):
+        await wait_for(site, first_s + (last_s - first_s) * number / len(hosts))
+        _cut(site, host)
+    await wait_for(site, 0.0)
+    for host in hosts:
+        _heal(site, host)
+    note_trouble(site, first_s, 0.0)
+
+
+def make_lapses_at_change(back_after_s: float | None) -> Trouble:
+    """Cut hosts off for good; their leases lapse while all pools change hands."""
+
+    async def work(site: Site) -> None:
+        await wait_for(site, LATER_S - LAPSES_IN_S)
+        for host in site.pick_hosts(HOST_SHARE):
+            _cut(site, host)
+        await wait_for(site, LATER_S)
+        await replace_owners(site, back_after_s)
+        note_trouble(site, LATER_S - LAPSES_IN_S, LATER_S + (back_after_s or 0.0))
+
+    return work
+
+
+def make_replaced_owners(back_after_s: float | None) -> Trouble:
+    """End hosts, and kill the pools' owners before they can start the tasks elsewhere."""
+
+    async def work(site: Site) -> None:
+        await wait_for(site, LATER_S)
+        for host in site.pick_hosts(HOST_SHARE):
+            site.platform.crash_host(host.record.id)
+        await asyncio.sleep(NOTICED_IN_S)
+        await replace_owners(site, back_after_s)
+        note_trouble(site, LATER_S, LATER_S + NOTICED_IN_S + (back_after_s or 0.0))
+
+    return work
+
+
+def make_early_kills(at_s: float) -> Trouble:
+    """Kill the pools' owners soon after the machines are back; start them again."""
+
+    async def work(site: Site) -> None:
+        await wait_for(site, at_s)
+        await replace_owners(site, EARLY_BACK_S)
+        note_trouble(site, at_s, at_s + EARLY_BACK_S)
+
+    return work
+
+
+async def replace_owners(site: Site, back_after_s: float | None) -> None:
+    """Kill the nodes that own pools; start them again after a while, where given."""
+    owners = sorted(list_owners(site))
+    for name in owners:
+        site.platform.kill_node(name)
+    if back_after_s is not None:
+        await asyncio.sleep(back_after_s)
+        for name in owners:
+            start_node(site, name)
+
+
+def list_owners(site: Site) -> set[str]:
+    """List the nodes that own pools now."""
+    return {name for pool in site.pools if (name := get_owner(site.platform, pool)) is not None}
+
+
+def list_third(site: Site) -> set[str]:
+    """List a third of the nodes: those that own pools, or did before, and others."""
+    owners = set(site.former_owners.values()) or list_owners(site)
+    ranked = sorted(site.names, key=lambda name: (name not in owners, name))
+    return set(ranked[: len(site.names) // 3])
+
+
+def _cut(site: Site, host: JobHostStandin) -> None:
+    site.platform.hosts.cut_ways |= {(name, host.record.address) for name in site.names}
+
+
+def _heal(site: Site, host: JobHostStandin) -> None:
+    ways = {(name, host.record.address) for name in site.names}
+    site.platform.hosts.cut_ways.difference_update(ways)
+
+
+def draw_troubles(seed: int) -> dict[str, Trouble]:
+    """Draw two troubles from a seed, with the times at which they come."""
+    drawn = random.Random(seed)
+    names = drawn.sample(sorted(KINDS), 2)
+    return {name: KINDS[name](drawn) for name in names}
+
+
+def _draw_part(make: Callable[[float, float], Trouble], drawn: random.Random) -> Trouble:
+    return make(drawn.uniform(-2.0, 0.5), drawn.uniform(3.0, LATER_S + 2.0))
+
+
+KINDS: Final[dict[str, Callable[[random.Random], Trouble]]] = {
+    "store slow": lambda drawn: _draw_part(make_slow_store, drawn),
+    "store refuses": lambda drawn: _draw_part(make_refusals, drawn),
+    "store loses answers": lambda drawn: _draw_part(make_lost_answers, drawn),
+    "silence": lambda drawn: make_silence(*sorted(drawn.uniform(0.0, 6.0) for _ in range(2))),
+    "third stays away": lambda drawn: keep_third_away,
+    "hosts lost": lambda drawn: lose_hosts_while_away,
+    "hosts lapse": lambda drawn: lapse_hosts_while_away,
+    "lapse at change": lambda drawn: make_lapses_at_change(drawn.uniform(0.5, 2.5)),
+    "owners replaced": lambda drawn: make_replaced_owners(drawn.uniform(0.5, 2.5)),
+    "owners lost before": lambda drawn: make_earlier_losses(drawn.uniform(2.0, 14.0)),
+    "owners killed early": lambda drawn: make_early_kills(drawn.uniform(0.5, 2.5)),
+}
