--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -2,16 +2,18 @@
 
 ``python -m bench`` runs those whose bounds are kept, ``python -m bench NAME``
 one; ``--check`` ends with an error where a bound is broken.  ``drawn_days`` plays ``--days=N``
-days from the seed ``--first=N`` on.
+days from the seed ``--first=N`` on; ``back_days`` as well, with ``--nodes=N``, ``--pools=N``,
+``--hosts_a_pool=N`` and ``--jobs_per_s=N`` for its size.
 """
 
 import sys
 from collections.abc import Callable
 
+from bench.back_at_size import run_back_days
 from bench.black_holes import run_black_holes
 from bench.bounds import Bound, iter_broken, read_bounds
 from bench.control import run_control
-from bench.drawn_days import DAYS, FIRST_SEED, run_drawn_days
+from bench.drawn_days import run_drawn_days
 from bench.overload import run_overload
 from bench.parallel import run_in_processes
 from bench.placing import run_placing
@@ -35,12 +37,16 @@
     "wave_baselines": run_wave_baselines,
     "many_waves": run_many_waves,
 }
+BACK_SIZES = ("nodes", "pools", "hosts_a_pool", "lasting_a_pool", "jobs_per_s")
 
 
 def main(arguments: list[str]) -> int:
     """Run the named benches, or all with kept bounds; return the exit code."""
     is_check = "--check" in arguments
-    long = LONG | {"drawn_days": lambda: _run_drawn_days(arguments)}
+    long = LONG | {
+        "drawn_days": lambda: run_drawn_days(**_read_days(arguments)),
+        "back_days": lambda: run_back_days(**_read_days(arguments), sizes=_read_sizes(arguments)),
+    }
     names = [name for name in arguments if not name.startswith("--")]
     unknown = [name for name in names if name not in CHECKED | long]
     if unknown:
@@ -55,10 +61,20 @@
     return int(is_check and bool(broken))
 
 
-def _run_drawn_days(arguments: list[str]) -> BenchResult:
-    given = dict(each.split("=", 1) for each in arguments if "=" in each)
-    first_seed, days = given.get("--first", FIRST_SEED), given.get("--days", DAYS)
-    return run_drawn_days(int(first_seed), int(days))
+def _read_days(arguments: list[str]) -> dict[str, int]:
+    given = _read_given(arguments)
+    names = {"first_seed": "--first", "days": "--days"}
+    return {name: given[flag] for name, flag in names.items() if flag in given}
+
+
+def _read_sizes(arguments: list[str]) -> dict[str, int]:
+    given = _read_given(arguments)
+    return {name: given[f"--{name}"] for name in BACK_SIZES if f"--{name}" in given}
+
+
+def _read_given(arguments: list[str]) -> dict[str, int]:
+    pairs = (each.split("=", 1) for each in arguments if "=" in each)
+    return {name: int(value) for name, value in pairs}
 
 
 def _run_checked(name: str) -> BenchResult:
