--- a/src/robinthread/_internal/fleet/planner.py
+++ b/src/robinthread/_internal/fleet/planner.py
@@ -20,7 +20,7 @@
     WaveView,
 )
 from robinthread._internal.fleet.pool_report import HostStanding
-from robinthread._internal.fleet.reserve import Reserve
+from robinthread._internal.fleet.reserve import Reserve, list_unsupplied
 from robinthread._internal.fleet.sizing import HOSTS_MIN, PoolSize, get_pool_size
 from robinthread._internal.models.machine import Machine
 from robinthread._internal.models.resources import NO_RESOURCES, Resources
@@ -66,9 +66,10 @@
         lacks: Counter[str] = Counter()
         for pool in sorted(view.pools, key=lambda pool: -pool.report.fetch_room[0]):
             size, vacating = sizes[pool.name], self._vacating[pool.name]
-            taken = reserve.take_for(pool.report.lacks, size.lack_count - pool.arriving)
+            taken = reserve.take_for(list_unsupplied(pool.report.lacks, pool.arriving))
             serving = _count_serving(pool, vacating, view.ordered)
-            taken += reserve.take(size.fetch_count - serving - len(taken))
+            awaited = _count_awaited(view, pool)
+            taken += reserve.take(size.fetch_count - serving - awaited - len(taken))
             orders += [MoveOrder(machine, pool.name) for machine in taken]
             lack = _count_lacking(view, pool, size, vacating, room)
             lacks[pool.name] = max(0, lack - len(taken))
@@ -207,17 +208,32 @@
         host.is_usable and host.machine not in vacating and host.machine not in ordered
         for host in pool.hosts
     )
-    return serving + pool.arriving
+    return serving + len(pool.arriving)
+
+
+def _count_awaited(view: FleetView, pool: PoolView) -> int:
+    """Return how many hosts need no replacement, though their pool has not heard them yet.
+
+    None is let go on their account before they are heard.
+    """
+    return sum(
+        host.is_awaited
+        and host.machine not in view.ordered
+        and pool.machines[host.machine].hall not in view.silent_halls
+        for host in pool.hosts
+    )
 
 
 def _count_lacking(
     view: FleetView, pool: PoolView, size: PoolSize, vacating: frozenset[str], room: Resources
 ) -> int:
     """Return how many hosts a pool lacks that any machine of ``room`` could be."""
-    lacks = (lack for lack in pool.report.lacks if not lack.label)
-    missing = sum(lack.count for lack in lacks if Resources(*lack.room).fits_in(room))
-    serving = _count_serving(pool, vacating, view.ordered)
-    return max(0, size.fetch_count - serving, missing - pool.arriving)
+    lacks = list_unsupplied(pool.report.lacks, pool.arriving)
+    missing = sum(
+        lack.count for lack in lacks if not lack.label and Resources(*lack.room).fits_in(room)
+    )
+    serving = _count_serving(pool, vacating, view.ordered) + _count_awaited(view, pool)
+    return max(0, size.fetch_count - serving, missing)
 
 
 def _count_free(view: FleetView) -> int:
