--- a/tests/functional/test_nodes_left_out.py
+++ b/tests/functional/test_nodes_left_out.py
@@ -108,8 +108,8 @@
             self.assertNotEqual(last, new)
             node = platform.nodes[new].assembled.node
             self.assertEqual(member, node._table.previous[FLEET].owner)
-            turn_s = node._get_turn_s()
-            self.assertEqual(BOUNDS.steward_turn_ms / 1000, turn_s)
+            wait_s = node._get_wait_s()
+            self.assertEqual(BOUNDS.steward_turn_ms / 1000, wait_s)
 
         run_virtual(work())
 
