Machines that are up when a steward begins are not taken for ones that come

What pools named before is the steward's memory and ends with its process, so a new steward took each machine that is up and not named for one that has just come up, for 3 s. Ruled out: owners that have not read the hosts yet (a pool is open only after its node has read the hosts to the end, and one that is not open is not planned for); hosts not heard yet after a restart (the owner names them, they are awaited; the three cases of test_hosts_that_are_not_heard_yet_are_not_replaced pass). Change: hosts that are up in a steward's first list of machines are no newcomers, except those of machines that the last steward's record of orders names.

--- a/src/robinthread/_internal/node/machine_orders.py
+++ b/src/robinthread/_internal/node/machine_orders.py
@@ -35,7 +35,7 @@
 
     An order that was done counts as under way until a list of machines that was
     asked for later shows what it did.  ``moved`` tells when a machine was last
-    moved, and to which pool.
+    moved, and to which pool, and ``ordered_before`` what the last steward recorded.
 
     What the last steward ordered is left alone for ``wait_s``, which is 0 where that one gives
     no more orders.  The next one may have to wait all the same, so what was ordered within
@@ -65,6 +65,7 @@
         self._note_fenced = note_fenced
         self.under_way: dict[str, Order] = {}
         self.moved: dict[str, tuple[float, str]] = {}
+        self.ordered_before: frozenset[str] = frozenset()
         self._done_at_s: dict[str, float] = {}
         self._ordered_at_s: dict[str, float] = {}
         self._paused_until_s: dict[str, float] = {}
@@ -79,6 +80,7 @@
             for machine in parse_orders_record(record).machines:
                 self._paused_until_s[machine] = now_s + self._wait_s
                 self._ordered_at_s[machine] = now_s
+        self.ordered_before = frozenset(self._ordered_at_s)
 
     def list_held(self) -> frozenset[str]:
         """Return the machines that are to get no order now."""
--- a/src/robinthread/_internal/node/steward.py
+++ b/src/robinthread/_internal/node/steward.py
@@ -17,6 +17,7 @@
     PoolView,
 )
 from robinthread._internal.fleet.machine_errors import MachineError
+from robinthread._internal.fleet.newcomers import Newcomers
 from robinthread._internal.fleet.planner import FleetPlanner
 from robinthread._internal.fleet.pool_report import FleetQuestion, PoolReport
 from robinthread._internal.fleet.silent_halls import find_silent_halls
@@ -39,9 +40,6 @@
 LIST_PERIOD_S: Final = 0.3
 # Pause before a failed read of the store is made again.
 RETRY_PAUSE_S: Final = 0.3
-# How long a machine that is up may take to show in its pool: an entry in the store
-# and a first look at it.
-UNHEARD_MAX_S: Final = 3.0
 # When a machine is looked out for, before and after its move should be over.
 HOST_EARLY_S: Final = 0.15
 HOST_LATE_S: Final = 0.6
@@ -85,8 +83,7 @@
         self._planner = FleetPlanner(context.policy.fleet)
         self._known: dict[str, Machine] = {}
         self._listed_at_s = -LIST_PERIOD_S
-        self._unheard_since_s: dict[str, float] = {}
-        self._told: set[str] = set()
+        self._newcomers = Newcomers()
         self._sizes: dict[str, PoolSize] = {}
         self._vacate: dict[str, frozenset[str]] = {}
         self.fenced = asyncio.Event()
@@ -189,7 +186,7 @@
             return False
         self._listed_at_s = asked_at_s
         self._known = {machine.name: machine for machine in listed}
-        self._told &= {machine.host_id for machine in listed}
+        self._newcomers.note_listed(listed, self._orders.ordered_before)
         self._orders.note_listed(asked_at_s)
         return True
 
@@ -263,7 +260,8 @@
         machines = {
             machine.name: machine for machine in self._known.values() if machine.pool == pool
         }
-        self._told |= {host.host_id for host in report.hosts}
+        self._newcomers.note_named(host.host_id for host in report.hosts)
+        now_s = get_loop_s()
         coming = (
             self._known[name]
             for name, order in self._orders.under_way.items()
@@ -276,22 +274,11 @@
             and machine.hall not in silent_halls
             and (
                 machine.state in (MachineState.MOVING, MachineState.UPKEEP)
-                or self._is_unheard(machine)
+                or self._newcomers.is_newcomer(machine, now_s)
             )
         )
         return PoolView(pool, report, machines, (*coming, *arriving))
 
-    def _is_unheard(self, machine: Machine) -> bool:
-        """Tell whether a machine is up so newly that its pool has not heard of it.
-
-        One that its pool named before, and names no more, is lost.
-        """
-        if machine.state is not MachineState.UP or machine.host_id in self._told:
-            self._unheard_since_s.pop(machine.name, None)
-            return False
-        since_s = self._unheard_since_s.setdefault(machine.name, get_loop_s())
-        return get_loop_s() - since_s < UNHEARD_MAX_S
-
     def _get_waves(self) -> list[UpkeepWave]:
         return list(self._context.config_holder.waves.values())
 
--- a/tests/unit/test_machine_orders.py
+++ b/tests/unit/test_machine_orders.py
@@ -116,3 +116,14 @@
             self.assertEqual((first, second), read_machines(self.platform))
 
         run_virtual(work())
+
+    def test_next_steward_knows_what_was_ordered_before(self) -> None:
+        async def work() -> None:
+            (machine,) = self._add_machines(1)
+            await make_orders(self.platform, 1, wait_s=0.0).give((MoveOrder(machine, POOL),))
+            following = make_orders(self.platform, 2, wait_s=0.0)
+            self.assertEqual(frozenset(), following.ordered_before)
+            following.load(read_records(self.platform))
+            self.assertEqual({machine}, following.ordered_before)
+
+        run_virtual(work())
