Failing test: a host that was the last one moved is lost, and taken for one that comes

Cause: the record of orders is only rewritten before the next orders, so it names what was ordered last for as long as nothing else is. A steward that begins anew takes what it names for machines that may just have come up. Ruled out: the order of the two losses (the same trial with the first host of the pool, which the record does not name, has 1 move).

--- a/tests/functional/test_lasting_again.py
+++ b/tests/functional/test_lasting_again.py
@@ -228,6 +228,25 @@
 
         run_virtual(work())
 
+    def test_lost_host_that_was_the_last_one_moved_is_replaced_by_one(self) -> None:
+        """The last steward ordered its machine long before it was lost, and nothing since."""
+
+        async def work() -> None:
+            platform = await start_lasting(hosts=3, reserve=2, step=ALONE)
+            platform.crash_host(get_first_host(platform).record.id)
+            await asyncio.sleep(WATCH_S)
+            moves_before = platform.machines.move_count
+            self.assertEqual(ALONE.task_count + 1, len(list_runs(platform)))
+            platform.crash_host(list_runs(platform)[-1].host_id)
+            await lose_power(platform)
+            await asyncio.sleep(2.5)
+            await lose_power(platform)
+            await asyncio.sleep(WATCH_S)
+            self.assertEqual([], find_breaks(platform))
+            self.assertEqual(1, platform.machines.move_count - moves_before)
+
+        run_virtual(work())
+
 
 class _NoPeers:
     """Peers that never answer."""
