The record of orders is emptied once what it names has had the time to come up

The record named what was ordered last until the next orders, however long that took. Ruled out: a time in the record (clocks of nodes jump, and the record is not written again for the same machines); naming it by host (the new life's id is not known when the order is given). Change: a steward with nothing under way, and nothing ordered for the longer of its turn and of a move or an upkeep plus 3 s, appends an empty record, beside its steps. A steward takes the last one's record for what is recorded, and empties it as well. Price: one more append each time that orders come to rest.

--- a/src/robinthread/_internal/durable/order_records.py
+++ b/src/robinthread/_internal/durable/order_records.py
@@ -15,7 +15,8 @@
     """Machines that a steward has ordered lately, or is about to.
 
     Written before an order is given, so it names at least all that the steward
-    has ordered within the time that must pass between two stewards.
+    has ordered within the time that must pass between two stewards.  It
+    names none once what was ordered last has had the time to come up.
     """
 
     machines: tuple[str, ...]
--- a/src/robinthread/_internal/node/machine_orders.py
+++ b/src/robinthread/_internal/node/machine_orders.py
@@ -1,7 +1,8 @@
 """Giving orders for machines until they are answered."""
 
 import asyncio
-from collections.abc import Callable
+import math
+from collections.abc import Callable, Coroutine
 from typing import Any, Final
 
 from robinthread._internal.durable.errors import StoreFencedError
@@ -39,7 +40,8 @@
 
     What the last steward ordered is left alone for ``wait_s``, which is 0 where that one gives
     no more orders.  The next one may have to wait all the same, so what was ordered within
-    ``turn_s``, or is still tried, is recorded in any case.
+    ``turn_s``, or is still tried, is recorded in any case.  Once nothing has been ordered
+    for ``settle_s``, in which a machine comes up, the record is emptied.
     """
 
     def __init__(
@@ -51,6 +53,7 @@
         holder: str,
         token: int,
         turn_s: float,
+        settle_s: float,
         wait_s: float,
         note_fenced: NoteFenced,
     ) -> None:
@@ -61,6 +64,7 @@
         self._holder = holder
         self._token = token
         self._turn_s = turn_s
+        self._settle_s = settle_s
         self._wait_s = wait_s
         self._note_fenced = note_fenced
         self.under_way: dict[str, Order] = {}
@@ -80,7 +84,7 @@
             for machine in parse_orders_record(record).machines:
                 self._paused_until_s[machine] = now_s + self._wait_s
                 self._ordered_at_s[machine] = now_s
-        self.ordered_before = frozenset(self._ordered_at_s)
+        self.ordered_before = self._recorded = frozenset(self._ordered_at_s)
 
     def list_held(self) -> frozenset[str]:
         """Return the machines that are to get no order now."""
@@ -99,9 +103,15 @@
         await self._record(orders)
         for order in orders:
             self.under_way[order.machine] = order
-            task = asyncio.get_running_loop().create_task(self._carry_out(order))
-            self._tasks.add(task)
-            task.add_done_callback(self._tasks.discard)
+            self._spawn(self._carry_out(order))
+
+    def drop_settled(self) -> None:
+        """Have the record emptied if all that it names was ordered long ago."""
+        last_s = max(self._ordered_at_s.values(), default=-math.inf)
+        is_settled = not self.under_way and get_loop_s() - last_s >= self._settle_s
+        if self._recorded and is_settled:
+            self._recorded = frozenset()
+            self._spawn(self._empty_record())
 
     def cancel(self) -> list[asyncio.Task[Any]]:
         """Have all orders under way end, and return their tasks."""
@@ -111,6 +121,11 @@
             task.cancel()
         return tasks
 
+    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.get_running_loop().create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
     async def _record(self, orders: tuple[Order, ...]) -> None:
         if not orders:
             return
@@ -126,6 +141,13 @@
             await self._journal.write([make_orders_record(recent)])
             self._recorded = recent
 
+    async def _empty_record(self) -> None:
+        """Write an empty record; the journal writes that of the next orders after it."""
+        try:
+            await self._journal.write([make_orders_record(())])
+        except StoreFencedError:
+            self._note_fenced("StoreFencedError")
+
     async def _carry_out(self, order: Order) -> None:
         """Give an order until it is answered; one without answer may yet be done."""
         try:
--- a/src/robinthread/_internal/node/steward.py
+++ b/src/robinthread/_internal/node/steward.py
@@ -17,7 +17,7 @@
     PoolView,
 )
 from robinthread._internal.fleet.machine_errors import MachineError
-from robinthread._internal.fleet.newcomers import Newcomers
+from robinthread._internal.fleet.newcomers import UNHEARD_MAX_S, Newcomers
 from robinthread._internal.fleet.planner import FleetPlanner
 from robinthread._internal.fleet.pool_report import FleetQuestion, PoolReport
 from robinthread._internal.fleet.silent_halls import find_silent_halls
@@ -27,6 +27,7 @@
 from robinthread._internal.node.context import NodeContext
 from robinthread._internal.node.environment import NodeEnvironment
 from robinthread._internal.node.machine_orders import MachineOrders
+from robinthread._internal.node.node_settings import NodeBounds
 from robinthread._internal.node.owned_pools import OwnedPools
 from robinthread._internal.node.peer_calls import PeerUnreachableError
 from robinthread._internal.node.pool_runtime import get_loop_s
@@ -98,6 +99,7 @@
             f"{me.node}/{me.life}",
             token,
             context.settings.bounds.steward_turn_ms / 1000,
+            _get_settle_s(context.settings.bounds),
             wait_s,
             self._note_fenced,
         )
@@ -152,6 +154,7 @@
         self._vacate = plan.vacate
         self._note_sizes(view, plan)
         await self._orders.give(plan.orders)
+        self._orders.drop_settled()
 
     def _note_sizes(self, view: FleetView, plan: FleetPlan) -> None:
         """Tell of each pool whose size has changed."""
@@ -286,3 +289,12 @@
         if not self.fenced.is_set():
             self._events.write("steward_fenced", token=self.token, by=by)
         self.fenced.set()
+
+
+def _get_settle_s(bounds: NodeBounds) -> float:
+    """Return for how long after an order the next steward may have to know of it.
+
+    Two stewards take turns no faster, and until then the machine may be on its way.
+    """
+    away_s = max(bounds.machine_move_s, bounds.machine_upkeep_s)
+    return max(bounds.steward_turn_ms / 1000, away_s + UNHEARD_MAX_S)
--- a/tests/unit/test_machine_orders.py
+++ b/tests/unit/test_machine_orders.py
@@ -25,6 +25,7 @@
 from tests.lib.virtual import run_virtual
 
 TURN_S = BOUNDS.steward_turn_ms / 1000
+SETTLE_S = TURN_S + 2
 
 
 def make_orders(platform: PlatformStandin, token: int, wait_s: float) -> MachineOrders:
@@ -39,6 +40,7 @@
         f"n/{token}",
         token,
         TURN_S,
+        SETTLE_S,
         wait_s,
         lambda reason: None,
     )
@@ -127,3 +129,56 @@
             self.assertEqual({machine}, following.ordered_before)
 
         run_virtual(work())
+
+    def test_record_is_emptied_when_all_that_it_names_was_ordered_long_ago(self) -> None:
+        async def work() -> None:
+            first, second = self._add_machines(2)
+            orders = make_orders(self.platform, 1, wait_s=0.0)
+            await orders.give((MoveOrder(first, POOL),))
+            await wait_until(lambda: first in orders.moved)
+            orders.note_listed(asyncio.get_running_loop().time() + 1)
+            await asyncio.sleep(SETTLE_S - 1)
+            orders.drop_settled()
+            await asyncio.sleep(0.5)
+            self.assertEqual((first,), read_machines(self.platform))
+            await asyncio.sleep(1)
+            orders.drop_settled()
+            await orders.give((MoveOrder(second, POOL),))
+            self.assertEqual((second,), read_machines(self.platform))
+            await asyncio.sleep(SETTLE_S)
+            orders.note_listed(asyncio.get_running_loop().time())
+            orders.drop_settled()
+            await asyncio.sleep(1)
+            self.assertEqual((), read_machines(self.platform))
+
+        run_virtual(work())
+
+    def test_record_names_an_order_for_as_long_as_it_is_tried(self) -> None:
+        async def work() -> None:
+            (machine,) = self._add_machines(1)
+            orders = make_orders(self.platform, 1, wait_s=0.0)
+            self.platform.machines.faults.silent.add("*")
+            await orders.give((MoveOrder(machine, POOL),))
+            await asyncio.sleep(3 * SETTLE_S)
+            orders.drop_settled()
+            await asyncio.sleep(1)
+            self.assertEqual((machine,), read_machines(self.platform))
+            orders.cancel()
+
+        run_virtual(work())
+
+    def test_next_steward_empties_the_record_of_the_last_one(self) -> None:
+        async def work() -> None:
+            (machine,) = self._add_machines(1)
+            await make_orders(self.platform, 1, wait_s=0.0).give((MoveOrder(machine, POOL),))
+            following = make_orders(self.platform, 2, wait_s=0.0)
+            following.load(read_records(self.platform))
+            following.drop_settled()
+            await asyncio.sleep(SETTLE_S / 2)
+            self.assertEqual((machine,), read_machines(self.platform))
+            await asyncio.sleep(SETTLE_S / 2)
+            following.drop_settled()
+            await asyncio.sleep(1)
+            self.assertEqual((), read_machines(self.platform))
+
+        run_virtual(work())
