--- a/tests/functional/test_recorded_while_opening.py
+++ b/tests/functional/test_recorded_while_opening.py
@@ -16,7 +16,7 @@
 from robinthread._internal.models.task_key import TaskKey
 from robinthread._internal.node.group_member import GROUP
 from robinthread._internal.node.pool_owner import PROGRESS_TOPIC
-from robinthread._internal.standins.job_hosts_standin import TaskPlan
+from robinthread._internal.standins.job_host_standin import TaskPlan
 from robinthread._internal.standins.platform_standin import PlatformStandin
 from robinthread._internal.standins.store_standin import CALL_TIMEOUT_S, StoreClient
 from tests.lib.job_platforms import (
--- a/tests/functional/test_restart_of_all.py
+++ b/tests/functional/test_restart_of_all.py
@@ -9,7 +9,7 @@
 from robinthread._internal.models.job_spec import StepSpec
 from robinthread._internal.models.pool_policy import PoolPolicy
 from robinthread._internal.models.resources import Resources
-from robinthread._internal.standins.job_hosts_standin import TaskPlan
+from robinthread._internal.standins.job_host_standin import TaskPlan
 from robinthread._internal.standins.platform_standin import RESERVE, PlatformStandin
 from tests.lib.job_platforms import (
     QUEUE,
