--- a/src/robinthread/_internal/node/steward.py
+++ b/src/robinthread/_internal/node/steward.py
@@ -17,6 +17,7 @@
     PoolView,
 )
 from robinthread._internal.fleet.machine_errors import MachineError
+from robinthread._internal.fleet.newcomers import UNHEARD_MAX_S, Newcomers
 from robinthread._internal.fleet.planner import FleetPlanner
 from robinthread._internal.fleet.pool_report import FleetQuestion, PoolReport
 from robinthread._internal.fleet.silent_halls import find_silent_halls
@@ -26,6 +27,7 @@
 from robinthread._internal.node.context import NodeContext
 from robinthread._internal.node.environment import NodeEnvironment
 from robinthread._internal.node.machine_orders import MachineOrders
+from robinthread._internal.node.node_settings import NodeBounds
 from robinthread._internal.node.owned_pools import OwnedPools
 from robinthread._internal.node.peer_calls import PeerUnreachableError
 from robinthread._internal.node.pool_runtime import get_loop_s
@@ -39,9 +41,6 @@
 LIST_PERIOD_S: Final = 0.3
 # Pause before a failed read of the store is made again.
 RETRY_PAUSE_S: Final = 0.3
-# How long a machine that is up may take to show in its pool: an entry in the store
-# and a first look at it.
-UNHEARD_MAX_S: Final = 3.0
 # When a machine is looked out for, before and after its move should be over.
 HOST_EARLY_S: Final = 0.15
 HOST_LATE_S: Final = 0.6
@@ -85,8 +84,7 @@
         self._planner = FleetPlanner(context.policy.fleet)
         self._known: dict[str, Machine] = {}
         self._listed_at_s = -LIST_PERIOD_S
-        self._unheard_since_s: dict[str, float] = {}
-        self._told: set[str] = set()
+        self._newcomers = Newcomers()
         self._sizes: dict[str, PoolSize] = {}
         self._vacate: dict[str, frozenset[str]] = {}
         self.fenced = asyncio.Event()
@@ -101,6 +99,7 @@
             f"{me.node}/{me.life}",
             token,
             context.settings.bounds.steward_turn_ms / 1000,
+            _get_settle_s(context.settings.bounds),
             wait_s,
             self._note_fenced,
         )
@@ -155,6 +154,7 @@
         self._vacate = plan.vacate
         self._note_sizes(view, plan)
         await self._orders.give(plan.orders)
+        self._orders.drop_settled()
 
     def _note_sizes(self, view: FleetView, plan: FleetPlan) -> None:
         """Tell of each pool whose size has changed."""
@@ -189,7 +189,7 @@
             return False
         self._listed_at_s = asked_at_s
         self._known = {machine.name: machine for machine in listed}
-        self._told &= {machine.host_id for machine in listed}
+        self._newcomers.note_listed(listed, self._orders.ordered_before)
         self._orders.note_listed(asked_at_s)
         return True
 
@@ -263,7 +263,8 @@
         machines = {
             machine.name: machine for machine in self._known.values() if machine.pool == pool
         }
-        self._told |= {host.host_id for host in report.hosts}
+        self._newcomers.note_named(host.host_id for host in report.hosts)
+        now_s = get_loop_s()
         coming = (
             self._known[name]
             for name, order in self._orders.under_way.items()
@@ -276,22 +277,11 @@
             and machine.hall not in silent_halls
             and (
                 machine.state in (MachineState.MOVING, MachineState.UPKEEP)
-                or self._is_unheard(machine)
+                or self._newcomers.is_newcomer(machine, now_s)
             )
         )
         return PoolView(pool, report, machines, (*coming, *arriving))
 
-    def _is_unheard(self, machine: Machine) -> bool:
-        """Tell whether a machine is up so newly that its pool has not heard of it.
-
-        One that its pool named before, and names no more, is lost.
-        """
-        if machine.state is not MachineState.UP or machine.host_id in self._told:
-            self._unheard_since_s.pop(machine.name, None)
-            return False
-        since_s = self._unheard_since_s.setdefault(machine.name, get_loop_s())
-        return get_loop_s() - since_s < UNHEARD_MAX_S
-
     def _get_waves(self) -> list[UpkeepWave]:
         return list(self._context.config_holder.waves.values())
 
@@ -299,3 +289,12 @@
         if not self.fenced.is_set():
             self._events.write("steward_fenced", token=self.token, by=by)
         self.fenced.set()
+
+
+def _get_settle_s(bounds: NodeBounds) -> float:
+    """Return for how long after an order the next steward may have to know of it.
+
+    Two stewards take turns no faster, and until then the machine may be on its way.
+    """
+    away_s = max(bounds.machine_move_s, bounds.machine_upkeep_s)
+    return max(bounds.steward_turn_ms / 1000, away_s + UNHEARD_MAX_S)
