Machines that have come where the last steward moved them serve

Class: one list for two things, what gets no order and what may not stay. Change: the record of orders names the pool that each machine is to come up in; the next steward gives it no order for its turn all the same, but counts it as gone only while it is not up in that pool. Why that is safe: a late order of the last steward would find it there. A record without pools, as an older process writes it, has all its machines count as gone, as before. Ruled out: counting only the own orders under way; a late order might take a machine that serves.

--- a/src/robinthread/_internal/durable/order_records.py
+++ b/src/robinthread/_internal/durable/order_records.py
@@ -1,6 +1,7 @@
 """Which machines were ordered last, and by which steward."""
 
-from collections.abc import Iterable
+from collections.abc import Mapping
+from itertools import zip_longest
 from typing import Final
 
 import msgspec
@@ -16,15 +17,24 @@
 
     Written before an order is given, so it names at least all that the steward
     has ordered within the time that must pass between two stewards.  It
-    names none once what was ordered last has had the time to come up.
+    names none once what was ordered last has had the time to come up.  ``pools`` are
+    those that they are to come up in, empty for an upkeep.
     """
 
     machines: tuple[str, ...]
+    pools: tuple[str, ...] = ()
 
+    @property
+    def targets(self) -> dict[str, str]:
+        """Return the pool that each machine is to come up in, empty for an upkeep."""
+        return dict(zip_longest(self.machines, self.pools[: len(self.machines)], fillvalue=""))
 
-def make_orders_record(machines: Iterable[str]) -> KeyedRecord:
-    """Make the record of a steward's recent orders."""
-    value = msgspec.msgpack.encode(RecentOrders(tuple(sorted(machines))))
+
+def make_orders_record(targets: Mapping[str, str]) -> KeyedRecord:
+    """Make the record of a steward's recent orders: the pool that each machine is to be in."""
+    machines = tuple(sorted(targets))
+    pools = tuple(targets[machine] for machine in machines)
+    value = msgspec.msgpack.encode(RecentOrders(machines, pools))
     return KeyedRecord(ORDERS_KEY, value)
 
 
--- a/src/robinthread/_internal/fleet/fleet_view.py
+++ b/src/robinthread/_internal/fleet/fleet_view.py
@@ -61,7 +61,8 @@
     """All that a decision rests on.
 
     ``reserve`` are the machines that are off and free to be ordered, and
-    ``ordered`` those with an order under way.  The hosts of ``silent_halls`` do not answer.
+    ``ordered`` those that are to get no order now; of these, ``leaving`` may not stay where
+    they are.  The hosts of ``silent_halls`` do not answer.
     """
 
     pools: tuple[PoolView, ...]
@@ -70,6 +71,7 @@
     ordered: frozenset[str]
     waves: tuple[WaveView, ...]
     silent_halls: frozenset[str] = frozenset()
+    leaving: frozenset[str] = frozenset()
 
 
 @dataclass(frozen=True)
--- a/src/robinthread/_internal/fleet/planner.py
+++ b/src/robinthread/_internal/fleet/planner.py
@@ -67,7 +67,7 @@
         for pool in sorted(view.pools, key=lambda pool: -pool.report.fetch_room[0]):
             size, vacating = sizes[pool.name], self._vacating[pool.name]
             taken = reserve.take_for(list_unsupplied(pool.report.lacks, pool.arriving))
-            serving = _count_serving(pool, vacating, view.ordered)
+            serving = _count_serving(pool, vacating, view.leaving)
             awaited = _count_awaited(view, pool)
             taken += reserve.take(size.fetch_count - serving - awaited - len(taken))
             orders += [MoveOrder(machine, pool.name) for machine in taken]
@@ -88,15 +88,15 @@
     ) -> frozenset[str]:
         """Return the machines that a pool is to empty, none of which a waiting task needs."""
         present = {host.machine: host for host in pool.hosts if host.is_usable}
-        ordered = frozenset(name for name in present if name in view.ordered)
+        gone = frozenset(name for name in present if name in view.leaving)
         needed = frozenset(name for name, host in present.items() if host.is_needed)
         vacating = self._vacating.get(pool.name, frozenset()) & present.keys() - needed
-        serving = _count_serving(pool, vacating, view.ordered)
+        serving = _count_serving(pool, vacating, view.leaving)
         if serving < size.keep_count:
             # Hosts that are still here serve sooner than any that are fetched.
-            kept = sorted(vacating - ordered, key=lambda name: (name in pending, name))
+            kept = sorted(vacating - gone, key=lambda name: (name in pending, name))
             vacating -= frozenset(kept[: size.keep_count - serving])
-        spare = _count_serving(pool, vacating, view.ordered) - size.keep_count
+        spare = _count_serving(pool, vacating, view.leaving) - size.keep_count
         if spare <= 0:
             self._surplus_since_s.pop(pool.name, None)
         elif now_s - self._surplus_since_s.setdefault(pool.name, now_s) >= self._get_hold_s():
@@ -105,7 +105,7 @@
             leaving = sorted(candidates, key=lambda host: _get_leaving_order(host, pending))
             if view.reserve_pool:
                 vacating |= frozenset(host.machine for host in leaving[:spare])
-        vacating |= ordered
+        vacating |= gone
         is_replaceable = spare + _count_free(view) > 0
         return vacating | self._choose_for_upkeep(
             view, pool, vacating, pending, size, is_replaceable
@@ -161,7 +161,7 @@
         orders: list[MoveOrder | UpkeepOrder] = []
         for pool in view.pools:
             vacating = self._vacating[pool.name]
-            spare = _count_serving(pool, vacating, view.ordered) - sizes[pool.name].keep_count
+            spare = _count_serving(pool, vacating, view.leaving) - sizes[pool.name].keep_count
             for host in pool.hosts:
                 if not _is_emptied(host, vacating, view.ordered):
                     continue
@@ -218,7 +218,7 @@
     """
     return sum(
         host.is_awaited
-        and host.machine not in view.ordered
+        and host.machine not in view.leaving
         and pool.machines[host.machine].hall not in view.silent_halls
         for host in pool.hosts
     )
@@ -232,7 +232,7 @@
     missing = sum(
         lack.count for lack in lacks if not lack.label and Resources(*lack.room).fits_in(room)
     )
-    serving = _count_serving(pool, vacating, view.ordered) + _count_awaited(view, pool)
+    serving = _count_serving(pool, vacating, view.leaving) + _count_awaited(view, pool)
     return max(0, size.fetch_count - serving, missing)
 
 
--- a/src/robinthread/_internal/node/machine_orders.py
+++ b/src/robinthread/_internal/node/machine_orders.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import math
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable, Coroutine, Mapping
 from typing import Any, Final
 
 from robinthread._internal.durable.errors import StoreFencedError
@@ -18,6 +18,7 @@
     MachineMisfitError,
     MachineNoAnswerError,
 )
+from robinthread._internal.models.machine import Machine, MachineState
 from robinthread._internal.node.pool_runtime import get_loop_s
 from robinthread._internal.node.wave_keeper import WaveKeeper
 from robinthread._internal.telemetry.event_log import EventLog
@@ -73,7 +74,8 @@
         self._done_at_s: dict[str, float] = {}
         self._ordered_at_s: dict[str, float] = {}
         self._paused_until_s: dict[str, float] = {}
-        self._recorded: frozenset[str] = frozenset()
+        self._recorded: dict[str, str] = {}
+        self._targets: dict[str, str] = {}
         self._tasks: set[asyncio.Task[Any]] = set()
         self._is_stopped = False
 
@@ -81,10 +83,11 @@
         """Leave the machines alone for a while that the last steward ordered."""
         now_s = get_loop_s()
         for record in records:
-            for machine in parse_orders_record(record).machines:
-                self._paused_until_s[machine] = now_s + self._wait_s
-                self._ordered_at_s[machine] = now_s
-        self.ordered_before = self._recorded = frozenset(self._ordered_at_s)
+            self._targets |= parse_orders_record(record).targets
+        self._paused_until_s = dict.fromkeys(self._targets, now_s + self._wait_s)
+        self._ordered_at_s = dict.fromkeys(self._targets, now_s)
+        self._recorded = dict(self._targets)
+        self.ordered_before = frozenset(self._targets)
 
     def list_held(self) -> frozenset[str]:
         """Return the machines that are to get no order now."""
@@ -92,6 +95,21 @@
         paused = {name for name, until_s in self._paused_until_s.items() if now_s < until_s}
         return frozenset(self.under_way) | paused
 
+    def list_leaving(self, known: Mapping[str, Machine]) -> frozenset[str]:
+        """Return the machines that may not stay where they are in the list.
+
+        One that the last steward moved and that is up in its pool stays: a late order of that
+        steward would find it there.
+        """
+        return frozenset(self.under_way) | {
+            name for name in self.list_held() if not self._has_come(known.get(name))
+        }
+
+    def _has_come(self, machine: Machine | None) -> bool:
+        if machine is None or machine.state is not MachineState.UP:
+            return False
+        return machine.pool == self._targets.get(machine.name)
+
     def note_listed(self, asked_at_s: float) -> None:
         """Note that all orders done before a list was asked for show in it."""
         for name in [name for name, done_s in self._done_at_s.items() if done_s < asked_at_s]:
@@ -110,7 +128,7 @@
         last_s = max(self._ordered_at_s.values(), default=-math.inf)
         is_settled = not self.under_way and get_loop_s() - last_s >= self._settle_s
         if self._recorded and is_settled:
-            self._recorded = frozenset()
+            self._recorded = {}
             self._spawn(self._empty_record())
 
     def cancel(self) -> list[asyncio.Task[Any]]:
@@ -135,16 +153,18 @@
             for name, ordered_s in self._ordered_at_s.items()
             if now_s - ordered_s < self._turn_s
         }
+        self._targets |= {order.machine: _get_target(order) for order in orders}
         given = (order.machine for order in orders)
-        recent = frozenset({*given, *self.under_way, *self._ordered_at_s})
-        if not recent <= self._recorded:
+        names = {*given, *self.under_way, *self._ordered_at_s}
+        recent = {name: self._targets[name] for name in names}
+        if not recent.items() <= self._recorded.items():
             await self._journal.write([make_orders_record(recent)])
             self._recorded = recent
 
     async def _empty_record(self) -> None:
         """Write an empty record; the journal writes that of the next orders after it."""
         try:
-            await self._journal.write([make_orders_record(())])
+            await self._journal.write([make_orders_record({})])
         except StoreFencedError:
             self._note_fenced("StoreFencedError")
 
@@ -202,3 +222,8 @@
             listed={"machines": order.machine},
             **({"error": error} if error else {}),
         )
+
+
+def _get_target(order: Order) -> str:
+    """Return the pool that a machine is to come up in, empty for an upkeep."""
+    return order.pool if isinstance(order, MoveOrder) else ""
--- a/src/robinthread/_internal/node/steward.py
+++ b/src/robinthread/_internal/node/steward.py
@@ -244,6 +244,7 @@
                 if machine.pool in reserves and machine.state is MachineState.UP
             ),
             ordered=self._orders.list_held(),
+            leaving=self._orders.list_leaving(self._known),
             waves=tuple(
                 self._waves.make_view(
                     wave,
--- a/tests/unit/test_machine_orders.py
+++ b/tests/unit/test_machine_orders.py
@@ -1,6 +1,7 @@
 """What a steward records of its orders, and what the next one leaves alone for a while."""
 
 import asyncio
+from dataclasses import replace
 
 from testtools import TestCase
 
@@ -12,6 +13,7 @@
 )
 from robinthread._internal.durable.store import KeyedRecord
 from robinthread._internal.fleet.fleet_view import MoveOrder
+from robinthread._internal.models.machine import Machine, MachineState
 from robinthread._internal.node.machine_orders import MachineOrders
 from robinthread._internal.node.wave_keeper import WaveKeeper
 from robinthread._internal.standins.platform_standin import (
@@ -130,6 +132,24 @@
 
         run_virtual(work())
 
+    def test_machine_that_has_come_where_the_last_steward_moved_it_does_not_leave(self) -> None:
+        async def work() -> None:
+            come, late = self._add_machines(2)
+            orders = make_orders(self.platform, 1, wait_s=0.0)
+            await orders.give((MoveOrder(come, POOL), MoveOrder(late, POOL)))
+            following = make_orders(self.platform, 2, TURN_S)
+            following.load(read_records(self.platform))
+            known = {
+                name: Machine(name, pool, MachineState.UP, "hall", "r", "", ROOM, "")
+                for name, pool in ((come, POOL), (late, RESERVE))
+            }
+            self.assertEqual({come, late}, following.list_held())
+            self.assertEqual({late}, following.list_leaving(known))
+            known[come] = replace(known[come], state=MachineState.MOVING)
+            self.assertEqual({come, late}, following.list_leaving(known))
+
+        run_virtual(work())
+
     def test_record_is_emptied_when_all_that_it_names_was_ordered_long_ago(self) -> None:
         async def work() -> None:
             first, second = self._add_machines(2)
