Failing tests: lasting tasks wait for owners that are long gone

A host and the owner of its pool end for good at once: 12.0 s until its task runs again, 9 s allowed.

--- a/tests/functional/test_lasting_again.py
+++ b/tests/functional/test_lasting_again.py
@@ -30,6 +30,8 @@
 RESTART_S = 2.5
 # So late that the host's entry in the store has gone before its lease is surely over.
 LATE_RESTART_S = 4.0
+# No lease that an owner granted lasts so long: 6 s without the store, and 4.2 s.
+LONG_AGO_S = 12.0
 # Longer than any wait that follows from a lease.
 WATCH_S = 25.0
 # Two of these lasting tasks fill a host; of the small ones eight do.
@@ -60,6 +62,31 @@
 
         self._check(bring_about)
 
+    def test_host_and_owner_lost_for_good_at_once(self) -> None:
+        """Nobody is left at the owner's address to tell that it has stopped."""
+
+        async def bring_about(platform: PlatformStandin) -> None:
+            platform.crash_host(get_first_host(platform).record.id)
+            kill_owner(platform)
+
+        self._check(bring_about)
+
+    def test_host_lost_in_a_stop_of_all_nodes_long_after_an_owner_was_lost(self) -> None:
+        """The nodes read of that owner when they begin anew; its leases are over by then."""
+
+        async def bring_about(platform: PlatformStandin) -> None:
+            kill_owner(platform)
+            await asyncio.sleep(LONG_AGO_S)
+            names = list(platform.nodes)
+            for name in names:
+                platform.kill_node(name)
+            platform.crash_host(get_first_host(platform).record.id)
+            await asyncio.sleep(1)
+            for name in names:
+                platform.start_node(name)
+
+        self._check(bring_about)
+
     def test_owner_killed_while_a_host_is_cut_off(self) -> None:
         async def bring_about(platform: PlatformStandin) -> None:
             cut_host(platform, get_first_host(platform))
