A host that the store lists no more and that refuses connections has ended

Cause: the next owner of a pool waits 6 s for an owner that cannot be asked, and 4.2 s for the last lease it may have granted. That is right for a host that goes on where the new owner does not reach it, but counted for a host as well whose life had surely ended.

Change: a call tells a refused connection (libcurl's "could not connect" with the system's ECONNREFUSED, read before the handle carries another call) from a way that is missing and from a time-out, by a type of its own. The runs of a host lapse at once where its entry has gone (for 2.2 s, the directory's grace) and two connections in a row were refused.

Weighed, each of the two signs alone: - A refused connection: a dead port resets, and what is without power or behind a cut says nothing, so nobody listens there. But an entry changes whenever anything in it does, so the address known here may be where the host was; and a reset of all channels may meet a connection that is being opened. Not taken. - No entry: it may lapse while the store is down, and the host may be cut off from us alone. - Both: the store itself says that three check-ins are missing, and the machine answers that no process is there. An address that has gone to another service's worker does not refuse: it answers with another id, as before. A life that crashed comes back with a new id and runs nothing. Two refusals, since a reset of channels strikes in one moment and looks are 0.2 s apart; that costs nothing, as the entry goes seconds later.

Only the type of the failure changed for the test on a port where nobody listens, which asks for the narrower one now.

With a host that says nothing, as one without power, both waits are as long as before.

--- a/src/robinthread/_internal/jobs/host_errors.py
+++ b/src/robinthread/_internal/jobs/host_errors.py
@@ -13,6 +13,10 @@
     """No connection could be made, so nothing was sent."""
 
 
+class HostRefusedError(HostUnreachableError):
+    """The connection was refused: no process listens at the host's address."""
+
+
 class HostGoneError(HostError):
     """Another life answers at the address: this one has ended."""
 
--- a/src/robinthread/_internal/node/host_follower.py
+++ b/src/robinthread/_internal/node/host_follower.py
@@ -8,6 +8,7 @@
     HostError,
     HostFencedError,
     HostGoneError,
+    HostRefusedError,
 )
 from robinthread._internal.jobs.run import Run, RunPhase
 from robinthread._internal.models.host_report import EndedRun, HostReport, RunEnd
@@ -81,9 +82,10 @@
         )
 
     def _lose(self, error: HostError) -> None:
-        """Note that the host does not answer; its tasks lapse with its lease."""
+        """Note that the host does not answer; its tasks lapse with its lease or its life."""
         host, now_s = self._host, get_loop_s()
         host.note_sent(now_s)
+        host.note_failed(isinstance(error, HostRefusedError))
         if host.contact is HostContact.ANSWERING:
             host.contact = HostContact.SILENT
             self._events.write(
@@ -94,9 +96,13 @@
                 run_count=len(host.runs),
                 lease_over_in_s=round(host.lease.over_at_s - now_s, 3),
             )
-        if host.runs and now_s > host.lease.over_at_s:
+        if host.runs and (now_s > host.lease.over_at_s or host.has_ended()):
             self._events.write(
-                "host_lapsed", host=host.id, pool=self._runtime.pool, run_count=len(host.runs)
+                "host_lapsed",
+                host=host.id,
+                pool=self._runtime.pool,
+                run_count=len(host.runs),
+                lease_over_in_s=round(host.lease.over_at_s - now_s, 3),
             )
             self._runtime.jobs.lapse_host(host, self._runtime.context.get_wall_ms())
             self._runtime.wake()
--- a/src/robinthread/_internal/platform/hosts.py
+++ b/src/robinthread/_internal/platform/hosts.py
@@ -10,6 +10,7 @@
     HostFencedError,
     HostGoneError,
     HostNoAnswerError,
+    HostRefusedError,
     HostUnhealthyError,
     HostUnreachableError,
     NoRoomError,
@@ -30,6 +31,7 @@
     CallLostError,
     CallUnsentError,
     HttpClient,
+    NobodyListensError,
     call,
     decode,
 )
@@ -152,6 +154,8 @@
                 body=msgspec.json.encode(body),
                 headers=JSON_HEADERS | {HOST_HEADER: host.id},
             )
+        except NobodyListensError as error:
+            raise HostRefusedError(str(error)) from error
         except CallUnsentError as error:
             raise HostUnreachableError(str(error)) from error
         except CallLostError as error:
--- a/src/robinthread/_internal/standins/job_hosts_standin.py
+++ b/src/robinthread/_internal/standins/job_hosts_standin.py
@@ -10,7 +10,7 @@
     HostFencedError,
     HostGoneError,
     HostNoAnswerError,
-    HostUnreachableError,
+    HostRefusedError,
     NoRoomError,
     RunTooOldError,
     StartTooLateError,
@@ -313,7 +313,7 @@
     def _find(self, host: UpstreamHost) -> JobHostStandin:
         life = self._standin.hosts.get(host.address)
         if life is None or not life.is_up:
-            raise HostUnreachableError("nobody listens")
+            raise HostRefusedError("nobody listens")
         if life.record.id != host.id:
             raise HostGoneError("another life")
         return life
--- /dev/null
+++ b/tests/functional/test_ended_hosts.py
@@ -0,0 +1,87 @@
+"""A host's life counts as ended only where that is sure, while its lease goes on."""
+
+import asyncio
+
+from testtools import TestCase
+
+from robinthread._internal.jobs.host import Host, HostContact
+from robinthread._internal.standins.platform_standin import PlatformStandin
+from tests.lib.job_platforms import POOL, find_breaks, get_owner, wait_until
+from tests.lib.lasting import AGAIN_MAX_S, cut_host, get_first_host, list_runs, start_lasting
+from tests.lib.virtual import run_virtual
+
+# A host's tasks run on so long without word from their owner.
+WITHOUT_WORD_S = 3.0
+# An entry that has gone is taken for gone so long after, and no lease that was renewed
+# until then is over by that time.
+GONE_S = 3.0
+
+
+def see_host(platform: PlatformStandin, host_id: str) -> Host:
+    """Return a host as the pool's owner sees it."""
+    owner = get_owner(platform)
+    assert owner is not None
+    return platform.nodes[owner].assembled.owned.owners[POOL].jobs.hosts[host_id]
+
+
+class EndedHostsTest(TestCase):
+    def test_listed_host_that_refuses_connections_may_live_elsewhere(self) -> None:
+        async def work() -> None:
+            platform = await start_lasting()
+            run_count = len(list_runs(platform))
+            host = get_first_host(platform)
+            del platform.hosts.hosts[host.record.address]
+            await asyncio.sleep(WITHOUT_WORD_S)
+            self.assertGreater(see_host(platform, host.record.id).refusal_count, 2)
+            platform.hosts.add(host)
+            await asyncio.sleep(AGAIN_MAX_S)
+            self.assertEqual([], find_breaks(platform))
+            self.assertEqual(run_count, len(list_runs(platform)))
+
+        run_virtual(work())
+
+    def test_host_that_is_not_listed_and_cut_off_may_run_on(self) -> None:
+        async def work() -> None:
+            platform = await start_lasting()
+            host = get_first_host(platform)
+            cut_host(platform, host)
+            platform.unlist_host(host.record.id)
+            await asyncio.sleep(AGAIN_MAX_S)
+            self.assertEqual([], find_breaks(platform))
+            self.assertEqual("lapsed", list_runs(platform)[0].end)
+
+        run_virtual(work())
+
+    def test_one_refused_connection_ends_no_host_that_is_not_listed(self) -> None:
+        async def work() -> None:
+            platform = await start_lasting()
+            run_count = len(list_runs(platform))
+            host = get_first_host(platform)
+            platform.unlist_host(host.record.id)
+            await asyncio.sleep(GONE_S)
+            seen = see_host(platform, host.record.id)
+            self.assertFalse(seen.is_listed)
+            del platform.hosts.hosts[host.record.address]
+            await wait_until(lambda: seen.refusal_count == 1)
+            platform.hosts.add(host)
+            await asyncio.sleep(AGAIN_MAX_S)
+            self.assertIs(HostContact.ANSWERING, seen.contact)
+            self.assertEqual([], find_breaks(platform))
+            self.assertEqual(run_count, len(list_runs(platform)))
+
+        run_virtual(work())
+
+    def test_host_that_refuses_and_is_not_listed_has_ended(self) -> None:
+        async def work() -> None:
+            platform = await start_lasting()
+            host = get_first_host(platform)
+            platform.crash_host(host.record.id)
+            platform.unlist_host(host.record.id)
+            await asyncio.sleep(GONE_S)
+            first, *_ = runs = list_runs(platform)
+            again = [run for run in runs if run.task == first.task and run is not first]
+            self.assertEqual("crashed", first.end)
+            self.assertEqual([None], [run.ended_at_s for run in again])
+            self.assertEqual([], find_breaks(platform))
+
+        run_virtual(work())
--- a/tests/functional/test_unsent_calls.py
+++ b/tests/functional/test_unsent_calls.py
@@ -1,20 +1,34 @@
 """A call whose request never left is told from one that may have been read."""
 
 import asyncio
+import contextlib
+import socket
 
 from testtools import TestCase
 
-from robinthread._internal.utils.http_call import CallLostError, CallUnsentError, call, make_client
+from robinthread._internal.utils.http_call import (
+    CallLostError,
+    CallUnsentError,
+    NobodyListensError,
+    call,
+    make_client,
+)
 from tests.lib.silent_service import SilentService
 
 TIMEOUT_S = 1.0
 BODY = b"{}"
+# More connections than a queue of length 0 holds.
+QUEUE_FILLERS = 4
+# No connection can be made to this address: the system says so at once, and sends nothing.
+NOWHERE = "255.255.255.255:9"
 
 
 async def ask(client: object, address: str, timeout_s: float = TIMEOUT_S) -> str:
     """Make a call; return how it went."""
     try:
         await call(client, f"http://{address}/", timeout_s=timeout_s, body=BODY)  # type: ignore[arg-type]
+    except NobodyListensError:
+        return "refused"
     except CallUnsentError:
         return "unsent"
     except CallLostError:
@@ -23,11 +37,45 @@
 
 
 class UnsentCallsTest(TestCase):
-    def test_call_to_a_port_where_nobody_listens_was_not_sent(self) -> None:
+    def test_call_to_a_port_where_nobody_listens_is_refused(self) -> None:
         async def work() -> None:
             async with SilentService() as service:
                 address = service.address
-            self.assertEqual("unsent", await ask(make_client(4), address))
+            self.assertEqual("refused", await ask(make_client(4), address))
+
+        asyncio.run(work())
+
+    def test_many_calls_at_once_are_told_apart(self) -> None:
+        """More than the client has handles, so each handle carries several calls."""
+
+        async def work() -> None:
+            client = make_client(2)
+            async with SilentService() as ended:
+                address = ended.address
+            async with SilentService() as service:
+                asked = [ask(client, to) for _ in range(8) for to in (address, service.address)]
+                self.assertEqual(["refused", "answered"] * 8, await asyncio.gather(*asked))
+
+        asyncio.run(work())
+
+    def test_address_without_a_way_to_it_does_not_refuse(self) -> None:
+        async def work() -> None:
+            self.assertEqual("unsent", await ask(make_client(4), NOWHERE))
+
+        asyncio.run(work())
+
+    def test_connection_that_times_out_is_not_refused(self) -> None:
+        """A full queue of new connections drops what opens another."""
+
+        async def work() -> None:
+            with contextlib.ExitStack() as stack:
+                listener = stack.enter_context(socket.create_server(("127.0.0.1", 0), backlog=0))
+                for _ in range(QUEUE_FILLERS):
+                    filler = stack.enter_context(socket.socket())
+                    filler.setblocking(False)
+                    filler.connect_ex(listener.getsockname())
+                address = f"127.0.0.1:{listener.getsockname()[1]}"
+                self.assertEqual("unsent", await ask(make_client(4), address, 0.3))
 
         asyncio.run(work())
 
