Failing tests: two hosts lost at once have a whole quiet pool exchanged

The second has two that are cut off, at four moments of the second.

Cause: looks at all hosts of a pool begin together as it is opened, and each waits 1 s for an end. In a pool without ends all answer in the same moment of each second, and nobody is heard between. A look that fails puts its host in doubt, and two put their whole hall in doubt unless one of it has been heard since; the report then calls no host usable, and the steward orders as many hosts as the pool needs in one step.

--- a/tests/functional/test_lost_hosts.py
+++ b/tests/functional/test_lost_hosts.py
@@ -4,9 +4,10 @@
 
 from testtools import TestCase
 
+from robinthread._internal.models.job_spec import StepSpec
 from robinthread._internal.standins.platform_standin import PlatformStandin
-from tests.lib.job_platforms import get_owner, start_platform
-from tests.lib.lasting import get_first_host, list_runs, start_lasting
+from tests.lib.job_platforms import find_breaks, get_owner, start_platform
+from tests.lib.lasting import cut_host, get_first_host, kill_owner, list_runs, start_lasting
 from tests.lib.virtual import run_virtual
 
 # An entry lapses so long after its host has ended.
@@ -17,6 +18,11 @@
 LOOKS_MIN = 12
 # A look under way that will not be answered, and the longest pause.
 BACK_MAX_S = 1.5
+# Moments of the second that a look lasts.
+MOMENTS_S = (0.0, 0.25, 0.5, 0.75)
+# Each host of a quiet pool runs one task that lasts.
+QUIET_HOSTS = 12
+ALONE = StepSpec(QUIET_HOSTS, cpu_millicores=1000, memory_mb=100, is_lasting=True, per_host_max=1)
 
 
 async def count_looks(platform: PlatformStandin, host_id: str) -> int:
@@ -61,3 +67,44 @@
             self.assertEqual(0, len(list_runs(platform)))
 
         run_virtual(work())
+
+    def test_two_hosts_lost_at_once_leave_the_others_in_use(self) -> None:
+        """Since the pool was taken, all its hosts answer in the same moment of each second."""
+
+        async def work() -> None:
+            platform = await start_lasting(hosts=QUIET_HOSTS, reserve=QUIET_HOSTS, step=ALONE)
+            owner = kill_owner(platform)
+            await asyncio.sleep(1)
+            platform.start_node(owner)
+            await asyncio.sleep(4)
+            moves_before = platform.machines.move_count
+            lost = [host for host in platform.hosts.hosts.values() if host.is_up][:2]
+            for host in lost:
+                platform.crash_host(host.record.id)
+            await asyncio.sleep(15)
+            self.assertEqual([], find_breaks(platform))
+            self.assertEqual(len(lost), platform.machines.move_count - moves_before)
+            self.assertEqual([], [run for run in list_runs(platform) if run.end == "stopped"])
+
+        run_virtual(work())
+
+    def test_two_hosts_cut_off_at_once_leave_the_others_in_use(self) -> None:
+        """They say nothing at all, so that they might be the first of their hall."""
+
+        async def work(moment_s: float) -> None:
+            platform = await start_lasting(hosts=QUIET_HOSTS, reserve=QUIET_HOSTS, step=ALONE)
+            owner = kill_owner(platform)
+            await asyncio.sleep(1)
+            platform.start_node(owner)
+            await asyncio.sleep(4 + moment_s)
+            moves_before = platform.machines.move_count
+            lost = [host for host in platform.hosts.hosts.values() if host.is_up][:2]
+            for host in lost:
+                cut_host(platform, host)
+            await asyncio.sleep(15)
+            self.assertEqual([], find_breaks(platform))
+            self.assertEqual(len(lost), platform.machines.move_count - moves_before)
+            self.assertEqual([], [run for run in list_runs(platform) if run.end == "stopped"])
+
+        for moment_s in MOMENTS_S:
+            run_virtual(work(moment_s))
