Two hosts lost at once leave the others of a quiet pool in use

A refused start counted as silence as well, until the next look failed: where a steward gives idle hosts back as a job arrives, starts refused by these put the hall in doubt, and the pool was fetched anew at once.

Change: - A host that refuses connections, for a look or a start, is in doubt itself but does not count for its hall: its machine has answered, so the hall is not cut off. - The first look that waits at a host heard anew waits for a share of the second, by multiples of the golden ratio in the order in which a pool's hosts are followed. From then on looks are out of step. One more look a host each time it is heard anew.

Ruled out: - A spread by CRC-32 of the host's id: ids in a row fall together.

--- a/src/robinthread/_internal/jobs/doubts.py
+++ b/src/robinthread/_internal/jobs/doubts.py
@@ -18,6 +18,7 @@
 
     A host is in doubt that leaves an order unanswered.  Where several of a data hall are,
     and none of the hall has been heard since, the whole hall is: it has been cut off.
+    One that refuses connections tells nothing of its hall, from which its refusal came.
     """
     if not pool.policy.doubts_silent_hosts:
         return frozenset()
@@ -30,9 +31,10 @@
 def _list_doubted_in(hosts: list[Host], now_s: float) -> Iterable[Host]:
     """Return the hosts in doubt of one hall."""
     doubted = [host for host in hosts if _is_in_doubt(host, now_s)]
-    if len(doubted) < HALL_DOUBTS_MIN:
+    silent = [host for host in doubted if not host.is_refusing]
+    if len(silent) < HALL_DOUBTS_MIN:
         return doubted
-    since_s = min(host.unanswered_since_s or now_s for host in doubted)
+    since_s = min(host.unanswered_since_s or now_s for host in silent)
     is_heard = any(host.reported_at_s > since_s for host in hosts)
     return doubted if is_heard else hosts
 
--- a/src/robinthread/_internal/jobs/host.py
+++ b/src/robinthread/_internal/jobs/host.py
@@ -38,7 +38,8 @@
     when its last report came, ``leaves_at_s`` the earliest time at which a draining host
     may be gone.
     ``unanswered_since_s`` is when the first order was sent since it last answered.
-    ``refusal_count`` is how many connections in a row it has refused.
+    ``refusal_count`` is how many looks in a row it has refused a connection for,
+    ``is_refusing`` whether it refused one for the order that failed last.
     By ``foreign_stops_over_at_s`` all that earlier owners told to stop has ended.
     """
 
@@ -62,6 +63,7 @@
         self.foreign_stops_over_at_s = 0.0
         self.unanswered_since_s: float | None = None
         self.refusal_count = 0
+        self.is_refusing = False
 
     @property
     def id(self) -> str:
@@ -94,9 +96,15 @@
         """Note that the host has answered anything."""
         self.unanswered_since_s = None
         self.refusal_count = 0
+        self.is_refusing = False
 
     def note_failed(self, is_refused: bool) -> None:
         """Note that an order failed, and whether the connection for it was refused."""
+        self.is_refusing = is_refused
+
+    def note_look_failed(self, is_refused: bool) -> None:
+        """Note that a look failed, which several never do in one moment."""
+        self.note_failed(is_refused)
         self.refusal_count = self.refusal_count + 1 if is_refused else 0
 
     def has_ended(self) -> bool:
--- a/src/robinthread/_internal/node/host_follower.py
+++ b/src/robinthread/_internal/node/host_follower.py
@@ -1,6 +1,7 @@
 """Keeping one host under lease and taking in what it says."""
 
 import asyncio
+import math
 from typing import Final
 
 from robinthread._internal.jobs.host import Host, HostContact
@@ -19,6 +20,10 @@
 # Longest wait of one look at a host.  Each look renews the lease, so a lease is
 # this much shorter than its length at worst.
 WATCH_WAIT_S: Final = 1.0
+# Looks that begin together are spread over that wait in steps of so much of it.  Multiples
+# of the golden ratio leave no wide gap, however many there are: 0.15 among 12, 0.09 among 20.
+# Spread by a checksum of the hosts' ids, 20 with ids in a row left one of 0.32.
+SPREAD_SHARE: Final = (math.sqrt(5) - 1) / 2
 # How long a host waits for its ends to be recorded before its lease is renewed.
 RECORD_WAIT_S: Final = 0.5
 # Pause before a host that did not answer is asked again,
@@ -29,16 +34,23 @@
 
 
 class HostFollower:
-    """Follows one host from its listing to its end."""
+    """Follows one host from its listing to its end; ``number`` counts them in a pool."""
 
     def __init__(
-        self, runtime: PoolRuntime, host: Host, recorder: Recorder, orders: OrderSender
+        self,
+        runtime: PoolRuntime,
+        host: Host,
+        recorder: Recorder,
+        orders: OrderSender,
+        number: int,
     ) -> None:
         self._runtime = runtime
         self._events = runtime.events
         self._host = host
         self._recorder = recorder
         self._orders = orders
+        self._number = number
+        self._is_spread = False
 
     async def run(self) -> None:
         """Follow until the host is gone."""
@@ -85,7 +97,7 @@
         """Note that the host does not answer; its tasks lapse with its lease or its life."""
         host, now_s = self._host, get_loop_s()
         host.note_sent(now_s)
-        host.note_failed(isinstance(error, HostRefusedError))
+        host.note_look_failed(isinstance(error, HostRefusedError))
         if host.contact is HostContact.ANSWERING:
             host.contact = HostContact.SILENT
             self._events.write(
@@ -124,6 +136,7 @@
         host = self._host
         was_answering = host.contact is HostContact.ANSWERING
         if not was_answering:
+            self._is_spread = False
             self._events.write("host_heard", host=host.id, pool=self._runtime.pool)
         if host.contact is HostContact.UNHEARD:
             self._note_first_heard()
@@ -143,7 +156,18 @@
             if not await self._recorder.wait(host.processed_batch, RECORD_WAIT_S):
                 return 0.0
             host.acknowledged_end = host.processed_end
-        return WATCH_WAIT_S if was_answering else 0.0
+        return self._get_wait_s() if was_answering else 0.0
+
+    def _get_wait_s(self) -> float:
+        """Return how long the next look may wait for an end; a share of the usual once.
+
+        Hosts that are heard anew together would else answer together, each second, and
+        none would be heard between: two that fail then look like the first of their hall.
+        """
+        if self._is_spread:
+            return WATCH_WAIT_S
+        self._is_spread = True
+        return WATCH_WAIT_S * (self._number * SPREAD_SHARE % 1)
 
     def _note_first_heard(self) -> None:
         """Note that the host refuses earlier owners from now on.
--- a/src/robinthread/_internal/node/order_sender.py
+++ b/src/robinthread/_internal/node/order_sender.py
@@ -10,6 +10,7 @@
     HostFencedError,
     HostGoneError,
     HostNoAnswerError,
+    HostRefusedError,
     HostUnhealthyError,
     HostUnreachableError,
     NoRoomError,
@@ -207,6 +208,7 @@
             # Whatever ran there has ended with its life.
             return self._reject(run, host, str(error), may_be_there=False)
         except (HostNoAnswerError, HostUnreachableError) as error:
+            host.note_failed(isinstance(error, HostRefusedError))
             self._events.write(
                 "start_unanswered",
                 job=job.id,
--- a/src/robinthread/_internal/node/pool_owner.py
+++ b/src/robinthread/_internal/node/pool_owner.py
@@ -1,6 +1,7 @@
 """Owning one pool: its jobs, its hosts and every order to them."""
 
 import asyncio
+import itertools
 from typing import Final
 
 from robinthread._internal.durable.job_index import IndexedJob
@@ -83,6 +84,7 @@
         self._demand = DemandMeter(
             context.settings.bounds.machine_move_s + HOST_START_S, context.policy.demand
         )
+        self._follower_numbers = itertools.count()
         self._ended_hosts: set[str] = set()
         self._progress_count = 0
         self.opening = PoolOpening()
@@ -286,7 +288,9 @@
         host = self.jobs.add_host(record)
         host.note_draining(self._context.settings.bounds.drain_ms / 1000, get_loop_s())
         if record.id not in self._host_tasks:
-            follower = HostFollower(self._runtime, host, self._recorder, self._orders)
+            follower = HostFollower(
+                self._runtime, host, self._recorder, self._orders, next(self._follower_numbers)
+            )
             self._host_tasks[record.id] = self._runtime.spawn(self._follow(follower, host))
 
     async def _follow(self, follower: HostFollower, host: Host) -> None:
--- a/tests/unit/test_doubts.py
+++ b/tests/unit/test_doubts.py
@@ -53,6 +53,24 @@
         pool.hosts["a2"].note_sent(SENT_S)
         self.assertEqual({"a1", "a2", "a3"}, list_doubted(pool, LATER_S))
 
+    def test_hosts_that_refuse_connections_are_in_doubt_alone(self) -> None:
+        pool = make_pool()
+        for name in ("a1", "a2", "a3"):
+            pool.hosts[name].note_sent(SENT_S)
+        for name in ("a1", "a2"):
+            pool.hosts[name].note_failed(is_refused=True)
+        self.assertEqual({"a1", "a2", "a3"}, list_doubted(pool, LATER_S))
+        pool.hosts["a3"].note_answered()
+        self.assertEqual({"a1", "a2"}, list_doubted(pool, LATER_S))
+
+    def test_hosts_that_refused_and_then_say_nothing_count_for_their_hall(self) -> None:
+        pool = make_pool()
+        for name in ("a1", "a2"):
+            pool.hosts[name].note_sent(SENT_S)
+            pool.hosts[name].note_failed(is_refused=True)
+            pool.hosts[name].note_failed(is_refused=False)
+        self.assertEqual({"a1", "a2", "a3"}, list_doubted(pool, LATER_S))
+
     def test_hall_that_is_heard_is_not_in_doubt(self) -> None:
         pool = make_pool()
         pool.hosts["a1"].note_sent(SENT_S)
