--- a/src/robinthread/_internal/node/host_follower.py
+++ b/src/robinthread/_internal/node/host_follower.py
@@ -1,6 +1,7 @@
 """Keeping one host under lease and taking in what it says."""
 
 import asyncio
+import math
 from typing import Final
 
 from robinthread._internal.jobs.host import Host, HostContact
@@ -8,6 +9,7 @@
     HostError,
     HostFencedError,
     HostGoneError,
+    HostRefusedError,
 )
 from robinthread._internal.jobs.run import Run, RunPhase
 from robinthread._internal.models.host_report import EndedRun, HostReport, RunEnd
@@ -18,6 +20,10 @@
 # Longest wait of one look at a host.  Each look renews the lease, so a lease is
 # this much shorter than its length at worst.
 WATCH_WAIT_S: Final = 1.0
+# Looks that begin together are spread over that wait in steps of so much of it.  Multiples
+# of the golden ratio leave no wide gap, however many there are: 0.15 among 12, 0.09 among 20.
+# Spread by a checksum of the hosts' ids, 20 with ids in a row left one of 0.32.
+SPREAD_SHARE: Final = (math.sqrt(5) - 1) / 2
 # How long a host waits for its ends to be recorded before its lease is renewed.
 RECORD_WAIT_S: Final = 0.5
 # Pause before a host that did not answer is asked again,
@@ -35,10 +41,15 @@
 
 
 class HostFollower:
-    """Follows one host from its listing to its end."""
+    """Follows one host from its listing to its end; ``number`` counts them in a pool."""
 
     def __init__(
-        self, runtime: PoolRuntime, host: Host, recorder: Recorder, orders: OrderSender
+        self,
+        runtime: PoolRuntime,
+        host: Host,
+        recorder: Recorder,
+        orders: OrderSender,
+        number: int,
     ) -> None:
         self._runtime = runtime
         self._events = runtime.events
@@ -46,6 +57,8 @@
         self._recorder = recorder
         self._orders = orders
         self._lost_looks = 0
+        self._number = number
+        self._is_spread = False
 
     async def run(self) -> None:
         """Follow until the host is gone."""
@@ -90,12 +103,13 @@
         )
 
     def _lose(self, error: HostError) -> None:
-        """Note that the host does not answer; its tasks lapse with its lease."""
+        """Note that the host does not answer; its tasks lapse with its lease or its life."""
         host, now_s = self._host, get_loop_s()
         host.note_sent(now_s)
         self._lost_looks += 1
         if self._lost_looks >= FIRST_LOOKS_MAX:
             host.awaited_until_s = now_s
+        host.note_look_failed(isinstance(error, HostRefusedError))
         if host.contact is HostContact.ANSWERING:
             host.contact = HostContact.SILENT
             self._events.write(
@@ -106,9 +120,13 @@
                 run_count=len(host.runs),
                 lease_over_in_s=round(host.lease.over_at_s - now_s, 3),
             )
-        if host.runs and now_s > host.lease.over_at_s:
+        if host.runs and (now_s > host.lease.over_at_s or host.has_ended()):
             self._events.write(
-                "host_lapsed", host=host.id, pool=self._runtime.pool, run_count=len(host.runs)
+                "host_lapsed",
+                host=host.id,
+                pool=self._runtime.pool,
+                run_count=len(host.runs),
+                lease_over_in_s=round(host.lease.over_at_s - now_s, 3),
             )
             self._runtime.jobs.lapse_host(host, self._runtime.context.get_wall_ms())
             self._runtime.wake()
@@ -130,6 +148,7 @@
         host = self._host
         was_answering = host.contact is HostContact.ANSWERING
         if not was_answering:
+            self._is_spread = False
             self._events.write("host_heard", host=host.id, pool=self._runtime.pool)
         if host.contact is HostContact.UNHEARD:
             self._note_first_heard()
@@ -149,7 +168,18 @@
             if not await self._recorder.wait(host.processed_batch, RECORD_WAIT_S):
                 return 0.0
             host.acknowledged_end = host.processed_end
-        return WATCH_WAIT_S if was_answering else 0.0
+        return self._get_wait_s() if was_answering else 0.0
+
+    def _get_wait_s(self) -> float:
+        """Return how long the next look may wait for an end; a share of the usual once.
+
+        Hosts that are heard anew together would else answer together, each second, and
+        none would be heard between: two that fail then look like the first of their hall.
+        """
+        if self._is_spread:
+            return WATCH_WAIT_S
+        self._is_spread = True
+        return WATCH_WAIT_S * (self._number * SPREAD_SHARE % 1)
 
     def _note_first_heard(self) -> None:
         """Note that the host refuses earlier owners from now on.
--- a/src/robinthread/_internal/standins/job_hosts_standin.py
+++ b/src/robinthread/_internal/standins/job_hosts_standin.py
@@ -8,7 +8,7 @@
 from robinthread._internal.jobs.host_errors import (
     HostGoneError,
     HostNoAnswerError,
-    HostUnreachableError,
+    HostRefusedError,
 )
 from robinthread._internal.models.host_report import HostReport
 from robinthread._internal.models.start_order import StartOrder
@@ -115,7 +115,7 @@
     def _find(self, host: UpstreamHost) -> JobHostStandin:
         life = self._standin.hosts.get(host.address)
         if life is None or not life.is_up:
-            raise HostUnreachableError("nobody listens")
+            raise HostRefusedError("nobody listens")
         if life.record.id != host.id:
             raise HostGoneError("another life")
         return life
--- a/tests/functional/test_lost_hosts.py
+++ b/tests/functional/test_lost_hosts.py
@@ -6,7 +6,7 @@
 
 from robinthread._internal.models.job_spec import StepSpec
 from robinthread._internal.standins.platform_standin import PlatformStandin
-from tests.lib.job_platforms import get_owner, start_platform, wait_until
+from tests.lib.job_platforms import find_breaks, get_owner, start_platform, wait_until
 from tests.lib.lasting import (
     cut_host,
     get_first_host,
@@ -28,6 +28,11 @@
 SPREAD = StepSpec(5, cpu_millicores=1000, memory_mb=100, is_lasting=True, per_host_max=2)
 # Two looks that time out, the pause between them, and two steps of the steward.
 REPLACED_MAX_S = 0.4 + 0.2 + 0.4 + 0.2
+# Moments of the second that a look lasts.
+MOMENTS_S = (0.0, 0.25, 0.5, 0.75)
+# Each host of a quiet pool runs one task that lasts.
+QUIET_HOSTS = 12
+ALONE = StepSpec(QUIET_HOSTS, cpu_millicores=1000, memory_mb=100, is_lasting=True, per_host_max=1)
 
 
 async def count_looks(platform: PlatformStandin, host_id: str) -> int:
@@ -84,3 +89,44 @@
             self.assertLess(took_s, REPLACED_MAX_S)
 
         run_virtual(work())
+
+    def test_two_hosts_lost_at_once_leave_the_others_in_use(self) -> None:
+        """Since the pool was taken, all its hosts answer in the same moment of each second."""
+
+        async def work() -> None:
+            platform = await start_lasting(hosts=QUIET_HOSTS, reserve=QUIET_HOSTS, step=ALONE)
+            owner = kill_owner(platform)
+            await asyncio.sleep(1)
+            platform.start_node(owner)
+            await asyncio.sleep(4)
+            moves_before = platform.machines.move_count
+            lost = [host for host in platform.hosts.hosts.values() if host.is_up][:2]
+            for host in lost:
+                platform.crash_host(host.record.id)
+            await asyncio.sleep(15)
+            self.assertEqual([], find_breaks(platform))
+            self.assertEqual(len(lost), platform.machines.move_count - moves_before)
+            self.assertEqual([], [run for run in list_runs(platform) if run.end == "stopped"])
+
+        run_virtual(work())
+
+    def test_two_hosts_cut_off_at_once_leave_the_others_in_use(self) -> None:
+        """They say nothing at all, so that they might be the first of their hall."""
+
+        async def work(moment_s: float) -> None:
+            platform = await start_lasting(hosts=QUIET_HOSTS, reserve=QUIET_HOSTS, step=ALONE)
+            owner = kill_owner(platform)
+            await asyncio.sleep(1)
+            platform.start_node(owner)
+            await asyncio.sleep(4 + moment_s)
+            moves_before = platform.machines.move_count
+            lost = [host for host in platform.hosts.hosts.values() if host.is_up][:2]
+            for host in lost:
+                cut_host(platform, host)
+            await asyncio.sleep(15)
+            self.assertEqual([], find_breaks(platform))
+            self.assertEqual(len(lost), platform.machines.move_count - moves_before)
+            self.assertEqual([], [run for run in list_runs(platform) if run.end == "stopped"])
+
+        for moment_s in MOMENTS_S:
+            run_virtual(work(moment_s))
