A host that refuses connections and is not listed is waited for again

Change: runs lapse with their lease alone, as before; that a refusal says nothing of a hall's other hosts stays, and that refused connections are told from those that time out. Ruled out: more refusals, or for longer; a cut may refuse for as long as it lasts. Asking another node to look at the host; it may be behind the same cut. A mend that shortens a wait needs the platform's list of troubles beside it.

--- a/src/robinthread/_internal/jobs/host.py
+++ b/src/robinthread/_internal/jobs/host.py
@@ -1,7 +1,6 @@
 """A job host of a pool, as its owner sees it."""
 
 import enum
-from typing import Final
 
 from robinthread._internal.jobs.host_health import HostHealth
 from robinthread._internal.jobs.host_lease import HostLease
@@ -10,10 +9,6 @@
 from robinthread._internal.models.task_key import TaskKey
 from robinthread._internal.models.upstream_host import UpstreamHost
 
-# So many connections in a row must be refused before nobody is taken to listen at a host's
-# address: a reset of all channels strikes in one moment, and looks are 0.2 s apart.
-REFUSALS_MIN: Final = 2
-
 
 class HostContact(enum.Enum):
     """Whether a host answers.
@@ -39,8 +34,7 @@
     may be gone.
     ``unanswered_since_s`` is when the first order was sent since it last answered.
     Until ``awaited_until_s`` a host that is UNHEARD is taken for one that will answer.
-    ``refusal_count`` is how many looks in a row it has refused a connection for,
-    ``is_refusing`` whether it refused one for the order that failed last.
+    ``is_refusing`` tells whether it refused a connection for the order that failed last.
     By ``foreign_stops_over_at_s`` all that earlier owners told to stop has ended.
     """
 
@@ -64,7 +58,6 @@
         self.foreign_stops_over_at_s = 0.0
         self.unanswered_since_s: float | None = None
         self.awaited_until_s = 0.0
-        self.refusal_count = 0
         self.is_refusing = False
 
     @property
@@ -97,26 +90,12 @@
     def note_answered(self) -> None:
         """Note that the host has answered anything."""
         self.unanswered_since_s = None
-        self.refusal_count = 0
         self.is_refusing = False
 
     def note_failed(self, is_refused: bool) -> None:
         """Note that an order failed, and whether the connection for it was refused."""
         self.is_refusing = is_refused
 
-    def note_look_failed(self, is_refused: bool) -> None:
-        """Note that a look failed, which several never do in one moment."""
-        self.note_failed(is_refused)
-        self.refusal_count = self.refusal_count + 1 if is_refused else 0
-
-    def has_ended(self) -> bool:
-        """Tell whether this life has surely ended, and all that ran there with it.
-
-        Each sign alone may come from a life that goes on: its entry may lapse while the
-        store is down, and what is listed may be where it was.
-        """
-        return not self.is_listed and self.refusal_count >= REFUSALS_MIN
-
     def add_run(self, run: Run, room: Resources) -> None:
         """Take room for a run."""
         self.runs[run.key] = run
--- a/src/robinthread/_internal/node/host_follower.py
+++ b/src/robinthread/_internal/node/host_follower.py
@@ -103,13 +103,13 @@
         )
 
     def _lose(self, error: HostError) -> None:
-        """Note that the host does not answer; its tasks lapse with its lease or its life."""
+        """Note that the host does not answer; its tasks lapse with its lease."""
         host, now_s = self._host, get_loop_s()
         host.note_sent(now_s)
         self._lost_looks += 1
         if self._lost_looks >= FIRST_LOOKS_MAX:
             host.awaited_until_s = now_s
-        host.note_look_failed(isinstance(error, HostRefusedError))
+        host.note_failed(isinstance(error, HostRefusedError))
         if host.contact is HostContact.ANSWERING:
             host.contact = HostContact.SILENT
             self._events.write(
@@ -120,7 +120,7 @@
                 run_count=len(host.runs),
                 lease_over_in_s=round(host.lease.over_at_s - now_s, 3),
             )
-        if host.runs and (now_s > host.lease.over_at_s or host.has_ended()):
+        if host.runs and now_s > host.lease.over_at_s:
             self._events.write(
                 "host_lapsed",
                 host=host.id,
