Pools go back to newer lives alone; what had its upkeep serves; orders stay recorded while machines come up

Change: pools are given back only where the owner is not listed and says when it began, and a node's own former pools go to this process whatever its clock says. The record of orders names the wave of an upkeep, and its machine serves once the wave's record says that it has begun. Hosts that only an order has leave are not kept on the list of hosts to empty. Orders are recorded for as long as a machine may take to come up. Ruled out: the members' list alone to tell lives apart; it names former lives too.

--- a/src/robinthread/_internal/durable/order_records.py
+++ b/src/robinthread/_internal/durable/order_records.py
@@ -1,7 +1,7 @@
 """Which machines were ordered last, and by which steward."""
 
 from collections.abc import Mapping
-from itertools import zip_longest
+from itertools import chain, repeat
 from typing import Final
 
 import msgspec
@@ -12,29 +12,37 @@
 ORDERS_KEY: Final = "recent"
 
 
+class OrderTarget(msgspec.Struct, frozen=True, array_like=True):
+    """What an order is for: the pool that a machine is to come up in, or the wave of its upkeep."""
+
+    pool: str = ""
+    wave: int = 0
+
+
 class RecentOrders(msgspec.Struct, frozen=True, array_like=True):
     """Machines that a steward has ordered lately, or is about to.
 
     Written before an order is given, so it names at least all that the steward
     has ordered within the time that must pass between two stewards.  It
-    names none once what was ordered last has had the time to come up.  ``pools`` are
-    those that they are to come up in, empty for an upkeep.
+    names none once what was ordered last has had the time to come up.  ``targets`` tells what
+    each order is for; an older process writes none.
     """
 
     machines: tuple[str, ...]
-    pools: tuple[str, ...] = ()
+    targets: tuple[OrderTarget, ...] = ()
 
     @property
-    def targets(self) -> dict[str, str]:
-        """Return the pool that each machine is to come up in, empty for an upkeep."""
-        return dict(zip_longest(self.machines, self.pools[: len(self.machines)], fillvalue=""))
+    def by_machine(self) -> dict[str, OrderTarget]:
+        """Return what the order of each machine is for."""
+        targets = chain(self.targets, repeat(OrderTarget()))
+        return dict(zip(self.machines, targets, strict=False))
 
 
-def make_orders_record(targets: Mapping[str, str]) -> KeyedRecord:
-    """Make the record of a steward's recent orders: the pool that each machine is to be in."""
-    machines = tuple(sorted(targets))
-    pools = tuple(targets[machine] for machine in machines)
-    value = msgspec.msgpack.encode(RecentOrders(machines, pools))
+def make_orders_record(by_machine: Mapping[str, OrderTarget]) -> KeyedRecord:
+    """Make the record of a steward's recent orders, by machine."""
+    machines = tuple(sorted(by_machine))
+    targets = tuple(by_machine[machine] for machine in machines)
+    value = msgspec.msgpack.encode(RecentOrders(machines, targets))
     return KeyedRecord(ORDERS_KEY, value)
 
 
--- a/src/robinthread/_internal/durable/ownership.py
+++ b/src/robinthread/_internal/durable/ownership.py
@@ -29,7 +29,8 @@
 
     ``capacity_millicores`` is how much work it can carry as an owner, see
     ``get_capacity_millicores``.  ``began_at_ms`` is when it began by its clock's time of day,
-    which tells a newer life of a node from an older one that is still listed.
+    which tells a newer life of a node from an older one that is still listed; 0 where it
+    does not tell.
     """
 
     node: str
--- a/src/robinthread/_internal/fleet/planner.py
+++ b/src/robinthread/_internal/fleet/planner.py
@@ -40,6 +40,8 @@
         self._policy = policy
         self._surplus_since_s: dict[str, float] = {}
         self._vacating: dict[str, frozenset[str]] = {}
+        # Those of them that only an order has leave; it may be another steward's, and over soon.
+        self._ordered_away: dict[str, frozenset[str]] = {}
         self._is_short = False
 
     def plan(self, view: FleetView, now_s: float) -> FleetPlan:
@@ -90,7 +92,9 @@
         present = {host.machine: host for host in pool.hosts if host.is_usable}
         gone = frozenset(name for name in present if name in view.leaving)
         needed = frozenset(name for name, host in present.items() if host.is_needed)
-        vacating = self._vacating.get(pool.name, frozenset()) & present.keys() - needed
+        chosen = self._vacating.get(pool.name, frozenset())
+        chosen -= self._ordered_away.get(pool.name, frozenset())
+        vacating = chosen & present.keys() - needed
         serving = _count_serving(pool, vacating, view.leaving)
         if serving < size.keep_count:
             # Hosts that are still here serve sooner than any that are fetched.
@@ -105,6 +109,7 @@
             leaving = sorted(candidates, key=lambda host: _get_leaving_order(host, pending))
             if view.reserve_pool:
                 vacating |= frozenset(host.machine for host in leaving[:spare])
+        self._ordered_away[pool.name] = gone - vacating
         vacating |= gone
         is_replaceable = spare + _count_free(view) > 0
         return vacating | self._choose_for_upkeep(
--- a/src/robinthread/_internal/node/election.py
+++ b/src/robinthread/_internal/node/election.py
@@ -92,15 +92,19 @@
         only one of them meets at a time: whoever is first takes for the others too.  With
         answers of 0.24 s, five pools are open 2.0 s after the start in place of 4.3 s.
         """
-        newest = sorted(self._member.members, key=lambda member: member.began_at_ms)
+        members = self._member.members
+        newest = sorted(members, key=lambda member: member.began_at_ms)
         lives = {member.node: member for member in newest}
-        return {
+        returned = {
             pool: lives[found.owner.node]
             for pool in self._table.owners
             if (found := self._table.get(pool)) is not None
             and found.owner.node in lives
-            and lives[found.owner.node].began_at_ms > found.owner.began_at_ms
+            and found.owner.node != self._me.node
+            and found.owner not in members
+            and 0 < found.owner.began_at_ms < lives[found.owner.node].began_at_ms
         }
+        return returned | dict.fromkeys(self._get_former_pools(), self._me)
 
     def _deal(
         self, pools: Iterable[str], living: Collection[Member], loads: Counter[Member]
--- a/src/robinthread/_internal/node/machine_orders.py
+++ b/src/robinthread/_internal/node/machine_orders.py
@@ -7,7 +7,11 @@
 
 from robinthread._internal.durable.errors import StoreFencedError
 from robinthread._internal.durable.journal import Journal
-from robinthread._internal.durable.order_records import make_orders_record, parse_orders_record
+from robinthread._internal.durable.order_records import (
+    OrderTarget,
+    make_orders_record,
+    parse_orders_record,
+)
 from robinthread._internal.durable.store import KeyedRecord
 from robinthread._internal.fleet.fleet_view import MoveOrder, UpkeepOrder
 from robinthread._internal.fleet.machine_calls import MachineCalls
@@ -40,9 +44,10 @@
     moved, and to which pool, and ``ordered_before`` what the last steward recorded.
 
     What the last steward ordered is left alone for ``wait_s``, which is 0 where that one gives
-    no more orders.  The next one may have to wait all the same, so what was ordered within
-    ``turn_s``, or is still tried, is recorded in any case.  Once nothing has been ordered
-    for ``settle_s``, in which a machine comes up, the record is emptied.
+    no more orders.  The next one may have to wait all the same, and has to know what may be
+    coming up: what was ordered within ``turn_s`` or ``settle_s``, in which a machine comes up,
+    or is still tried, is recorded in any case.  Once nothing has been ordered for so long,
+    the record is emptied.
     """
 
     def __init__(
@@ -74,8 +79,8 @@
         self._done_at_s: dict[str, float] = {}
         self._ordered_at_s: dict[str, float] = {}
         self._paused_until_s: dict[str, float] = {}
-        self._recorded: dict[str, str] = {}
-        self._targets: dict[str, str] = {}
+        self._recorded: dict[str, OrderTarget] = {}
+        self._targets: dict[str, OrderTarget] = {}
         self._tasks: set[asyncio.Task[Any]] = set()
         self._is_stopped = False
 
@@ -83,7 +88,7 @@
         """Leave the machines alone for a while that the last steward ordered."""
         now_s = get_loop_s()
         for record in records:
-            self._targets |= parse_orders_record(record).targets
+            self._targets |= parse_orders_record(record).by_machine
         self._paused_until_s = dict.fromkeys(self._targets, now_s + self._wait_s)
         self._ordered_at_s = dict.fromkeys(self._targets, now_s)
         self._recorded = dict(self._targets)
@@ -98,8 +103,8 @@
     def list_leaving(self, known: Mapping[str, Machine]) -> frozenset[str]:
         """Return the machines that may not stay where they are in the list.
 
-        One that the last steward moved and that is up in its pool stays: a late order of that
-        steward would find it there.
+        One that the last steward moved stays where it is up in its pool, for a late order of
+        that steward would find it there; so does one that is up and whose upkeep has begun.
         """
         return frozenset(self.under_way) | {
             name for name in self.list_held() if not self._has_come(known.get(name))
@@ -108,7 +113,10 @@
     def _has_come(self, machine: Machine | None) -> bool:
         if machine is None or machine.state is not MachineState.UP:
             return False
-        return machine.pool == self._targets.get(machine.name)
+        target = self._targets.get(machine.name, OrderTarget())
+        if target.wave:
+            return self._waves.has_begun(target.wave, machine.name)
+        return machine.pool == target.pool
 
     def note_listed(self, asked_at_s: float) -> None:
         """Note that all orders done before a list was asked for show in it."""
@@ -151,7 +159,7 @@
         self._ordered_at_s = {
             name: ordered_s
             for name, ordered_s in self._ordered_at_s.items()
-            if now_s - ordered_s < self._turn_s
+            if now_s - ordered_s < max(self._turn_s, self._settle_s)
         }
         self._targets |= {order.machine: _get_target(order) for order in orders}
         given = (order.machine for order in orders)
@@ -224,6 +232,7 @@
         )
 
 
-def _get_target(order: Order) -> str:
-    """Return the pool that a machine is to come up in, empty for an upkeep."""
-    return order.pool if isinstance(order, MoveOrder) else ""
+def _get_target(order: Order) -> OrderTarget:
+    if isinstance(order, MoveOrder):
+        return OrderTarget(pool=order.pool)
+    return OrderTarget(wave=order.wave)
--- a/src/robinthread/_internal/node/wave_keeper.py
+++ b/src/robinthread/_internal/node/wave_keeper.py
@@ -48,6 +48,10 @@
         begun.add(machine)
         await self._journal.write([make_wave_record(wave, begun)])
 
+    def has_begun(self, wave: int, machine: str) -> bool:
+        """Tell whether a machine's upkeep for a wave has begun."""
+        return machine in self._begun.get(wave, ())
+
     def get_pending(self, wave: UpkeepWave, machines: dict[str, Machine]) -> frozenset[str]:
         """Return the machines that stay and whose upkeep has not begun."""
         begun = self._begun.get(wave.number, set())
