--- a/src/robinthread/_internal/standins/store_standin.py
+++ b/src/robinthread/_internal/standins/store_standin.py
@@ -33,6 +33,8 @@
 
 CALL_TIMEOUT_S: Final = 1.2
 LATENCY_S: Final = 0.004
+# What a client that has seen quick answers gives a read.
+READ_TIMEOUT_S: Final = 0.3
 ANSWERS_KEPT: Final = 5
 PAGE_RECORDS_MAX: Final = 500
 
@@ -99,7 +101,7 @@
 class StoreStandin:
     """Partitions and groups, with faults and history that can be made to expire.
 
-    ``link_bytes_per_s`` is what the links of some callers carry of pages of newest records;
+    ``link_bytes_per_s`` is what the links of some callers carry of records that they read;
     members that are ``unlisted`` hold no partition, for whatever reason.  ``reads`` counts
     reads by caller and topic, or group.
     """
@@ -178,6 +180,11 @@
 
     async def read(self, partition: Partition, from_offset: int, wait_s: float) -> ReadPage:
         """Read from an offset, waiting for a record."""
+        page = await self._read(partition, from_offset, wait_s)
+        await self._carry(page.records, READ_TIMEOUT_S)
+        return page
+
+    async def _read(self, partition: Partition, from_offset: int, wait_s: float) -> ReadPage:
         self._standin.reads[self._caller, partition.topic] += 1
         log = self._standin.get_log(partition)
 
@@ -213,15 +220,15 @@
             return NewestPage(page, log.end, page[-1].key if len(keys) > len(page) else "")
 
         found = await self._call(work, is_change=False)
-        await self._carry(sum(len(record.value or b"") for record in found.records), timeout_s)
+        await self._carry(found.records, timeout_s)
         return found
 
-    async def _carry(self, size_bytes: int, timeout_s: float) -> None:
+    async def _carry(self, records: Sequence[KeyedRecord], timeout_s: float) -> None:
         """Wait for as long as an answer takes over the caller's link."""
         link_bytes_per_s = self._standin.link_bytes_per_s.get(self._caller)
         if link_bytes_per_s is None:
             return
-        takes_s = size_bytes / link_bytes_per_s
+        takes_s = sum(len(record.value or b"") for record in records) / link_bytes_per_s
         await asyncio.sleep(min(takes_s, timeout_s))
         if takes_s > timeout_s:
             raise StoreNoAnswerError("the answer did not come in time")
--- a/tests/unit/test_keyed_follower.py
+++ b/tests/unit/test_keyed_follower.py
@@ -17,6 +17,11 @@
 GROWS_FOR_S = 60.0
 # One read of the newest records and one of what came meanwhile, and some to spare.
 TO_END_MAX_S = 4 * SLOW_ANSWER_S
+# 5 Mbit/s, and a configuration of 1,900 queues.
+LINK_BYTES_PER_S = 625_000
+LARGE = b"x" * 362_000
+# A configuration is to be in force by then.
+LARGE_READ_MAX_S = 3.0
 
 
 async def grow(standin: StoreStandin) -> None:
@@ -97,3 +102,26 @@
             self.assertIn("wanted", [record.key for record in reading.taken])
 
         run_virtual(work())
+
+
+class LargeRecordTest(TestCase):
+    def test_record_that_takes_longer_than_quick_calls_is_read_over_a_slow_link(self) -> None:
+        async def work() -> None:
+            standin = StoreStandin()
+            standin.put(PARTITION, "first", b"")
+            standin.link_bytes_per_s["node"] = LINK_BYTES_PER_S
+            taken: list[str] = []
+            follower = KeyedFollower(
+                standin.connect("node"),
+                PARTITION,
+                lambda records, is_snapshot: taken.extend(record.key for record in records),
+                EventLog("node", write=lambda line: None),
+            )
+            following = asyncio.create_task(follower.run())
+            await asyncio.sleep(1)
+            standin.put(PARTITION, "large", LARGE)
+            await asyncio.sleep(LARGE_READ_MAX_S)
+            self.assertEqual(["first", "large"], taken)
+            following.cancel()
+
+        run_virtual(work())
