Upkeep that an earlier steward ordered counts as down; reserve and pools share a wave's places

Cause, three of one class (a count of what is down that rests on one steward's memory of one step): a planned step gave the reserve's machines all free places of a wave and the emptied machines of pools the same places again (2 begun where 1 may be down); a new steward did not count what the last one had ordered without an answer (4 down, 2 allowed, orders 5 and 6 s late); an order without an answer whose repetition was turned away counted no more (4 down, 2 allowed). Change: places are counted down in the reserve too; recorded upkeep without a known begin counts until this steward has ordered the machine, the list shows it, or 12 s have passed since a steward that has ended; an unanswered order stays under way for 12 s.

--- a/src/robinthread/_internal/fleet/planner.py
+++ b/src/robinthread/_internal/fleet/planner.py
@@ -136,6 +136,10 @@
         """
         due = [host for host in pool.hosts if host.is_usable and host.machine in pending]
         due.sort(key=lambda host: _get_leaving_order(host, pending))
+        unsettled = frozenset().union(*(wave.unsettled for wave in view.waves))
+        if chosen := frozenset(host.machine for host in due if host.machine in unsettled):
+            # Each takes a place in its wave until it is ordered.
+            return chosen
         begun_count = len(vacating & pending)
         short = [wave for wave in view.waves if _is_short_of_time(wave)]
         if short and (self._policy.upkeep_first or is_replaceable):
@@ -176,6 +180,8 @@
                 if view.reserve_pool and may_leave:
                     target = view.reserve_pool if wave else self._choose_target(view, pool, lacks)
                     orders.append(MoveOrder(host.machine, target))
+                elif wave is not None and host.machine in wave.unsettled:
+                    orders.append(UpkeepOrder(host.machine, wave.number))
                 elif wave is not None and slots[wave.number] > 0:
                     slots[wave.number] -= 1
                     orders.append(UpkeepOrder(host.machine, wave.number))
@@ -203,8 +209,13 @@
 def _order_upkeep(
     view: FleetView, reserve: Reserve, slots: dict[int, int]
 ) -> Iterable[UpkeepOrder]:
+    """Order the reserve's machines that are due; ``slots`` is counted down."""
     for wave in view.waves:
-        for machine in reserve.take_due(wave.pending, slots[wave.number]):
+        settling = reserve.take_due(wave.unsettled, len(wave.unsettled))
+        beginning = reserve.take_due(wave.pending - wave.unsettled, slots[wave.number])
+        # What a pool has emptied shares the wave's places with the reserve.
+        slots[wave.number] -= len(beginning)
+        for machine in (*settling, *beginning):
             yield UpkeepOrder(machine, wave.number)
 
 
--- a/src/robinthread/_internal/node/machine_orders.py
+++ b/src/robinthread/_internal/node/machine_orders.py
@@ -5,6 +5,8 @@
 from collections.abc import Callable, Coroutine, Mapping
 from typing import Any, Final
 
+import msgspec
+
 from robinthread._internal.durable.errors import StoreFencedError
 from robinthread._internal.durable.journal import Journal
 from robinthread._internal.durable.order_records import (
@@ -21,9 +23,11 @@
     MachineFencedError,
     MachineMisfitError,
     MachineNoAnswerError,
+    MachineRefusedError,
 )
 from robinthread._internal.models.machine import Machine, MachineState
 from robinthread._internal.node.pool_runtime import get_loop_s
+from robinthread._internal.node.unsettled_upkeep import ORDER_LATE_MAX_S, UnsettledUpkeep
 from robinthread._internal.node.wave_keeper import WaveKeeper
 from robinthread._internal.telemetry.event_log import EventLog
 
@@ -48,6 +52,9 @@
     coming up: what was ordered within ``turn_s`` or ``settle_s``, in which a machine comes up,
     or is still tried, is recorded in any case.  Once nothing has been ordered for so long,
     the record is emptied.
+
+    An order that went unanswered stays under way while it may be carried out late, also where
+    its repetition is turned away.
     """
 
     def __init__(
@@ -76,6 +83,7 @@
         self.under_way: dict[str, Order] = {}
         self.moved: dict[str, tuple[float, str]] = {}
         self.ordered_before: frozenset[str] = frozenset()
+        self.unsettled = UnsettledUpkeep()
         self._done_at_s: dict[str, float] = {}
         self._ordered_at_s: dict[str, float] = {}
         self._paused_until_s: dict[str, float] = {}
@@ -88,11 +96,15 @@
         """Leave the machines alone for a while that the last steward ordered."""
         now_s = get_loop_s()
         for record in records:
-            self._targets |= parse_orders_record(record).by_machine
+            try:
+                self._targets |= parse_orders_record(record).by_machine
+            except msgspec.MsgspecError as error:
+                self._events.write("record_malformed", key=record.key, error=str(error))
         self._paused_until_s = dict.fromkeys(self._targets, now_s + self._wait_s)
         self._ordered_at_s = dict.fromkeys(self._targets, now_s)
         self._recorded = dict(self._targets)
         self.ordered_before = frozenset(self._targets)
+        self.unsettled.load(self._targets, is_author_ended=self._wait_s == 0)
 
     def list_held(self) -> frozenset[str]:
         """Return the machines that are to get no order now."""
@@ -118,6 +130,14 @@
             return self._waves.has_begun(target.wave, machine.name)
         return machine.pool == target.pool
 
+    def list_unsettled(self, wave: int) -> frozenset[str]:
+        """Return the machines whose upkeep for a wave an earlier steward's order may yet begin."""
+        return frozenset(
+            machine
+            for machine in self.unsettled.list_for_wave(wave, settled=self.under_way)
+            if not self._waves.has_begun(wave, machine)
+        )
+
     def note_listed(self, asked_at_s: float) -> None:
         """Note that all orders done before a list was asked for show in it."""
         for name in [name for name, done_s in self._done_at_s.items() if done_s < asked_at_s]:
@@ -134,7 +154,8 @@
     def drop_settled(self) -> None:
         """Have the record emptied if all that it names was ordered long ago."""
         last_s = max(self._ordered_at_s.values(), default=-math.inf)
-        is_settled = not self.under_way and get_loop_s() - last_s >= self._settle_s
+        is_open = self.under_way or self.unsettled.list_machines()
+        is_settled = not is_open and get_loop_s() - last_s >= self._settle_s
         if self._recorded and is_settled:
             self._recorded = {}
             self._spawn(self._empty_record())
@@ -163,7 +184,8 @@
         }
         self._targets |= {order.machine: _get_target(order) for order in orders}
         given = (order.machine for order in orders)
-        names = {*given, *self.under_way, *self._ordered_at_s}
+        unsettled = self.unsettled.list_machines()
+        names = {*given, *self.under_way, *self._ordered_at_s, *unsettled}
         recent = {name: self._targets[name] for name in names}
         if not recent.items() <= self._recorded.items():
             await self._journal.write([make_orders_record(recent)])
@@ -178,18 +200,25 @@
 
     async def _carry_out(self, order: Order) -> None:
         """Give an order until it is answered; one without answer may yet be done."""
+        may_be_done_until_s = -math.inf
         try:
             while not self._is_stopped:
                 try:
                     await self._send(order)
                 except MachineNoAnswerError as error:
+                    may_be_done_until_s = get_loop_s() + ORDER_LATE_MAX_S
                     self._note(order, "no answer", str(error))
                     await asyncio.sleep(RETRY_PAUSE_S)
                     continue
                 except MachineFencedError:
                     self._note_fenced("MachineFencedError")
-                except MachineBusyError:
-                    self._pause(order, "busy")
+                except MachineRefusedError as error:
+                    outcome = "busy" if isinstance(error, MachineBusyError) else "refused"
+                    if get_loop_s() < may_be_done_until_s:
+                        self._note(order, outcome, str(error))
+                        await asyncio.sleep(BUSY_PAUSE_S)
+                        continue
+                    self._pause(order, outcome, str(error))
                 except MachineMisfitError as error:
                     self._pause(order, "does not fit", str(error))
                 except MachineError as error:
@@ -213,6 +242,7 @@
 
     async def _note_done(self, order: Order) -> None:
         self._done_at_s[order.machine] = get_loop_s()
+        self.unsettled.settle(order.machine)
         if isinstance(order, MoveOrder):
             self.moved[order.machine] = (get_loop_s(), order.pool)
         else:
--- a/src/robinthread/_internal/node/steward.py
+++ b/src/robinthread/_internal/node/steward.py
@@ -191,6 +191,7 @@
         self._known = {machine.name: machine for machine in listed}
         self._newcomers.note_listed(listed, self._orders.ordered_before)
         self._orders.note_listed(asked_at_s)
+        self._orders.unsettled.note_listed(self._known)
         return True
 
     async def _ask_pools(self) -> dict[str, PoolReport]:
@@ -251,6 +252,7 @@
                     self._context.config_holder.wave_seen_at_s[wave.number],
                     self._known,
                     self._orders.under_way,
+                    self._orders.list_unsettled(wave.number),
                 )
                 for wave in self._get_waves()
                 if self._waves.get_pending(wave, self._known)
--- /dev/null
+++ b/src/robinthread/_internal/node/unsettled_upkeep.py
@@ -0,0 +1,61 @@
+"""Upkeep that an earlier steward ordered, and that may yet begin."""
+
+import math
+from collections.abc import Container, Mapping
+from typing import Final
+
+from robinthread._internal.durable.order_records import OrderTarget
+from robinthread._internal.models.machine import Machine, MachineState
+from robinthread._internal.node.pool_runtime import get_loop_s
+
+# How long after it was given an order without an answer may still be carried out: the
+# platform has been seen to take 2 to 12 s.
+ORDER_LATE_MAX_S: Final = 12.0
+
+
+class UnsettledUpkeep:
+    """Machines, by the wave that their upkeep was ordered for, whose orders are not settled.
+
+    Each counts as down: with orders carried out 5 s late, a wave that allows 2 machines had 4
+    down as its steward was replaced.  An order is settled once the machine's upkeep is known to
+    have begun, or once this steward has ordered the machine, which shuts the earlier one out
+    there.  Those of a steward that has ended are settled after ``ORDER_LATE_MAX_S`` as well; one
+    that may be frozen can send its orders at any time.
+    """
+
+    def __init__(self) -> None:
+        self._wave_by_machine: dict[str, int] = {}
+        self._until_s = math.inf
+
+    def load(self, targets: Mapping[str, OrderTarget], is_author_ended: bool) -> None:
+        """Take in what the last steward recorded of its orders."""
+        self._wave_by_machine = {
+            machine: target.wave for machine, target in targets.items() if target.wave
+        }
+        self._until_s = get_loop_s() + ORDER_LATE_MAX_S if is_author_ended else math.inf
+
+    def settle(self, machine: str) -> None:
+        """Note that this steward's order for a machine was carried out."""
+        self._wave_by_machine.pop(machine, None)
+
+    def note_listed(self, machines: Mapping[str, Machine]) -> None:
+        """Take in a list of machines: upkeep that it shows has begun."""
+        self._wave_by_machine = {
+            machine: wave
+            for machine, wave in self._wave_by_machine.items()
+            if machine in machines and machines[machine].state is not MachineState.UPKEEP
+        }
+
+    def list_machines(self) -> frozenset[str]:
+        """Return the machines of all waves."""
+        if get_loop_s() >= self._until_s:
+            self._wave_by_machine = {}
+        return frozenset(self._wave_by_machine)
+
+    def list_for_wave(self, wave: int, settled: Container[str]) -> frozenset[str]:
+        """Return the machines of a wave, but for those that are ``settled`` or counted already."""
+        return frozenset(
+            machine
+            for machine in self.list_machines()
+            if self._wave_by_machine[machine] == wave and machine not in settled
+        )
--- a/src/robinthread/_internal/node/wave_keeper.py
+++ b/src/robinthread/_internal/node/wave_keeper.py
@@ -63,8 +63,12 @@
         seen_at_s: float,
         machines: dict[str, Machine],
         under_way: Mapping[str, object],
+        unsettled: frozenset[str],
     ) -> WaveView:
-        """Return a wave, first seen at ``seen_at_s``, as the planner sees it."""
+        """Return a wave, first seen at ``seen_at_s``, as the planner sees it.
+
+        The upkeep of ``unsettled`` machines may begin without any order of this steward.
+        """
         down = sum(
             machines[name].state is MachineState.UPKEEP
             or isinstance(under_way.get(name), UpkeepOrder)
@@ -72,9 +76,8 @@
             if name in machines
         )
         left_s = seen_at_s + wave.duration_s - get_loop_s()
-        return WaveView(
-            wave.number, self.get_pending(wave, machines), wave.at_once_max, down, left_s
-        )
+        pending = self.get_pending(wave, machines)
+        return WaveView(wave.number, pending, wave.at_once_max, down, left_s, unsettled & pending)
 
     async def show(self, waves: Iterable[UpkeepWave], machines: dict[str, Machine]) -> None:
         """Write the status of each wave where it has changed."""
--- a/tests/unit/test_fleet_planner.py
+++ b/tests/unit/test_fleet_planner.py
@@ -299,6 +299,13 @@
         orders = FleetPlanner(ALL).plan(view, 0.0).orders
         self.assertEqual(1, sum(isinstance(order, UpkeepOrder) for order in orders))
 
+    def test_reserve_and_pools_share_what_may_be_down(self) -> None:
+        for at_once_max, down_count, expected in ((1, 0, 1), (2, 1, 1), (3, 0, 3), (2, 2, 0)):
+            wave = WaveView(1, frozenset("abxy"), at_once_max, down_count, left_s=5.0)
+            view = make_view(make_pool("calm", "abcd", 0), reserve="xy", waves=(wave,))
+            orders = plan_twice(ALL, view).orders
+            self.assertEqual(expected, sum(isinstance(order, UpkeepOrder) for order in orders))
+
     def test_switched_off_the_pool_takes_it_first(self) -> None:
         view = make_view(make_pool("hot", "ab", 160), reserve="xy", waves=(self.wave,))
         orders = FleetPlanner(FleetPolicy(upkeep_first=False)).plan(view, 0.0).orders
