Entries of the store from another writer stop no task and name no host

Cause: readers trusted what they read. A host entry without a state, or with an unknown one, was taken as a ready host; a malformed one left the good one that stood there before; one key that is not text failed every page it was on, so that nobody read on; a member's name that is no member ended the listing of members for good; a malformed record of orders ended each new steward; progress that names a host it does not list, and a job whose step comes after one that does not exist, ended the pool's owner. Change: each reader ends in a value or a typed error, and what cannot be read is left out, logged and counted; jobs that no owner could work off are rejected at the entry (400). Not looked at: answers of peers, which decode with typed errors already.

--- a/src/robinthread/_internal/durable/inbox_records.py
+++ b/src/robinthread/_internal/durable/inbox_records.py
@@ -38,6 +38,7 @@
     """A record that its job no longer needs."""
 
     key: str
+    job_id: str
 
 
 InboxRecord = JobHandedIn | JobCancelled | RecordDropped
@@ -55,8 +56,22 @@
 
 def parse_inbox_record(record: KeyedRecord) -> InboxRecord:
     """Read a record of the inbox; raise ``msgspec.MsgspecError``."""
+    job_id = _get_job_id(record.key)
     if record.value is None:
-        return RecordDropped(record.key)
+        return RecordDropped(record.key, job_id)
     if record.key.startswith(CANCEL_PREFIX):
-        return JobCancelled(record.key, record.key.removeprefix(CANCEL_PREFIX))
-    return JobHandedIn(record.key, msgspec.msgpack.decode(record.value, type=JobSpec))
+        return JobCancelled(record.key, job_id)
+    spec = msgspec.msgpack.decode(record.value, type=JobSpec)
+    fault = spec.find_fault() or ("" if spec.job_id == job_id else "its key names another job")
+    if fault:
+        raise msgspec.ValidationError(fault)
+    return JobHandedIn(record.key, spec)
+
+
+def _get_job_id(key: str) -> str:
+    """Return the id of the job that a key is about."""
+    prefix, _, rest = key.partition("/")
+    job_id = rest.partition("/")[0]
+    if f"{prefix}/" not in (JOB_PREFIX, CANCEL_PREFIX) or not job_id:
+        raise msgspec.ValidationError("the key names no job")
+    return job_id
--- a/src/robinthread/_internal/durable/job_index.py
+++ b/src/robinthread/_internal/durable/job_index.py
@@ -63,7 +63,7 @@
         for record in records:
             try:
                 self._apply_one(record)
-            except (msgspec.MsgspecError, ValueError) as error:
+            except msgspec.MsgspecError as error:
                 self._events.write("record_malformed", key=record.key, error=str(error))
 
     def _apply_one(self, record: KeyedRecord) -> None:
@@ -72,8 +72,8 @@
                 self._add(key, spec, record.offset)
             case JobCancelled(key, job_id):
                 self._cancel(key, job_id)
-            case RecordDropped(key):
-                self._drop(key)
+            case RecordDropped(key, job_id):
+                self._drop(key, job_id)
 
     def _add(self, key: str, spec: JobSpec, offset: int) -> None:
         job = self.jobs.get(spec.job_id)
@@ -96,8 +96,7 @@
                 job.is_cancelled = True
                 self._tell(job)
 
-    def _drop(self, key: str) -> None:
-        job_id = key.split("/")[1]
+    def _drop(self, key: str, job_id: str) -> None:
         job = self.jobs.get(job_id)
         if job is not None:
             job.keys.discard(key)
--- a/src/robinthread/_internal/durable/keyed_follower.py
+++ b/src/robinthread/_internal/durable/keyed_follower.py
@@ -157,6 +157,7 @@
     def _take(self, page: ReadPage) -> None:
         if self.next_offset is None:
             return
+        self._note_unreadable(page.unreadable_count)
         new = [record for record in page.records if record.offset >= self.next_offset]
         if new:
             self._apply(new, False)
@@ -172,11 +173,16 @@
         if self.next_offset is not None and self.next_offset > newest.next_offset:
             # Another read has come further meanwhile.
             return
+        self._note_unreadable(newest.unreadable_count)
         records = sorted(newest.records, key=lambda record: record.offset)
         self._apply(records, True)
         self.next_offset = newest.next_offset
         self.first_read.set()
 
+    def _note_unreadable(self, count: int) -> None:
+        if count:
+            self._events.write("records_unreadable", topic=self._partition.topic, count=count)
+
     def _note_failure(self, error: StoreError) -> None:
         if not self._is_failing:
             self._is_failing = True
--- a/src/robinthread/_internal/durable/newest_reader.py
+++ b/src/robinthread/_internal/durable/newest_reader.py
@@ -28,6 +28,7 @@
         self._store = store
         self._partition = partition
         self._records: list[KeyedRecord] = []
+        self._unreadable_count = 0
         self._next_offset: int | None = None
         self._after_key = ""
         self._timeout_s = PAGE_TIMEOUT_MIN_S
@@ -43,8 +44,11 @@
                 self._timeout_s = min(2 * self._timeout_s, PAGE_TIMEOUT_MAX_S)
                 raise
             self._records += page.records
+            self._unreadable_count += page.unreadable_count
             if self._next_offset is None:
                 self._next_offset = page.next_offset
             self._after_key = page.next_key
             if not page.next_key:
-                return NewestRecords(tuple(self._records), self._next_offset)
+                return NewestRecords(
+                    tuple(self._records), self._next_offset, self._unreadable_count
+                )
--- a/src/robinthread/_internal/durable/store.py
+++ b/src/robinthread/_internal/durable/store.py
@@ -41,31 +41,41 @@
 
 @dataclass(frozen=True, slots=True)
 class ReadPage:
-    """Records from one offset on; ``next_offset`` is where to read on."""
+    """Records from one offset on; ``next_offset`` is where to read on.
+
+    ``unreadable_count`` records among them are left out: their keys cannot be read.
+    """
 
     records: tuple[KeyedRecord, ...]
     next_offset: int
     end: int
+    unreadable_count: int = 0
 
 
 @dataclass(frozen=True, slots=True)
 class NewestPage:
     """Some of the newest records; ``next_key`` is where the next page begins, if any.
 
-    ``next_offset`` is the partition's end when the page was read.
+    ``next_offset`` is the partition's end when the page was read.  ``unreadable_count``
+    records are left out.
     """
 
     records: tuple[KeyedRecord, ...]
     next_offset: int
     next_key: str = ""
+    unreadable_count: int = 0
 
 
 @dataclass(frozen=True, slots=True)
 class NewestRecords:
-    """The newest record of each key, and the offset from which to read on."""
+    """The newest record of each key, and the offset from which to read on.
+
+    ``unreadable_count`` records are left out.
+    """
 
     records: tuple[KeyedRecord, ...]
     next_offset: int
+    unreadable_count: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/robinthread/_internal/jobs/progress.py
+++ b/src/robinthread/_internal/jobs/progress.py
@@ -1,6 +1,7 @@
 """The record of a job's progress, as the store keeps it."""
 
 import math
+from typing import Final
 
 import msgspec
 
@@ -10,6 +11,8 @@
 from robinthread._internal.models.job_status import JobStatus
 from robinthread._internal.models.task_key import TaskKey
 
+STATUS_VALUES: Final = frozenset(status.value for status in JobStatus)
+
 
 class RunProgress(msgspec.Struct, frozen=True, array_like=True):
     """A run that may be going on; ``host`` counts in the record's hosts."""
@@ -61,7 +64,13 @@
 
 def decode_progress(value: bytes) -> JobProgress:
     """Read the progress of a job; raise ``msgspec.MsgspecError``."""
-    return msgspec.msgpack.decode(value, type=JobProgress)
+    progress = msgspec.msgpack.decode(value, type=JobProgress)
+    if progress.status not in STATUS_VALUES:
+        raise msgspec.ValidationError(f"unknown status {progress.status!r}")
+    named = (run.host for task in progress.tasks for run in task.runs)
+    if any(not 0 <= host < len(progress.hosts) for host in named):
+        raise msgspec.ValidationError("a run names a host that is not listed")
+    return progress
 
 
 def restore_progress(job: Job, progress: JobProgress) -> None:
--- a/src/robinthread/_internal/models/job_spec.py
+++ b/src/robinthread/_internal/models/job_spec.py
@@ -4,10 +4,17 @@
 fields go to the end and carry a default.
 """
 
+from itertools import chain
+from typing import Final
+
 import msgspec
 
 from robinthread._internal.models.resources import Resources
 
+# Tasks of one job at most.  A pool of 300 hosts with 16 cores each runs some 5,000 of one core
+# at a time; a job of 100,000 takes its owner some 100 MB.
+TASKS_MAX: Final = 100_000
+
 
 class StepSpec(msgspec.Struct, frozen=True, array_like=True):
     """One step of a job: ``task_count`` tasks that are alike."""
@@ -67,3 +74,31 @@
     def is_lasting(self) -> bool:
         """Tell whether any task of the job runs until the job is cancelled."""
         return any(step.is_lasting for step in self.steps)
+
+    def find_fault(self) -> str:
+        """Return why no owner could work the job off, or ""."""
+        if not self.steps:
+            return "a job has a step at least"
+        return next(filter(None, chain(map(_find_step_fault, self.steps), _find_faults(self))), "")
+
+
+def _find_step_fault(step: StepSpec) -> str:
+    if step.task_count < 1:
+        return "a step has a task at least"
+    sizes = (step.cpu_millicores, step.memory_mb, step.gpu_count, step.estimate_ms)
+    bounds = (step.per_host_max, step.away_max, step.latency_target_ms)
+    return "a negative size" if min(*sizes, *bounds) < 0 else ""
+
+
+def _find_faults(job: JobSpec) -> tuple[str, ...]:
+    is_ordered = all(
+        0 <= earlier < number
+        for number, step in enumerate(job.steps)
+        for earlier in step.after_steps
+    )
+    task_count = sum(step.task_count for step in job.steps)
+    return (
+        "" if is_ordered else "a step comes after earlier ones only",
+        "" if task_count <= TASKS_MAX else f"a job has at most {TASKS_MAX} tasks",
+        "" if min(job.occurrence_count, job.interval_ms) >= 0 else "a negative time",
+    )
--- a/src/robinthread/_internal/node/group_member.py
+++ b/src/robinthread/_internal/node/group_member.py
@@ -200,7 +200,7 @@
     async def _list_members(self) -> None:
         asked_at_s = asyncio.get_running_loop().time()
         names = await self._store.list_members(GROUP)
-        self.members = frozenset(msgspec.json.decode(name, type=Member) for name in names)
+        self.members = frozenset(filter(None, map(self._parse_member, names)))
         self.listed_at_s = asyncio.get_running_loop().time()
         # A list that was asked for before the last failure says nothing of now.
         self.is_listed = self._me in self.members and not self._failure_count
@@ -215,6 +215,13 @@
         if not self.is_listed and asked_at_s - self._topic_joined_at_s >= self._get_patience_s():
             self._change_topic()
 
+    def _parse_member(self, name: str) -> Member | None:
+        try:
+            return msgspec.json.decode(name, type=Member)
+        except msgspec.MsgspecError as error:
+            self._events.gather("member_malformed", listed={"members": name}, error=str(error))
+            return None
+
     def _change_topic(self) -> None:
         """Join with another topic from now on: this one's partitions are all taken."""
         self._topic_joined_at_s = math.inf
--- a/src/robinthread/_internal/node/host_directory.py
+++ b/src/robinthread/_internal/node/host_directory.py
@@ -56,7 +56,9 @@
         try:
             host = self._parse_host(record.key, record.value)
         except msgspec.MsgspecError as error:
+            # It names no host to use, whatever stood there before.
             self._events.write("record_malformed", key=record.key, error=str(error))
+            self._miss(record.key)
             return
         timer = self._missing.pop(host.id, None)
         if timer is not None:
--- a/src/robinthread/_internal/node/progress_loader.py
+++ b/src/robinthread/_internal/node/progress_loader.py
@@ -47,6 +47,8 @@
 
 def _add(found: dict[str, JobProgress], record: KeyedRecord) -> None:
     progress = decode_progress(record.value or b"")
+    if progress.job_id != record.key:
+        raise msgspec.ValidationError("its key names another job")
     found[progress.job_id] = progress
 
 
--- a/src/robinthread/_internal/platform/callers.py
+++ b/src/robinthread/_internal/platform/callers.py
@@ -240,7 +240,7 @@
     wire = msgspec.json.decode(body, type=_WireJob)
     if len(wire.spec) > SPEC_MAX_CHARACTERS:
         raise ValueError(f"a spec has at most {SPEC_MAX_CHARACTERS} characters")
-    return JobSpec(
+    spec = JobSpec(
         job_id=job_id,
         queue=queue.name,
         pool=queue.pool,
@@ -252,6 +252,9 @@
         accepted_at_ms=int(time.time() * 1000),
         config_version=config.version,
     )
+    if fault := spec.find_fault():
+        raise ValueError(fault)
+    return spec
 
 
 def _parse_step(step: _WireStep) -> StepSpec:
--- a/src/robinthread/_internal/platform/hosts.py
+++ b/src/robinthread/_internal/platform/hosts.py
@@ -98,11 +98,14 @@
             body["wait_ms"] = int(wait_s * 1000)
         response = await self._order(host, "watch", "/hold", body, wait_s + WATCH_SLACK_S)
         report = _decode(response, _WireReport)
-        return HostReport(
-            report.clock_ms,
-            tuple(map(_parse_running, report.running)),
-            tuple(map(_parse_ended, report.finished)),
-        )
+        try:
+            return HostReport(
+                report.clock_ms,
+                tuple(map(_parse_running, report.running)),
+                tuple(map(_parse_ended, report.finished)),
+            )
+        except (ValueError, KeyError, TypeError) as error:
+            raise HostNoAnswerError(f"malformed report: {error!r}") from error
 
     async def start(self, host: UpstreamHost, order: StartOrder) -> int:
         """Start a run; return the host's clock in ms."""
--- a/src/robinthread/_internal/platform/machines.py
+++ b/src/robinthread/_internal/platform/machines.py
@@ -30,6 +30,8 @@
 CALL_TIMEOUT_S: Final = 1.0
 HOLDER_HEADER: Final = "X-Lease-Holder"
 TOKEN_HEADER: Final = "X-Fencing-Token"
+# A machine in any other state gets no order, as one that is down.
+STATES: Final = {state.value: state for state in MachineState}
 
 
 class _WireMachine(msgspec.Struct):
@@ -137,7 +139,7 @@
     return Machine(
         name=wire.machine,
         pool=wire.pool,
-        state=MachineState(wire.state),
+        state=STATES.get(wire.state, MachineState.DOWN),
         hall=wire.zone,
         rack=get_rack(wire.labels),
         kind=wire.labels[0] if wire.labels else "",
--- a/src/robinthread/_internal/platform/operators.py
+++ b/src/robinthread/_internal/platform/operators.py
@@ -1,6 +1,6 @@
 """What the operators and the job hosts keep in the store."""
 
-from typing import Final
+from typing import Annotated, Final, Literal
 
 import msgspec
 
@@ -14,14 +14,20 @@
 from robinthread._internal.node.environment import PlatformRecords
 
 WAVE_PREFIX: Final = "wave/"
+# A host and a port.
+ADDRESS: Final = r"^[^\s:/@]+:[0-9]{1,5}$"
+Name = Annotated[str, msgspec.Meta(min_length=1)]
+
+
+Size = Annotated[int, msgspec.Meta(ge=0)]
 
 
 class WireCapacity(msgspec.Struct):
     """Room of a host."""
 
-    cpu: int = 0
-    mem_mb: int = 0
-    gpu: int = 0
+    cpu: Size = 0
+    mem_mb: Size = 0
+    gpu: Size = 0
 
     def decode(self) -> Resources:
         """Return the room as the product's type."""
@@ -66,14 +72,20 @@
 
 
 class _WireHost(msgspec.Struct):
-    service: str
-    address: str
-    zone: str
-    state: str = "ready"
+    # What a host always says is required, also where it is not used here: an entry that says
+    # less, or otherwise, is none of a host.
+    service: Name
+    address: Annotated[str, msgspec.Meta(pattern=ADDRESS)]
+    zone: Name
+    version: str
+    slots: Size
+    state: Literal["ready", "draining"]
+    cold_remaining_ms: int | float
+    sequence: Size
     machine: str = ""
     capacity: WireCapacity = msgspec.field(default_factory=WireCapacity)
     labels: list[str] = []
-    remaining_ms: int = 0
+    remaining_ms: Size = 0
 
 
 class _WireWave(msgspec.Struct):
--- a/src/robinthread/_internal/platform/store.py
+++ b/src/robinthread/_internal/platform/store.py
@@ -46,6 +46,8 @@
 CALL_TIMEOUT_MAX_S: Final = 1.2
 # Most of one read: over 5 Mbit/s it takes 0.2 s, well within the time-out.
 LONG_READ_KB: Final = 128
+# Where a row of the list of members names one.
+MEMBER_COLUMN: Final = 2
 T = TypeVar("T")
 REFUSED_STATUSES: Final = frozenset({429, 503, 507})
 
@@ -71,7 +73,8 @@
 
 
 class _WireNewest(msgspec.Struct):
-    items: list[_WireItem]
+    # Each is read by itself: one that cannot be read spoils no other.
+    items: list[msgspec.Raw]
     end: int
     has_more: bool = False
 
@@ -133,10 +136,11 @@
         response = await self._call(path, wait_s=wait_s, timeout_s=timeout_s)
         try:
             end, _first = struct.unpack_from(">QQ", response.body)
-            records = tuple(_iter_records(response.body, from_offset))
-        except (struct.error, UnicodeDecodeError, IndexError) as error:
+            parsed = tuple(_iter_records(response.body, from_offset))
+        except (struct.error, IndexError) as error:
             raise StoreNoAnswerError(f"malformed page: {error}") from error
-        return ReadPage(records, from_offset + len(records), end)
+        records = tuple(filter(None, parsed))
+        return ReadPage(records, from_offset + len(parsed), end, len(parsed) - len(records))
 
     async def read_newest(
         self, partition: Partition, after_key: str, timeout_s: float
@@ -148,9 +152,11 @@
             query["depends_on"] = after_key
         response = await self._call(f"/log-newest?{urlencode(query)}", timeout_s=timeout_s)
         page = decode_answer(response, _WireNewest)
-        records = tuple(map(_decode_item, page.items))
-        next_key = records[-1].key if page.has_more and records else ""
-        return NewestPage(records, page.end, next_key)
+        records = tuple(filter(None, map(_decode_item, page.items)))
+        if page.has_more and not records:
+            raise StoreNoAnswerError("a page without a record that can be read")
+        next_key = records[-1].key if page.has_more else ""
+        return NewestPage(records, page.end, next_key, len(page.items) - len(records))
 
     async def join(
         self, group: str, member: str, topics: Sequence[str], ttl_ms: int, generation: int
@@ -176,7 +182,9 @@
         response = await self._call(f"/log-owners?group={quote(group)}")
         found = decode_answer(response, _WireOwners)
         # A row is topic, partition, member, committed offset.
-        return frozenset(str(row[2]) for row in found.parts or found.owners if row[2])
+        rows = found.parts or found.owners
+        named = (row[MEMBER_COLUMN] for row in rows if len(row) > MEMBER_COLUMN)
+        return frozenset(str(name) for name in named if name)
 
     async def _call(
         self,
@@ -247,18 +255,31 @@
     return struct.pack(">I", len(body)) + body
 
 
-def _iter_records(page: bytes, from_offset: int) -> Iterator[KeyedRecord]:
+def _iter_records(page: bytes, from_offset: int) -> Iterator[KeyedRecord | None]:
+    """Iterate over a page's records; those whose keys cannot be read are None."""
     position, offset = 16, from_offset
     while position < len(page):
         (length,) = struct.unpack_from(">I", page, position)
         record = page[position + 4 : position + 4 + length]
         if len(record) < length:
             raise IndexError("the page ends within a record")
-        value_at = 1 + record[0]
-        value = record[value_at:]
-        yield KeyedRecord(record[1:value_at].decode(), value or None, offset)
+        yield _decode_record(record, offset)
         position, offset = position + 4 + length, offset + 1
 
 
-def _decode_item(item: _WireItem) -> KeyedRecord:
-    return KeyedRecord(item.tls_key, base64.b64decode(item.value), item.offset)
+def _decode_record(record: bytes, offset: int) -> KeyedRecord | None:
+    value_at = 1 + record[0] if record else 1
+    if len(record) < value_at:
+        return None
+    try:
+        return KeyedRecord(record[1:value_at].decode(), record[value_at:] or None, offset)
+    except UnicodeDecodeError:
+        return None
+
+
+def _decode_item(raw: msgspec.Raw) -> KeyedRecord | None:
+    try:
+        item = msgspec.json.decode(raw, type=_WireItem)
+        return KeyedRecord(item.tls_key, base64.b64decode(item.value, validate=True), item.offset)
+    except (msgspec.MsgspecError, ValueError):
+        return None
--- /dev/null
+++ b/tests/unit/test_foreign_records.py
@@ -0,0 +1,291 @@
+"""Records of the store that another writer left: each reader takes a value or a typed error."""
+
+import asyncio
+import base64
+import json
+from collections.abc import Callable
+from typing import Any
+
+import msgspec
+from hypothesis import example, given, settings
+from hypothesis import strategies as st
+from testtools import TestCase
+
+from robinthread._internal.durable.inbox_records import parse_inbox_record
+from robinthread._internal.durable.job_index import JobIndex
+from robinthread._internal.durable.order_records import ORDERS_PARTITION, parse_orders_record
+from robinthread._internal.durable.ownership import OWNERS_PARTITION, Member, OwnerTable
+from robinthread._internal.durable.settled_record import parse_settled_record
+from robinthread._internal.durable.store import KeyedRecord, Partition
+from robinthread._internal.durable.wave_records import WAVES_PARTITION, parse_wave_record
+from robinthread._internal.jobs.progress import JobProgress, decode_progress
+from robinthread._internal.models.job_spec import JobSpec, StepSpec
+from robinthread._internal.models.job_status import JobStatus
+from robinthread._internal.node.config_holder import ConfigHolder
+from robinthread._internal.node.group_member import GROUP, get_topic
+from robinthread._internal.node.host_directory import MISSING_GRACE_S, HostDirectory
+from robinthread._internal.platform.operators import (
+    PLATFORM_RECORDS,
+    parse_config,
+    parse_host,
+    parse_wave,
+)
+from robinthread._internal.platform.store import _decode_item, _decode_record
+from robinthread._internal.standins.platform_standin import HOSTS, OPERATORS
+from robinthread._internal.telemetry.event_log import EventLog
+from tests.lib.job_platforms import (
+    get_others,
+    hand_in,
+    make_job,
+    start_platform,
+    wait_for_status,
+)
+from tests.lib.virtual import run_virtual
+
+HOST: dict[str, Any] = {
+    "service": "press",
+    "address": "10.0.0.9:8080",
+    "zone": "hall-a",
+    "version": "v1",
+    "slots": 8,
+    "state": "ready",
+    "cold_remaining_ms": 0,
+    "capacity": {"cpu": 16000, "mem_mb": 32768, "gpu": 0},
+    "labels": ["a", "r1-3"],
+    "sequence": 4,
+    "machine": "m-1",
+}
+REQUIRED = ("service", "address", "zone", "version", "slots", "state", "sequence")
+OTHER_TYPES: tuple[Any, ...] = (None, 7.5, [], {}, True, -1, "")
+NESTED = b"[" * 20_000
+NOT_VALUES = (b"", b"\xff\xfe\x00", b"null", b"[]", b"7", b'"text"', NESTED, b"\x00" * 70_000)
+PARSERS: dict[str, Callable[[str, bytes], object]] = {
+    "host": parse_host,
+    "configuration": lambda key, value: parse_config(value),
+    "wave": lambda key, value: parse_wave(value),
+    "inbox": lambda key, value: parse_inbox_record(KeyedRecord(key, value)),
+    "progress": lambda key, value: decode_progress(value),
+    "settled": lambda key, value: parse_settled_record(KeyedRecord(key, value)),
+    "orders": lambda key, value: parse_orders_record(KeyedRecord(key, value)),
+    "wave progress": lambda key, value: parse_wave_record(KeyedRecord(key, value)),
+}
+JSON = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats() | st.text(max_size=8),
+    lambda inner: (
+        st.lists(inner, max_size=4)
+        | st.dictionaries(st.sampled_from([*HOST, "routes", "wave", "machines", "x"]), inner)
+    ),
+    max_leaves=12,
+)
+VALUES = (
+    st.binary(max_size=60)
+    | JSON.map(lambda value: json.dumps(value).encode())
+    | JSON.map(lambda value: msgspec.msgpack.encode(value, enc_hook=str) if _fits(value) else b"")
+)
+
+
+def _fits(value: Any) -> bool:
+    try:
+        msgspec.msgpack.encode(value)
+    except (OverflowError, ValueError, UnicodeEncodeError):
+        return False
+    return True
+
+
+def _is_host(entry: dict[str, Any]) -> bool:
+    try:
+        parse_host("i-1", json.dumps(entry).encode())
+    except msgspec.MsgspecError:
+        return False
+    return True
+
+
+def _make_events(lines: list[bytes]) -> EventLog:
+    return EventLog("n", lines.append)
+
+
+class HostEntriesTest(TestCase):
+    def test_entry_that_says_all_is_a_host_whatever_it_says_beside(self) -> None:
+        self.assertTrue(_is_host(HOST))
+        self.assertTrue(_is_host(HOST | {"state": "draining", "remaining_ms": 800, "x": [1, {}]}))
+
+    def test_entry_names_no_host_where_a_field_is_missing(self) -> None:
+        missing = {name: {k: v for k, v in HOST.items() if k != name} for name in REQUIRED}
+        self.assertEqual([], [name for name, entry in missing.items() if _is_host(entry)])
+
+    def test_entry_names_no_host_where_a_field_is_of_another_type_or_unknown(self) -> None:
+        taken = [
+            (name, value)
+            for name in (*REQUIRED, "capacity")
+            for value in OTHER_TYPES
+            if not (name == "version" and value == "")
+            if not (name == "capacity" and value == {})
+            if _is_host(HOST | {name: value})
+        ]
+        self.assertEqual([], taken)
+        for state in ("starting", "READY", "gone"):
+            self.assertFalse(_is_host(HOST | {"state": state}))
+        for address in ("nowhere", ":80", "a:b", "10.0.0.9:8080/x", "u@h:80", "h:123456"):
+            self.assertFalse(_is_host(HOST | {"address": address}))
+
+    def test_entry_of_another_writer_ends_the_host_that_stood_there_and_no_other(self) -> None:
+        async def work() -> None:
+            lines: list[bytes] = []
+            directory = HostDirectory(parse_host, _make_events(lines))
+            good = json.dumps(HOST).encode()
+            directory.apply([KeyedRecord(f"i-{number}", good, number) for number in (1, 2)], True)
+            directory.apply([KeyedRecord("i-1", b"{}", 3)], False)
+            await asyncio.sleep(MISSING_GRACE_S + 0.1)
+            self.assertEqual({"i-2"}, set(directory.hosts))
+            directory.apply([KeyedRecord("i-1", good, 4)], False)
+            self.assertEqual({"i-1", "i-2"}, set(directory.hosts))
+            self.assertEqual(1, sum(b"record_malformed" in line for line in lines))
+
+        run_virtual(work())
+
+
+class RecordsTest(TestCase):
+    def test_what_is_no_record_is_a_typed_error(self) -> None:
+        taken = []
+        for name, parse in PARSERS.items():
+            for value in NOT_VALUES:
+                try:
+                    parse("j/1", value)
+                except msgspec.MsgspecError:
+                    continue
+                taken.append((name, value[:8]))
+        self.assertEqual([], taken)
+
+    def test_job_that_no_owner_could_work_off_is_none(self) -> None:
+        step = StepSpec(2)
+        faulty = (
+            (),
+            (StepSpec(0),),
+            (StepSpec(-1),),
+            (StepSpec(10**9),),
+            (StepSpec(1, cpu_millicores=-1),),
+            (step, StepSpec(1, after_steps=(1,))),
+            (step, StepSpec(1, after_steps=(7,))),
+            (step, StepSpec(1, after_steps=(-1,))),
+        )
+        for steps in faulty:
+            self.assertTrue(JobSpec("1", "q", "p", "", steps).find_fault())
+        self.assertEqual(
+            "", JobSpec("1", "q", "p", "", (step, StepSpec(1, after_steps=(0,)))).find_fault()
+        )
+
+    def test_index_of_jobs_takes_the_others(self) -> None:
+        lines: list[bytes] = []
+        index = JobIndex(_make_events(lines))
+        spec = make_job(7)
+        good = msgspec.msgpack.encode(spec)
+        other = msgspec.msgpack.encode(make_job(8))
+        keys = ("", "x", "j/", "c/", "j/other/1", f"j/{spec.job_id}/1")
+        values = (None, b"", b"\xc1", other, good)
+        records = [KeyedRecord(key, value, 1) for key in keys for value in values]
+        index.apply(records, False)
+        self.assertEqual([spec.job_id], list(index.jobs))
+        self.assertTrue(lines)
+
+    def test_progress_that_names_what_it_does_not_list_is_none(self) -> None:
+        good = JobProgress("1", "q", JobStatus.RUNNING.value, ("h",), ())
+        self.assertEqual(good, decode_progress(msgspec.msgpack.encode(good)))
+        row = (0, 0, 0, False, 1, 0, ((1, 1),))
+        for wrong in (("1", "q", "flying"), ("1", "q", "running", ("h",), (row,))):
+            self.assertRaises(
+                msgspec.ValidationError, decode_progress, msgspec.msgpack.encode(wrong)
+            )
+
+    def test_record_whose_key_cannot_be_read_is_left_out(self) -> None:
+        self.assertEqual(KeyedRecord("ab", b"c", 3), _decode_record(b"\x02abc", 3))
+        self.assertEqual(KeyedRecord("ab", None, 3), _decode_record(b"\x02ab", 3))
+        for record in (b"", b"\x05ab", b"\x02\xff\xfec"):
+            self.assertIsNone(_decode_record(record, 3))
+        item = {"tls_key": "k", "value": base64.b64encode(b"v").decode(), "offset": 4}
+        self.assertEqual(
+            KeyedRecord("k", b"v", 4), _decode_item(msgspec.Raw(json.dumps(item).encode()))
+        )
+        for wrong in ({"value": "!"}, {"tls_key": 7}, {"offset": "x"}, {"tls_key": None}):
+            raw = msgspec.Raw(json.dumps(item | wrong).encode())
+            self.assertIsNone(_decode_item(raw))
+
+
+class FuzzedDecodersTest(TestCase):
+    @settings(max_examples=400, derandomize=True, deadline=None, database=None)
+    @given(key=st.text(max_size=12) | st.sampled_from(["j/1/2", "c/1"]), value=VALUES)
+    @example(key="j/1/2", value=NESTED)
+    def test_each_gives_a_value_or_a_typed_error(self, key: str, value: bytes) -> None:
+        for parse in PARSERS.values():
+            try:
+                parse(key, value)
+            except msgspec.MsgspecError:
+                continue
+
+    @settings(max_examples=400, derandomize=True, deadline=None, database=None)
+    @given(value=VALUES)
+    def test_records_of_the_store_are_read_or_left_out(self, value: bytes) -> None:
+        _decode_record(value, 0)
+        _decode_item(msgspec.Raw(value))
+
+    @settings(max_examples=200, derandomize=True, deadline=None, database=None)
+    @given(name=st.sampled_from(list(HOST)), value=JSON)
+    def test_host_whose_entry_was_changed_is_one_or_none(self, name: str, value: Any) -> None:
+        _is_host(HOST | {name: value})
+
+    @settings(max_examples=200, derandomize=True, deadline=None, database=None)
+    @given(key=st.sampled_from(["config", "wave/1", "wave/", "x"]), value=VALUES)
+    def test_configuration_holder_stands_all(self, key: str, value: bytes) -> None:
+        holder = ConfigHolder(PLATFORM_RECORDS, _make_events([]))
+
+        async def work() -> None:
+            holder.apply([KeyedRecord(key, value, 1)], False)
+
+        run_virtual(work())
+
+
+class NodesTest(TestCase):
+    def test_nodes_serve_on_beside_records_of_another_writer(self) -> None:
+        """Each partition that a node reads holds some, before and while it serves."""
+
+        async def work() -> None:
+            platform = await start_platform(reserve=3)
+            names = [
+                (HOSTS, "i-x"),
+                (OPERATORS, "config"),
+                (OPERATORS, "wave/9"),
+                (OWNERS_PARTITION, "press"),
+                (ORDERS_PARTITION, "recent"),
+                (WAVES_PARTITION, "x"),
+                (Partition("keyed.inbox"), "x"),
+            ]
+            for partition, key in names:
+                for value in (b"\xc1", b"", b"\x93\x01\x02\x03"):
+                    platform.store.put(partition, key, value)
+            stranger = platform.store.connect("stranger")
+            await stranger.join(GROUP, "not a member", [get_topic(0)], 60_000, 0)
+            await asyncio.sleep(2)
+            steward = next(
+                name for name, node in platform.nodes.items() if node.assembled.node._steward
+            )
+            await hand_in(platform, get_others(platform)[0], make_job(1))
+            await wait_for_status(platform, make_job(1).job_id, JobStatus.SUCCEEDED)
+            # A new steward, and perhaps a new owner, read what stands there.
+            platform.kill_node(steward)
+            await asyncio.sleep(5)
+            await hand_in(platform, get_others(platform)[0], make_job(2))
+            await wait_for_status(platform, make_job(2).job_id, JobStatus.SUCCEEDED)
+            self.assertTrue(any(node.assembled.node._steward for node in platform.nodes.values()))
+            self.assertEqual([], [line for line in platform.events if b"_failed" in line])
+
+        run_virtual(work())
+
+    def test_owner_table_stands_all(self) -> None:
+        async def work() -> None:
+            platform = await start_platform()
+            table = OwnerTable(platform.store.connect("x"), _make_events([]))
+            member = msgspec.msgpack.encode((Member("n", "1", "a"),))
+            values = (b"\xc1", b"", member, msgspec.msgpack.encode([1, 2]))
+            table._apply([KeyedRecord("p", value, n) for n, value in enumerate(values)], False)
+            self.assertEqual(["p"], list(table.owners))
+
+        run_virtual(work())
