Where the pools want more machines than there are, each gets a share

Cause: sizing looks at one pool at a time, and a pool lets go only what it does not want itself. Change: one function over all pools (fleet/sharing.py): what lasts first, then what jobs that can be on time need, then late ones, in proportion where a rank does not suffice; a pool gives up what it has over 1.1 times its share. fleet.shares_when_short switches it off.

--- a/src/robinthread/_internal/fleet/fleet_view.py
+++ b/src/robinthread/_internal/fleet/fleet_view.py
@@ -95,8 +95,12 @@
 
 @dataclass(frozen=True)
 class FleetPlan:
-    """What to order now, which machines each pool is to empty, and its size."""
+    """What to order now, which machines each pool is to empty, and its size.
+
+    ``sizes`` are what the pools need, ``shares`` what they may have of it.
+    """
 
     orders: tuple[MoveOrder | UpkeepOrder, ...] = ()
     vacate: dict[str, frozenset[str]] = field(default_factory=dict)
     sizes: dict[str, PoolSize] = field(default_factory=dict)
+    shares: dict[str, PoolSize] = field(default_factory=dict)
--- a/src/robinthread/_internal/fleet/planner.py
+++ b/src/robinthread/_internal/fleet/planner.py
@@ -21,7 +21,13 @@
 )
 from robinthread._internal.fleet.pool_report import HostStanding
 from robinthread._internal.fleet.reserve import Reserve, list_unsupplied
-from robinthread._internal.fleet.sizing import HOSTS_MIN, PoolSize, get_pool_size
+from robinthread._internal.fleet.sharing import share_hosts
+from robinthread._internal.fleet.sizing import (
+    HOSTS_MIN,
+    PoolSize,
+    get_host_ranks,
+    get_pool_size,
+)
 from robinthread._internal.models.machine import Machine
 from robinthread._internal.models.resources import NO_RESOURCES, Resources
 from robinthread._internal.settings.policy_settings import FleetPolicy
@@ -48,7 +54,8 @@
         """Return the orders to give now."""
         pending = frozenset().union(*(wave.pending for wave in view.waves))
         room = _get_room(view)
-        sizes = {pool.name: get_pool_size(pool.report, room) for pool in view.pools}
+        wanted = {pool.name: get_pool_size(pool.report, room) for pool in view.pools}
+        sizes = self._share(view, wanted, room)
         reserve = Reserve(view, pending)
         slots = {wave.number: wave.free_slots for wave in view.waves}
         orders: list[MoveOrder | UpkeepOrder] = []
@@ -78,7 +85,18 @@
         orders += self._order_emptied(view, sizes, slots, lacks)
         if not self._policy.upkeep_first:
             orders += _order_upkeep(view, reserve, slots)
-        return FleetPlan(tuple(orders), self._vacating, sizes)
+        return FleetPlan(tuple(orders), self._vacating, wanted, sizes)
+
+    def _share(
+        self, view: FleetView, wanted: dict[str, PoolSize], room: Resources
+    ) -> dict[str, PoolSize]:
+        """Return the sizes that the pools may have where there are machines of ``room``."""
+        if not self._policy.shares_when_short:
+            return wanted
+        needs = {
+            pool.name: get_host_ranks(pool.report, wanted[pool.name], room) for pool in view.pools
+        }
+        return share_hosts(wanted, needs, _count_all(view))
 
     def _choose_vacating(
         self,
@@ -252,6 +270,13 @@
     return max(0, size.fetch_count - serving, missing)
 
 
+def _count_all(view: FleetView) -> int:
+    """Return how many hosts the pools could have together."""
+    serving = sum(_count_serving(pool, frozenset(), view.leaving) for pool in view.pools)
+    awaited = sum(_count_awaited(view, pool) for pool in view.pools)
+    return serving + awaited + _count_free(view)
+
+
 def _count_free(view: FleetView) -> int:
     return sum(machine.name not in view.ordered for machine in view.reserve)
 
--- a/src/robinthread/_internal/fleet/pool_report.py
+++ b/src/robinthread/_internal/fleet/pool_report.py
@@ -49,6 +49,8 @@
     Rooms are thousandths of a core, MB and accelerators.  ``hosts_min`` hosts are
     needed for tasks that may not share one.  ``lasting_room`` is the part of the room that
     lasting tasks take.  ``apart_count`` hosts that carry none are needed by tasks that end.
+    ``urgent_room`` is the room to keep without jobs that can no longer be on time; an older
+    process does not tell.
     """
 
     is_owner: bool
@@ -59,3 +61,4 @@
     lasting_room: tuple[int, int, int] = (0, 0, 0)
     apart_count: int = 0
     lacks: tuple[LackReport, ...] = ()
+    urgent_room: tuple[int, int, int] | None = None
--- a/src/robinthread/_internal/fleet/sizing.py
+++ b/src/robinthread/_internal/fleet/sizing.py
@@ -26,6 +26,19 @@
     lack_count: int = 0
 
 
+@dataclass(frozen=True, slots=True)
+class HostRanks:
+    """Hosts that a pool needs, each count within the next one.
+
+    ``least_count`` for what lasts, ``urgent_count`` with jobs that can be on time, and
+    ``wanted_count`` with all others.
+    """
+
+    least_count: int
+    urgent_count: int
+    wanted_count: int
+
+
 def get_pool_size(report: PoolReport, room: Resources) -> PoolSize:
     """Return how many hosts of ``room`` a pool needs.
 
@@ -33,20 +46,47 @@
     lasting ones are kept on top of those that the lasting ones need, and what carries
     lasting tasks is kept while hosts are missing for more of these.
     """
-    lasting_count = max(report.hosts_min, _count_full_hosts(report.lasting_room, room))
-    carrying_count = sum(
-        host.is_usable and not host.is_vacating and host.lasting_count > 0 for host in report.hosts
-    )
-    lasting_lack = sum(lack.count for lack in report.lacks if lack.is_lasting)
-    lack_count = sum(lack.count for lack in report.lacks)
     fetch_count = max(report.hosts_min, _count_hosts(report.fetch_room, room))
     keep_count = max(
         fetch_count,
         _count_hosts(report.keep_room, room),
-        lasting_count + report.apart_count + lack_count - lasting_lack,
-        carrying_count + lasting_lack if lasting_lack else 0,
+        _count_apart(report, room),
+        _count_least(report, room),
+    )
+    return PoolSize(fetch_count, keep_count, sum(lack.count for lack in report.lacks))
+
+
+def get_host_ranks(report: PoolReport, size: PoolSize, room: Resources) -> HostRanks:
+    """Return how many hosts of ``room`` a pool of such a size needs, by what for."""
+    urgent_room = report.keep_room if report.urgent_room is None else report.urgent_room
+    least_count = _count_least(report, room)
+    urgent_count = max(least_count, _count_hosts(urgent_room, room), _count_apart(report, room))
+    return HostRanks(least_count, min(urgent_count, size.keep_count), size.keep_count)
+
+
+def _count_least(report: PoolReport, room: Resources) -> int:
+    """Return how many hosts a pool needs for its lasting tasks."""
+    carrying_count = sum(
+        host.is_usable and not host.is_vacating and host.lasting_count > 0 for host in report.hosts
     )
-    return PoolSize(fetch_count, keep_count, lack_count)
+    lasting_lack = _count_lasting_lack(report)
+    kept_count = carrying_count + lasting_lack if lasting_lack else 0
+    return max(HOSTS_MIN, _count_lasting(report, room), kept_count)
+
+
+def _count_apart(report: PoolReport, room: Resources) -> int:
+    """Return how many hosts are needed for lasting tasks, and beside these for wide ones."""
+    lack_count = sum(lack.count for lack in report.lacks)
+    apart_count = report.apart_count + lack_count - _count_lasting_lack(report)
+    return _count_lasting(report, room) + apart_count
+
+
+def _count_lasting(report: PoolReport, room: Resources) -> int:
+    return max(report.hosts_min, _count_full_hosts(report.lasting_room, room))
+
+
+def _count_lasting_lack(report: PoolReport) -> int:
+    return sum(lack.count for lack in report.lacks if lack.is_lasting)
 
 
 def _count_hosts(needs: tuple[int, int, int], room: Resources) -> int:
--- a/src/robinthread/_internal/jobs/demand.py
+++ b/src/robinthread/_internal/jobs/demand.py
@@ -2,7 +2,7 @@
 
 import math
 from collections import deque
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterable, Sequence
 from dataclasses import dataclass, replace
 from typing import Final
 
@@ -44,13 +44,15 @@
 class Demand:
     """Room for which to fetch hosts, and room for which to keep them.
 
-    Whatever the room, ``hosts_min`` hosts are needed for tasks that may not share one.
-    ``lasting`` is the part of the room that lasting tasks take.  ``on_hosts`` tells what
-    is needed for tasks that do not fit on every host.
+    Of the latter, ``urgent`` is without jobs that can no longer be on time.  Whatever the room,
+    ``hosts_min`` hosts are needed for tasks that may not share one.  ``lasting`` is the part of
+    the room that lasting tasks take.  ``on_hosts`` tells what is needed for tasks that do not
+    fit on every host.
     """
 
     fetch: Resources
     keep: Resources
+    urgent: Resources
     hosts_min: int
     lasting: Resources
     on_hosts: RoomNeed
@@ -82,59 +84,57 @@
 
     def read(self, pool: PoolJobs, now_s: float, now_ms: int) -> Demand:
         """Return what the pool's tasks need."""
-        late = _find_late(pool, now_ms) if self._policy.late_share < 1 else frozenset()
-        forecasts = list(self._iter_all_forecasts(pool, late, now_s))
+        late = _find_late(pool, now_ms)
         lasting = _sum_lasting(pool)
         steps = list_waiting_steps(pool)
         needs = [self._get_need(pool, step, late) for step in steps]
-        waiting = self._sum_waiting(pool, steps, late).scale(1 / DRAIN_S)
         arriving = self._get_arriving_work(now_s)
-        soon = self._forecast(forecasts, arriving, self._lead_s).scale(1 + HEADROOM_SHARE)
-        fetch = soon + waiting
-        horizons_s = (0.0, self._lead_s / 2, self._lead_s + KEEP_AHEAD_S)
-        keep = fetch
-        for ahead_s in horizons_s:
-            keep = keep.max(self._forecast(forecasts, arriving, ahead_s))
+        in_time, too_late = self._forecast_all(pool, late, now_s)
+        waiting_in_time, waiting_late = _sum_waiting(pool, steps, late)
+        share = self._policy.late_share
+        late_forecasts = [replace(step, room=step.room.scale(share)) for step in too_late]
+        fetch, keep = self._get_rooms(
+            [*in_time, *late_forecasts], waiting_in_time + waiting_late.scale(share), arriving
+        )
+        _fetch, urgent = self._get_rooms(in_time, waiting_in_time, arriving)
         return Demand(
             (fetch + lasting).round(),
             (keep + lasting).round(),
+            (urgent + lasting).round(),
             _count_hosts_for_lasting(pool),
             lasting.round(),
             find_room_need(pool, needs, now_s) if needs else RoomNeed(),
         )
 
+    def _get_rooms(
+        self, forecasts: Sequence[StepForecast], waiting: Work, arriving: Work
+    ) -> tuple[Work, Work]:
+        """Return the room to fetch hosts for, and the room to keep them for."""
+        soon = self._forecast(forecasts, arriving, self._lead_s).scale(1 + HEADROOM_SHARE)
+        fetch = keep = soon + waiting.scale(1 / DRAIN_S)
+        for ahead_s in (0.0, self._lead_s / 2, self._lead_s + KEEP_AHEAD_S):
+            keep = keep.max(self._forecast(forecasts, arriving, ahead_s))
+        return fetch, keep
+
     def _forecast(self, forecasts: Iterable[StepForecast], arriving: Work, ahead_s: float) -> Work:
         """Return the room that all tasks would take ``ahead_s`` from now, given room."""
         known = (step.room for step in forecasts if step.begins_in_s <= ahead_s < step.ends_in_s)
         begun_share = min(1.0, ahead_s / self._mean_chain_s) if self._mean_chain_s else 0.0
         return sum(known, start=NO_WORK) + arriving.scale(begun_share)
 
-    def _iter_all_forecasts(
+    def _forecast_all(
         self, pool: PoolJobs, late: frozenset[Place], now_s: float
-    ) -> Iterator[StepForecast]:
-        """Iterate over the steps that are not done of all jobs that are to end."""
+    ) -> tuple[list[StepForecast], list[StepForecast]]:
+        """Return the steps that are not done of jobs in time, and of late ones."""
+        in_time: list[StepForecast] = []
+        too_late: list[StepForecast] = []
         for job in pool.jobs.values():
             if job.status.is_final or job.spec.is_lasting:
                 continue
             for occurrence in job.iter_open_occurrences():
-                share = self._get_share((job.id, occurrence), late)
-                for step in iter_forecasts(job, occurrence, pool.run_times, now_s):
-                    yield replace(step, room=step.room.scale(share)) if share < 1 else step
-
-    def _sum_waiting(
-        self, pool: PoolJobs, steps: Iterable[WaitingStep], late: frozenset[Place]
-    ) -> Work:
-        """Sum the work of the tasks that wait for a host."""
-        parts = (
-            as_work(step.spec.room).scale(
-                step.task_count
-                * pool.run_times.estimate_s(step.job.spec.queue, step.spec)
-                * self._get_share((step.job.id, step.occurrence), late)
-            )
-            for step in steps
-            if not step.spec.is_lasting
-        )
-        return sum(parts, start=NO_WORK)
+                found = too_late if (job.id, occurrence) in late else in_time
+                found += iter_forecasts(job, occurrence, pool.run_times, now_s)
+        return in_time, too_late
 
     def _get_need(self, pool: PoolJobs, step: WaitingStep, late: frozenset[Place]) -> StepNeed:
         """Return how many tasks of a step should run at a time for all to begin in time."""
@@ -175,6 +175,19 @@
         return (recent + rise * ahead_windows) / RATE_WINDOW_S
 
 
+def _sum_waiting(
+    pool: PoolJobs, steps: Iterable[WaitingStep], late: frozenset[Place]
+) -> tuple[Work, Work]:
+    """Sum the work of the tasks that wait for a host: of jobs in time, and of late ones."""
+    sums = {False: NO_WORK, True: NO_WORK}
+    for step in steps:
+        if not step.spec.is_lasting:
+            takes_s = pool.run_times.estimate_s(step.job.spec.queue, step.spec)
+            is_late = (step.job.id, step.occurrence) in late
+            sums[is_late] += as_work(step.spec.room).scale(step.task_count * takes_s)
+    return sums[False], sums[True]
+
+
 def _find_late(pool: PoolJobs, now_ms: int) -> frozenset[Place]:
     """Return the occurrences of jobs that can no longer be on time."""
     return frozenset(
--- a/src/robinthread/_internal/node/pool_reporting.py
+++ b/src/robinthread/_internal/node/pool_reporting.py
@@ -32,6 +32,7 @@
             LackReport(missing.count, _as_tuple(missing.room), missing.label, missing.is_lasting)
             for missing in demand.on_hosts.missing
         ),
+        urgent_room=_as_tuple(demand.urgent),
     )
 
 
--- a/src/robinthread/_internal/node/steward.py
+++ b/src/robinthread/_internal/node/steward.py
@@ -167,6 +167,7 @@
                     by={"pool": pool.name},
                     fetch_count=size.fetch_count,
                     keep_count=size.keep_count,
+                    share_count=plan.shares[pool.name].keep_count,
                     usable=sum(host.is_usable for host in pool.hosts),
                     awaited=sum(host.is_awaited for host in pool.hosts),
                     arriving=len(pool.arriving),
--- a/src/robinthread/_internal/settings/policy_settings.py
+++ b/src/robinthread/_internal/settings/policy_settings.py
@@ -29,11 +29,14 @@
     machines, not by way of the reserve, and without waiting whether it is needed again.
     ``avoids_silent_halls``: pools get machines of halls whose hosts do not answer only
     where there are no others.
+    ``shares_when_short``: where the pools want more machines than there are, each gets a
+    share by what its jobs that can be on time need; off, a pool keeps what it wants.
     """
 
     upkeep_first: bool = True
     moves_directly: bool = True
     avoids_silent_halls: bool = True
+    shares_when_short: bool = True
 
 
 @dataclass(frozen=True)
--- /dev/null
+++ b/tests/lib/turns.py
@@ -0,0 +1,172 @@
+"""Queues whose demand comes in turns, on fewer machines than their pools want together.
+
+A fluid model around the real planner: a host does one host second of work a second, newest
+jobs that can be on time first; machines take as long to empty and to move as real ones.
+"""
+
+from collections import deque
+from dataclasses import dataclass, field
+from typing import Final
+
+from robinthread._internal.fleet.fleet_view import FleetView, MoveOrder, PoolView
+from robinthread._internal.fleet.planner import FleetPlanner
+from robinthread._internal.fleet.pool_report import HostStanding, PoolReport
+from robinthread._internal.models.machine import Machine, MachineState
+from robinthread._internal.models.resources import Resources
+from robinthread._internal.settings.policy_settings import FleetPolicy
+
+ROOM: Final = Resources(16_000, 32_000, 0)
+RESERVE: Final = "reserve"
+STEP_S: Final = 0.1
+TURN_S: Final = 5.0
+# What runs on a host as it is to be emptied, and how long a machine is away.
+EMPTIES_S: Final = 1.0
+MOVE_S: Final = 1.8
+# A job that waits for longer is late: its stretch leaves it so much.
+PATIENCE_S: Final = 1.2
+LATE_SHARE: Final = 0.25
+DRAIN_S: Final = 2.0
+# Demand in a queue's turn against that between its turns.
+SWING: Final = 100.0
+
+
+@dataclass
+class TurnPool:
+    """A pool: its hosts, its backlog by second of arrival, and what became of its work."""
+
+    name: str
+    hosts: set[str] = field(default_factory=set)
+    vacating_since_s: dict[str, float] = field(default_factory=dict)
+    backlog: deque[list[float]] = field(default_factory=deque)
+    asked: float = 0.0
+    in_time: float = 0.0
+    waits_s: list[float] = field(default_factory=list)
+
+    def take(self, now_s: float, work: float) -> None:
+        """Take work in."""
+        self.asked += work
+        self.backlog.append([now_s, work])
+
+    def work(self, now_s: float) -> None:
+        """Work the backlog off for one step; what is late comes last."""
+        left = STEP_S * sum(host not in self.vacating_since_s for host in self.hosts)
+        fresh = [row for row in self.backlog if now_s - row[0] <= PATIENCE_S]
+        late = [row for row in self.backlog if now_s - row[0] > PATIENCE_S]
+        for row in (*fresh, *late):
+            done = min(left, row[1])
+            row[1] -= done
+            left -= done
+            if now_s - row[0] <= PATIENCE_S:
+                self.in_time += done
+        self.backlog = deque(row for row in self.backlog if row[1] > 1e-9)
+
+    def report(self, now_s: float, rate: float) -> PoolReport:
+        """Tell what the pool needs."""
+        fresh = sum(work for at_s, work in self.backlog if now_s - at_s <= PATIENCE_S)
+        late = sum(work for at_s, work in self.backlog if now_s - at_s > PATIENCE_S)
+        urgent = _as_room(rate + fresh / DRAIN_S)
+        wanted = _as_room(rate + (fresh + LATE_SHARE * late) / DRAIN_S)
+        hosts = tuple(self._stand(host, now_s) for host in sorted(self.hosts))
+        return PoolReport(True, wanted, wanted, hosts, urgent_room=urgent)
+
+    def _stand(self, host: str, now_s: float) -> HostStanding:
+        since_s = self.vacating_since_s.get(host)
+        is_empty = since_s is not None and now_s - since_s >= EMPTIES_S
+        return HostStanding(host, host, True, since_s is not None, int(not is_empty), 0)
+
+
+def _as_room(hosts: float) -> tuple[int, int, int]:
+    return round(hosts * ROOM.cpu_millicores), 0, 0
+
+
+@dataclass(frozen=True)
+class TurnsResult:
+    """Shares of the work done in time, by pool; moves; longest wait of a turn for hosts."""
+
+    in_time: dict[str, float]
+    total_in_time: float
+    move_count: int
+    wait_s: float
+
+
+def play_turns(policy: FleetPolicy, machines: int, wanted: float, turns: int) -> TurnsResult:
+    """Play turns of four pools, each of which wants so many hosts in its own."""
+    pools = [TurnPool(f"p{number}") for number in range(4)]
+    for number in range(machines):
+        pools[number % 4].hosts.add(f"m{number:03}")
+    planner, moving, moves = FleetPlanner(policy), dict[str, tuple[str, float]](), 0
+    for step in range(round(turns * TURN_S / STEP_S)):
+        now_s = step * STEP_S
+        turn = int(now_s / TURN_S) % 4
+        rates = [wanted if number == turn else wanted / SWING for number in range(4)]
+        for pool, rate in zip(pools, rates, strict=True):
+            pool.take(now_s, rate * STEP_S)
+            pool.work(now_s)
+        _note_wait(pools[turn], now_s % TURN_S, wanted)
+        for machine, (target, until_s) in list(moving.items()):
+            if now_s >= until_s:
+                next(pool for pool in pools if pool.name == target).hosts.add(machine)
+                del moving[machine]
+        plan = planner.plan(_view(pools, rates, moving, now_s), now_s)
+        for pool in pools:
+            vacate = plan.vacate[pool.name] & pool.hosts
+            pool.vacating_since_s = {
+                host: pool.vacating_since_s.get(host, now_s) for host in vacate
+            }
+        for order in plan.orders:
+            assert isinstance(order, MoveOrder)
+            moves += 1
+            moving[order.machine] = (order.pool, now_s + MOVE_S)
+            for pool in pools:
+                pool.hosts.discard(order.machine)
+                pool.vacating_since_s.pop(order.machine, None)
+    asked = sum(pool.asked for pool in pools)
+    return TurnsResult(
+        {pool.name: pool.in_time / pool.asked for pool in pools},
+        sum(pool.in_time for pool in pools) / asked,
+        moves,
+        max(max(pool.waits_s, default=0.0) for pool in pools),
+    )
+
+
+def get_oracle_share(machines: int, wanted: float) -> float:
+    """Return the share that could be in time with all demand known.
+
+    Each turn's pool has all machines but two of each other pool from its first moment on; the
+    machines are away for a move's time before that, at the cost of the turn before.
+    """
+    served = min(wanted, machines - 6) * (TURN_S - min(MOVE_S, TURN_S))
+    served += min(wanted, (machines - 6) / 2) * MOVE_S
+    return min(1.0, served / (wanted * TURN_S))
+
+
+def _note_wait(pool: TurnPool, since_s: float, wanted: float) -> None:
+    """Note for how long a turn waits until its pool has a quarter of what it wants."""
+    if len(pool.hosts) >= wanted / 4:
+        if not pool.waits_s or since_s < pool.waits_s[-1]:
+            pool.waits_s.append(since_s)
+    elif since_s >= TURN_S - 1.5 * STEP_S:
+        pool.waits_s.append(TURN_S)
+
+
+def _view(
+    pools: list[TurnPool], rates: list[float], moving: dict[str, tuple[str, float]], now_s: float
+) -> FleetView:
+    views = tuple(
+        PoolView(
+            pool.name,
+            pool.report(now_s, rate),
+            {host: _machine(host, pool.name) for host in pool.hosts},
+            tuple(
+                _machine(name, pool.name)
+                for name, (target, _until_s) in moving.items()
+                if target == pool.name
+            ),
+        )
+        for pool, rate in zip(pools, rates, strict=True)
+    )
+    return FleetView(views, RESERVE, (), frozenset(moving), ())
+
+
+def _machine(name: str, pool: str) -> Machine:
+    return Machine(name, pool, MachineState.UP, "hall", "r", "a", ROOM, name)
--- /dev/null
+++ b/tests/unit/test_sharing.py
@@ -0,0 +1,75 @@
+"""Machines shared out among pools that want more than there are."""
+
+from testtools import TestCase
+
+from robinthread._internal.fleet.sharing import share_hosts
+from robinthread._internal.fleet.sizing import HostRanks, PoolSize
+from robinthread._internal.settings.policy_settings import FleetPolicy
+from tests.lib.turns import get_oracle_share, play_turns
+
+MACHINES = 60
+TURNS = 12
+ON = FleetPolicy(shares_when_short=True)
+OFF = FleetPolicy(shares_when_short=False)
+
+
+def share(machines: int, **needs: tuple[int, int, int]) -> dict[str, tuple[int, int]]:
+    """Return how many hosts each pool fetches and keeps, by what it needs for what."""
+    ranks = {pool: HostRanks(*counts) for pool, counts in needs.items()}
+    sizes = {pool: PoolSize(counts[2], counts[2]) for pool, counts in needs.items()}
+    shared = share_hosts(sizes, ranks, machines)
+    return {pool: (size.fetch_count, size.keep_count) for pool, size in shared.items()}
+
+
+class ShareTest(TestCase):
+    def test_all_get_what_they_want_where_that_is_there(self) -> None:
+        self.assertEqual({"a": (20, 20), "b": (40, 40)}, share(60, a=(2, 5, 20), b=(2, 40, 40)))
+
+    def test_work_that_is_late_takes_none_from_work_that_can_be_on_time(self) -> None:
+        found = share(60, a=(2, 2, 100), b=(2, 50, 80))
+        self.assertEqual(50 + 2, found["b"][0])
+        self.assertEqual(8, found["a"][0])
+
+    def test_what_lasts_comes_first(self) -> None:
+        found = share(20, a=(12, 12, 12), b=(2, 90, 90))
+        self.assertEqual((12, 12), found["a"])
+        self.assertEqual(8, found["b"][0])
+
+    def test_pools_that_want_alike_get_alike(self) -> None:
+        found = share(61, **dict.fromkeys("abcd", (2, 80, 80)))
+        self.assertEqual([15, 15, 15, 16], sorted(fetch for fetch, _keep in found.values()))
+
+    def test_pool_gives_up_no_more_than_what_it_has_well_over_its_share(self) -> None:
+        fetch, keep = share(60, a=(2, 40, 40), b=(2, 40, 40))["a"]
+        self.assertEqual((30, 33), (fetch, keep))
+
+    def test_shares_take_no_more_than_there_is(self) -> None:
+        for machines in range(0, 90, 7):
+            found = share(machines, a=(2, 30, 50), b=(9, 9, 70), c=(2, 2, 2))
+            self.assertLessEqual(sum(fetch for fetch, _keep in found.values()), max(machines, 0))
+
+
+class TurnsTest(TestCase):
+    """Four queues in turns on 60 machines, of which the one in its turn wants all or more."""
+
+    def test_each_queue_is_served_and_more_in_all(self) -> None:
+        for wanted, in_time_min, least_min in (
+            (60, 0.42, 0.39),
+            (88, 0.29, 0.27),
+            (120, 0.22, 0.2),
+        ):
+            on = play_turns(ON, MACHINES, wanted, TURNS)
+            off = play_turns(OFF, MACHINES, wanted, TURNS)
+            self.assertGreater(on.total_in_time, in_time_min)
+            self.assertGreater(on.total_in_time, 1.3 * off.total_in_time)
+            self.assertGreater(min(on.in_time.values()), least_min)
+            self.assertGreater(on.total_in_time, 0.55 * get_oracle_share(MACHINES, wanted))
+
+    def test_queue_in_its_turn_has_a_quarter_of_its_hosts_within_what_a_move_takes(self) -> None:
+        self.assertGreater(play_turns(OFF, MACHINES, 88, TURNS).wait_s, 4.0)
+        self.assertLess(play_turns(ON, MACHINES, 88, TURNS).wait_s, 3.1)
+
+    def test_machines_do_not_swing(self) -> None:
+        """A turn moves the machines once: no more than there are, but for chance."""
+        moves = play_turns(ON, MACHINES, 88, TURNS).move_count
+        self.assertLess(moves, MACHINES * TURNS * 0.9)
