A lasting task on a sound host does not end while another leaves a draining one

Cause: what has to leave a draining host is stopped whatever else is away, and in the same look, or just before, a task of the same step could be stopped on a host that is only emptied; which of the two ends first is chance. Ruled out: silent connections (the pool's owner had none left by then; the cause needs none).

--- a/src/robinthread/_internal/jobs/evacuation.py
+++ b/src/robinthread/_internal/jobs/evacuation.py
@@ -20,11 +20,12 @@
 
     A lasting task leaves when its step can spare it.  A task that ends by itself
     is left to do so, unless its host is about to leave and its work can be kept.
-    Either goes only where another host has room for it.
+    Either goes only where another host has room for it.  What has to leave a draining host
+    comes first: tasks on sound hosts then see that it is away.
     """
     stopped = []
     usable = get_usable_hosts(pool, now_s)
-    for host in pool.hosts.values():
+    for host in sorted(pool.hosts.values(), key=lambda host: not host.record.is_draining):
         if not _is_leaving(host, now_s):
             continue
         for run in list(host.runs.values()):
@@ -68,7 +69,9 @@
 
 def _is_to_leave(pool: PoolJobs, host: Host, job: Job, task: Task, run: Run, now_s: float) -> bool:
     if task.step.is_lasting:
-        return host.record.is_draining or may_leave(pool, job, task, now_s)
+        if host.record.is_draining:
+            return not _is_other_ending(pool, job, task) or _is_about_to_go(host, now_s)
+        return may_leave(pool, job, task, now_s)
     if not task.step.keeps_checkpoints or host.leaves_at_s is None:
         return False
     left_s = host.leaves_at_s - now_s
@@ -76,5 +79,26 @@
     return left_s < LEAVE_EARLY_S and left_s < takes_s * (1 - run.progress_percent / 100)
 
 
+def _is_other_ending(pool: PoolJobs, job: Job, task: Task) -> bool:
+    """Tell whether another task of a lasting step is being stopped on a sound host.
+
+    Of two that are stopped at once either may end first, and the one on the sound host must
+    not end while the other one is away.
+    """
+    if not task.step.has_away_limit:
+        return False
+    members = job.get_tasks(task.key.occurrence, task.key.step)
+    return any(
+        run.phase is RunPhase.STOPPING and not pool.hosts[run.host_id].record.is_draining
+        for other in members
+        if other is not task
+        for run in other.runs
+    )
+
+
+def _is_about_to_go(host: Host, now_s: float) -> bool:
+    return host.leaves_at_s is not None and host.leaves_at_s - now_s < LEAVE_EARLY_S
+
+
 def _is_leaving(host: Host, now_s: float) -> bool:
     return host.record.is_draining or host.is_vacating(now_s)
--- a/tests/unit/test_evacuation.py
+++ b/tests/unit/test_evacuation.py
@@ -6,6 +6,7 @@
 from robinthread._internal.jobs.host import Host, HostContact
 from robinthread._internal.jobs.pool_jobs import PoolJobs
 from robinthread._internal.jobs.run import RunPhase
+from robinthread._internal.models.host_report import RunEnd
 from robinthread._internal.models.job_spec import JobSpec, StepSpec
 from robinthread._internal.models.queue_policy import QueuePolicy
 from robinthread._internal.models.resources import Resources
@@ -61,6 +62,36 @@
         self.assertEqual(1, len(evacuate(pool, now_s=2.0)))
 
 
+class LastingOnDrainingHostTest(TestCase):
+    """One task of a step may be away; an order that ends it on a sound host counts by its end."""
+
+    STEP = StepSpec(2, cpu_millicores=1000, is_lasting=True, away_max=1, has_away_limit=True)
+
+    def test_sound_host_keeps_its_task_while_another_leaves_a_draining_one(self) -> None:
+        for draining, vacating in (("h0", "h1"), ("h1", "h0")):
+            pool = make_pool(self.STEP, hosts=4, used_hosts=2)
+            drain(pool.hosts[draining], 4_000, now_s=0.0)
+            pool.hosts[vacating].vacating_until_s = 10.0
+            self.assertEqual([draining], [run.host_id for run in evacuate(pool, now_s=1.0)])
+            self.assertEqual([], evacuate(pool, now_s=1.1))
+
+    def test_task_leaves_a_draining_host_once_another_has_ended_on_a_sound_one(self) -> None:
+        pool = make_pool(self.STEP, hosts=4, used_hosts=2)
+        pool.hosts["h0"].vacating_until_s = 10.0
+        (run,) = evacuate(pool, now_s=1.0)
+        drain(pool.hosts["h1"], 4_000, now_s=1.1)
+        self.assertEqual([], evacuate(pool, now_s=1.2))
+        pool.end_run(run, RunEnd.STOPPED, "", 0)
+        self.assertEqual(["h1"], [left.host_id for left in evacuate(pool, now_s=1.3)])
+
+    def test_it_waits_no_longer_than_its_host_may_stay(self) -> None:
+        pool = make_pool(self.STEP, hosts=4, used_hosts=2)
+        pool.hosts["h0"].vacating_until_s = 10.0
+        evacuate(pool, now_s=1.0)
+        drain(pool.hosts["h1"], 4_000, now_s=1.1)
+        self.assertEqual(["h1"], [run.host_id for run in evacuate(pool, now_s=4.5)])
+
+
 class DrainingTest(TestCase):
     STEP = StepSpec(2, cpu_millicores=1000, estimate_ms=10_000, keeps_checkpoints=True)
 
