A pool lets no machine go while the store is slow

Jobs are late whatever hosts there are, fewer are accepted, and the pool's need falls from 61 hosts to 17 while 41 are usable, of which 20 are emptied for the reserve; 2 s later it needs 182. 168 jobs of the next 2 s wait for room.

--- a/src/robinthread/_internal/node/pool_owner.py
+++ b/src/robinthread/_internal/node/pool_owner.py
@@ -183,7 +183,7 @@
             self._context.expect_hosts()
         self._runtime.wake()
         demand = self._demand.read(self.jobs, self._context.get_wall_ms())
-        return make_pool_report(self.jobs, demand, now_s)
+        return make_pool_report(self.jobs, demand, now_s, self._journal.is_slow)
 
     async def _load_progress(self) -> None:
         """Shut out older owners, then read what they have recorded, and of which jobs."""
