--- a/src/robinthread/_internal/node/paced_demand.py
+++ b/src/robinthread/_internal/node/paced_demand.py
@@ -9,24 +9,18 @@
 from robinthread._internal.node.pool_runtime import get_loop_s
 
 # The need is read anew no sooner than after so many times as long as reading it took, so that a
-# tenth of the processor at most goes there: as a turn begins, a reading takes 2.8 ms in the
-# median and 9 ms in one of ten, and each 0.1 s that is a quarter of an entry host with 0.12 core
-# and three quarters of it.
+# tenth of the processor at most goes there: with 200 jobs of a turn a reading takes 4 ms, and
+# each 0.1 s that is a third of an entry host with 0.12 core.
 PAUSE_SHARE: Final = 9.0
 # Longest such pause: a third of the time that a machine takes to move.
 PAUSE_MAX_S: Final = 0.5
 
 
 class PacedDemand:
-    """A pool's need as last read; each reading looks at all of the pool's jobs.
+    """A pool's need as last read; each reading looks at all of the pool's jobs."""
 
-    A node with less than a core works in bursts at full pace: ``cores`` tells how long it then
-    has to wait.
-    """
-
-    def __init__(self, meter: DemandMeter, cores: float) -> None:
+    def __init__(self, meter: DemandMeter) -> None:
         self._meter = meter
-        self._pause_share = PAUSE_SHARE / min(1.0, cores)
         self._known: Demand | None = None
         self._due_s = -math.inf
 
@@ -40,5 +34,5 @@
         if self._known is None or began_at_s >= self._due_s:
             self._known = self._meter.read(pool, began_at_s, now_ms)
             took_s = get_loop_s() - began_at_s
-            self._due_s = began_at_s + min(PAUSE_MAX_S, self._pause_share * took_s)
+            self._due_s = began_at_s + min(PAUSE_MAX_S, PAUSE_SHARE * took_s)
         return self._known
--- a/src/robinthread/_internal/node/pool_owner.py
+++ b/src/robinthread/_internal/node/pool_owner.py
@@ -84,8 +84,7 @@
         self._retention = Retention(self._runtime, self._journal)
         self._host_tasks: dict[str, asyncio.Task[None]] = {}
         lead_s = context.settings.bounds.machine_move_s + HOST_START_S
-        meter = DemandMeter(lead_s, context.policy.demand)
-        self._demand = PacedDemand(meter, context.settings.cpu_cores)
+        self._demand = PacedDemand(DemandMeter(lead_s, context.policy.demand))
         self._follower_numbers = itertools.count()
         self._ended_hosts: set[str] = set()
         self._progress_count = 0
@@ -257,8 +256,6 @@
     async def _schedule(self) -> None:
         """Place waiting tasks and send stops whenever something has changed."""
         next_tick_s = 0.0
-        # A node with less than a core works in bursts at full pace, and has to wait longer.
-        pause_share = PLACING_PAUSE_SHARE / min(1.0, self._context.settings.cpu_cores)
         while True:
             now_s = get_loop_s()
             if now_s >= next_tick_s:
@@ -274,7 +271,7 @@
                 self._runtime.unrecorded.set()
             self._runtime.changed.clear()
             took_s = get_loop_s() - began_at_s
-            await asyncio.sleep(min(PLACING_PAUSE_MAX_S, pause_share * took_s))
+            await asyncio.sleep(min(PLACING_PAUSE_MAX_S, PLACING_PAUSE_SHARE * took_s))
             await wait_for_event(self._runtime.changed, TICK_S)
 
     def _end_unlisted(self, now_s: float) -> None:
