--- a/src/robinthread/_internal/node/pool_owner.py
+++ b/src/robinthread/_internal/node/pool_owner.py
@@ -22,7 +22,6 @@
 from robinthread._internal.node.context import NodeContext
 from robinthread._internal.node.host_follower import HostFollower
 from robinthread._internal.node.order_sender import OrderSender
-from robinthread._internal.node.paced_demand import PacedDemand
 from robinthread._internal.node.pool_opening import PoolOpening
 from robinthread._internal.node.pool_reporting import count_pending, make_pool_report, tell_ended
 from robinthread._internal.node.pool_runtime import PoolRuntime, get_loop_s
@@ -83,8 +82,9 @@
         self._advice_taker = AdviceTaker(self._runtime, context.advice)
         self._retention = Retention(self._runtime, self._journal)
         self._host_tasks: dict[str, asyncio.Task[None]] = {}
-        lead_s = context.settings.bounds.machine_move_s + HOST_START_S
-        self._demand = PacedDemand(DemandMeter(lead_s, context.policy.demand))
+        self._demand = DemandMeter(
+            context.settings.bounds.machine_move_s + HOST_START_S, context.policy.demand
+        )
         self._follower_numbers = itertools.count()
         self._ended_hosts: set[str] = set()
         self._progress_count = 0
@@ -181,7 +181,7 @@
         if question.expects_hosts:
             self._context.expect_hosts()
         self._runtime.wake()
-        demand = self._demand.read(self.jobs, self._context.get_wall_ms())
+        demand = self._demand.read(self.jobs, now_s, self._context.get_wall_ms())
         return make_pool_report(self.jobs, demand, now_s, self._journal.is_slow)
 
     async def _load_progress(self) -> None:
@@ -231,7 +231,7 @@
         policy = self._get_policy(spec.queue)
         job = self.jobs.add_job(spec, policy, indexed.offset, get_loop_s(), progress)
         if progress is None:
-            self._demand.note_job(job, self.jobs)
+            self._demand.note_job(job, self.jobs.run_times, get_loop_s())
         if job.status.is_final:
             for task in list(job.iter_running()):
                 for run in list(task.runs):
