Revert "A pool lets no machine go while the store is slow"

Conclusion: the loss of these seconds is in taking jobs in, not in machines; the pace of appends stays, for that.

--- a/src/robinthread/_internal/durable/journal.py
+++ b/src/robinthread/_internal/durable/journal.py
@@ -5,7 +5,6 @@
 from collections.abc import Sequence
 from typing import Final
 
-from robinthread._internal.durable.append_pace import AppendPace
 from robinthread._internal.durable.errors import (
     StoreError,
     StoreFencedError,
@@ -35,7 +34,6 @@
         self._sequence = 0
         self._turn = asyncio.Lock()
         self.confirmed_at_s = -math.inf
-        self._pace = AppendPace()
         self._events = events
 
     async def open(self) -> None:
@@ -49,20 +47,7 @@
             async with self._turn:
                 await self._append(records)
 
-    @property
-    def is_slow(self) -> bool:
-        """Tell whether an append takes long now, or has done so of late."""
-        return self._pace.is_slow
-
     async def _append(self, records: Sequence[KeyedRecord]) -> None:
-        """Append, and note whether that takes long."""
-        self._pace.begin()
-        try:
-            await self._append_stamped(records)
-        finally:
-            self._pace.end()
-
-    async def _append_stamped(self, records: Sequence[KeyedRecord]) -> None:
         stamp = WriterStamp(self._writer, self._token, self._sequence)
         is_failing = False
         while True:
--- a/src/robinthread/_internal/fleet/planner.py
+++ b/src/robinthread/_internal/fleet/planner.py
@@ -9,7 +9,6 @@
 import math
 from collections import Counter
 from collections.abc import Iterable
-from dataclasses import replace
 from typing import Final
 
 from robinthread._internal.fleet.fleet_view import (
@@ -69,12 +68,6 @@
             )
             for pool in view.pools
         )
-        if self._policy.holds_while_store_slow and not self._is_short:
-            sizes |= {
-                pool.name: _hold(pool, sizes[pool.name])
-                for pool in view.pools
-                if pool.report.is_store_slow
-            }
         self._vacating = {
             pool.name: self._choose_vacating(view, pool, pending, sizes[pool.name], now_s)
             for pool in view.pools
@@ -277,17 +270,6 @@
     return max(0, size.fetch_count - serving, missing)
 
 
-def _hold(pool: PoolView, size: PoolSize) -> PoolSize:
-    """Return a size at which a pool lets none of its hosts go.
-
-    The load that this answers: the store is slow in the middle of a queue's turn.  Its jobs are
-    late whatever hosts there are, fewer are accepted, and the pool seems to need a third; as
-    the store recovers all come at once, and hosts that were let go are 3 s away.
-    """
-    present = sum(host.is_usable for host in pool.hosts)
-    return replace(size, keep_count=max(size.keep_count, present + len(pool.arriving)))
-
-
 def _count_all(view: FleetView) -> int:
     """Return how many hosts the pools could have together."""
     serving = sum(_count_serving(pool, frozenset(), view.leaving) for pool in view.pools)
--- a/src/robinthread/_internal/fleet/pool_report.py
+++ b/src/robinthread/_internal/fleet/pool_report.py
@@ -50,8 +50,7 @@
     needed for tasks that may not share one.  ``lasting_room`` is the part of the room that
     lasting tasks take.  ``apart_count`` hosts that carry none are needed by tasks that end.
     ``urgent_room`` is the room to keep without jobs that can no longer be on time; an older
-    process does not tell.  ``is_store_slow`` tells that the owner's records take long, so that
-    jobs are late, and fewer come, for another reason than want of hosts.
+    process does not tell.
     """
 
     is_owner: bool
@@ -63,4 +62,3 @@
     apart_count: int = 0
     lacks: tuple[LackReport, ...] = ()
     urgent_room: tuple[int, int, int] | None = None
-    is_store_slow: bool = False
--- a/src/robinthread/_internal/node/pool_owner.py
+++ b/src/robinthread/_internal/node/pool_owner.py
@@ -182,7 +182,7 @@
             self._context.expect_hosts()
         self._runtime.wake()
         demand = self._demand.read(self.jobs, now_s, self._context.get_wall_ms())
-        return make_pool_report(self.jobs, demand, now_s, self._journal.is_slow)
+        return make_pool_report(self.jobs, demand, now_s)
 
     async def _load_progress(self) -> None:
         """Shut out older owners, then read what they have recorded, and of which jobs."""
--- a/src/robinthread/_internal/node/pool_reporting.py
+++ b/src/robinthread/_internal/node/pool_reporting.py
@@ -12,9 +12,7 @@
 from robinthread._internal.telemetry.event_log import EventLog
 
 
-def make_pool_report(
-    pool: PoolJobs, demand: Demand, now_s: float, is_store_slow: bool = False
-) -> PoolReport:
+def make_pool_report(pool: PoolJobs, demand: Demand, now_s: float) -> PoolReport:
     """Tell how a pool stands, and which of its listed hosts can be used."""
     doubted = list_doubted(pool, now_s)
     needed = demand.on_hosts.host_ids
@@ -35,7 +33,6 @@
             for missing in demand.on_hosts.missing
         ),
         urgent_room=_as_tuple(demand.urgent),
-        is_store_slow=is_store_slow,
     )
 
 
--- a/src/robinthread/_internal/settings/policy_settings.py
+++ b/src/robinthread/_internal/settings/policy_settings.py
@@ -31,15 +31,12 @@
     where there are no others.
     ``shares_when_short``: where the pools want more machines than there are, each gets a
     share by what its jobs that can be on time need; off, a pool keeps what it wants.
-    ``holds_while_store_slow``: while the store is slow, and for 2 s afterwards, a pool lets no
-    machine go unless another lacks some.
     """
 
     upkeep_first: bool = True
     moves_directly: bool = True
     avoids_silent_halls: bool = True
     shares_when_short: bool = True
-    holds_while_store_slow: bool = True
 
 
 @dataclass(frozen=True)
