--- a/tests/functional/test_slow_appends.py
+++ b/tests/functional/test_slow_appends.py
@@ -31,6 +31,7 @@
 LATENCY_S = 0.14
 # A caller comes back where it was turned away or told nothing, until its time is over.
 PAUSE_S = 0.25
+SHARE_CUT_MIN = 0.45
 TIME_S = 3.0
 
 
@@ -61,9 +62,19 @@
     raise AssertionError
 
 
-async def _press(gathers: bool) -> tuple[float, float]:
+def _get_steward(platform: PlatformStandin) -> str:
+    nodes = platform.nodes.items()
+    return next(name for name, node in nodes if node.assembled.node._steward is not None)
+
+
+async def _press(gathers: bool, cuts_steward: bool = False) -> tuple[float, float]:
     """Return the share of jobs taken in time, and the median time that took."""
     platform = await _start(gathers)
+    if cuts_steward:
+        steward = _get_steward(platform)
+        # Nobody hears it any more, nor is refused by it.
+        platform.cut_node(steward)
+        asyncio.get_running_loop().call_later(FOR_S, platform.heal_node, steward)
     platform.store.append_turn_s = TURN_S
     platform.store.faults.latency_s = LATENCY_S
     calls = []
@@ -89,6 +100,10 @@
         self.assertGreater(share, 0.97)
         self.assertLess(median_s, 0.5)
 
+    def test_others_append_where_that_node_is_cut_off(self) -> None:
+        share, _median_s = run_virtual(_press(gathers=True, cuts_steward=True))
+        self.assertGreater(share, SHARE_CUT_MIN)
+
     def test_switched_off_the_queue_of_appends_outlasts_the_callers(self) -> None:
         share, _median_s = run_virtual(_press(gathers=False))
         self.assertLess(share, 0.6)
