Upkeep that has begun is settled for a new steward, and none stays unsettled for ever

Cause, found in reading: a steward kept every recorded upkeep of a living predecessor unsettled without an end, also where it had begun, so its record of orders was never emptied; a host lost long after its move would be taken for one that comes.

--- a/src/robinthread/_internal/node/machine_orders.py
+++ b/src/robinthread/_internal/node/machine_orders.py
@@ -104,7 +104,12 @@
         self._ordered_at_s = dict.fromkeys(self._targets, now_s)
         self._recorded = dict(self._targets)
         self.ordered_before = frozenset(self._targets)
-        self.unsettled.load(self._targets, is_author_ended=self._wait_s == 0)
+        open_upkeep = {
+            machine: target.wave
+            for machine, target in self._targets.items()
+            if target.wave and not self._waves.has_begun(target.wave, machine)
+        }
+        self.unsettled.load(open_upkeep, is_author_ended=self._wait_s == 0)
 
     def list_held(self) -> frozenset[str]:
         """Return the machines that are to get no order now."""
@@ -132,11 +137,7 @@
 
     def list_unsettled(self, wave: int) -> frozenset[str]:
         """Return the machines whose upkeep for a wave an earlier steward's order may yet begin."""
-        return frozenset(
-            machine
-            for machine in self.unsettled.list_for_wave(wave, settled=self.under_way)
-            if not self._waves.has_begun(wave, machine)
-        )
+        return self.unsettled.list_for_wave(wave) - self.under_way.keys()
 
     def note_listed(self, asked_at_s: float) -> None:
         """Note that all orders done before a list was asked for show in it."""
--- a/src/robinthread/_internal/node/unsettled_upkeep.py
+++ b/src/robinthread/_internal/node/unsettled_upkeep.py
@@ -1,16 +1,18 @@
 """Upkeep that an earlier steward ordered, and that may yet begin."""
 
 import math
-from collections.abc import Container, Mapping
+from collections.abc import Mapping
 from typing import Final
 
-from robinthread._internal.durable.order_records import OrderTarget
 from robinthread._internal.models.machine import Machine, MachineState
 from robinthread._internal.node.pool_runtime import get_loop_s
 
 # How long after it was given an order without an answer may still be carried out: the
 # platform has been seen to take 2 to 12 s.
 ORDER_LATE_MAX_S: Final = 12.0
+# How long a steward that was replaced may be frozen and go on then: ten times as long as one
+# that is awake goes on without hearing of it.
+AUTHOR_FROZEN_MAX_S: Final = 60.0
 
 
 class UnsettledUpkeep:
@@ -20,19 +22,18 @@
     down as its steward was replaced.  An order is settled once the machine's upkeep is known to
     have begun, or once this steward has ordered the machine, which shuts the earlier one out
     there.  Those of a steward that has ended are settled after ``ORDER_LATE_MAX_S`` as well; one
-    that may be frozen can send its orders at any time.
+    that may be frozen can send its orders for ``AUTHOR_FROZEN_MAX_S`` longer.
     """
 
     def __init__(self) -> None:
         self._wave_by_machine: dict[str, int] = {}
         self._until_s = math.inf
 
-    def load(self, targets: Mapping[str, OrderTarget], is_author_ended: bool) -> None:
-        """Take in what the last steward recorded of its orders."""
-        self._wave_by_machine = {
-            machine: target.wave for machine, target in targets.items() if target.wave
-        }
-        self._until_s = get_loop_s() + ORDER_LATE_MAX_S if is_author_ended else math.inf
+    def load(self, wave_by_machine: Mapping[str, int], is_author_ended: bool) -> None:
+        """Take in the upkeep that the last steward ordered and that is not known to have begun."""
+        self._wave_by_machine = dict(wave_by_machine)
+        frozen_s = 0.0 if is_author_ended else AUTHOR_FROZEN_MAX_S
+        self._until_s = get_loop_s() + ORDER_LATE_MAX_S + frozen_s
 
     def settle(self, machine: str) -> None:
         """Note that this steward's order for a machine was carried out."""
@@ -52,10 +53,7 @@
             self._wave_by_machine = {}
         return frozenset(self._wave_by_machine)
 
-    def list_for_wave(self, wave: int, settled: Container[str]) -> frozenset[str]:
-        """Return the machines of a wave, but for those that are ``settled`` or counted already."""
-        return frozenset(
-            machine
-            for machine in self.list_machines()
-            if self._wave_by_machine[machine] == wave and machine not in settled
-        )
+    def list_for_wave(self, wave: int) -> frozenset[str]:
+        """Return the machines of a wave."""
+        machines = self.list_machines()
+        return frozenset(name for name in machines if self._wave_by_machine[name] == wave)
--- a/tests/unit/test_machine_orders.py
+++ b/tests/unit/test_machine_orders.py
@@ -12,9 +12,10 @@
     parse_orders_record,
 )
 from robinthread._internal.durable.store import KeyedRecord
-from robinthread._internal.fleet.fleet_view import MoveOrder
+from robinthread._internal.fleet.fleet_view import MoveOrder, UpkeepOrder
 from robinthread._internal.models.machine import Machine, MachineState
 from robinthread._internal.node.machine_orders import MachineOrders
+from robinthread._internal.node.unsettled_upkeep import AUTHOR_FROZEN_MAX_S, ORDER_LATE_MAX_S
 from robinthread._internal.node.wave_keeper import WaveKeeper
 from robinthread._internal.standins.platform_standin import (
     BOUNDS,
@@ -215,3 +216,51 @@
             self.assertEqual((), read_machines(self.platform))
 
         run_virtual(work())
+
+
+class UnsettledUpkeepTest(TestCase):
+    """What a steward makes of the upkeep that the last one recorded."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.platform = PlatformStandin(plan_second)
+
+    async def _replace(self, begun: bool, wait_s: float = TURN_S) -> tuple[MachineOrders, str]:
+        machine = self.platform.machines.add(RESERVE, "r", ROOM)
+        await make_orders(self.platform, 1, wait_s=0.0).give((UpkeepOrder(machine, 1),))
+        following = make_orders(self.platform, 2, wait_s)
+        if begun:
+            await following._waves.note_begun(1, machine)
+        following.load(read_records(self.platform))
+        return following, machine
+
+    def test_upkeep_that_has_begun_is_settled_and_its_record_is_emptied(self) -> None:
+        async def work() -> None:
+            orders, _machine = await self._replace(begun=True)
+            self.assertEqual(frozenset(), orders.list_unsettled(1))
+            await asyncio.sleep(SETTLE_S)
+            orders.drop_settled()
+            await asyncio.sleep(0.1)
+            self.assertEqual((), read_machines(self.platform))
+
+        run_virtual(work())
+
+    def test_other_upkeep_counts_until_it_is_ordered_shown_or_long_ago(self) -> None:
+        async def work() -> None:
+            orders, machine = await self._replace(begun=False)
+            self.assertEqual({machine}, orders.list_unsettled(1))
+            self.assertEqual(frozenset(), orders.list_unsettled(2))
+            listed = Machine(machine, RESERVE, MachineState.UP, "", "", "", ROOM, "")
+            orders.unsettled.note_listed({machine: listed})
+            self.assertEqual({machine}, orders.list_unsettled(1))
+            orders.unsettled.note_listed({machine: replace(listed, state=MachineState.UPKEEP)})
+            self.assertEqual(frozenset(), orders.list_unsettled(1))
+            for wait_s, left_s in ((0.0, 0.0), (TURN_S, AUTHOR_FROZEN_MAX_S)):
+                self.platform = PlatformStandin(plan_second)
+                orders, machine = await self._replace(begun=False, wait_s=wait_s)
+                await asyncio.sleep(ORDER_LATE_MAX_S - 1)
+                self.assertEqual({machine}, orders.list_unsettled(1))
+                await asyncio.sleep(left_s + 2)
+                self.assertEqual(frozenset(), orders.list_unsettled(1))
+
+        run_virtual(work())
