--- a/src/robinthread/_internal/settings/policy_settings.py
+++ b/src/robinthread/_internal/settings/policy_settings.py
@@ -30,13 +30,15 @@
     ``avoids_silent_halls``: pools get machines of halls whose hosts do not answer only
     where there are no others.
     ``shares_when_short``: where the pools want more machines than there are, each gets a
-    share by what its jobs that can be on time need; off, a pool keeps what it wants.
+    share by what its jobs that can be on time need; off, a pool keeps what it wants.  It is
+    for fleets that are far too small, where some queues else get no machine in their turn;
+    where machines are short for some seconds only, fewer jobs are in time with it.
     """
 
     upkeep_first: bool = True
     moves_directly: bool = True
     avoids_silent_halls: bool = True
-    shares_when_short: bool = True
+    shares_when_short: bool = False
 
 
 @dataclass(frozen=True)
