Log lines tell what each upkeep rests on, and which lines are failures or changes

Cause of the blindness: neither record of the upkeep beyond a wave's bound says which machines the steward took for down, so that five hypotheses could not be told apart. Now: wave_asked_for, steward_began, upkeep_begins (down, unsettled, age of the list), upkeep_answered, upkeep_over and, as a warning, wave_over_bound.

--- a/src/robinthread/_internal/fleet/fleet_view.py
+++ b/src/robinthread/_internal/fleet/fleet_view.py
@@ -11,22 +11,22 @@
 class WaveView:
     """A maintenance wave: what is left of it and how many may begin now.
 
-    ``pending`` are the machines whose upkeep has not begun.  Of these, an earlier steward
-    ordered the ``unsettled`` ones: they count as down, and may be ordered all the same, which
-    settles them.
+    ``pending`` are the machines whose upkeep has not begun, ``down`` those that are down.  Of
+    the pending ones, an earlier steward ordered the ``unsettled``: they count as down, and may
+    be ordered all the same, which settles them.
     """
 
     number: int
     pending: frozenset[str]
     at_once_max: int
-    down_count: int
+    down: frozenset[str]
     left_s: float
     unsettled: frozenset[str] = frozenset()
 
     @property
     def free_slots(self) -> int:
         """Return how many machines beside the unsettled ones may begin their upkeep now."""
-        return max(0, self.at_once_max - self.down_count - len(self.unsettled))
+        return max(0, self.at_once_max - len(self.down | self.unsettled))
 
 
 @dataclass(frozen=True)
--- a/src/robinthread/_internal/node/config_holder.py
+++ b/src/robinthread/_internal/node/config_holder.py
@@ -40,13 +40,23 @@
             if key == self._records.config_key:
                 self._take_config(self._records.parse_config(value))
             elif key.startswith(self._records.wave_prefix):
-                wave = self._records.parse_wave(value)
-                self.waves[wave.number] = wave
-                now_s = asyncio.get_running_loop().time()
-                self.wave_seen_at_s.setdefault(wave.number, now_s)
+                self._take_wave(self._records.parse_wave(value))
         except msgspec.MsgspecError as error:
             self._events.write("record_malformed", key=key, error=str(error))
 
+    def _take_wave(self, wave: UpkeepWave) -> None:
+        if self.waves.get(wave.number) != wave:
+            self._events.write(
+                "wave_asked_for",
+                wave=wave.number,
+                machine_count=len(wave.machines),
+                at_once_max=wave.at_once_max,
+                duration_s=wave.duration_s,
+                is_changed=wave.number in self.waves,
+            )
+        self.waves[wave.number] = wave
+        self.wave_seen_at_s.setdefault(wave.number, asyncio.get_running_loop().time())
+
     def _take_config(self, config: FleetConfig) -> None:
         if self.config is None or config.version > self.config.version:
             self.config = config
--- a/src/robinthread/_internal/node/machine_orders.py
+++ b/src/robinthread/_internal/node/machine_orders.py
@@ -254,12 +254,22 @@
         self._paused_until_s[order.machine] = get_loop_s() + BUSY_PAUSE_S
 
     def _note(self, order: Order, outcome: str, error: str = "") -> None:
-        target = {"to_pool": order.pool} if isinstance(order, MoveOrder) else {"wave": order.wave}
+        detail = {"error": error} if error else {}
+        if isinstance(order, UpkeepOrder):
+            self._events.write(
+                "upkeep_answered",
+                wave=order.wave,
+                machine=order.machine,
+                outcome=outcome,
+                took_ms=round(1000 * (get_loop_s() - self._ordered_at_s[order.machine]), 1),
+                **detail,
+            )
+            return
         self._events.gather(
             "machine_ordered",
-            by={**target, "outcome": outcome},
+            by={"to_pool": order.pool, "outcome": outcome},
             listed={"machines": order.machine},
-            **({"error": error} if error else {}),
+            **detail,
         )
 
 
--- a/src/robinthread/_internal/node/steward.py
+++ b/src/robinthread/_internal/node/steward.py
@@ -31,6 +31,7 @@
 from robinthread._internal.node.owned_pools import OwnedPools
 from robinthread._internal.node.peer_calls import PeerUnreachableError
 from robinthread._internal.node.pool_runtime import get_loop_s
+from robinthread._internal.node.upkeep_lines import UpkeepLines
 from robinthread._internal.node.wave_keeper import WaveKeeper
 from robinthread._internal.telemetry.gathered_lines import NAMES_MAX
 
@@ -87,6 +88,7 @@
         self._newcomers = Newcomers()
         self._sizes: dict[str, PoolSize] = {}
         self._vacate: dict[str, frozenset[str]] = {}
+        self._lines = UpkeepLines(context.events)
         self.fenced = asyncio.Event()
         self._waves = WaveKeeper(
             self._wave_journal, self._status_journal, self._records, self._events
@@ -112,6 +114,7 @@
             await self._orders_journal.open()
             self._waves.load(await self._read_newest(WAVES_PARTITION))
             self._orders.load(await self._read_newest(ORDERS_PARTITION))
+            self._note_began()
             while not self.fenced.is_set():
                 await self._step()
                 await asyncio.sleep(STEP_S)
@@ -120,12 +123,24 @@
 
     async def stop(self) -> None:
         """Give no more orders."""
+        self._events.write("steward_ended", token=self.token)
         await asyncio.gather(*self.cancel(), return_exceptions=True)
 
     def cancel(self) -> list[asyncio.Task[Any]]:
         """Have all orders under way end, and return their tasks."""
         return self._orders.cancel()
 
+    def _note_began(self) -> None:
+        """Tell what this steward knows of the one before it."""
+        waves = self._get_waves()
+        self._events.write(
+            "steward_began",
+            token=self.token,
+            ordered_before=sorted(self._orders.ordered_before)[:NAMES_MAX],
+            unsettled=sorted(self._orders.unsettled.list_machines())[:NAMES_MAX],
+            waves={wave.number: self._waves.count_begun(wave.number) for wave in waves},
+        )
+
     async def _read_newest(self, partition: Partition) -> tuple[KeyedRecord, ...]:
         reader = NewestReader(self._context.store, partition)
         while True:
@@ -142,6 +157,7 @@
         if self._known:
             await self._waves.show(self._get_waves(), self._known)
         view = self._make_view(reports)
+        self._lines.note_counted(view.waves, self._known)
         plan = self._planner.plan(view, get_loop_s())
         for pool, machines in plan.vacate.items():
             if machines != self._vacate.get(pool, frozenset()):
@@ -153,6 +169,7 @@
                 )
         self._vacate = plan.vacate
         self._note_sizes(view, plan)
+        self._lines.note_ordered(view, plan.orders, get_loop_s() - self._listed_at_s)
         await self._orders.give(plan.orders)
         self._orders.drop_settled()
 
--- /dev/null
+++ b/src/robinthread/_internal/node/upkeep_lines.py
@@ -0,0 +1,87 @@
+"""Log lines on upkeep: what each order rests on, and when a machine's place is free again."""
+
+from collections.abc import Iterable, Mapping
+from typing import Final
+
+from robinthread._internal.fleet.fleet_view import FleetView, MoveOrder, UpkeepOrder, WaveView
+from robinthread._internal.models.machine import Machine
+from robinthread._internal.node.pool_runtime import get_loop_s
+from robinthread._internal.telemetry.event_log import EventLog
+
+# Machines that a line names: some 700 bytes, for a wave of which a hundred may be down at once.
+MACHINES_NAMED_MAX: Final = 64
+
+
+class UpkeepLines:
+    """Tells, wave by wave, which machines the steward takes for down and which it takes next.
+
+    With these lines alone an engineer can replay the count behind any upkeep.
+    """
+
+    def __init__(self, events: EventLog) -> None:
+        self._events = events
+        self._down_since_s: dict[int, dict[str, float]] = {}
+        self._over_bound: set[int] = set()
+
+    def note_counted(self, waves: Iterable[WaveView], known: Mapping[str, Machine]) -> None:
+        """Tell which machines count as down no longer, and where too many do."""
+        now_s = get_loop_s()
+        for wave in waves:
+            counted = wave.down | wave.unsettled
+            since_s = self._down_since_s.setdefault(wave.number, {})
+            for name in sorted(since_s.keys() - counted):
+                self._note_over(wave, known.get(name), name, now_s - since_s.pop(name))
+            since_s |= {name: since_s.get(name, now_s) for name in counted}
+            self._note_bound(wave, counted)
+
+    def note_ordered(
+        self,
+        view: FleetView,
+        orders: Iterable[MoveOrder | UpkeepOrder],
+        listed_ago_s: float,
+    ) -> None:
+        """Tell what the upkeep that is about to be ordered rests on."""
+        upkeep = [order for order in orders if isinstance(order, UpkeepOrder)]
+        reserve = {machine.name for machine in view.reserve}
+        for wave in view.waves:
+            names = [order.machine for order in upkeep if order.wave == wave.number]
+            if names:
+                self._events.write(
+                    "upkeep_begins",
+                    wave=wave.number,
+                    machines=_name(names),
+                    in_reserve=sum(name in reserve for name in names),
+                    down=_name(wave.down),
+                    unsettled=_name(wave.unsettled),
+                    at_once_max=wave.at_once_max,
+                    pending_count=len(wave.pending),
+                    left_s=round(wave.left_s, 3),
+                    listed_ago_s=round(listed_ago_s, 3),
+                )
+
+    def _note_over(self, wave: WaveView, machine: Machine | None, name: str, for_s: float) -> None:
+        self._events.write(
+            "upkeep_over",
+            wave=wave.number,
+            machine=name,
+            counted_for_s=round(for_s, 3),
+            state=machine.state.value if machine is not None else "not listed",
+            host=machine.host_id if machine is not None else "",
+            is_pending=name in wave.pending,
+        )
+
+    def _note_bound(self, wave: WaveView, counted: frozenset[str]) -> None:
+        is_over = len(counted) > wave.at_once_max
+        if is_over and wave.number not in self._over_bound:
+            self._events.write(
+                "wave_over_bound",
+                wave=wave.number,
+                down=_name(wave.down),
+                unsettled=_name(wave.unsettled),
+                at_once_max=wave.at_once_max,
+            )
+        (self._over_bound.add if is_over else self._over_bound.discard)(wave.number)
+
+
+def _name(machines: Iterable[str]) -> list[str]:
+    return sorted(machines)[:MACHINES_NAMED_MAX]
--- a/src/robinthread/_internal/node/wave_keeper.py
+++ b/src/robinthread/_internal/node/wave_keeper.py
@@ -52,6 +52,10 @@
         """Tell whether a machine's upkeep for a wave has begun."""
         return machine in self._begun.get(wave, ())
 
+    def count_begun(self, wave: int) -> int:
+        """Return how many machines have begun their upkeep for a wave."""
+        return len(self._begun.get(wave, ()))
+
     def get_pending(self, wave: UpkeepWave, machines: dict[str, Machine]) -> frozenset[str]:
         """Return the machines that stay and whose upkeep has not begun."""
         begun = self._begun.get(wave.number, set())
@@ -69,11 +73,14 @@
 
         The upkeep of ``unsettled`` machines may begin without any order of this steward.
         """
-        down = sum(
-            machines[name].state is MachineState.UPKEEP
-            or isinstance(under_way.get(name), UpkeepOrder)
+        down = frozenset(
+            name
             for name in wave.machines
             if name in machines
+            and (
+                machines[name].state is MachineState.UPKEEP
+                or isinstance(under_way.get(name), UpkeepOrder)
+            )
         )
         left_s = seen_at_s + wave.duration_s - get_loop_s()
         pending = self.get_pending(wave, machines)
--- a/src/robinthread/_internal/telemetry/event_log.py
+++ b/src/robinthread/_internal/telemetry/event_log.py
@@ -10,6 +10,7 @@
 import msgspec
 
 from robinthread._internal.telemetry.gathered_lines import GatheredLines
+from robinthread._internal.telemetry.levels import LEVELS
 from robinthread._internal.telemetry.line_budget import LineBudget
 from robinthread._internal.telemetry.node_metrics import NodeMetrics
 
@@ -25,6 +26,8 @@
 class EventLog:
     """Writes one JSON line for each event to ``write``, which must not wait.
 
+    A line that tells a failure or a change has a ``level``, see ``levels``.
+
     Every event is counted.  Of one kind only so many lines a second are written;
     a line each second tells how many were left out.  Of gathered ones a line a second
     tells how many there were; ``tell_gathered`` must be called now and then for these.
@@ -82,7 +85,10 @@
             self._write_line(event, fields)
 
     def _write_line(self, event: str, fields: dict[str, Any]) -> None:
-        line = {"at": round(time.time(), 3), "node": self._node, "event": event} | fields
+        line: dict[str, Any] = {"at": round(time.time(), 3), "node": self._node, "event": event}
+        if level := LEVELS.get(event):
+            line["level"] = level
+        line |= fields
         self._write(self._encoder.encode(line) + b"\n")
 
 
--- /dev/null
+++ b/src/robinthread/_internal/telemetry/levels.py
@@ -0,0 +1,62 @@
+"""How much a line matters to who reads only some: a failure, a change, or routine."""
+
+from typing import Final
+
+WARNING: Final = "warning"
+CHANGE: Final = "change"
+
+# Something failed, or a bound that must hold does not.
+_WARNINGS: Final = (
+    "end_forced",
+    "host_lapsed",
+    "host_lost",
+    "job_failed",
+    "journal_stalled",
+    "lines_lost",
+    "machines_unread",
+    "membership_lost",
+    "owner_missing",
+    "pool_open_failed",
+    "pool_opening_slow",
+    "record_malformed",
+    "records_unreadable",
+    "release_failed",
+    "request_refused",
+    "request_unknown",
+    "run_failed",
+    "settings_rejected",
+    "steward_failed",
+    "stop_part_undone",
+    "store_lost",
+    "store_unread",
+    "take_failed",
+    "task_failed",
+    "unready",
+    "wave_over_bound",
+)
+# Who owns what, what is in force, and what is ordered for the machines.
+_CHANGES: Final = (
+    "config_in_force",
+    "fleet_taken",
+    "machine_ordered",
+    "pool_closed",
+    "pool_fenced",
+    "pool_opened",
+    "pool_relieved",
+    "pool_taken",
+    "pools_passed_on",
+    "ready",
+    "settings_reloaded",
+    "started",
+    "steward_began",
+    "steward_ended",
+    "steward_fenced",
+    "stopped",
+    "stopping",
+    "upkeep_answered",
+    "upkeep_begins",
+    "upkeep_over",
+    "wave_asked_for",
+    "wave_shown",
+)
+LEVELS: Final = dict.fromkeys(_WARNINGS, WARNING) | dict.fromkeys(_CHANGES, CHANGE)
--- a/src/robinthread/_internal/timeline/log_line.py
+++ b/src/robinthread/_internal/timeline/log_line.py
@@ -8,7 +8,7 @@
 import msgspec
 
 # What a line has beside the fields of its event.
-ENVELOPE: Final = frozenset({"at", "node", "event"})
+ENVELOPE: Final = frozenset({"at", "node", "event", "level"})
 
 
 @dataclass(frozen=True, slots=True)
