Failing tests: a machine counts as back by the list of machines alone

Cause: the count of what is down rests on the list's state and on the steward's own orders, the latter until the next list. The stand-in now judges each wave by its own truth in every test (a machine is down until its host is back), and can show machines early and lists late.

--- a/src/robinthread/_internal/standins/machines_standin.py
+++ b/src/robinthread/_internal/standins/machines_standin.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import itertools
+from collections import deque
 from dataclasses import dataclass
 from typing import Final, Protocol
 
@@ -19,6 +20,7 @@
     CallRefusedError,
     CallUnansweredError,
 )
+from robinthread._internal.standins.wave_ledger import WaveLedger
 
 MOVE_S: Final = 1.5
 UPKEEP_S: Final = 2.0
@@ -49,14 +51,21 @@
 
 
 class MachinesStandin:
-    """Machines by name; ``reserve`` is the pool whose machines are off."""
+    """Machines by name; ``reserve`` is the pool whose machines are off.
+
+    A machine's host comes ``host_late_s`` after its move or upkeep should be over; the list
+    shows the machine as ``shown_early`` until then.
+    """
 
     def __init__(self, reserve: str, lives: LifeKeeper, seed: int = 1) -> None:
         self.faults = CallFaults(seed, LATENCY_S)
         self.machines: dict[str, _MachineRecord] = {}
-        self.upkeep_begun: dict[int, set[str]] = {}
-        self.down_peak: dict[int, int] = {}
+        self.waves = WaveLedger()
+        self.host_late_s = 0.0
+        self.shown_early = MachineState.UP
+        self._list_lag_s = 0.0
         self.move_count = 0
+        self._lists: deque[tuple[float, tuple[Machine, ...]]] = deque()
         self._reserve = reserve
         self._lives = lives
         self._names = itertools.count()
@@ -92,14 +101,45 @@
     def begin_upkeep(self, machine: str, wave: int, holder: str, token: int) -> None:
         """Begin a machine's upkeep."""
         record = self._check(machine, holder, token)
-        begun = self.upkeep_begun.setdefault(wave, set())
-        if machine in begun:
+        if self.waves.has_begun(machine, wave):
             return
         self._check_up(record)
-        begun.add(machine)
+        self.waves.note_begun(machine, wave, holder)
         self._go_down(record, MachineState.UPKEEP, UPKEEP_S)
-        down = sum(self.machines[name].state is MachineState.UPKEEP for name in begun)
-        self.down_peak[wave] = max(down, self.down_peak.get(wave, 0))
+
+    def delay_lists(self, lag_s: float) -> None:
+        """Have lists show the machines as they were ``lag_s`` ago."""
+        self._list_lag_s = lag_s
+        self._note_changed()
+
+    def list_machines(self) -> tuple[Machine, ...]:
+        """Return the machines as the list shows them now."""
+        if not self._list_lag_s:
+            return self._make_list()
+        shown_s = asyncio.get_running_loop().time() - self._list_lag_s
+        while len(self._lists) > 1 and self._lists[1][0] <= shown_s:
+            self._lists.popleft()
+        return self._lists[0][1]
+
+    def _make_list(self) -> tuple[Machine, ...]:
+        return tuple(
+            Machine(
+                record.name,
+                record.pool,
+                record.state,
+                "",
+                record.rack,
+                "",
+                record.room,
+                record.host_id,
+            )
+            for record in self.machines.values()
+        )
+
+    def _note_changed(self) -> None:
+        """Keep the list as it is from now on, for those that are told later."""
+        if self._list_lag_s:
+            self._lists.append((asyncio.get_running_loop().time(), self._make_list()))
 
     def _check(self, machine: str, holder: str, token: int) -> _MachineRecord:
         record = self.machines.get(machine)
@@ -118,12 +158,23 @@
         if record.host_id:
             self._lives.end(record.host_id)
         record.host_id, record.state = "", state
-        asyncio.get_running_loop().call_later(for_s, self._come_up, record)
+        self._note_changed()
+        has_host = record.pool != self._reserve
+        come = self._show_early if has_host and self.host_late_s else self._come_up
+        asyncio.get_running_loop().call_later(for_s, come, record)
+
+    def _show_early(self, record: _MachineRecord) -> None:
+        """Show a machine before its host has come."""
+        record.state = self.shown_early
+        self._note_changed()
+        asyncio.get_running_loop().call_later(self.host_late_s, self._come_up, record)
 
     def _come_up(self, record: _MachineRecord) -> None:
         record.state = MachineState.UP
         if record.pool != self._reserve:
             record.host_id = self._lives.begin(record.name, record.pool, record.rack, record.room)
+        self.waves.note_back(record.name)
+        self._note_changed()
 
 
 class MachinesClient:
@@ -135,23 +186,7 @@
 
     async def list_machines(self) -> tuple[Machine, ...]:
         """List all machines."""
-
-        def work() -> tuple[Machine, ...]:
-            return tuple(
-                Machine(
-                    record.name,
-                    record.pool,
-                    record.state,
-                    "",
-                    record.rack,
-                    "",
-                    record.room,
-                    record.host_id,
-                )
-                for record in self._standin.machines.values()
-            )
-
-        return await self._call(work, is_change=False)
+        return await self._call(self._standin.list_machines, is_change=False)
 
     async def move(self, machine: str, pool: str, holder: str, token: int) -> None:
         """Move a machine to a pool."""
--- a/src/robinthread/_internal/standins/platform_standin.py
+++ b/src/robinthread/_internal/standins/platform_standin.py
@@ -220,7 +220,8 @@
         self.store.put(OPERATORS, CONFIG_KEY, value)
 
     def ask_for_wave(self, wave: UpkeepWave) -> None:
-        """Ask for a maintenance wave."""
+        """Ask for a maintenance wave, whose bound is judged from now on."""
+        self.machines.waves.ask_for(wave)
         self.store.put(OPERATORS, f"{WAVE_PREFIX}{wave.number}", msgspec.msgpack.encode(wave))
 
     def list_host(self, record: UpstreamHost) -> None:
--- a/tests/functional/test_late_upkeep_orders.py
+++ b/tests/functional/test_late_upkeep_orders.py
@@ -49,7 +49,7 @@
     platform.kill_node(_get_steward(platform) or "")
     faults.lost_share = 0.0
     await asyncio.sleep(40)
-    return platform.machines.down_peak[WAVE], len(platform.machines.upkeep_begun[WAVE])
+    return platform.machines.waves.down_peak[WAVE], len(platform.machines.waves.begun[WAVE])
 
 
 async def _refuse_repeats() -> tuple[int, int]:
@@ -64,7 +64,7 @@
     faults.refused.clear()
     # The orders that were turned away would come again 1 s later: others are free until then.
     await asyncio.sleep(40)
-    return platform.machines.down_peak[WAVE], len(platform.machines.upkeep_begun[WAVE])
+    return platform.machines.waves.down_peak[WAVE], len(platform.machines.waves.begun[WAVE])
 
 
 class LateUpkeepOrdersTest(TestCase):
--- a/tests/functional/test_steward_lost_in_wave.py
+++ b/tests/functional/test_steward_lost_in_wave.py
@@ -50,7 +50,7 @@
     assert _get_steward(platform) != get_owner(platform)
     machine = platform.machines.machines["m-0"]
     platform.ask_for_wave(UpkeepWave(WAVE, (machine.name,), 60, 1))
-    await wait_until(lambda: bool(platform.machines.upkeep_begun.get(WAVE)))
+    await wait_until(lambda: bool(platform.machines.waves.begun.get(WAVE)))
     await wait_until(lambda: machine.state is MachineState.UP)
     await asyncio.sleep(COMES_UP_S)
     await hand_in(platform, get_owner(platform) or "", make_job(7, SPREAD))
--- a/tests/lib/virtual.py
+++ b/tests/lib/virtual.py
@@ -6,19 +6,39 @@
 
 import looptime
 
+from robinthread._internal.standins.wave_ledger import WaveBoundError
+
 T = TypeVar("T")
 
 VIRTUAL_LIMIT_S = 100_000
 
 
 def run_virtual(work: Coroutine[Any, Any, T]) -> T:
-    """Run ``work`` on a loop whose sleeps take no time; the same on every run."""
+    """Run ``work`` on a loop whose sleeps take no time; the same on every run.
+
+    Fails where a maintenance wave went over its bound meanwhile, whatever ``work`` looks at.
+    """
     loop = looptime.new_event_loop(start=0.0, end=VIRTUAL_LIMIT_S, noop_cycles=0)
+    broken: list[WaveBoundError] = []
+    loop.set_exception_handler(lambda loop, context: _take_error(loop, context, broken))
     try:
-        return loop.run_until_complete(work)
+        result = loop.run_until_complete(work)
     finally:
         _cancel_all(loop)
         loop.close()
+    if broken:
+        raise broken[0]
+    return result
+
+
+def _take_error(
+    loop: asyncio.AbstractEventLoop, context: dict[str, Any], broken: list[WaveBoundError]
+) -> None:
+    error = context.get("exception")
+    if isinstance(error, WaveBoundError):
+        broken.append(error)
+    else:
+        loop.default_exception_handler(context)
 
 
 def stall_loop(stall_s: float) -> None:
