A machine counts as back from its upkeep when its host is back, not when the list says so

Cause: WaveKeeper counted a machine as down while the list showed it in upkeep or its order was under way, and an order was under way until the next list. Three things were taken for its return that are none: up without a host, any other state, a list that is of an earlier moment. Ruled out: that orders cover it, for they end with the first list after the answer. What an earlier steward ordered for one wave counts in the machine's other waves, and is settled by an upkeep of this steward's alone. Before: 2 of 1 allowed down with hosts 1 s late (up, down or moving meanwhile), and with a list 0.5 s late.

--- a/src/robinthread/_internal/fleet/fleet_view.py
+++ b/src/robinthread/_internal/fleet/fleet_view.py
@@ -11,12 +11,13 @@
 class WaveView:
     """A maintenance wave: what is left of it and how many may begin now.
 
-    ``pending`` are the machines whose upkeep has not begun, ``down`` those that are down.  Of
-    the pending ones, an earlier steward ordered the ``unsettled``: they count as down, and may
-    be ordered all the same, which settles them.
+    Of its ``machines``, ``pending`` are those whose upkeep has not begun, and ``down`` those that
+    are down or may be.  Of the pending ones, an earlier steward ordered the ``unsettled``: they
+    count as down, and may be ordered all the same, which settles them.
     """
 
     number: int
+    machines: frozenset[str]
     pending: frozenset[str]
     at_once_max: int
     down: frozenset[str]
--- a/src/robinthread/_internal/node/machine_orders.py
+++ b/src/robinthread/_internal/node/machine_orders.py
@@ -109,6 +109,7 @@
             for machine, target in self._targets.items()
             if target.wave and not self._waves.has_begun(target.wave, machine)
         }
+        self._waves.note_ordered_before(self._targets)
         self.unsettled.load(open_upkeep, is_author_ended=self._wait_s == 0)
 
     def list_held(self) -> frozenset[str]:
@@ -135,10 +136,6 @@
             return self._waves.has_begun(target.wave, machine.name)
         return machine.pool == target.pool
 
-    def list_unsettled(self, wave: int) -> frozenset[str]:
-        """Return the machines whose upkeep for a wave an earlier steward's order may yet begin."""
-        return self.unsettled.list_for_wave(wave) - self.under_way.keys()
-
     def note_listed(self, asked_at_s: float) -> None:
         """Note that all orders done before a list was asked for show in it."""
         for name in [name for name, done_s in self._done_at_s.items() if done_s < asked_at_s]:
@@ -155,7 +152,7 @@
     def drop_settled(self) -> None:
         """Have the record emptied if all that it names was ordered long ago."""
         last_s = max(self._ordered_at_s.values(), default=-math.inf)
-        is_open = self.under_way or self.unsettled.list_machines()
+        is_open = self.under_way or self.unsettled.get_waves()
         is_settled = not is_open and get_loop_s() - last_s >= self._settle_s
         if self._recorded and is_settled:
             self._recorded = {}
@@ -185,7 +182,7 @@
         }
         self._targets |= {order.machine: _get_target(order) for order in orders}
         given = (order.machine for order in orders)
-        unsettled = self.unsettled.list_machines()
+        unsettled = self.unsettled.get_waves()
         names = {*given, *self.under_way, *self._ordered_at_s, *unsettled}
         recent = {name: self._targets[name] for name in names}
         if not recent.items() <= self._recorded.items():
@@ -243,10 +240,10 @@
 
     async def _note_done(self, order: Order) -> None:
         self._done_at_s[order.machine] = get_loop_s()
-        self.unsettled.settle(order.machine)
         if isinstance(order, MoveOrder):
             self.moved[order.machine] = (get_loop_s(), order.pool)
         else:
+            self.unsettled.settle(order.machine)
             await self._waves.note_begun(order.wave, order.machine)
 
     def _pause(self, order: Order, outcome: str, error: str = "") -> None:
--- a/src/robinthread/_internal/node/steward.py
+++ b/src/robinthread/_internal/node/steward.py
@@ -91,7 +91,11 @@
         self._lines = UpkeepLines(context.events)
         self.fenced = asyncio.Event()
         self._waves = WaveKeeper(
-            self._wave_journal, self._status_journal, self._records, self._events
+            self._wave_journal,
+            self._status_journal,
+            self._records,
+            self._events,
+            context.settings.bounds.machine_upkeep_s,
         )
         self._orders = MachineOrders(
             environment.machines,
@@ -137,7 +141,7 @@
             "steward_began",
             token=self.token,
             ordered_before=sorted(self._orders.ordered_before)[:NAMES_MAX],
-            unsettled=sorted(self._orders.unsettled.list_machines())[:NAMES_MAX],
+            unsettled=sorted(self._orders.unsettled.get_waves())[:NAMES_MAX],
             waves={wave.number: self._waves.count_begun(wave.number) for wave in waves},
         )
 
@@ -252,10 +256,18 @@
         if self._context.policy.fleet.avoids_silent_halls:
             silent_halls = find_silent_halls(reports.values(), self._known)
         reserves = [pool.name for pool in config.pools.values() if pool.is_reserve]
+        pools = tuple(
+            self._make_pool_view(pool, report, silent_halls) for pool, report in reports.items()
+        )
+
+        def is_coming(machine: Machine) -> bool:
+            # The reserve's machines have no hosts.
+            is_hosting = machine.pool not in reserves
+            return is_hosting and self._newcomers.is_newcomer(machine, get_loop_s())
+
+        self._waves.note_seen(self._known, is_coming)
         return FleetView(
-            pools=tuple(
-                self._make_pool_view(pool, report, silent_halls) for pool, report in reports.items()
-            ),
+            pools=pools,
             reserve_pool=reserves[0] if reserves else "",
             reserve=tuple(
                 machine
@@ -270,7 +282,7 @@
                     self._context.config_holder.wave_seen_at_s[wave.number],
                     self._known,
                     self._orders.under_way,
-                    self._orders.list_unsettled(wave.number),
+                    self._orders.unsettled.get_waves(),
                 )
                 for wave in self._get_waves()
                 if self._waves.get_pending(wave, self._known)
--- a/src/robinthread/_internal/node/unsettled_upkeep.py
+++ b/src/robinthread/_internal/node/unsettled_upkeep.py
@@ -20,9 +20,9 @@
 
     Each counts as down: with orders carried out 5 s late, a wave that allows 2 machines had 4
     down as its steward was replaced.  An order is settled once the machine's upkeep is known to
-    have begun, or once this steward has ordered the machine, which shuts the earlier one out
-    there.  Those of a steward that has ended are settled after ``ORDER_LATE_MAX_S`` as well; one
-    that may be frozen can send its orders for ``AUTHOR_FROZEN_MAX_S`` longer.
+    have begun, or once this steward has ordered the same.  Those of a steward that has ended are
+    settled after ``ORDER_LATE_MAX_S`` as well; one that may be frozen can send its orders for
+    ``AUTHOR_FROZEN_MAX_S`` longer.
     """
 
     def __init__(self) -> None:
@@ -47,13 +47,8 @@
             if machine in machines and machines[machine].state is not MachineState.UPKEEP
         }
 
-    def list_machines(self) -> frozenset[str]:
-        """Return the machines of all waves."""
+    def get_waves(self) -> Mapping[str, int]:
+        """Return the machines, and the wave of each."""
         if get_loop_s() >= self._until_s:
             self._wave_by_machine = {}
-        return frozenset(self._wave_by_machine)
-
-    def list_for_wave(self, wave: int) -> frozenset[str]:
-        """Return the machines of a wave."""
-        machines = self.list_machines()
-        return frozenset(name for name in machines if self._wave_by_machine[name] == wave)
+        return self._wave_by_machine
--- /dev/null
+++ b/src/robinthread/_internal/node/upkeep_returns.py
@@ -0,0 +1,85 @@
+"""Machines whose upkeep has begun, until they are back."""
+
+from collections.abc import Callable, Iterable, Mapping
+from dataclasses import dataclass
+from typing import Final
+
+from robinthread._internal.models.machine import Machine, MachineState
+from robinthread._internal.node.pool_runtime import get_loop_s
+
+# A machine that is not back so long after its upkeep should be over is lost, and its wave goes on
+# without it.  Hosts take some seconds to start where their machines are busy; a wave may have
+# 25 s for several rounds.
+BACK_LATE_MAX_S: Final = 10.0
+
+
+@dataclass(frozen=True, slots=True)
+class _Stay:
+    """Since when a machine is down, and until when at least; which host it was before.
+
+    The host is "" where it is not known.
+    """
+
+    since_s: float
+    until_s: float
+    former_host_id: str = ""
+
+
+class UpkeepReturns:
+    """Tells which machines are not back yet from their upkeep, of whatever wave.
+
+    The list of machines alone does not tell.  It may show a machine as up before its host has
+    come, in another state than upkeep until then, or as it was before the order: with hosts 1 s
+    late, or a list 0.5 s late, a wave that allows one machine had two down.  So a machine stays
+    down for ``upkeep_s`` after its order was answered, and from then on until the list shows it up
+    as another host than before, one that its pool's owner names.
+    """
+
+    def __init__(self, upkeep_s: float) -> None:
+        self._upkeep_s = upkeep_s
+        self._stays: dict[str, _Stay] = {}
+        self._host_ids: dict[str, str] = {}
+        self._is_seen = False
+
+    def note_begun(self, machine: str) -> None:
+        """Note that a machine's upkeep has begun, now at the latest."""
+        now_s = get_loop_s()
+        former = self._host_ids.get(machine, "")
+        self._stays[machine] = _Stay(now_s, now_s + self._upkeep_s, former)
+
+    def note_seen(
+        self,
+        machines: Mapping[str, Machine],
+        is_coming: Callable[[Machine], bool],
+        begun: frozenset[str],
+    ) -> None:
+        """Take in the machines as listed last; ``is_coming`` tells whose host is not heard of yet.
+
+        What is in upkeep has begun, by whoever's order.  What had ``begun`` under an earlier
+        steward and is not up when machines are first seen may not be back since.
+        """
+        now_s = get_loop_s()
+        for name, machine in machines.items():
+            is_left = not self._is_seen and name in begun and machine.state is not MachineState.UP
+            if machine.state is MachineState.UPKEEP or is_left:
+                self._stays.setdefault(name, _Stay(now_s, now_s))
+        self._is_seen = True
+        self._host_ids = {name: machine.host_id for name, machine in machines.items()}
+        self._stays = {
+            name: stay
+            for name, stay in self._stays.items()
+            if name in machines and not self._is_back(machines[name], stay, is_coming)
+        }
+
+    def list_down(self, machines: Iterable[str]) -> frozenset[str]:
+        """Return those of some machines that are not back."""
+        return frozenset(name for name in machines if name in self._stays)
+
+    def _is_back(self, machine: Machine, stay: _Stay, is_coming: Callable[[Machine], bool]) -> bool:
+        now_s = get_loop_s()
+        if now_s < stay.until_s or machine.state is MachineState.UPKEEP:
+            return False
+        if now_s >= stay.since_s + self._upkeep_s + BACK_LATE_MAX_S:
+            return True
+        is_former = machine.host_id != "" and machine.host_id == stay.former_host_id
+        return machine.state is MachineState.UP and not is_former and not is_coming(machine)
--- a/src/robinthread/_internal/node/wave_keeper.py
+++ b/src/robinthread/_internal/node/wave_keeper.py
@@ -1,6 +1,6 @@
 """How far each maintenance wave has come."""
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 
 import msgspec
 
@@ -8,15 +8,19 @@
 from robinthread._internal.durable.store import KeyedRecord
 from robinthread._internal.durable.wave_records import make_wave_record, parse_wave_record
 from robinthread._internal.fleet.fleet_view import UpkeepOrder, WaveView
-from robinthread._internal.models.machine import Machine, MachineState
+from robinthread._internal.models.machine import Machine
 from robinthread._internal.models.upkeep_wave import UpkeepWave
 from robinthread._internal.node.environment import PlatformRecords
 from robinthread._internal.node.pool_runtime import get_loop_s
+from robinthread._internal.node.upkeep_returns import UpkeepReturns
 from robinthread._internal.telemetry.event_log import EventLog
 
 
 class WaveKeeper:
-    """Which machines of each wave have begun their upkeep, and what is shown of it."""
+    """Which machines of each wave have begun their upkeep and are not back; what is shown of it.
+
+    An upkeep takes a machine ``upkeep_s``.
+    """
 
     def __init__(
         self,
@@ -24,12 +28,14 @@
         status_journal: Journal,
         records: PlatformRecords,
         events: EventLog,
+        upkeep_s: float,
     ) -> None:
         self._journal = journal
         self._status_journal = status_journal
         self._records = records
         self._events = events
         self._begun: dict[int, set[str]] = {}
+        self._returns = UpkeepReturns(upkeep_s)
         self._shown: dict[int, bool] = {}
 
     def load(self, records: Iterable[KeyedRecord]) -> None:
@@ -44,10 +50,28 @@
 
     async def note_begun(self, wave: int, machine: str) -> None:
         """Record that a machine's upkeep has begun."""
+        self._returns.note_begun(machine)
         begun = self._begun.setdefault(wave, set())
         begun.add(machine)
         await self._journal.write([make_wave_record(wave, begun)])
 
+    def note_ordered_before(self, machines: Iterable[str]) -> None:
+        """Note which machines an earlier steward may have just ordered, by its record."""
+        for machine in self._list_begun(machines):
+            self._returns.note_begun(machine)
+
+    def note_seen(
+        self, machines: Mapping[str, Machine], is_coming: Callable[[Machine], bool]
+    ) -> None:
+        """Take in the machines as listed last.
+
+        ``is_coming`` tells whether a machine's host is not heard of yet.
+        """
+        self._returns.note_seen(machines, is_coming, self._list_begun(machines))
+
+    def _list_begun(self, machines: Iterable[str]) -> frozenset[str]:
+        return frozenset(machines) & frozenset().union(*self._begun.values())
+
     def has_begun(self, wave: int, machine: str) -> bool:
         """Tell whether a machine's upkeep for a wave has begun."""
         return machine in self._begun.get(wave, ())
@@ -67,24 +91,31 @@
         seen_at_s: float,
         machines: dict[str, Machine],
         under_way: Mapping[str, object],
-        unsettled: frozenset[str],
+        unsettled: Mapping[str, int],
     ) -> WaveView:
         """Return a wave, first seen at ``seen_at_s``, as the planner sees it.
 
-        The upkeep of ``unsettled`` machines may begin without any order of this steward.
+        The upkeep of ``unsettled`` machines, each for a wave, may begin without any order of
+        this steward, also while it has one moved.
         """
-        down = frozenset(
-            name
-            for name in wave.machines
-            if name in machines
-            and (
-                machines[name].state is MachineState.UPKEEP
-                or isinstance(under_way.get(name), UpkeepOrder)
-            )
-        )
-        left_s = seen_at_s + wave.duration_s - get_loop_s()
+        members = frozenset(wave.machines) & machines.keys()
         pending = self.get_pending(wave, machines)
-        return WaveView(wave.number, pending, wave.at_once_max, down, left_s, unsettled & pending)
+        ordered = {name for name in members if isinstance(under_way.get(name), UpkeepOrder)}
+        doubtful = {
+            name for name in members & unsettled.keys() if not self.has_begun(unsettled[name], name)
+        }
+        own = frozenset(
+            name for name in doubtful - under_way.keys() if unsettled[name] == wave.number
+        )
+        return WaveView(
+            number=wave.number,
+            machines=members,
+            pending=pending,
+            at_once_max=wave.at_once_max,
+            down=self._returns.list_down(members) | ordered | (doubtful - own),
+            left_s=seen_at_s + wave.duration_s - get_loop_s(),
+            unsettled=own,
+        )
 
     async def show(self, waves: Iterable[UpkeepWave], machines: dict[str, Machine]) -> None:
         """Write the status of each wave where it has changed."""
--- a/tests/unit/test_fleet_planner.py
+++ b/tests/unit/test_fleet_planner.py
@@ -232,7 +232,7 @@
         self.assertEqual(PoolSize(2, 2, 0), plan.sizes["p"])
 
     def test_what_would_be_late_is_kept_up_all_the_same(self) -> None:
-        wave = WaveView(1, frozenset("a"), 2, frozenset(), left_s=5.0)
+        wave = WaveView(1, frozenset("a"), frozenset("a"), 2, frozenset(), left_s=5.0)
         view = make_view(mark_hosts(make_pool("p", "abcd", 0), needed="a"), waves=(wave,))
         self.assertIn("a", FleetPlanner(ALL).plan(view, 0.0).vacate["p"])
 
@@ -284,7 +284,7 @@
 
 
 class UpkeepTest(TestCase):
-    wave = WaveView(1, frozenset("xy"), 2, frozenset(), left_s=100.0)
+    wave = WaveView(1, frozenset("xy"), frozenset("xy"), 2, frozenset(), left_s=100.0)
 
     def test_machine_that_is_due_is_kept_up_before_a_pool_may_take_it(self) -> None:
         view = make_view(make_pool("hot", "ab", 160), reserve="xyz", waves=(self.wave,))
@@ -301,7 +301,9 @@
 
     def test_reserve_and_pools_share_what_may_be_down(self) -> None:
         for at_once_max, down, expected in ((1, "", 1), (2, "z", 1), (3, "", 3), (2, "cz", 0)):
-            wave = WaveView(1, frozenset("abxy"), at_once_max, frozenset(down), left_s=5.0)
+            wave = WaveView(
+                1, frozenset("abxy"), frozenset("abxy"), at_once_max, frozenset(down), left_s=5.0
+            )
             view = make_view(make_pool("calm", "abcd", 0), reserve="xy", waves=(wave,))
             orders = plan_twice(ALL, view).orders
             self.assertEqual(expected, sum(isinstance(order, UpkeepOrder) for order in orders))
@@ -312,14 +314,14 @@
         self.assertEqual({"x", "y"}, {o.machine for o in orders if isinstance(o, MoveOrder)})
 
     def test_what_would_be_late_is_emptied_though_nothing_replaces_it(self) -> None:
-        wave = WaveView(1, frozenset("a"), 2, frozenset(), left_s=5.0)
+        wave = WaveView(1, frozenset("a"), frozenset("a"), 2, frozenset(), left_s=5.0)
         view = make_view(make_pool("hot", "ab", 160, busy="ab"), waves=(wave,))
         self.assertEqual(frozenset("a"), FleetPlanner(ALL).plan(view, 0.0).vacate["hot"])
         off = FleetPlanner(FleetPolicy(upkeep_first=False))
         self.assertEqual(frozenset(), off.plan(view, 0.0).vacate["hot"])
 
     def test_what_would_be_late_is_kept_up_where_it_is(self) -> None:
-        wave = WaveView(1, frozenset("a"), 2, frozenset(), left_s=5.0)
+        wave = WaveView(1, frozenset("a"), frozenset("a"), 2, frozenset(), left_s=5.0)
         view = make_view(make_pool("calm", "abcd", 0), waves=(wave,))
         self.assertIn(UpkeepOrder("a", 1), plan_twice(ALL, view).orders)
 
--- a/tests/unit/test_machine_orders.py
+++ b/tests/unit/test_machine_orders.py
@@ -38,7 +38,7 @@
     return MachineOrders(
         platform.machines.connect("n"),
         journal,
-        WaveKeeper(journal, journal, RECORDS, events),
+        WaveKeeper(journal, journal, RECORDS, events, BOUNDS.machine_upkeep_s),
         events,
         f"n/{token}",
         token,
@@ -237,7 +237,7 @@
     def test_upkeep_that_has_begun_is_settled_and_its_record_is_emptied(self) -> None:
         async def work() -> None:
             orders, _machine = await self._replace(begun=True)
-            self.assertEqual(frozenset(), orders.list_unsettled(1))
+            self.assertEqual({}, orders.unsettled.get_waves())
             await asyncio.sleep(SETTLE_S)
             orders.drop_settled()
             await asyncio.sleep(0.1)
@@ -248,19 +248,18 @@
     def test_other_upkeep_counts_until_it_is_ordered_shown_or_long_ago(self) -> None:
         async def work() -> None:
             orders, machine = await self._replace(begun=False)
-            self.assertEqual({machine}, orders.list_unsettled(1))
-            self.assertEqual(frozenset(), orders.list_unsettled(2))
+            self.assertEqual({machine: 1}, orders.unsettled.get_waves())
             listed = Machine(machine, RESERVE, MachineState.UP, "", "", "", ROOM, "")
             orders.unsettled.note_listed({machine: listed})
-            self.assertEqual({machine}, orders.list_unsettled(1))
+            self.assertEqual({machine: 1}, orders.unsettled.get_waves())
             orders.unsettled.note_listed({machine: replace(listed, state=MachineState.UPKEEP)})
-            self.assertEqual(frozenset(), orders.list_unsettled(1))
+            self.assertEqual({}, orders.unsettled.get_waves())
             for wait_s, left_s in ((0.0, 0.0), (TURN_S, AUTHOR_FROZEN_MAX_S)):
                 self.platform = PlatformStandin(plan_second)
                 orders, machine = await self._replace(begun=False, wait_s=wait_s)
                 await asyncio.sleep(ORDER_LATE_MAX_S - 1)
-                self.assertEqual({machine}, orders.list_unsettled(1))
+                self.assertEqual({machine: 1}, orders.unsettled.get_waves())
                 await asyncio.sleep(left_s + 2)
-                self.assertEqual(frozenset(), orders.list_unsettled(1))
+                self.assertEqual({}, orders.unsettled.get_waves())
 
         run_virtual(work())
