Failing tests: a machine in two waves, and a wave asked for again with a lower bound

Cause: the planner counts a place down for the order's wave alone within one step, and orders what is unsettled without a bound. 2 tests of the planner fail: x for wave 1 and z for wave 2 in one step, which allows one of x and z; 2 settled where 1 may be down.

--- a/tests/unit/test_fleet_planner.py
+++ b/tests/unit/test_fleet_planner.py
@@ -308,6 +308,21 @@
             orders = plan_twice(ALL, view).orders
             self.assertEqual(expected, sum(isinstance(order, UpkeepOrder) for order in orders))
 
+    def test_machine_of_two_waves_takes_a_place_in_each(self) -> None:
+        """One step began x for the first wave and z for the second, which allows one of x and z."""
+        first = WaveView(1, frozenset("xy"), frozenset("x"), 2, frozenset(), left_s=100.0)
+        second = WaveView(2, frozenset("xz"), frozenset("z"), 1, frozenset(), left_s=100.0)
+        view = make_view(make_pool("hot", "ab", 160), reserve="xz", waves=(first, second))
+        orders = FleetPlanner(ALL).plan(view, 0.0).orders
+        self.assertEqual([UpkeepOrder("x", 1)], [o for o in orders if isinstance(o, UpkeepOrder)])
+
+    def test_no_more_are_settled_than_may_be_down(self) -> None:
+        """The operators asked for the wave again, with one machine at once in place of two."""
+        wave = replace(self.wave, at_once_max=1, unsettled=frozenset("xy"))
+        view = make_view(make_pool("hot", "ab", 160), reserve="xy", waves=(wave,))
+        orders = FleetPlanner(ALL).plan(view, 0.0).orders
+        self.assertEqual([UpkeepOrder("x", 1)], [o for o in orders if isinstance(o, UpkeepOrder)])
+
     def test_switched_off_the_pool_takes_it_first(self) -> None:
         view = make_view(make_pool("hot", "ab", 160), reserve="xy", waves=(self.wave,))
         orders = FleetPlanner(FleetPolicy(upkeep_first=False)).plan(view, 0.0).orders
