A machine takes a place in every wave that it is in, and what is settled keeps to the bound

Cause: places were counted down by wave number in three spots of the planner. Change: one object gives places away in a plan (fleet/wave_places.py): in each wave of the machine, once, to the reserve, to pools and to what an earlier steward may have begun.

--- a/src/robinthread/_internal/fleet/planner.py
+++ b/src/robinthread/_internal/fleet/planner.py
@@ -28,6 +28,7 @@
     get_host_ranks,
     get_pool_size,
 )
+from robinthread._internal.fleet.wave_places import WavePlaces
 from robinthread._internal.models.machine import Machine
 from robinthread._internal.models.resources import NO_RESOURCES, Resources
 from robinthread._internal.settings.policy_settings import FleetPolicy
@@ -57,11 +58,11 @@
         wanted = {pool.name: get_pool_size(pool.report, room) for pool in view.pools}
         sizes = self._share(view, wanted, room)
         reserve = Reserve(view, pending)
-        slots = {wave.number: wave.free_slots for wave in view.waves}
+        places = WavePlaces(view.waves)
         orders: list[MoveOrder | UpkeepOrder] = []
         if self._policy.upkeep_first:
             # A machine that a pool takes unkept may not pass through the reserve in time again.
-            orders += _order_upkeep(view, reserve, slots)
+            orders += _order_upkeep(view, reserve, places)
         self._is_short = any(
             _count_lacking(
                 view, pool, sizes[pool.name], self._vacating.get(pool.name, frozenset()), room
@@ -82,9 +83,9 @@
             orders += [MoveOrder(machine, pool.name) for machine in taken]
             lack = _count_lacking(view, pool, size, vacating, room)
             lacks[pool.name] = max(0, lack - len(taken))
-        orders += self._order_emptied(view, sizes, slots, lacks)
+        orders += self._order_emptied(view, sizes, places, lacks)
         if not self._policy.upkeep_first:
-            orders += _order_upkeep(view, reserve, slots)
+            orders += _order_upkeep(view, reserve, places)
         return FleetPlan(tuple(orders), self._vacating, wanted, sizes)
 
     def _share(
@@ -176,14 +177,14 @@
         self,
         view: FleetView,
         sizes: dict[str, PoolSize],
-        slots: dict[int, int],
+        places: WavePlaces,
         lacks: Counter[str],
     ) -> list[MoveOrder | UpkeepOrder]:
         """Order the machines that have been emptied: to another pool, the reserve, or upkeep.
 
         Where the pool can do without a machine its upkeep is done in the reserve,
-        which costs nothing.  ``slots`` counts, by wave, the machines that may
-        still begin, ``lacks`` those that each pool lacks; both are counted down.
+        which costs nothing.  ``lacks`` counts the machines that each pool lacks, down with
+        each order.
         """
         orders: list[MoveOrder | UpkeepOrder] = []
         for pool in view.pools:
@@ -198,10 +199,7 @@
                 if view.reserve_pool and may_leave:
                     target = view.reserve_pool if wave else self._choose_target(view, pool, lacks)
                     orders.append(MoveOrder(host.machine, target))
-                elif wave is not None and host.machine in wave.unsettled:
-                    orders.append(UpkeepOrder(host.machine, wave.number))
-                elif wave is not None and slots[wave.number] > 0:
-                    slots[wave.number] -= 1
+                elif wave is not None and places.take(host.machine):
                     orders.append(UpkeepOrder(host.machine, wave.number))
         return orders
 
@@ -224,17 +222,12 @@
     )
 
 
-def _order_upkeep(
-    view: FleetView, reserve: Reserve, slots: dict[int, int]
-) -> Iterable[UpkeepOrder]:
-    """Order the reserve's machines that are due; ``slots`` is counted down."""
+def _order_upkeep(view: FleetView, reserve: Reserve, places: WavePlaces) -> Iterable[UpkeepOrder]:
+    """Order the reserve's machines that are due, those first that may have begun."""
     for wave in view.waves:
-        settling = reserve.take_due(wave.unsettled, len(wave.unsettled))
-        beginning = reserve.take_due(wave.pending - wave.unsettled, slots[wave.number])
-        # What a pool has emptied shares the wave's places with the reserve.
-        slots[wave.number] -= len(beginning)
-        for machine in (*settling, *beginning):
-            yield UpkeepOrder(machine, wave.number)
+        for due in (wave.unsettled, wave.pending - wave.unsettled):
+            for machine in reserve.take_due(due, places.take):
+                yield UpkeepOrder(machine, wave.number)
 
 
 def _count_serving(pool: PoolView, vacating: frozenset[str], ordered: frozenset[str]) -> int:
--- a/src/robinthread/_internal/fleet/reserve.py
+++ b/src/robinthread/_internal/fleet/reserve.py
@@ -29,9 +29,9 @@
         """Take up to ``count`` machines."""
         return self._take(lambda machine: True, count)
 
-    def take_due(self, due: frozenset[str], count: int) -> list[str]:
-        """Take up to ``count`` of the machines in ``due``."""
-        return self._take(lambda machine: machine.name in due, count)
+    def take_due(self, due: frozenset[str], may_take: Callable[[str], bool]) -> list[str]:
+        """Take those of the machines in ``due`` that may be taken."""
+        return self._take(lambda machine: machine.name in due and may_take(machine.name))
 
     def take_for(self, lacks: Iterable[LackReport]) -> list[str]:
         """Take machines that have what a pool lacks, as far as there are any."""
@@ -40,9 +40,9 @@
             taken += self._take(lambda machine, lack=lack: supplies(machine, lack), lack.count)  # type: ignore[misc]
         return taken
 
-    def _take(self, suits: Callable[[Machine], bool], count: int) -> list[str]:
+    def _take(self, suits: Callable[[Machine], bool], count: int | None = None) -> list[str]:
         suiting = (machine.name for machine in self._free if suits(machine))
-        taken = list(islice(suiting, max(0, count)))
+        taken = list(suiting if count is None else islice(suiting, max(0, count)))
         self._free = [machine for machine in self._free if machine.name not in taken]
         return taken
 
