An upkeep that may yet be done keeps its place, whatever its repetition or an older order is told

Cause: the outcome of a try was taken for that of all tries where it was no refusal, and places were freed by machine and not by order. Before: 2 tests failed (place free after 1.3 s, upkeep done after 4 s; place of a second order freed); after: both pass with all unit tests.

--- a/src/robinthread/_internal/node/machine_orders.py
+++ b/src/robinthread/_internal/node/machine_orders.py
@@ -23,7 +23,6 @@
     MachineFencedError,
     MachineMisfitError,
     MachineNoAnswerError,
-    MachineRefusedError,
 )
 from robinthread._internal.models.machine import Machine, MachineState
 from robinthread._internal.node.pool_runtime import get_loop_s
@@ -53,8 +52,8 @@
     or is still tried, is recorded in any case.  Once nothing has been ordered for so long,
     the record is emptied.
 
-    An order that went unanswered stays under way while it may be carried out late, also where
-    its repetition is turned away.
+    An order that went unanswered stays under way while it may be carried out late, whatever its
+    repetition is told.
     """
 
     def __init__(
@@ -210,17 +209,12 @@
                     continue
                 except MachineFencedError:
                     self._note_fenced("MachineFencedError")
-                except MachineRefusedError as error:
-                    outcome = "busy" if isinstance(error, MachineBusyError) else "refused"
+                except MachineError as error:
+                    self._note(order, _get_outcome(error), str(error))
                     if get_loop_s() < may_be_done_until_s:
-                        self._note(order, outcome, str(error))
                         await asyncio.sleep(BUSY_PAUSE_S)
                         continue
-                    self._pause(order, outcome, str(error))
-                except MachineMisfitError as error:
-                    self._pause(order, "does not fit", str(error))
-                except MachineError as error:
-                    self._pause(order, "refused", str(error))
+                    self._paused_until_s[order.machine] = get_loop_s() + BUSY_PAUSE_S
                 else:
                     self._note(order, "done")
                     await self._note_done(order)
@@ -228,8 +222,9 @@
         except StoreFencedError:
             self._note_fenced("StoreFencedError")
         finally:
-            if order.machine not in self._done_at_s:
-                self.under_way.pop(order.machine, None)
+            is_own = self.under_way.get(order.machine) is order
+            if is_own and order.machine not in self._done_at_s:
+                del self.under_way[order.machine]
 
     async def _send(self, order: Order) -> None:
         self._ordered_at_s[order.machine] = get_loop_s()
@@ -246,10 +241,6 @@
             self.unsettled.settle(order.machine)
             await self._waves.note_begun(order.wave, order.machine)
 
-    def _pause(self, order: Order, outcome: str, error: str = "") -> None:
-        self._note(order, outcome, error)
-        self._paused_until_s[order.machine] = get_loop_s() + BUSY_PAUSE_S
-
     def _note(self, order: Order, outcome: str, error: str = "") -> None:
         detail = {"error": error} if error else {}
         if isinstance(order, UpkeepOrder):
@@ -270,6 +261,12 @@
         )
 
 
+def _get_outcome(error: MachineError) -> str:
+    if isinstance(error, MachineBusyError):
+        return "busy"
+    return "does not fit" if isinstance(error, MachineMisfitError) else "refused"
+
+
 def _get_target(order: Order) -> OrderTarget:
     if isinstance(order, MoveOrder):
         return OrderTarget(pool=order.pool)
