--- a/src/robinthread/_internal/standins/wave_ledger.py
+++ b/src/robinthread/_internal/standins/wave_ledger.py
@@ -19,12 +19,12 @@
         self.begun: dict[int, set[str]] = {}
         self.down_peak: dict[int, int] = {}
         self.breaks: list[str] = []
-        self._waves: dict[int, UpkeepWave] = {}
+        self.asked: dict[int, UpkeepWave] = {}
         self._down: set[str] = set()
 
     def ask_for(self, wave: UpkeepWave) -> None:
         """Take in a wave as the operators ask for it now."""
-        self._waves[wave.number] = wave
+        self.asked[wave.number] = wave
 
     def has_begun(self, machine: str, wave: int) -> bool:
         """Tell whether a machine's upkeep for a wave has begun."""
@@ -33,7 +33,7 @@
     def note_begun(self, machine: str, number: int, holder: str) -> None:
         """Take in an upkeep that begins, and judge it by all waves that the machine is in."""
         self.begun.setdefault(number, set()).add(machine)
-        wave = self._waves.get(number)
+        wave = self.asked.get(number)
         members = self.begun[number] if wave is None else set(wave.machines)
         down = len(self._down & members)
         self._down.add(machine)
