--- /dev/null
+++ b/src/robinthread/_internal/node/fleet_views.py
@@ -0,0 +1,104 @@
+"""Making what the planner sees, from the list of machines, the pools' reports and the orders."""
+
+from collections.abc import Mapping
+
+from robinthread._internal.fleet.fleet_view import FleetView, MoveOrder, PoolView
+from robinthread._internal.fleet.newcomers import Newcomers
+from robinthread._internal.fleet.pool_report import PoolReport
+from robinthread._internal.fleet.silent_halls import find_silent_halls
+from robinthread._internal.models.fleet_config import FleetConfig
+from robinthread._internal.models.machine import Machine, MachineState
+from robinthread._internal.models.upkeep_wave import UpkeepWave
+from robinthread._internal.node.context import NodeContext
+from robinthread._internal.node.machine_orders import MachineOrders
+from robinthread._internal.node.pool_runtime import get_loop_s
+from robinthread._internal.node.wave_keeper import WaveKeeper
+
+
+class FleetViews:
+    """Makes views of the fleet; ``machines`` are those of the last list, by name."""
+
+    def __init__(self, context: NodeContext, orders: MachineOrders, waves: WaveKeeper) -> None:
+        self._context = context
+        self._orders = orders
+        self._waves = waves
+        self._newcomers = Newcomers()
+        self.machines: dict[str, Machine] = {}
+
+    def note_listed(self, listed: tuple[Machine, ...], asked_at_s: float) -> None:
+        """Take in a list of machines that was asked for at a time."""
+        self.machines = {machine.name: machine for machine in listed}
+        self._newcomers.note_listed(listed, self._orders.ordered_before)
+        self._orders.note_listed(asked_at_s)
+        self._orders.unsettled.note_listed(self.machines)
+
+    def list_waves(self) -> list[UpkeepWave]:
+        """Return the waves that the operators ask for."""
+        return list(self._context.config_holder.waves.values())
+
+    def make(self, reports: Mapping[str, PoolReport]) -> FleetView:
+        """Make a view from what the pools' owners report now."""
+        config = self._context.config_holder.config
+        assert config is not None
+        silent_halls: frozenset[str] = frozenset()
+        if self._context.policy.fleet.avoids_silent_halls:
+            silent_halls = find_silent_halls(reports.values(), self.machines)
+        reserves = [pool.name for pool in config.pools.values() if pool.is_reserve]
+        pools = tuple(
+            self._make_pool_view(pool, report, silent_halls) for pool, report in reports.items()
+        )
+        self._waves.note_seen(self.machines, lambda machine: self._is_coming(machine, config))
+        return FleetView(
+            pools=pools,
+            reserve_pool=reserves[0] if reserves else "",
+            reserve=tuple(
+                machine
+                for machine in self.machines.values()
+                if machine.pool in reserves and machine.state is MachineState.UP
+            ),
+            ordered=self._orders.list_held(),
+            leaving=self._orders.list_leaving(self.machines),
+            waves=tuple(
+                self._waves.make_view(
+                    wave,
+                    self._context.config_holder.wave_seen_at_s[wave.number],
+                    self.machines,
+                    self._orders.under_way,
+                    self._orders.unsettled.get_waves(),
+                )
+                for wave in self.list_waves()
+                if self._waves.get_pending(wave, self.machines)
+            ),
+            silent_halls=silent_halls,
+        )
+
+    def _is_coming(self, machine: Machine, config: FleetConfig) -> bool:
+        """Tell whether a machine is up whose host is not heard of yet; the reserve has no hosts."""
+        pool = config.pools.get(machine.pool)
+        has_host = pool is None or not pool.is_reserve
+        return has_host and self._newcomers.is_newcomer(machine, get_loop_s())
+
+    def _make_pool_view(
+        self, pool: str, report: PoolReport, silent_halls: frozenset[str]
+    ) -> PoolView:
+        machines = {
+            machine.name: machine for machine in self.machines.values() if machine.pool == pool
+        }
+        self._newcomers.note_named(host.host_id for host in report.hosts)
+        now_s = get_loop_s()
+        coming = (
+            self.machines[name]
+            for name, order in self._orders.under_way.items()
+            if isinstance(order, MoveOrder) and order.pool == pool and name in self.machines
+        )
+        arriving = (
+            machine
+            for name, machine in machines.items()
+            if name not in self._orders.under_way
+            and machine.hall not in silent_halls
+            and (
+                machine.state in (MachineState.MOVING, MachineState.UPKEEP)
+                or self._newcomers.is_newcomer(machine, now_s)
+            )
+        )
+        return PoolView(pool, report, machines, (*coming, *arriving))
--- a/src/robinthread/_internal/node/steward.py
+++ b/src/robinthread/_internal/node/steward.py
@@ -10,22 +10,15 @@
 from robinthread._internal.durable.ownership import Member, OwnerTable
 from robinthread._internal.durable.store import KeyedRecord, Partition
 from robinthread._internal.durable.wave_records import WAVES_PARTITION
-from robinthread._internal.fleet.fleet_view import (
-    FleetPlan,
-    FleetView,
-    MoveOrder,
-    PoolView,
-)
+from robinthread._internal.fleet.fleet_view import FleetPlan, FleetView
 from robinthread._internal.fleet.machine_errors import MachineError
-from robinthread._internal.fleet.newcomers import UNHEARD_MAX_S, Newcomers
+from robinthread._internal.fleet.newcomers import UNHEARD_MAX_S
 from robinthread._internal.fleet.planner import FleetPlanner
 from robinthread._internal.fleet.pool_report import FleetQuestion, PoolReport
-from robinthread._internal.fleet.silent_halls import find_silent_halls
 from robinthread._internal.fleet.sizing import PoolSize
-from robinthread._internal.models.machine import Machine, MachineState
-from robinthread._internal.models.upkeep_wave import UpkeepWave
 from robinthread._internal.node.context import NodeContext
 from robinthread._internal.node.environment import NodeEnvironment
+from robinthread._internal.node.fleet_views import FleetViews
 from robinthread._internal.node.machine_orders import MachineOrders
 from robinthread._internal.node.node_settings import NodeBounds
 from robinthread._internal.node.owned_pools import OwnedPools
@@ -83,9 +76,7 @@
             context.store, ORDERS_PARTITION, writer, token, context.events
         )
         self._planner = FleetPlanner(context.policy.fleet)
-        self._known: dict[str, Machine] = {}
         self._listed_at_s = -LIST_PERIOD_S
-        self._newcomers = Newcomers()
         self._sizes: dict[str, PoolSize] = {}
         self._vacate: dict[str, frozenset[str]] = {}
         self._lines = UpkeepLines(context.events)
@@ -109,6 +100,7 @@
             wait_s,
             self._note_fenced,
         )
+        self._views = FleetViews(context, self._orders, self._waves)
 
     async def run(self) -> None:
         """Give orders until cancelled or fenced."""
@@ -136,7 +128,7 @@
 
     def _note_began(self) -> None:
         """Tell what this steward knows of the one before it."""
-        waves = self._get_waves()
+        waves = self._views.list_waves()
         self._events.write(
             "steward_began",
             token=self.token,
@@ -158,10 +150,10 @@
         if not await self._list_machines():
             return
         reports = await self._ask_pools()
-        if self._known:
-            await self._waves.show(self._get_waves(), self._known)
-        view = self._make_view(reports)
-        self._lines.note_counted(view.waves, self._known)
+        if self._views.machines:
+            await self._waves.show(self._views.list_waves(), self._views.machines)
+        view = self._views.make(reports)
+        self._lines.note_counted(view.waves, self._views.machines)
         plan = self._planner.plan(view, get_loop_s())
         for pool, machines in plan.vacate.items():
             if machines != self._vacate.get(pool, frozenset()):
@@ -210,10 +202,7 @@
             self._events.write("machines_unread", error=f"{type(error).__name__}: {error}")
             return False
         self._listed_at_s = asked_at_s
-        self._known = {machine.name: machine for machine in listed}
-        self._newcomers.note_listed(listed, self._orders.ordered_before)
-        self._orders.note_listed(asked_at_s)
-        self._orders.unsettled.note_listed(self._known)
+        self._views.note_listed(listed, asked_at_s)
         return True
 
     async def _ask_pools(self) -> dict[str, PoolReport]:
@@ -249,75 +238,6 @@
             if moved_to == pool
         )
 
-    def _make_view(self, reports: dict[str, PoolReport]) -> FleetView:
-        config = self._context.config_holder.config
-        assert config is not None
-        silent_halls: frozenset[str] = frozenset()
-        if self._context.policy.fleet.avoids_silent_halls:
-            silent_halls = find_silent_halls(reports.values(), self._known)
-        reserves = [pool.name for pool in config.pools.values() if pool.is_reserve]
-        pools = tuple(
-            self._make_pool_view(pool, report, silent_halls) for pool, report in reports.items()
-        )
-
-        def is_coming(machine: Machine) -> bool:
-            # The reserve's machines have no hosts.
-            is_hosting = machine.pool not in reserves
-            return is_hosting and self._newcomers.is_newcomer(machine, get_loop_s())
-
-        self._waves.note_seen(self._known, is_coming)
-        return FleetView(
-            pools=pools,
-            reserve_pool=reserves[0] if reserves else "",
-            reserve=tuple(
-                machine
-                for machine in self._known.values()
-                if machine.pool in reserves and machine.state is MachineState.UP
-            ),
-            ordered=self._orders.list_held(),
-            leaving=self._orders.list_leaving(self._known),
-            waves=tuple(
-                self._waves.make_view(
-                    wave,
-                    self._context.config_holder.wave_seen_at_s[wave.number],
-                    self._known,
-                    self._orders.under_way,
-                    self._orders.unsettled.get_waves(),
-                )
-                for wave in self._get_waves()
-                if self._waves.get_pending(wave, self._known)
-            ),
-            silent_halls=silent_halls,
-        )
-
-    def _make_pool_view(
-        self, pool: str, report: PoolReport, silent_halls: frozenset[str]
-    ) -> PoolView:
-        machines = {
-            machine.name: machine for machine in self._known.values() if machine.pool == pool
-        }
-        self._newcomers.note_named(host.host_id for host in report.hosts)
-        now_s = get_loop_s()
-        coming = (
-            self._known[name]
-            for name, order in self._orders.under_way.items()
-            if isinstance(order, MoveOrder) and order.pool == pool and name in self._known
-        )
-        arriving = (
-            machine
-            for name, machine in machines.items()
-            if name not in self._orders.under_way
-            and machine.hall not in silent_halls
-            and (
-                machine.state in (MachineState.MOVING, MachineState.UPKEEP)
-                or self._newcomers.is_newcomer(machine, now_s)
-            )
-        )
-        return PoolView(pool, report, machines, (*coming, *arriving))
-
-    def _get_waves(self) -> list[UpkeepWave]:
-        return list(self._context.config_holder.waves.values())
-
     def _note_fenced(self, by: str) -> None:
         if not self.fenced.is_set():
             self._events.write("steward_fenced", token=self.token, by=by)
