--- a/tests/lib/drawn_waves.py
+++ b/tests/lib/drawn_waves.py
@@ -137,7 +137,7 @@
     for number in range(day.nodes):
         platform.start_node(f"node{number}")
     await asyncio.sleep(3)
-    feeding = asyncio.create_task(_feed(platform))
+    feeding = asyncio.create_task(feed_in_turns(platform, JOB_PERIOD_S))
     asked = [_ask(platform, at_s, wave) for at_s, wave in day.waves]
     await asyncio.gather(*asked, *(_bring_about(platform, event) for event in day.events))
     undone = await _wait_until_begun(platform, day)
@@ -156,8 +156,8 @@
     platform.ask_for_wave(wave)
 
 
-async def _feed(platform: PlatformStandin) -> None:
-    """Hand jobs in for one pool after the other."""
+async def feed_in_turns(platform: PlatformStandin, period_s: float) -> None:
+    """Hand jobs in for one pool after the other, one every ``period_s``, until cancelled."""
     loop = asyncio.get_running_loop()
     tasks = set()
     for number in itertools.count(1):
@@ -167,7 +167,7 @@
             task = asyncio.create_task(hand_in(platform, names[number % len(names)], spec))
             tasks.add(task)
             task.add_done_callback(tasks.discard)
-        await asyncio.sleep(JOB_PERIOD_S)
+        await asyncio.sleep(period_s)
 
 
 async def _bring_about(platform: PlatformStandin, event: WaveEvent) -> None:
