--- a/src/robinthread/_internal/fleet/fleet_view.py
+++ b/src/robinthread/_internal/fleet/fleet_view.py
@@ -12,8 +12,8 @@
     """A maintenance wave: what is left of it and how many may begin now.
 
     Of its ``machines``, ``pending`` are those whose upkeep has not begun, and ``down`` those that
-    are down or may be.  Of the pending ones, an earlier steward ordered the ``unsettled``: they
-    count as down, and may be ordered all the same, which settles them.
+    are down or may be, the latter ``doubtful``.  Of the pending ones, an earlier steward ordered
+    the ``unsettled``: they count as down, and may be ordered all the same, which settles them.
     """
 
     number: int
@@ -23,6 +23,7 @@
     down: frozenset[str]
     left_s: float
     unsettled: frozenset[str] = frozenset()
+    doubtful: frozenset[str] = frozenset()
 
     @property
     def free_slots(self) -> int:
--- a/src/robinthread/_internal/node/upkeep_lines.py
+++ b/src/robinthread/_internal/node/upkeep_lines.py
@@ -32,7 +32,7 @@
             for name in sorted(since_s.keys() - counted):
                 self._note_over(wave, known.get(name), name, now_s - since_s.pop(name))
             since_s |= {name: since_s.get(name, now_s) for name in counted}
-            self._note_bound(wave, counted)
+            self._note_bound(wave)
 
     def note_ordered(
         self,
@@ -52,6 +52,7 @@
                     machines=_name(names),
                     in_reserve=sum(name in reserve for name in names),
                     down=_name(wave.down),
+                    doubtful=_name(wave.doubtful),
                     unsettled=_name(wave.unsettled),
                     at_once_max=wave.at_once_max,
                     pending_count=len(wave.pending),
@@ -70,14 +71,14 @@
             is_pending=name in wave.pending,
         )
 
-    def _note_bound(self, wave: WaveView, counted: frozenset[str]) -> None:
-        is_over = len(counted) > wave.at_once_max
+    def _note_bound(self, wave: WaveView) -> None:
+        """Tell of a wave that has too many down for sure; what is doubtful may be back."""
+        is_over = len(wave.down - wave.doubtful) > wave.at_once_max
         if is_over and wave.number not in self._over_bound:
             self._events.write(
                 "wave_over_bound",
                 wave=wave.number,
-                down=_name(wave.down),
-                unsettled=_name(wave.unsettled),
+                down=_name(wave.down - wave.doubtful),
                 at_once_max=wave.at_once_max,
             )
         (self._over_bound.add if is_over else self._over_bound.discard)(wave.number)
--- a/src/robinthread/_internal/node/upkeep_returns.py
+++ b/src/robinthread/_internal/node/upkeep_returns.py
@@ -17,12 +17,13 @@
 class _Stay:
     """Since when a machine is down, and until when at least; which host it was before.
 
-    The host is "" where it is not known.
+    The host is "" where it is not known.  Where ``is_doubtful`` it may be back.
     """
 
     since_s: float
     until_s: float
     former_host_id: str = ""
+    is_doubtful: bool = False
 
 
 class UpkeepReturns:
@@ -41,11 +42,11 @@
         self._host_ids: dict[str, str] = {}
         self._is_seen = False
 
-    def note_begun(self, machine: str) -> None:
-        """Note that a machine's upkeep has begun, now at the latest."""
+    def note_begun(self, machine: str, is_doubtful: bool = False) -> None:
+        """Note that a machine's upkeep has begun, now at the latest; it may be back if doubtful."""
         now_s = get_loop_s()
         former = self._host_ids.get(machine, "")
-        self._stays[machine] = _Stay(now_s, now_s + self._upkeep_s, former)
+        self._stays[machine] = _Stay(now_s, now_s + self._upkeep_s, former, is_doubtful)
 
     def note_seen(
         self,
@@ -62,7 +63,7 @@
         for name, machine in machines.items():
             is_left = not self._is_seen and name in begun and machine.state is not MachineState.UP
             if machine.state is MachineState.UPKEEP or is_left:
-                self._stays.setdefault(name, _Stay(now_s, now_s))
+                self._stays.setdefault(name, _Stay(now_s, now_s, is_doubtful=is_left))
         self._is_seen = True
         self._host_ids = {name: machine.host_id for name, machine in machines.items()}
         self._stays = {
@@ -75,6 +76,10 @@
         """Return those of some machines that are not back."""
         return frozenset(name for name in machines if name in self._stays)
 
+    def list_doubtful(self, machines: Iterable[str]) -> frozenset[str]:
+        """Return those of some machines that are not known to be back, and may be."""
+        return frozenset(name for name in self.list_down(machines) if self._stays[name].is_doubtful)
+
     def _is_back(self, machine: Machine, stay: _Stay, is_coming: Callable[[Machine], bool]) -> bool:
         now_s = get_loop_s()
         if now_s < stay.until_s or machine.state is MachineState.UPKEEP:
--- a/src/robinthread/_internal/node/wave_keeper.py
+++ b/src/robinthread/_internal/node/wave_keeper.py
@@ -58,7 +58,7 @@
     def note_ordered_before(self, machines: Iterable[str]) -> None:
         """Note which machines an earlier steward may have just ordered, by its record."""
         for machine in self._list_begun(machines):
-            self._returns.note_begun(machine)
+            self._returns.note_begun(machine, is_doubtful=True)
 
     def note_seen(
         self, machines: Mapping[str, Machine], is_coming: Callable[[Machine], bool]
@@ -101,20 +101,21 @@
         members = frozenset(wave.machines) & machines.keys()
         pending = self.get_pending(wave, machines)
         ordered = {name for name in members if isinstance(under_way.get(name), UpkeepOrder)}
-        doubtful = {
+        open_orders = {
             name for name in members & unsettled.keys() if not self.has_begun(unsettled[name], name)
         }
         own = frozenset(
-            name for name in doubtful - under_way.keys() if unsettled[name] == wave.number
+            name for name in open_orders - under_way.keys() if unsettled[name] == wave.number
         )
         return WaveView(
             number=wave.number,
             machines=members,
             pending=pending,
             at_once_max=wave.at_once_max,
-            down=self._returns.list_down(members) | ordered | (doubtful - own),
+            down=self._returns.list_down(members) | ordered | (open_orders - own),
             left_s=seen_at_s + wave.duration_s - get_loop_s(),
             unsettled=own,
+            doubtful=(self._returns.list_doubtful(members) | open_orders) - ordered - own,
         )
 
     async def show(self, waves: Iterable[UpkeepWave], machines: dict[str, Machine]) -> None:
