--- a/tests/functional/test_upkeep_returns.py
+++ b/tests/functional/test_upkeep_returns.py
@@ -60,6 +60,10 @@
             found = run_virtual(_play(1, host_late_s=1.0, shown_early=state))
             self.assertEqual((1, MACHINES), found)
 
+    def test_machine_without_a_host_is_down_for_longer_than_a_newcomer_is_looked_for(self) -> None:
+        """It counted as back 3 s after the list had shown it up; its host came after 4 s."""
+        self.assertEqual((1, MACHINES), run_virtual(_play(1, host_late_s=4.0)))
+
     def test_machine_is_down_though_the_list_does_not_show_it_yet(self) -> None:
         for at_once_max in (1, 2):
             found = run_virtual(_play(at_once_max, list_lag_s=0.5))
