A machine that has its upkeep is back when its pool's owner names its host, within 12 s

Cause: see the failing test: 3 s, for which a pool looks out for a newcomer, bounded the wait for a host as well. Change: for a wave, a host that its pool's owner has not named is not there, whatever the list shows, until the 12 s are over.

--- a/src/robinthread/_internal/fleet/newcomers.py
+++ b/src/robinthread/_internal/fleet/newcomers.py
@@ -41,6 +41,10 @@
         """Note which hosts a pool's owner names."""
         self._known_hosts.update(host_ids)
 
+    def is_heard(self, machine: Machine) -> bool:
+        """Tell whether a pool has named a machine's host, or was to have before this steward."""
+        return machine.host_id in self._known_hosts
+
     def is_newcomer(self, machine: Machine, now_s: float) -> bool:
         """Tell whether a machine is up so newly that its pool has not heard of it."""
         if machine.state is not MachineState.UP or machine.host_id in self._known_hosts:
--- a/src/robinthread/_internal/fleet/reserve.py
+++ b/src/robinthread/_internal/fleet/reserve.py
@@ -29,9 +29,9 @@
         """Take up to ``count`` machines."""
         return self._take(lambda machine: True, count)
 
-    def take_due(self, due: frozenset[str], may_take: Callable[[str], bool]) -> list[str]:
-        """Take those of the machines in ``due`` that may be taken."""
-        return self._take(lambda machine: machine.name in due and may_take(machine.name))
+    def take_due(self, due: frozenset[str], take_place: Callable[[str], bool]) -> list[str]:
+        """Take those of the machines in ``due`` for which ``take_place`` finds a place."""
+        return self._take(lambda machine: machine.name in due and take_place(machine.name))
 
     def take_for(self, lacks: Iterable[LackReport]) -> list[str]:
         """Take machines that have what a pool lacks, as far as there are any."""
--- a/src/robinthread/_internal/fleet/wave_places.py
+++ b/src/robinthread/_internal/fleet/wave_places.py
@@ -8,8 +8,10 @@
 class WavePlaces:
     """Gives each place away once, whoever asks: the reserve, pools, or another wave.
 
-    A machine takes a place in every wave that it is in, for none of these may have more down
-    than its bound, whatever the upkeep is for.
+    The load that this answers: waves that are short of time, which take machines from pools and
+    the reserve in one look at the fleet.  Where both were given all free places, one look
+    began 7 where 4 may be down.  A machine takes a place in every wave that it is in, for none
+    of these may have more down than its bound, whatever the upkeep is for.
     """
 
     def __init__(self, waves: Sequence[WaveView]) -> None:
--- a/src/robinthread/_internal/node/fleet_views.py
+++ b/src/robinthread/_internal/node/fleet_views.py
@@ -47,7 +47,7 @@
         pools = tuple(
             self._make_pool_view(pool, report, silent_halls) for pool, report in reports.items()
         )
-        self._waves.note_seen(self.machines, lambda machine: self._is_coming(machine, config))
+        self._waves.note_seen(self.machines, lambda machine: self._has_come(machine, config))
         return FleetView(
             pools=pools,
             reserve_pool=reserves[0] if reserves else "",
@@ -72,11 +72,10 @@
             silent_halls=silent_halls,
         )
 
-    def _is_coming(self, machine: Machine, config: FleetConfig) -> bool:
-        """Tell whether a machine is up whose host is not heard of yet; the reserve has no hosts."""
+    def _has_come(self, machine: Machine, config: FleetConfig) -> bool:
+        """Tell whether a machine's host is heard of; those of the reserve have none."""
         pool = config.pools.get(machine.pool)
-        has_host = pool is None or not pool.is_reserve
-        return has_host and self._newcomers.is_newcomer(machine, get_loop_s())
+        return (pool is not None and pool.is_reserve) or self._newcomers.is_heard(machine)
 
     def _make_pool_view(
         self, pool: str, report: PoolReport, silent_halls: frozenset[str]
--- a/src/robinthread/_internal/node/machine_orders.py
+++ b/src/robinthread/_internal/node/machine_orders.py
@@ -211,6 +211,7 @@
                     self._note_fenced("MachineFencedError")
                 except MachineError as error:
                     self._note(order, _get_outcome(error), str(error))
+                    # This outcome does not tell what an earlier try without answer may yet do.
                     if get_loop_s() < may_be_done_until_s:
                         await asyncio.sleep(BUSY_PAUSE_S)
                         continue
@@ -222,6 +223,7 @@
         except StoreFencedError:
             self._note_fenced("StoreFencedError")
         finally:
+            # A slow store may have held this one up until the machine had its next order.
             is_own = self.under_way.get(order.machine) is order
             if is_own and order.machine not in self._done_at_s:
                 del self.under_way[order.machine]
--- a/src/robinthread/_internal/node/upkeep_returns.py
+++ b/src/robinthread/_internal/node/upkeep_returns.py
@@ -51,10 +51,10 @@
     def note_seen(
         self,
         machines: Mapping[str, Machine],
-        is_coming: Callable[[Machine], bool],
+        has_come: Callable[[Machine], bool],
         begun: frozenset[str],
     ) -> None:
-        """Take in the machines as listed last; ``is_coming`` tells whose host is not heard of yet.
+        """Take in the machines as listed last; ``has_come`` tells whose host is heard of.
 
         What is in upkeep has begun, by whoever's order.  What had ``begun`` under an earlier
         steward and is not up when machines are first seen may not be back since.
@@ -69,7 +69,7 @@
         self._stays = {
             name: stay
             for name, stay in self._stays.items()
-            if name in machines and not self._is_back(machines[name], stay, is_coming)
+            if name in machines and not self._is_back(machines[name], stay, has_come)
         }
 
     def list_down(self, machines: Iterable[str]) -> frozenset[str]:
@@ -80,11 +80,11 @@
         """Return those of some machines that are not known to be back, and may be."""
         return frozenset(name for name in self.list_down(machines) if self._stays[name].is_doubtful)
 
-    def _is_back(self, machine: Machine, stay: _Stay, is_coming: Callable[[Machine], bool]) -> bool:
+    def _is_back(self, machine: Machine, stay: _Stay, has_come: Callable[[Machine], bool]) -> bool:
         now_s = get_loop_s()
         if now_s < stay.until_s or machine.state is MachineState.UPKEEP:
             return False
         if now_s >= stay.since_s + self._upkeep_s + BACK_LATE_MAX_S:
             return True
         is_former = machine.host_id != "" and machine.host_id == stay.former_host_id
-        return machine.state is MachineState.UP and not is_former and not is_coming(machine)
+        return machine.state is MachineState.UP and not is_former and has_come(machine)
--- a/src/robinthread/_internal/node/wave_keeper.py
+++ b/src/robinthread/_internal/node/wave_keeper.py
@@ -61,13 +61,10 @@
             self._returns.note_begun(machine, is_doubtful=True)
 
     def note_seen(
-        self, machines: Mapping[str, Machine], is_coming: Callable[[Machine], bool]
+        self, machines: Mapping[str, Machine], has_come: Callable[[Machine], bool]
     ) -> None:
-        """Take in the machines as listed last.
-
-        ``is_coming`` tells whether a machine's host is not heard of yet.
-        """
-        self._returns.note_seen(machines, is_coming, self._list_begun(machines))
+        """Take in the machines as listed last; ``has_come`` tells whose host is heard of."""
+        self._returns.note_seen(machines, has_come, self._list_begun(machines))
 
     def _list_begun(self, machines: Iterable[str]) -> frozenset[str]:
         return frozenset(machines) & frozenset().union(*self._begun.values())
--- a/tests/functional/test_drawn_waves.py
+++ b/tests/functional/test_drawn_waves.py
@@ -11,6 +11,7 @@
     14: "a list that was late showed machines as they were before their orders",
     20: "a wave that was asked for again had machines of another one, which were down",
     123: "machines counted as back before their hosts had come",
+    1232: "a machine that was up without a host counted as back after 3 s",
 }
 
 
