--- a/src/robinthread/_internal/standins/machines_standin.py
+++ b/src/robinthread/_internal/standins/machines_standin.py
@@ -36,6 +36,7 @@
     room: Resources
     rack: str
     host_id: str = ""
+    crashed_id: str = ""
     token: int = 0
     holder: str = ""
 
@@ -78,10 +79,17 @@
         self._come_up(record)
         return name
 
-    def restart(self, host_id: str) -> None:
-        """Have the machine of a host that has ended come up again, unless it was moved."""
+    def note_crashed(self, host_id: str) -> None:
+        """Show the machine of a host that has crashed as down."""
         for record in self.machines.values():
             if record.host_id == host_id:
+                record.host_id, record.state, record.crashed_id = "", MachineState.DOWN, host_id
+                self._note_changed()
+
+    def restart(self, host_id: str) -> None:
+        """Have the machine of a host that has crashed come up again."""
+        for record in self.machines.values():
+            if record.crashed_id == host_id and record.state is MachineState.DOWN:
                 self._come_up(record)
 
     def connect(self, caller: str) -> "MachinesClient":
--- a/src/robinthread/_internal/standins/platform_standin.py
+++ b/src/robinthread/_internal/standins/platform_standin.py
@@ -247,6 +247,7 @@
 
     def crash_host(self, host_id: str) -> None:
         """End a host's life; its entry goes later, as if its heartbeats stopped."""
+        self.machines.note_crashed(host_id)
         for host in self.hosts.hosts.values():
             if host.record.id == host_id:
                 host.crash()
