A silent host that its machine has no more has ended: what ran there runs again at once

Cause of the known failure: an owner that nobody can ask was waited for 6 + 4.2 s, also for a host that is gone, for nothing proved a host's end from outside. Change: the steward sees in the list of machines which hosts have ended and tells their pool's owner, which ends those that do not answer (fleet/ended_lives.py; fleet.ends_lost_hosts switches it off). Two tests of looks at lost hosts used a crash for a host that only refuses connections: they bring about that now, with the same bounds. One whole run of the tests passes.

--- /dev/null
+++ b/src/robinthread/_internal/fleet/ended_lives.py
@@ -0,0 +1,46 @@
+"""Hosts that have ended by what the lists of machines show."""
+
+from collections.abc import Mapping
+from typing import Final
+
+from robinthread._internal.models.machine import Machine, MachineState
+
+# How long a host that has ended is told to its pool's owner.  An owner that is lost with the
+# host is replaced within some 4 s; a host that is lost is first missed some 2 s later.
+TOLD_FOR_S: Final = 12.0
+
+
+class EndedLives:
+    """Tells which hosts have ended, each a life of a machine that an earlier list showed.
+
+    A machine that is listed without a host, with another one, or no more has ended the one that
+    it was, however silent that is.  A host that is only cut off stays listed.  Hosts that ended
+    by an order, of which owners have emptied them before, are not told.  Times are of any one
+    steady clock, in seconds.
+    """
+
+    def __init__(self) -> None:
+        self._shown: dict[str, Machine] = {}
+        self._ended_at_s: dict[str, tuple[float, str]] = {}
+
+    def note_listed(self, machines: Mapping[str, Machine], now_s: float) -> None:
+        """Take in a list of machines."""
+        for host_id, shown in self._shown.items():
+            machine = machines.get(shown.name)
+            if machine is None or machine.host_id != host_id:
+                is_ordered = machine is not None and machine.state in (
+                    MachineState.MOVING,
+                    MachineState.UPKEEP,
+                )
+                if not is_ordered:
+                    self._ended_at_s[host_id] = now_s, shown.pool
+        self._shown = {machine.host_id: machine for machine in machines.values() if machine.host_id}
+        self._ended_at_s = {
+            host_id: (ended_s, pool)
+            for host_id, (ended_s, pool) in self._ended_at_s.items()
+            if now_s - ended_s < TOLD_FOR_S
+        }
+
+    def list_for_pool(self, pool: str) -> tuple[str, ...]:
+        """Return the hosts of a pool that have ended of late."""
+        return tuple(host_id for host_id, (_at_s, of) in self._ended_at_s.items() if of == pool)
--- a/src/robinthread/_internal/fleet/pool_report.py
+++ b/src/robinthread/_internal/fleet/pool_report.py
@@ -4,11 +4,15 @@
 
 
 class FleetQuestion(msgspec.Struct, frozen=True, array_like=True):
-    """Ask a pool's owner how it stands; it is to empty the machines in ``vacate``."""
+    """Ask a pool's owner how it stands; it is to empty the machines in ``vacate``.
+
+    The hosts in ``ended`` have surely ended.
+    """
 
     pool: str
     vacate: tuple[str, ...] = ()
     expects_hosts: bool = False
+    ended: tuple[str, ...] = ()
 
 
 class HostStanding(msgspec.Struct, frozen=True, array_like=True):
--- a/src/robinthread/_internal/node/fleet_views.py
+++ b/src/robinthread/_internal/node/fleet_views.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Mapping
 
+from robinthread._internal.fleet.ended_lives import EndedLives
 from robinthread._internal.fleet.fleet_view import FleetView, MoveOrder, PoolView
 from robinthread._internal.fleet.newcomers import Newcomers
 from robinthread._internal.fleet.pool_report import PoolReport
@@ -23,6 +24,7 @@
         self._orders = orders
         self._waves = waves
         self._newcomers = Newcomers()
+        self._lives = EndedLives()
         self.machines: dict[str, Machine] = {}
 
     def note_listed(self, listed: tuple[Machine, ...], asked_at_s: float) -> None:
@@ -31,6 +33,13 @@
         self._newcomers.note_listed(listed, self._orders.ordered_before)
         self._orders.note_listed(asked_at_s)
         self._orders.unsettled.note_listed(self.machines)
+        self._lives.note_listed(self.machines, get_loop_s())
+
+    def list_ended_hosts(self, pool: str) -> tuple[str, ...]:
+        """Return the hosts of a pool that have surely ended of late."""
+        if not self._context.policy.fleet.ends_lost_hosts:
+            return ()
+        return self._lives.list_for_pool(pool)
 
     def list_waves(self) -> list[UpkeepWave]:
         """Return the waves that the operators ask for."""
--- a/src/robinthread/_internal/node/pool_owner.py
+++ b/src/robinthread/_internal/node/pool_owner.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import itertools
+from collections.abc import Iterable
 from typing import Final
 
 from robinthread._internal.durable.job_index import IndexedJob
@@ -10,7 +11,7 @@
 from robinthread._internal.durable.store import Partition
 from robinthread._internal.fleet.pool_report import FleetQuestion, PoolReport
 from robinthread._internal.jobs.demand import DemandMeter
-from robinthread._internal.jobs.host import Host
+from robinthread._internal.jobs.host import Host, HostContact
 from robinthread._internal.jobs.job import Job
 from robinthread._internal.jobs.pool_jobs import PoolJobs
 from robinthread._internal.jobs.progress import JobProgress
@@ -180,6 +181,7 @@
             host.vacating_until_s = now_s + VACATE_S if is_vacating else 0.0
         if question.expects_hosts:
             self._context.expect_hosts()
+        self._end_lost(question.ended)
         self._runtime.wake()
         demand = self._demand.read(self.jobs, now_s, self._context.get_wall_ms())
         return make_pool_report(self.jobs, demand, now_s)
@@ -283,6 +285,16 @@
             if host.id not in self._host_tasks and now_s > host.lease.over_at_s:
                 self._remove_host(host, "it is not listed and its lease is over")
 
+    def _end_lost(self, ended: Iterable[str]) -> None:
+        """End the hosts that do not answer and that their machines do not have any more.
+
+        One that answers has not ended yet as far as is known here: it is asked first.
+        """
+        for host_id in ended:
+            host = self.jobs.hosts.get(host_id)
+            if host is not None and host.contact is not HostContact.ANSWERING:
+                self._remove_host(host, "its machine does not have it any more")
+
     def _update_hosts(self) -> None:
         """Take in the listed hosts; one life of a machine ends with the next one."""
         listed = self._context.host_directory.hosts
--- a/src/robinthread/_internal/node/steward.py
+++ b/src/robinthread/_internal/node/steward.py
@@ -217,7 +217,10 @@
     async def _ask_pool(self, pool: str) -> PoolReport:
         owner = self._table.get(pool)
         question = FleetQuestion(
-            pool, tuple(sorted(self._vacate.get(pool, ()))), self._expects_hosts(pool)
+            pool,
+            tuple(sorted(self._vacate.get(pool, ()))),
+            self._expects_hosts(pool),
+            self._views.list_ended_hosts(pool),
         )
         if owner is None:
             return PoolReport(is_owner=False)
--- a/src/robinthread/_internal/settings/policy_settings.py
+++ b/src/robinthread/_internal/settings/policy_settings.py
@@ -33,12 +33,15 @@
     share by what its jobs that can be on time need; off, a pool keeps what it wants.  It is
     for fleets that are far too small, where some queues else get no machine in their turn;
     where machines are short for some seconds only, fewer jobs are in time with it.
+    ``ends_lost_hosts``: a silent host that its machine does not have any more, by the list of
+    machines, has ended: what ran there runs again at once, not after its lease.
     """
 
     upkeep_first: bool = True
     moves_directly: bool = True
     avoids_silent_halls: bool = True
     shares_when_short: bool = False
+    ends_lost_hosts: bool = True
 
 
 @dataclass(frozen=True)
--- a/tests/functional/test_lost_hosts.py
+++ b/tests/functional/test_lost_hosts.py
@@ -1,15 +1,18 @@
 """How often a host that does not answer is looked at."""
 
 import asyncio
+from collections.abc import Callable
 
 from testtools import TestCase
 
 from robinthread._internal.models.job_spec import StepSpec
+from robinthread._internal.standins.job_host_standin import JobHostStandin
 from robinthread._internal.standins.platform_standin import PlatformStandin
 from tests.lib.job_platforms import find_breaks, get_owner, start_platform, wait_until
 from tests.lib.lasting import (
     cut_host,
     get_first_host,
+    get_longest_gap_s,
     kill_owner,
     list_runs,
     start_lasting,
@@ -18,6 +21,8 @@
 
 # An entry lapses so long after its host has ended.
 LISTED_FOR_S = 4.0
+# A look that is not answered, a list of machines, a step of the steward, and a start.
+AGAIN_SOON_S = 1.2
 # Looks after 0, 0.2, 0.6, 1.4, 2.4 and 3.4 s.
 LOOKS_MAX = 8
 # Looks each 0.2 s.
@@ -36,15 +41,39 @@
 
 
 async def count_looks(platform: PlatformStandin, host_id: str) -> int:
-    """Count the looks at a host that ends now, while it is listed."""
-    platform.crash_host(host_id)
+    """Count the looks at a host that refuses connections from now on, while it is listed."""
+    host = next(host for host in platform.hosts.hosts.values() if host.record.id == host_id)
+    platform.hosts.refused_ways |= {(name, host.record.address) for name in platform.nodes}
     await asyncio.sleep(0.1)
     platform.hosts.looks.clear()
     await asyncio.sleep(LISTED_FOR_S)
     return platform.hosts.looks[host_id]
 
 
+async def lose_task(lose: Callable[[PlatformStandin, JobHostStandin], None]) -> float:
+    """Lose the host of a lasting task; return for how long the task did not run."""
+    platform = await start_lasting(hosts=4)
+    lose(platform, get_first_host(platform))
+    await asyncio.sleep(15)
+    assert not find_breaks(platform)
+    return get_longest_gap_s(platform)
+
+
+def crash_silently(platform: PlatformStandin, host: JobHostStandin) -> None:
+    """End a host; nothing refuses connections where it was."""
+    cut_host(platform, host)
+    platform.crash_host(host.record.id)
+
+
 class LostHostsTest(TestCase):
+    def test_task_of_a_host_that_its_machine_has_no_more_runs_again_soon(self) -> None:
+        """It waited for the lease of its host: 3.6 s in place of 0.7 s."""
+        self.assertLess(run_virtual(lose_task(crash_silently)), AGAIN_SOON_S)
+
+    def test_task_of_a_host_that_is_cut_off_runs_on_until_its_lease_is_over(self) -> None:
+        """The list of machines shows it as before; no task may run twice meanwhile."""
+        self.assertLess(run_virtual(lose_task(cut_host)), AGAIN_SOON_S)
+
     def test_host_on_which_nothing_runs_is_looked_at_less_and_less(self) -> None:
         async def work() -> None:
             platform = await start_platform(hosts=2)
--- /dev/null
+++ b/tests/unit/test_ended_lives.py
@@ -0,0 +1,51 @@
+"""Which hosts have ended by what the lists of machines show."""
+
+from dataclasses import replace
+
+from testtools import TestCase
+
+from robinthread._internal.fleet.ended_lives import TOLD_FOR_S, EndedLives
+from robinthread._internal.models.machine import Machine, MachineState
+from tests.lib.job_platforms import POOL, ROOM
+
+UP = Machine("m", POOL, MachineState.UP, "hall", "rack", "kind", ROOM, "life1")
+
+
+class EndedLivesTest(TestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self._begin()
+
+    def _begin(self) -> None:
+        self.lives = EndedLives()
+        self._list(0.0, UP)
+
+    def _list(self, at_s: float, *machines: Machine) -> None:
+        self.lives.note_listed({machine.name: machine for machine in machines}, at_s)
+
+    def test_machine_without_its_host_with_another_or_gone_has_ended_it(self) -> None:
+        down = replace(UP, state=MachineState.DOWN, host_id="")
+        for machines in ((down,), (replace(UP, host_id="life2"),), ()):
+            self._begin()
+            self._list(1.0, *machines)
+            self.assertEqual(("life1",), self.lives.list_for_pool(POOL))
+            self.assertEqual((), self.lives.list_for_pool("other"))
+
+    def test_host_that_was_never_shown_has_not_ended(self) -> None:
+        self.lives = EndedLives()
+        self._list(0.0, replace(UP, state=MachineState.DOWN, host_id=""))
+        self._list(1.0, UP)
+        self.assertEqual((), self.lives.list_for_pool(POOL))
+
+    def test_host_that_ended_by_an_order_is_not_told(self) -> None:
+        for state in (MachineState.MOVING, MachineState.UPKEEP):
+            self._begin()
+            self._list(1.0, replace(UP, state=state, host_id=""))
+            self.assertEqual((), self.lives.list_for_pool(POOL))
+
+    def test_it_is_told_for_a_while(self) -> None:
+        self._list(1.0)
+        self._list(0.9 + TOLD_FOR_S)
+        self.assertEqual(("life1",), self.lives.list_for_pool(POOL))
+        self._list(1.0 + TOLD_FOR_S)
+        self.assertEqual((), self.lives.list_for_pool(POOL))
