--- a/tests/functional/test_lasting_again.py
+++ b/tests/functional/test_lasting_again.py
@@ -15,19 +15,20 @@
 from tests.lib.job_platforms import POOL, ROOM, find_breaks, hand_in, make_job, wait_until
 from tests.lib.lasting import (
     AGAIN_MAX_S,
+    LARGE,
     LASTING_JOB,
     LASTING_NUMBER,
+    SMALL,
     cut_host,
     get_first_host,
     get_longest_gap_s,
     kill_owner,
     list_runs,
+    restart_owner,
     start_lasting,
 )
 from tests.lib.virtual import run_virtual
 
-# How long a process that was killed takes to begin anew.
-RESTART_S = 2.5
 # So late that the host's entry in the store has gone before its lease is surely over.
 LATE_RESTART_S = 4.0
 # How long all nodes are without power.
@@ -36,11 +37,8 @@
 LONG_AGO_S = 12.0
 # Longer than any wait that follows from a lease.
 WATCH_S = 25.0
-# Two of these lasting tasks fill a host; of the small ones eight do.
-LARGE = StepSpec(2, cpu_millicores=8000, memory_mb=100, is_lasting=True)
 SPREAD = StepSpec(5, cpu_millicores=1000, memory_mb=100, is_lasting=True, per_host_max=2)
 ALONE = StepSpec(3, cpu_millicores=1000, memory_mb=100, is_lasting=True, per_host_max=1)
-SMALL = StepSpec(6, cpu_millicores=2000, memory_mb=100)
 
 
 async def lose_power(platform: PlatformStandin) -> None:
@@ -69,9 +67,7 @@
     def test_host_lost_for_good_as_the_owner_is_killed(self) -> None:
         async def bring_about(platform: PlatformStandin) -> None:
             platform.crash_host(get_first_host(platform).record.id)
-            owner = kill_owner(platform)
-            await asyncio.sleep(RESTART_S)
-            platform.start_node(owner)
+            await restart_owner(platform)
 
         self._check(bring_about)
 
@@ -99,9 +95,7 @@
         async def bring_about(platform: PlatformStandin) -> None:
             cut_host(platform, get_first_host(platform))
             await asyncio.sleep(3)
-            owner = kill_owner(platform)
-            await asyncio.sleep(RESTART_S)
-            platform.start_node(owner)
+            await restart_owner(platform)
 
         self._check(bring_about)
 
@@ -110,9 +104,7 @@
             cut_host(platform, get_first_host(platform))
             await asyncio.sleep(2)
             for _ in range(2):
-                owner = kill_owner(platform)
-                await asyncio.sleep(RESTART_S)
-                platform.start_node(owner)
+                await restart_owner(platform)
 
         self._check(bring_about)
 
@@ -120,9 +112,7 @@
         async def bring_about(platform: PlatformStandin) -> None:
             lost = get_first_host(platform)
             platform.crash_host(lost.record.id)
-            owner = kill_owner(platform)
-            await asyncio.sleep(RESTART_S)
-            platform.start_node(owner)
+            await restart_owner(platform)
             # Just before the first host's tasks are placed again, 7.0 s after it was lost.
             await asyncio.sleep(4.4)
             hosts = [host for host in platform.hosts.hosts.values() if host.is_up]
--- a/tests/functional/test_lasting_behind_urgent.py
+++ b/tests/functional/test_lasting_behind_urgent.py
@@ -5,15 +5,11 @@
 
 from testtools import TestCase
 
-from robinthread._internal.models.job_spec import StepSpec
-from robinthread._internal.models.queue_policy import QueuePolicy
 from robinthread._internal.models.task_key import TaskKey
 from robinthread._internal.standins.job_host_standin import TaskPlan
 from robinthread._internal.standins.platform_standin import PlatformStandin
 from tests.lib.job_platforms import (
-    POOL,
     POOLS,
-    QUEUE,
     find_breaks,
     hand_in,
     make_job,
@@ -22,19 +18,18 @@
 )
 from tests.lib.lasting import (
     AGAIN_MAX_S,
+    LARGE,
     LASTING_JOB,
     LASTING_NUMBER,
+    LESS_URGENT,
+    SMALL,
+    URGENT,
     get_first_host,
     get_longest_gap_s,
     list_runs,
 )
 from tests.lib.virtual import run_virtual
 
-URGENT = QueuePolicy("urgent", "urgent.example", "/urgent/", POOL, 0, 3, 1.6, 600)
-LESS = QueuePolicy(QUEUE.name, "press.example", "/sheets/", POOL, 1, 3, 1.6, 600)
-LARGE = StepSpec(2, cpu_millicores=8000, memory_mb=100, is_lasting=True)
-SMALL = StepSpec(6, cpu_millicores=2000, memory_mb=100)
-
 
 class LastingBehindUrgentTest(TestCase):
     def test_lasting_task_of_a_less_urgent_queue_runs_again(self) -> None:
@@ -51,7 +46,7 @@
 
         async def work() -> None:
             platform = await start_platform(plan, nodes=4, hosts=3)
-            platform.configure(2, (LESS, URGENT), POOLS)
+            platform.configure(2, (LESS_URGENT, URGENT), POOLS)
             await asyncio.sleep(1)
             await hand_in(platform, "node0", make_job(LASTING_NUMBER, LARGE))
             await wait_until(lambda: len(list_runs(platform)) == LARGE.task_count)
--- a/tests/functional/test_lasting_in_full_pool.py
+++ b/tests/functional/test_lasting_in_full_pool.py
@@ -7,14 +7,11 @@
 from testtools import TestCase
 
 from robinthread._internal.models.job_spec import StepSpec
-from robinthread._internal.models.queue_policy import QueuePolicy
 from robinthread._internal.models.task_key import TaskKey
 from robinthread._internal.standins.job_host_standin import TaskPlan
 from robinthread._internal.standins.platform_standin import PlatformStandin
 from tests.lib.job_platforms import (
-    POOL,
     POOLS,
-    QUEUE,
     find_breaks,
     hand_in,
     make_job,
@@ -23,25 +20,22 @@
 )
 from tests.lib.lasting import (
     AGAIN_MAX_S,
+    LARGE,
     LASTING_JOB,
     LASTING_NUMBER,
+    LESS_URGENT,
+    SMALL,
+    URGENT,
     get_first_host,
     get_longest_gap_s,
-    kill_owner,
     list_runs,
+    restart_owner,
 )
 from tests.lib.virtual import run_virtual
 
-URGENT = QueuePolicy("urgent", "urgent.example", "/urgent/", POOL, 0, 3, 1.6, 600)
-LESS = QueuePolicy(QUEUE.name, "press.example", "/sheets/", POOL, 1, 3, 1.6, 600)
-# Two of these fill a host; of the small ones eight do.
-LARGE = StepSpec(2, cpu_millicores=8000, memory_mb=100, is_lasting=True)
-SMALL = StepSpec(6, cpu_millicores=2000, memory_mb=100)
 # The tasks of a usual job of a pool take 1 to 2 s.
 SMALL_MIN_S = 1.5
 SMALL_STEP_S = 0.1
-# How long a process that was killed takes to begin anew.
-RESTART_S = 2.5
 WATCH_S = 25.0
 
 
@@ -77,7 +71,7 @@
 
         async def work() -> None:
             platform = await start_platform(plan, nodes=4, hosts=hosts)
-            platform.configure(2, (LESS, URGENT), POOLS)
+            platform.configure(2, (LESS_URGENT, URGENT), POOLS)
             await asyncio.sleep(1)
             await hand_in(platform, "node0", make_job(LASTING_NUMBER, step))
             await wait_until(lambda: len(list_runs(platform)) == step.task_count)
@@ -109,9 +103,7 @@
     def test_host_is_lost_as_the_owner_is_killed(self) -> None:
         async def bring_about(platform: PlatformStandin) -> None:
             platform.crash_host(get_first_host(platform).record.id)
-            owner = kill_owner(platform)
-            await asyncio.sleep(RESTART_S)
-            platform.start_node(owner)
+            await restart_owner(platform)
 
         self._check(bring_about)
 
@@ -121,9 +113,7 @@
         async def bring_about(platform: PlatformStandin) -> None:
             platform.crash_host(get_first_host(platform).record.id)
             await asyncio.sleep(4.25)
-            owner = kill_owner(platform)
-            await asyncio.sleep(RESTART_S)
-            platform.start_node(owner)
+            await restart_owner(platform)
 
         self._check(bring_about)
 
--- a/tests/lib/lasting.py
+++ b/tests/lib/lasting.py
@@ -6,18 +6,35 @@
 from collections.abc import Callable
 
 from robinthread._internal.models.job_spec import StepSpec
+from robinthread._internal.models.queue_policy import QueuePolicy
 from robinthread._internal.models.resources import Resources
 from robinthread._internal.models.task_key import TaskKey
 from robinthread._internal.standins.job_host_standin import JobHostStandin, TaskPlan
 from robinthread._internal.standins.platform_standin import PlatformStandin
 from robinthread._internal.standins.run_ledger import LedgerRun
-from tests.lib.job_platforms import get_owner, hand_in, make_job, start_platform, wait_until
+from tests.lib.job_platforms import (
+    POOL,
+    QUEUE,
+    get_owner,
+    hand_in,
+    make_job,
+    start_platform,
+    wait_until,
+)
 
 # A lasting task must run again so soon after the end of its last run.
 AGAIN_MAX_S = 9.0
 LASTING_NUMBER = 1
 LASTING_JOB = f"{LASTING_NUMBER:016x}"
 STEP = StepSpec(4, cpu_millicores=1000, memory_mb=100, is_lasting=True)
+# Two of these lasting tasks fill a host; of the small ones eight do.
+LARGE = StepSpec(2, cpu_millicores=8000, memory_mb=100, is_lasting=True)
+SMALL = StepSpec(6, cpu_millicores=2000, memory_mb=100)
+# A queue that is more urgent than the one of the tasks that last.
+URGENT = QueuePolicy("urgent", "urgent.example", "/urgent/", POOL, 0, 3, 1.6, 600)
+LESS_URGENT = QueuePolicy(QUEUE.name, "press.example", "/sheets/", POOL, 1, 3, 1.6, 600)
+# How long a process that was killed takes to begin anew.
+RESTART_S = 2.5
 
 
 def plan_lasting(task: TaskKey) -> TaskPlan:
@@ -65,6 +82,13 @@
     return owner
 
 
+async def restart_owner(platform: PlatformStandin) -> None:
+    """Kill the node that owns the pool; it begins anew ``RESTART_S`` later."""
+    owner = kill_owner(platform)
+    await asyncio.sleep(RESTART_S)
+    platform.start_node(owner)
+
+
 def get_longest_gap_s(platform: PlatformStandin) -> float:
     """Return the longest time from the end of a task's run until it ran again, or until now."""
     by_task: dict[TaskKey, list[LedgerRun]] = defaultdict(list)
