--- a/src/robinthread/_internal/node/pool_owner.py
+++ b/src/robinthread/_internal/node/pool_owner.py
@@ -1,8 +1,6 @@
 """Owning one pool: its jobs, its hosts and every order to them."""
 
 import asyncio
-import itertools
-from collections.abc import Iterable
 from typing import Final
 
 from robinthread._internal.durable.job_index import IndexedJob
@@ -11,20 +9,18 @@
 from robinthread._internal.durable.store import Partition
 from robinthread._internal.fleet.pool_report import FleetQuestion, PoolReport
 from robinthread._internal.jobs.demand import DemandMeter
-from robinthread._internal.jobs.host import Host, HostContact
 from robinthread._internal.jobs.job import Job
 from robinthread._internal.jobs.pool_jobs import PoolJobs
 from robinthread._internal.jobs.progress import JobProgress
 from robinthread._internal.jobs.scheduling import place_waiting
 from robinthread._internal.models.job_status import JobStatus
 from robinthread._internal.models.queue_policy import QueuePolicy
-from robinthread._internal.models.upstream_host import UpstreamHost
 from robinthread._internal.node.advice_taker import AdviceTaker
 from robinthread._internal.node.context import NodeContext
-from robinthread._internal.node.host_follower import HostFollower
 from robinthread._internal.node.order_sender import OrderSender
+from robinthread._internal.node.pool_hosts import PoolHosts
 from robinthread._internal.node.pool_opening import PoolOpening
-from robinthread._internal.node.pool_reporting import count_pending, make_pool_report, tell_ended
+from robinthread._internal.node.pool_reporting import count_pending, make_pool_report
 from robinthread._internal.node.pool_runtime import PoolRuntime, get_loop_s
 from robinthread._internal.node.predecessors import Predecessors
 from robinthread._internal.node.progress_loader import load_progress
@@ -82,12 +78,10 @@
         self._minder = RunMinder(self._runtime, self._orders)
         self._advice_taker = AdviceTaker(self._runtime, context.advice)
         self._retention = Retention(self._runtime, self._journal)
-        self._host_tasks: dict[str, asyncio.Task[None]] = {}
+        self._hosts = PoolHosts(self._runtime, self._recorder, self._orders)
         self._demand = DemandMeter(
             context.settings.bounds.machine_move_s + HOST_START_S, context.policy.demand
         )
-        self._follower_numbers = itertools.count()
-        self._ended_hosts: set[str] = set()
         self._progress_count = 0
         self.opening = PoolOpening()
         self._is_stopped = False
@@ -114,8 +108,8 @@
         if self._is_stopped:
             return
         self._context.job_index.listen(self._take_job)
-        self._context.host_directory.listen(self._update_hosts)
-        self._update_hosts()
+        self._context.host_directory.listen(self._hosts.update)
+        self._hosts.update()
         self.is_open = True
         self.opening.end()
         self._runtime.opened_at_s = get_loop_s()
@@ -147,7 +141,7 @@
             return
         if self.is_open:
             self._context.job_index.unlisten(self._take_job)
-            self._context.host_directory.unlisten(self._update_hosts)
+            self._context.host_directory.unlisten(self._hosts.update)
             if is_planned and not self.fenced.is_set():
                 await self._recorder.flush(FLUSH_WAIT_S)
         self.is_open = False
@@ -181,7 +175,7 @@
             host.vacating_until_s = now_s + VACATE_S if is_vacating else 0.0
         if question.expects_hosts:
             self._context.expect_hosts()
-        self._end_lost(question.ended)
+        self._hosts.end_lost(question.ended)
         self._runtime.wake()
         demand = self._demand.read(self.jobs, now_s, self._context.get_wall_ms())
         return make_pool_report(self.jobs, demand, now_s)
@@ -263,7 +257,7 @@
             if now_s >= next_tick_s:
                 next_tick_s = now_s + TICK_S
                 self._minder.look(now_s)
-                self._end_unlisted(now_s)
+                self._hosts.end_unlisted(now_s)
             began_at_s = get_loop_s()
             place_waiting(self.jobs, now_s, self._context.get_wall_ms())
             stops, self.jobs.to_stop = self.jobs.to_stop, []
@@ -275,59 +269,3 @@
             took_s = get_loop_s() - began_at_s
             await asyncio.sleep(min(PLACING_PAUSE_MAX_S, PLACING_PAUSE_SHARE * took_s))
             await wait_for_event(self._runtime.changed, TICK_S)
-
-    def _end_unlisted(self, now_s: float) -> None:
-        """End the hosts that an earlier owner knew and the store does not list.
-
-        Nobody follows them, so they are over with their lease.
-        """
-        for host in list(self.jobs.hosts.values()):
-            if host.id not in self._host_tasks and now_s > host.lease.over_at_s:
-                self._remove_host(host, "it is not listed and its lease is over")
-
-    def _end_lost(self, ended: Iterable[str]) -> None:
-        """End the hosts that do not answer and that their machines do not have any more.
-
-        One that answers has not ended yet as far as is known here: it is asked first.
-        """
-        for host_id in ended:
-            host = self.jobs.hosts.get(host_id)
-            if host is not None and host.contact is not HostContact.ANSWERING:
-                self._remove_host(host, "its machine does not have it any more")
-
-    def _update_hosts(self) -> None:
-        """Take in the listed hosts; one life of a machine ends with the next one."""
-        listed = self._context.host_directory.hosts
-        lives = {record.machine: record for record in listed.values()}
-        for record in listed.values():
-            if record.pool == self.pool and record.id not in self._ended_hosts:
-                self._add_host(record)
-        for host in list(self.jobs.hosts.values()):
-            host.is_listed = host.id in listed
-            successor = lives.get(host.record.machine)
-            if not host.is_listed and successor is not None:
-                self._remove_host(host, "its machine is another host now", successor.id)
-        self._runtime.wake()
-
-    def _add_host(self, record: UpstreamHost) -> None:
-        host = self.jobs.add_host(record)
-        host.note_draining(self._context.settings.bounds.drain_ms / 1000, get_loop_s())
-        if record.id not in self._host_tasks:
-            follower = HostFollower(
-                self._runtime, host, self._recorder, self._orders, next(self._follower_numbers)
-            )
-            self._host_tasks[record.id] = self._runtime.spawn(self._follow(follower, host))
-
-    async def _follow(self, follower: HostFollower, host: Host) -> None:
-        """Follow a host to its end; a life that has ended never comes back."""
-        await follower.run()
-        self._ended_hosts.add(host.id)
-        self._host_tasks.pop(host.id, None)
-
-    def _remove_host(self, host: Host, reason: str, successor: str = "") -> None:
-        task = self._host_tasks.pop(host.id, None)
-        if task is not None:
-            task.cancel()
-        self._ended_hosts.add(host.id)
-        tell_ended(self._events, self.pool, host, reason, successor)
-        self.jobs.remove_host(host.id, self._context.get_wall_ms())
