A host's end tells which runs began there last, and when its connections broke

Now the line names the newest 12 with how long before the break their starts were sent; a call whose time was over is told from one whose connection broke, for a host that ends breaks them and one that is cut off says nothing; a start without an answer tells when it was sent. Nothing decides by it yet.

--- a/src/robinthread/_internal/jobs/host.py
+++ b/src/robinthread/_internal/jobs/host.py
@@ -2,6 +2,12 @@
 
 import enum
 
+from robinthread._internal.jobs.host_errors import (
+    HostError,
+    HostNoAnswerError,
+    HostRefusedError,
+    HostSilentError,
+)
 from robinthread._internal.jobs.host_health import HostHealth
 from robinthread._internal.jobs.host_lease import HostLease
 from robinthread._internal.jobs.run import Run
@@ -35,6 +41,8 @@
     ``unanswered_since_s`` is when the first order was sent since it last answered.
     Until ``awaited_until_s`` a host that is UNHEARD is taken for one that will answer.
     ``is_refusing`` tells whether it refused a connection for the order that failed last.
+    ``broken_at_s`` is when a connection to it first broke since it last answered: a host that
+    ends breaks them at once, one that is cut off says nothing.
     By ``foreign_stops_over_at_s`` all that earlier owners told to stop has ended.
     """
 
@@ -59,6 +67,7 @@
         self.unanswered_since_s: float | None = None
         self.awaited_until_s = 0.0
         self.is_refusing = False
+        self.broken_at_s: float | None = None
 
     @property
     def id(self) -> str:
@@ -91,10 +100,14 @@
         """Note that the host has answered anything."""
         self.unanswered_since_s = None
         self.is_refusing = False
-
-    def note_failed(self, is_refused: bool) -> None:
-        """Note that an order failed, and whether the connection for it was refused."""
-        self.is_refusing = is_refused
+        self.broken_at_s = None
+
+    def note_failed(self, error: HostError, now_s: float) -> None:
+        """Note how an order failed."""
+        self.is_refusing = isinstance(error, HostRefusedError)
+        is_broken = isinstance(error, (HostNoAnswerError, HostRefusedError))
+        if is_broken and not isinstance(error, HostSilentError) and self.broken_at_s is None:
+            self.broken_at_s = now_s
 
     def add_run(self, run: Run, room: Resources) -> None:
         """Take room for a run."""
--- a/src/robinthread/_internal/jobs/host_errors.py
+++ b/src/robinthread/_internal/jobs/host_errors.py
@@ -9,6 +9,10 @@
     """No answer came: the order may have been carried out, or may be later."""
 
 
+class HostSilentError(HostNoAnswerError):
+    """No answer came in time, on a connection that had not broken."""
+
+
 class HostUnreachableError(HostError):
     """No connection could be made, so nothing was sent."""
 
--- a/src/robinthread/_internal/jobs/run.py
+++ b/src/robinthread/_internal/jobs/run.py
@@ -28,7 +28,8 @@
 
     Times are of the event loop's clock, in seconds.  A report that was asked
     for after ``settled_at_s`` tells all of the run: if it is in none of the
-    report's lists it is not there and never will be.
+    report's lists it is not there and never will be.  ``sent_at_s`` is when its start was
+    first sent; None where that never reached its host, or was an earlier owner's.
     """
 
     __slots__ = (
@@ -44,6 +45,7 @@
         "progress_at_s",
         "progress_percent",
         "recent_load",
+        "sent_at_s",
         "settled_at_s",
         "task",
     )
@@ -63,6 +65,7 @@
         self.recent_load: int | None = None
         self.pace_percent = 100
         self.paced_at_s = 0.0
+        self.sent_at_s: float | None = None
         self.present_since_s: float | None = None
         self.settled_at_s = math.inf
 
--- a/src/robinthread/_internal/node/host_follower.py
+++ b/src/robinthread/_internal/node/host_follower.py
@@ -9,11 +9,11 @@
     HostError,
     HostFencedError,
     HostGoneError,
-    HostRefusedError,
 )
 from robinthread._internal.jobs.run import Run, RunPhase
 from robinthread._internal.models.host_report import EndedRun, HostReport, RunEnd
 from robinthread._internal.node.order_sender import STOP_MARGIN_S, OrderSender
+from robinthread._internal.node.pool_reporting import tell_ended
 from robinthread._internal.node.pool_runtime import LEASE_MS, PoolRuntime, get_loop_s
 from robinthread._internal.node.recorder import Recorder
 
@@ -109,7 +109,7 @@
         self._lost_looks += 1
         if self._lost_looks >= FIRST_LOOKS_MAX:
             host.awaited_until_s = now_s
-        host.note_failed(isinstance(error, HostRefusedError))
+        host.note_failed(error, now_s)
         if host.contact is HostContact.ANSWERING:
             host.contact = HostContact.SILENT
             self._events.write(
@@ -133,13 +133,7 @@
 
     def _end(self, reason: str) -> None:
         host = self._host
-        self._events.write(
-            "host_ended",
-            host=host.id,
-            pool=self._runtime.pool,
-            reason=reason,
-            run_count=len(host.runs),
-        )
+        tell_ended(self._events, self._runtime.pool, host, reason, get_loop_s())
         self._runtime.jobs.remove_host(host.id, self._runtime.context.get_wall_ms())
         self._runtime.wake()
 
--- a/src/robinthread/_internal/node/order_sender.py
+++ b/src/robinthread/_internal/node/order_sender.py
@@ -10,7 +10,6 @@
     HostFencedError,
     HostGoneError,
     HostNoAnswerError,
-    HostRefusedError,
     HostUnhealthyError,
     HostUnreachableError,
     NoRoomError,
@@ -183,6 +182,7 @@
             run.checkpoint,
             tickets.get(step, host.id, get_loop_s()) or "",
         )
+        run.sent_at_s = run.sent_at_s or get_loop_s()
         try:
             host.note_sent(get_loop_s())
             await self._context.hosts.start(host.record, order)
@@ -208,7 +208,7 @@
             # Whatever ran there has ended with its life.
             return self._reject(run, host, str(error), may_be_there=False)
         except (HostNoAnswerError, HostUnreachableError) as error:
-            host.note_failed(isinstance(error, HostRefusedError))
+            host.note_failed(error, get_loop_s())
             self._events.write(
                 "start_unanswered",
                 job=job.id,
@@ -216,9 +216,13 @@
                 run=run.number,
                 host=host.id,
                 error=type(error).__name__,
+                sent_ago_ms=round((get_loop_s() - run.sent_at_s) * 1000, 1),
             )
-            is_sent = isinstance(error, HostNoAnswerError)
-            return StartOutcome.UNANSWERED if is_sent else StartOutcome.UNSENT
+            if isinstance(error, HostNoAnswerError):
+                return StartOutcome.UNANSWERED
+            if not may_be_there:
+                run.sent_at_s = None
+            return StartOutcome.UNSENT
         else:
             self._runtime.jobs.confirm_start(run, get_loop_s())
             since_accepted_ms = self._context.get_wall_ms() - job.spec.accepted_at_ms
--- a/src/robinthread/_internal/node/pool_hosts.py
+++ b/src/robinthread/_internal/node/pool_hosts.py
@@ -77,5 +77,5 @@
         if task is not None:
             task.cancel()
         self._ended.add(host.id)
-        tell_ended(self._runtime.events, self._runtime.pool, host, reason, successor)
+        tell_ended(self._runtime.events, self._runtime.pool, host, reason, get_loop_s(), successor)
         self._jobs.remove_host(host.id, self._runtime.context.get_wall_ms())
--- a/src/robinthread/_internal/node/pool_reporting.py
+++ b/src/robinthread/_internal/node/pool_reporting.py
@@ -1,16 +1,22 @@
 """What a pool's owner tells of its pool."""
 
+import heapq
 from collections import Counter
+from typing import Final
 
 from robinthread._internal.fleet.pool_report import HostStanding, LackReport, PoolReport
 from robinthread._internal.jobs.demand import Demand
 from robinthread._internal.jobs.doubts import list_doubted
 from robinthread._internal.jobs.host import Host, HostContact
 from robinthread._internal.jobs.pool_jobs import PoolJobs
+from robinthread._internal.jobs.run import Run
 from robinthread._internal.models.job_status import JobStatus
 from robinthread._internal.models.resources import Resources
 from robinthread._internal.telemetry.event_log import EventLog
 
+# So many of the runs that a host took with it are named in its line.
+NEWEST_TOLD_MAX: Final = 12
+
 
 def make_pool_report(pool: PoolJobs, demand: Demand, now_s: float) -> PoolReport:
     """Tell how a pool stands, and which of its listed hosts can be used."""
@@ -45,21 +51,38 @@
     )
 
 
-def tell_ended(events: EventLog, pool: str, host: Host, reason: str, successor: str) -> None:
-    """Tell of a host that has ended; one that had no runs with others."""
+def tell_ended(
+    events: EventLog, pool: str, host: Host, reason: str, now_s: float, successor: str = ""
+) -> None:
+    """Tell of a host that has ended, and which runs began there last; one without with others."""
     if host.runs:
+        broke_at_s = now_s if host.broken_at_s is None else host.broken_at_s
+        newest = heapq.nlargest(
+            NEWEST_TOLD_MAX,
+            (run for run in host.runs.values() if run.sent_at_s is not None),
+            key=lambda run: run.sent_at_s or 0.0,
+        )
         events.write(
             "host_ended",
             host=host.id,
+            machine=host.record.machine,
             pool=pool,
             reason=reason,
             successor=successor,
             run_count=len(host.runs),
+            broke_ago_s=None if host.broken_at_s is None else round(now_s - broke_at_s, 3),
+            newest=[_name_run(run, broke_at_s) for run in newest],
         )
     else:
         events.gather("host_ended", {"pool": pool, "reason": reason}, listed={"hosts": host.id})
 
 
+def _name_run(run: Run, broke_at_s: float) -> str:
+    """Name a run, with how long before its host broke its start was sent."""
+    ago_ms = (broke_at_s - (run.sent_at_s or 0.0)) * 1000
+    return f"{run.task.job_id}/{run.task.place}/{run.number} {ago_ms:.1f} ms"
+
+
 def _as_tuple(room: Resources) -> tuple[int, int, int]:
     return room.cpu_millicores, room.memory_mb, room.gpu_count
 
--- a/src/robinthread/_internal/platform/hosts.py
+++ b/src/robinthread/_internal/platform/hosts.py
@@ -11,6 +11,7 @@
     HostGoneError,
     HostNoAnswerError,
     HostRefusedError,
+    HostSilentError,
     HostUnhealthyError,
     HostUnreachableError,
     NoRoomError,
@@ -29,6 +30,7 @@
 from robinthread._internal.utils.http_call import (
     JSON_HEADERS,
     CallLostError,
+    CallTimedOutError,
     CallUnsentError,
     HttpClient,
     NobodyListensError,
@@ -161,6 +163,8 @@
             raise HostRefusedError(str(error)) from error
         except CallUnsentError as error:
             raise HostUnreachableError(str(error)) from error
+        except CallTimedOutError as error:
+            raise HostSilentError(str(error)) from error
         except CallLostError as error:
             raise HostNoAnswerError(str(error)) from error
         if response.code != 200:
--- a/src/robinthread/_internal/utils/http_call.py
+++ b/src/robinthread/_internal/utils/http_call.py
@@ -32,6 +32,10 @@
     """The request was sent, at least in part, and no whole answer came."""
 
 
+class CallTimedOutError(CallLostError):
+    """The time for the call was over; its connection had not broken."""
+
+
 @dataclass(frozen=True)
 class HttpClient:
     """An HTTP client, and what it knows of the connections that it keeps open."""
@@ -80,6 +84,8 @@
                 raise NobodyListensError(str(error)) from error
             raise CallUnsentError(str(error)) from error
         use.note_lost()
+        if isinstance(error, CurlError) and error.errno == pycurl.E_OPERATION_TIMEDOUT:
+            raise CallTimedOutError(str(error)) from error
         raise CallLostError(str(error)) from error
     if use.sent_count > 1 and response.code != 200:
         # A refusal of the repeat says nothing of the first one, which may have been read.
--- a/tests/functional/test_unsent_calls.py
+++ b/tests/functional/test_unsent_calls.py
@@ -8,6 +8,7 @@
 
 from robinthread._internal.utils.http_call import (
     CallLostError,
+    CallTimedOutError,
     CallUnsentError,
     NobodyListensError,
     call,
@@ -31,6 +32,8 @@
         return "refused"
     except CallUnsentError:
         return "unsent"
+    except CallTimedOutError:
+        return "timed out"
     except CallLostError:
         return "lost"
     return "answered"
@@ -83,7 +86,7 @@
         async def work() -> None:
             async with SilentService() as service:
                 service.answers.clear()
-                self.assertEqual("lost", await ask(make_client(4), service.address, 0.2))
+                self.assertEqual("timed out", await ask(make_client(4), service.address, 0.2))
                 self.assertEqual(1, len(service.requests))
 
         asyncio.run(work())
--- a/tests/unit/test_doubts.py
+++ b/tests/unit/test_doubts.py
@@ -6,6 +6,7 @@
 from robinthread._internal.fleet.silent_halls import find_silent_halls
 from robinthread._internal.jobs.doubts import DOUBT_AFTER_S, list_doubted
 from robinthread._internal.jobs.host import HostContact
+from robinthread._internal.jobs.host_errors import HostRefusedError, HostSilentError
 from robinthread._internal.jobs.placement import get_usable_hosts
 from robinthread._internal.jobs.pool_jobs import PoolJobs
 from robinthread._internal.models.machine import Machine, MachineState
@@ -58,7 +59,7 @@
         for name in ("a1", "a2", "a3"):
             pool.hosts[name].note_sent(SENT_S)
         for name in ("a1", "a2"):
-            pool.hosts[name].note_failed(is_refused=True)
+            pool.hosts[name].note_failed(HostRefusedError("refused"), SENT_S)
         self.assertEqual({"a1", "a2", "a3"}, list_doubted(pool, LATER_S))
         pool.hosts["a3"].note_answered()
         self.assertEqual({"a1", "a2"}, list_doubted(pool, LATER_S))
@@ -67,8 +68,8 @@
         pool = make_pool()
         for name in ("a1", "a2"):
             pool.hosts[name].note_sent(SENT_S)
-            pool.hosts[name].note_failed(is_refused=True)
-            pool.hosts[name].note_failed(is_refused=False)
+            pool.hosts[name].note_failed(HostRefusedError("refused"), SENT_S)
+            pool.hosts[name].note_failed(HostSilentError("silent"), SENT_S)
         self.assertEqual({"a1", "a2", "a3"}, list_doubted(pool, LATER_S))
 
     def test_hall_that_is_heard_is_not_in_doubt(self) -> None:
--- a/tests/unit/test_pool_reporting.py
+++ b/tests/unit/test_pool_reporting.py
@@ -7,6 +7,11 @@
 
 from robinthread._internal.jobs.demand import DemandMeter
 from robinthread._internal.jobs.host import Host, HostContact
+from robinthread._internal.jobs.host_errors import (
+    HostNoAnswerError,
+    HostRefusedError,
+    HostSilentError,
+)
 from robinthread._internal.jobs.host_lease import HostLease
 from robinthread._internal.jobs.pool_jobs import PoolJobs
 from robinthread._internal.jobs.run import Run
@@ -31,7 +36,7 @@
         self.events = EventLog("n", lambda line: self.lines.append(json.loads(line)))
 
     def tell(self, host: Host) -> None:
-        tell_ended(self.events, "press", host, "its machine is another host now", "h9")
+        tell_ended(self.events, "press", host, "its machine is another host now", 5.0, "h9")
 
     def test_host_with_runs_has_a_line_of_its_own(self) -> None:
         for name in ("h1", "h2"):
@@ -41,6 +46,28 @@
         self.assertEqual(["h1", "h2"], [line["host"] for line in self.lines])
         self.assertEqual({("h9", 1)}, {(x["successor"], x["run_count"]) for x in self.lines})
 
+    def test_line_tells_what_began_just_before_the_connection_broke(self) -> None:
+        """Of ten runs that a host took with it, nobody could tell which had just begun."""
+        host = make_host("h1")
+        for number, sent_at_s in enumerate((3.0, 4.99, None)):
+            run = Run(TaskKey("0" * 16, 0, 0, number), 1, "h1", "")
+            run.sent_at_s = sent_at_s
+            host.add_run(run, NO_RESOURCES)
+        host.note_failed(HostNoAnswerError("reset by peer"), 5.0)
+        host.note_failed(HostRefusedError("refused"), 5.2)
+        self.tell(host)
+        names = [f"{'0' * 16}/0.0.1/1 10.0 ms", f"{'0' * 16}/0.0.0/1 2000.0 ms"]
+        self.assertEqual((names, 0.0), (self.lines[0]["newest"], self.lines[0]["broke_ago_s"]))
+
+    def test_silence_is_no_break_and_an_answer_ends_one(self) -> None:
+        host = make_host("h1")
+        host.note_failed(HostSilentError("timed out"), 5.0)
+        self.assertIsNone(host.broken_at_s)
+        host.note_failed(HostNoAnswerError("reset by peer"), 6.0)
+        self.assertEqual(6.0, host.broken_at_s)
+        host.note_answered()
+        self.assertIsNone(host.broken_at_s)
+
     def test_hosts_without_runs_are_told_together(self) -> None:
         for number in range(30):
             self.tell(make_host(f"h{number}"))
