Failing tests: a task that crashes each host that starts it, and the same over changes of owner

Twelve hosts of the stand-in, 60 jobs of four tasks of 1 s, ten a second; the first task of the first 1, 4 and 10 jobs crashes its host 10 ms after each start, and the host is back 3 s later. Seen: 35 hosts taken down by one task, 32 starts after the third (2 allowed); 33 and 30 with the owner lost twice. No trouble, size or luck is needed.

--- a/src/robinthread/_internal/standins/job_host_standin.py
+++ b/src/robinthread/_internal/standins/job_host_standin.py
@@ -29,13 +29,15 @@
     """How a task behaves: how long it works, how it ends, what room it takes.
 
     A task that lasts has no ``work_s``.  Where ``gang_size`` is set the task
-    waits until so many tasks of its step are present under one run number.
+    waits until so many tasks of its step are present under one run number.  One with
+    ``crashes_after_s`` takes its host down so long after it has begun, work or not.
     """
 
     work_s: float | None
     room: Resources = NO_RESOURCES
     end: RunEnd = RunEnd.DONE
     gang_size: int = 0
+    crashes_after_s: float | None = None
 
 
 @dataclass
@@ -58,8 +60,10 @@
         plan_task: Callable[[TaskKey], TaskPlan],
         gangs: GangBoard,
         takes_ticket: Callable[[StartOrder], bool] = lambda order: True,
+        take_down: Callable[[str], None] = lambda host_id: None,
     ) -> None:
         self.record = record
+        self._take_down = take_down
         self._gangs = gangs
         self._takes_ticket = takes_ticket
         self.is_up = True
@@ -150,6 +154,8 @@
                 timer.cancel()
             present.ledger_run.ended_at_s, present.ledger_run.end = now_s, "crashed"
         self._present.clear()
+        # Whoever waits for an end sees its connection break.
+        self._changed.set()
 
     def _begin(self, order: StartOrder, plan: TaskPlan) -> None:
         loop = asyncio.get_running_loop()
@@ -157,6 +163,8 @@
         self._ledger.add(ledger_run)
         present = _Present(order, plan, ledger_run, loop.time())
         self._present[order.task, order.run] = present
+        if plan.crashes_after_s is not None:
+            present.timers.append(loop.call_later(plan.crashes_after_s, self._crash_under, present))
         if self.fails_all:
             present.timers.append(
                 loop.call_later(0.05, self._end, (order.task, order.run), RunEnd.FAILED)
@@ -171,6 +179,10 @@
         else:
             self._work(present)
 
+    def _crash_under(self, present: _Present) -> None:
+        present.ledger_run.is_cause = True
+        self._take_down(self.record.id)
+
     def _work(self, present: _Present) -> None:
         """Have a run work until it ends by itself, if it does."""
         order, plan = present.order, present.plan
--- a/src/robinthread/_internal/standins/platform_standin.py
+++ b/src/robinthread/_internal/standins/platform_standin.py
@@ -68,6 +68,9 @@
 # One way between two nodes.
 PEER_LATENCY_S: Final = 0.001
 
+# From a crash of a host until its machine has another one.
+HOST_BACK_S: Final = 3.0
+
 T = TypeVar("T")
 
 
@@ -183,7 +186,14 @@
             return platform.advice.accepts(order.task.step_key, record.id, order.ticket)
 
         hosts.add(
-            JobHostStandin(record, hosts.ledger, platform.plan_task, hosts.gangs, takes_ticket)
+            JobHostStandin(
+                record,
+                hosts.ledger,
+                platform.plan_task,
+                hosts.gangs,
+                takes_ticket,
+                platform.crash_for_a_while,
+            )
         )
         platform.list_host(record)
         return record.id
@@ -205,6 +215,7 @@
         self.machines = MachinesStandin(RESERVE, _Lives(self), seed)
         self.advice = AdviceStandin()
         self.asks_for_tickets = False
+        self.host_back_s = HOST_BACK_S
         self.nodes: dict[str, RunningNode] = {}
         self.cut_nodes: set[str] = set()
         self.peer_connections = OpenConnections()
@@ -253,6 +264,12 @@
                 host.crash()
         asyncio.get_running_loop().call_later(4.5, self.unlist_host, host_id)
 
+    def crash_for_a_while(self, host_id: str) -> None:
+        """End a host's life; its machine has another one ``host_back_s`` later."""
+        self.crash_host(host_id)
+        loop = asyncio.get_running_loop()
+        loop.call_later(self.host_back_s, self.machines.restart, host_id)
+
     def start_node(
         self, name: str, capacity_millicores: int = 1000, policy: PolicySettings | None = None
     ) -> RunningNode:
--- a/src/robinthread/_internal/standins/run_ledger.py
+++ b/src/robinthread/_internal/standins/run_ledger.py
@@ -11,7 +11,8 @@
 class LedgerRun:
     """A run as the hosts saw it; times are of the event loop's clock.
 
-    ``is_noted`` tells that note was taken of its end, and before its host's lease lapsed.
+    ``is_noted`` tells that note was taken of its end, and before its host's lease lapsed,
+    ``is_cause`` that it took its host down.
     """
 
     task: TaskKey
@@ -21,6 +22,7 @@
     ended_at_s: float | None = None
     end: str = ""
     is_noted: bool = False
+    is_cause: bool = False
 
 
 class RunLedger:
--- /dev/null
+++ b/tests/lib/crashing.py
@@ -0,0 +1,138 @@
+"""Tasks that take down each host that starts them, and what must hold of them."""
+
+import asyncio
+from collections import defaultdict
+from collections.abc import Collection, Iterable
+
+from robinthread._internal.models.job_spec import JobSpec, StepSpec
+from robinthread._internal.models.job_status import JobStatus
+from robinthread._internal.models.resources import Resources
+from robinthread._internal.models.task_key import TaskKey
+from robinthread._internal.standins.job_host_standin import TaskPlan
+from robinthread._internal.standins.platform_standin import PlatformStandin
+from robinthread._internal.standins.run_ledger import LedgerRun
+from tests.lib.job_platforms import get_owner, get_status, hand_in, make_job
+
+# A task under which so many hosts have crashed is started at most so often from then on.
+CRASHES = 3
+STARTS_AFTER_MAX = 2
+# A job is given up only where so many hosts have crashed under one of its tasks.
+CRASHES_TO_GIVE_UP = 2
+# The host is gone so long after the start.
+CRASH_AFTER_S = 0.01
+# Twelve hosts carry 192 of these tasks.
+SMALL = Resources(1000, 100)
+STEP = StepSpec(4, cpu_millicores=1000, memory_mb=100)
+JOBS = 60
+JOB_PERIOD_S = 0.1
+
+
+def make_jobs(count: int = JOBS, *steps: StepSpec) -> list[JobSpec]:
+    """Make jobs of one step of four tasks, or of the given steps."""
+    return [make_job(number, *(steps or (STEP,))) for number in range(1, count + 1)]
+
+
+class CrashPlan:
+    """Has the first task of each of some jobs take its hosts down, and all others work.
+
+    ``steps`` are the steps whose first task does so.
+    """
+
+    def __init__(
+        self,
+        crashing: Iterable[JobSpec],
+        work_s: float | None = 1.0,
+        crash_after_s: float = CRASH_AFTER_S,
+        steps: Collection[int] = (0,),
+    ) -> None:
+        self.crashing = {spec.job_id for spec in crashing}
+        self._work_s = work_s
+        self._crash_after_s = crash_after_s
+        self._steps = steps
+
+    def is_cause(self, task: TaskKey) -> bool:
+        """Tell whether a task takes its hosts down."""
+        return task.job_id in self.crashing and not task.index and task.step in self._steps
+
+    def __call__(self, task: TaskKey) -> TaskPlan:
+        """Return how a task behaves."""
+        crashes_after_s = self._crash_after_s if self.is_cause(task) else None
+        return TaskPlan(self._work_s, SMALL, crashes_after_s=crashes_after_s)
+
+
+async def feed(
+    platform: PlatformStandin, specs: Iterable[JobSpec], period_s: float = JOB_PERIOD_S
+) -> None:
+    """Hand jobs in, one each ``period_s``, at a node that runs."""
+    for spec in specs:
+        await hand_in(platform, min(platform.nodes), spec)
+        await asyncio.sleep(period_s)
+
+
+async def read_statuses(
+    platform: PlatformStandin, specs: Iterable[JobSpec]
+) -> dict[str, JobStatus | None]:
+    """Return what the pool's owner tells of each job."""
+    owner = get_owner(platform)
+    assert owner is not None
+    return {spec.job_id: await get_status(platform, owner, spec.job_id) for spec in specs}
+
+
+async def wait_until_ended(
+    platform: PlatformStandin, specs: Collection[JobSpec], limit_s: float
+) -> dict[str, JobStatus | None]:
+    """Wait until all jobs are shown as ended, for a bounded time; return what is shown."""
+    until_s = asyncio.get_running_loop().time() + limit_s
+    while True:
+        statuses = await read_statuses(platform, specs)
+        is_over = all(status is not None and status.is_final for status in statuses.values())
+        if is_over or asyncio.get_running_loop().time() > until_s:
+            return statuses
+        await asyncio.sleep(0.5)
+
+
+def find_excess(platform: PlatformStandin) -> list[str]:
+    """Return the tasks that were started too often after their third crash, in words."""
+    by_task: dict[TaskKey, list[LedgerRun]] = defaultdict(list)
+    for run in platform.hosts.ledger.runs:
+        by_task[run.task].append(run)
+    return [
+        f"{task}: {len(causes)} hosts taken down, {len(after)} starts after the third"
+        for task, runs in by_task.items()
+        if len(causes := [run for run in runs if run.is_cause]) >= CRASHES
+        and len(after := [run for run in runs if run.began_at_s > _get_third_s(causes)])
+        > STARTS_AFTER_MAX
+    ]
+
+
+def _get_third_s(causes: list[LedgerRun]) -> float:
+    return sorted(run.ended_at_s or 0.0 for run in causes)[CRASHES - 1]
+
+
+def find_given_up_early(
+    platform: PlatformStandin, statuses: dict[str, JobStatus | None]
+) -> list[str]:
+    """Return the jobs shown as failed without a task that took enough hosts down."""
+    crashes: dict[TaskKey, int] = defaultdict(int)
+    for run in platform.hosts.ledger.runs:
+        crashes[run.task] += run.is_cause
+    guilty = {task.job_id for task, count in crashes.items() if count >= CRASHES_TO_GIVE_UP}
+    return [
+        job_id
+        for job_id, status in statuses.items()
+        if status is JobStatus.FAILED and job_id not in guilty
+    ]
+
+
+def count_causes(platform: PlatformStandin) -> int:
+    """Return how many hosts tasks have taken down."""
+    return sum(run.is_cause for run in platform.hosts.ledger.runs)
+
+
+def count_lost_beside(platform: PlatformStandin) -> int:
+    """Return how many runs of other tasks were lost with hosts that a task took down."""
+    hosts = {run.host_id for run in platform.hosts.ledger.runs if run.is_cause}
+    return sum(
+        run.host_id in hosts and run.end == "crashed" and not run.is_cause
+        for run in platform.hosts.ledger.runs
+    )
