Failing tests: a late gang waits for good in a pool that is too small for it

Brought about without any crash: a queue whose jobs are late from the start, one host, four in reserve; not served within 30 s, by tasks apart and by room.

--- /dev/null
+++ b/tests/functional/test_late_gangs.py
@@ -0,0 +1,52 @@
+"""A gang whose job is late gets hosts for all of its members.
+
+Of drawn days on which hosts crash, some gangs of three tasks, no two of which may share a host,
+waited for good in a pool of two hosts with others in reserve: a late job counts by a quarter of
+its room, so three such tasks asked for three quarters of a host.
+
+    282 undone ('0000000000000018 JobStatus.RUNNING', '0000000000000035 JobStatus.RUNNING')
+    hosts [('i-19', 0 runs, 'answering'), ('i-48', 0 runs, 'answering')]
+"""
+
+from dataclasses import replace
+
+from testtools import TestCase
+
+from robinthread._internal.models.job_spec import StepSpec
+from robinthread._internal.models.job_status import JobStatus
+from robinthread._internal.models.resources import Resources
+from robinthread._internal.models.task_key import TaskKey
+from robinthread._internal.standins.job_host_standin import TaskPlan
+from tests.lib.job_platforms import QUEUE, hand_in, make_job, start_platform, wait_for_status
+from tests.lib.virtual import run_virtual
+
+GANG = StepSpec(3, cpu_millicores=1000, memory_mb=100, is_gang=True, per_host_max=1)
+# Each of these takes a host of its own.
+LARGE_GANG = StepSpec(3, cpu_millicores=12_000, memory_mb=100, is_gang=True)
+# A queue whose jobs are late from the moment they are handed in.
+LATE_QUEUE = replace(QUEUE, stretch=0.1, latency_target_ms=0)
+
+
+def plan_large(task: TaskKey) -> TaskPlan:
+    """Have each task take most of a host for a second."""
+    return TaskPlan(1.0, Resources(12_000, 100), gang_size=LARGE_GANG.task_count)
+
+
+class LateGangsTest(TestCase):
+    def test_late_gang_of_more_tasks_apart_than_the_pool_has_hosts_is_served(self) -> None:
+        async def work() -> None:
+            platform = await start_platform(hosts=1, reserve=4, queue=LATE_QUEUE)
+            spec = make_job(1, GANG)
+            await hand_in(platform, "node0", spec)
+            await wait_for_status(platform, spec.job_id, JobStatus.SUCCEEDED)
+
+        run_virtual(work())
+
+    def test_late_gang_of_more_room_than_the_pool_has_is_served(self) -> None:
+        async def work() -> None:
+            platform = await start_platform(plan_large, hosts=1, reserve=4, queue=LATE_QUEUE)
+            spec = make_job(1, LARGE_GANG)
+            await hand_in(platform, "node0", spec)
+            await wait_for_status(platform, spec.job_id, JobStatus.SUCCEEDED)
+
+        run_virtual(work())
--- a/tests/lib/job_platforms.py
+++ b/tests/lib/job_platforms.py
@@ -42,10 +42,11 @@
     hosts: int = 4,
     reserve: int = 0,
     seed: int = 1,
+    queue: QueuePolicy = QUEUE,
 ) -> PlatformStandin:
     """Start a platform with one pool, and wait until its pool is owned."""
     platform = PlatformStandin(plan_task, seed)
-    platform.configure(1, (QUEUE,), POOLS)
+    platform.configure(1, (queue,), POOLS)
     for number in range(hosts):
         platform.machines.add(POOL, f"r{number % 2}", ROOM)
     for number in range(reserve):
