A gang gets hosts for all of its members at once, however late its job is

Seen: a late gang was never served in a pool with less room than it needs, nor with fewer hosts than it has tasks apart, though machines lay in reserve. Cause: jobs that can't be on time ask for a quarter of their room; a gang begins whole or not at all, so a quarter of its room is none. Now it counts whole where its tasks fit on some hosts only, and the pool has room for the widest waiting gang at least.

--- a/src/robinthread/_internal/jobs/demand.py
+++ b/src/robinthread/_internal/jobs/demand.py
@@ -4,6 +4,7 @@
 from collections import deque
 from collections.abc import Iterable, Sequence
 from dataclasses import dataclass, replace
+from functools import reduce
 from typing import Final
 
 from robinthread._internal.jobs.job import Job
@@ -98,9 +99,10 @@
             [*in_time, *late_forecasts], waiting_in_time + waiting_late.scale(share), arriving
         )
         _fetch, urgent = self._get_rooms(in_time, waiting_in_time, arriving)
+        gang = _get_widest_gang(steps)
         return Demand(
-            (fetch + lasting).round(),
-            (keep + lasting).round(),
+            (fetch.max(gang) + lasting).round(),
+            (keep.max(gang) + lasting).round(),
             (urgent + lasting).round(),
             _count_hosts_for_lasting(pool),
             lasting.round(),
@@ -142,10 +144,12 @@
         count = step.task_count - step.copy_count
         if step.spec.is_lasting:
             return StepNeed(step, count)
+        if step.spec.is_gang:
+            # It begins whole or not at all, however late it is.
+            return StepNeed(step, count)
         takes_s = pool.run_times.estimate_s(step.job.spec.queue, step.spec)
         share = self._get_share((step.job.id, step.occurrence), late)
-        at_once = 1.0 if step.spec.is_gang else min(1.0, takes_s / DRAIN_S)
-        return StepNeed(step, share * count * at_once)
+        return StepNeed(step, share * count * min(1.0, takes_s / DRAIN_S))
 
     def _get_share(self, place: Place, late: frozenset[Place]) -> float:
         """Return the share of an occurrence's room for which to ask for hosts."""
@@ -189,6 +193,16 @@
     return sums[False], sums[True]
 
 
+def _get_widest_gang(steps: Iterable[WaitingStep]) -> Work:
+    """Return the room that the widest waiting gang that ends needs at once, late or not."""
+    rooms = (
+        as_work(step.spec.room).scale(step.task_count)
+        for step in steps
+        if step.spec.is_gang and not step.spec.is_lasting
+    )
+    return reduce(Work.max, rooms, NO_WORK)
+
+
 def _find_late(pool: PoolJobs, now_ms: int) -> frozenset[Place]:
     """Return the occurrences of jobs that can no longer be on time."""
     return frozenset(
