Failing test: starts that wait for their turn are sent to a host that has shrunk meanwhile

Hosts of the stand-in may change their room while they run, and start whatever they are told; its ledger, which nearly all tests ask, finds each start that brings a host over its room (one that shrank counts 4.5 s later).

--- a/src/robinthread/_internal/standins/job_host_standin.py
+++ b/src/robinthread/_internal/standins/job_host_standin.py
@@ -22,6 +22,9 @@
 from robinthread._internal.utils.waiting import wait_for_event
 
 STOP_S: Final = 0.2
+# A room that has shrunk is to be known so long after: what an entry host may take to hear of
+# anything, and a heartbeat.
+ROOM_KNOWN_AFTER_S: Final = 4.5
 
 
 @dataclass(frozen=True)
@@ -60,12 +63,15 @@
         plan_task: Callable[[TaskKey], TaskPlan],
         gangs: GangBoard,
         takes_ticket: Callable[[StartOrder], bool] = lambda order: True,
+        checks_room: Callable[[], bool] = lambda: True,
         take_down: Callable[[str], None] = lambda host_id: None,
     ) -> None:
         self.record = record
         self._take_down = take_down
         self._gangs = gangs
         self._takes_ticket = takes_ticket
+        self._checks_room = checks_room
+        self._earlier_rooms: list[tuple[float, Resources]] = []
         self.is_up = True
         self.fails_all = False
         self._ledger = ledger
@@ -101,8 +107,12 @@
             raise TicketRejectedError("ticket")
         plan = self._plan_task(order.task)
         taken = sum((present.plan.room for present in self._present.values()), start=plan.room)
-        if not taken.fits_in(self.record.room):
+        if not taken.fits_in(self.record.room) and self._checks_room():
             raise NoRoomError("room")
+        if not any(taken.fits_in(room) for room in self._list_known_rooms()):
+            self._ledger.overfull.append(
+                f"{order.task} run {order.run} on {self.record.id} takes {taken} in all"
+            )
         self._begin(order, plan)
         return self.clock_ms
 
@@ -145,6 +155,17 @@
         if not self._ended:
             await wait_for_event(self._changed, wait_s)
 
+    def resize(self, record: UpstreamHost) -> None:
+        """Have another room from now on, as ``record`` says."""
+        now_s = asyncio.get_running_loop().time()
+        self._earlier_rooms.append((now_s, self.record.room))
+        self.record = record
+
+    def _list_known_rooms(self) -> list[Resources]:
+        """Return the rooms that whoever orders here may believe in: the last ones, and now's."""
+        since_s = asyncio.get_running_loop().time() - ROOM_KNOWN_AFTER_S
+        return [self.record.room, *(room for at_s, room in self._earlier_rooms if at_s > since_s)]
+
     def crash(self) -> None:
         """End this life with all that runs."""
         self.is_up = False
--- a/src/robinthread/_internal/standins/platform_standin.py
+++ b/src/robinthread/_internal/standins/platform_standin.py
@@ -4,7 +4,7 @@
 import itertools
 from collections import Counter
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Final, TypeVar
 
 import msgspec
@@ -192,6 +192,7 @@
                 platform.plan_task,
                 hosts.gangs,
                 takes_ticket,
+                lambda: platform.hosts_check_room,
                 platform.crash_for_a_while,
             )
         )
@@ -216,6 +217,7 @@
         self.advice = AdviceStandin()
         self.asks_for_tickets = False
         self.host_back_s = HOST_BACK_S
+        self.hosts_check_room = True
         self.nodes: dict[str, RunningNode] = {}
         self.cut_nodes: set[str] = set()
         self.peer_connections = OpenConnections()
@@ -264,6 +266,13 @@
                 host.crash()
         asyncio.get_running_loop().call_later(4.5, self.unlist_host, host_id)
 
+    def resize_host(self, host_id: str, room: Resources) -> None:
+        """Have a host's room shrink or grow while it runs; its entry tells at once."""
+        for host in self.hosts.hosts.values():
+            if host.record.id == host_id:
+                host.resize(replace(host.record, room=room))
+                self.list_host(host.record)
+
     def crash_for_a_while(self, host_id: str) -> None:
         """End a host's life; its machine has another one ``host_back_s`` later."""
         self.crash_host(host_id)
--- a/src/robinthread/_internal/standins/run_ledger.py
+++ b/src/robinthread/_internal/standins/run_ledger.py
@@ -26,11 +26,15 @@
 
 
 class RunLedger:
-    """Collects runs over all hosts and finds what breaks the promises."""
+    """Collects runs over all hosts and finds what breaks the promises.
+
+    ``overfull`` are starts that brought a host over its room, in words.
+    """
 
     def __init__(self) -> None:
         self.runs: list[LedgerRun] = []
         self.cancelled_at_s: dict[str, float] = {}
+        self.overfull: list[str] = []
 
     def add(self, run: LedgerRun) -> None:
         """Note a run that began."""
@@ -41,7 +45,7 @@
         by_task: dict[TaskKey, list[LedgerRun]] = defaultdict(list)
         for run in self.runs:
             by_task[run.task].append(run)
-        breaks = []
+        breaks = list(self.overfull)
         for runs in by_task.values():
             runs.sort(key=lambda run: run.began_at_s)
             for earlier, later in itertools.pairwise(runs):
--- /dev/null
+++ b/tests/functional/test_rooms_that_change.py
@@ -0,0 +1,133 @@
+"""Hosts whose room shrinks and grows while they run, and that start whatever they are told.
+
+A start that was placed while a host had the room for it could be sent long after that had
+shrunk: it waited for its turn behind others that the host left unanswered, and was sent again
+and again.  On the stand-in a host of sixteen cores shrank to four with two of them in use, and
+the starts that waited brought it to sixteen 5 s later.
+"""
+
+import asyncio
+import itertools
+
+from testtools import TestCase
+
+from robinthread._internal.models.job_spec import StepSpec
+from robinthread._internal.models.job_status import JobStatus
+from robinthread._internal.models.resources import Resources
+from robinthread._internal.standins.job_host_standin import JobHostStandin
+from robinthread._internal.standins.platform_standin import PlatformStandin
+from tests.lib.job_platforms import (
+    ROOM,
+    find_breaks,
+    hand_in,
+    make_job,
+    start_platform,
+    wait_for_status,
+    wait_until_done,
+)
+from tests.lib.lasting import restart_owner
+from tests.lib.virtual import run_virtual
+
+SMALL_ROOM = Resources(4_000, 32_000)
+FULL = StepSpec(16, cpu_millicores=1000, memory_mb=100)
+GANG = StepSpec(8, cpu_millicores=1000, memory_mb=100, is_gang=True)
+COPIED = StepSpec(8, cpu_millicores=1000, memory_mb=100, allows_copies=True)
+# Longer than a room that has shrunk may be unknown.
+KNOWN_S = 5.0
+
+
+async def start_unchecked(hosts: int = 1) -> PlatformStandin:
+    """Start a platform whose hosts start whatever they are told."""
+    platform = await start_platform(hosts=hosts)
+    platform.hosts_check_room = False
+    return platform
+
+
+def get_host(platform: PlatformStandin) -> JobHostStandin:
+    """Return the platform's first host."""
+    return next(iter(platform.hosts.hosts.values()))
+
+
+class RoomsThatChangeTest(TestCase):
+    def test_host_that_shrinks_gets_no_more_than_it_has_room_for(self) -> None:
+        async def work() -> None:
+            platform = await start_unchecked()
+            specs = [make_job(number, FULL) for number in range(1, 4)]
+            for spec in specs:
+                await hand_in(platform, "node0", spec)
+            platform.resize_host(get_host(platform).record.id, SMALL_ROOM)
+            await wait_until_done(platform, specs, 60)
+            self.assertEqual([], find_breaks(platform))
+
+        run_virtual(work())
+
+    def test_host_that_grows_again_is_filled_at_once(self) -> None:
+        async def work() -> None:
+            platform = await start_unchecked()
+            platform.resize_host(get_host(platform).record.id, SMALL_ROOM)
+            await asyncio.sleep(1)
+            spec = make_job(1, FULL)
+            await hand_in(platform, "node0", spec)
+            await asyncio.sleep(0.5)
+            platform.resize_host(get_host(platform).record.id, ROOM)
+            self.assertLess(await wait_for_status(platform, spec.job_id, JobStatus.SUCCEEDED), 2.0)
+            self.assertEqual([], find_breaks(platform))
+
+        run_virtual(work())
+
+    def test_starts_that_wait_for_their_turn_are_not_sent_to_a_host_that_has_shrunk(self) -> None:
+        for step in (FULL, GANG, COPIED):
+            run_virtual(self._shrink_while_starts_wait(step))
+
+    async def _shrink_while_starts_wait(self, step: StepSpec) -> None:
+        platform = await start_unchecked()
+        spec = make_job(1, step)
+        # Orders are not carried out, and not answered either.
+        platform.hosts.faults.lost_share, platform.hosts.faults.late_s = 1.0, (1000.0, 1000.0)
+        await hand_in(platform, "node0", spec)
+        await asyncio.sleep(0.1)
+        platform.resize_host(get_host(platform).record.id, Resources(2_000, 32_000))
+        await asyncio.sleep(KNOWN_S)
+        platform.hosts.faults.lost_share = 0.0
+        await asyncio.sleep(2)
+        self.assertEqual([], find_breaks(platform))
+
+    def test_next_owner_sends_no_more_than_there_is_room_for(self) -> None:
+        async def work() -> None:
+            platform = await start_unchecked(hosts=2)
+            specs = [make_job(number, FULL) for number in range(1, 5)]
+            for spec in specs:
+                await hand_in(platform, "node0", spec)
+            for host in platform.hosts.hosts.values():
+                platform.resize_host(host.record.id, SMALL_ROOM)
+            await restart_owner(platform)
+            await wait_until_done(platform, specs, 60)
+            self.assertEqual([], find_breaks(platform))
+
+        run_virtual(work())
+
+    def test_rooms_that_change_all_the_while_are_kept_to(self) -> None:
+        """Also where a run is stopped: until it has ended its room is taken."""
+
+        async def work() -> None:
+            platform = await start_unchecked(hosts=3)
+            rooms = itertools.cycle((SMALL_ROOM, ROOM, Resources(9_000, 32_000)))
+            specs = [make_job(number, FULL) for number in range(1, 13)]
+
+            async def change() -> None:
+                while True:
+                    await asyncio.sleep(0.7)
+                    for host in platform.hosts.hosts.values():
+                        platform.resize_host(host.record.id, next(rooms))
+
+            changing = asyncio.create_task(change())
+            platform.hosts.faults.lost_share, platform.hosts.faults.late_s = 0.2, (0.5, 3.0)
+            for spec in specs:
+                await hand_in(platform, "node0", spec)
+                await asyncio.sleep(0.5)
+            platform.hosts.faults.lost_share = 0.0
+            await wait_until_done(platform, specs, 60)
+            changing.cancel()
+            self.assertEqual([], find_breaks(platform))
+
+        run_virtual(work())
