A start is not sent to a host that has shrunk since it was placed

What operators saw: a host that starts whatever it is told was brought to eight times its room. Cause: room was checked where a run is placed, and a start may wait seconds for its turn behind others without answer, or be sent again. What runs already stays where room is smaller than that: only starts are bounded, and nothing is gained by ending work.

--- a/src/robinthread/_internal/jobs/host.py
+++ b/src/robinthread/_internal/jobs/host.py
@@ -149,6 +149,15 @@
         self._used = used
         self.free = self._record.room - used
 
+    def is_over(self, room: Resources) -> bool:
+        """Tell whether the host lacks room of a kind that a run on it takes."""
+        pairs = (
+            (self.free.cpu_millicores, room.cpu_millicores),
+            (self.free.memory_mb, room.memory_mb),
+            (self.free.gpu_count, room.gpu_count),
+        )
+        return any(free < 0 < takes for free, takes in pairs)
+
     @property
     def room_beside_lasting(self) -> Resources:
         """Return the room that is there for tasks that end."""
--- a/src/robinthread/_internal/node/order_sender.py
+++ b/src/robinthread/_internal/node/order_sender.py
@@ -78,6 +78,10 @@
             while tries < START_TRIES and host.contact is HostContact.ANSWERING:
                 if run.phase is not RunPhase.SENDING:
                     return
+                if host.is_over(job.spec.steps[run.task.step].room):
+                    # Its room has shrunk since the run was placed.
+                    self._tell_shrunk(run, host)
+                    break
                 until_ms = self._grant(host)
                 if until_ms is not None:
                     tries += 1
@@ -159,6 +163,19 @@
             outcome=outcome,
         )
 
+    def _tell_shrunk(self, run: Run, host: Host) -> None:
+        self._events.write(
+            "start_dropped",
+            job=run.task.job_id,
+            task=run.task.place,
+            run=run.number,
+            host=host.id,
+            reason="the host has shrunk",
+            room_cpu_millicores=host.record.room.cpu_millicores,
+            free_cpu_millicores=host.free.cpu_millicores,
+            free_memory_mb=host.free.memory_mb,
+        )
+
     def _grant(self, host: Host) -> int | None:
         """Return the end of a lease that begins now, or None while none may be granted."""
         lease_ms = self._runtime.get_lease_ms()
