Failing test: a room that may have shrunk unseen is used

While the entries of hosts can't be read and the store serves all else, a host of a pool that starts whatever it is told gets 16 tasks of one core 5 s after it shrank to four. Hosts that check their room must be used all the same: a second test, which passes.

--- a/src/robinthread/_internal/standins/store_standin.py
+++ b/src/robinthread/_internal/standins/store_standin.py
@@ -103,6 +103,7 @@
 class StoreStandin:
     """Partitions and groups, with faults and history that can be made to expire.
 
+    Topics that are ``unreadable_topics`` may still be written.
     ``link_bytes_per_s`` is what the links of some callers carry of records that they read;
     members that are ``unlisted`` hold no partition, for whatever reason.  ``reads`` counts
     reads by caller and topic, or group.  A partition takes its appends in turn, each in
@@ -115,6 +116,7 @@
         self._groups: dict[str, MemberGroup] = defaultdict(MemberGroup)
         self.link_bytes_per_s: dict[str, float] = {}
         self.unlisted: set[str] = set()
+        self.unreadable_topics: set[str] = set()
         self.reads: Counter[tuple[str, str]] = Counter()
         self.append_turn_s = 0.0
         self._turns_over_at_s: dict[Partition, float] = {}
@@ -214,7 +216,7 @@
         return page
 
     async def _read(self, partition: Partition, from_offset: int, wait_s: float) -> ReadPage:
-        self._standin.reads[self._caller, partition.topic] += 1
+        await self._find_readable(partition)
         log = self._standin.get_log(partition)
 
         def work() -> ReadPage:
@@ -239,7 +241,7 @@
         self, partition: Partition, after_key: str, timeout_s: float
     ) -> NewestPage:
         """Read a page of the newest record of each key."""
-        self._standin.reads[self._caller, partition.topic] += 1
+        await self._find_readable(partition)
         log = self._standin.get_log(partition)
 
         def work() -> NewestPage:
@@ -252,6 +254,13 @@
         await self._carry(found.records, timeout_s)
         return found
 
+    async def _find_readable(self, partition: Partition) -> None:
+        """Count a read, and fail where the partition's topic can't be read."""
+        self._standin.reads[self._caller, partition.topic] += 1
+        if partition.topic in self._standin.unreadable_topics:
+            await asyncio.sleep(CALL_TIMEOUT_S)
+            raise StoreNoAnswerError("unreadable")
+
     async def _carry(self, records: Sequence[KeyedRecord], timeout_s: float) -> None:
         """Wait for as long as an answer takes over the caller's link."""
         link_bytes_per_s = self._standin.link_bytes_per_s.get(self._caller)
--- a/tests/functional/test_rooms_that_change.py
+++ b/tests/functional/test_rooms_that_change.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import itertools
+from dataclasses import replace
 
 from testtools import TestCase
 
@@ -15,8 +16,9 @@
 from robinthread._internal.models.job_status import JobStatus
 from robinthread._internal.models.resources import Resources
 from robinthread._internal.standins.job_host_standin import JobHostStandin
-from robinthread._internal.standins.platform_standin import PlatformStandin
+from robinthread._internal.standins.platform_standin import HOSTS, PlatformStandin
 from tests.lib.job_platforms import (
+    POOLS,
     ROOM,
     find_breaks,
     hand_in,
@@ -28,6 +30,7 @@
 from tests.lib.lasting import restart_owner
 from tests.lib.virtual import run_virtual
 
+UNCHECKED = tuple(replace(pool, hosts_check_room=False) for pool in POOLS)
 SMALL_ROOM = Resources(4_000, 32_000)
 FULL = StepSpec(16, cpu_millicores=1000, memory_mb=100)
 GANG = StepSpec(8, cpu_millicores=1000, memory_mb=100, is_gang=True)
@@ -38,7 +41,7 @@
 
 async def start_unchecked(hosts: int = 1) -> PlatformStandin:
     """Start a platform whose hosts start whatever they are told."""
-    platform = await start_platform(hosts=hosts)
+    platform = await start_platform(hosts=hosts, pools=UNCHECKED)
     platform.hosts_check_room = False
     return platform
 
@@ -92,6 +95,34 @@
         await asyncio.sleep(2)
         self.assertEqual([], find_breaks(platform))
 
+    def test_room_that_may_have_shrunk_unseen_is_not_used(self) -> None:
+        """The entries of hosts can't be read, while the store serves all else."""
+
+        async def work() -> None:
+            platform = await start_unchecked()
+            platform.store.unreadable_topics.add(HOSTS.topic)
+            platform.resize_host(get_host(platform).record.id, SMALL_ROOM)
+            await asyncio.sleep(KNOWN_S)
+            spec = make_job(1, FULL)
+            await hand_in(platform, "node0", spec)
+            await asyncio.sleep(3)
+            platform.store.unreadable_topics.clear()
+            await wait_for_status(platform, spec.job_id, JobStatus.SUCCEEDED)
+            self.assertEqual([], find_breaks(platform))
+
+        run_virtual(work())
+
+    def test_hosts_that_check_their_room_are_used_whatever_can_be_read(self) -> None:
+        async def work() -> None:
+            platform = await start_platform(hosts=1)
+            platform.store.unreadable_topics.add(HOSTS.topic)
+            await asyncio.sleep(KNOWN_S)
+            spec = make_job(1, FULL)
+            await hand_in(platform, "node0", spec)
+            self.assertLess(await wait_for_status(platform, spec.job_id, JobStatus.SUCCEEDED), 2.0)
+
+        run_virtual(work())
+
     def test_next_owner_sends_no_more_than_there_is_room_for(self) -> None:
         async def work() -> None:
             platform = await start_unchecked(hosts=2)
--- a/tests/lib/job_platforms.py
+++ b/tests/lib/job_platforms.py
@@ -43,10 +43,11 @@
     reserve: int = 0,
     seed: int = 1,
     queue: QueuePolicy = QUEUE,
+    pools: tuple[PoolPolicy, ...] = POOLS,
 ) -> PlatformStandin:
     """Start a platform with one pool, and wait until its pool is owned."""
     platform = PlatformStandin(plan_task, seed)
-    platform.configure(1, (queue,), POOLS)
+    platform.configure(1, (queue,), pools)
     for number in range(hosts):
         platform.machines.add(POOL, f"r{number % 2}", ROOM)
     for number in range(reserve):
