Hosts that do not check their room get no work while their entries can't be read

Seen: 16 tasks of one core on a host of four. Cause: what a host has room for was taken as of its last entry, however long ago that was read, where the store serves all but the entries. Pools whose hosts start whatever they are told now place and send nothing once the entries have not been read for 3 s; those whose hosts check their room go on as before.

--- a/src/robinthread/_internal/jobs/placement.py
+++ b/src/robinthread/_internal/jobs/placement.py
@@ -49,6 +49,8 @@
 
     Where more than half seem unwell, it is the jobs that fail: all are used.
     """
+    if not pool.are_rooms_known:
+        return []
     left_out = list_doubted(pool, now_s) | pool.crash_book.trials.reserved
     hosts = [
         host
--- a/src/robinthread/_internal/jobs/pool_jobs.py
+++ b/src/robinthread/_internal/jobs/pool_jobs.py
@@ -32,7 +32,8 @@
     ``unrecorded`` are the jobs whose progress the store does not hold yet, and
     ``to_stop`` the runs that must be told to stop.  ``kept_hosts`` are those that get no
     other work until a waiting task fits there.  Times in seconds are of the
-    event loop's clock.  ``foreign_leases`` are those that earlier owners granted.
+    event loop's clock.  ``foreign_leases`` are those that earlier owners granted.  While
+    ``are_rooms_known`` is False no host gets any work.
     """
 
     def __init__(self, policy: PlacementPolicy = DEFAULT_PLACEMENT) -> None:
@@ -47,6 +48,7 @@
         self.run_times = RunTimes()
         self.tickets = TicketBook()
         self.crash_book = CrashBook()
+        self.are_rooms_known = True
 
     def add_job(
         self,
--- a/src/robinthread/_internal/node/assembly.py
+++ b/src/robinthread/_internal/node/assembly.py
@@ -97,6 +97,7 @@
         read_inbox_once=inbox.read_to_end,
         read_inbox_to_end=lambda: _read_to_end(inbox),
         get_unconfirmed_s=lambda: loop.time() - table.follower.confirmed_at_s,
+        get_hosts_unread_s=lambda: loop.time() - hosts.confirmed_at_s,
     )
     checks = OwnerChecks(environment.peers)
     member = GroupMember(store, me, events, settings.store.member_ttl_min_ms, checks)
--- a/src/robinthread/_internal/node/context.py
+++ b/src/robinthread/_internal/node/context.py
@@ -25,7 +25,8 @@
     ``read_hosts_to_end`` does the same for the list of hosts; ``expect_hosts``
     has that list read more often for a while.
     ``get_unconfirmed_s`` returns for how long the store has not confirmed who
-    owns what, ``get_wall_ms`` Unix time in milliseconds.
+    owns what, ``get_hosts_unread_s`` the same for what hosts say of themselves, and
+    ``get_wall_ms`` Unix time in milliseconds.
     """
 
     settings_holder: SettingsHolder
@@ -43,6 +44,7 @@
     read_inbox_once: Callable[[], Awaitable[None]]
     get_wall_ms: Callable[[], int]
     get_unconfirmed_s: Callable[[], float]
+    get_hosts_unread_s: Callable[[], float]
     read_inbox_to_end: Callable[[], Awaitable[None]]
 
     @property
--- a/src/robinthread/_internal/node/order_sender.py
+++ b/src/robinthread/_internal/node/order_sender.py
@@ -78,9 +78,7 @@
             while tries < START_TRIES and host.contact is HostContact.ANSWERING:
                 if run.phase is not RunPhase.SENDING:
                     return
-                if host.is_over(job.spec.steps[run.task.step].room):
-                    # Its room has shrunk since the run was placed.
-                    self._tell_shrunk(run, host)
+                if not self._has_room(run, host, job):
                     break
                 until_ms = self._grant(host)
                 if until_ms is not None:
@@ -163,18 +161,23 @@
             outcome=outcome,
         )
 
-    def _tell_shrunk(self, run: Run, host: Host) -> None:
+    def _has_room(self, run: Run, host: Host, job: Job) -> bool:
+        """Tell whether the host still has the room in which a run was placed."""
+        is_over = host.is_over(job.spec.steps[run.task.step].room)
+        if not is_over and self._runtime.are_rooms_known():
+            return True
         self._events.write(
             "start_dropped",
             job=run.task.job_id,
             task=run.task.place,
             run=run.number,
             host=host.id,
-            reason="the host has shrunk",
+            reason="the host has shrunk" if is_over else "its room is not known",
             room_cpu_millicores=host.record.room.cpu_millicores,
             free_cpu_millicores=host.free.cpu_millicores,
             free_memory_mb=host.free.memory_mb,
         )
+        return False
 
     def _grant(self, host: Host) -> int | None:
         """Return the end of a lease that begins now, or None while none may be granted."""
--- a/src/robinthread/_internal/node/pool_owner.py
+++ b/src/robinthread/_internal/node/pool_owner.py
@@ -264,6 +264,7 @@
                 self._minder.look(now_s)
                 self._hosts.end_unlisted(now_s)
             began_at_s = get_loop_s()
+            self.jobs.are_rooms_known = self._runtime.are_rooms_known()
             note_outlived(self.jobs, now_s)
             place_waiting(self.jobs, now_s, self._context.get_wall_ms())
             tell_crash_notes(self._events, self.pool, self.jobs.crash_book.take_notes())
--- a/src/robinthread/_internal/node/pool_runtime.py
+++ b/src/robinthread/_internal/node/pool_runtime.py
@@ -23,6 +23,9 @@
 # they carry it over an outage of the owners' partition alone.  One that has not read the
 # owners for so long grants nothing all the same: by then a later owner need not wait for it.
 OWNERS_UNREAD_MAX_S: Final = 2 * UNCONFIRMED_MAX_S
+# A host's room may have shrunk since its entry was last read.  One that shrank must be known
+# after 3 s and a heartbeat; a read may take as long as it waits for a change, and a call more.
+ROOMS_UNREAD_MAX_S: Final = 3.0
 
 
 class PoolRuntime:
@@ -76,6 +79,17 @@
             return None
         return min(LEASE_MS, self.context.settings.bounds.lease_max_ms)
 
+    def are_rooms_known(self) -> bool:
+        """Tell whether what hosts have room for is known well enough to place runs there.
+
+        Hosts that check their room reject what does not fit; others start it.
+        """
+        config = self.context.config_holder.config
+        policy = config.pools.get(self.pool) if config is not None else None
+        if policy is None or policy.hosts_check_room:
+            return True
+        return self.context.get_hosts_unread_s() <= ROOMS_UNREAD_MAX_S
+
     def spawn(self, work: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
         """Run a task until the owner stops; one that is fenced fences the owner."""
         task = asyncio.get_running_loop().create_task(self._guard(work))
