Failing tests: a suspended machine's nodes take the time for not passed; the loop of a process is made in one place

A machine may be suspended for seconds, which its steady clock doesn't count, and so not the event loop's time.

--- a/src/robinthread/_internal/commands/daemon.py
+++ b/src/robinthread/_internal/commands/daemon.py
@@ -1,11 +1,10 @@
 """Run a daemon."""
 
-import asyncio
-
 from absl import flags, logging
 
 from robinthread._internal.commands.config_check import read_settings
 from robinthread._internal.daemon.process import run_daemon
+from robinthread._internal.utils.event_loop import run_process
 from robinthread._internal.utils.memory import limit_arenas
 
 PROGRAM = "robinthread"
@@ -18,5 +17,5 @@
     flags.FLAGS([PROGRAM])
     logging.set_verbosity(logging.INFO)
     logging.use_absl_handler()
-    asyncio.run(run_daemon(settings))
+    run_process(run_daemon(settings))
     return 0
--- a/src/robinthread/_internal/commands/node.py
+++ b/src/robinthread/_internal/commands/node.py
@@ -1,7 +1,5 @@
 """Run a node on the company platform."""
 
-import asyncio
-
 from returns.result import Success
 from tornado.web import Application
 
@@ -11,6 +9,7 @@
 from robinthread._internal.settings.parse import parse_policy
 from robinthread._internal.settings.policy_settings import PolicySettings
 from robinthread._internal.telemetry.node_metrics import NodeMetrics
+from robinthread._internal.utils.event_loop import run_process
 from robinthread._internal.utils.files import read_text
 
 
@@ -21,7 +20,7 @@
     """
     path = get_settings_path()
     policy = _read_policy(policy_path) if policy_path else PolicySettings()
-    asyncio.run(run_node(lambda: read_node_settings(path), metrics_port, _begin_metrics, policy))
+    run_process(run_node(lambda: read_node_settings(path), metrics_port, _begin_metrics, policy))
     return 0
 
 
--- /dev/null
+++ b/tests/functional/test_suspended_nodes.py
@@ -0,0 +1,68 @@
+"""Nodes whose machine is suspended for some seconds.
+
+The steady clock, and with it an event loop's time, stands still meanwhile, while leases run out,
+others take over, and callers go on waiting.  An owner that was suspended for 10 s took the store
+to have confirmed it 0.1 s ago, and granted leases of 4 s beyond all that its successor waits for.
+"""
+
+import asyncio
+import time
+
+from testtools import TestCase
+
+from robinthread._internal.models.job_spec import StepSpec
+from robinthread._internal.node.pool_owner import PoolOwner
+from robinthread._internal.node.pool_runtime import ROOMS_UNREAD_MAX_S, UNCONFIRMED_MAX_S
+from robinthread._internal.standins.platform_standin import PlatformStandin
+from robinthread._internal.utils.event_loop import ProcessLoop
+from tests.lib.job_platforms import POOL, get_owner, hand_in, make_job, start_platform, wait_until
+from tests.lib.suspended import Machine, run_on
+
+# A suspension after which all that an owner may rest on has run out.
+LONG_S = 10.0
+TASK = StepSpec(1, cpu_millicores=1000, memory_mb=100)
+
+
+def see_owner(platform: PlatformStandin) -> PoolOwner:
+    """Return the pool's owner."""
+    name = get_owner(platform)
+    assert name is not None
+    return platform.nodes[name].assembled.owned.owners[POOL]
+
+
+class SuspendedNodesTest(TestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.machine = Machine()
+
+    def test_owner_knows_that_all_it_rests_on_is_old(self) -> None:
+        async def work() -> None:
+            platform = await start_platform()
+            await hand_in(platform, "node0", make_job(1, TASK))
+            await wait_until(lambda: bool(platform.hosts.ledger.runs))
+            owner = see_owner(platform)
+            host = owner.jobs.hosts[platform.hosts.ledger.runs[0].host_id]
+            self.assertLess(owner.get_unconfirmed_s(), UNCONFIRMED_MAX_S)
+            self.machine.suspend(LONG_S)
+            self.assertGreater(owner.get_unconfirmed_s(), UNCONFIRMED_MAX_S)
+            self.assertIsNone(owner._runtime.get_lease_ms())
+            self.assertGreater(owner._context.get_hosts_unread_s(), ROOMS_UNREAD_MAX_S)
+            self.assertGreater(asyncio.get_running_loop().time(), host.lease.over_at_s)
+
+        run_on(self.machine, work())
+
+    def test_timers_that_came_due_meanwhile_go_off_at_once(self) -> None:
+        async def work() -> float:
+            sleeping = asyncio.create_task(asyncio.sleep(5))
+            await asyncio.sleep(0.1)
+            self.machine.suspend(LONG_S)
+            await sleeping
+            return self.machine.awake_s
+
+        self.assertLess(run_on(self.machine, work()), 0.2)
+
+    def test_process_takes_the_clock_that_counts_suspensions_where_there_is_one(self) -> None:
+        loop = ProcessLoop()
+        self.addCleanup(loop.close)
+        elapsed_s = time.clock_gettime(time.CLOCK_BOOTTIME)
+        self.assertLess(abs(loop.time() - elapsed_s), 1.0)
