Nodes live by a clock that goes on while their machine is suspended

What others would see: an owner that was suspended for 10 s took the store to have confirmed it 1 s ago, and could grant leases to hosts that its successor can't reach, beyond the time that the successor waits for. Cause: the event loop's clock, on which all of that rests, is the steady one, which stands still. Ruled out: a second clock beside the loop's for the unsafe uses alone, for every deadline is given to the loop's own timers.

--- a/tests/lib/suspended.py
+++ b/tests/lib/suspended.py
@@ -27,7 +27,7 @@
 
     def get_clocks(self) -> Clocks:
         """Return the clocks for a process."""
-        return Clocks(read_steady_s=lambda: self.awake_s)
+        return Clocks(self.read_elapsed_s)
 
 
 class _WaitlessSelector(selectors.SelectSelector):
