--- a/src/robinthread/_internal/standins/job_host_standin.py
+++ b/src/robinthread/_internal/standins/job_host_standin.py
@@ -74,6 +74,7 @@
         self._earlier_rooms: list[tuple[float, Resources]] = []
         self.is_up = True
         self.fails_all = False
+        self.crashes_all_after_s: float | None = None
         self._ledger = ledger
         self._plan_task = plan_task
         self._began_at_s = asyncio.get_running_loop().time()
@@ -184,6 +185,8 @@
         self._ledger.add(ledger_run)
         present = _Present(order, plan, ledger_run, loop.time())
         self._present[order.task, order.run] = present
+        if self.crashes_all_after_s is not None:
+            loop.call_later(self.crashes_all_after_s, self._take_down, self.record.id)
         if plan.crashes_after_s is not None:
             present.timers.append(loop.call_later(plan.crashes_after_s, self._crash_under, present))
         if self.fails_all:
--- a/src/robinthread/_internal/standins/platform_standin.py
+++ b/src/robinthread/_internal/standins/platform_standin.py
@@ -185,17 +185,17 @@
                 return True
             return platform.advice.accepts(order.task.step_key, record.id, order.ticket)
 
-        hosts.add(
-            JobHostStandin(
-                record,
-                hosts.ledger,
-                platform.plan_task,
-                hosts.gangs,
-                takes_ticket,
-                lambda: platform.hosts_check_room,
-                platform.crash_for_a_while,
-            )
+        host = JobHostStandin(
+            record,
+            hosts.ledger,
+            platform.plan_task,
+            hosts.gangs,
+            takes_ticket,
+            lambda: platform.hosts_check_room,
+            platform.crash_for_a_while,
         )
+        host.crashes_all_after_s = platform.crashing_machines.get(machine)
+        hosts.add(host)
         platform.list_host(record)
         return record.id
 
@@ -206,7 +206,8 @@
 class PlatformStandin:
     """Store, hosts, machines and nodes; ``plan_task`` tells how tasks behave.
 
-    ``questions`` counts what nodes were asked by others, by node.
+    ``questions`` counts what nodes were asked by others, by node.  The hosts of
+    ``crashing_machines`` crash so many seconds after whatever they begin.
     """
 
     def __init__(self, plan_task: Callable[[TaskKey], TaskPlan], seed: int = 1) -> None:
@@ -218,6 +219,7 @@
         self.asks_for_tickets = False
         self.host_back_s = HOST_BACK_S
         self.hosts_check_room = True
+        self.crashing_machines: dict[str, float] = {}
         self.nodes: dict[str, RunningNode] = {}
         self.cut_nodes: set[str] = set()
         self.peer_connections = OpenConnections()
