A machine whose hosts crash by themselves gets less and less work

Seen on the stand-in: nine crashes of one machine in 30 s, 96 runs lost with them. Cause: what a host's health knew went with its life. Crashes whose cause is not known are now counted by machine; one that crashed twice within two minutes, and as often as all others together, has its next host passed over for 2 s, twice as long each time, 32 s at most.

--- a/src/robinthread/_internal/jobs/crash_book.py
+++ b/src/robinthread/_internal/jobs/crash_book.py
@@ -15,6 +15,12 @@
 LOSSES_KEPT_MAX: Final = 64
 # The connections to the hosts of a rack that is lost break within so long of each other.
 RACK_LOST_WITHIN_S: Final = 0.05
+# From so many crashes within so long on, a machine may be what crashes.  Its next host is tried
+# after a pause, twice as long each time.
+BAD_MACHINE_CRASHES: Final = 2
+BAD_MACHINE_WITHIN_S: Final = 120.0
+BAD_MACHINE_PAUSE_S: Final = 2.0
+BAD_MACHINE_PAUSE_MAX_S: Final = 32.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -134,3 +140,17 @@
     def count_by_machine(self) -> Counter[str]:
         """Count by machine the crashes of late whose cause is not known."""
         return Counter(lost.machine for lost in self._losses)
+
+    def get_pause_s(self, machine: str, now_s: float) -> float:
+        """Return how long a machine's next host gets no work: one that crashes by itself.
+
+        It has crashed several times of late, and as often as all others together: where many
+        do, it is not the machine.
+        """
+        recent = [lost for lost in self._losses if now_s - lost.at_s < BAD_MACHINE_WITHIN_S]
+        count = sum(lost.machine == machine for lost in recent)
+        if count < BAD_MACHINE_CRASHES or 2 * count < len(recent):
+            return 0.0
+        return min(
+            BAD_MACHINE_PAUSE_S * 2 ** (count - BAD_MACHINE_CRASHES), BAD_MACHINE_PAUSE_MAX_S
+        )
--- a/src/robinthread/_internal/node/pool_hosts.py
+++ b/src/robinthread/_internal/node/pool_hosts.py
@@ -66,10 +66,25 @@
         drain_s = self._runtime.context.settings.bounds.drain_ms / 1000
         host.note_draining(drain_s, get_loop_s())
         if record.id not in self._tasks:
+            self._pause_after_crashes(host)
             number = next(self._numbers)
             follower = HostFollower(self._runtime, host, self._recorder, self._orders, number)
             self._tasks[record.id] = self._runtime.spawn(self._follow(follower, host))
 
+    def _pause_after_crashes(self, host: Host) -> None:
+        machine, now_s = host.record.machine, get_loop_s()
+        pause_s = self._jobs.crash_book.get_pause_s(machine, now_s)
+        if pause_s:
+            host.health.pause(pause_s, now_s)
+            self._runtime.events.write(
+                "host_paused",
+                host=host.id,
+                machine=machine,
+                pool=self._runtime.pool,
+                reason="its machine's hosts crash",
+                pause_s=pause_s,
+            )
+
     async def _follow(self, follower: HostFollower, host: Host) -> None:
         await follower.run()
         self._ended.add(host.id)
