--- a/tests/unit/test_host_loss.py
+++ b/tests/unit/test_host_loss.py
@@ -214,3 +214,13 @@
         place_suspects(hosts.pool, NOW_S + 1, 0)
         hosts.pool.ask_for_copy(task)
         self.assertNotIn(task.key, hosts.pool.waiting)
+
+    def test_task_that_was_lost_with_a_silent_host_may_have_a_copy(self) -> None:
+        """It got none, as if it were suspect: jobs on days with such hosts were late."""
+        hosts = PoolOfHosts()
+        task = hosts.add_task(1, StepSpec(1, cpu_millicores=1000, allows_copies=True))
+        hosts.start(task, "h0", NOW_S)
+        hosts.crash("h0", NOW_S + 0.4, is_silent=True)
+        hosts.start(task, "h1", NOW_S + 1)
+        hosts.pool.ask_for_copy(task)
+        self.assertIn(task.key, hosts.pool.waiting)
