Only suspects get no copies

Cause: any crash that counts for a task kept copies from it, also that of a host that only fell silent, which makes no suspect.

--- a/src/robinthread/_internal/jobs/pool_jobs.py
+++ b/src/robinthread/_internal/jobs/pool_jobs.py
@@ -109,7 +109,7 @@
         """
         job = self.jobs[task.key.job_id]
         is_wanted = not job.status.is_final and not task.is_done
-        is_sound = not task.crashes
+        is_sound = not self.crash_book.is_suspect(task)
         if is_wanted and is_sound and task.step.allows_copies and len(task.runs) == 1:
             self.waiting[task.key] = task
 
