--- a/spec/__main__.py
+++ b/spec/__main__.py
@@ -8,6 +8,7 @@
 from spec.budget import make_budget
 from spec.check import TraceStep, find_counterexample, prove
 from spec.claims import make_claims
+from spec.crashing import make_crashing
 from spec.fencing import make_fencing
 from spec.membership import make_halls, make_membership
 from spec.ownership import make_ownership
@@ -22,6 +23,7 @@
     "restart": make_restart,
     "acceptance": make_acceptance,
     "ownership": make_ownership,
+    "crashing": make_crashing,
 }
 
 
--- a/spec/check.py
+++ b/spec/check.py
@@ -8,7 +8,7 @@
 
 from spec.protocol import Protocol, Step
 
-DEPTH_MAX = 14
+DEPTH_MAX = 26
 
 
 @dataclass(frozen=True)
