A daemon loads nothing of what a node times

Change: what hands the scraper a node's latencies stands in node_exporter, which nodes alone load; the daemon loads neither node_metrics nor latencies.

--- a/src/robinthread/_internal/commands/node.py
+++ b/src/robinthread/_internal/commands/node.py
@@ -33,7 +33,8 @@
 
 
 def _begin_metrics(metrics: NodeMetrics) -> Application:
-    from robinthread._internal.telemetry.exporter import begin_metrics, make_metrics_application
+    from robinthread._internal.telemetry.exporter import make_metrics_application
+    from robinthread._internal.telemetry.node_exporter import begin_metrics
 
     begin_metrics(metrics)
     return make_metrics_application()
--- a/src/robinthread/_internal/telemetry/exporter.py
+++ b/src/robinthread/_internal/telemetry/exporter.py
@@ -1,23 +1,18 @@
 """Metrics for the usual scraper."""
 
-from collections.abc import Iterable, Iterator
-from itertools import accumulate
+from collections.abc import Iterable
 from typing import Final
 
 from opentelemetry.exporter.prometheus import PrometheusMetricReader
-from opentelemetry.metrics import Meter, set_meter_provider
+from opentelemetry.metrics import Meter
 from opentelemetry.sdk.metrics import MeterProvider
 from prometheus_client.exposition import CONTENT_TYPE_LATEST, generate_latest
-from prometheus_client.metrics_core import HistogramMetricFamily, Metric
-from prometheus_client.registry import Collector, CollectorRegistry
+from prometheus_client.metrics_core import Metric
+from prometheus_client.registry import CollectorRegistry
 from tornado.web import Application, RequestHandler
 
-from robinthread._internal.telemetry.latencies import LATENCY_BOUNDS_S, Latencies
-from robinthread._internal.telemetry.node_metrics import NodeMetrics
-
 # What a scrape begins with: few lines that tell how a node stands.
 TYPE_ORDER: Final = ("gauge", "counter", "histogram")
-BOUND_LABELS: Final = (*map(str, LATENCY_BOUNDS_S), "+Inf")
 
 
 class OrderedRegistry(CollectorRegistry):
@@ -31,37 +26,13 @@
 METRICS_REGISTRY: Final = OrderedRegistry()
 
 
-class LatencyCollector(Collector):
-    """Hands the scraper what a node has timed."""
-
-    def __init__(self, metrics: NodeMetrics) -> None:
-        self._metrics = metrics
-
-    def collect(self) -> Iterator[Metric]:
-        """Iterate over the latencies that have values."""
-        yield from (_make_family(found) for found in self._metrics.latencies if found.kept)
-
-
-def _make_family(latencies: Latencies) -> HistogramMetricFamily:
-    family = HistogramMetricFamily(latencies.name, "", labels=latencies.labels)
-    for values, latency in latencies.kept.items():
-        counts = map(float, accumulate(latency.counts))
-        family.add_metric(values, list(zip(BOUND_LABELS, counts, strict=True)), latency.sum_s)
-    return family
-
-
 def make_meter() -> Meter:
     """Make the meter whose instruments the scraper reads."""
-    return _make_provider().get_meter("robinthread")
-
-
-def begin_metrics(metrics: NodeMetrics) -> None:
-    """Have what a node has counted and timed since its start served, and its gauges."""
-    set_meter_provider(_make_provider())
-    METRICS_REGISTRY.register(LatencyCollector(metrics))
+    return make_meter_provider().get_meter("robinthread")
 
 
-def _make_provider() -> MeterProvider:
+def make_meter_provider() -> MeterProvider:
+    """Make what hands the scraper the instruments of its meters."""
     reader = PrometheusMetricReader(
         disable_target_info=True, scope_info_enabled=False, registry=METRICS_REGISTRY
     )
--- /dev/null
+++ b/src/robinthread/_internal/telemetry/node_exporter.py
@@ -0,0 +1,40 @@
+"""What a node has counted and timed, for the usual scraper."""
+
+from collections.abc import Iterator
+from itertools import accumulate
+from typing import Final
+
+from opentelemetry.metrics import set_meter_provider
+from prometheus_client.metrics_core import HistogramMetricFamily, Metric
+from prometheus_client.registry import Collector
+
+from robinthread._internal.telemetry.exporter import METRICS_REGISTRY, make_meter_provider
+from robinthread._internal.telemetry.latencies import LATENCY_BOUNDS_S, Latencies
+from robinthread._internal.telemetry.node_metrics import NodeMetrics
+
+BOUND_LABELS: Final = (*map(str, LATENCY_BOUNDS_S), "+Inf")
+
+
+class LatencyCollector(Collector):
+    """Hands the scraper what a node has timed."""
+
+    def __init__(self, metrics: NodeMetrics) -> None:
+        self._metrics = metrics
+
+    def collect(self) -> Iterator[Metric]:
+        """Iterate over the latencies that have values."""
+        yield from (_make_family(found) for found in self._metrics.latencies if found.kept)
+
+
+def _make_family(latencies: Latencies) -> HistogramMetricFamily:
+    family = HistogramMetricFamily(latencies.name, "", labels=latencies.labels)
+    for values, latency in latencies.kept.items():
+        counts = map(float, accumulate(latency.counts))
+        family.add_metric(values, list(zip(BOUND_LABELS, counts, strict=True)), latency.sum_s)
+    return family
+
+
+def begin_metrics(metrics: NodeMetrics) -> None:
+    """Have what a node has counted and timed since its start served, and its gauges."""
+    set_meter_provider(make_meter_provider())
+    METRICS_REGISTRY.register(LatencyCollector(metrics))
--- a/tests/unit/test_telemetry.py
+++ b/tests/unit/test_telemetry.py
@@ -20,7 +20,8 @@
 metrics = NodeMetrics(get_meter("robinthread"))
 metrics.count_event("job_ended", "succeeded")
 metrics.note_store_call("append", "ok", 0.004)
-from robinthread._internal.telemetry.exporter import begin_metrics, write_metrics
+from robinthread._internal.telemetry.exporter import write_metrics
+from robinthread._internal.telemetry.node_exporter import begin_metrics
 begin_metrics(metrics)
 metrics.count_event("job_ended", "succeeded")
 metrics.note_store_call("append", "ok", 0.3)
