--- /dev/null
+++ b/tests/functional/test_work_not_begun.py
@@ -0,0 +1,31 @@
+"""Work that a pool's owner was given just before it ended.
+
+Drawn days of owners that are killed ended with a line that names no pool and no cause:
+"RuntimeWarning: coroutine 'OrderSender.send_start' was never awaited".  Where an owner ended
+between a batch's record and the first step of the start that followed it, the start was neither
+begun nor closed.
+"""
+
+import asyncio
+import inspect
+
+from testtools import TestCase
+
+from tests.lib.job_platforms import POOL, get_owner, start_platform, wait_until
+from tests.lib.virtual import run_virtual
+
+
+class WorkNotBegunTest(TestCase):
+    def test_work_that_was_not_begun_is_closed_with_its_owner(self) -> None:
+        async def work() -> str:
+            platform = await start_platform()
+            await wait_until(lambda: get_owner(platform) is not None)
+            name = get_owner(platform)
+            assert name is not None
+            start = asyncio.sleep(1)
+            platform.nodes[name].assembled.owned.owners[POOL]._runtime.spawn(start)
+            platform.kill_node(name)
+            await asyncio.sleep(0.1)
+            return inspect.getcoroutinestate(start)
+
+        self.assertEqual(inspect.CORO_CLOSED, run_virtual(work()))
