Work that was not begun is closed with its owner

Cause: the owner's work is run by a guard; a guard that is cancelled before its first step ends without having touched the work. Ruled out: a start lost with it: the owner is over, its record names the run, and its successor settles it as any other start whose answer it never saw. Change: the work is closed once its guard is done; closing what ended is nothing.

--- a/src/robinthread/_internal/node/pool_runtime.py
+++ b/src/robinthread/_internal/node/pool_runtime.py
@@ -95,6 +95,8 @@
         task = asyncio.get_running_loop().create_task(self._guard(work))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
+        # A guard that is cancelled before its first step leaves the work not begun.
+        task.add_done_callback(lambda _: work.close())
         return task
 
     def cancel(self) -> list[asyncio.Task[Any]]:
