The stand-in's calls may cost their caller's processor; files may have tables by name

For the model of deployments: where a charge is set, a call begins once its caller's processor has done its part; without one nothing changes. Settings have no tables by name yet: what nodes and daemons read is read as before.

--- a/src/robinthread/_internal/settings/parse.py
+++ b/src/robinthread/_internal/settings/parse.py
@@ -41,17 +41,21 @@
 
 def parse_settings(text: str, path: str) -> Result[DaemonSettings, Fault]:
     """Parse a daemon's settings file and check it; the fault names every problem."""
-    return _parse(DaemonSettings, text, path, iter_conflicts)
+    return parse_file(DaemonSettings, text, path, iter_conflicts)
 
 
 def parse_policy(text: str, path: str) -> Result[PolicySettings, Fault]:
     """Parse a node's policy file and check it; the fault names every problem."""
-    return _parse(PolicySettings, text, path, iter_policy_conflicts)
+    return parse_file(PolicySettings, text, path, iter_policy_conflicts)
 
 
-def _parse(
+def parse_file(
     kind: type[T], text: str, path: str, iter_conflicts: Callable[[T], Iterable[Conflict]]
 ) -> Result[T, Fault]:
+    """Parse a file of one kind and check it; the fault names every problem.
+
+    A field of the kind is a value, a table, or tables by name (``dict[str, table]``).
+    """
     try:
         raw = tomllib.loads(text)
     except tomllib.TOMLDecodeError as error:
@@ -78,16 +82,32 @@
         name = ".".join((*path, key))
         if key not in hints:
             yield SettingsProblem(name, 0, _explain_unknown(key, hints))
+        elif typing.get_origin(hints[key]) is dict:
+            yield from _iter_problems_by_name(hints[key], value, (*path, key))
         elif dataclasses.is_dataclass(hints[key]):
-            if isinstance(value, dict):
-                yield from _iter_problems(hints[key], value, (*path, key))  # type: ignore[arg-type]
-            else:
-                yield SettingsProblem(name, 0, "is a value, expected a table")
+            yield from _iter_table_problems(hints[key], value, (*path, key))
         elif not _fits(hints[key], value):
             expected = _name_type(hints[key])
             yield SettingsProblem(name, 0, f"is {value!r}, expected {expected}")
 
 
+def _iter_problems_by_name(
+    hint: Any, value: Any, path: tuple[str, ...]
+) -> Iterator[SettingsProblem]:
+    if not isinstance(value, dict):
+        yield SettingsProblem(".".join(path), 0, "is a value, expected tables by name")
+        return
+    for name, table in value.items():
+        yield from _iter_table_problems(typing.get_args(hint)[1], table, (*path, name))
+
+
+def _iter_table_problems(kind: Any, value: Any, path: tuple[str, ...]) -> Iterator[SettingsProblem]:
+    if isinstance(value, dict):
+        yield from _iter_problems(kind, value, path)
+    else:
+        yield SettingsProblem(".".join(path), 0, "is a value, expected a table")
+
+
 def _explain_unknown(key: str, hints: dict[str, Any]) -> str:
     stem = re.sub(r"_(s|ms|min|bytes|mb|kb)$", "", key)
     for known in hints:
@@ -120,6 +140,9 @@
 def _convert(hint: Any, value: Any) -> Any:
     if dataclasses.is_dataclass(hint):
         return _make(hint, value)  # type: ignore[arg-type]
+    if typing.get_origin(hint) is dict:
+        kind = typing.get_args(hint)[1]
+        return {name: _make(kind, table) for name, table in value.items()}
     if hint is float:
         return float(value)
     return tuple(value) if isinstance(value, list) else value
--- a/src/robinthread/_internal/standins/call_faults.py
+++ b/src/robinthread/_internal/standins/call_faults.py
@@ -2,11 +2,13 @@
 
 import asyncio
 import random
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from typing import NoReturn, TypeVar
 
 from robinthread._internal.standins.open_connections import OpenConnections
 
+# Has a caller's processor do what a call costs it.
+Charge = Callable[[str], Awaitable[None]]
 T = TypeVar("T")
 
 
@@ -26,6 +28,7 @@
     answer, and where ``late_s`` is set only after up to so many seconds.  Each call takes
     ``latency_s``, give or take a share of up to ``latency_spread`` of it.  Calls on
     ``connections`` that have gone silent get no answer; only what was sent before is done.
+    Where ``charge`` is set, a call begins once its caller's processor has done its part.
     """
 
     def __init__(self, seed: int, latency_s: float) -> None:
@@ -37,6 +40,7 @@
         self.lost_share = 0.0
         self.late_s: tuple[float, float] = (0.0, 0.0)
         self.connections = OpenConnections()
+        self.charge: Charge | None = None
 
     async def carry_out(
         self,
@@ -47,6 +51,8 @@
         target: str = "",
     ) -> T:
         """Do ``work`` as the faults let it, and return its result to the caller."""
+        if self.charge is not None:
+            await self.charge(caller)
         began_silences = self.connections.silences
         if self.connections.use(caller, target):
             await self._lose_in_silence(caller, target, timeout_s)
--- a/src/robinthread/_internal/standins/platform_standin.py
+++ b/src/robinthread/_internal/standins/platform_standin.py
@@ -29,6 +29,7 @@
 from robinthread._internal.node.settings_holder import SettingsHolder
 from robinthread._internal.settings.policy_settings import PolicySettings
 from robinthread._internal.standins.advice_standin import AdviceStandin
+from robinthread._internal.standins.call_faults import Charge
 from robinthread._internal.standins.job_host_standin import JobHostStandin, TaskPlan
 from robinthread._internal.standins.job_hosts_standin import JobHostsStandin
 from robinthread._internal.standins.machines_standin import LifeKeeper, MachinesStandin
@@ -104,6 +105,8 @@
     ) -> T:
         """Ask a node."""
         self._platform.questions[address] += 1
+        if self._platform.charge_question is not None:
+            await self._platform.charge_question(self._caller)
         await asyncio.sleep(PEER_LATENCY_S)
         peer = self._platform.nodes.get(address)
         if peer is None or {self._caller, address} & self._platform.cut_nodes:
@@ -115,6 +118,8 @@
             async with asyncio.timeout(timeout_s):
                 if is_silent:
                     await _wait_for_ever()
+                if self._platform.charge_question is not None:
+                    await self._platform.charge_question(address)
                 answer = await peer.assembled.answers.answer(question)
                 if connections.silences > began_silences:
                     await _wait_for_ever()
@@ -185,7 +190,8 @@
     """Store, hosts, machines and nodes; ``plan_task`` tells how tasks behave.
 
     ``questions`` counts what nodes were asked by others, by node.  The hosts of
-    ``crashing_machines`` crash so many seconds after whatever they begin.
+    ``crashing_machines`` crash so many seconds after whatever they begin.  Where
+    ``charge_question`` is set, a question costs the processors of both nodes.
     """
 
     def __init__(self, plan_task: Callable[[TaskKey], TaskPlan], seed: int = 1) -> None:
@@ -202,6 +208,7 @@
         self.cut_nodes: set[str] = set()
         self.peer_connections = OpenConnections()
         self.questions: Counter[str] = Counter()
+        self.charge_question: Charge | None = None
         self.events: list[bytes] = []
         self._lives = itertools.count(1)
 
