--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -16,6 +16,7 @@
 from bench.drawn_crashes import run_drawn_crashes
 from bench.drawn_days import run_drawn_days
 from bench.drawn_waves import run_drawn_waves
+from bench.experiment import run_short_experiment
 from bench.overload import run_overload
 from bench.parallel import run_in_processes
 from bench.placing import run_placing
@@ -33,6 +34,7 @@
     "storm": run_storms,
     "takeover": run_takeover,
     "placing": run_placing,
+    "experiment": run_short_experiment,
 }
 LONG: dict[str, Callable[[], BenchResult]] = {
     "waves": run_waves,
--- a/src/robinthread/_internal/cli/verbs.py
+++ b/src/robinthread/_internal/cli/verbs.py
@@ -14,6 +14,7 @@
 from robinthread._internal.cli.config_verbs import ConfigVerbs
 from robinthread._internal.cli.connection import Connection
 from robinthread._internal.cli.deferred import Deferred
+from robinthread._internal.cli.extras import require_extra
 from robinthread._internal.cli.migration_verbs import MigrationVerbs
 from robinthread._internal.cli.pool_verbs import PoolVerbs
 from robinthread._internal.cli.quota_verbs import QuotaVerbs
@@ -64,6 +65,52 @@
 
         return Deferred(work)
 
+    def experiment(
+        self,
+        file: str = "",
+        drawn: int = 0,
+        seeds: int = 5,
+        first_seed: int = 1,
+        policy: str = "",
+        compare: str = "",
+        vary: Any = "",
+        output: str = "",
+        plot: str = "",
+        processes: int = 0,
+        progress: bool = True,
+    ) -> Deferred:
+        """Play days of a deployment on virtual time: --file=TOML, or --drawn=N drawn ones.
+
+        --policy and --compare name policy files that are compared seed by seed; empty for the
+        defaults.  --vary=machines.count=6,8 plays each value of a key of the file.
+        --output=FILE writes JSON lines, --plot=FILE an SVG of the first day.
+        """
+
+        def work() -> int:
+            require_extra("experiment", "matplotlib", "numpy", "scipy", "tabulate")
+            from robinthread._internal.commands.experiment import (
+                ExperimentOptions,
+                run_experiment,
+            )
+
+            return run_experiment(
+                ExperimentOptions(
+                    str(file),
+                    as_count("drawn", drawn),
+                    as_count("seeds", seeds),
+                    as_count("first_seed", first_seed),
+                    str(policy),
+                    str(compare),
+                    str(vary),
+                    str(output),
+                    str(plot),
+                    as_count("processes", processes),
+                    bool(progress),
+                )
+            )
+
+        return Deferred(work)
+
     def status(
         self,
         hosts: bool = False,
--- /dev/null
+++ b/src/robinthread/_internal/experiments/demand.py
@@ -0,0 +1,72 @@
+"""The jobs of a day, drawn from its seed before it is played."""
+
+from dataclasses import dataclass
+from typing import Final
+
+import numpy as np
+
+from robinthread._internal.experiments.deployment import Deployment, QueueSpec, Shape
+
+# Demand in a queue's turn and between its turns, times its ``jobs_per_s``.
+IN_TURN: Final = 5.0
+BETWEEN_TURNS: Final = 0.05
+
+
+@dataclass(frozen=True)
+class Arrival:
+    """A job that comes ``at_s`` after the day's beginning; each of its tasks works so long."""
+
+    number: int
+    queue: str
+    at_s: float
+    work_s: tuple[float, ...]
+
+
+def draw_arrivals(deployment: Deployment, seed: int) -> tuple[Arrival, ...]:
+    """Draw the jobs of all queues, in the order of their times."""
+    drawn: list[tuple[float, str, tuple[float, ...]]] = []
+    for number, (name, queue) in enumerate(deployment.queues.items()):
+        # A queue's jobs do not depend on those of others.
+        generator = np.random.default_rng((seed, number))
+        for at_s in _draw_times(deployment, name, queue, generator):
+            spread = generator.uniform(-queue.work_spread, queue.work_spread, queue.tasks)
+            work_s = tuple(float(queue.work_s * (1 + share)) for share in spread)
+            drawn.append((at_s, name, work_s))
+    drawn.sort()
+    return tuple(
+        Arrival(number, name, at_s, work_s)
+        for number, (at_s, name, work_s) in enumerate(drawn, start=1)
+    )
+
+
+def _draw_times(
+    deployment: Deployment, name: str, queue: QueueSpec, generator: np.random.Generator
+) -> list[float]:
+    """Draw times by thinning a steady stream of the greatest rate."""
+    greatest = queue.jobs_per_s * IN_TURN
+    count = generator.poisson(greatest * deployment.length_s)
+    times_s = np.sort(generator.uniform(0, deployment.length_s, count))
+    kept = generator.uniform(0, greatest, count)
+    rates = [get_rate(deployment, name, float(at_s)) for at_s in times_s]
+    return [
+        float(at_s) for at_s, rate, least in zip(times_s, rates, kept, strict=True) if rate > least
+    ]
+
+
+def get_rate(deployment: Deployment, name: str, at_s: float) -> float:
+    """Return a queue's jobs a second at a time of the day."""
+    queue = deployment.queues[name]
+    match Shape(queue.shape):
+        case Shape.STEADY:
+            return queue.jobs_per_s
+        case Shape.RAMP:
+            return queue.jobs_per_s * 2 * at_s / deployment.length_s
+        case Shape.TURNS:
+            takers = [
+                other
+                for other, spec in deployment.queues.items()
+                if spec.shape == Shape.TURNS.value
+            ]
+            turn = int(at_s / deployment.turn_s) % len(takers)
+            is_in_turn = takers[turn] == name
+            return queue.jobs_per_s * (IN_TURN if is_in_turn else BETWEEN_TURNS)
--- /dev/null
+++ b/src/robinthread/_internal/experiments/runs.py
@@ -0,0 +1,65 @@
+"""Days of several seeds and policies, played in processes side by side."""
+
+import os
+from collections.abc import Iterable, Sequence
+from concurrent.futures import ProcessPoolExecutor
+from dataclasses import dataclass
+from typing import Final
+
+from tqdm import tqdm
+
+from robinthread._internal.experiments.day import play_day
+from robinthread._internal.experiments.day_result import DayResult
+from robinthread._internal.experiments.deployment import Deployment
+from robinthread._internal.settings.policy_settings import PolicySettings
+
+PROCESSES_MAX: Final = os.cpu_count() or 1
+
+
+@dataclass(frozen=True)
+class Arm:
+    """What is played on each seed: deployments under a policy.
+
+    The deployments of all arms stand in the same order.
+    """
+
+    label: str
+    deployments: tuple[Deployment, ...]
+    policy: PolicySettings
+
+
+@dataclass(frozen=True)
+class Run:
+    """A day to play; ``label`` names its arm."""
+
+    label: str
+    deployment: Deployment
+    policy: PolicySettings
+    seed: int
+
+
+def make_runs(arms: Sequence[Arm], seeds: Sequence[int]) -> list[Run]:
+    """Make the runs of all arms on each seed, those of a deployment and a seed together."""
+    return [
+        Run(arm.label, deployment, arm.policy, seed)
+        for deployments in zip(*(arm.deployments for arm in arms), strict=True)
+        for seed in seeds
+        for arm, deployment in zip(arms, deployments, strict=True)
+    ]
+
+
+def play_runs(runs: Sequence[Run], processes: int, shows_progress: bool) -> list[DayResult]:
+    """Play all runs, and return their results in the same order."""
+    if processes == 1:
+        return list(map(_play, _show(runs, shows_progress)))
+    with ProcessPoolExecutor(min(processes, len(runs))) as executor:
+        played = executor.map(_play, runs)
+        return list(tqdm(played, total=len(runs), disable=not shows_progress, unit="day"))
+
+
+def _show(runs: Sequence[Run], shows_progress: bool) -> Iterable[Run]:
+    return tqdm(runs, disable=not shows_progress, unit="day")
+
+
+def _play(run: Run) -> DayResult:
+    return play_day(run.deployment, run.policy, run.seed)
--- /dev/null
+++ b/src/robinthread/_internal/experiments/variants.py
@@ -0,0 +1,39 @@
+"""Deployments that differ from a described one in a single value."""
+
+import dataclasses
+from typing import Any
+
+from robinthread._internal.experiments.deployment import Deployment
+from robinthread._internal.experiments.deployment_file import iter_deployment_conflicts
+from robinthread._internal.results import FaultError, ResultCode, make_fault
+
+
+def make_variant(deployment: Deployment, key: str, value: str) -> Deployment:
+    """Return a deployment with another value under a dotted key; raise ``FaultError``."""
+    try:
+        changed = _replace(deployment, key.split("."), value)
+    except (AttributeError, KeyError, ValueError) as error:
+        text = f"--vary={key}: {value} is no value for a key of the file"
+        raise FaultError(make_fault(ResultCode.BAD_ARGUMENT, text)) from error
+    faults = [f"{conflict.key}: {conflict.text}" for conflict in iter_deployment_conflicts(changed)]
+    if faults:
+        text = f"--vary={key}={value}: {'; '.join(faults)}"
+        raise FaultError(make_fault(ResultCode.BAD_ARGUMENT, text))
+    return changed
+
+
+def _replace(part: Any, path: list[str], value: str) -> Any:
+    """Return a part with a value of the same type as the one that it stands for."""
+    name, rest = path[0], path[1:]
+    found = part[name] if isinstance(part, dict) else getattr(part, name)
+    if rest:
+        changed = _replace(found, rest, value)
+    elif isinstance(found, int | float | str):
+        changed = type(found)(value)
+    else:
+        raise ValueError(name)
+    return part | {name: changed} if isinstance(part, dict) else _replace_field(part, name, changed)
+
+
+def _replace_field(part: Any, name: str, changed: Any) -> Any:
+    return dataclasses.replace(part, **{name: changed})
--- /dev/null
+++ b/src/robinthread/_internal/experiments/worth.py
@@ -0,0 +1,80 @@
+"""What a day was worth, from what became of its jobs."""
+
+from collections import defaultdict
+from collections.abc import Collection, Iterable
+from dataclasses import dataclass
+from typing import Final
+
+from robinthread._internal.experiments.deployment import PricesSpec, QueueSpec
+
+WINDOW_S: Final = 2.0
+
+
+@dataclass(frozen=True)
+class JobOutcome:
+    """A job that was handed in; ``ended_at_s`` is when its last task was done, by its host."""
+
+    queue: str
+    at_s: float
+    work_s: float
+    ended_at_s: float | None
+
+    @property
+    def took_s(self) -> float | None:
+        """Return how long the job took from its first handing in, or None."""
+        return None if self.ended_at_s is None else self.ended_at_s - self.at_s
+
+
+@dataclass(frozen=True)
+class Worth:
+    """A day's worth, as a share of that of all jobs asked for, and its parts.
+
+    ``on_time`` is the share of the worth that was on time, ``worst_window`` the same for the
+    worst 2 s, ``worst_queue`` for the worst queue; ``prices`` what machines cost.  ``total`` is
+    ``on_time`` less ``prices``.
+    """
+
+    total: float
+    on_time: float
+    worst_window: float
+    worst_queue: float
+    prices: float
+
+
+def is_on_time(job: JobOutcome, queue: QueueSpec) -> bool:
+    """Tell whether a job was on time."""
+    took_s = job.took_s
+    return took_s is not None and took_s <= queue.stretch * job.work_s + queue.slack_s
+
+
+def weigh_day(
+    jobs: Collection[JobOutcome],
+    queues: dict[str, QueueSpec],
+    prices: PricesSpec,
+    machine_s: float,
+    move_count: int,
+) -> Worth:
+    """Return what a day was worth."""
+    by_window: dict[str, list[JobOutcome]] = defaultdict(list)
+    by_queue: dict[str, list[JobOutcome]] = defaultdict(list)
+    for job in jobs:
+        by_window[str(int(job.at_s / WINDOW_S))].append(job)
+        by_queue[job.queue].append(job)
+    on_time = get_share(jobs, queues)
+    asked = sum(queues[job.queue].worth for job in jobs)
+    spent = prices.machine_s * machine_s + prices.move * move_count
+    taken = spent / asked if asked else 0.0
+    return Worth(
+        on_time - taken,
+        on_time,
+        min((get_share(found, queues) for found in by_window.values()), default=1.0),
+        min((get_share(found, queues) for found in by_queue.values()), default=1.0),
+        taken,
+    )
+
+
+def get_share(jobs: Iterable[JobOutcome], queues: dict[str, QueueSpec]) -> float:
+    """Return the share of the jobs' worth that was on time; 1 where there was none."""
+    rows = [(queues[job.queue].worth, is_on_time(job, queues[job.queue])) for job in jobs]
+    asked = sum(worth for worth, _ in rows)
+    return sum(worth for worth, is_in_time in rows if is_in_time) / asked if asked else 1.0
--- /dev/null
+++ b/tests/functional/test_experiments.py
@@ -0,0 +1,133 @@
+"""Days of a deployment, played by the nodes' own code."""
+
+import contextlib
+import io
+import json
+from dataclasses import replace
+from pathlib import Path
+from tempfile import TemporaryDirectory
+
+from testtools import TestCase
+
+from robinthread._internal.cli.main import run_command_line
+from robinthread._internal.experiments.day import play_day
+from robinthread._internal.experiments.deployment import (
+    Deployment,
+    MachinesSpec,
+    NodesSpec,
+    QueueSpec,
+    TroubleKind,
+    TroubleSpec,
+)
+from robinthread._internal.experiments.runs import Arm, make_runs, play_runs
+from robinthread._internal.settings.policy_settings import PolicySettings
+
+SMALL = Deployment(
+    "small",
+    length_s=8.0,
+    machines=MachinesSpec(count=6),
+    queues={"tiles": QueueSpec(pool="tiles"), "orders": QueueSpec(pool="orders", shape="turns")},
+)
+FILE = """
+length_s = 6.0
+[machines]
+count = 4
+[queues.tiles]
+pool = "tiles"
+"""
+
+
+class DayTest(TestCase):
+    def test_same_seed_gives_the_same_day_in_any_process(self) -> None:
+        runs = make_runs([Arm("defaults", (SMALL,), PolicySettings())], (1, 2))
+        here = play_runs(runs, processes=1, shows_progress=False)
+        self.assertEqual(here, play_runs(runs, processes=2, shows_progress=False))
+        self.assertNotEqual(here[0], here[1])
+
+    def test_calm_day_is_served(self) -> None:
+        day = play_day(SMALL, PolicySettings(), 1)
+        self.assertEqual(day.job_count, day.served_count)
+        self.assertGreater(day.worth.on_time, 0.9)
+        self.assertEqual((), day.breaks)
+
+    def test_each_trouble_ends_and_breaks_no_promise(self) -> None:
+        for kind in TroubleKind:
+            trouble = TroubleSpec(kind.value, at_s=3.0, for_s=2.0, share=0.4)
+            day = play_day(replace(SMALL, troubles={"one": trouble}), PolicySettings(), 1)
+            self.assertEqual((), day.breaks, kind.value)
+            # Callers give up after three tries; whoever came before or after was served.
+            lost_at_s = [job.at_s for job in day.jobs if job.ended_at_s is None]
+            self.assertEqual([], [at_s for at_s in lost_at_s if not 3.0 <= at_s <= 5.0])
+
+    def test_nodes_with_little_processor_serve_fewer_jobs_on_time(self) -> None:
+        busy = replace(SMALL, queues={"tiles": QueueSpec(pool="tiles", jobs_per_s=6.0)})
+        small = replace(busy, nodes=NodesSpec(count=3, processor_share=0.005))
+        large = replace(busy, nodes=NodesSpec(count=3, processor_share=1.0))
+        found = [play_day(one, PolicySettings(), 1) for one in (small, large)]
+        self.assertLess(found[0].worth.on_time, found[1].worth.on_time)
+        self.assertGreater(found[0].busiest_node, 0.5)
+        self.assertLess(found[1].busiest_node, 0.1)
+
+
+class ExperimentCommandTest(TestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        folder = TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.folder = Path(folder.name)
+
+    def run_command(self, *arguments: str) -> tuple[int, str]:
+        output, errors = io.StringIO(), io.StringIO()
+        with contextlib.redirect_stdout(output), contextlib.redirect_stderr(errors):
+            code = run_command_line(["experiment", "--progress=False", *arguments])
+        return code, output.getvalue() + errors.getvalue()
+
+    def write(self, name: str, text: str) -> str:
+        path = self.folder / name
+        path.write_text(text, encoding="utf-8")
+        return str(path)
+
+    def test_two_policies_are_compared_seed_by_seed(self) -> None:
+        change = self.write("change.toml", "[owners]\nspreads_pools = false\n")
+        lines, picture = str(self.folder / "runs.jsonl"), str(self.folder / "day.svg")
+        code, told = self.run_command(
+            f"--file={self.write('one.toml', FILE)}",
+            "--seeds=2",
+            "--processes=1",
+            f"--compare={change}",
+            f"--output={lines}",
+            f"--plot={picture}",
+        )
+        self.assertEqual(0, code, told)
+        self.assertIn("difference", told)
+        self.assertIn("no promise broken", told)
+        rows = [json.loads(line) for line in Path(lines).read_text().splitlines()]
+        self.assertEqual(
+            [("defaults", 1), (change, 1), ("defaults", 2), (change, 2)],
+            [(row["policy"], row["seed"]) for row in rows],
+        )
+        self.assertIn("<svg", Path(picture).read_text())
+
+    def test_each_value_of_a_key_is_played(self) -> None:
+        file = self.write("one.toml", FILE)
+        code, told = self.run_command(
+            f"--file={file}", "--seeds=1", "--processes=1", "--vary=machines.count=1,4"
+        )
+        self.assertEqual(0, code, told)
+        self.assertIn("machines.count=1", told)
+        self.assertIn("machines.count=4", told)
+        for wrong in ("machines.counts=4", "machines=4", "machines.count=x", "machines.count=0"):
+            code, told = self.run_command(f"--file={file}", f"--vary={wrong}")
+            self.assertNotEqual(0, code)
+            self.assertIn(wrong.partition("=")[0], told)
+
+    def test_bad_file_is_told_with_a_number(self) -> None:
+        code, told = self.run_command(f"--file={self.write('one.toml', 'length_s = 0')}")
+        self.assertNotEqual(0, code)
+        self.assertIn("501", told)
+        self.assertIn("has 2 faults", told)
+
+    def test_either_a_file_or_drawn_deployments_are_played(self) -> None:
+        code, told = self.run_command("--drawn=2", f"--file={self.write('one.toml', FILE)}")
+        self.assertNotEqual(0, code)
+        self.assertIn("either --file or --drawn", told)
--- a/tests/functional/test_suspended_nodes.py
+++ b/tests/functional/test_suspended_nodes.py
@@ -10,13 +10,14 @@
 
 from testtools import TestCase
 
+from robinthread._internal.experiments.virtual_time import run_on_clock
 from robinthread._internal.models.job_spec import StepSpec
 from robinthread._internal.node.pool_owner import PoolOwner
 from robinthread._internal.node.pool_runtime import ROOMS_UNREAD_MAX_S, UNCONFIRMED_MAX_S
 from robinthread._internal.standins.platform_standin import PlatformStandin
 from robinthread._internal.utils.event_loop import ProcessLoop
 from tests.lib.job_platforms import POOL, get_owner, hand_in, make_job, start_platform, wait_until
-from tests.lib.suspended import Machine, run_on
+from tests.lib.suspended import Machine
 
 # A suspension after which all that an owner may rest on has run out.
 LONG_S = 10.0
@@ -49,7 +50,7 @@
             self.assertGreater(owner._context.get_hosts_unread_s(), ROOMS_UNREAD_MAX_S)
             self.assertGreater(asyncio.get_running_loop().time(), host.lease.over_at_s)
 
-        run_on(self.machine, work())
+        run_on_clock(self.machine, work())
 
     def test_timers_that_came_due_meanwhile_go_off_at_once(self) -> None:
         async def work() -> float:
@@ -59,7 +60,7 @@
             await sleeping
             return self.machine.awake_s
 
-        self.assertLess(run_on(self.machine, work()), 0.2)
+        self.assertLess(run_on_clock(self.machine, work()), 0.2)
 
     def test_process_takes_the_clock_that_counts_suspensions_where_there_is_one(self) -> None:
         loop = ProcessLoop()
