--- a/src/robinthread/_internal/cli/verbs.py
+++ b/src/robinthread/_internal/cli/verbs.py
@@ -74,6 +74,7 @@
         policy: str = "",
         compare: str = "",
         vary: Any = "",
+        ablate: bool = False,
         output: str = "",
         plot: str = "",
         processes: int = 0,
@@ -83,6 +84,7 @@
 
         --policy and --compare name policy files that are compared seed by seed; empty for the
         defaults.  --vary=machines.count=6,8 plays each value of a key of the file.
+        --ablate switches each mechanism of the policy, one by one.
         --output=FILE writes JSON lines, --plot=FILE an SVG of the first day.
         """
 
@@ -102,6 +104,7 @@
                     str(policy),
                     str(compare),
                     str(vary),
+                    bool(ablate),
                     str(output),
                     str(plot),
                     as_count("processes", processes),
--- a/src/robinthread/_internal/commands/experiment.py
+++ b/src/robinthread/_internal/commands/experiment.py
@@ -8,11 +8,12 @@
 import msgspec
 from returns.result import Result, Success
 
+from robinthread._internal.experiments.ablation import iter_ablations
 from robinthread._internal.experiments.day_result import DayResult
 from robinthread._internal.experiments.deployment import Deployment
 from robinthread._internal.experiments.deployment_file import parse_deployment
 from robinthread._internal.experiments.drawn_deployments import draw_deployment
-from robinthread._internal.experiments.report import format_report
+from robinthread._internal.experiments.report import format_differences, format_report
 from robinthread._internal.experiments.runs import (
     PROCESSES_MAX,
     Arm,
@@ -35,7 +36,8 @@
 class ExperimentOptions:
     """What to play: a deployment's file, or so many drawn ones; and what to write.
 
-    ``vary`` is a key of the file and its values, as machines.count=6,8,12.
+    ``vary`` is a key of the file and its values, as machines.count=6,8,12; ``ablates`` switches
+    each mechanism of the policy, one by one.
     """
 
     file: str = ""
@@ -45,6 +47,7 @@
     policy: str = ""
     compare: str = ""
     vary: str = ""
+    ablates: bool = False
     output: str = ""
     plot: str = ""
     processes: int = 0
@@ -63,7 +66,7 @@
         from robinthread._internal.experiments.plots import draw_day
 
         draw_day(runs[0].deployment, runs[0], results[0], options.plot)
-    print(format_report(runs, results))
+    print((format_differences if options.ablates else format_report)(runs, results))
     broken = [broken for result in results for broken in result.breaks]
     print("\n".join(("promises broken:", *broken)) if broken else "no promise broken")
     return int(bool(broken))
@@ -93,10 +96,13 @@
 
 def _read_policies(options: ExperimentOptions) -> dict[str, PolicySettings]:
     paths = [options.policy, *filter(None, [options.compare])]
-    return {
+    policies = {
         path or DEFAULTS: _unwrap(parse_policy(read_text(path), path)) if path else PolicySettings()
         for path in paths
     }
+    if options.ablates:
+        policies |= dict(iter_ablations(next(iter(policies.values()))))
+    return policies
 
 
 def _unwrap(result: Result[T, Fault]) -> T:
--- /dev/null
+++ b/src/robinthread/_internal/experiments/ablation.py
@@ -0,0 +1,25 @@
+"""A policy with each of its mechanisms switched, one by one."""
+
+import dataclasses
+from collections.abc import Iterator
+from typing import Any, Final
+
+from robinthread._internal.settings.policy_settings import PolicySettings
+
+# What switches a mechanism off whose setting is a number; 0 does so for all others.
+OFF: Final = {"demand.late_share": 1.0}
+
+
+def iter_ablations(policy: PolicySettings) -> Iterator[tuple[str, PolicySettings]]:
+    """Iterate over names and policies; a mechanism that is off is switched on."""
+    for part in dataclasses.fields(policy):
+        settings: Any = getattr(policy, part.name)
+        for field in dataclasses.fields(settings):
+            key, value = f"{part.name}.{field.name}", getattr(settings, field.name)
+            switched = not value if isinstance(value, bool) else OFF.get(key, 0.0)
+            changed = dataclasses.replace(settings, **{field.name: switched})
+            yield f"{key}={_name(switched)}", dataclasses.replace(policy, **{part.name: changed})
+
+
+def _name(value: bool | float) -> str:
+    return str(value).lower() if isinstance(value, bool) else f"{value:g}"
--- a/src/robinthread/_internal/experiments/drawn_deployments.py
+++ b/src/robinthread/_internal/experiments/drawn_deployments.py
@@ -17,6 +17,8 @@
 LENGTH_S: Final = 24.0
 # What the queues ask for together, as shares of what the machines can do.
 LOADS: Final = (0.25, 0.5, 0.75, 1.0)
+# A day of more jobs takes long and tells no more.
+JOBS_PER_S_MAX: Final = 15.0
 TROUBLES_BEGIN_S: Final = (2.0, 18.0)
 
 
@@ -62,7 +64,7 @@
     room = machines.count * machines.cpu_millicores * share
     return QueueSpec(
         pool=pool,
-        jobs_per_s=room / (tasks * work_s * cpu_millicores),
+        jobs_per_s=min(JOBS_PER_S_MAX, room / (tasks * work_s * cpu_millicores)),
         shape=drawn.choice(SHAPES),
         tasks=tasks,
         work_s=work_s,
--- a/tests/functional/test_experiments.py
+++ b/tests/functional/test_experiments.py
@@ -1,6 +1,7 @@
 """Days of a deployment, played by the nodes' own code."""
 
 import contextlib
+import dataclasses
 import io
 import json
 from dataclasses import replace
@@ -121,6 +122,15 @@
             self.assertNotEqual(0, code)
             self.assertIn(wrong.partition("=")[0], told)
 
+    def test_each_mechanism_is_switched(self) -> None:
+        file = self.write("one.toml", FILE.replace("6.0", "2.0"))
+        code, told = self.run_command(f"--file={file}", "--seeds=2", "--processes=1", "--ablate")
+        self.assertEqual(0, code, told)
+        for part in dataclasses.fields(PolicySettings):
+            self.assertIn(f"{part.name}.", told)
+        self.assertIn("placement.isolates_crashing_tasks=false", told)
+        self.assertIn("fleet.shares_when_short=true", told)
+
     def test_bad_file_is_told_with_a_number(self) -> None:
         code, told = self.run_command(f"--file={self.write('one.toml', 'length_s = 0')}")
         self.assertNotEqual(0, code)
