A soak of real nodes on loopback, with faults from outside

Callers keep to their open connections. Checked from what hosts, machines and callers see: no task twice at once, or again after it was done; no host over its room; no wave over its bound; what was accepted ends, and stays so; planned stops end in their time with whole answers; lasting tasks run at the end.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -4,7 +4,8 @@
 one; ``--check`` ends with an error where a bound is broken.  ``drawn_days``, ``drawn_waves``,
 ``drawn_crashes`` and ``drawn_rooms`` play ``--days=N`` days from the seed ``--first=N`` on;
 ``back_days`` as well, with ``--nodes=N``, ``--pools=N``, ``--hosts_a_pool=N`` and
-``--jobs_per_s=N`` for its size.
+``--jobs_per_s=N`` for its size.  ``soak`` plays real processes in real time, with ``--nodes=N``
+and ``--length_s=N``.
 """
 
 import sys
@@ -23,6 +24,7 @@
 from bench.parallel import run_in_processes
 from bench.placing import run_placing
 from bench.result import BenchResult
+from bench.soak import run_soaks
 from bench.storms import run_storms
 from bench.takeover import run_takeover
 from bench.urgent import run_urgent
@@ -43,7 +45,7 @@
     "wave_baselines": run_wave_baselines,
     "many_waves": run_many_waves,
 }
-BACK_SIZES = ("nodes", "pools", "hosts_a_pool", "lasting_a_pool", "jobs_per_s")
+SIZES = ("nodes", "pools", "hosts_a_pool", "lasting_a_pool", "jobs_per_s", "length_s")
 
 
 def main(arguments: list[str]) -> int:
@@ -54,6 +56,7 @@
         "drawn_crashes": lambda: run_drawn_crashes(**_read_days(arguments)),
         "drawn_rooms": lambda: run_drawn_rooms(**_read_days(arguments)),
         "drawn_waves": lambda: run_drawn_waves(**_read_days(arguments)),
+        "soak": lambda: run_soaks(**_read_days(arguments), sizes=_read_sizes(arguments)),
         "back_days": lambda: run_back_days(**_read_days(arguments), sizes=_read_sizes(arguments)),
     }
     names = [name for name in arguments if not name.startswith("--")]
@@ -78,7 +81,7 @@
 
 def _read_sizes(arguments: list[str]) -> dict[str, int]:
     given = _read_given(arguments)
-    return {name: given[f"--{name}"] for name in BACK_SIZES if f"--{name}" in given}
+    return {name: given[f"--{name}"] for name in SIZES if f"--{name}" in given}
 
 
 def _read_given(arguments: list[str]) -> dict[str, int]:
--- /dev/null
+++ b/bench/soak.py
@@ -0,0 +1,33 @@
+"""Soaks of real processes on loopback, counted over many seeds; they play in real time."""
+
+from collections.abc import Sequence
+from functools import partial
+
+from tests.lib.soak.soak import SoakFindings, find_in_soak
+
+from bench.drawn import FIRST_SEED, play_drawn
+from bench.result import BenchResult
+
+DAYS = 50
+LENGTH_S = 20.0
+
+
+def run_soaks(
+    first_seed: int = FIRST_SEED, days: int = DAYS, sizes: dict[str, int] | None = None
+) -> BenchResult:
+    """Play soaks from a seed on, of so many ``nodes`` and seconds where ``sizes`` has them."""
+    given = sizes or {}
+    find = partial(
+        find_in_soak, nodes=given.get("nodes", 0), length_s=float(given.get("length_s", LENGTH_S))
+    )
+    return play_drawn("soak", find, first_seed, days, _count)
+
+
+def _count(found: Sequence[SoakFindings]) -> dict[str, float]:
+    return {
+        "breaks": sum(len(day.breaks) for day in found),
+        "jobs_not_ended": sum(len(day.open_jobs) for day in found),
+        "jobs": sum(day.job_count for day in found),
+        "runs": sum(day.run_count for day in found),
+        "greatest_lag_s": max(day.lag_s for day in found),
+    }
--- /dev/null
+++ b/tests/functional/test_soak.py
@@ -0,0 +1,16 @@
+"""Real nodes as processes on loopback, with faults from outside.
+
+``python -m bench soak`` plays more.
+"""
+
+from testtools import TestCase
+
+from tests.lib.soak.soak import find_in_soak
+
+FRESH_SEEDS = (1, 2)
+
+
+class SoakTest(TestCase):
+    def test_no_promise_is_broken_and_all_jobs_end(self) -> None:
+        found = map(find_in_soak, FRESH_SEEDS)
+        self.assertEqual([], [day for day in found if not day.is_clean])
--- /dev/null
+++ b/tests/lib/soak/node_process.py
@@ -0,0 +1,121 @@
+"""A real node as a process, with proxies before all that it calls, and signals."""
+
+import asyncio
+import os
+import signal
+import sys
+from pathlib import Path
+
+from tests.lib.soak.proxy import LoopbackProxy
+
+SETTINGS = """
+node = "{name}"
+ip = "{ip}"
+zone = "hall"
+port_range = [7003, 7003]
+
+[listen]
+front = "{ip}:7001"
+ready = "{ip}:7002"
+
+[bounds]
+grace_s = 6.0
+
+[platform]
+address = "{store}"
+parts = 12
+
+[cloud]
+address = "{machines}"
+duty_per_s = 64
+"""
+GRACE_S = 6.0
+CALLERS_PORT = 7001
+
+
+class NodeProcess:
+    """A node: its process while it has one, and the proxies to the store and to machines.
+
+    ``stop_faults`` tell of planned stops that were too long or ended badly.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        ip: str,
+        folder: Path,
+        store: tuple[str, int],
+        machines: tuple[str, int],
+    ) -> None:
+        self.name = name
+        self.ip = ip
+        self.store = LoopbackProxy(store)
+        self.machines = LoopbackProxy(machines)
+        self.stop_faults: list[str] = []
+        # A process that is being stopped as planned, and gets no other signal meanwhile.
+        self.is_stopping = False
+        self.is_paused = False
+        self._clock = folder / f"{name}.clock"
+        self._settings = folder / f"{name}.toml"
+        self._log = folder / f"{name}.log"
+        self._process: asyncio.subprocess.Process | None = None
+
+    @property
+    def is_up(self) -> bool:
+        """Tell whether there is a process that is not being stopped."""
+        return self._process is not None and not self.is_stopping
+
+    async def begin(self) -> None:
+        """Listen with the proxies, lay out the settings and start."""
+        await self.store.start()
+        await self.machines.start()
+        self._clock.write_text("0")
+        addresses = {"store": self.store.address, "machines": self.machines.address}
+        self._settings.write_text(SETTINGS.format(name=self.name, ip=self.ip, **addresses))
+        await self.start()
+
+    async def start(self) -> None:
+        """Start a process unless there is one."""
+        if self._process is not None:
+            return
+        with self._log.open("ab") as log:
+            self._process = await asyncio.create_subprocess_exec(
+                *(sys.executable, "-m", "tests.lib.soak.stepped_clock", str(self._clock)),
+                env=os.environ | {"ROBINTHREAD_NODE_FILE": str(self._settings)},
+                stdout=log,
+                stderr=log,
+            )
+
+    def signal(self, number: int) -> None:
+        """Send a signal, if there is a process that takes one."""
+        if self._process is not None and self._process.returncode is None:
+            self._process.send_signal(number)
+
+    def step_clock(self, step_s: float) -> None:
+        """Have the node's time of day differ by so much from now on."""
+        self._clock.write_text(str(step_s))
+
+    async def kill(self) -> None:
+        """End the process at once."""
+        process, self._process = self._process, None
+        if process is not None and process.returncode is None:
+            process.kill()
+            await process.wait()
+
+    async def stop(self) -> None:
+        """Stop as planned: the process has its grace, and is killed then."""
+        process = self._process
+        if process is None or self.is_stopping or self.is_paused:
+            return
+        self.is_stopping = True
+        self.signal(signal.SIGTERM)
+        try:
+            await asyncio.wait_for(process.wait(), GRACE_S)
+            if process.returncode and process is self._process:
+                self.stop_faults.append(f"{self.name} ended with {process.returncode}")
+        except TimeoutError:
+            self.stop_faults.append(f"{self.name} had not ended after {GRACE_S} s")
+        finally:
+            self.is_stopping = False
+            if process is self._process:
+                await self.kill()
--- /dev/null
+++ b/tests/lib/soak/soak.py
@@ -0,0 +1,197 @@
+"""A soak: real nodes on loopback, callers, drawn troubles from outside, and what must hold."""
+
+import asyncio
+import itertools
+import os
+import random
+import tempfile
+from collections.abc import AsyncIterator, Iterator
+from contextlib import asynccontextmanager
+from dataclasses import dataclass
+from pathlib import Path
+
+from robinthread._internal.models.upkeep_wave import UpkeepWave
+from tests.lib.soak.callers import Caller, CallersBook
+from tests.lib.soak.node_process import NodeProcess
+from tests.lib.soak.troubles import SoakTrouble, bring_about, draw_troubles
+from tests.lib.soak.world import LASTING_JOB, SoakWorld
+
+# A job that is cancelled may begin tasks for so long: none is cancelled here.
+CANCEL_S = 3.0
+STARTED_WITHIN_S = 60.0
+# After the last trouble all that was accepted ends within so long, on a busy machine too.
+ENDED_WITHIN_S = 60.0
+LAG_PERIOD_S = 0.02
+JOB = '{"spec": "text", "steps": [{"count": 3, "cpu": 1000, "mem_mb": 100, "estimate_ms": 900}]}'
+LASTING = (
+    '{"spec": "text", "steps": [{"count": 3, "cpu": 1000, "mem_mb": 100, '
+    '"long_running": true, "anti_affinity": 1}]}'
+)
+
+
+@dataclass(frozen=True)
+class SoakDay:
+    """What is played: sizes, and troubles drawn from the seed."""
+
+    seed: int
+    nodes: int
+    machines: int
+    reserve: int
+    callers: int
+    length_s: float
+    wave: UpkeepWave | None
+    troubles: tuple[SoakTrouble, ...]
+
+
+@dataclass(frozen=True)
+class SoakFindings:
+    """What was seen and must not be, and how much was seen at all.
+
+    ``lag_s`` is the longest time for which the stand-in itself did not run: what overlaps by less
+    than that on a host's clock is not told from what does not.
+    """
+
+    seed: int
+    breaks: tuple[str, ...]
+    open_jobs: tuple[str, ...]
+    job_count: int
+    run_count: int
+    lag_s: float
+
+    @property
+    def is_clean(self) -> bool:
+        """Tell whether nothing was found."""
+        return not (self.breaks or self.open_jobs)
+
+
+def draw_soak(seed: int, nodes: int = 0, length_s: float = 10.0) -> SoakDay:
+    """Draw a soak from its seed; of so many nodes where that is given."""
+    drawn = random.Random(seed)
+    machines = drawn.choice((4, 6, 8))
+    names = tuple(f"m-{number}" for number in range(machines))
+    wave = UpkeepWave(1, names[: machines // 2], length_s + 10.0, drawn.choice((1, 2)))
+    return SoakDay(
+        seed,
+        nodes or drawn.choice((3, 4, 6)),
+        machines,
+        drawn.choice((0, 2)),
+        drawn.choice((4, 12)),
+        length_s,
+        wave if drawn.random() < 0.5 else None,
+        tuple(draw_troubles(drawn, length_s, drawn.choice((4, 8, 12)))),
+    )
+
+
+def find_in_soak(seed: int, nodes: int = 0, length_s: float = 10.0) -> SoakFindings:
+    """Play the soak of a seed in real time."""
+    return asyncio.run(play_soak(draw_soak(seed, nodes, length_s)))
+
+
+async def play_soak(day: SoakDay) -> SoakFindings:
+    """Play a soak, and tell what was found."""
+    lags: list[float] = []
+    watching = asyncio.create_task(_watch_lag(lags))
+    asyncio.get_running_loop().set_exception_handler(lambda loop, context: None)
+    async with _start(day) as (world, nodes):
+        book = CallersBook()
+        callers = [Caller(nodes, book, day.seed + number) for number in range(day.callers)]
+        async with asyncio.timeout(STARTED_WITHIN_S):
+            await callers[0].hand_in(LASTING_JOB, LASTING)
+        numbers = itertools.count(2**32)
+        working = [asyncio.create_task(_work(caller, numbers)) for caller in callers]
+        if day.wave is not None:
+            world.ask_for_wave(day.wave)
+        await asyncio.gather(*(bring_about(world, nodes, each) for each in day.troubles))
+        await asyncio.sleep(max(0.0, day.length_s - _get_end_s(day)))
+        for task in working:
+            task.cancel()
+        await asyncio.gather(*working, return_exceptions=True)
+        await _wait_until_ended(nodes, book, day.seed)
+        watching.cancel()
+        lag_s = max(lags, default=0.0)
+        breaks = [*_find_breaks(world, lag_s), *book.breaks, *_find_lasting(world)]
+        breaks += [fault for node in nodes for fault in node.stop_faults]
+        breaks += [f"{job} failed" for job, state in book.states.items() if state == "failed"]
+        open_jobs = tuple(job for job in book.open if job != LASTING_JOB)
+        run_count = len(world.hosts.ledger.runs)
+        return SoakFindings(
+            day.seed, tuple(breaks), open_jobs, len(book.accepted), run_count, round(lag_s, 3)
+        )
+
+
+@asynccontextmanager
+async def _start(day: SoakDay) -> AsyncIterator[tuple[SoakWorld, list[NodeProcess]]]:
+    world = SoakWorld(day.seed)
+    await world.start(day.machines, day.reserve)
+    store = world.start_store()
+    # Each soak has addresses of its own, so that several may run beside each other.
+    block = f"127.{10 + os.getpid() // 250 % 200}.{os.getpid() % 250}"
+    with tempfile.TemporaryDirectory(ignore_cleanup_errors=True) as name:
+        folder = Path(os.environ.get("ROBINTHREAD_SOAK_LOGS") or name) / f"seed{day.seed}"
+        folder.mkdir(parents=True, exist_ok=True)
+        nodes = [
+            NodeProcess(f"n{number}", f"{block}.{number}", folder, store, world.machines_address)
+            for number in range(1, day.nodes + 1)
+        ]
+        try:
+            await asyncio.gather(*(node.begin() for node in nodes))
+            yield world, nodes
+        finally:
+            await asyncio.gather(*(node.kill() for node in nodes))
+            for node in nodes:
+                node.store.refuse()
+                node.machines.refuse()
+            world.close()
+
+
+async def _work(caller: Caller, numbers: Iterator[int]) -> None:
+    """Hand a job in, see it end, and so on; a caller gives none up."""
+    while True:
+        job_id = f"{next(numbers):016x}"
+        await caller.hand_in(job_id, JOB)
+        await caller.follow(job_id)
+
+
+async def _wait_until_ended(nodes: list[NodeProcess], book: CallersBook, seed: int) -> None:
+    loop = asyncio.get_running_loop()
+    until_s = loop.time() + ENDED_WITHIN_S
+    caller = Caller(nodes, book, seed)
+    while loop.time() < until_s:
+        waiting = [job for job in book.open if job != LASTING_JOB]
+        if not waiting:
+            return
+        for job_id in waiting:
+            await caller.ask(job_id)
+        await asyncio.sleep(0.2)
+
+
+def _get_end_s(day: SoakDay) -> float:
+    return max((trouble.at_s + trouble.for_s for trouble in day.troubles), default=0.0)
+
+
+def _find_breaks(world: SoakWorld, lag_s: float) -> list[str]:
+    """Return what hosts and machines saw and must never see."""
+    ledger = world.hosts.ledger
+    for run in ledger.runs:
+        # A host that did not run could not end what it was to end.
+        if run.end == "lapsed" and run.ended_at_s is not None:
+            run.ended_at_s -= min(lag_s, run.ended_at_s - run.began_at_s)
+    return [*ledger.find_breaks(CANCEL_S), *world.machines.waves.breaks]
+
+
+def _find_lasting(world: SoakWorld) -> list[str]:
+    """Return what lasting tasks lack at the end."""
+    going = [
+        run.task.index
+        for run in world.hosts.ledger.runs
+        if run.task.job_id == LASTING_JOB and run.ended_at_s is None
+    ]
+    return [] if sorted(going) == [0, 1, 2] else [f"lasting tasks that run: {sorted(going)}"]
+
+
+async def _watch_lag(lags: list[float]) -> None:
+    loop = asyncio.get_running_loop()
+    while True:
+        slept_at_s = loop.time()
+        await asyncio.sleep(LAG_PERIOD_S)
+        lags.append(loop.time() - slept_at_s - LAG_PERIOD_S)
--- /dev/null
+++ b/tests/lib/soak/troubles.py
@@ -0,0 +1,150 @@
+"""What a soak does to processes and connections; each trouble is drawn before it is played."""
+
+import asyncio
+import enum
+import random
+import signal
+from collections.abc import Iterator
+from dataclasses import dataclass
+
+from tests.lib.soak.node_process import NodeProcess
+from tests.lib.soak.proxy import LoopbackProxy, Way
+from tests.lib.soak.world import SoakWorld
+
+# A process that has been killed or stopped begins again so long after.
+AWAY_S = 0.5
+ROLL_GAP_S = 1.0
+DELAY_S = 0.25
+CLOCK_STEP_S = 4.0
+SLOW_TIMES = 50.0
+LOST_SHARE = 0.3
+LATE_S = (0.0, 1.0)
+
+
+class SoakKind(enum.Enum):
+    """What goes wrong."""
+
+    KILL = "kill a node"
+    KILL_ALL = "kill all nodes"
+    STOP = "stop a node as planned"
+    ROLL = "stop all nodes as planned, one after another"
+    PAUSE = "pause a node"
+    RELOAD = "have a node read its settings again"
+    CLOCK = "step a node's time of day"
+    STORE_DELAYED = "delay a node's way to the store"
+    STORE_RESET = "reset a node's connections to the store"
+    STORE_HELD = "silence a node's way to the store"
+    STORE_ONE_WAY = "hold what the store answers a node"
+    STORE_SLOW = "slow the store down"
+    STORE_LOSES = "lose answers of the store"
+    MACHINES_HELD = "silence a node's way to machines"
+    HOST_DELAYED = "delay the way to a host"
+    HOST_RESET = "reset connections to a host"
+    HOST_HELD = "silence a host"
+    HOST_ONE_WAY = "hold what a host answers"
+    HOST_CRASH = "crash a host"
+
+
+@dataclass(frozen=True)
+class SoakTrouble:
+    """One trouble; ``target`` picks, by its rest, which node or host."""
+
+    at_s: float
+    kind: SoakKind
+    target: int
+    for_s: float
+
+
+def draw_troubles(drawn: random.Random, length_s: float, count: int) -> Iterator[SoakTrouble]:
+    """Draw troubles that overlap, some in series of the same kind."""
+    for _ in range(count):
+        kind, at_s = drawn.choice(list(SoakKind)), drawn.uniform(0, length_s)
+        for _ in range(drawn.choice((1, 1, 3))):
+            yield SoakTrouble(at_s, kind, drawn.randrange(1000), drawn.uniform(0.2, 4.0))
+            at_s += drawn.uniform(0.1, 1.5)
+
+
+async def bring_about(world: SoakWorld, nodes: list[NodeProcess], trouble: SoakTrouble) -> None:
+    """Bring a trouble about at its time, and end it."""
+    await asyncio.sleep(trouble.at_s)
+    node = nodes[trouble.target % len(nodes)]
+    match trouble.kind:
+        case SoakKind.KILL:
+            await _begin_again(node, is_planned=False)
+        case SoakKind.KILL_ALL:
+            await asyncio.gather(*(_begin_again(each, is_planned=False) for each in nodes))
+        case SoakKind.STOP:
+            await _begin_again(node, is_planned=True)
+        case SoakKind.ROLL:
+            for each in nodes:
+                await _begin_again(each, is_planned=True)
+                await asyncio.sleep(ROLL_GAP_S)
+        case SoakKind.PAUSE:
+            await _pause(node, trouble.for_s)
+        case SoakKind.RELOAD:
+            if node.is_up:
+                node.signal(signal.SIGHUP)
+        case SoakKind.CLOCK:
+            node.step_clock(CLOCK_STEP_S if trouble.target % 2 else -CLOCK_STEP_S)
+            await asyncio.sleep(trouble.for_s)
+            node.step_clock(0.0)
+        case SoakKind.STORE_SLOW | SoakKind.STORE_LOSES:
+            await _trouble_store(world, trouble)
+        case SoakKind.HOST_CRASH:
+            up = [host for host in world.hosts.hosts.values() if host.is_up]
+            if up:
+                world.crash_for_a_while(up[trouble.target % len(up)].record.id)
+        case _:
+            await _trouble_way(_pick_way(world, node, trouble), trouble)
+
+
+def _pick_way(world: SoakWorld, node: NodeProcess, trouble: SoakTrouble) -> LoopbackProxy:
+    if trouble.kind.name.startswith("HOST"):
+        proxies = list(world.host_proxies.values())
+        return proxies[trouble.target % len(proxies)]
+    return node.machines if trouble.kind is SoakKind.MACHINES_HELD else node.store
+
+
+async def _begin_again(node: NodeProcess, *, is_planned: bool) -> None:
+    if node.is_stopping:
+        return
+    await (node.stop() if is_planned else node.kill())
+    await asyncio.sleep(AWAY_S)
+    await node.start()
+
+
+async def _pause(node: NodeProcess, for_s: float) -> None:
+    """Pause a process; one that is to stop as planned meanwhile isn't blamed for being late."""
+    if not node.is_up:
+        return
+    node.is_paused = True
+    node.signal(signal.SIGSTOP)
+    await asyncio.sleep(for_s)
+    node.signal(signal.SIGCONT)
+    node.is_paused = False
+
+
+async def _trouble_store(world: SoakWorld, trouble: SoakTrouble) -> None:
+    faults = world.store.faults
+    if trouble.kind is SoakKind.STORE_SLOW:
+        faults.latency_s *= SLOW_TIMES
+        await asyncio.sleep(trouble.for_s)
+        faults.latency_s /= SLOW_TIMES
+    else:
+        faults.lost_share, faults.late_s = LOST_SHARE, LATE_S
+        await asyncio.sleep(trouble.for_s)
+        faults.lost_share = 0.0
+
+
+async def _trouble_way(proxy: LoopbackProxy, trouble: SoakTrouble) -> None:
+    name = trouble.kind.name
+    if name.endswith("RESET"):
+        proxy.reset()
+        return
+    if name.endswith("DELAYED"):
+        proxy.delay_s = DELAY_S
+    else:
+        proxy.hold(*((Way.BACK,) if name.endswith("ONE_WAY") else Way))
+    await asyncio.sleep(trouble.for_s)
+    proxy.delay_s = 0.0
+    proxy.release()
