--- a/tests/lib/soak/stepped_clock.py
+++ b/tests/lib/soak/stepped_clock.py
@@ -1,9 +1,11 @@
 """A node's process whose time of day can be stepped from outside, by a file with seconds.
 
-Run with ``python -m tests.lib.soak.stepped_clock FILE``.
+Run with ``python -m tests.lib.soak.stepped_clock FILE``.  It ends with the process that began it.
 """
 
+import os
 import sys
+import threading
 import time
 from pathlib import Path
 
@@ -11,6 +13,7 @@
 
 # The file is read again so often.
 READ_PERIOD_S = 0.1
+PARENT_PERIOD_S = 1.0
 
 
 def step_clock(path: Path) -> None:
@@ -27,7 +30,19 @@
     time.time = read_stepped_s
 
 
+def end_with(parent: int) -> None:
+    """Have this process end once another one has."""
+
+    def watch() -> None:
+        while os.getppid() == parent:
+            time.sleep(PARENT_PERIOD_S)
+        os._exit(1)
+
+    threading.Thread(target=watch, daemon=True).start()
+
+
 if __name__ == "__main__":
+    end_with(os.getppid())
     step_clock(Path(sys.argv[1]))
     sys.argv[1:] = ["node"]
     main_and_exit()
--- a/tests/lib/store_server.py
+++ b/tests/lib/store_server.py
@@ -11,10 +11,12 @@
 from tornado.web import Application, RequestHandler
 
 from robinthread._internal.durable.errors import (
+    HistoryGoneError,
     StoreConditionError,
     StoreFencedError,
     StoreNoAnswerError,
     StoreRefusedError,
+    StoreSequenceError,
 )
 from robinthread._internal.durable.store import KeyedRecord, Partition, WriterStamp
 from robinthread._internal.standins.store_standin import StoreClient, StoreStandin
@@ -47,6 +49,12 @@
         except StoreFencedError:
             self.set_status(409)
             self.finish({"reason": "fenced"})
+        except StoreSequenceError as error:
+            self.set_status(409)
+            self.finish({"reason": "seq", "wanted": error.wanted})
+        except HistoryGoneError as error:
+            self.set_status(410)
+            self.finish({"first": error.first})
         except StoreNoAnswerError:
             await asyncio.sleep(NO_ANSWER_S)
 
