--- a/tests/lib/soak/troubles.py
+++ b/tests/lib/soak/troubles.py
@@ -14,6 +14,8 @@
 # A process that has been killed or stopped begins again so long after.
 AWAY_S = 0.5
 ROLL_GAP_S = 1.0
+# Shorter than leases of 4 s, and longer than any owner goes on without the store.
+LENGTHS_S = ((0.2, 3.0), (3.0, 9.0))
 DELAY_S = 0.25
 CLOCK_STEP_S = 4.0
 SLOW_TIMES = 50.0
@@ -60,7 +62,8 @@
     for _ in range(count):
         kind, at_s = drawn.choice(list(SoakKind)), drawn.uniform(0, length_s)
         for _ in range(drawn.choice((1, 1, 3))):
-            yield SoakTrouble(at_s, kind, drawn.randrange(1000), drawn.uniform(0.2, 4.0))
+            for_s = drawn.uniform(*drawn.choice(LENGTHS_S))
+            yield SoakTrouble(at_s, kind, drawn.randrange(1000), for_s)
             at_s += drawn.uniform(0.1, 1.5)
 
 
