--- a/src/robinthread/_internal/experiments/deployment_file.py
+++ b/src/robinthread/_internal/experiments/deployment_file.py
@@ -15,6 +15,7 @@
 from robinthread._internal.results import Fault
 from robinthread._internal.settings.check import Conflict
 from robinthread._internal.settings.parse import parse_file
+from robinthread._internal.standins.platform_standin import RESERVE
 
 MAY_BE_ZERO: Final = frozenset(
     {"reserve", "work_spread", "memory_mb", "slack_s", "worth", "at_s", "machine_s", "move"}
@@ -52,6 +53,8 @@
     machines = deployment.machines
     if not queue.pool:
         yield Conflict(f"{key}.pool", "is missing, expected the name of a pool")
+    if queue.pool == RESERVE:
+        yield Conflict(f"{key}.pool", f"is {RESERVE!r}, which is the pool of machines that are off")
     if queue.shape not in SHAPES:
         yield _make_choice(f"{key}.shape", queue.shape, SHAPES)
     if queue.work_spread >= 1:
--- a/tests/unit/test_deployment_file.py
+++ b/tests/unit/test_deployment_file.py
@@ -71,6 +71,10 @@
     def test_deployment_without_queues_is_a_fault(self) -> None:
         self.assertEqual(["queues: are missing, expected one at least"], self.find_faults(""))
 
+    def test_reserve_is_no_pool_of_a_queue(self) -> None:
+        told = "line 4: queues.tiles.pool: is 'reserve', which is the pool of machines that are off"
+        self.assertEqual([told], self.find_faults(GOOD.replace('"tiles"', '"reserve"')))
+
     def test_drawn_deployments_are_good_and_differ(self) -> None:
         drawn = list(map(draw_deployment, range(1, 201)))
         self.assertEqual(
