A workspace's key is asked for at the door, on every call

What callers saw: any call was served, with or without a key, also under a key that was withdrawn or that no configuration ever held; jobs knew no workspace.

Cause: `parse_config` dropped the operators' workspaces and which queues are public.

Ruled out: comparing keys one by one (its time tells how much was right, and grows with 270 workspaces); keeping the keys as texts (they would stand in any dump of the configuration).

Change: a key is looked up by a salted digest in the configuration in force; POST, GET, DELETE and a queue's count all ask for it; unknown keys get 401 with code 317 at once, and are gathered in the log without the key. A job keeps its workspace. What is another workspace's is to a caller as if it did not exist; a cancel whose job's owner can't be asked names its workspace, and the owner drops it where the job is another's. An id that another workspace took at this node gets 409, code 318; at any other node the log's order decides, as before.

On the stand-in a withdrawal reaches all 8 nodes within the bound of 2 s with calls to the store that take 0.2 s.

--- a/src/robinthread/_internal/durable/inbox_records.py
+++ b/src/robinthread/_internal/durable/inbox_records.py
@@ -4,6 +4,7 @@
 its own, so that the first in the log's order is never replaced.
 """
 
+import hashlib
 from dataclasses import dataclass
 from typing import Final
 
@@ -15,6 +16,8 @@
 INBOX_PARTITION: Final = Partition("keyed.inbox")
 JOB_PREFIX: Final = "j/"
 CANCEL_PREFIX: Final = "c/"
+# Of a workspace's name in a key, which has 255 bytes at most.
+NAME_DIGEST_BYTES: Final = 8
 
 
 @dataclass(frozen=True, slots=True)
@@ -27,10 +30,11 @@
 
 @dataclass(frozen=True, slots=True)
 class JobCancelled:
-    """A cancelled job's record."""
+    """A cancelled job's record; ``workspace`` tells by whom, None by one who needed no key."""
 
     key: str
     job_id: str
+    workspace: str | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -49,9 +53,16 @@
     return KeyedRecord(f"{JOB_PREFIX}{spec.job_id}/{copy}", msgspec.msgpack.encode(spec))
 
 
-def make_cancel_record(job_id: str) -> KeyedRecord:
-    """Make the record that cancels a job."""
-    return KeyedRecord(f"{CANCEL_PREFIX}{job_id}", b"1")
+def make_cancel_record(job_id: str, workspace: str | None = None) -> KeyedRecord:
+    """Make the record that cancels a job, if it is the workspace's.
+
+    Each workspace has a key of its own, so that no other one's record is replaced.
+    """
+    if workspace is None:
+        return KeyedRecord(f"{CANCEL_PREFIX}{job_id}", b"1")
+    name = workspace.encode()
+    digest = hashlib.blake2b(name, digest_size=NAME_DIGEST_BYTES).hexdigest()
+    return KeyedRecord(f"{CANCEL_PREFIX}{job_id}/{digest}", name)
 
 
 def parse_inbox_record(record: KeyedRecord) -> InboxRecord:
@@ -60,7 +71,7 @@
     if record.value is None:
         return RecordDropped(record.key, job_id)
     if record.key.startswith(CANCEL_PREFIX):
-        return JobCancelled(record.key, job_id)
+        return JobCancelled(record.key, job_id, _parse_canceller(record.key, record.value))
     spec = msgspec.msgpack.decode(record.value, type=JobSpec)
     fault = spec.find_fault() or ("" if spec.job_id == job_id else "its key names another job")
     if fault:
@@ -68,6 +79,16 @@
     return JobHandedIn(record.key, spec)
 
 
+def _parse_canceller(key: str, value: bytes) -> str | None:
+    """Return the workspace that cancelled a job; None where no key was asked for."""
+    if "/" not in key.removeprefix(CANCEL_PREFIX):
+        return None
+    try:
+        return value.decode()
+    except UnicodeDecodeError as error:
+        raise msgspec.ValidationError("a workspace's name is not a text") from error
+
+
 def _get_job_id(key: str) -> str:
     """Return the id of the job that a key is about."""
     prefix, _, rest = key.partition("/")
--- a/src/robinthread/_internal/durable/job_index.py
+++ b/src/robinthread/_internal/durable/job_index.py
@@ -12,6 +12,7 @@
 )
 from robinthread._internal.durable.store import KeyedRecord
 from robinthread._internal.models.job_spec import JobSpec
+from robinthread._internal.models.workspace_policy import may_touch
 from robinthread._internal.telemetry.event_log import EventLog
 
 
@@ -38,7 +39,7 @@
 
     def __init__(self, events: EventLog) -> None:
         self.jobs: dict[str, IndexedJob] = {}
-        self._cancelled_ahead: set[str] = set()
+        self._cancelled_ahead: dict[str, list[JobCancelled]] = {}
         self._listeners: list[Listener] = []
         self._events = events
 
@@ -70,8 +71,8 @@
         match parse_inbox_record(record):
             case JobHandedIn(key, spec):
                 self._add(key, spec, record.offset)
-            case JobCancelled(key, job_id):
-                self._cancel(key, job_id)
+            case JobCancelled() as cancelled:
+                self._cancel(cancelled)
             case RecordDropped(key, job_id):
                 self._drop(key, job_id)
 
@@ -82,19 +83,19 @@
             return
         job = self.jobs[spec.job_id] = IndexedJob(spec, offset)
         job.keys.add(key)
-        job.is_cancelled = spec.job_id in self._cancelled_ahead
-        self._cancelled_ahead.discard(spec.job_id)
+        ahead = self._cancelled_ahead.pop(spec.job_id, ())
+        job.is_cancelled = any(may_touch(one.workspace, spec.workspace) for one in ahead)
         self._tell(job)
 
-    def _cancel(self, key: str, job_id: str) -> None:
-        job = self.jobs.get(job_id)
+    def _cancel(self, cancelled: JobCancelled) -> None:
+        job = self.jobs.get(cancelled.job_id)
         if job is None:
-            self._cancelled_ahead.add(job_id)
-        else:
-            job.keys.add(key)
-            if not job.is_cancelled:
-                job.is_cancelled = True
-                self._tell(job)
+            self._cancelled_ahead.setdefault(cancelled.job_id, []).append(cancelled)
+            return
+        job.keys.add(cancelled.key)
+        if not job.is_cancelled and may_touch(cancelled.workspace, job.spec.workspace):
+            job.is_cancelled = True
+            self._tell(job)
 
     def _drop(self, key: str, job_id: str) -> None:
         job = self.jobs.get(job_id)
--- a/src/robinthread/_internal/models/fleet_config.py
+++ b/src/robinthread/_internal/models/fleet_config.py
@@ -4,6 +4,7 @@
 
 from robinthread._internal.models.pool_policy import PoolPolicy
 from robinthread._internal.models.queue_policy import QueuePolicy
+from robinthread._internal.models.workspace_policy import WorkspacePolicy, digest_key
 
 
 @dataclass(frozen=True)
@@ -15,18 +16,25 @@
     pools: dict[str, PoolPolicy]
     body_max_bytes: int
     by_host: dict[str, tuple[QueuePolicy, ...]] = field(default_factory=dict)
+    workspaces: dict[str, WorkspacePolicy] = field(default_factory=dict)
+    workspace_by_key: dict[bytes, str] = field(default_factory=dict)
 
     def find_queue(self, host: str, path: str) -> QueuePolicy | None:
         """Return the queue of ``host`` with the longest prefix of ``path``."""
         queues = self.by_host.get(host, ())
         return next((queue for queue in queues if path.startswith(queue.path_prefix)), None)
 
+    def find_workspace(self, key: str) -> str | None:
+        """Return the workspace that a key speaks for, or None for an unknown key."""
+        return self.workspace_by_key.get(digest_key(key))
+
 
 def make_fleet_config(
     version: int,
     queues: tuple[QueuePolicy, ...],
     pools: tuple[PoolPolicy, ...],
     body_max_bytes: int,
+    workspaces: tuple[WorkspacePolicy, ...] = (),
 ) -> FleetConfig:
     """Make a configuration whose queues are found by the longest prefix first."""
     by_host: dict[str, list[QueuePolicy]] = {}
@@ -38,4 +46,6 @@
         {pool.name: pool for pool in pools},
         body_max_bytes,
         {host: tuple(found) for host, found in by_host.items()},
+        {workspace.name: workspace for workspace in workspaces},
+        {digest: workspace.name for workspace in workspaces for digest in workspace.key_digests},
     )
--- a/src/robinthread/_internal/models/job_spec.py
+++ b/src/robinthread/_internal/models/job_spec.py
@@ -49,6 +49,8 @@
 class JobSpec(msgspec.Struct, frozen=True, array_like=True):
     """A job; ``pool`` is where its queue led when it was accepted.
 
+    ``workspace`` is whose key it was handed in with, "" where none was asked for.
+
     ``text`` is passed to each task unread.  With ``occurrence_count`` over
     zero the steps run that often, the first time at ``first_due_ms`` (Unix
     time), then each ``interval_ms``.
@@ -64,6 +66,7 @@
     interval_ms: int = 0
     accepted_at_ms: int = 0
     config_version: int = 0
+    workspace: str = ""
 
     @property
     def is_timed(self) -> bool:
--- a/src/robinthread/_internal/models/queue_policy.py
+++ b/src/robinthread/_internal/models/queue_policy.py
@@ -22,7 +22,7 @@
 
     The lowest ``priority`` goes first.  A task may fail ``attempts_max`` times.
     A job is on time within ``stretch`` times its longest chain of work plus
-    ``latency_target_ms``.
+    ``latency_target_ms``.  One that is not ``is_public`` asks callers for a workspace's key.
     """
 
     name: str
@@ -34,3 +34,4 @@
     stretch: float = 1.0
     latency_target_ms: int = 0
     advice: AdvicePolicy | None = None
+    is_public: bool = True
--- a/src/robinthread/_internal/node/config_holder.py
+++ b/src/robinthread/_internal/node/config_holder.py
@@ -59,10 +59,30 @@
 
     def _take_config(self, config: FleetConfig) -> None:
         if self.config is None or config.version > self.config.version:
+            if self.config is not None:
+                self._tell_keys(self.config, config)
             self.config = config
             self._events.write(
                 "config_in_force",
                 version=config.version,
                 queue_count=len(config.queues),
                 pool_count=len(config.pools),
+                workspace_count=len(config.workspaces),
             )
+
+    def _tell_keys(self, before: FleetConfig, config: FleetConfig) -> None:
+        """Tell which workspaces lost or gained keys, never the keys."""
+        for name in sorted(before.workspaces.keys() | config.workspaces.keys()):
+            had, has = (
+                one.workspaces[name].key_digests if name in one.workspaces else frozenset()
+                for one in (before, config)
+            )
+            if had != has:
+                self._events.write(
+                    "workspace_keys_changed",
+                    version=config.version,
+                    workspace=name,
+                    withdrawn_count=len(had - has),
+                    added_count=len(has - had),
+                    key_count=len(has),
+                )
--- a/src/robinthread/_internal/node/gate_outcome.py
+++ b/src/robinthread/_internal/node/gate_outcome.py
@@ -8,6 +8,7 @@
 
     REFUSED: the store does not take it, so it has not run and will not.
     OWNER_UNREACHABLE: what is asked for cannot be told now.
+    ID_TAKEN: the id is that of another workspace's job.
     """
 
     DONE = "done"
@@ -15,3 +16,4 @@
     OWNER_UNREACHABLE = "owner unreachable"
     UNKNOWN = "unknown"
     NO_SUCH_JOB = "no such job"
+    ID_TAKEN = "id taken"
--- a/src/robinthread/_internal/node/job_gate.py
+++ b/src/robinthread/_internal/node/job_gate.py
@@ -3,13 +3,14 @@
 import asyncio
 import itertools
 from dataclasses import dataclass
-from typing import Final
+from typing import Final, TypeVar
 
 from robinthread._internal.durable.inbox_records import make_cancel_record, make_job_record
 from robinthread._internal.durable.ownership import Member, OwnerTable
 from robinthread._internal.models.job_spec import JobSpec
 from robinthread._internal.models.job_status import JobStatus
 from robinthread._internal.models.queue_policy import QueuePolicy
+from robinthread._internal.models.workspace_policy import may_touch
 from robinthread._internal.node.gate_outcome import GateOutcome
 from robinthread._internal.node.owned_pools import OwnedPools
 from robinthread._internal.node.peer_calls import PeerCalls, PeerUnreachableError
@@ -27,6 +28,8 @@
 # Accepted ids that are remembered, to answer repeats without another record.
 ACCEPTED_KEPT_MAX: Final = 20_000
 
+T = TypeVar("T")
+
 
 @dataclass(frozen=True, slots=True)
 class JobTold:
@@ -36,8 +39,18 @@
     status: JobStatus | None = None
 
 
+@dataclass(frozen=True, slots=True)
+class _EndedJob:
+    status: JobStatus
+    workspace: str
+
+
 class JobGate:
-    """Takes jobs in, cancels them and tells their state, at any node."""
+    """Takes jobs in, cancels them and tells their state, at any node.
+
+    A caller's ``workspace`` is None where the queue asks for no key.  What is another one's
+    is to that caller as if it did not exist.
+    """
 
     def __init__(
         self,
@@ -55,23 +68,27 @@
         self._peers = peers
         self._events = events
         self._copies = itertools.count()
-        self._accepted: dict[str, None] = {}
-        self._ended: dict[str, JobStatus] = {}
+        self._accepted: dict[str, str] = {}
+        self._ended: dict[str, _EndedJob] = {}
         self._pending: dict[str, tuple[float, dict[str, int]]] = {}
 
     async def accept(self, spec: JobSpec, deadline_s: float) -> GateOutcome:
         """Take a job in; done means that the store keeps it."""
-        if spec.job_id in self._accepted:
-            return GateOutcome.DONE
+        accepted_of = self._accepted.get(spec.job_id)
+        if accepted_of is not None:
+            # One without a workspace was handed in while its queue was public.
+            is_same = not spec.workspace or may_touch(spec.workspace, accepted_of)
+            return GateOutcome.DONE if is_same else GateOutcome.ID_TAKEN
         copy = f"{self._me.life}.{next(self._copies)}"
         outcome = await self._records.write(make_job_record(spec, copy), deadline_s)
         if outcome is GateOutcome.DONE:
-            _remember(self._accepted, spec.job_id, None)
+            _remember(self._accepted, spec.job_id, spec.workspace)
             self._events.write(
                 "job_accepted",
                 job=spec.job_id,
                 queue=spec.queue,
                 pool=spec.pool,
+                workspace=spec.workspace,
                 config_version=spec.config_version,
                 task_count=sum(step.task_count for step in spec.steps),
             )
@@ -81,30 +98,39 @@
                 )
         return outcome
 
-    async def cancel(self, queue: QueuePolicy, job_id: str, deadline_s: float) -> GateOutcome:
-        """Cancel a job; done means that the store keeps it."""
-        told = await self.get_status(queue, job_id)
+    async def cancel(
+        self, queue: QueuePolicy, job_id: str, deadline_s: float, workspace: str | None = None
+    ) -> GateOutcome:
+        """Cancel a job; done means that the store keeps it.
+
+        Where it can't be told now whose job it is, its owner sees that when it reads the record.
+        """
+        told = await self.get_status(queue, job_id, workspace)
         if told.outcome is GateOutcome.NO_SUCH_JOB:
             return GateOutcome.NO_SUCH_JOB
         if told.status is not None and told.status.is_final:
             return GateOutcome.DONE
-        return await self._records.write(make_cancel_record(job_id), deadline_s)
+        return await self._records.write(make_cancel_record(job_id, workspace), deadline_s)
 
-    async def get_status(self, queue: QueuePolicy, job_id: str) -> JobTold:
+    async def get_status(
+        self, queue: QueuePolicy, job_id: str, workspace: str | None = None
+    ) -> JobTold:
         """Tell a job's status as its pool's owner knows it."""
         ended = self._ended.get(job_id)
         if ended is not None:
-            return JobTold(GateOutcome.DONE, ended)
+            if not may_touch(workspace, ended.workspace):
+                return JobTold(GateOutcome.NO_SUCH_JOB)
+            return JobTold(GateOutcome.DONE, ended.status)
         answer = await self._ask_job(queue.pool, job_id)
         if answer.is_owner and not answer.status and answer.pool not in ("", queue.pool):
             answer = await self._ask_job(answer.pool, job_id)
         if not answer.is_owner or (answer.pool and not answer.status):
             return JobTold(GateOutcome.OWNER_UNREACHABLE)
-        if not answer.pool:
+        if not answer.pool or not may_touch(workspace, answer.workspace):
             return JobTold(GateOutcome.NO_SUCH_JOB)
         status = JobStatus(answer.status)
         if status.is_final:
-            _remember(self._ended, job_id, status)
+            _remember(self._ended, job_id, _EndedJob(status, answer.workspace))
         return JobTold(GateOutcome.DONE, status)
 
     async def count_pending(self, queue: QueuePolicy) -> int | None:
@@ -150,7 +176,7 @@
         self._events.write("owner_unreachable", pool=pool, owner=owner.node, error=str(error))
 
 
-def _remember(kept: dict, key: str, value: JobStatus | None) -> None:  # type: ignore[type-arg]
+def _remember(kept: dict[str, T], key: str, value: T) -> None:
     kept[key] = value
     if len(kept) > ACCEPTED_KEPT_MAX:
         del kept[next(iter(kept))]
--- a/src/robinthread/_internal/node/owned_pools.py
+++ b/src/robinthread/_internal/node/owned_pools.py
@@ -64,7 +64,7 @@
         pool = indexed.spec.pool
         holder = self.owners.get(pool)
         status = holder.get_status(question.job_id) if holder and holder.is_open else None
-        return JobAnswer(is_owner=True, pool=pool, status=_format(status))
+        return JobAnswer(True, pool, _format(status), indexed.spec.workspace)
 
     def answer_pending(self, question: PendingQuestion) -> PendingAnswer:
         """Count the pending jobs of a pool by queue."""
--- a/src/robinthread/_internal/node/peer_messages.py
+++ b/src/robinthread/_internal/node/peer_messages.py
@@ -18,12 +18,14 @@
     """What a pool's owner knows of a job.
 
     ``pool`` is where the job belongs, "" where no such job was handed in.
-    ``status`` is "" where the one asked does not own that pool.
+    ``status`` is "" where the one asked does not own that pool.  ``workspace`` tells whose
+    job it is.
     """
 
     is_owner: bool
     pool: str = ""
     status: str = ""
+    workspace: str = ""
 
 
 class PendingQuestion(msgspec.Struct, frozen=True, array_like=True):
--- a/src/robinthread/_internal/platform/callers.py
+++ b/src/robinthread/_internal/platform/callers.py
@@ -3,6 +3,7 @@
 import asyncio
 import re
 import time
+from dataclasses import dataclass
 from typing import Any, Final
 
 import msgspec
@@ -20,6 +21,8 @@
 
 JOB_ID: Final = re.compile(r"[0-9a-f]{16}")
 DEADLINE_HEADER: Final = "X-Deadline-Ms"
+KEY_HEADER: Final = "Authorization"
+KEY_SCHEME: Final = "bearer"
 # How long a request without a deadline of its own is worked on.
 DEFAULT_DEADLINE_S: Final = 3.0
 # Of the caller's time, what is left for the way back.
@@ -31,6 +34,7 @@
     GateOutcome.OWNER_UNREACHABLE: (ResultCode.POOL_OWNER_UNREACHABLE, 503),
     GateOutcome.NO_SUCH_JOB: (ResultCode.NOT_FOUND, 410),
     GateOutcome.UNKNOWN: (ResultCode.OUTCOME_UNKNOWN, 504),
+    GateOutcome.ID_TAKEN: (ResultCode.JOB_ID_TAKEN, 409),
 }
 # When a caller that was refused should come back.
 RETRY_AFTER_S: Final = 1
@@ -78,6 +82,19 @@
     interval_ms: int = 0
 
 
+@dataclass(frozen=True, slots=True)
+class _Call:
+    """A call that a queue takes: the rest of its path, and whose key it carried.
+
+    ``workspace`` is None where the queue asks for none.
+    """
+
+    queue: QueuePolicy
+    config: FleetConfig
+    rest: str
+    workspace: str | None
+
+
 class JobsHandler(RequestHandler):
     """Serves one queue's path."""
 
@@ -113,13 +130,11 @@
 
     async def post(self) -> None:
         """Take a job in."""
-        queue, rest = self._find()
-        if queue is None:
+        call = self._find()
+        if call is None:
             return
-        config = self._config_holder.config
-        assert config is not None
         try:
-            spec = _parse_job(rest, queue, config, self.request.body)
+            spec = _parse_job(call, self.request.body)
         except (msgspec.MsgspecError, ValueError) as error:
             self._answer(400, ResultCode.BAD_REQUEST, error=str(error))
             return
@@ -127,17 +142,17 @@
 
     async def get(self) -> None:
         """Tell a job's state, or a queue's count of pending jobs."""
-        queue, rest = self._find()
-        if queue is None:
+        call = self._find()
+        if call is None:
             return
-        if not rest:
-            count = await self._gate.count_pending(queue)
+        if not call.rest:
+            count = await self._gate.count_pending(call.queue)
             if count is None:
                 self._answer_outcome(GateOutcome.OWNER_UNREACHABLE)
             else:
                 self._answer(200, ResultCode.OK, pending=count)
             return
-        told = await self._gate.get_status(queue, rest)
+        told = await self._gate.get_status(call.queue, call.rest, call.workspace)
         if told.status is not None:
             self._answer(200, ResultCode.OK, state=STATUS_WORDS[told.status])
         else:
@@ -145,23 +160,34 @@
 
     async def delete(self) -> None:
         """Cancel a job."""
-        queue, rest = self._find()
-        if queue is None:
+        call = self._find()
+        if call is None:
             return
-        self._answer_outcome(await self._gate.cancel(queue, rest, self._get_deadline_s()))
+        self._answer_outcome(
+            await self._gate.cancel(call.queue, call.rest, self._get_deadline_s(), call.workspace)
+        )
 
-    def _find(self) -> tuple[QueuePolicy | None, str]:
-        """Return the queue and the rest of the path, or answer that there is none."""
+    def _find(self) -> _Call | None:
+        """Return what is called and for whom, or answer why the call is not taken."""
         config = self._config_holder.config
         if config is None:
             self._answer(503, ResultCode.NOT_READY)
-            return None, ""
+            return None
         path = self.request.path
         queue = config.find_queue(self.request.host_name, path)
         if queue is None:
             self._answer(404, ResultCode.NO_SUCH_POOL)
-            return None, ""
-        return queue, path.removeprefix(queue.path_prefix)
+            return None
+        workspace = None if queue.is_public else config.find_workspace(self._get_key())
+        if workspace is None and not queue.is_public:
+            self._answer(401, ResultCode.KEY_UNKNOWN)
+            return None
+        return _Call(queue, config, path.removeprefix(queue.path_prefix), workspace)
+
+    def _get_key(self) -> str:
+        """Return the key that the call carries, or ""."""
+        scheme, _, key = self.request.headers.get(KEY_HEADER, "").partition(" ")
+        return key.strip() if scheme.lower() == KEY_SCHEME else ""
 
     def _get_deadline_s(self) -> float:
         """Return until when to work on the request, by the event loop's clock."""
@@ -189,7 +215,7 @@
 
     def _note_refusal(self, status: int, code: ResultCode, error: str) -> None:
         """Write the last word on a request that was not served."""
-        if code is ResultCode.NO_SUCH_POOL:
+        if code in (ResultCode.NO_SUCH_POOL, ResultCode.KEY_UNKNOWN):
             self._gather_refusal(status, code)
             return
         config = self._config_holder.config
@@ -208,7 +234,7 @@
         )
 
     def _gather_refusal(self, status: int, code: ResultCode) -> None:
-        """Tell of a request for what no configuration knows; there may be many."""
+        """Tell of requests for a queue, or under a key, that nobody knows; there may be many."""
         config = self._config_holder.config
         self._events.gather(
             "request_refused",
@@ -234,23 +260,24 @@
     return Application([(r"/.*", JobsHandler, arguments)], log_function=lambda handler: None)
 
 
-def _parse_job(job_id: str, queue: QueuePolicy, config: FleetConfig, body: bytes) -> JobSpec:
-    if not JOB_ID.fullmatch(job_id):
+def _parse_job(call: _Call, body: bytes) -> JobSpec:
+    if not JOB_ID.fullmatch(call.rest):
         raise ValueError("a job's id has 16 hexadecimal digits")
     wire = msgspec.json.decode(body, type=_WireJob)
     if len(wire.spec) > SPEC_MAX_CHARACTERS:
         raise ValueError(f"a spec has at most {SPEC_MAX_CHARACTERS} characters")
     spec = JobSpec(
-        job_id=job_id,
-        queue=queue.name,
-        pool=queue.pool,
+        job_id=call.rest,
+        queue=call.queue.name,
+        pool=call.queue.pool,
         text=wire.spec,
         steps=tuple(map(_parse_step, wire.steps)),
         occurrence_count=wire.max_runs,
         first_due_ms=wire.start_at_ms,
         interval_ms=wire.interval_ms,
         accepted_at_ms=int(time.time() * 1000),
-        config_version=config.version,
+        config_version=call.config.version,
+        workspace=call.workspace or "",
     )
     if fault := spec.find_fault():
         raise ValueError(fault)
--- a/src/robinthread/_internal/platform/operators.py
+++ b/src/robinthread/_internal/platform/operators.py
@@ -11,6 +11,7 @@
 from robinthread._internal.models.resources import Resources
 from robinthread._internal.models.upkeep_wave import UpkeepWave
 from robinthread._internal.models.upstream_host import UpstreamHost
+from robinthread._internal.models.workspace_policy import WorkspacePolicy, digest_keys
 from robinthread._internal.node.environment import PlatformRecords
 from robinthread._internal.platform.births import Birth, get_birth_ms
 
@@ -52,6 +53,7 @@
     stretch: float = 1.0
     target_latency_ms: int = 0
     advice: _WireAdvice | None = None
+    public: bool | None = None
 
 
 class _WireService(msgspec.Struct):
@@ -61,6 +63,14 @@
     headroom: bool = False
 
 
+class _WireTenant(msgspec.Struct):
+    # A tenant is what the product calls a workspace.
+    name: Name
+    api_keys: list[str] = []
+    weight: int | float = 0
+    maximum: WireCapacity = msgspec.field(default_factory=WireCapacity)
+
+
 class _WireLimits(msgspec.Struct):
     max_body_bytes: int = 262_144
 
@@ -70,6 +80,7 @@
     routes: list[_WireRoute]
     services: list[_WireService]
     limits: _WireLimits = msgspec.field(default_factory=_WireLimits)
+    tenants: list[_WireTenant] = []
 
 
 class _WireHost(msgspec.Struct):
@@ -102,9 +113,10 @@
     wire = msgspec.json.decode(value, type=_WireConfig)
     return make_fleet_config(
         wire.version,
-        tuple(map(_parse_queue, wire.routes)),
+        tuple(_parse_queue(route, bool(wire.tenants)) for route in wire.routes),
         tuple(map(_parse_pool, wire.services)),
         wire.limits.max_body_bytes,
+        tuple(map(_parse_workspace, wire.tenants)),
     )
 
 
@@ -143,7 +155,8 @@
     return labels[1] if len(labels) > 1 else ""
 
 
-def _parse_queue(route: _WireRoute) -> QueuePolicy:
+def _parse_queue(route: _WireRoute, has_workspaces: bool) -> QueuePolicy:
+    """Read a queue: where there are workspaces it is public only if it says so."""
     advice = route.advice
     return QueuePolicy(
         name=route.name,
@@ -157,6 +170,7 @@
         advice=None
         if advice is None
         else AdvicePolicy(advice.decide_ms, advice.per_item_ms, advice.valid_ms),
+        is_public=not has_workspaces if route.public is None else route.public,
     )
 
 
@@ -164,6 +178,12 @@
     return PoolPolicy(service.name, service.admission_check, service.headroom, service.max_conns)
 
 
+def _parse_workspace(tenant: _WireTenant) -> WorkspacePolicy:
+    return WorkspacePolicy(
+        tenant.name, digest_keys(tenant.api_keys), tenant.weight, tenant.maximum.decode()
+    )
+
+
 PLATFORM_RECORDS: Final = PlatformRecords(
     operators_partition=Partition("keyed.op"),
     hosts_partition=Partition("keyed.servers"),
--- a/src/robinthread/_internal/results.py
+++ b/src/robinthread/_internal/results.py
@@ -47,6 +47,8 @@
     STOPPING = 314
     NO_SLOT_FREE = 315
     POOL_OWNER_UNREACHABLE = 316
+    KEY_UNKNOWN = 317
+    JOB_ID_TAKEN = 318
 
     OUTCOME_UNKNOWN = 400
     HOLDER_LOST = 401
@@ -120,6 +122,8 @@
     ResultCode.POOL_OWNER_UNREACHABLE: (
         "The node that owns the job's pool cannot be reached. Retry later."
     ),
+    ResultCode.KEY_UNKNOWN: "The queue asks for a workspace's key, and the call has none in force.",
+    ResultCode.JOB_ID_TAKEN: "Another job has that id. Choose a new one.",
     ResultCode.OUTCOME_UNKNOWN: "The request was sent and no word came back.",
     ResultCode.HOLDER_LOST: "The daemon that carried the request is gone.",
     ResultCode.ANSWER_TIMED_OUT: "The request was sent; its answer did not come in time.",
--- a/src/robinthread/_internal/standins/platform_standin.py
+++ b/src/robinthread/_internal/standins/platform_standin.py
@@ -20,6 +20,7 @@
 from robinthread._internal.models.task_key import TaskKey
 from robinthread._internal.models.upkeep_wave import UpkeepWave
 from robinthread._internal.models.upstream_host import UpstreamHost
+from robinthread._internal.models.workspace_policy import WorkspacePolicy
 from robinthread._internal.node.assembly import AssembledNode, assemble_node
 from robinthread._internal.node.environment import NodeEnvironment, PlatformRecords
 from robinthread._internal.node.peer_calls import (
@@ -62,11 +63,12 @@
     version: int
     queues: tuple[QueuePolicy, ...]
     pools: tuple[PoolPolicy, ...]
+    workspaces: tuple[WorkspacePolicy, ...] = ()
 
 
 def _parse_config(value: bytes) -> FleetConfig:
     wire = msgspec.msgpack.decode(value, type=_WireConfig)
-    return make_fleet_config(wire.version, wire.queues, wire.pools, 262_144)
+    return make_fleet_config(wire.version, wire.queues, wire.pools, 262_144, wire.workspaces)
 
 
 def _parse_host(host_id: str, value: bytes) -> UpstreamHost:
@@ -241,10 +243,14 @@
         return EPOCH_MS + int(asyncio.get_running_loop().time() * 1000) - self.clock_back_ms
 
     def configure(
-        self, version: int, queues: tuple[QueuePolicy, ...], pools: tuple[PoolPolicy, ...]
+        self,
+        version: int,
+        queues: tuple[QueuePolicy, ...],
+        pools: tuple[PoolPolicy, ...],
+        workspaces: tuple[WorkspacePolicy, ...] = (),
     ) -> None:
         """Publish a configuration."""
-        value = msgspec.msgpack.encode(_WireConfig(version, queues, pools))
+        value = msgspec.msgpack.encode(_WireConfig(version, queues, pools, workspaces))
         self.store.put(OPERATORS, CONFIG_KEY, value)
 
     def ask_for_wave(self, wave: UpkeepWave) -> None:
--- /dev/null
+++ b/tests/functional/test_jobs_of_workspaces.py
@@ -0,0 +1,173 @@
+"""What one workspace can see and change of another one's jobs."""
+
+import asyncio
+from dataclasses import replace
+
+from testtools import TestCase
+
+from robinthread._internal.models.job_spec import JobSpec, StepSpec
+from robinthread._internal.models.job_status import JobStatus
+from robinthread._internal.models.resources import Resources
+from robinthread._internal.models.workspace_policy import WorkspacePolicy, digest_keys
+from robinthread._internal.node.job_gate import GateOutcome
+from robinthread._internal.standins.job_host_standin import TaskPlan
+from robinthread._internal.standins.platform_standin import PlatformStandin
+from tests.lib.job_platforms import (
+    POOLS,
+    QUEUE,
+    find_breaks,
+    get_owner,
+    hand_in,
+    make_job,
+    start_platform,
+    wait_for_status,
+    wait_until,
+)
+from tests.lib.virtual import run_virtual
+
+# The bound of the example deployment.
+CONFIG_APPLY_S = 2.0
+LONG = StepSpec(1, cpu_millicores=1000, memory_mb=100, is_lasting=True)
+
+
+def make_owned(number: int, workspace: str, *steps: StepSpec) -> JobSpec:
+    """Make a job of a workspace."""
+    return replace_spec(make_job(number, *steps), workspace)
+
+
+def replace_spec(spec: JobSpec, workspace: str) -> JobSpec:
+    """Return the job as another workspace hands it in."""
+    return JobSpec(spec.job_id, spec.queue, spec.pool, spec.text, spec.steps, workspace=workspace)
+
+
+async def ask(platform: PlatformStandin, node: str, job_id: str, workspace: str | None) -> object:
+    """Ask for a job; return its status, or the outcome where there is none."""
+    gate = platform.nodes[node].assembled.gate
+    told = await gate.get_status(QUEUE, job_id, workspace)
+    return told.status or told.outcome
+
+
+async def cancel_as(
+    platform: PlatformStandin, node: str, job_id: str, workspace: str | None
+) -> GateOutcome:
+    """Cancel a job in a workspace's name."""
+    gate = platform.nodes[node].assembled.gate
+    return await gate.cancel(QUEUE, job_id, asyncio.get_running_loop().time() + 3, workspace)
+
+
+def list_known(platform: PlatformStandin, node: str) -> list[str]:
+    """List the keys that a node takes."""
+    config = platform.nodes[node].assembled.config_holder.config
+    assert config is not None
+    return [key for key in ("a", "b") if config.find_workspace(key)]
+
+
+class JobsOfWorkspacesTest(TestCase):
+    def test_other_workspace_learns_nothing_of_a_job_and_cannot_cancel_it(self) -> None:
+        async def work() -> None:
+            platform = await start_platform()
+            spec = make_owned(1, "maps")
+            await hand_in(platform, "node0", spec)
+            for node in platform.nodes:
+                self.assertEqual(
+                    GateOutcome.NO_SUCH_JOB, await ask(platform, node, spec.job_id, "shop")
+                )
+                self.assertEqual(
+                    GateOutcome.NO_SUCH_JOB, await cancel_as(platform, node, spec.job_id, "shop")
+                )
+            await wait_for_status(platform, spec.job_id, JobStatus.SUCCEEDED)
+            for node in platform.nodes:
+                for _ in range(2):
+                    told = [
+                        await ask(platform, node, spec.job_id, workspace)
+                        for workspace in ("maps", None, "shop")
+                    ]
+                    self.assertEqual(
+                        [JobStatus.SUCCEEDED, JobStatus.SUCCEEDED, GateOutcome.NO_SUCH_JOB], told
+                    )
+
+        run_virtual(work())
+
+    def test_foreign_cancel_whose_target_is_unknown_changes_nothing(self) -> None:
+        async def work() -> None:
+            platform = await start_platform(lambda task: TaskPlan(None, Resources(1000, 100)))
+            spec = make_owned(1, "maps", LONG)
+            await hand_in(platform, "node0", spec)
+            await wait_until(lambda: len(platform.hosts.ledger.runs) == 1)
+            owner = get_owner(platform)
+            assert owner is not None
+            other = next(name for name in platform.nodes if name != owner)
+            # The owner does not answer, so the one asked can't tell whose job it is.
+            platform.cut_nodes.add(owner)
+            for workspace in ("shop", "maps-2"):
+                outcome = await cancel_as(platform, other, spec.job_id, workspace)
+                self.assertEqual(GateOutcome.DONE, outcome)
+            platform.cut_nodes.discard(owner)
+            await asyncio.sleep(4)
+            self.assertEqual(JobStatus.RUNNING, await ask(platform, other, spec.job_id, "maps"))
+            platform.cut_nodes.add(owner)
+            self.assertEqual(
+                GateOutcome.DONE, await cancel_as(platform, other, spec.job_id, "maps")
+            )
+            platform.cut_nodes.discard(owner)
+            await wait_for_status(platform, spec.job_id, JobStatus.CANCELLED)
+            self.assertEqual([], find_breaks(platform))
+
+        run_virtual(work())
+
+    def test_foreign_cancel_that_comes_before_the_job_changes_nothing(self) -> None:
+        async def work() -> None:
+            platform = await start_platform()
+            spec = make_owned(1, "maps")
+            owner = get_owner(platform)
+            assert owner is not None
+            other = next(name for name in platform.nodes if name != owner)
+            platform.cut_nodes.add(owner)
+            await cancel_as(platform, other, spec.job_id, "shop")
+            platform.cut_nodes.discard(owner)
+            await hand_in(platform, "node0", spec)
+            await wait_for_status(platform, spec.job_id, JobStatus.SUCCEEDED)
+
+        run_virtual(work())
+
+    def test_id_that_another_workspace_took_stays_its_job(self) -> None:
+        async def work() -> None:
+            platform = await start_platform()
+            first = make_owned(1, "maps")
+            second = replace_spec(make_job(1, LONG), "shop")
+            self.assertEqual(GateOutcome.DONE, await hand_in(platform, "node0", first))
+            self.assertEqual(GateOutcome.ID_TAKEN, await hand_in(platform, "node0", second))
+            # Another node has not seen the first one: the log's order decides.
+            await hand_in(platform, "node1", second)
+            await wait_for_status(platform, first.job_id, JobStatus.SUCCEEDED)
+            self.assertEqual(6, len(platform.hosts.ledger.runs))
+            told = await ask(platform, "node2", first.job_id, "shop")
+            self.assertEqual(GateOutcome.NO_SUCH_JOB, told)
+            self.assertEqual(GateOutcome.DONE, await hand_in(platform, "node0", first))
+
+        run_virtual(work())
+
+    def test_job_from_before_its_queue_asked_for_keys_can_still_be_asked_for(self) -> None:
+        async def work() -> None:
+            platform = await start_platform()
+            spec = make_job(1)
+            await hand_in(platform, "node0", spec)
+            await wait_for_status(platform, spec.job_id, JobStatus.SUCCEEDED)
+            self.assertEqual(JobStatus.SUCCEEDED, await ask(platform, "node1", spec.job_id, "maps"))
+
+        run_virtual(work())
+
+    def test_withdrawal_reaches_every_node_within_its_bound(self) -> None:
+        async def work() -> None:
+            platform = await start_platform(nodes=8)
+            platform.store.faults.latency_s = 0.2
+            queue = replace(QUEUE, is_public=False)
+            for version, keys in enumerate((["a", "b"], ["b"], []), 2):
+                maps = WorkspacePolicy("maps", digest_keys(keys))
+                platform.configure(version, (queue,), POOLS, (maps,))
+                await wait_until(
+                    lambda: all(list_known(platform, node) == keys for node in platform.nodes),
+                    CONFIG_APPLY_S,
+                )
+
+        run_virtual(work())
--- /dev/null
+++ b/tests/lib/caller_calls.py
@@ -0,0 +1,101 @@
+"""Calls over HTTP to a node's callers' listener, with what stands behind it in view."""
+
+import json
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, field
+from typing import Any, cast
+
+from tornado.httpclient import AsyncHTTPClient, HTTPResponse
+from tornado.httpserver import HTTPServer
+from tornado.testing import bind_unused_port
+
+from robinthread._internal.models.job_spec import JobSpec
+from robinthread._internal.models.job_status import JobStatus
+from robinthread._internal.models.queue_policy import QueuePolicy
+from robinthread._internal.node.config_holder import ConfigHolder
+from robinthread._internal.node.job_gate import GateOutcome, JobGate, JobTold
+from robinthread._internal.node.open_requests import OpenRequests
+from robinthread._internal.platform.callers import make_callers_application
+from robinthread._internal.platform.operators import parse_config
+from robinthread._internal.standins.platform_standin import RECORDS
+from robinthread._internal.telemetry.event_log import EventLog
+
+JOB_ID = "5c0e7a21d94b36f8"
+JOB_BODY = {"spec": "text", "steps": [{"count": 1, "cpu": 500}]}
+
+
+@dataclass
+class SeenGate:
+    """A gate that takes everything, and keeps what reached it."""
+
+    accepted: list[JobSpec] = field(default_factory=list)
+    asked_by: list[str | None] = field(default_factory=list)
+
+    async def accept(self, spec: JobSpec, deadline_s: float) -> GateOutcome:
+        """Take a job."""
+        self.accepted.append(spec)
+        return GateOutcome.DONE
+
+    async def get_status(self, queue: QueuePolicy, job_id: str, workspace: str | None) -> JobTold:
+        """Tell that a job runs."""
+        self.asked_by.append(workspace)
+        return JobTold(GateOutcome.DONE, JobStatus.RUNNING)
+
+    async def cancel(
+        self, queue: QueuePolicy, job_id: str, deadline_s: float, workspace: str | None
+    ) -> GateOutcome:
+        """Cancel a job."""
+        self.asked_by.append(workspace)
+        return GateOutcome.DONE
+
+    async def count_pending(self, queue: QueuePolicy) -> int:
+        """Count what waits."""
+        return 3
+
+
+@dataclass
+class CallersSite:
+    """A listener, what reached the gate behind it, and the lines that it wrote."""
+
+    port: int
+    gate: SeenGate
+    holder: ConfigHolder
+    lines: list[bytes]
+    events: EventLog
+
+    def configure(self, **config: Any) -> None:
+        """Have a configuration in force, as the operators write it."""
+        self.holder._take_config(parse_config(json.dumps(config).encode()))
+
+    async def call(
+        self, method: str, path: str, key: str | None = None, authorization: str | None = None
+    ) -> HTTPResponse:
+        """Make one call, with a key where one is given."""
+        headers = {"Host": "press.example"}
+        if key is not None:
+            authorization = f"Bearer {key}"
+        if authorization is not None:
+            headers["Authorization"] = authorization
+        body = json.dumps(JOB_BODY) if method == "POST" else None
+        url = f"http://127.0.0.1:{self.port}{path}"
+        return await AsyncHTTPClient().fetch(
+            url, method=method, headers=headers, body=body, raise_error=False
+        )
+
+
+@asynccontextmanager
+async def serve_callers() -> AsyncIterator[CallersSite]:
+    """Serve callers on an ephemeral port, with no configuration yet."""
+    lines: list[bytes] = []
+    events = EventLog("n", lines.append)
+    holder = ConfigHolder(RECORDS, events)
+    gate = SeenGate()
+    socket, port = bind_unused_port()
+    application = make_callers_application(cast(JobGate, gate), holder, events, OpenRequests())
+    server = HTTPServer(application)
+    server.add_sockets([socket])
+    try:
+        yield CallersSite(port, gate, holder, lines, events)
+    finally:
+        server.stop()
