A workspace's limit binds the sum over all pools

What users saw: no limit at all; a workspace could have any amount running.

Ways weighed: (1) each limit split evenly over the pools for good; (2) shares of it lent from pool to pool by the steward, with a part that is never lent; (3) owners that tell each other what runs, with a margin: nothing bounds its error under a cut, so it was not built. Both (1) and (2) are the same code, `workspaces.kept_share` 1 and 0.2.

Change: an owner counts what may be running from what it recorded before it sent it, so a new owner knows it as well; it begins nothing beyond its share. The steward asks all owners each 0.1 s anyway: shares go there and back with that, under its token and a rising number. A share rises only once another pool has confirmed that it holds less; a new owner begins nothing of a limited workspace before it was told; a new steward lends nothing before it has heard all pools, and after 1 s gives those that it heard the part that is never lent. After a limit has fallen nothing begins until all pools have told what they hold. A lasting task of a workspace over its limit is not moved: it could not begin again. More hosts are not fetched for what waits for its workspace. Waiting jobs' lines tell use, limit and share, and whether that is what they wait for.

Conclusion: (2) kept at 0.2, (1) stays as a setting. Left: where a steward's node began after a fall and a pool over the limit has not been heard within 1 s, another one may begin tasks by the part that is never lent.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -2,7 +2,8 @@
 
 ``python -m bench`` runs those whose bounds are kept, ``python -m bench NAME``
 one; ``--check`` ends with an error where a bound is broken.  ``drawn_days``, ``drawn_waves``,
-``drawn_crashes``, ``drawn_returns`` and ``drawn_rooms`` play ``--days=N`` days from the seed
+``drawn_crashes``, ``drawn_limits``, ``drawn_fixed_limits``, ``drawn_returns`` and
+``drawn_rooms`` play ``--days=N`` days from the seed
 ``--first=N`` on;
 ``back_days`` as well, with ``--nodes=N``, ``--pools=N``, ``--hosts_a_pool=N`` and
 ``--jobs_per_s=N`` for its size.  ``soak`` plays real processes in real time, with ``--nodes=N``
@@ -18,6 +19,7 @@
 from bench.control import run_control
 from bench.drawn_crashes import run_drawn_crashes
 from bench.drawn_days import run_drawn_days
+from bench.drawn_limits import run_drawn_fixed_limits, run_drawn_limits
 from bench.drawn_returns import run_drawn_returns
 from bench.drawn_rooms import run_drawn_rooms
 from bench.drawn_waves import run_drawn_waves
@@ -56,6 +58,8 @@
     long = LONG | {
         "drawn_days": lambda: run_drawn_days(**_read_days(arguments)),
         "drawn_crashes": lambda: run_drawn_crashes(**_read_days(arguments)),
+        "drawn_limits": lambda: run_drawn_limits(**_read_days(arguments)),
+        "drawn_fixed_limits": lambda: run_drawn_fixed_limits(**_read_days(arguments)),
         "drawn_returns": lambda: run_drawn_returns(**_read_days(arguments)),
         "drawn_rooms": lambda: run_drawn_rooms(**_read_days(arguments)),
         "drawn_waves": lambda: run_drawn_waves(**_read_days(arguments)),
--- a/src/robinthread/_internal/fleet/pool_report.py
+++ b/src/robinthread/_internal/fleet/pool_report.py
@@ -2,17 +2,25 @@
 
 import msgspec
 
+from robinthread._internal.models.workspace_shares import (
+    ShareOrder,
+    ShareState,
+    WorkspaceStanding,
+)
+
 
 class FleetQuestion(msgspec.Struct, frozen=True, array_like=True):
     """Ask a pool's owner how it stands; it is to empty the machines in ``vacate``.
 
-    The hosts in ``ended`` have surely ended.
+    The hosts in ``ended`` have surely ended.  ``shares`` are those of workspaces' limits that it
+    may give out; none where no workspace has a limit.
     """
 
     pool: str
     vacate: tuple[str, ...] = ()
     expects_hosts: bool = False
     ended: tuple[str, ...] = ()
+    shares: ShareOrder | None = None
 
 
 class HostStanding(msgspec.Struct, frozen=True, array_like=True):
@@ -56,7 +64,8 @@
     needed for tasks that may not share one.  ``lasting_room`` is the part of the room that
     lasting tasks take.  ``apart_count`` hosts that carry none are needed by tasks that end.
     ``urgent_room`` is the room to keep without jobs that can no longer be on time; an older
-    process does not tell.
+    process does not tell.  ``share_state`` are the shares in force once the question was taken
+    in, and ``workspaces`` those whose use the steward must know.
     """
 
     is_owner: bool
@@ -68,3 +77,5 @@
     apart_count: int = 0
     lacks: tuple[LackReport, ...] = ()
     urgent_room: tuple[int, int, int] | None = None
+    share_state: ShareState | None = None
+    workspaces: tuple[WorkspaceStanding, ...] = ()
--- a/src/robinthread/_internal/jobs/demand.py
+++ b/src/robinthread/_internal/jobs/demand.py
@@ -89,7 +89,9 @@
         lasting = _sum_lasting(pool)
         # A job that may never be done is to get no hosts, but those for a gang to be tried on.
         steps = [
-            step for step in list_waiting_steps(pool) if step.spec.is_gang or not step.job.blamed
+            step
+            for step in list_waiting_steps(pool)
+            if (step.spec.is_gang or not step.job.blamed) and not _is_held_back(pool, step.job)
         ]
         needs = [self._get_need(pool, step, late) for step in steps]
         arriving = self._get_arriving_work(now_s)
@@ -136,6 +138,8 @@
         for job in pool.jobs.values():
             if job.status.is_final or job.spec.is_lasting or job.blamed:
                 continue
+            if _is_held_back(pool, job) and not any(job.iter_running()):
+                continue
             for occurrence in job.iter_open_occurrences():
                 found = too_late if (job.id, occurrence) in late else in_time
                 found += iter_forecasts(job, occurrence, pool.run_times, now_s)
@@ -182,6 +186,11 @@
         return (recent + rise * ahead_windows) / RATE_WINDOW_S
 
 
+def _is_held_back(pool: PoolJobs, job: Job) -> bool:
+    """Tell whether more hosts would not help a job: its workspace's share is taken."""
+    return job.spec.workspace in pool.workspaces.held_back
+
+
 def _sum_waiting(
     pool: PoolJobs, steps: Iterable[WaitingStep], late: frozenset[Place]
 ) -> tuple[Work, Work]:
--- a/src/robinthread/_internal/jobs/pool_jobs.py
+++ b/src/robinthread/_internal/jobs/pool_jobs.py
@@ -15,10 +15,12 @@
 from robinthread._internal.jobs.run_times import RunTimes
 from robinthread._internal.jobs.task import Task
 from robinthread._internal.jobs.tickets import TicketBook
+from robinthread._internal.jobs.workspace_room import WorkspaceRoom
 from robinthread._internal.models.host_report import RunEnd
 from robinthread._internal.models.job_spec import JobSpec
 from robinthread._internal.models.job_status import JobStatus
 from robinthread._internal.models.queue_policy import QueuePolicy
+from robinthread._internal.models.resources import NO_RESOURCES
 from robinthread._internal.models.task_key import TaskKey
 from robinthread._internal.models.upstream_host import UpstreamHost, make_unknown_host
 from robinthread._internal.settings.policy_settings import PlacementPolicy
@@ -49,6 +51,7 @@
         self.tickets = TicketBook()
         self.crash_book = CrashBook()
         self.late_starts = LateStarts()
+        self.workspaces = WorkspaceRoom()
         self.are_rooms_known = True
 
     def add_job(
@@ -78,6 +81,7 @@
                 run.is_resumed = run.is_inherited = True
                 run.settled_at_s = now_s
                 self._get_host(run.host_id).add_run(run, task.step.room)
+                self.workspaces.note_begun(spec.workspace, task.step.claim)
         self.crash_book.resume_trials(job)
         return job
 
@@ -101,9 +105,24 @@
         self.waiting.pop(task.key, None)
         run = task.add_run(host.id, number)
         host.add_run(run, task.room)
-        self._mark(self.jobs[task.key.job_id])
+        job = self.jobs[task.key.job_id]
+        self.workspaces.note_begun(job.spec.workspace, task.step.claim)
+        self._mark(job)
         return run
 
+    def may_begin(self, task: Task) -> bool:
+        """Tell whether its workspace's share has room for a waiting task, and all its gang."""
+        job = self.jobs[task.key.job_id]
+        workspace, claim = job.spec.workspace, task.step.claim
+        if not workspace:
+            return True
+        if task.step.is_gang:
+            claim = claim.scale(task.step.task_count)
+        if self.workspaces.has_room(workspace, claim):
+            return True
+        self.workspaces.hold_back(workspace, claim)
+        return False
+
     def ask_for_copy(self, task: Task) -> None:
         """Let a task that has one run, and may have more, wait for another host.
 
@@ -115,6 +134,13 @@
         if is_wanted and is_sound and task.step.allows_copies and len(task.runs) == 1:
             self.waiting[task.key] = task
 
+    def may_begin_again(self, task: Task) -> bool:
+        """Tell whether a task that runs could begin elsewhere once it has been stopped here.
+
+        A workspace whose limit has fallen keeps what it runs, and begins nothing.
+        """
+        return self.workspaces.has_room(self.jobs[task.key.job_id].spec.workspace, NO_RESOURCES)
+
     def has_silent_runs(self) -> bool:
         """Tell whether there are runs on hosts that do not answer."""
         return any(
@@ -259,6 +285,7 @@
         run.phase = RunPhase.OVER
         task.runs.remove(run)
         self.hosts[run.host_id].remove_run(run, task.step.room)
+        self.workspaces.note_over(self.jobs[run.task.job_id].spec.workspace, task.step.claim)
         if self.crash_book.trials.is_run_of(task.counted_key, run.number):
             self.crash_book.trials.drop(task.counted_key)
         return True
--- a/src/robinthread/_internal/jobs/scheduling.py
+++ b/src/robinthread/_internal/jobs/scheduling.py
@@ -26,8 +26,10 @@
     other task is tried.  Tasks of a step follow each other to a host until it is full.
     A host that is kept for a lasting task gets none that comes after it.  Lasting tasks
     that are overdue come before all others, as far as the keeper takes them.  Suspects of
-    having crashed their hosts are started apart from all these, and first.
+    having crashed their hosts are started apart from all these, and first.  A workspace whose
+    share of its limit is taken begins nothing, and no host is kept for it.
     """
+    pool.workspaces.held_back.clear()
     if not pool.waiting:
         return 0
     placed = place_suspects(pool, now_s, now_ms)
@@ -47,7 +49,7 @@
         if task.key not in pool.waiting or task.key in pool.kept_hosts:
             # It has been placed, with its gang or as overdue, or a host is kept for it.
             continue
-        if pool.is_held(task):
+        if pool.is_held(task) or not pool.may_begin(task):
             continue
         if task.key.step_key in without_host:
             keeper.keep_for(task, hosts)
--- a/src/robinthread/_internal/jobs/stragglers.py
+++ b/src/robinthread/_internal/jobs/stragglers.py
@@ -58,7 +58,7 @@
         task = pool.jobs[run.task.job_id].get_task(run.task)
         if task.step.allows_copies:
             pool.ask_for_copy(task)
-        elif _is_worth_moving(pool, straggler):
+        elif _is_worth_moving(pool, straggler) and pool.may_begin_again(task):
             task.failed_host_ids.add(run.host_id)
             pool.hosts[run.host_id].health.pause(HANG_PAUSE_S, now_s)
             pool.stop(run)
--- a/src/robinthread/_internal/jobs/suspects.py
+++ b/src/robinthread/_internal/jobs/suspects.py
@@ -63,7 +63,7 @@
     for task in sorted(sort_tasks(pool, waiting, now_ms), key=_count_sure):
         kind = task.key.step_key, must_be_alone(task.crashes)
         left = _count_to_spare(pool, task, usable, now_s)
-        if left < 1 or kind in without_host:
+        if left < 1 or kind in without_host or not pool.may_begin(task):
             continue
         trial = _choose_trial(pool, task, usable, now_s)
         if trial is None:
--- a/src/robinthread/_internal/models/fleet_config.py
+++ b/src/robinthread/_internal/models/fleet_config.py
@@ -4,12 +4,16 @@
 
 from robinthread._internal.models.pool_policy import PoolPolicy
 from robinthread._internal.models.queue_policy import QueuePolicy
+from robinthread._internal.models.resources import NO_RESOURCES, Resources
 from robinthread._internal.models.workspace_policy import WorkspacePolicy, digest_key
 
 
 @dataclass(frozen=True)
 class FleetConfig:
-    """One version of the configuration, whole; versions rise."""
+    """One version of the configuration, whole; versions rise.
+
+    ``limits`` are those of the workspaces that have one.
+    """
 
     version: int
     queues: dict[str, QueuePolicy]
@@ -18,6 +22,7 @@
     by_host: dict[str, tuple[QueuePolicy, ...]] = field(default_factory=dict)
     workspaces: dict[str, WorkspacePolicy] = field(default_factory=dict)
     workspace_by_key: dict[bytes, str] = field(default_factory=dict)
+    limits: dict[str, Resources] = field(default_factory=dict)
 
     def find_queue(self, host: str, path: str) -> QueuePolicy | None:
         """Return the queue of ``host`` with the longest prefix of ``path``."""
@@ -48,4 +53,5 @@
         {host: tuple(found) for host, found in by_host.items()},
         {workspace.name: workspace for workspace in workspaces},
         {digest: workspace.name for workspace in workspaces for digest in workspace.key_digests},
+        {one.name: one.limit for one in workspaces if one.limit != NO_RESOURCES},
     )
--- a/src/robinthread/_internal/models/job_spec.py
+++ b/src/robinthread/_internal/models/job_spec.py
@@ -45,6 +45,11 @@
         cpu = 0 if self.fills_leftover else self.cpu_millicores
         return Resources(cpu, self.memory_mb, self.gpu_count)
 
+    @property
+    def claim(self) -> Resources:
+        """Return what one task takes of its workspace's limit."""
+        return Resources(self.cpu_millicores, self.memory_mb, self.gpu_count)
+
 
 class JobSpec(msgspec.Struct, frozen=True, array_like=True):
     """A job; ``pool`` is where its queue led when it was accepted.
--- a/src/robinthread/_internal/models/resources.py
+++ b/src/robinthread/_internal/models/resources.py
@@ -57,6 +57,19 @@
         )
         return min((have // takes for have, takes in pairs if takes), default=sys.maxsize)
 
+    def get_part_of(self, limit: "Resources") -> float:
+        """Return the largest part that this is of any kind of room that is limited."""
+        pairs = (
+            (self.cpu_millicores, limit.cpu_millicores),
+            (self.memory_mb, limit.memory_mb),
+            (self.gpu_count, limit.gpu_count),
+        )
+        return max((takes / most for takes, most in pairs if most), default=0.0)
+
+    def astuple(self) -> tuple[int, int, int]:
+        """Return thousandths of a core, MB and accelerators."""
+        return self.cpu_millicores, self.memory_mb, self.gpu_count
+
     def fits_in(self, room: "Resources") -> bool:
         """Tell whether ``room`` holds this much."""
         return (
--- a/src/robinthread/_internal/node/config_holder.py
+++ b/src/robinthread/_internal/node/config_holder.py
@@ -17,7 +17,8 @@
 
     A version never goes back, whatever order records arrive in.  ``wave_seen_at_s`` is
     when each wave was first seen here, by the event loop's clock: every node follows the
-    waves, so that a new steward knows how much of their time has gone.
+    waves, so that a new steward knows how much of their time has gone.  ``limit_fell_in`` is the
+    version in which a workspace's limit last fell here: more may run than it allows.
     """
 
     def __init__(self, records: PlatformRecords, events: EventLog) -> None:
@@ -26,6 +27,7 @@
         self.config: FleetConfig | None = None
         self.waves: dict[int, UpkeepWave] = {}
         self.wave_seen_at_s: dict[int, float] = {}
+        self.limit_fell_in: dict[str, int] = {}
         self.changed = asyncio.Event()
 
     def apply(self, records: Sequence[KeyedRecord], is_snapshot: bool) -> None:
@@ -61,6 +63,7 @@
         if self.config is None or config.version > self.config.version:
             if self.config is not None:
                 self._tell_keys(self.config, config)
+                self._note_limits(self.config, config)
             self.config = config
             self._events.write(
                 "config_in_force",
@@ -70,6 +73,26 @@
                 workspace_count=len(config.workspaces),
             )
 
+    def _note_limits(self, before: FleetConfig, config: FleetConfig) -> None:
+        for name, workspace in config.workspaces.items():
+            earlier = before.workspaces.get(name)
+            old = earlier.limit.astuple() if earlier is not None else (0, 0, 0)
+            new = workspace.limit.astuple()
+            if old == new:
+                continue
+            pairs = zip(old, new, strict=True)
+            has_fallen = any(most and (not had or most < had) for had, most in pairs)
+            if has_fallen:
+                self.limit_fell_in[name] = config.version
+            self._events.write(
+                "workspace_limit_changed",
+                version=config.version,
+                workspace=name,
+                limit=new,
+                limit_before=old,
+                has_fallen=has_fallen,
+            )
+
     def _tell_keys(self, before: FleetConfig, config: FleetConfig) -> None:
         """Tell which workspaces lost or gained keys, never the keys."""
         for name in sorted(before.workspaces.keys() | config.workspaces.keys()):
--- a/src/robinthread/_internal/node/pool_owner.py
+++ b/src/robinthread/_internal/node/pool_owner.py
@@ -181,9 +181,17 @@
         if question.expects_hosts:
             self._context.expect_hosts()
         self._hosts.end_lost(question.ended)
+        self._take_limits()
+        share_state = self.jobs.workspaces.take_order(question.shares)
         self._runtime.wake()
         demand = self._demand.read(self.jobs, now_s, self._context.get_wall_ms())
-        return make_pool_report(self.jobs, demand, now_s)
+        return make_pool_report(self.jobs, demand, now_s, share_state)
+
+    def _take_limits(self) -> None:
+        """Have workspaces bound by the configuration in force."""
+        holder = self._context.config_holder
+        if holder.config is not None:
+            self.jobs.workspaces.set_limits(holder.config, holder.limit_fell_in)
 
     async def _load_progress(self) -> None:
         """Shut out older owners, then read what they have recorded, and of which jobs."""
@@ -265,6 +273,7 @@
                 self._hosts.end_unlisted(now_s)
             began_at_s = get_loop_s()
             self.jobs.are_rooms_known = self._runtime.are_rooms_known()
+            self._take_limits()
             note_outlived(self.jobs, now_s)
             place_waiting(self.jobs, now_s, self._context.get_wall_ms())
             tell_crash_notes(self._events, self.pool, self.jobs.crash_book.take_notes())
--- a/src/robinthread/_internal/node/pool_reporting.py
+++ b/src/robinthread/_internal/node/pool_reporting.py
@@ -13,34 +13,39 @@
 from robinthread._internal.jobs.pool_jobs import PoolJobs
 from robinthread._internal.jobs.run import Run
 from robinthread._internal.models.job_status import JobStatus
-from robinthread._internal.models.resources import Resources
+from robinthread._internal.models.resources import NO_RESOURCES, Resources
+from robinthread._internal.models.workspace_shares import ShareState
 from robinthread._internal.telemetry.event_log import EventLog
 
 # So many of the runs that a host took with it are named in its line.
 NEWEST_TOLD_MAX: Final = 12
 
 
-def make_pool_report(pool: PoolJobs, demand: Demand, now_s: float) -> PoolReport:
+def make_pool_report(
+    pool: PoolJobs, demand: Demand, now_s: float, share_state: ShareState | None = None
+) -> PoolReport:
     """Tell how a pool stands, and which of its listed hosts can be used."""
     doubted = list_doubted(pool, now_s)
     needed = demand.on_hosts.host_ids
     return PoolReport(
         is_owner=True,
-        fetch_room=_as_tuple(demand.fetch),
-        keep_room=_as_tuple(demand.keep),
+        fetch_room=demand.fetch.astuple(),
+        keep_room=demand.keep.astuple(),
         hosts=tuple(
             _make_standing(host, host.id not in doubted, host.id in needed, now_s)
             for host in pool.hosts.values()
             if host.is_listed
         ),
         hosts_min=demand.hosts_min,
-        lasting_room=_as_tuple(demand.lasting),
+        lasting_room=demand.lasting.astuple(),
         apart_count=demand.on_hosts.apart_count,
         lacks=tuple(
-            LackReport(missing.count, _as_tuple(missing.room), missing.label, missing.is_lasting)
+            LackReport(missing.count, missing.room.astuple(), missing.label, missing.is_lasting)
             for missing in demand.on_hosts.missing
         ),
-        urgent_room=_as_tuple(demand.urgent),
+        urgent_room=demand.urgent.astuple(),
+        share_state=share_state,
+        workspaces=pool.workspaces.list_standings(_sum_waiting(pool)),
     )
 
 
@@ -104,8 +109,16 @@
     return f"{run.task.job_id}/{run.task.place}/{run.number} {ago_ms:.1f} ms"
 
 
-def _as_tuple(room: Resources) -> tuple[int, int, int]:
-    return room.cpu_millicores, room.memory_mb, room.gpu_count
+def _sum_waiting(pool: PoolJobs) -> dict[str, Resources]:
+    """Return what the waiting tasks would take of those workspaces that are to be told of."""
+    told = pool.workspaces.list_told()
+    sums = dict.fromkeys(told, NO_RESOURCES)
+    if sums:
+        for task in pool.waiting.values():
+            workspace = pool.jobs[task.key.job_id].spec.workspace
+            if workspace in sums:
+                sums[workspace] += task.step.claim
+    return sums
 
 
 def _make_standing(host: Host, is_trusted: bool, is_needed: bool, now_s: float) -> HostStanding:
--- a/src/robinthread/_internal/node/steward.py
+++ b/src/robinthread/_internal/node/steward.py
@@ -16,6 +16,7 @@
 from robinthread._internal.fleet.planner import FleetPlanner
 from robinthread._internal.fleet.pool_report import FleetQuestion, PoolReport
 from robinthread._internal.fleet.sizing import PoolSize
+from robinthread._internal.models.fleet_config import FleetConfig
 from robinthread._internal.node.context import NodeContext
 from robinthread._internal.node.environment import NodeEnvironment
 from robinthread._internal.node.fleet_views import FleetViews
@@ -24,6 +25,7 @@
 from robinthread._internal.node.owned_pools import OwnedPools
 from robinthread._internal.node.peer_calls import PeerUnreachableError
 from robinthread._internal.node.pool_runtime import get_loop_s
+from robinthread._internal.node.share_keeper import ShareKeeper
 from robinthread._internal.node.upkeep_lines import UpkeepLines
 from robinthread._internal.node.wave_keeper import WaveKeeper
 from robinthread._internal.telemetry.gathered_lines import NAMES_MAX
@@ -76,6 +78,9 @@
             context.store, ORDERS_PARTITION, writer, token, context.events
         )
         self._planner = FleetPlanner(context.policy.fleet)
+        self._shares = ShareKeeper(
+            token, context.policy.workspaces.kept_share, get_loop_s(), context.events
+        )
         self._listed_at_s = -LIST_PERIOD_S
         self._sizes: dict[str, PoolSize] = {}
         self._vacate: dict[str, frozenset[str]] = {}
@@ -147,9 +152,10 @@
                 await asyncio.sleep(RETRY_PAUSE_S)
 
     async def _step(self) -> None:
-        if not await self._list_machines():
-            return
+        is_listed = await self._list_machines()
         reports = await self._ask_pools()
+        if not is_listed:
+            return
         if self._views.machines:
             await self._waves.show(self._views.list_waves(), self._views.machines)
         view = self._views.make(reports)
@@ -206,21 +212,27 @@
         return True
 
     async def _ask_pools(self) -> dict[str, PoolReport]:
-        config = self._context.config_holder.config
-        policies = config.pools.values() if config is not None else ()
-        pools = [policy.name for policy in policies if not policy.is_reserve]
-        reports = await asyncio.gather(*map(self._ask_pool, pools))
-        return {
-            pool: report for pool, report in zip(pools, reports, strict=True) if report.is_owner
+        holder = self._context.config_holder
+        config = holder.config
+        if config is None:
+            return {}
+        pools = [policy.name for policy in config.pools.values() if not policy.is_reserve]
+        answers = await asyncio.gather(*(self._ask_pool(pool, config) for pool in pools))
+        reports = {
+            pool: report for pool, report in zip(pools, answers, strict=True) if report.is_owner
         }
+        self._shares.note_reports(reports)
+        self._shares.decide(config, holder.limit_fell_in, pools, get_loop_s())
+        return reports
 
-    async def _ask_pool(self, pool: str) -> PoolReport:
+    async def _ask_pool(self, pool: str, config: FleetConfig) -> PoolReport:
         owner = self._table.get(pool)
         question = FleetQuestion(
             pool,
             tuple(sorted(self._vacate.get(pool, ()))),
             self._expects_hosts(pool),
             self._views.list_ended_hosts(pool),
+            self._shares.make_order(pool, config),
         )
         if owner is None:
             return PoolReport(is_owner=False)
--- a/src/robinthread/_internal/node/wait_reporter.py
+++ b/src/robinthread/_internal/node/wait_reporter.py
@@ -2,12 +2,13 @@
 
 from collections.abc import Iterable
 from itertools import groupby
-from typing import Final
+from typing import Any, Final
 
 from robinthread._internal.jobs.host import Host, HostContact
 from robinthread._internal.jobs.job import Job
 from robinthread._internal.jobs.job_timing import get_slack_s
 from robinthread._internal.jobs.placement import get_usable_hosts, iter_fitting
+from robinthread._internal.jobs.pool_jobs import PoolJobs
 from robinthread._internal.jobs.task import Task
 from robinthread._internal.node.pool_runtime import PoolRuntime
 
@@ -60,6 +61,7 @@
             usable_hosts=len(usable),
             free_cpu_max_millicores=max((host.free.cpu_millicores for host in usable), default=0),
             are_rooms_known=pool.are_rooms_known,
+            **_tell_workspace(pool, job.spec.workspace),
             silent_hosts=_count(pool.hosts.values(), HostContact.SILENT),
             unheard_hosts=_count(pool.hosts.values(), HostContact.UNHEARD),
             suspect_count=sum(pool.crash_book.is_suspect(task) for task in tasks),
@@ -70,5 +72,19 @@
         )
 
 
+def _tell_workspace(pool: PoolJobs, workspace: str) -> dict[str, Any]:
+    """Tell what a workspace takes and may take, and whether its tasks wait for that."""
+    limit = pool.workspaces.get_limit(workspace)
+    if limit is None:
+        return {}
+    return {
+        "workspace": workspace,
+        "workspace_used": pool.workspaces.get_used(workspace).astuple(),
+        "workspace_limit": limit.astuple(),
+        "workspace_share": round(pool.workspaces.get_share(workspace), 3),
+        "waits_for_workspace": workspace in pool.workspaces.held_back,
+    }
+
+
 def _count(hosts: Iterable[Host], contact: HostContact) -> int:
     return sum(host.contact is contact for host in hosts)
--- a/src/robinthread/_internal/settings/check.py
+++ b/src/robinthread/_internal/settings/check.py
@@ -53,6 +53,7 @@
         "demand.rise_ahead_s": (policy.demand.rise_ahead_s, RISE_AHEAD_MAX_S),
         "demand.late_share": (policy.demand.late_share, 1.0),
         "placement.slack_margin_s": (policy.placement.slack_margin_s, SLACK_MARGIN_MAX_S),
+        "workspaces.kept_share": (policy.workspaces.kept_share, 1.0),
     }
     return (
         Conflict(key, f"is {value}, expected at least 0 and at most {most}")
--- a/src/robinthread/_internal/settings/policy_settings.py
+++ b/src/robinthread/_internal/settings/policy_settings.py
@@ -90,6 +90,21 @@
     gathers_while_store_slow: bool = True
 
 
+@dataclass(frozen=True)
+class WorkspacePolicies:
+    """How workspaces are bound.
+
+    ``kept_share``: the part of each limit that is split evenly over pools and never lent from
+    one to another, so that a pool's first jobs begin without asking; 1 splits all of it for
+    good, and nothing moves.
+    ``ranks_beyond_share``: what a workspace hands in beyond its share comes after all other
+    work, and no more hosts are asked for it than for late work.
+    """
+
+    kept_share: float = 0.2
+    ranks_beyond_share: bool = True
+
+
 @dataclass(frozen=True)
 class PolicySettings:
     """How a node decides."""
@@ -99,3 +114,4 @@
     demand: DemandPolicy = field(default_factory=DemandPolicy)
     placement: PlacementPolicy = field(default_factory=PlacementPolicy)
     entry: EntryPolicy = field(default_factory=EntryPolicy)
+    workspaces: WorkspacePolicies = field(default_factory=WorkspacePolicies)
--- a/src/robinthread/_internal/standins/job_host_standin.py
+++ b/src/robinthread/_internal/standins/job_host_standin.py
@@ -196,7 +196,12 @@
     def _begin(self, order: StartOrder, plan: TaskPlan, is_stray: bool) -> None:
         loop = asyncio.get_running_loop()
         ledger_run = LedgerRun(
-            order.task, order.run, self.record.id, loop.time(), is_stray=is_stray
+            order.task,
+            order.run,
+            self.record.id,
+            loop.time(),
+            is_stray=is_stray,
+            room=plan.room,
         )
         self._ledger.add(ledger_run)
         present = _Present(order, plan, ledger_run, loop.time())
--- /dev/null
+++ b/src/robinthread/_internal/standins/limit_ledger.py
@@ -0,0 +1,62 @@
+"""What workspaces have running over all hosts, against their limits."""
+
+import math
+from typing import Final, Protocol
+
+from robinthread._internal.models.resources import NO_RESOURCES, Resources
+
+# Whoever orders may go by limits that were replaced so long ago.
+KNOWN_WITHIN_S: Final = 2.0
+
+
+class RunningTask(Protocol):
+    """A run as the hosts saw it."""
+
+    room: Resources
+    ended_at_s: float | None
+
+
+class LimitLedger:
+    """Finds starts that bring a workspace over its limit.
+
+    ``workspaces`` tells whose a job is; tests fill it.  ``over`` are such starts, in words.
+    """
+
+    def __init__(self) -> None:
+        self.workspaces: dict[str, str] = {}
+        self.over: list[str] = []
+        self._limits: list[tuple[float, dict[str, Resources]]] = []
+        self._open: dict[str, list[RunningTask]] = {}
+
+    def take_limits(self, limits: dict[str, Resources], now_s: float) -> None:
+        """Note the limits that are in force from now on."""
+        self._limits.append((now_s, limits))
+
+    def get_running(self, workspace: str) -> Resources:
+        """Return what a workspace has running."""
+        running = [run for run in self._open.get(workspace, ()) if run.ended_at_s is None]
+        self._open[workspace] = running
+        return sum((run.room for run in running), start=NO_RESOURCES)
+
+    def note_begun(self, job_id: str, run: RunningTask, now_s: float) -> None:
+        """Note a run that begins, and whether it may."""
+        workspace = self.workspaces.get(job_id)
+        if workspace is None:
+            return
+        after = self.get_running(workspace) + run.room
+        self._open[workspace].append(run)
+        part = min(
+            (after.get_part_of(limit) for limit in self._list_in_force(workspace, now_s)),
+            default=0.0,
+        )
+        if part > 1.0:
+            self.over.append(f"{workspace} has {part:.3f} of its limit at {now_s:.2f} s")
+
+    def _list_in_force(self, workspace: str, now_s: float) -> list[Resources]:
+        """List the limits that may be in force: the last one, and those replaced of late."""
+        replaced_at_s = [at_s for at_s, _limits in self._limits[1:]] + [math.inf]
+        return [
+            limits.get(workspace, NO_RESOURCES)
+            for (_at_s, limits), until_s in zip(self._limits, replaced_at_s, strict=True)
+            if until_s > now_s - KNOWN_WITHIN_S
+        ]
--- a/src/robinthread/_internal/standins/platform_standin.py
+++ b/src/robinthread/_internal/standins/platform_standin.py
@@ -252,6 +252,10 @@
         """Publish a configuration."""
         value = msgspec.msgpack.encode(_WireConfig(version, queues, pools, workspaces))
         self.store.put(OPERATORS, CONFIG_KEY, value)
+        self.hosts.ledger.limits.take_limits(
+            {workspace.name: workspace.limit for workspace in workspaces},
+            asyncio.get_running_loop().time(),
+        )
 
     def ask_for_wave(self, wave: UpkeepWave) -> None:
         """Ask for a maintenance wave, whose bound is judged from now on."""
--- a/src/robinthread/_internal/standins/run_ledger.py
+++ b/src/robinthread/_internal/standins/run_ledger.py
@@ -7,7 +7,9 @@
 from dataclasses import dataclass
 from typing import Final
 
+from robinthread._internal.models.resources import NO_RESOURCES, Resources
 from robinthread._internal.models.task_key import TaskKey
+from robinthread._internal.standins.limit_ledger import LimitLedger
 
 # From the first look at a life until what was meant for the one before is rejected there: a look
 # that shows it, and a stop, of which two may go unanswered.
@@ -36,6 +38,7 @@
     is_noted: bool = False
     is_cause: bool = False
     is_stray: bool = False
+    room: Resources = NO_RESOURCES
 
 
 class RunLedger:
@@ -48,17 +51,19 @@
         self.runs: list[LedgerRun] = []
         self.cancelled_at_s: dict[str, float] = {}
         self.overfull: list[str] = []
+        self.limits = LimitLedger()
 
     def add(self, run: LedgerRun) -> None:
         """Note a run that began."""
         self.runs.append(run)
+        self.limits.note_begun(run.task.job_id, run, run.began_at_s)
 
     def find_breaks(self, cancel_s: float) -> list[str]:
         """Return what was seen and must not be, in words."""
         by_task: dict[TaskKey, list[LedgerRun]] = defaultdict(list)
         for run in self.runs:
             by_task[run.task].append(run)
-        breaks = list(self.overfull)
+        breaks = [*self.overfull, *self.limits.over]
         for all_runs in by_task.values():
             breaks += [
                 f"{run.task} run {run.number} on {run.host_id}, a stray, was not stopped"
--- /dev/null
+++ b/tests/functional/test_workspace_limits.py
@@ -0,0 +1,131 @@
+"""A workspace's limit over three pools with three owners."""
+
+import asyncio
+
+from testtools import TestCase
+
+from robinthread._internal.models.job_status import JobStatus
+from robinthread._internal.models.resources import Resources
+from tests.lib.job_platforms import find_breaks, get_owner, wait_for_status, wait_until
+from tests.lib.limited import (
+    LIMIT,
+    MAPS,
+    POOLS,
+    SHOP,
+    TASK_ROOM,
+    Feeder,
+    UseSample,
+    configure,
+    get_steward,
+    keep_sampling,
+    sample_use,
+    start_limited,
+)
+from tests.lib.virtual import run_virtual
+
+# Jobs of four tasks of two cores, a second each: so many ask for six times the limit, and
+# for most of it.
+FLOOD_PER_S = 24.0
+TURN_PER_S = 3.5
+# Rules allow a task of a workspace under half of its limit to wait so long where there is room.
+WAIT_MAX_S = 3.0
+FALLEN = Resources(12_000, 0)
+
+
+class WorkspaceLimitsTest(TestCase):
+    def test_flood_in_all_pools_stays_within_the_limit_and_uses_most_of_it(self) -> None:
+        async def work() -> None:
+            platform = await start_limited()
+            feeder, samples = Feeder(platform), list[UseSample]()
+            sampling = asyncio.create_task(keep_sampling(platform, MAPS, LIMIT, samples))
+            await asyncio.gather(*(feeder.feed(MAPS, pool, FLOOD_PER_S, 6) for pool in POOLS))
+            sampling.cancel()
+            self.assertEqual([], find_breaks(platform))
+            steady = [sample.part for sample in samples[20:]]
+            self.assertGreater(sum(steady) / len(steady), 0.7)
+
+        run_virtual(work())
+
+    def test_pool_in_its_turn_gets_most_of_the_limit_and_the_next_one_after_it(self) -> None:
+        async def work() -> None:
+            platform = await start_limited()
+            feeder, reached = Feeder(platform), dict[str, float]()
+            for pool in POOLS:
+                began_at_s = asyncio.get_running_loop().time()
+                samples: list[UseSample] = []
+                sampling = asyncio.create_task(keep_sampling(platform, MAPS, LIMIT, samples))
+                await feeder.feed(MAPS, pool, TURN_PER_S, 5)
+                sampling.cancel()
+                reached[pool] = max(sample.by_pool[pool] for sample in samples)
+                first = min(one.at_s for one in samples if one.by_pool[pool] > 0)
+                self.assertLess(first - began_at_s, 1.0)
+            self.assertEqual([], find_breaks(platform))
+            self.assertGreater(min(reached.values()), 0.7)
+
+        run_virtual(work())
+
+    def test_workspace_without_a_limit_is_not_held_back_by_one_that_is(self) -> None:
+        async def work() -> None:
+            platform = await start_limited()
+            feeder = Feeder(platform)
+            flood = asyncio.create_task(feeder.feed(MAPS, "press", FLOOD_PER_S, 6))
+            await asyncio.sleep(3)
+            spec = await feeder.hand_in(SHOP, "press")
+            assert spec is not None
+            took_s = await wait_for_status(platform, spec.job_id, JobStatus.SUCCEEDED)
+            self.assertLess(took_s, 2.0)
+            await flood
+
+        run_virtual(work())
+
+    def test_fallen_limit_stops_starts_until_enough_has_ended(self) -> None:
+        async def work() -> None:
+            platform = await start_limited()
+            feeder = Feeder(platform)
+            # Lasting work in one pool holds over half of the limit for good.
+            for _ in range(3):
+                await feeder.hand_in(MAPS, "press", is_lasting=True)
+            await wait_until(lambda: sample_use(platform, MAPS, LIMIT).part > 0.6)
+            flood = [asyncio.create_task(feeder.feed(MAPS, pool, 2.0, 14)) for pool in POOLS]
+            await asyncio.sleep(3)
+            configure(platform, 2, FALLEN)
+            await asyncio.sleep(5)
+            held = sample_use(platform, MAPS, FALLEN)
+            # What lasts goes on, and nothing is begun beside it.
+            self.assertAlmostEqual(24 / 12, held.part, places=3)
+            configure(platform, 3, LIMIT)
+            await wait_until(lambda: sample_use(platform, MAPS, LIMIT).part > 0.8, WAIT_MAX_S)
+            await asyncio.gather(*flood)
+            self.assertEqual([], find_breaks(platform))
+
+        run_virtual(work())
+
+    def test_limit_of_one_task_lets_pools_begin_one_after_the_other(self) -> None:
+        async def work() -> None:
+            platform = await start_limited(limit=TASK_ROOM)
+            feeder = Feeder(platform)
+            specs = [await feeder.hand_in(MAPS, pool) for pool in POOLS]
+            for spec in specs:
+                assert spec is not None
+                await wait_for_status(platform, spec.job_id, JobStatus.SUCCEEDED, 30)
+            self.assertEqual([], find_breaks(platform))
+
+        run_virtual(work())
+
+    def test_steward_and_an_owner_lost_at_once_leave_the_limit_whole(self) -> None:
+        async def work() -> None:
+            platform = await start_limited()
+            feeder, samples = Feeder(platform), list[UseSample]()
+            flood = [asyncio.create_task(feeder.feed(MAPS, pool, 10.0, 14)) for pool in POOLS]
+            await asyncio.sleep(3)
+            lost = {get_steward(platform), get_owner(platform, "cards")} - {None}
+            for name in lost:
+                assert name is not None
+                platform.kill_node(name)
+            sampling = asyncio.create_task(keep_sampling(platform, MAPS, LIMIT, samples))
+            await asyncio.gather(*flood)
+            sampling.cancel()
+            self.assertEqual([], find_breaks(platform))
+            self.assertGreater(samples[-1].part, 0.5)
+
+        run_virtual(work())
--- /dev/null
+++ b/tests/lib/limited.py
@@ -0,0 +1,168 @@
+"""Three pools whose jobs belong to workspaces with limits, and how these fare."""
+
+import asyncio
+import itertools
+from collections.abc import Iterator
+from dataclasses import dataclass, replace
+
+from robinthread._internal.models.job_spec import JobSpec, StepSpec
+from robinthread._internal.models.pool_policy import PoolPolicy
+from robinthread._internal.models.queue_policy import QueuePolicy
+from robinthread._internal.models.resources import Resources
+from robinthread._internal.models.task_key import TaskKey
+from robinthread._internal.models.workspace_policy import WorkspacePolicy, digest_keys
+from robinthread._internal.node.gate_outcome import GateOutcome
+from robinthread._internal.settings.policy_settings import PolicySettings, WorkspacePolicies
+from robinthread._internal.standins.job_host_standin import TaskPlan
+from robinthread._internal.standins.platform_standin import RESERVE, PlatformStandin
+from tests.lib.job_platforms import ROOM, get_owner, hand_in, wait_until
+
+POOLS = ("press", "cards", "proofs")
+HOSTS_A_POOL = 6
+TASK_ROOM = Resources(2000, 100)
+TASKS = 4
+WORK_S = 1.0
+# Two hosts of the eighteen, as many as a pool keeps while it is idle.
+LIMIT = Resources(32_000, 0)
+MAPS, SHOP = "maps", "shop"
+LASTING_FROM = 10_000
+SAMPLE_S = 0.1
+
+
+def plan_task(task: TaskKey) -> TaskPlan:
+    """Have tasks work for a second, and those of late numbers last."""
+    is_lasting = int(task.job_id, 16) >= LASTING_FROM
+    return TaskPlan(None if is_lasting else WORK_S, TASK_ROOM)
+
+
+def make_workspace(name: str, limit: Resources, share: float = 0.0) -> WorkspacePolicy:
+    """Make a workspace with a key of its own."""
+    return WorkspacePolicy(name, digest_keys([f"key of {name}"]), share, limit)
+
+
+def configure(platform: PlatformStandin, version: int, limit: Resources) -> None:
+    """Put a limit on the one workspace; the other has none."""
+    queues = tuple(QueuePolicy(f"{pool}-q", f"{pool}.example", "/", pool) for pool in POOLS)
+    pools = (*map(PoolPolicy, POOLS), PoolPolicy(RESERVE, is_reserve=True))
+    workspaces = (make_workspace(MAPS, limit), make_workspace(SHOP, Resources()))
+    platform.configure(version, queues, pools, workspaces)
+
+
+async def start_limited(
+    nodes: int = 5, seed: int = 1, kept_share: float = 0.2, limit: Resources = LIMIT
+) -> PlatformStandin:
+    """Start three pools, whose owners are at different nodes, and wait until they are open."""
+    platform = PlatformStandin(plan_task, seed)
+    configure(platform, 1, limit)
+    for number in range(HOSTS_A_POOL * len(POOLS)):
+        platform.machines.add(POOLS[number % len(POOLS)], f"r{number % 4}", ROOM)
+    policy = replace(PolicySettings(), workspaces=WorkspacePolicies(kept_share))
+    for number in range(nodes):
+        platform.start_node(f"node{number}", policy=policy)
+    await wait_until(lambda: all(get_owner(platform, pool) for pool in POOLS))
+    await asyncio.sleep(1)
+    return platform
+
+
+def get_steward(platform: PlatformStandin) -> str | None:
+    """Return the node that orders machines."""
+    return next(
+        (
+            name
+            for name, node in platform.nodes.items()
+            if (steward := node.assembled.node._steward) is not None and not steward.fenced.is_set()
+        ),
+        None,
+    )
+
+
+class Feeder:
+    """Hands jobs of workspaces in, with numbers of its own."""
+
+    def __init__(self, platform: PlatformStandin) -> None:
+        self._platform = platform
+        self._numbers = itertools.count(1)
+        self._lasting = itertools.count(LASTING_FROM)
+        self.accepted: list[JobSpec] = []
+        self.handed_in_at_s: dict[str, float] = {}
+
+    async def hand_in(self, workspace: str, pool: str, is_lasting: bool = False) -> JobSpec | None:
+        """Hand one job in; None where no node takes it."""
+        number = next(self._lasting if is_lasting else self._numbers)
+        step = StepSpec(TASKS, TASK_ROOM.cpu_millicores, TASK_ROOM.memory_mb, is_lasting=is_lasting)
+        job_id = f"{number:016x}"
+        spec = JobSpec(job_id, f"{pool}-q", pool, "", (step,), workspace=workspace)
+        self._platform.hosts.ledger.limits.workspaces[job_id] = workspace
+        self.handed_in_at_s[job_id] = asyncio.get_running_loop().time()
+        names = sorted(self._platform.nodes)
+        if not names:
+            return None
+        try:
+            async with asyncio.timeout(4):
+                outcome = await hand_in(self._platform, names[number % len(names)], spec)
+        except TimeoutError:
+            # A node that was killed answers nothing; the job may be kept all the same.
+            return None
+        if outcome is not GateOutcome.DONE:
+            return None
+        self.accepted.append(spec)
+        return spec
+
+    async def feed(self, workspace: str, pool: str, jobs_per_s: float, for_s: float) -> None:
+        """Hand jobs in at a rate, not waiting for answers."""
+        calls: list[asyncio.Task[JobSpec | None]] = []
+        for _ in range(round(jobs_per_s * for_s)):
+            calls.append(asyncio.create_task(self.hand_in(workspace, pool)))
+            await asyncio.sleep(1 / jobs_per_s)
+        await asyncio.gather(*calls)
+
+
+@dataclass
+class UseSample:
+    """What a workspace has running at a moment, as a part of its limit, in all and by pool."""
+
+    at_s: float
+    part: float
+    by_pool: dict[str, float]
+
+
+def sample_use(platform: PlatformStandin, workspace: str, limit: Resources) -> UseSample:
+    """Sample what the hosts run for a workspace."""
+    ledger = platform.hosts.ledger
+    by_pool = dict.fromkeys(POOLS, 0.0)
+    pools = {host.record.id: host.record.pool for host in platform.hosts.hosts.values()}
+    for run in ledger.runs:
+        if run.ended_at_s is None and ledger.limits.workspaces.get(run.task.job_id) == workspace:
+            by_pool[pools[run.host_id]] += run.room.get_part_of(limit)
+    at_s = asyncio.get_running_loop().time()
+    return UseSample(at_s, ledger.limits.get_running(workspace).get_part_of(limit), by_pool)
+
+
+async def keep_sampling(
+    platform: PlatformStandin, workspace: str, limit: Resources, samples: list[UseSample]
+) -> None:
+    """Sample until cancelled."""
+    while True:
+        samples.append(sample_use(platform, workspace, limit))
+        await asyncio.sleep(SAMPLE_S)
+
+
+def iter_starved(platform: PlatformStandin, limit: Resources) -> Iterator[str]:
+    """Iterate over the jobs of the workspace of which nothing runs though all of it could.
+
+    The workspace has under half of its limit running, and an open pool has the room twice over.
+    """
+    if sample_use(platform, MAPS, limit).part >= 0.5:
+        return
+    for pool in POOLS:
+        name = get_owner(platform, pool)
+        if name is None:
+            continue
+        jobs = platform.nodes[name].assembled.owned.owners[pool].jobs
+        free = sum((host.free for host in jobs.hosts.values()), start=Resources())
+        if not TASK_ROOM.scale(2 * TASKS).fits_in(free):
+            continue
+        for job in jobs.jobs.values():
+            waits = any(task.key in jobs.waiting for task in job.tasks.values())
+            if job.spec.workspace == MAPS and waits and not any(job.iter_running()):
+                yield job.id
--- /dev/null
+++ b/tests/unit/test_share_keeper.py
@@ -0,0 +1,131 @@
+"""What the steward tells pools of workspaces' shares, and when."""
+
+from testtools import TestCase
+
+from robinthread._internal.fleet.pool_report import PoolReport
+from robinthread._internal.models.fleet_config import FleetConfig, make_fleet_config
+from robinthread._internal.models.resources import Resources
+from robinthread._internal.models.workspace_policy import WorkspacePolicy
+from robinthread._internal.models.workspace_shares import (
+    ShareOrder,
+    ShareState,
+    ShareTable,
+    WorkspaceStanding,
+)
+from robinthread._internal.node.share_keeper import HEARD_WITHIN_S, ShareKeeper
+from robinthread._internal.telemetry.event_log import EventLog
+
+POOLS = ("a", "b")
+KEPT_SHARE = 0.2
+
+
+def make_config(version: int, cpu_millicores: int) -> FleetConfig:
+    """Make a configuration with one workspace."""
+    maps = WorkspacePolicy("maps", limit=Resources(cpu_millicores))
+    return make_fleet_config(version, (), (), 1000, (maps,))
+
+
+class _Pools:
+    """Owners that take orders and answer; ``used`` is what the workspace takes there."""
+
+    def __init__(self, token: int = 1, began_at_s: float = 0.0) -> None:
+        self.keeper = ShareKeeper(token, KEPT_SHARE, began_at_s, EventLog("n", lambda line: None))
+        self.states = {pool: ShareState() for pool in POOLS}
+        self.used = dict.fromkeys(POOLS, 0)
+        self.held_back = dict.fromkeys(POOLS, 0)
+
+    def step(
+        self,
+        config: FleetConfig,
+        fell_in: dict[str, int] | None = None,
+        answering: tuple[str, ...] = POOLS,
+        now_s: float = 0.0,
+    ) -> dict[str, ShareTable | None]:
+        """Have the keeper ask the pools once and decide; return what they go by."""
+        orders = {pool: self.keeper.make_order(pool, config) for pool in POOLS}
+        reports = {pool: self._answer(pool, orders[pool]) for pool in answering}
+        self.keeper.note_reports(reports)
+        self.keeper.decide(config, fell_in or {}, POOLS, now_s)
+        return {pool: state.table for pool, state in self.states.items()}
+
+    def _answer(self, pool: str, order: ShareOrder | None) -> PoolReport:
+        if order is not None:
+            table = self.states[pool].table if order.table is None else order.table
+            self.states[pool] = ShareState(order.token, order.number, table)
+        standing = WorkspaceStanding(
+            "maps",
+            (self.used[pool], 0, 0),
+            (self.held_back[pool], 0, 0),
+            (self.held_back[pool], 0, 0),
+        )
+        return PoolReport(True, share_state=self.states[pool], workspaces=(standing,))
+
+    def settle(self, config: FleetConfig, fell_in: dict[str, int] | None = None) -> None:
+        """Take steps until nothing changes any more."""
+        for _ in range(6):
+            self.step(config, fell_in)
+
+    def get_share(self, pool: str) -> float:
+        """Return what a pool lets the workspace take."""
+        table = self.states[pool].table
+        return 0.0 if table is None else table.get("maps")
+
+
+class ShareKeeperTest(TestCase):
+    def test_pools_have_even_shares_once_both_were_heard(self) -> None:
+        pools = _Pools()
+        pools.settle(make_config(1, 1000))
+        self.assertEqual([0.5, 0.5], [pools.get_share(pool) for pool in POOLS])
+
+    def test_pool_gets_more_only_after_the_other_has_confirmed_less(self) -> None:
+        pools, config = _Pools(), make_config(1, 1000)
+        pools.settle(config)
+        pools.used["a"], pools.held_back["a"] = 500, 100
+        sums = []
+        for _ in range(6):
+            # The other one does not answer for a while.
+            pools.step(config, answering=("a",))
+            sums.append(pools.get_share("a"))
+        self.assertEqual([0.5] * 6, sums)
+        pools.settle(config)
+        self.assertAlmostEqual(0.9, pools.get_share("a"), places=5)
+        self.assertAlmostEqual(0.1, pools.get_share("b"), places=5)
+
+    def test_new_steward_lends_nothing_before_it_has_heard_all(self) -> None:
+        pools, config = _Pools(), make_config(1, 1000)
+        pools.settle(config)
+        pools.used["a"], pools.held_back["a"] = 500, 100
+        pools.settle(config)
+        later = _Pools(token=2, began_at_s=10.0)
+        later.states = {"a": ShareState(), "b": pools.states["b"]}
+        for now_s in (10.1, 10.2, 10.0 + HEARD_WITHIN_S / 2):
+            later.step(config, answering=("a",), now_s=now_s)
+            self.assertEqual(0.0, later.get_share("a"))
+        for now_s in (10.0 + HEARD_WITHIN_S, 12.0, 13.0):
+            later.step(config, answering=("a",), now_s=now_s)
+        self.assertAlmostEqual(KEPT_SHARE / len(POOLS), later.get_share("a"))
+        later.settle(config)
+        self.assertEqual([0.5, 0.5], [later.get_share(pool) for pool in POOLS])
+
+    def test_pool_that_heeds_a_later_steward_counts_as_not_heard(self) -> None:
+        pools, config = _Pools(token=1), make_config(1, 1000)
+        pools.step(config)
+        pools.states["b"] = ShareState(2, 1, ShareTable(1, 0.9))
+        report = PoolReport(True, share_state=pools.states["b"])
+        pools.keeper.note_reports({"b": report})
+        pools.keeper.decide(config, {}, POOLS, 0.0)
+        order = pools.keeper.make_order("b", config)
+        assert order is not None
+        self.assertEqual(1, order.token)
+
+    def test_fallen_limit_lets_nothing_begin_until_both_have_told_what_they_hold(self) -> None:
+        pools, config = _Pools(), make_config(1, 1000)
+        pools.settle(config)
+        pools.used["a"] = 600
+        fallen, fell_in = make_config(2, 1000), {"maps": 2}
+        for _ in range(4):
+            pools.step(fallen, fell_in, answering=("b",))
+        self.assertEqual(0.0, pools.get_share("b"))
+        pools.settle(fallen, fell_in)
+        self.assertLessEqual(pools.get_share("b"), 0.4 + 1e-6)
+        self.assertGreater(pools.get_share("b"), 0.1)
