What a workspace hands in beyond its share comes after all other work

What users saw: with one workspace at six times its usual, all were late alike.

Ways weighed: weighted queueing by room held against share (a pool sees only its own part, and shares are counted in jobs a second over all pools); a token bucket at the entry hosts (43 of them would have to know of each other); a token bucket in the log's order, which every owner reads whole. The last one needs no message: built, with the standing order beside it as `workspaces.ranks_beyond_share` false.

Change: jobs are counted against their workspace's share as the inbox is folded, by when they were accepted; a second's worth may come at once. What is beyond comes after all other work, and no more hosts are asked for it than for late work. Jobs without a workspace are as they were.

--- a/src/robinthread/_internal/durable/job_index.py
+++ b/src/robinthread/_internal/durable/job_index.py
@@ -10,6 +10,7 @@
     RecordDropped,
     parse_inbox_record,
 )
+from robinthread._internal.durable.share_meter import ShareMeter
 from robinthread._internal.durable.store import KeyedRecord
 from robinthread._internal.models.job_spec import JobSpec
 from robinthread._internal.models.workspace_policy import may_touch
@@ -17,13 +18,17 @@
 
 
 class IndexedJob:
-    """A job as first handed in, the keys of its records, and whether it is cancelled."""
+    """A job as first handed in, the keys of its records, and whether it is cancelled.
 
-    __slots__ = ("is_cancelled", "keys", "offset", "spec")
+    One that ``is_beyond_share`` was handed in beyond its workspace's share.
+    """
+
+    __slots__ = ("is_beyond_share", "is_cancelled", "keys", "offset", "spec")
 
-    def __init__(self, spec: JobSpec, offset: int) -> None:
+    def __init__(self, spec: JobSpec, offset: int, is_beyond_share: bool = False) -> None:
         self.spec = spec
         self.offset = offset
+        self.is_beyond_share = is_beyond_share
         self.keys: set[str] = set()
         self.is_cancelled = False
 
@@ -37,8 +42,9 @@
     Listeners are called with each job that is new or newly cancelled.
     """
 
-    def __init__(self, events: EventLog) -> None:
+    def __init__(self, events: EventLog, meter: ShareMeter) -> None:
         self.jobs: dict[str, IndexedJob] = {}
+        self._meter = meter
         self._cancelled_ahead: dict[str, list[JobCancelled]] = {}
         self._listeners: list[Listener] = []
         self._events = events
@@ -81,7 +87,8 @@
         if job is not None:
             job.keys.add(key)
             return
-        job = self.jobs[spec.job_id] = IndexedJob(spec, offset)
+        is_beyond = self._meter.is_beyond(spec.workspace, spec.accepted_at_ms)
+        job = self.jobs[spec.job_id] = IndexedJob(spec, offset, is_beyond)
         job.keys.add(key)
         ahead = self._cancelled_ahead.pop(spec.job_id, ())
         job.is_cancelled = any(may_touch(one.workspace, spec.workspace) for one in ahead)
--- a/src/robinthread/_internal/jobs/demand.py
+++ b/src/robinthread/_internal/jobs/demand.py
@@ -215,13 +215,13 @@
 
 
 def _find_late(pool: PoolJobs, now_ms: int) -> frozenset[Place]:
-    """Return the occurrences of jobs that can no longer be on time."""
+    """Return the occurrences of jobs that can no longer be on time, or are beyond a share."""
     return frozenset(
         (job.id, occurrence)
         for job in pool.jobs.values()
         if not job.status.is_final and not job.spec.is_lasting
         for occurrence in job.iter_open_occurrences()
-        if get_slack_s(job, occurrence, pool.run_times, now_ms) < 0
+        if job.is_beyond_share or get_slack_s(job, occurrence, pool.run_times, now_ms) < 0
     )
 
 
--- a/src/robinthread/_internal/jobs/job.py
+++ b/src/robinthread/_internal/jobs/job.py
@@ -16,7 +16,7 @@
     ``status`` is what has been decided.  ``recorded_status`` is what the store
     holds, and all that may be shown: a status that is not kept could be taken
     back by the pool's next owner.  While one of its tasks is ``blamed`` for sure for a crash
-    of a host, the others are not begun.
+    of a host, the others are not begun.  One that ``is_beyond_share`` comes after all others.
     """
 
     def __init__(self, spec: JobSpec, policy: QueuePolicy, offset: int) -> None:
@@ -27,6 +27,7 @@
         self.recorded_status = JobStatus.QUEUED
         self.ended_at_ms = 0
         self.has_begun = False
+        self.is_beyond_share = False
         self.next_occurrence = 0
         self.blamed: set[TaskKey] = set()
         self.tasks: dict[TaskKey, Task] = {}
--- a/src/robinthread/_internal/jobs/placement.py
+++ b/src/robinthread/_internal/jobs/placement.py
@@ -113,7 +113,8 @@
     """Order tasks: urgent queues first, then jobs that can be on time.
 
     Of these the one that can wait least goes first.  A job that will be late earns
-    little more by being done sooner, and would make others late as well.
+    little more by being done sooner, and would make others late as well.  What a workspace
+    handed in beyond its share comes after all that.
     """
     order = {
         place: _get_order(pool, place, now_ms)
@@ -131,15 +132,17 @@
 
 def _get_order(
     pool: PoolJobs, place: tuple[str, int], now_ms: int
-) -> tuple[int, bool, bool, float, int, int]:
+) -> tuple[bool, int, bool, bool, float, int, int]:
     job_id, occurrence = place
     job = pool.jobs[job_id]
     if job.spec.is_lasting:
-        return (job.policy.priority, False, False, 0.0, job.offset, occurrence)
+        rank = (job.policy.priority, False, False, 0.0, job.offset, occurrence)
+        return (job.is_beyond_share, *rank)
     slack_s = get_slack_s(job, occurrence, pool.run_times, now_ms)
     is_late = slack_s < (0.0 if job.has_begun else pool.policy.slack_margin_s)
     rank_s = 0.0 if is_late else slack_s
-    return (job.policy.priority, True, is_late, rank_s, job.offset, occurrence)
+    rank = (job.policy.priority, True, is_late, rank_s, job.offset, occurrence)
+    return (job.is_beyond_share, *rank)
 
 
 def _get_worth(host: Host, task: Task) -> tuple[bool, bool, int, float]:
--- a/src/robinthread/_internal/node/assembly.py
+++ b/src/robinthread/_internal/node/assembly.py
@@ -10,6 +10,7 @@
 from robinthread._internal.durable.job_index import JobIndex
 from robinthread._internal.durable.keyed_follower import KeyedFollower
 from robinthread._internal.durable.ownership import Member, OwnerTable
+from robinthread._internal.durable.share_meter import ShareMeter
 from robinthread._internal.node.config_holder import ConfigHolder
 from robinthread._internal.node.context import NodeContext
 from robinthread._internal.node.election import Election
@@ -61,9 +62,9 @@
     loop = asyncio.get_running_loop()
     settings = settings_holder.settings
     events, store, records = environment.events, environment.store, environment.records
-    job_index = JobIndex(events)
-    host_directory = HostDirectory(records.parse_host, events)
     config_holder = ConfigHolder(records, events)
+    job_index = JobIndex(events, ShareMeter(config_holder.get_share))
+    host_directory = HostDirectory(records.parse_host, events)
     # Only owners of pools need these: at a start of all nodes, 2 MB of jobs would fill a link
     # of 5 Mbit/s for 3.3 s, and each node's first calls wait behind them.
     inbox = KeyedFollower(store, INBOX_PARTITION, job_index.apply, events, is_paused=True)
--- a/src/robinthread/_internal/node/config_holder.py
+++ b/src/robinthread/_internal/node/config_holder.py
@@ -30,6 +30,11 @@
         self.limit_fell_in: dict[str, int] = {}
         self.changed = asyncio.Event()
 
+    def get_share(self, workspace: str) -> float:
+        """Return a workspace's share in jobs a second, 0 where it has none."""
+        found = self.config.workspaces.get(workspace) if self.config is not None else None
+        return 0.0 if found is None else found.share_jobs_per_s
+
     def apply(self, records: Sequence[KeyedRecord], is_snapshot: bool) -> None:
         """Take in what the operators wrote; a key that expired changes nothing."""
         for record in records:
--- a/src/robinthread/_internal/node/pool_owner.py
+++ b/src/robinthread/_internal/node/pool_owner.py
@@ -239,6 +239,8 @@
         progress = self._progress.pop(spec.job_id, None)
         policy = self._get_policy(spec.queue)
         job = self.jobs.add_job(spec, policy, indexed.offset, get_loop_s(), progress)
+        ranks = self._context.policy.workspaces.ranks_beyond_share
+        job.is_beyond_share = ranks and indexed.is_beyond_share
         if progress is None:
             self._demand.note_job(job, self.jobs.run_times, get_loop_s())
         if job.status.is_final:
@@ -252,6 +254,8 @@
                 pool=self.pool,
                 queue=spec.queue,
                 offset=indexed.offset,
+                workspace=spec.workspace,
+                is_beyond_share=indexed.is_beyond_share,
                 config_version=spec.config_version,
                 done_count=sum(task.is_done for task in job.tasks.values()),
             )
--- a/tests/lib/drawn_limits.py
+++ b/tests/lib/drawn_limits.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import itertools
+import math
 import random
 import statistics
 from collections.abc import Iterator
@@ -145,7 +146,7 @@
         ),
         undone,
         max(waits.values(), default=0.0),
-        _get_done_s(platform, feeder),
+        statistics.fmean(filter(math.isfinite, feeder.list_done_s()[MAPS])),
     )
 
 
@@ -220,19 +221,6 @@
     return undone
 
 
-def _get_done_s(platform: PlatformStandin, feeder: Feeder) -> float:
-    ended_at_s: dict[str, float] = {}
-    for run in platform.hosts.ledger.runs:
-        if run.end == "done" and run.ended_at_s is not None:
-            job_id = run.task.job_id
-            ended_at_s[job_id] = max(run.ended_at_s, ended_at_s.get(job_id, 0.0))
-    return statistics.fmean(
-        ended_at_s[spec.job_id] - feeder.handed_in_at_s[spec.job_id]
-        for spec in feeder.accepted
-        if spec.job_id in ended_at_s
-    )
-
-
 def _iter_undone(platform: PlatformStandin, feeder: Feeder) -> Iterator[str]:
     ends: dict[str, set[int]] = {}
     for run in platform.hosts.ledger.runs:
--- a/tests/lib/limited.py
+++ b/tests/lib/limited.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import itertools
+import math
 from collections.abc import Iterator
 from dataclasses import dataclass, replace
 
@@ -40,11 +41,15 @@
     return WorkspacePolicy(name, digest_keys([f"key of {name}"]), share, limit)
 
 
-def configure(platform: PlatformStandin, version: int, limit: Resources) -> None:
+def configure(
+    platform: PlatformStandin, version: int, limit: Resources, *others: WorkspacePolicy
+) -> None:
     """Put a limit on the one workspace; the other has none."""
-    queues = tuple(QueuePolicy(f"{pool}-q", f"{pool}.example", "/", pool) for pool in POOLS)
+    queues = tuple(
+        QueuePolicy(f"{pool}-q", f"{pool}.example", "/", pool, 0, 3, 1.6, 600) for pool in POOLS
+    )
     pools = (*map(PoolPolicy, POOLS), PoolPolicy(RESERVE, is_reserve=True))
-    workspaces = (make_workspace(MAPS, limit), make_workspace(SHOP, Resources()))
+    workspaces = (make_workspace(MAPS, limit), make_workspace(SHOP, Resources()), *others)
     platform.configure(version, queues, pools, workspaces)
 
 
@@ -91,9 +96,13 @@
         number = next(self._lasting if is_lasting else self._numbers)
         step = StepSpec(TASKS, TASK_ROOM.cpu_millicores, TASK_ROOM.memory_mb, is_lasting=is_lasting)
         job_id = f"{number:016x}"
-        spec = JobSpec(job_id, f"{pool}-q", pool, "", (step,), workspace=workspace)
+        now_s = asyncio.get_running_loop().time()
+        at_ms = round(now_s * 1000)
+        spec = JobSpec(
+            job_id, f"{pool}-q", pool, "", (step,), accepted_at_ms=at_ms, workspace=workspace
+        )
         self._platform.hosts.ledger.limits.workspaces[job_id] = workspace
-        self.handed_in_at_s[job_id] = asyncio.get_running_loop().time()
+        self.handed_in_at_s[job_id] = now_s
         names = sorted(self._platform.nodes)
         if not names:
             return None
@@ -116,6 +125,19 @@
             await asyncio.sleep(1 / jobs_per_s)
         await asyncio.gather(*calls)
 
+    def list_done_s(self, from_s: float = 0.0) -> dict[str, list[float]]:
+        """List how long jobs handed in from a time on took, by workspace; infinite if not done."""
+        runs = self._platform.hosts.ledger.runs
+        done = {run.task: run.ended_at_s for run in runs if run.end == "done"}
+        took_s: dict[str, list[float]] = {}
+        for spec in self.accepted:
+            keys = (TaskKey(spec.job_id, 0, 0, index) for index in range(TASKS))
+            ends_s = [done.get(key) or math.inf for key in keys]
+            since_s = self.handed_in_at_s[spec.job_id]
+            if since_s >= from_s:
+                took_s.setdefault(spec.workspace, []).append(max(ends_s) - since_s)
+        return took_s
+
 
 @dataclass
 class UseSample:
--- a/tests/unit/test_foreign_records.py
+++ b/tests/unit/test_foreign_records.py
@@ -16,6 +16,7 @@
 from robinthread._internal.durable.order_records import ORDERS_PARTITION, parse_orders_record
 from robinthread._internal.durable.ownership import OWNERS_PARTITION, Member, OwnerTable
 from robinthread._internal.durable.settled_record import parse_settled_record
+from robinthread._internal.durable.share_meter import ShareMeter
 from robinthread._internal.durable.store import KeyedRecord, Partition
 from robinthread._internal.durable.wave_records import WAVES_PARTITION, parse_wave_record
 from robinthread._internal.jobs.progress import JobProgress, decode_progress
@@ -185,7 +186,7 @@
 
     def test_index_of_jobs_takes_the_others(self) -> None:
         lines: list[bytes] = []
-        index = JobIndex(_make_events(lines))
+        index = JobIndex(_make_events(lines), ShareMeter(lambda workspace: 0.0))
         spec = make_job(7)
         good = msgspec.msgpack.encode(spec)
         other = msgspec.msgpack.encode(make_job(8))
