Model of a limit over pools: keepers, owners, losses and a limit that falls

Two protocols in spec/: a keeper that does not know that it was replaced, and a limit that falls. Owners are replaced at any time, what a pool was told may arrive late or never. Invariant: no start brings a workspace over its limit.

--- a/spec/__main__.py
+++ b/spec/__main__.py
@@ -9,10 +9,12 @@
 from spec.check import TraceStep, find_counterexample, prove
 from spec.claims import make_claims
 from spec.crashing import make_crashing
+from spec.explore import explore
 from spec.fencing import make_fencing
 from spec.membership import make_halls, make_membership
 from spec.ownership import make_ownership
 from spec.restart import make_restart
+from spec.sharing import make_falling_limit, make_sharing
 
 PROTOCOLS = {
     "claims": make_claims,
@@ -24,6 +26,8 @@
     "acceptance": make_acceptance,
     "ownership": make_ownership,
     "crashing": make_crashing,
+    "sharing": make_sharing,
+    "falling limit": make_falling_limit,
 }
 
 
@@ -70,7 +74,8 @@
     """Answer one question, in a process of its own."""
     protocol = PROTOCOLS[question.protocol]()
     if question.invariant:
-        is_proved = prove(protocol, question.invariant)
+        check = explore if protocol.is_finite else prove
+        is_proved = check(protocol, question.invariant)
         verdict = "proved" if is_proved else "NOT PROVED"
         return Finding(question, is_proved, f"{protocol.name}: {question.invariant}: {verdict}")
     broken, trace = find_counterexample(protocol, without=question.guard)
--- /dev/null
+++ b/spec/explore.py
@@ -0,0 +1,85 @@
+"""Proof of an invariant of a protocol with few states, by visiting every one of them."""
+
+from collections import deque
+from collections.abc import Callable, Mapping
+from typing import Any
+
+import z3
+
+from spec.protocol import Protocol
+
+# Far more than such a protocol has: one that has them is not finite.
+STATES_MAX = 3_000_000
+
+State = tuple[int, ...]
+_OPERATORS: Mapping[int, str] = {
+    z3.Z3_OP_AND: " and ",
+    z3.Z3_OP_OR: " or ",
+    z3.Z3_OP_EQ: " == ",
+    z3.Z3_OP_LE: " <= ",
+    z3.Z3_OP_GE: " >= ",
+    z3.Z3_OP_LT: " < ",
+    z3.Z3_OP_GT: " > ",
+    z3.Z3_OP_ADD: " + ",
+    z3.Z3_OP_SUB: " - ",
+}
+_CONSTANTS: Mapping[int, str] = {z3.Z3_OP_TRUE: "True", z3.Z3_OP_FALSE: "False"}
+
+
+def explore(protocol: Protocol, invariant: str) -> bool:
+    """Tell whether the invariant holds in every reachable state; raise ``ValueError`` if many."""
+    names = tuple(protocol.variables)
+    steps = [
+        (
+            _compile(protocol.get_condition(step), names),
+            _compile_all(
+                [step.updates.get(name, protocol.variables[name]) for name in names], names
+            ),
+        )
+        for step in protocol.steps
+    ]
+    holds = _compile(protocol.invariants[invariant], names)
+    first: State = _compile_all([protocol.initial[name] for name in names], names)(())
+    seen, left = {first}, deque([first])
+    while left:
+        state = left.popleft()
+        if not holds(state):
+            return False
+        for may_go, go in steps:
+            if may_go(state) and (after := go(state)) not in seen:
+                seen.add(after)
+                left.append(after)
+        if len(seen) > STATES_MAX:
+            raise ValueError(f"{protocol.name} has over {STATES_MAX} states")
+    return True
+
+
+def _compile(expression: z3.ExprRef, names: tuple[str, ...]) -> Callable[[State], Any]:
+    """Make a function of a state from an expression over the variables."""
+    function: Callable[[State], Any] = eval(f"lambda s: {_write(expression, names)}")
+    return function
+
+
+def _compile_all(expressions: list[z3.ExprRef], names: tuple[str, ...]) -> Callable[[State], State]:
+    texts = "".join(f"int({_write(each, names)})," for each in expressions)
+    function: Callable[[State], State] = eval(f"lambda s: ({texts})")
+    return function
+
+
+def _write(expression: z3.ExprRef, names: tuple[str, ...]) -> str:
+    """Write an expression as Python."""
+    if z3.is_int_value(expression):
+        return str(expression.as_long())  # type: ignore[attr-defined]
+    kind = expression.decl().kind()
+    if kind in _CONSTANTS:
+        return _CONSTANTS[kind]
+    if kind == z3.Z3_OP_UNINTERPRETED:
+        return f"s[{names.index(str(expression))}]"
+    parts = [_write(part, names) for part in expression.children()]
+    if kind == z3.Z3_OP_NOT:
+        return f"(not {parts[0]})"
+    if kind == z3.Z3_OP_ITE:
+        return f"({parts[1]} if {parts[0]} else {parts[2]})"
+    if kind == z3.Z3_OP_DISTINCT:
+        return f"({parts[0]} != {parts[1]})"
+    return f"({_OPERATORS[kind].join(parts) or 'True'})"
--- a/spec/protocol.py
+++ b/spec/protocol.py
@@ -23,7 +23,8 @@
 class Protocol:
     """A protocol over integer and boolean variables.
 
-    ``removable`` names the guards that the protocol's safety rests on.
+    ``removable`` names the guards that the protocol's safety rests on.  One that ``is_finite``
+    has few reachable states, all of which are visited.
     """
 
     name: str
@@ -32,6 +33,7 @@
     steps: tuple[Step, ...]
     invariants: Mapping[str, z3.BoolRef]
     removable: tuple[str, ...]
+    is_finite: bool = False
 
     def get_condition(self, step: Step, without: str = "") -> z3.BoolRef:
         """Return when ``step`` may be taken, with the guard ``without`` taken out."""
--- /dev/null
+++ b/spec/sharing.py
@@ -0,0 +1,263 @@
+"""A workspace's limit over two pools: keepers, owners, losses, late answers and a limit that falls.
+
+``share_*`` is what the owner of a pool lets the workspace take, 0 for a new one until it was
+told; ``used_*`` what was recorded as running there, which a new owner reads.  ``bound_*`` is the
+most that the pool may hold as its keeper knows it.  ``told_*`` is on its way to the pool, and may
+be lost.  ``broken`` turns true when a start brings the workspace over its limit.
+"""
+
+from collections.abc import Mapping
+
+import z3
+
+from spec.protocol import Protocol, Step
+
+LIMIT, KEPT, FALLEN = 3, 1, 1
+POOLS = (1, 2)
+NOTHING = -1
+INVARIANT = "no start brings a workspace over its limit"
+RISES = "rises only by what no pool holds"
+WAITS = "waits until it was told"
+
+
+def make_sharing() -> Protocol:
+    """Make the protocol of two keepers, of which the first may not know that it was replaced.
+
+    ``from_*`` is true where the second sent what is on its way; ``fence_*`` where the pool
+    heeds it alone; ``KEPT`` of the limit is each pool's and never lent.
+    """
+    share, used, bound, told = _make_ints("share", "used", "bound", "told")
+    sender, fence = _make_bools("from", "fence")
+    is_replaced, broken = z3.Bools("is_replaced broken")
+    steps = [
+        Step("another keeper takes over", {"once": z3.Not(is_replaced)}, {"is_replaced": _TRUE})
+    ]
+    for pool in POOLS:
+        other = sum(POOLS) - pool
+        for to in range(LIMIT):
+            steps += [
+                Step(
+                    f"the first keeper tells pool {pool} a share of {to}",
+                    {
+                        "nothing on its way": told[pool] == NOTHING,
+                        "knows of no other keeper": z3.Not(fence[pool]),
+                        RISES: to + _get_held(used, bound, other) <= LIMIT,
+                        "keeps what is never lent": to <= LIMIT - KEPT,
+                    },
+                    {
+                        f"told_{pool}": z3.IntVal(to),
+                        f"from_{pool}": _FALSE,
+                        f"bound_{pool}": _get_max(bound[pool], to),
+                    },
+                ),
+                Step(
+                    f"the second keeper tells pool {pool} a share of {to}",
+                    {
+                        "heard this pool": fence[pool],
+                        "nothing on its way": told[pool] == NOTHING,
+                        "all pools heard before more than the kept part is given": z3.Or(
+                            fence[other], to <= KEPT
+                        ),
+                        RISES: z3.Or(
+                            z3.Not(fence[other]), to + _get_held(used, bound, other) <= LIMIT
+                        ),
+                        "keeps what is never lent": to <= LIMIT - KEPT,
+                    },
+                    {
+                        f"told_{pool}": z3.IntVal(to),
+                        f"from_{pool}": _TRUE,
+                        f"bound_{pool}": _get_max(bound[pool], to),
+                    },
+                ),
+            ]
+        steps += [
+            Step(
+                f"the second keeper hears pool {pool}, which heeds no earlier one any more",
+                {"is there": is_replaced, "not heard": z3.Not(fence[pool])},
+                {f"fence_{pool}": _TRUE, f"bound_{pool}": share[pool]},
+            ),
+            Step(
+                f"pool {pool} takes what it was told",
+                {
+                    "on its way": told[pool] != NOTHING,
+                    "heeds no earlier keeper": z3.Or(sender[pool], z3.Not(fence[pool])),
+                },
+                {
+                    f"share_{pool}": told[pool],
+                    f"told_{pool}": z3.IntVal(NOTHING),
+                    f"bound_{pool}": z3.If(sender[pool] == fence[pool], told[pool], bound[pool]),
+                },
+            ),
+            *_make_pool_steps(pool, share, used, told, z3.IntVal(LIMIT), {}),
+        ]
+    return _make_protocol(
+        "sharing",
+        (share, used, bound, told, sender, fence),
+        {"is_replaced": is_replaced, "broken": broken},
+        steps,
+        (
+            RISES,
+            "all pools heard before more than the kept part is given",
+            "heeds no earlier keeper",
+            WAITS,
+        ),
+    )
+
+
+def make_falling_limit() -> Protocol:
+    """Make the protocol of one keeper and a limit that falls.
+
+    ``new_*`` tells that what is on its way was decided since, ``settled_*`` that a pool goes
+    by that, and has told what it holds.
+    """
+    share, used, bound, told = _make_ints("share", "used", "bound", "told")
+    settled, is_new = _make_bools("settled", "new")
+    is_fallen, broken = z3.Bools("is_fallen broken")
+    room = z3.If(is_fallen, FALLEN, LIMIT)
+    steps = [Step("the limit falls", {"once": z3.Not(is_fallen)}, {"is_fallen": _TRUE})]
+    for pool in POOLS:
+        other = sum(POOLS) - pool
+        steps += [
+            Step(
+                f"the keeper tells pool {pool} a share of {to}",
+                {
+                    "nothing on its way": told[pool] == NOTHING,
+                    RISES: z3.Or(
+                        to == 0,
+                        # After a fall it is not known what the other pool holds until it settled.
+                        to
+                        + z3.If(
+                            z3.And(is_fallen, z3.Not(settled[other])),
+                            bound[other],
+                            _get_held(used, bound, other),
+                        )
+                        <= room,
+                    ),
+                    "after a fall only once all have settled": z3.Or(
+                        z3.Not(is_fallen), to == 0, z3.And(settled[1], settled[2])
+                    ),
+                },
+                {
+                    f"told_{pool}": z3.IntVal(to),
+                    f"new_{pool}": is_fallen,
+                    f"bound_{pool}": _get_max(bound[pool], to),
+                },
+            )
+            for to in range(LIMIT)
+        ]
+        steps += [
+            Step(
+                f"pool {pool} takes what it was told",
+                {"on its way": told[pool] != NOTHING},
+                {
+                    f"share_{pool}": told[pool],
+                    f"told_{pool}": z3.IntVal(NOTHING),
+                    f"bound_{pool}": told[pool],
+                    f"settled_{pool}": is_new[pool],
+                },
+            ),
+            *_make_pool_steps(
+                pool,
+                share,
+                used,
+                told,
+                room,
+                {"by a share from after the fall": z3.Or(z3.Not(is_fallen), settled[pool])},
+            ),
+        ]
+    return _make_protocol(
+        "falling limit",
+        (share, used, bound, told, settled, is_new),
+        {"is_fallen": is_fallen, "broken": broken},
+        steps,
+        (RISES, "after a fall only once all have settled", "by a share from after the fall"),
+    )
+
+
+Variables = Mapping[int, z3.ArithRef]
+_TRUE, _FALSE = z3.BoolVal(True), z3.BoolVal(False)
+
+
+def _make_ints(*names: str) -> list[Variables]:
+    return [{pool: z3.Int(f"{name}_{pool}") for pool in POOLS} for name in names]
+
+
+def _make_bools(*names: str) -> list[Mapping[int, z3.BoolRef]]:
+    return [{pool: z3.Bool(f"{name}_{pool}") for pool in POOLS} for name in names]
+
+
+def _get_max(one: z3.ArithRef, other: z3.ArithRef | int) -> z3.ArithRef:
+    return z3.If(one > other, one, other)
+
+
+def _get_held(used: Variables, bound: Variables, pool: int) -> z3.ArithRef:
+    """Return what a pool may hold: what runs there, or what it may let begin."""
+    return _get_max(used[pool], bound[pool])
+
+
+def _make_pool_steps(
+    pool: int,
+    share: Variables,
+    used: Variables,
+    told: Variables,
+    room: z3.ArithRef,
+    guards: Mapping[str, z3.BoolRef],
+) -> tuple[Step, ...]:
+    """Make the steps of a pool's owners."""
+    broken = z3.Bool("broken")
+    return (
+        Step(
+            f"what pool {pool} was told is lost",
+            {"on its way": told[pool] != NOTHING},
+            {f"told_{pool}": z3.IntVal(NOTHING)},
+        ),
+        Step(
+            f"pool {pool} begins a task of the workspace",
+            {"within its share": used[pool] + 1 <= share[pool], **guards},
+            {
+                f"used_{pool}": used[pool] + 1,
+                "broken": z3.Or(broken, used[1] + used[2] + 1 > room),
+            },
+        ),
+        Step(
+            f"a task ends in pool {pool}",
+            {"runs": used[pool] > 0},
+            {f"used_{pool}": used[pool] - 1},
+        ),
+        Step(
+            f"pool {pool} gets a new owner, which reads what runs and waits to be told",
+            {},
+            {f"share_{pool}": z3.IntVal(0)},
+        ),
+        Step(
+            f"pool {pool} gets a new owner, which takes the whole limit for its own",
+            {WAITS: _FALSE},
+            {f"share_{pool}": z3.IntVal(LIMIT)},
+        ),
+    )
+
+
+def _make_protocol(
+    name: str,
+    by_pool: tuple[Mapping[int, z3.ExprRef], ...],
+    others: Mapping[str, z3.ExprRef],
+    steps: list[Step],
+    removable: tuple[str, ...],
+) -> Protocol:
+    variables = {str(found[pool]): found[pool] for found in by_pool for pool in POOLS} | dict(
+        others
+    )
+    initial: dict[str, z3.ExprRef] = {
+        name: _FALSE if z3.is_bool(variable) else z3.IntVal(0)
+        for name, variable in variables.items()
+    }
+    initial |= {f"told_{pool}": z3.IntVal(NOTHING) for pool in POOLS}
+    return Protocol(
+        name,
+        variables,
+        initial,
+        tuple(steps),
+        {INVARIANT: z3.Not(z3.Bool("broken"))},
+        removable,
+        is_finite=True,
+    )
--- /dev/null
+++ b/tests/unit/test_spec_explore.py
@@ -0,0 +1,26 @@
+"""Visiting all states of a protocol."""
+
+from dataclasses import replace
+
+from testtools import TestCase
+
+from spec.explore import explore
+from spec.protocol import Protocol
+from spec.sharing import INVARIANT, make_falling_limit, make_sharing
+
+
+def take_out(protocol: Protocol, guard: str) -> Protocol:
+    """Return the protocol without a guard."""
+    steps = (
+        replace(step, guards={name: each for name, each in step.guards.items() if name != guard})
+        for step in protocol.steps
+    )
+    return replace(protocol, steps=tuple(steps))
+
+
+class ExploreTest(TestCase):
+    def test_protocols_hold_and_break_without_any_of_their_guards(self) -> None:
+        for protocol in (make_sharing(), make_falling_limit()):
+            self.assertTrue(explore(protocol, INVARIANT))
+            for guard in protocol.removable:
+                self.assertFalse(explore(take_out(protocol, guard), INVARIANT), guard)
