--- a/tests/unit/test_spec_explore.py
+++ b/tests/unit/test_spec_explore.py
@@ -2,11 +2,10 @@
 
 from dataclasses import replace
 
-from testtools import TestCase
-
 from spec.explore import explore
 from spec.protocol import Protocol
 from spec.sharing import INVARIANT, make_falling_limit, make_sharing
+from testtools import TestCase
 
 
 def take_out(protocol: Protocol, guard: str) -> Protocol:
