A node's lines and a gauge tell what workspaces take of their limits, and whose work waits for that

`owner_standing` names the workspaces near their share in a pool, with the part of the limit that they take and the share, and those held back; `robinthread_workspace_part` has it for each pool and workspace. Ruled out: a line for each start that waits (a flood of 24 jobs a second writes as many). No decision changes.

--- a/src/robinthread/_internal/jobs/workspace_room.py
+++ b/src/robinthread/_internal/jobs/workspace_room.py
@@ -107,6 +107,14 @@
             for name in self.list_told()
         )
 
+    def list_parts(self) -> dict[str, float]:
+        """Return which part of its limit each workspace that has one takes here."""
+        return {
+            name: self._used[name].get_part_of(limit)
+            for name, limit in self._limits.items()
+            if name in self._used
+        }
+
     def list_told(self) -> Collection[str]:
         """List the workspaces that the steward must hear of."""
         table = self._state.table
--- a/src/robinthread/_internal/node/standing.py
+++ b/src/robinthread/_internal/node/standing.py
@@ -5,6 +5,7 @@
 from typing import Any, Final
 
 from robinthread._internal.jobs.host import Host
+from robinthread._internal.jobs.workspace_room import WorkspaceRoom
 from robinthread._internal.node.loop_lag import LoopLag
 from robinthread._internal.node.owned_pools import OwnedPools
 from robinthread._internal.node.pool_owner import PoolOwner
@@ -64,6 +65,14 @@
             for pool, owner in self._owned.owners.items()
         }
 
+    def read_workspace_parts(self) -> dict[str, float]:
+        """Return, by pool and workspace, which part of its limit a workspace takes there."""
+        return {
+            f"{pool}/{workspace}": part
+            for pool, owner in self._owned.owners.items()
+            for workspace, part in owner.jobs.workspaces.list_parts().items()
+        }
+
     def _tell_slow(self, owner: PoolOwner) -> None:
         self._events.write(
             "pool_opening_slow",
@@ -85,11 +94,22 @@
             job_count=len(owner.jobs.jobs),
             waiting=len(waiting),
             waiting_lasting=sum(task.step.is_lasting for task in waiting),
+            **_tell_workspaces(owner.jobs.workspaces),
             **_count_hosts(list(owner.jobs.hosts.values()), get_loop_s()),
             store_unconfirmed_for_s=round(owner.get_unconfirmed_s(), 3),
         )
 
 
+def _tell_workspaces(room: WorkspaceRoom) -> dict[str, Any]:
+    """Tell of the workspaces that are near their share here, and of those held back by it."""
+    parts = room.list_parts()
+    told = {
+        name: [round(parts.get(name, 0.0), 3), round(room.get_share(name), 3)]
+        for name in room.list_told()
+    }
+    return {"workspaces": told, "held_back": sorted(room.held_back)} if told else {}
+
+
 def _count_hosts(hosts: list[Host], now_s: float) -> dict[str, Any]:
     """Count hosts by how they are heard, and find the lease with runs that ends first."""
     counts = Counter(host.contact.value if host.is_listed else "unlisted" for host in hosts)
--- a/tests/functional/test_workspace_limits.py
+++ b/tests/functional/test_workspace_limits.py
@@ -1,6 +1,7 @@
 """A workspace's limit over three pools with three owners."""
 
 import asyncio
+import json
 
 from testtools import TestCase
 
@@ -100,6 +101,25 @@
 
         run_virtual(work())
 
+    def test_lines_and_gauge_tell_why_work_waits_and_what_its_workspace_takes(self) -> None:
+        async def work() -> None:
+            platform = await start_limited()
+            await Feeder(platform).feed(MAPS, "press", FLOOD_PER_S, 4)
+            name = get_owner(platform, "press")
+            assert name is not None
+            parts = platform.nodes[name].assembled.standing.read_workspace_parts()
+            # Beside the part that the two other pools keep it has the whole limit, in whole tasks.
+            self.assertGreater(parts[f"press/{MAPS}"], 0.7)
+            lines = [json.loads(line) for line in platform.events]
+            waits = [line for line in lines if line["event"] == "job_waits"][-1]
+            self.assertEqual((MAPS, True), (waits["workspace"], waits["waits_for_workspace"]))
+            self.assertEqual(list(LIMIT.astuple()), waits["workspace_limit"])
+            standings = [line for line in lines if line["event"] == "owner_standing"]
+            told = [line for line in standings if line["pool"] == "press"][-1]
+            self.assertIn(MAPS, told["workspaces"])
+
+        run_virtual(work())
+
     def test_limit_of_one_task_lets_pools_begin_one_after_the_other(self) -> None:
         async def work() -> None:
             platform = await start_limited(limit=TASK_ROOM)
