A new steward does not take a fallen limit for settled before it has heard all pools

What users would see: after a limit had fallen and its steward was replaced, a pool with a new owner could begin tasks although another pool, not heard yet, held more than the whole limit.

Cause: a fall counts as settled once all pools that were heard have told what they hold; of no pool heard, all have.

Change: settled only once all pools were heard.

--- a/src/robinthread/_internal/node/share_keeper.py
+++ b/src/robinthread/_internal/node/share_keeper.py
@@ -99,9 +99,10 @@
     ) -> None:
         """Decide what the pools that have confirmed their last shares are told next."""
         self._pools = {pool: known for pool, known in self._pools.items() if pool in pools}
-        self._note_fallen(config, fell_in)
+        are_all_heard = len(self._pools) == len(pools)
+        self._note_fallen(config, fell_in, are_all_heard)
         kept = self._kept_share / max(1, len(pools))
-        if len(self._pools) == len(pools):
+        if are_all_heard:
             defaults = self._find_defaults()
             named = self._deal_all(config, kept, defaults)
         elif now_s - self._began_at_s >= HEARD_WITHIN_S:
@@ -116,7 +117,9 @@
                 known.pending = table
         self._tell(named)
 
-    def _note_fallen(self, config: FleetConfig, fell_in: Mapping[str, int]) -> None:
+    def _note_fallen(
+        self, config: FleetConfig, fell_in: Mapping[str, int], are_all_heard: bool
+    ) -> None:
         """Note of which workspaces more may run than their limit allows."""
         for workspace, version in fell_in.items():
             if self._fell_in.get(workspace) != version:
@@ -124,7 +127,8 @@
         self._unsettled = {
             workspace: version
             for workspace, version in self._unsettled.items()
-            if workspace in config.limits and not self._has_settled(workspace, version)
+            if workspace in config.limits
+            and not (are_all_heard and self._has_settled(workspace, version))
         }
 
     def _has_settled(self, workspace: str, version: int) -> bool:
--- a/tests/unit/test_share_keeper.py
+++ b/tests/unit/test_share_keeper.py
@@ -129,3 +129,21 @@
         pools.settle(fallen, fell_in)
         self.assertLessEqual(pools.get_share("b"), 0.4 + 1e-6)
         self.assertGreater(pools.get_share("b"), 0.1)
+
+    def test_new_steward_gives_nothing_after_a_fall_before_it_has_heard_all(self) -> None:
+        pools, fallen, fell_in = _Pools(), make_config(2, 1000), {"maps": 2}
+        pools.settle(make_config(1, 2000))
+        # The pool that holds more than the whole limit has lost its owner, and so has the other.
+        pools.used["a"] = 1500
+        later = _Pools(token=2, began_at_s=10.0)
+        later.used, later.states = pools.used, {"a": pools.states["a"], "b": ShareState()}
+        shares = set()
+        for step in range(20):
+            later.step(fallen, fell_in, answering=("b",), now_s=10.0 + step * HEARD_WITHIN_S / 4)
+            shares.add(later.get_share("b"))
+        self.assertEqual({0.0}, shares)
+        later.settle(fallen, fell_in)
+        self.assertLessEqual(later.get_share("b"), 1e-6)
+        later.used["a"] = 0
+        later.settle(fallen, fell_in)
+        self.assertAlmostEqual(0.5, later.get_share("b"))
