--- a/tests/functional/test_jobs_of_workspaces.py
+++ b/tests/functional/test_jobs_of_workspaces.py
@@ -171,3 +171,43 @@
                 )
 
         run_virtual(work())
+
+    def test_node_that_cannot_hear_the_store_goes_on_and_learns_when_it_can_again(self) -> None:
+        async def work() -> None:
+            platform = await start_platform(nodes=6)
+            queue = replace(QUEUE, is_public=False)
+            away = {"node1", "node4"}
+
+            def put(version: int, keys: list[str]) -> None:
+                maps = WorkspacePolicy("maps", digest_keys(keys))
+                platform.configure(version, (queue,), POOLS, (maps,))
+
+            async def wait_for(names: set[str], keys: list[str]) -> float:
+                return await wait_until(
+                    lambda: all(list_known(platform, name) == keys for name in names), 10.0
+                )
+
+            put(2, ["a", "b"])
+            await wait_for(set(platform.nodes), ["a", "b"])
+            platform.store.faults.silent |= away
+            put(3, ["b"])
+            # Versions that follow each other fast, as in a storm.
+            for version in range(4, 24):
+                await asyncio.sleep(0.1)
+                put(version, ["b"])
+            took_s = await wait_for(platform.nodes.keys() - away, ["b"])
+            self.assertLess(took_s, CONFIG_APPLY_S)
+            await asyncio.sleep(5)
+            for name in away:
+                self.assertEqual(["a", "b"], list_known(platform, name))
+            platform.store.faults.silent -= away
+            # It counts as in touch 3 s after the store is there again.
+            took_s = await wait_for(set(platform.nodes), ["b"])
+            self.assertLess(took_s, 3.0 + CONFIG_APPLY_S)
+            platform.kill_node("node2")
+            platform.start_node("node2")
+            holder = platform.nodes["node2"].assembled.config_holder
+            await wait_until(lambda: holder.config is not None)
+            self.assertEqual(["b"], list_known(platform, "node2"))
+
+        run_virtual(work())
