--- /dev/null
+++ b/bench/share_slopes.py
@@ -0,0 +1,64 @@
+"""What dealing out workspaces' limits costs a steward: ``python -m bench.share_slopes``."""
+
+import time
+
+import msgspec
+
+from robinthread._internal.fleet.pool_report import PoolReport
+from robinthread._internal.models.fleet_config import FleetConfig, make_fleet_config
+from robinthread._internal.models.resources import Resources
+from robinthread._internal.models.workspace_policy import WorkspacePolicy
+from robinthread._internal.models.workspace_shares import ShareState, WorkspaceStanding
+from robinthread._internal.node.share_keeper import ShareKeeper
+from robinthread._internal.telemetry.event_log import EventLog
+
+# Pools, and workspaces that want more than their even share in each of them.
+SIZES = ((4, 0), (4, 20), (144, 0), (144, 20))
+WORKSPACES = 270
+LIMIT = Resources(1_000_000, 0)
+STEPS = 6
+
+
+def measure(pool_count: int, wanting_count: int) -> tuple[float, int]:
+    """Return milliseconds of the longest step of the steward, and bytes of an order."""
+    names = [f"workspace-{number}" for number in range(WORKSPACES)]
+    config = make_fleet_config(
+        1, (), (), 1000, tuple(WorkspacePolicy(name, limit=LIMIT) for name in names)
+    )
+    standings = tuple(
+        WorkspaceStanding(name, (5_000, 0, 0), (90_000, 0, 0), (2_000, 0, 0))
+        for name in names[:wanting_count]
+    )
+    pools = [f"pool-{number}" for number in range(pool_count)]
+    keeper = ShareKeeper(1, 0.2, 0.0, EventLog("bench", lambda line: None))
+    took_s = max(_take_step(keeper, config, pools, standings) for _ in range(STEPS))
+    order = keeper.make_order(pools[0], config)
+    return took_s * 1000, len(msgspec.msgpack.encode(order))
+
+
+def _take_step(
+    keeper: ShareKeeper,
+    config: FleetConfig,
+    pools: list[str],
+    standings: tuple[WorkspaceStanding, ...],
+) -> float:
+    orders = {pool: keeper.make_order(pool, config) for pool in pools}
+    reports = {
+        pool: PoolReport(
+            True,
+            share_state=ShareState(order.token, order.number, order.table),
+            workspaces=standings,
+        )
+        for pool, order in orders.items()
+        if order is not None
+    }
+    began_at_s = time.process_time()
+    keeper.note_reports(reports)
+    keeper.decide(config, {}, pools, 0.0)
+    return time.process_time() - began_at_s
+
+
+if __name__ == "__main__":
+    for size in SIZES:
+        took_ms, order_bytes = measure(*size)
+        print(f"{size[0]} pools, {size[1]} wanting: {took_ms:.2f} ms, {order_bytes} bytes")
