An owner that no steward reaches begins limited work by the part of a limit that is never lent

What callers would see: a pool whose new owner the steward can't reach (a cut between the two, both served by the store) starts nothing of any limited workspace for as long as that lasts. Found by reading.

Cause: a new owner waits to be told its shares, without end.

Change: after 1 s without a word it goes by the part that is never lent, unless it knows that the limit has fallen; a steward that first hears such an owner counts that part as held. The share that each pool keeps is worked out in one place.

Evidence: a new test in tests/functional/test_workspace_limits.py failed before (nothing within 3 s) and passes; 23 tests of limits and shares pass.

--- a/bench/share_slopes.py
+++ b/bench/share_slopes.py
@@ -6,6 +6,7 @@
 
 from robinthread._internal.fleet.pool_report import PoolReport
 from robinthread._internal.models.fleet_config import FleetConfig, make_fleet_config
+from robinthread._internal.models.pool_policy import PoolPolicy
 from robinthread._internal.models.resources import Resources
 from robinthread._internal.models.workspace_policy import WorkspacePolicy
 from robinthread._internal.models.workspace_shares import ShareState, WorkspaceStanding
@@ -21,28 +22,27 @@
 
 def measure(pool_count: int, wanting_count: int) -> tuple[float, int]:
     """Return milliseconds of the longest step of the steward, and bytes of an order."""
+    pools = tuple(PoolPolicy(f"pool-{number}") for number in range(pool_count))
     names = [f"workspace-{number}" for number in range(WORKSPACES)]
     config = make_fleet_config(
-        1, (), (), 1000, tuple(WorkspacePolicy(name, limit=LIMIT) for name in names)
+        1, (), pools, 1000, tuple(WorkspacePolicy(name, limit=LIMIT) for name in names)
     )
     standings = tuple(
         WorkspaceStanding(name, (5_000, 0, 0), (90_000, 0, 0), (2_000, 0, 0))
         for name in names[:wanting_count]
     )
-    pools = [f"pool-{number}" for number in range(pool_count)]
     keeper = ShareKeeper(1, 0.2, 0.0, EventLog("bench", lambda line: None))
-    took_s = max(_take_step(keeper, config, pools, standings) for _ in range(STEPS))
-    order = keeper.make_order(pools[0], config)
+    took_s = max(_take_step(keeper, config, standings) for _ in range(STEPS))
+    order = keeper.make_order(pools[0].name, config)
     return took_s * 1000, len(msgspec.msgpack.encode(order))
 
 
 def _take_step(
     keeper: ShareKeeper,
     config: FleetConfig,
-    pools: list[str],
     standings: tuple[WorkspaceStanding, ...],
 ) -> float:
-    orders = {pool: keeper.make_order(pool, config) for pool in pools}
+    orders = {pool: keeper.make_order(pool, config) for pool in config.list_working_pools()}
     reports = {
         pool: PoolReport(
             True,
@@ -53,8 +53,8 @@
         if order is not None
     }
     began_at_s = time.process_time()
-    keeper.note_reports(reports)
-    keeper.decide(config, {}, pools, 0.0)
+    keeper.note_reports(config, reports)
+    keeper.decide(config, {}, 0.0)
     return time.process_time() - began_at_s
 
 
--- a/src/robinthread/_internal/fleet/share_dealing.py
+++ b/src/robinthread/_internal/fleet/share_dealing.py
@@ -10,6 +10,8 @@
 from dataclasses import dataclass
 from typing import Final
 
+from robinthread._internal.models.fleet_config import FleetConfig
+
 # Halvings of the level to which shares are filled: finer than a task's part of any limit.
 LEVEL_STEPS: Final = 24
 
@@ -33,6 +35,11 @@
         return max(self.used, self.bound)
 
 
+def get_kept_share(kept_share: float, config: FleetConfig) -> float:
+    """Return the share of each limit that every pool keeps: that part is never lent."""
+    return kept_share / max(1, len(config.list_working_pools()))
+
+
 def deal_shares(uses: Mapping[str, PoolUse], room: float, kept: float) -> dict[str, float]:
     """Return the share that each pool should have, of ``room`` in all.
 
--- a/src/robinthread/_internal/jobs/workspace_room.py
+++ b/src/robinthread/_internal/jobs/workspace_room.py
@@ -22,7 +22,8 @@
 
     All that may be running counts: what was recorded before it was sent, also by earlier
     owners, until its end is known.  ``held_back`` are the workspaces whose tasks would have
-    begun in the last look, with what the first of them takes.
+    begun in the last look, with what the first of them takes.  ``untold_share`` may be used
+    where no steward has told any share.
     """
 
     def __init__(self) -> None:
@@ -31,6 +32,7 @@
         self._fell_in: Mapping[str, int] = {}
         self._state = ShareState()
         self.held_back: dict[str, Resources] = {}
+        self.untold_share = 0.0
 
     def set_limits(self, config: FleetConfig, fell_in: Mapping[str, int]) -> None:
         """Take the limits in force, and the versions in which limits last fell."""
@@ -61,7 +63,9 @@
         One from before the limit fell says nothing: other pools may hold more than all of it.
         """
         table = self._state.table
-        if table is None or table.config_version < self._fell_in.get(workspace, 0):
+        if table is None:
+            return 0.0 if workspace in self._fell_in else self.untold_share
+        if table.config_version < self._fell_in.get(workspace, 0):
             return 0.0
         return table.get(workspace)
 
--- a/src/robinthread/_internal/models/fleet_config.py
+++ b/src/robinthread/_internal/models/fleet_config.py
@@ -29,6 +29,10 @@
         queues = self.by_host.get(host, ())
         return next((queue for queue in queues if path.startswith(queue.path_prefix)), None)
 
+    def list_working_pools(self) -> list[str]:
+        """List the pools that run jobs: all but the reserve's."""
+        return [pool.name for pool in self.pools.values() if not pool.is_reserve]
+
     def find_workspace(self, key: str) -> str | None:
         """Return the workspace that a key speaks for, or None for an unknown key."""
         return self.workspace_by_key.get(digest_key(key))
--- a/src/robinthread/_internal/node/pool_owner.py
+++ b/src/robinthread/_internal/node/pool_owner.py
@@ -8,6 +8,7 @@
 from robinthread._internal.durable.settled_record import make_settled_record
 from robinthread._internal.durable.store import Partition
 from robinthread._internal.fleet.pool_report import FleetQuestion, PoolReport
+from robinthread._internal.fleet.share_dealing import get_kept_share
 from robinthread._internal.jobs.demand import DemandMeter
 from robinthread._internal.jobs.job import Job
 from robinthread._internal.jobs.pool_jobs import PoolJobs
@@ -49,6 +50,9 @@
 # From a machine's arrival in the pool to the first task on it: its entry in the
 # store, and a first look at it.
 HOST_START_S: Final = 0.3
+# An owner that no steward has told any shares of limits begins work by the part that is never
+# lent after so long: the steward may be cut off from it, or lost as well.
+UNTOLD_S: Final = 1.0
 
 
 class PoolOwner:
@@ -190,8 +194,12 @@
     def _take_limits(self) -> None:
         """Have workspaces bound by the configuration in force."""
         holder = self._context.config_holder
-        if holder.config is not None:
-            self.jobs.workspaces.set_limits(holder.config, holder.limit_fell_in)
+        if holder.config is None:
+            return
+        self.jobs.workspaces.set_limits(holder.config, holder.limit_fell_in)
+        if get_loop_s() - self._runtime.opened_at_s >= UNTOLD_S:
+            kept = self._context.policy.workspaces.kept_share
+            self.jobs.workspaces.untold_share = get_kept_share(kept, holder.config)
 
     async def _load_progress(self) -> None:
         """Shut out older owners, then read what they have recorded, and of which jobs."""
--- a/src/robinthread/_internal/node/share_keeper.py
+++ b/src/robinthread/_internal/node/share_keeper.py
@@ -1,11 +1,16 @@
 """Keeping, at the steward, what each pool may let each workspace take."""
 
-from collections.abc import Collection, Mapping
+from collections.abc import Mapping
 from dataclasses import dataclass, field
 from typing import Final
 
 from robinthread._internal.fleet.pool_report import PoolReport
-from robinthread._internal.fleet.share_dealing import PoolUse, deal_shares, find_next_shares
+from robinthread._internal.fleet.share_dealing import (
+    PoolUse,
+    deal_shares,
+    find_next_shares,
+    get_kept_share,
+)
 from robinthread._internal.models.fleet_config import FleetConfig
 from robinthread._internal.models.resources import Resources
 from robinthread._internal.models.workspace_shares import (
@@ -19,7 +24,6 @@
 # the part that is never lent: most owners of lost pools are there by then, and a task of a
 # workspace that is under half of its limit may wait 3 s at most.
 HEARD_WITHIN_S: Final = 1.0
-NO_SHARES: Final = ShareTable(0, 0.0)
 # Shares that differ by less are the same.
 USUAL_WITHIN: Final = 1e-6
 # A workspace that takes no more of its even share in each pool needs no shares of its own.
@@ -28,12 +32,21 @@
 
 @dataclass
 class _PoolShares:
-    """What a pool may hold: what it ``confirmed`` last, and what it was told since."""
+    """What a pool may hold: what it ``confirmed`` last, and what it was told since.
+
+    One that ``was_told`` nothing yet may hold what is never lent, and is not told that yet.
+    """
 
     confirmed: ShareTable
+    was_told: bool
     pending: ShareTable | None = None
     standings: Mapping[str, WorkspaceStanding] = field(default_factory=dict)
 
+    @property
+    def order(self) -> ShareTable | None:
+        """Return the shares to send."""
+        return self.told if self.was_told or self.pending is not None else None
+
     @property
     def told(self) -> ShareTable:
         """Return what the pool is to go by."""
@@ -79,29 +92,30 @@
             return None
         self._number += 1
         known = self._pools.get(pool)
-        return ShareOrder(self._token, self._number, None if known is None else known.told)
+        return ShareOrder(self._token, self._number, None if known is None else known.order)
 
-    def note_reports(self, reports: Mapping[str, PoolReport]) -> None:
+    def note_reports(self, config: FleetConfig, reports: Mapping[str, PoolReport]) -> None:
         """Take in what pools answered to their last orders."""
+        untold = ShareTable(0, get_kept_share(self._kept_share, config))
         for pool, report in reports.items():
             state = report.share_state
             if state is None or state.token != self._token:
                 continue
             known = self._pools.get(pool)
             if known is None:
-                known = self._pools[pool] = _PoolShares(state.table or NO_SHARES)
-            elif state.table == known.pending:
-                known.confirmed, known.pending = known.told, None
+                known = _PoolShares(state.table or untold, was_told=state.table is not None)
+                self._pools[pool] = known
+            elif known.pending is not None and state.table == known.pending:
+                known.confirmed, known.pending, known.was_told = known.pending, None, True
             known.standings = {standing.name: standing for standing in report.workspaces}
 
-    def decide(
-        self, config: FleetConfig, fell_in: Mapping[str, int], pools: Collection[str], now_s: float
-    ) -> None:
+    def decide(self, config: FleetConfig, fell_in: Mapping[str, int], now_s: float) -> None:
         """Decide what the pools that have confirmed their last shares are told next."""
+        pools = config.list_working_pools()
         self._pools = {pool: known for pool, known in self._pools.items() if pool in pools}
         are_all_heard = len(self._pools) == len(pools)
         self._note_fallen(config, fell_in, are_all_heard)
-        kept = self._kept_share / max(1, len(pools))
+        kept = get_kept_share(self._kept_share, config)
         if are_all_heard:
             defaults = self._find_defaults()
             named = self._deal_all(config, kept, defaults)
@@ -113,7 +127,8 @@
         for pool, known in self._pools.items():
             shares = {workspace: told[pool] for workspace, told in named.items()}
             table = ShareTable(config.version, defaults[pool], shares)
-            if known.pending is None and table != known.confirmed:
+            is_news = table != known.confirmed or not known.was_told
+            if known.pending is None and is_news:
                 known.pending = table
         self._tell(named)
 
--- a/src/robinthread/_internal/node/steward.py
+++ b/src/robinthread/_internal/node/steward.py
@@ -216,13 +216,13 @@
         config = holder.config
         if config is None:
             return {}
-        pools = [policy.name for policy in config.pools.values() if not policy.is_reserve]
+        pools = config.list_working_pools()
         answers = await asyncio.gather(*(self._ask_pool(pool, config) for pool in pools))
         reports = {
             pool: report for pool, report in zip(pools, answers, strict=True) if report.is_owner
         }
-        self._shares.note_reports(reports)
-        self._shares.decide(config, holder.limit_fell_in, pools, get_loop_s())
+        self._shares.note_reports(config, reports)
+        self._shares.decide(config, holder.limit_fell_in, get_loop_s())
         return reports
 
     async def _ask_pool(self, pool: str, config: FleetConfig) -> PoolReport:
--- a/tests/functional/test_workspace_limits.py
+++ b/tests/functional/test_workspace_limits.py
@@ -101,6 +101,26 @@
 
         run_virtual(work())
 
+    def test_owner_that_the_steward_cannot_reach_begins_by_the_part_never_lent(self) -> None:
+        async def work() -> None:
+            platform = await start_limited()
+            feeder, steward = Feeder(platform), get_steward(platform)
+            assert steward is not None
+            # No node reaches the steward, which the store still serves, and an owner is lost.
+            pool = next(pool for pool in POOLS if get_owner(platform, pool) != steward)
+            platform.cut_nodes.add(steward)
+            lost = get_owner(platform, pool)
+            assert lost is not None
+            platform.kill_node(lost)
+            await wait_until(lambda: get_owner(platform, pool) is not None)
+            opened_at_s = asyncio.get_running_loop().time()
+            await feeder.hand_in(MAPS, pool)
+            await wait_until(lambda: bool(platform.hosts.ledger.runs), WAIT_MAX_S)
+            self.assertLess(platform.hosts.ledger.runs[0].began_at_s - opened_at_s, WAIT_MAX_S)
+            self.assertEqual([], find_breaks(platform))
+
+        run_virtual(work())
+
     def test_lines_and_gauge_tell_why_work_waits_and_what_its_workspace_takes(self) -> None:
         async def work() -> None:
             platform = await start_limited()
--- a/tests/unit/test_share_keeper.py
+++ b/tests/unit/test_share_keeper.py
@@ -4,6 +4,7 @@
 
 from robinthread._internal.fleet.pool_report import PoolReport
 from robinthread._internal.models.fleet_config import FleetConfig, make_fleet_config
+from robinthread._internal.models.pool_policy import PoolPolicy
 from robinthread._internal.models.resources import Resources
 from robinthread._internal.models.workspace_policy import WorkspacePolicy
 from robinthread._internal.models.workspace_shares import (
@@ -22,7 +23,7 @@
 def make_config(version: int, cpu_millicores: int) -> FleetConfig:
     """Make a configuration with one workspace."""
     maps = WorkspacePolicy("maps", limit=Resources(cpu_millicores))
-    return make_fleet_config(version, (), (), 1000, (maps,))
+    return make_fleet_config(version, (), tuple(map(PoolPolicy, POOLS)), 1000, (maps,))
 
 
 class _Pools:
@@ -44,8 +45,8 @@
         """Have the keeper ask the pools once and decide; return what they go by."""
         orders = {pool: self.keeper.make_order(pool, config) for pool in POOLS}
         reports = {pool: self._answer(pool, orders[pool]) for pool in answering}
-        self.keeper.note_reports(reports)
-        self.keeper.decide(config, fell_in or {}, POOLS, now_s)
+        self.keeper.note_reports(config, reports)
+        self.keeper.decide(config, fell_in or {}, now_s)
         return {pool: state.table for pool, state in self.states.items()}
 
     def _answer(self, pool: str, order: ShareOrder | None) -> PoolReport:
@@ -112,8 +113,8 @@
         pools.step(config)
         pools.states["b"] = ShareState(2, 1, ShareTable(1, 0.9))
         report = PoolReport(True, share_state=pools.states["b"])
-        pools.keeper.note_reports({"b": report})
-        pools.keeper.decide(config, {}, POOLS, 0.0)
+        pools.keeper.note_reports(config, {"b": report})
+        pools.keeper.decide(config, {}, 0.0)
         order = pools.keeper.make_order("b", config)
         assert order is not None
         self.assertEqual(1, order.token)
