A steward counts what new owners tell of their runs, also where it knows of no fallen limit

Trace: the limit falls at 10.45 s while its steward and an owner are lost; the steward begins anew at 11.45 s with the fallen limit as its first configuration, so it knows of no fall. Two pools get new owners at 12.63 s. They tell what they inherited, and the steward leaves that out: it counted only pools that had confirmed a share of the workspace's own, and took the others to hold no more than their share. It gave the third pool 0.87.

Change: whatever a pool tells counts. Before all are heard, nothing of a workspace begins where the pools that were heard hold more than there is.

--- a/src/robinthread/_internal/node/share_keeper.py
+++ b/src/robinthread/_internal/node/share_keeper.py
@@ -121,7 +121,12 @@
             named = self._deal_all(config, kept, defaults)
         elif now_s - self._began_at_s >= HEARD_WITHIN_S:
             defaults = {pool: max(kept, known.default_bound) for pool, known in self._pools.items()}
-            named = {workspace: self._keep(workspace, kept) for workspace in self._list_named()}
+            unheard_count = len(pools) - len(self._pools)
+            named = {
+                workspace: self._keep(workspace, limit, kept, 1.0 - unheard_count * kept)
+                for workspace in self._list_named()
+                if (limit := config.limits.get(workspace)) is not None
+            }
         else:
             return
         for pool, known in self._pools.items():
@@ -165,13 +170,25 @@
         }
         return find_next_shares(uses, dict.fromkeys(uses, 1 / len(uses)), 1.0)
 
-    def _keep(self, workspace: str, kept: float) -> dict[str, float]:
-        """Have each pool keep its share, and what is never lent unless the limit fell."""
+    def _keep(self, workspace: str, limit: Resources, kept: float, room: float) -> dict[str, float]:
+        """Have each pool keep its share, and what is never lent where there is ``room`` for it.
+
+        There is none where the limit fell, as far as that is known here, or as pools tell.
+        """
         version = self._unsettled.get(workspace)
         if version is None:
-            return {
-                pool: max(kept, known.get_bound(workspace)) for pool, known in self._pools.items()
+            uses = {
+                pool: _make_use(
+                    known.standings.get(workspace, WorkspaceStanding(workspace, (0, 0, 0))),
+                    limit,
+                    known.get_bound(workspace),
+                )
+                for pool, known in self._pools.items()
             }
+            if sum(use.held for use in uses.values()) > room + USUAL_WITHIN:
+                return dict.fromkeys(uses, 0.0)
+            targets = {pool: max(kept, use.bound) for pool, use in uses.items()}
+            return find_next_shares(uses, targets, room)
         return {
             pool: known.get_bound(workspace) if known.confirmed.config_version >= version else 0.0
             for pool, known in self._pools.items()
@@ -199,7 +216,7 @@
         uses = {
             pool: _make_use(known.standings[workspace], limit, known.get_bound(workspace))
             for pool, known in self._pools.items()
-            if workspace in known.standings and workspace in known.confirmed.shares
+            if workspace in known.standings
         }
         told = {pool: known.get_bound(workspace) for pool, known in self._pools.items()}
         if uses:
--- a/tests/functional/test_drawn_limits.py
+++ b/tests/functional/test_drawn_limits.py
@@ -5,9 +5,13 @@
 from tests.lib.drawn_limits import find_on_limit_day
 
 FRESH_SEEDS = (0, 1, 2, 3)
+# Days that have shown a fault once, and its cause.
+FAILED_SEEDS = {
+    108: "a steward that began after a fall did not count what a new owner told of its runs",
+}
 
 
 class DrawnLimitsTest(TestCase):
     def test_no_workspace_goes_over_its_limit_or_waits_while_it_is_under_half_of_it(self) -> None:
-        found = {seed: find_on_limit_day(seed) for seed in FRESH_SEEDS}
+        found = {seed: find_on_limit_day(seed) for seed in (*FRESH_SEEDS, *FAILED_SEEDS)}
         self.assertEqual({}, {seed: day for seed, day in found.items() if not day.is_clean})
--- a/tests/unit/test_share_keeper.py
+++ b/tests/unit/test_share_keeper.py
@@ -148,3 +148,28 @@
         later.used["a"] = 0
         later.settle(fallen, fell_in)
         self.assertAlmostEqual(0.5, later.get_share("b"))
+
+    def test_new_steward_that_knows_of_no_fall_counts_what_new_owners_hold(self) -> None:
+        later, config = _Pools(token=2, began_at_s=10.0), make_config(2, 1000)
+        # A new owner of one pool holds more than its even share, from before the limit fell.
+        later.used["a"] = 900
+        shares = set()
+        for step in range(8):
+            answering = POOLS if step > 5 else ("a", "b")
+            later.step(config, answering=answering, now_s=10.0 + step)
+            shares.add(round(later.get_share("b"), 3))
+        self.assertLessEqual(max(shares), 0.1)
+        later.used["a"] = 1500
+        for step in range(8):
+            later.step(config, now_s=20.0 + step)
+        self.assertEqual(0.0, later.get_share("b"))
+
+    def test_new_steward_that_has_not_heard_all_counts_what_others_hold(self) -> None:
+        later, config = _Pools(token=2, began_at_s=10.0), make_config(2, 1000)
+        later.used["a"] = 950
+        three = make_fleet_config(
+            2, (), tuple(map(PoolPolicy, "abc")), 1000, tuple(config.workspaces.values())
+        )
+        for step in range(8):
+            later.step(three, now_s=11.0 + step)
+        self.assertEqual(0.0, later.get_share("b"))
