Keep the policy of its acceptance with each job

An owner looked a job's queue up once, when it took the job, and gave a policy of defaults where no configuration was read yet or the route was gone: one attempt, priority 0, no advice, for as long as the owner lived.

The record of a job now holds the policy that it was accepted under. An owner applies the newest one that is known, and each new configuration to the jobs that it has already. Jobs without a stored policy, which an older build accepted, wait for the configuration instead of failing.

The cause is the lookup alone: run_failed is logged once, with a failure_count of 1.

Such a node now acquires the pools that ever had an owner, and the steward waits for the configuration.

--- a/src/robinthread/_internal/jobs/job.py
+++ b/src/robinthread/_internal/jobs/job.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterator
 
+from robinthread._internal.jobs.policy_resolution import PolicySource
 from robinthread._internal.jobs.run import Run
 from robinthread._internal.jobs.task import Task
 from robinthread._internal.models.job_spec import JobSpec
@@ -20,9 +21,16 @@
     comes after all others.
     """
 
-    def __init__(self, spec: JobSpec, policy: QueuePolicy, offset: int) -> None:
+    def __init__(
+        self,
+        spec: JobSpec,
+        policy: QueuePolicy,
+        offset: int,
+        policy_source: PolicySource = PolicySource.CONFIGURATION,
+    ) -> None:
         self.spec = spec
         self.policy = policy
+        self.policy_source = policy_source
         self.offset = offset
         self.status = JobStatus.QUEUED
         self.recorded_status = JobStatus.QUEUED
@@ -137,6 +145,16 @@
             counted.last_failed_run = run.number
         return counted.failure_count
 
+    def has_attempts_left(self, task: Task) -> bool:
+        """Return whether a task has failed less often than it may.
+
+        While the job's policy is not known, that is certain only of a task that never failed.
+        """
+        if task.step.is_lasting:
+            return True
+        attempts_max = self.policy.attempts_max if self.policy_source.is_known else 1
+        return self.get_members(task)[0].failure_count < attempts_max
+
     def iter_running(self) -> Iterator[Task]:
         """Iterate over the tasks that have a run."""
         return (task for task in self.tasks.values() if task.runs)
--- a/src/robinthread/_internal/jobs/pool_jobs.py
+++ b/src/robinthread/_internal/jobs/pool_jobs.py
@@ -12,6 +12,7 @@
 from robinthread._internal.jobs.host_lease import ForeignLeases, HostLease
 from robinthread._internal.jobs.job import Job
 from robinthread._internal.jobs.outlook import Outlook
+from robinthread._internal.jobs.policy_resolution import PolicySource, ResolvedPolicy
 from robinthread._internal.jobs.progress import JobProgress, restore_progress
 from robinthread._internal.jobs.run import Run, RunPhase
 from robinthread._internal.jobs.run_times import RunTimes
@@ -35,7 +36,8 @@
     """Jobs and hosts of a pool, and the tasks that wait for a host.
 
     ``unrecorded`` are the jobs whose latest progress is not in the store yet, and ``to_stop``
-    the runs whose stop must still be ordered.  ``reserved_host_ids`` names, for some waiting
+    the runs whose stop must still be ordered.  ``exhausted`` are jobs to fail, because a task has
+    used up its attempts.  ``reserved_host_ids`` names, for some waiting
     tasks, the host that gets no other work until the task fits there.  ``foreign_leases``
     are the leases that earlier owners granted, and ``cold_start_limit`` bounds the starts on each
     cold host.  ``outlook`` is how late jobs will be, None where that does not affect their order.
@@ -51,6 +53,7 @@
         self.waiting: dict[TaskKey, Task] = {}
         self.unrecorded: dict[str, Job] = {}
         self.to_stop: list[Run] = []
+        self.exhausted: dict[str, Job] = {}
         self.reserved_host_ids: dict[TaskKey, str] = {}
         self.run_times = RunTimes()
         self.tickets = TicketCache()
@@ -69,13 +72,14 @@
         offset: int,
         now_s: float,
         progress: JobProgress | None = None,
+        policy_source: PolicySource = PolicySource.CONFIGURATION,
     ) -> Job:
         """Add a job and return it, with the progress that an earlier owner recorded.
 
         Whether its recorded runs are present, or will ever arrive, is known only when their hosts
         have reported under this owner's fencing token, which shuts out older orders.
         """
-        job = Job(spec, policy, offset)
+        job = Job(spec, policy, offset, policy_source)
         self.jobs[job.id] = job
         if progress is not None:
             restore_progress(job, progress)
@@ -102,6 +106,18 @@
             self._queue_steps(job, job.next_occurrence, range(len(job.spec.steps)))
             job.next_occurrence += 1
 
+    def set_policy(self, job: Job, resolved: ResolvedPolicy) -> None:
+        """Apply a policy to an open job; tasks that waited for it, or have used it up, follow."""
+        job.policy, job.policy_source = resolved.policy, resolved.source
+        for occurrence in list(job.iter_open_occurrences()):
+            self._queue_steps(job, occurrence, range(len(job.spec.steps)))
+
+    def fail_exhausted(self, now_ms: int) -> None:
+        """Fail the jobs of which a task has used up its attempts."""
+        exhausted, self.exhausted = self.exhausted, {}
+        for job in exhausted.values():
+            self.fail(job, now_ms)
+
     def add_host(self, record: UpstreamHost) -> Host:
         """Add a host, or update its record; return the host."""
         host = self._get_host(record.incarnation_id)
@@ -189,7 +205,8 @@
             self._record_run_time(job, task, run, now_s)
             self._complete(job, task, now_ms)
         elif end is RunEnd.FAILED and not task.step.is_lasting:
-            if job.count_failure(task, run) >= job.policy.attempts_max:
+            job.count_failure(task, run)
+            if job.policy_source.is_known and not job.has_attempts_left(task):
                 self.fail(job, now_ms)
             else:
                 self._requeue(job, task)
@@ -345,8 +362,15 @@
                     self._requeue(job, task)
 
     def _requeue(self, job: Job, task: Task) -> None:
-        if not job.status.is_final and not task.is_done and not task.runs:
+        """Queue a task that has no run, unless its job's policy forbids or awaits that."""
+        if job.status.is_final or task.is_done or task.runs:
+            return
+        if job.policy_source is PolicySource.UNREAD:
+            return
+        if job.has_attempts_left(task):
             self.waiting[task.key] = task
+        elif job.policy_source.is_known:
+            self.exhausted[job.id] = job
 
     def _stop_members(self, job: Job, task: Task) -> None:
         """Stop the remaining members of a gang; all members start again together."""
--- a/src/robinthread/_internal/models/job_spec.py
+++ b/src/robinthread/_internal/models/job_spec.py
@@ -9,6 +9,7 @@
 
 import msgspec
 
+from robinthread._internal.models.job_policy import JobPolicy
 from robinthread._internal.models.resources import Resources
 
 # Most tasks of one job.  A pool of 300 hosts with 16 cores each runs about 5,000 one-core tasks
@@ -78,6 +79,7 @@
     accepted_at_ms: int = 0
     config_version: int = 0
     workspace: str = ""
+    policy: JobPolicy | None = None
 
     @property
     def is_timed(self) -> bool:
--- a/src/robinthread/_internal/node/election.py
+++ b/src/robinthread/_internal/node/election.py
@@ -61,13 +61,12 @@
 
     def get_pools_to_acquire(self) -> list[str]:
         """Return the pools without a live owner that this node should acquire."""
-        config = self._config_holder.config
-        if config is None or not self.is_acquiring or not self._member.is_served:
+        if not self.is_acquiring or not self._member.is_served:
             return []
         if not self._member.is_settled or not self._member.is_listed:
             # Other nodes do not see this node in the list and would replace it as an owner at once.
             return self._get_pools_of_previous_incarnation()
-        wanted = sorted([*config.pools, FLEET_POOL])
+        wanted = sorted(self._list_pools())
         self._owner_liveness.retain_only(
             found.owner for pool in wanted if (found := self._table.get(pool)) is not None
         )
@@ -87,6 +86,17 @@
             if ranking[0] == self._me and self._has_no_owner(pool, lost_owners)
         ]
 
+    def _list_pools(self) -> set[str]:
+        """List the configured pools or, before a configuration is read, those ever owned.
+
+        All nodes rank the same candidates, so a pool whose first candidate waited for the
+        configuration would have no owner until then.  Jobs carry the policy that they need.
+        """
+        config = self._config_holder.config
+        if config is None:
+            return set(self._table.owners)
+        return {*config.pools, FLEET_POOL}
+
     def get_restarted_owners(self) -> dict[str, Member]:
         """Return, by pool, the newer listed incarnation of its owner's node.
 
--- a/src/robinthread/_internal/node/pool_owner.py
+++ b/src/robinthread/_internal/node/pool_owner.py
@@ -15,10 +15,10 @@
 from robinthread._internal.jobs.scheduling import place_waiting
 from robinthread._internal.jobs.suspects import clear_surviving_suspects
 from robinthread._internal.models.job_status import JobStatus
-from robinthread._internal.models.queue_policy import QueuePolicy
 from robinthread._internal.node.advice_fetcher import AdviceFetcher
 from robinthread._internal.node.context import NodeContext
 from robinthread._internal.node.hall_evacuations import HallEvacuations
+from robinthread._internal.node.job_policies import JobPolicies
 from robinthread._internal.node.order_sender import OrderSender
 from robinthread._internal.node.outlook_updater import OutlookUpdater
 from robinthread._internal.node.pool_hosts import PoolHosts
@@ -89,6 +89,7 @@
         self._retention = Retention(self._runtime, self._journal)
         self._hosts = PoolHosts(self._runtime, self._progress_recorder, self._orders)
         self.evacuations = HallEvacuations(self._runtime)
+        self._policies = JobPolicies(self._runtime)
         self._demand = DemandForecaster(
             context.settings.bounds.machine_move_s + HOST_START_S, context.policy.demand
         )
@@ -254,8 +255,10 @@
     def _add_job(self, indexed: IndexedJob) -> Job:
         spec = indexed.spec
         progress = self._progress.pop(spec.job_id, None)
-        policy = self._get_policy(spec.queue)
-        job = self.jobs.add_job(spec, policy, indexed.offset, get_loop_s(), progress)
+        resolved = self._policies.resolve(spec)
+        job = self.jobs.add_job(
+            spec, resolved.policy, indexed.offset, get_loop_s(), progress, resolved.source
+        )
         ranks = self._context.policy.workspaces.ranks_beyond_share
         job.is_beyond_share = ranks and indexed.is_beyond_share
         if progress is None:
@@ -278,11 +281,6 @@
             )
         return job
 
-    def _get_policy(self, queue: str) -> QueuePolicy:
-        config = self._context.config_holder.config
-        found = config.queues.get(queue) if config is not None else None
-        return found or QueuePolicy(queue, "", "", self.pool)
-
     async def _schedule(self) -> None:
         """Place waiting tasks and send stops whenever something has changed."""
         next_tick_s = 0.0
@@ -296,6 +294,8 @@
             began_at_s = get_loop_s()
             self.jobs.are_capacities_known = self._runtime.are_capacities_known()
             apply_workspace_limits(self._runtime)
+            self._policies.update()
+            self.jobs.fail_exhausted(self._context.get_wall_ms())
             clear_surviving_suspects(self.jobs, now_s)
             self.jobs.outlook = self._outlook_updater.update(now_s)
             place_waiting(self.jobs, now_s, self._context.get_wall_ms())
--- a/src/robinthread/_internal/node/progress_recorder.py
+++ b/src/robinthread/_internal/node/progress_recorder.py
@@ -91,6 +91,8 @@
             took_ms=took_ms,
             allowed_ms=round(get_allowed_duration_s(job, self._runtime.jobs.run_times) * 1000),
             run_count=sum(task.last_run for task in job.tasks.values()),
+            policy_source=job.policy_source.value,
+            attempts_max=job.policy.attempts_max,
             failure_count=sum(task.failure_count for task in job.tasks.values()),
         )
 
--- a/src/robinthread/_internal/node/steward.py
+++ b/src/robinthread/_internal/node/steward.py
@@ -163,7 +163,7 @@
     async def _step(self) -> None:
         is_listed = await self._list_machines()
         reports = await self._query_pools()
-        if not is_listed:
+        if not is_listed or self._context.config_holder.config is None:
             return
         if self._view_builder.machines:
             await self._waves.publish_status(
--- a/src/robinthread/_internal/platform/callers.py
+++ b/src/robinthread/_internal/platform/callers.py
@@ -11,6 +11,7 @@
 from tornado.web import Application, RequestHandler
 
 from robinthread._internal.models.fleet_config import FleetConfig
+from robinthread._internal.models.job_policy import make_job_policy
 from robinthread._internal.models.job_spec import JobSpec, StepSpec
 from robinthread._internal.models.job_status import JobStatus
 from robinthread._internal.models.queue_policy import QueuePolicy
@@ -294,6 +295,7 @@
         accepted_at_ms=int(time.time() * 1000),
         config_version=call.config.version,
         workspace=call.workspace or "",
+        policy=make_job_policy(call.queue),
     )
     if fault := spec.find_fault():
         raise ValueError(fault)
--- a/src/robinthread/_internal/standins/store_standin.py
+++ b/src/robinthread/_internal/standins/store_standin.py
@@ -43,11 +43,12 @@
 class StoreStandin:
     """Partitions and groups, with faults and with history that can be expired.
 
-    Reads of ``unreadable_topics`` time out, but writes to them work.  ``link_bytes_per_s``
-    limits by caller the throughput of the records that it reads.  Members in ``unlisted``
-    are left out of the lists of members, as if they held no partition.  ``reads`` counts
-    reads by caller and topic or group.  With ``adapts_timeouts``, calls time out as those of
-    ``PlatformStore`` do.  ``append_keys`` are the keys of all records sent, stored or not.
+    Reads of ``unreadable_topics`` time out, but writes to them work; those in ``unreadable_by``
+    time out for one caller and topic.  ``link_bytes_per_s`` limits by caller the throughput of
+    the records that it reads.  Members in ``unlisted`` are left out of the lists of members, as
+    if they held no partition.  ``reads`` counts reads by caller and topic or group.  With
+    ``adapts_timeouts``, calls time out as those of ``PlatformStore`` do.  ``append_keys`` are
+    the keys of all records sent, stored or not.
     """
 
     def __init__(self, seed: int = 1) -> None:
@@ -57,6 +58,7 @@
         self.link_bytes_per_s: dict[str, float] = {}
         self.unlisted: set[str] = set()
         self.unreadable_topics: set[str] = set()
+        self.unreadable_by: set[tuple[str, str]] = set()
         self.reads: Counter[tuple[str, str]] = Counter()
         self.append_turns = AppendTurns()
         self.adapts_timeouts = False
@@ -193,8 +195,12 @@
 
     async def _count_read(self, partition: Partition) -> None:
         """Count a read; time out if the partition's topic is unreadable."""
-        self._standin.reads[self._caller, partition.topic] += 1
-        if partition.topic in self._standin.unreadable_topics:
+        read = self._caller, partition.topic
+        self._standin.reads[read] += 1
+        if (
+            partition.topic in self._standin.unreadable_topics
+            or read in self._standin.unreadable_by
+        ):
             await asyncio.sleep(CALL_TIMEOUT_S)
             raise StoreNoAnswerError(f"topic {partition.topic} is unreadable")
 
