Take no limit for absent before the configuration is read

"Not read yet" was taken for "none".

Until a configuration is read, no workspace's task is started, and hosts' capacities must be as recent as those of hosts that do not check them.

--- a/src/robinthread/_internal/jobs/workspace_limiter.py
+++ b/src/robinthread/_internal/jobs/workspace_limiter.py
@@ -25,7 +25,8 @@
     Every run that may be running counts: from the time it was recorded, before it was sent, also
     by earlier owners, until its end is known.  ``held_back`` maps the workspaces whose tasks were
     not started in the last scheduling pass, for lack of a share, to the resources of the first
-    such task.  ``default_share`` applies until a steward has sent shares.
+    such task.  ``default_share`` applies until a steward has sent shares.  While
+    ``are_limits_known`` is False, no workspace may start a run, as any may have a limit.
     """
 
     def __init__(self) -> None:
@@ -35,6 +36,7 @@
         self._state = ShareState()
         self.held_back: dict[str, Resources] = {}
         self.default_share = 0.0
+        self.are_limits_known = True
 
     def set_limits(self, config: FleetConfig, lowered_in: Mapping[str, int]) -> None:
         """Set the limits in force, and the configuration versions that last lowered a limit."""
@@ -74,6 +76,8 @@
 
     def has_capacity(self, workspace: str, resources: Resources) -> bool:
         """Tell whether a workspace's share allows it to start a run with these resources."""
+        if workspace and not self.are_limits_known:
+            return False
         limit = self._limits.get(workspace)
         if limit is None:
             return True
--- a/src/robinthread/_internal/node/pool_runtime.py
+++ b/src/robinthread/_internal/node/pool_runtime.py
@@ -87,11 +87,11 @@
         """Return whether hosts' capacities are recent enough to place runs by them.
 
         Hosts that check their capacity reject a run that does not fit, so any age will do.
-        Other hosts start it.
+        Other hosts start it.  Before a configuration is read, any pool may have such hosts.
         """
         config = self.context.config_holder.config
         policy = config.pools.get(self.pool) if config is not None else None
-        if policy is None or policy.hosts_check_room:
+        if config is not None and (policy is None or policy.hosts_check_room):
             return True
         return self.context.get_hosts_unconfirmed_s() <= CAPACITIES_UNREAD_MAX_S
 
--- a/src/robinthread/_internal/node/workspace_limits.py
+++ b/src/robinthread/_internal/node/workspace_limits.py
@@ -14,9 +14,10 @@
 def apply_workspace_limits(runtime: PoolRuntime) -> None:
     """Apply the workspace limits of the current configuration to a pool's jobs."""
     holder = runtime.context.config_holder
+    workspaces = runtime.jobs.workspaces
+    workspaces.are_limits_known = holder.config is not None
     if holder.config is None:
         return
-    workspaces = runtime.jobs.workspaces
     workspaces.set_limits(holder.config, holder.limit_lowered_in)
     if get_loop_s() - runtime.opened_at_s >= SHARES_AWAITED_MAX_S:
         reserved_share = runtime.context.policy.workspaces.kept_share
