Conclude nothing from absence in a report that leaves out ends

A host lists 500 ends at most; an owner took a run in neither list for one that never began, also when the list was full, and queued its task. While the store is down no end can be acknowledged, so more than 500 wait.

A report now tells whether it lists all ends. While it does not, runs in neither list wait for the next reports, are not taken for hung, and do not lapse when another incarnation of their host responds. The stand-in lists 500 ends at most, so that tests reach this.

The ends left out are the cause: each second start follows a run_not_there of a run whose end is listed later.

--- a/src/robinthread/_internal/jobs/host_restart.py
+++ b/src/robinthread/_internal/jobs/host_restart.py
@@ -18,18 +18,21 @@
     requested_at_s: float,
     now_s: float,
     now_ms: int,
+    is_present_complete: bool = True,
 ) -> None:
     """End an incarnation of a host after ``host``, another incarnation, has responded.
 
     Runs that had begun have ended with the incarnation.  The other one may have carried out a
     start meant for it, or may do so later; such a run is moved to ``host``.  If the run is not
     ``present`` in the report that was requested at ``requested_at_s``, it is stopped there, and its
-    task waits until no start of that run can be carried out any more.
+    task waits until no start of that run can be carried out any more.  Unless
+    ``is_present_complete``, the report left out ends, and any run may be among them.
     """
     moved_runs = [
         run
         for run in previous.runs.values()
         if _may_be_carried_out(pool, run, present, requested_at_s)
+        or (not is_present_complete and run.phase is not RunPhase.RECORDING)
     ]
     was_known = previous.contact is not HostContact.NOT_CONTACTED or bool(previous.runs)
     if was_known and not previous.was_expected_to_end():
--- a/src/robinthread/_internal/jobs/run.py
+++ b/src/robinthread/_internal/jobs/run.py
@@ -31,10 +31,12 @@
     it is not present and never will be.  ``sent_at_s`` is when its start was first sent; None
     if the start never reached the host or was sent by an earlier owner, from whom the run then
     ``is_inherited``.  A run that ``is_alone`` was started on a host without other runs, and none
-    were added.
+    were added.  A run that ``awaits_end`` was not running at the last report, which left out ends:
+    it has probably ended, and its end will be listed.
     """
 
     __slots__ = (
+        "awaits_end",
         "checkpoint",
         "host_id",
         "is_alone",
@@ -66,6 +68,7 @@
         self.is_resumed = bool(checkpoint)
         self.is_inherited = False
         self.is_alone = False
+        self.awaits_end = False
         self.progress_percent = 0
         self.progress_at_s = 0.0
         self.recent_load: int | None = None
--- a/src/robinthread/_internal/jobs/stalls.py
+++ b/src/robinthread/_internal/jobs/stalls.py
@@ -33,6 +33,7 @@
     """Return whether a run hangs; time without progress counts only while its host is warm."""
     return (
         run.phase is RunPhase.PRESENT
+        and not run.awaits_end
         and run.progress_percent < AT_WORK_PERCENT
         and now_s - max(run.progress_at_s, host.cold.until_s) > STALL_S
     )
--- a/src/robinthread/_internal/jobs/stragglers.py
+++ b/src/robinthread/_internal/jobs/stragglers.py
@@ -112,6 +112,7 @@
             and not step.wants_one_rack
             and run.phase is RunPhase.PRESENT
             and not run.is_resumed
+            and not run.awaits_end
             and run.present_since_s is not None
             and not is_slowed(host, run)
             and host.reported_at_s - run.present_since_s >= COMPARED_AFTER_S
--- a/src/robinthread/_internal/models/host_report.py
+++ b/src/robinthread/_internal/models/host_report.py
@@ -45,13 +45,16 @@
 
 @dataclass(frozen=True, slots=True)
 class HostReport:
-    """All runs in progress and the ends that are not acknowledged yet.
+    """All runs in progress and the ends that are not acknowledged yet, oldest first.
 
     ``clock_ms`` is the time on the host's own clock.  ``host_started_at_ms`` identifies the
-    host's incarnation; None if the host does not report it.
+    host's incarnation; None if the host does not report it.  A report that is not
+    ``lists_all_ends`` may leave out ends, which are listed once the ones before are
+    acknowledged; a run that is in neither list may have ended then.
     """
 
     clock_ms: int
     running: tuple[RunningTask, ...]
     ended: tuple[EndedRun, ...]
     host_started_at_ms: int | None = None
+    lists_all_ends: bool = True
--- a/src/robinthread/_internal/node/host_incarnations.py
+++ b/src/robinthread/_internal/node/host_incarnations.py
@@ -157,7 +157,14 @@
             log_host_ended(self._events, self._runtime.pool, other, reason, get_loop_s(), host.id)
             now_ms = self._runtime.context.get_wall_ms()
             end_previous_incarnation(
-                self._jobs, other, host, present, polled_at_s, get_loop_s(), now_ms
+                self._jobs,
+                other,
+                host,
+                present,
+                polled_at_s,
+                get_loop_s(),
+                now_ms,
+                is_present_complete=report.lists_all_ends,
             )
 
     def _hold_back_work(self, host: Host) -> None:
--- a/src/robinthread/_internal/node/host_monitor.py
+++ b/src/robinthread/_internal/node/host_monitor.py
@@ -230,7 +230,7 @@
             if not await self._progress_recorder.wait(host.processed_batch, RECORD_WAIT_MAX_S):
                 return 0.0
             host.acknowledged_end = host.processed_end
-        return self._get_wait_s() if was_answering else 0.0
+        return self._get_wait_s() if was_answering and report.lists_all_ends else 0.0
 
     def _get_wait_s(self) -> float:
         """Return how many seconds the next poll may wait for an end, staggered the first time.
--- a/src/robinthread/_internal/node/host_report_handler.py
+++ b/src/robinthread/_internal/node/host_report_handler.py
@@ -1,5 +1,6 @@
 """Processing of hosts' reports on their runs."""
 
+from collections.abc import Sequence
 from typing import Any
 
 from robinthread._internal.jobs.host import Host
@@ -78,15 +79,34 @@
             if run is None:
                 self._stop_unknown(host, running)
                 continue
+            run.awaits_end = False
             run.checkpoint = running.checkpoint
             run.recent_load = running.recent_load
             run.record_progress(running.progress_percent, now_s)
             self._runtime.jobs.confirm_start(run, now_s)
         missing = [run for key, run in host.runs.items() if key not in present]
+        if not report.lists_all_ends:
+            self._await_ends(host, report, missing)
+            return
         for run in missing:
             if polled_at_s > run.settled_at_s:
                 self._forget_run(run)
 
+    def _await_ends(self, host: Host, report: HostReport, missing: Sequence[Run]) -> None:
+        """Keep the runs in neither list of a report that leaves out ends.
+
+        Any of them may have ended; the next reports tell, once the listed ends are acknowledged.
+        """
+        for run in missing:
+            run.awaits_end = True
+        self._events.gather(
+            "host_ends_left_out",
+            by={"pool": self._runtime.pool},
+            listed={"hosts": host.id},
+            listed_count=len(report.ended),
+            missing_count=len(missing),
+        )
+
     def _stop_unknown(self, host: Host, running: RunningTask) -> None:
         self._events.write(
             "unknown_run_stopped",
--- a/src/robinthread/_internal/platform/hosts.py
+++ b/src/robinthread/_internal/platform/hosts.py
@@ -44,6 +44,8 @@
 ORDER_TIMEOUT_S: Final = 0.4
 # Time that a watch may take in addition to its own wait.
 WATCH_SLACK_S: Final = 0.4
+# A host lists this many ends at most in one report.
+ENDS_PER_REPORT_MAX: Final = 500
 HOST_HEADER: Final = "X-Target-Instance"
 
 ENDS: Final = {
@@ -112,6 +114,7 @@
                 tuple(map(_parse_running, report.running)),
                 tuple(map(_parse_ended, report.finished)),
                 get_host_started_at_ms(report.born),
+                lists_all_ends=len(report.finished) < ENDS_PER_REPORT_MAX,
             )
         except (ValueError, KeyError, TypeError) as error:
             raise HostNoAnswerError(f"malformed report of host {host.id}: {error!r}") from error
--- a/src/robinthread/_internal/standins/job_host_standin.py
+++ b/src/robinthread/_internal/standins/job_host_standin.py
@@ -31,6 +31,8 @@
 STOP_S: Final = 0.2
 # Upper limit of a lease, counted from now; a longer lease is shortened to it.
 LEASE_MAX_MS: Final = 10_000
+# A report lists this many ends at most, like that of the platform's hosts.
+ENDS_PER_REPORT_MAX: Final = 500
 # Within this time after a host's capacity shrinks, all nodes must know the new capacity: the
 # time in which an entry host learns of a change, plus one heartbeat.
 CAPACITY_KNOWN_AFTER_S: Final = 4.5
@@ -160,7 +162,7 @@
     ) -> HostReport:
         """Acknowledge ended runs, extend the lease and return a report.
 
-        The report lists the ended runs with numbers above ``listed_above``.
+        The report lists the first ended runs with numbers above ``listed_above``.
         """
         self._check_token(token)
         if self._first_poll_at_s is None:
@@ -171,6 +173,7 @@
         self._ended = [end for end in self._ended if end.number > acknowledged]
         if lease_until_ms is not None:
             self._extend_lease(lease_until_ms)
+        listed = [end for end in self._ended if end.number > listed_above]
         return HostReport(
             self.clock_ms,
             tuple(
@@ -184,8 +187,9 @@
                 for present in self._present.values()
                 if not present.is_stopping
             ),
-            tuple(end for end in self._ended if end.number > listed_above),
+            tuple(listed[:ENDS_PER_REPORT_MAX]),
             self._host_started_at_ms,
+            lists_all_ends=len(listed) < ENDS_PER_REPORT_MAX,
         )
 
     async def wait_for_end(self, wait_s: float) -> None:
