--- a/src/robinthread/_internal/durable/errors.py
+++ b/src/robinthread/_internal/durable/errors.py
@@ -20,6 +20,13 @@
     """No response arrived: the call may have taken effect, or may do so later."""
 
 
+class StoreRejectedError(StoreError):
+    """The store rejected the call itself, such as a record over its limits, and changed nothing.
+
+    The same call is rejected again.
+    """
+
+
 class StoreConditionError(StoreError):
     """The append was rejected because the partition does not end at the expected offset."""
 
--- a/src/robinthread/_internal/durable/group_writer.py
+++ b/src/robinthread/_internal/durable/group_writer.py
@@ -18,6 +18,7 @@
     StoreError,
     StoreNoAnswerError,
     StoreRefusedError,
+    StoreRejectedError,
 )
 from robinthread._internal.durable.pending_record import (
     PendingRecord,
@@ -26,6 +27,11 @@
     fail_batch,
     resolve,
 )
+from robinthread._internal.durable.record_limits import (
+    RecordLimits,
+    find_excess,
+    get_size_bytes,
+)
 from robinthread._internal.durable.store import KeyedRecord, Partition, Store, WriterStamp
 
 # How long a batch is retried for a response before its outcome is reported as unknown.
@@ -47,8 +53,6 @@
 TYPICAL_SLOW_S: Final = 0.25
 # A record may wait, and then be under way, for at least this long, even after its deadline.
 RECORD_TIME_MIN_S: Final = 0.1
-# Size of a record in addition to its key and value.
-RECORD_OVERHEAD_BYTES: Final = 8
 
 
 @dataclass
@@ -81,14 +85,14 @@
         store: Store,
         partition: Partition,
         name: str,
-        batch_max_bytes: int,
+        limits: RecordLimits,
         latency: AppendLatency | None = None,
         is_store_slow: Callable[[], bool] = lambda: False,
         is_store_silent: Callable[[], bool] = lambda: False,
     ) -> None:
         self._store = store
         self._partition = partition
-        self._batch_max_bytes = batch_max_bytes
+        self._limits = limits
         self._is_store_slow = is_store_slow
         self._is_store_silent = is_store_silent
         names = (name, *(f"{name}/{number}" for number in range(1, LANES)))
@@ -109,8 +113,11 @@
         ``deadline_s`` and ``send_by_s`` are times of the event loop's clock.  A record that was
         not sent by ``send_by_s`` is refused; None stands for ``HELD_SHARE`` of the time until
         the deadline.  Raises ``StoreRefusedError`` if the record has not been and never will be
-        appended, and ``StoreNoAnswerError`` if the outcome is unknown.
+        appended, ``StoreRejectedError`` if the store will never take it, and
+        ``StoreNoAnswerError`` if the outcome is unknown.
         """
+        if excess := find_excess(record, self._limits):
+            raise StoreRejectedError(excess)
         loop = asyncio.get_running_loop()
         now_s = loop.time()
         if send_by_s is None:
@@ -222,8 +229,8 @@
         loop = asyncio.get_running_loop()
         while self._pending:
             record = self._pending[0].record
-            size_bytes += len(record.key) + len(record.value or b"") + RECORD_OVERHEAD_BYTES
-            if batch and size_bytes > self._batch_max_bytes:
+            size_bytes += get_size_bytes(record)
+            if batch and size_bytes > self._limits.call_max_bytes:
                 break
             entry = self._pending.popleft()
             cancel_timer(entry)
@@ -247,6 +254,9 @@
                 result = await self._store.append(
                     self._partition, records, stamp=stamp, timeout_s=timeout_s
                 )
+            except StoreRejectedError as rejected:
+                await self._isolate_rejected(lane, batch, rejected)
+                return
             except StoreRefusedError as refused:
                 self.latency.mark_slow()
                 if error is None:
@@ -270,6 +280,16 @@
         lane.sequence = 0
         fail_batch(batch, StoreNoAnswerError(str(error)))
 
+    async def _isolate_rejected(
+        self, lane: _Lane, batch: list[PendingRecord], error: StoreRejectedError
+    ) -> None:
+        """Append the records of a rejected batch one by one, and fail those that are rejected."""
+        if len(batch) == 1:
+            fail_batch(batch, error)
+            return
+        for entry in batch:
+            await self._append(lane, [entry])
+
     def _reject_pending(self) -> None:
         """Reject records that were not sent, so that they don't wait for an unresponsive store."""
         pending = list(self._pending)
--- a/src/robinthread/_internal/jobs/job.py
+++ b/src/robinthread/_internal/jobs/job.py
@@ -1,7 +1,12 @@
 """A job of a pool and the state of its tasks."""
 
-from collections.abc import Iterator
+from bisect import bisect_right
+from collections import Counter
+from collections.abc import Iterable, Iterator
+from itertools import accumulate
 
+from robinthread._internal.jobs.occurrence_set import OccurrenceSet
+from robinthread._internal.jobs.part_key import PartKey
 from robinthread._internal.jobs.policy_resolution import PolicySource
 from robinthread._internal.jobs.run import Run
 from robinthread._internal.jobs.task import Task
@@ -18,7 +23,10 @@
     store and the only one that may be shown: the pool's next owner could revert a status that
     is not recorded.  ``confirmed_crash_tasks`` are the tasks with a confirmed crash of a host;
     while there are any, no other task of the job is started.  A job that ``is_beyond_share``
-    comes after all others.
+    comes after all others, and one that ``is_held_back`` starts nothing.  ``changed`` are the tasks
+    whose latest state is not recorded yet.  An occurrence is ``retired`` once its tasks are done
+    and recorded; they are no longer kept.  ``is_split`` and ``recorded_parts`` tell how the job's
+    progress is stored, see ``ProgressPart``.
     """
 
     def __init__(
@@ -37,9 +45,21 @@
         self.ended_at_ms = 0
         self.has_begun = False
         self.is_beyond_share = False
+        self.is_held_back = False
         self.next_occurrence = 0
         self.confirmed_crash_tasks: set[TaskKey] = set()
         self.tasks: dict[TaskKey, Task] = {}
+        self.changed: dict[TaskKey, Task] = {}
+        self.retired = OccurrenceSet()
+        self.is_split = False
+        self.recorded_parts: set[PartKey] = set()
+        self.retired_run_count = 0
+        self.retired_failure_count = 0
+        self._done_occurrences = OccurrenceSet()
+        self._done_step_counts: Counter[int] = Counter()
+        self._first_task_numbers = tuple(
+            accumulate((step.task_count for step in spec.steps), initial=0)
+        )
         self._open_counts: dict[tuple[int, int], int] = {}
         self._step_tasks: dict[tuple[int, int], list[Task]] = {}
 
@@ -60,6 +80,26 @@
         """Return how many times the job's steps run."""
         return max(1, self.spec.occurrence_count)
 
+    @property
+    def occurrence_task_count(self) -> int:
+        """Return the number of tasks of one occurrence."""
+        return self._first_task_numbers[-1]
+
+    def get_task_number(self, key: TaskKey) -> int:
+        """Return the position of a task among all tasks of its occurrence, step by step."""
+        return self._first_task_numbers[key.step] + key.index
+
+    def iter_tasks_between(self, occurrence: int, first: int, end: int) -> Iterator[Task]:
+        """Iterate over the tasks of an occurrence by number, from ``first`` to before ``end``."""
+        first_numbers = self._first_task_numbers
+        end = min(end, first_numbers[-1])
+        step = bisect_right(first_numbers, first) - 1
+        while first < end:
+            step_end = min(end, first_numbers[step + 1])
+            step_tasks = self.get_tasks(occurrence, step)
+            yield from step_tasks[first - first_numbers[step] : step_end - first_numbers[step]]
+            first, step = step_end, step + 1
+
     def get_due_ms(self, occurrence: int) -> int:
         """Return when an occurrence is due, in ms of Unix time; 0 means at once."""
         if not self.spec.is_timed:
@@ -87,16 +127,19 @@
         return self.get_task(task.crash_task_key) if task.step.is_gang else task
 
     def has_task(self, key: TaskKey) -> bool:
-        """Return whether the key names a task of this job."""
+        """Return whether the key names a task of this job that is not retired."""
         return (
             key.job_id == self.id
             and 0 <= key.occurrence < self.occurrence_count
+            and key.occurrence not in self.retired
             and 0 <= key.step < len(self.spec.steps)
             and 0 <= key.index < self.spec.steps[key.step].task_count
         )
 
     def count_open(self, occurrence: int, step: int) -> int:
         """Return the number of tasks of a step that are not done."""
+        if occurrence in self.retired:
+            return 0
         return self._open_counts.get((occurrence, step), self.spec.steps[step].task_count)
 
     def set_done(self, task: Task) -> None:
@@ -106,6 +149,56 @@
         task.is_done = True
         place = (task.key.occurrence, task.key.step)
         self._open_counts[place] = self.count_open(*place) - 1
+        if self._open_counts[place]:
+            return
+        occurrence = task.key.occurrence
+        self._done_step_counts[occurrence] += 1
+        if self._done_step_counts[occurrence] == len(self.spec.steps):
+            self._done_occurrences.add(occurrence)
+
+    def retire(self, occurrences: Iterable[int]) -> list[int]:
+        """Drop the tasks of those occurrences that are done and have no run; return these."""
+        done = [
+            occurrence
+            for occurrence in occurrences
+            if occurrence in self._done_occurrences and not self._has_runs(occurrence)
+        ]
+        for occurrence in done:
+            self._retire_one(occurrence)
+        return done
+
+    def restore_retired(self, ranges: Iterable[tuple[int, int]]) -> None:
+        """Mark occurrences as retired that an earlier owner recorded as such."""
+        ranges = tuple(ranges)
+        self.retired.add_ranges(ranges)
+        self._done_occurrences.add_ranges(ranges)
+
+    def _has_runs(self, occurrence: int) -> bool:
+        return any(
+            task.runs
+            for step in range(len(self.spec.steps))
+            for task in self.get_tasks(occurrence, step)
+        )
+
+    def _retire_one(self, occurrence: int) -> None:
+        for step in range(len(self.spec.steps)):
+            for task in self._step_tasks.pop((occurrence, step), ()):
+                self.retired_run_count += task.last_run
+                self.retired_failure_count += task.failure_count
+                self.tasks.pop(task.key, None)
+                self.changed.pop(task.key, None)
+            self._open_counts.pop((occurrence, step), None)
+        self._done_step_counts.pop(occurrence, None)
+        self.retired.add(occurrence)
+
+    def count_runs(self) -> int:
+        """Return how many runs this owner knows of."""
+        return self.retired_run_count + sum(task.last_run for task in self.tasks.values())
+
+    def count_failures(self) -> int:
+        """Return how many failures of tasks this owner knows of."""
+        failure_counts = (task.failure_count for task in self.tasks.values())
+        return self.retired_failure_count + sum(failure_counts)
 
     def is_step_open(self, occurrence: int, step: int) -> bool:
         """Return whether all steps that a step depends on are done."""
@@ -114,19 +207,14 @@
 
     def is_all_done(self) -> bool:
         """Return whether every task of every occurrence is done."""
-        places = (
-            (occurrence, step)
-            for occurrence in range(self.occurrence_count)
-            for step in range(len(self.spec.steps))
-        )
-        return all(self.count_open(*place) == 0 for place in places)
+        return len(self._done_occurrences) == self.occurrence_count
 
     def iter_open_occurrences(self) -> Iterator[int]:
         """Iterate over the occurrences that are due and not done."""
         return (
             occurrence
-            for occurrence in range(self.next_occurrence)
-            if any(self.count_open(occurrence, step) for step in range(len(self.spec.steps)))
+            for occurrence in range(self._done_occurrences.first_missing, self.next_occurrence)
+            if occurrence not in self._done_occurrences
         )
 
     def get_members(self, task: Task) -> list[Task]:
--- a/src/robinthread/_internal/jobs/pool_jobs.py
+++ b/src/robinthread/_internal/jobs/pool_jobs.py
@@ -14,6 +14,7 @@
 from robinthread._internal.jobs.outlook import Outlook
 from robinthread._internal.jobs.policy_resolution import PolicySource, ResolvedPolicy
 from robinthread._internal.jobs.progress import JobProgress, restore_progress
+from robinthread._internal.jobs.progress_parts import restore_parts
 from robinthread._internal.jobs.run import Run, RunPhase
 from robinthread._internal.jobs.run_times import RunTimes
 from robinthread._internal.jobs.task import Task
@@ -83,6 +84,7 @@
         self.jobs[job.id] = job
         if progress is not None:
             restore_progress(job, progress)
+            restore_parts(job, progress)
             for task in list(job.tasks.values()):
                 if task.crashes and not job.status.is_final:
                     self.record_crashes(job, task, task.crashes)
@@ -103,14 +105,30 @@
             job.next_occurrence < job.occurrence_count
             and job.get_due_ms(job.next_occurrence) <= now_ms
         ):
-            self._queue_steps(job, job.next_occurrence, range(len(job.spec.steps)))
+            if job.next_occurrence not in job.retired:
+                self._queue_steps(job, job.next_occurrence, range(len(job.spec.steps)))
             job.next_occurrence += 1
 
     def set_policy(self, job: Job, resolved: ResolvedPolicy) -> None:
         """Apply a policy to an open job; tasks that waited for it, or have used it up, follow."""
         job.policy, job.policy_source = resolved.policy, resolved.source
-        for occurrence in list(job.iter_open_occurrences()):
-            self._queue_steps(job, occurrence, range(len(job.spec.steps)))
+        self._queue_open_steps(job)
+
+    def hold_back(self, job: Job) -> None:
+        """Withdraw a job's runs that are not recorded, and start none until ``release``."""
+        job.is_held_back = True
+        for task in list(job.iter_running()):
+            for run in list(task.runs):
+                if run.phase is RunPhase.RECORDING and self._remove_run(task, run):
+                    # Nothing of the run left this process, so its number can be used again.
+                    task.last_run -= 1
+        for key in [key for key in self.waiting if key.job_id == job.id]:
+            del self.waiting[key]
+
+    def release(self, job: Job) -> None:
+        """Let a job start tasks again."""
+        job.is_held_back = False
+        self._queue_open_steps(job)
 
     def fail_exhausted(self, now_ms: int) -> None:
         """Fail the jobs of which a task has used up its attempts."""
@@ -131,7 +149,7 @@
         host.add_run(run, task.resources)
         job = self.jobs[task.key.job_id]
         self.workspaces.record_start(job.spec.workspace, task.step.charged_resources)
-        self._mark_unrecorded(job)
+        self._mark_unrecorded(job, task)
         return run
 
     def fits_workspace_limit(self, task: Task) -> bool:
@@ -199,7 +217,8 @@
             task.record_last_run_time(run, self.hosts[run.host_id].reported_at_s)
         if checkpoint:
             task.checkpoint, task.checkpoint_percent = checkpoint, run.progress_percent
-        self._mark_unrecorded(job)
+        # The first member of a gang counts its failures.
+        self._mark_unrecorded(job, task, job.get_members(task)[0])
         is_done = end is RunEnd.DONE and not task.step.is_lasting
         if is_done:
             self._record_run_time(job, task, run, now_s)
@@ -230,7 +249,7 @@
         if not is_open or not 0 < number <= task.last_run:
             return False
         task.checkpoint = checkpoint or task.checkpoint
-        self._mark_unrecorded(job)
+        self._mark_unrecorded(job, task)
         self._complete(job, task, now_ms)
         return True
 
@@ -239,7 +258,7 @@
         job = self.jobs[run.task.job_id]
         task = job.get_task(run.task)
         if self._remove_run(task, run):
-            self._mark_unrecorded(job)
+            self._mark_unrecorded(job, task)
             self._requeue(job, task)
             if task.step.is_gang:
                 self._stop_members(job, task)
@@ -276,7 +295,7 @@
         job.confirmed_crash_tasks.discard(task.key)
         if any(crash.is_confirmed for crash in crashes):
             job.confirmed_crash_tasks.add(task.key)
-        self._mark_unrecorded(job)
+        self._mark_unrecorded(job, task)
 
     def is_withheld(self, task: Task) -> bool:
         """Return whether regular placement skips a task.
@@ -336,12 +355,13 @@
         if run.phase is RunPhase.OVER:
             return
         job = self.jobs[run.task.job_id]
-        resources = job.get_task(run.task).step.resources
+        task = job.get_task(run.task)
+        resources = task.step.resources
         host.remove_run(run, resources)
         run.host_id = successor.id
         run.present_since_s = None
         successor.add_run(run, resources)
-        self._mark_unrecorded(job)
+        self._mark_unrecorded(job, task)
 
     def _get_host(self, host_id: str) -> Host:
         host = self.hosts.get(host_id)
@@ -350,8 +370,9 @@
             host = self.hosts[host_id] = Host(make_unknown_host(host_id), lease)
         return host
 
-    def _mark_unrecorded(self, job: Job) -> None:
+    def _mark_unrecorded(self, job: Job, *tasks: Task) -> None:
         self.unrecorded[job.id] = job
+        job.changed.update((task.key, task) for task in tasks)
 
     def _queue_steps(self, job: Job, occurrence: int, steps: Iterable[int]) -> None:
         if job.status.is_final:
@@ -361,11 +382,15 @@
                 for task in job.get_tasks(occurrence, step):
                     self._requeue(job, task)
 
+    def _queue_open_steps(self, job: Job) -> None:
+        for occurrence in list(job.iter_open_occurrences()):
+            self._queue_steps(job, occurrence, range(len(job.spec.steps)))
+
     def _requeue(self, job: Job, task: Task) -> None:
         """Queue a task that has no run, unless its job's policy forbids or awaits that."""
         if job.status.is_final or task.is_done or task.runs:
             return
-        if job.policy_source is PolicySource.UNREAD:
+        if job.is_held_back or job.policy_source is PolicySource.UNREAD:
             return
         if job.has_attempts_left(task):
             self.waiting[task.key] = task
--- a/src/robinthread/_internal/jobs/progress.py
+++ b/src/robinthread/_internal/jobs/progress.py
@@ -2,6 +2,7 @@
 
 import itertools
 import math
+from collections.abc import Iterable, Sequence
 from dataclasses import astuple
 from typing import Final
 
@@ -62,7 +63,9 @@
 
     An ended job has no tasks once its runs are over; ``ended_at_ms`` is a Unix time.  ``hosts``
     are ids, and ``host_start_times_ms`` identifies the incarnation of each; processes of older
-    versions read only the ids.
+    versions read only the ids.  ``done_occurrences`` are ranges of occurrences whose tasks are all
+    done and have no rows, each a first number and a length.  The rows of a job that ``is_split``
+    are in records of their own, see ``ProgressPart``.
     """
 
     job_id: str
@@ -72,61 +75,104 @@
     tasks: tuple[TaskProgress, ...] = ()
     ended_at_ms: int = 0
     host_start_times_ms: tuple[int | None, ...] = ()
+    done_occurrences: tuple[tuple[int, int], ...] = ()
+    is_split: bool = False
 
     def list_incarnations(self) -> tuple[str, ...]:
         """Return the ids of the hosts' incarnations."""
-        pairs = itertools.zip_longest(self.hosts, self.host_start_times_ms)
-        return tuple(
-            make_incarnation_id(host_id, host_started_at_ms)
-            for host_id, host_started_at_ms in pairs
-        )
+        return list_incarnations(self.hosts, self.host_start_times_ms)
+
 
+def list_incarnations(
+    hosts: Sequence[str], host_start_times_ms: Sequence[int | None]
+) -> tuple[str, ...]:
+    """Return the ids of incarnations, given hosts' ids and the start times that are known."""
+    pairs = itertools.zip_longest(hosts, host_start_times_ms)
+    return tuple(
+        make_incarnation_id(host_id, host_started_at_ms) for host_id, host_started_at_ms in pairs
+    )
 
-def encode_progress(job: Job) -> bytes:
-    """Encode the progress of a job."""
+
+def encode_progress(job: Job, keeps_checkpoints: bool = True) -> bytes:
+    """Encode the progress of a job that is not split, with all tasks that were started."""
     hosts: dict[str, int] = {}
     tasks: tuple[TaskProgress, ...] = ()
     if not job.status.is_final or any(job.iter_running()):
         started = (task for task in job.tasks.values() if task.last_run)
-        tasks = tuple(_make_task_progress(task, hosts) for task in started)
-    incarnations = [split_incarnation_id(incarnation_id) for incarnation_id in hosts]
-    host_start_times_ms = tuple(host_started_at_ms for _host_id, host_started_at_ms in incarnations)
+        tasks = tuple(make_task_progress(task, hosts, keeps_checkpoints) for task in started)
+    host_ids, host_start_times_ms = list_hosts(hosts)
     progress = JobProgress(
         job.id,
         job.spec.queue,
         job.status.value,
-        tuple(host_id for host_id, _host_started_at_ms in incarnations),
+        host_ids,
         tasks,
         job.ended_at_ms,
-        host_start_times_ms
-        if any(host_started_at_ms is not None for host_started_at_ms in host_start_times_ms)
-        else (),
+        host_start_times_ms,
     )
     return msgspec.msgpack.encode(progress)
 
 
+def encode_split_job(job: Job) -> bytes:
+    """Encode the progress of a job whose tasks are recorded in parts."""
+    progress = JobProgress(
+        job.id,
+        job.spec.queue,
+        job.status.value,
+        ended_at_ms=job.ended_at_ms,
+        done_occurrences=() if job.status.is_final else job.retired.list_ranges(),
+        is_split=True,
+    )
+    return msgspec.msgpack.encode(progress)
+
+
+def list_hosts(incarnation_ids: Iterable[str]) -> tuple[tuple[str, ...], tuple[int | None, ...]]:
+    """Return hosts' ids and start times by incarnation; no times if none is known."""
+    pairs = [split_incarnation_id(incarnation_id) for incarnation_id in incarnation_ids]
+    host_ids = tuple(host_id for host_id, _host_started_at_ms in pairs)
+    start_times_ms = tuple(host_started_at_ms for _host_id, host_started_at_ms in pairs)
+    is_any_known = any(start_time_ms is not None for start_time_ms in start_times_ms)
+    return host_ids, start_times_ms if is_any_known else ()
+
+
 def decode_progress(value: bytes) -> JobProgress:
     """Decode the progress of a job; raise ``msgspec.MsgspecError`` if it is malformed."""
     progress = msgspec.msgpack.decode(value, type=JobProgress)
     if progress.status not in STATUS_VALUES:
         raise msgspec.ValidationError(f"unknown job status {progress.status!r}")
-    if len(progress.host_start_times_ms) > len(progress.hosts):
+    check_hosts(progress.hosts, progress.host_start_times_ms, progress.tasks)
+    if any(first < 0 or count < 1 for first, count in progress.done_occurrences):
+        raise msgspec.ValidationError(f"malformed ranges: {progress.done_occurrences}")
+    return progress
+
+
+def check_hosts(
+    hosts: Sequence[str],
+    host_start_times_ms: Sequence[int | None],
+    tasks: Iterable[TaskProgress],
+) -> None:
+    """Raise ``msgspec.ValidationError`` if start times or runs have no host."""
+    if len(host_start_times_ms) > len(hosts):
         raise msgspec.ValidationError(
-            f"{len(progress.host_start_times_ms)} host start times for {len(progress.hosts)} hosts"
+            f"{len(host_start_times_ms)} host start times for {len(hosts)} hosts"
         )
-    host_indexes = (run.host for task in progress.tasks for run in task.runs)
-    if any(not 0 <= host < len(progress.hosts) for host in host_indexes):
+    host_indexes = (run.host for task in tasks for run in task.runs)
+    if any(not 0 <= host < len(hosts) for host in host_indexes):
         raise msgspec.ValidationError(
-            f"a run has a host index outside the list of {len(progress.hosts)} hosts"
+            f"a run has a host index outside the list of {len(hosts)} hosts"
         )
-    return progress
 
 
 def restore_progress(job: Job, progress: JobProgress) -> None:
     """Restore a job from its recorded progress."""
     job.status = job.recorded_status = JobStatus(progress.status)
     job.ended_at_ms = progress.ended_at_ms
-    job.has_begun = any(row.last_run for row in progress.tasks)
+    job.has_begun = bool(progress.done_occurrences) or any(row.last_run for row in progress.tasks)
+    job.is_split = progress.is_split
+    job.restore_retired(
+        (first, min(count, job.occurrence_count - first))
+        for first, count in progress.done_occurrences
+    )
     incarnations = progress.list_incarnations()
     for row in progress.tasks:
         key = TaskKey(job.id, row.occurrence, row.step, row.index)
@@ -134,7 +180,10 @@
             _restore_task(job, job.get_task(key), row, incarnations)
 
 
-def _make_task_progress(task: Task, hosts: dict[str, int]) -> TaskProgress:
+def make_task_progress(
+    task: Task, hosts: dict[str, int], keeps_checkpoint: bool = True
+) -> TaskProgress:
+    """Return the row of a task; hosts that are not in ``hosts`` yet are added."""
     runs = tuple(
         RunProgress(run.number, hosts.setdefault(run.host_id, len(hosts)), run.is_alone)
         for run in task.runs
@@ -148,7 +197,7 @@
         task.last_run,
         task.failure_count,
         runs,
-        "" if task.is_done else task.checkpoint,
+        task.checkpoint if keeps_checkpoint and not task.is_done else "",
         task.last_failed_run,
         tuple(CrashProgress(*astuple(crash)) for crash in task.crashes),
     )
--- a/src/robinthread/_internal/node/assembly.py
+++ b/src/robinthread/_internal/node/assembly.py
@@ -11,6 +11,7 @@
 from robinthread._internal.durable.inbox_records import INBOX_PARTITION
 from robinthread._internal.durable.job_index import JobIndex
 from robinthread._internal.durable.keyed_follower import KeyedFollower
+from robinthread._internal.durable.member_build import all_read_parts
 from robinthread._internal.durable.ownership import Member, OwnerTable
 from robinthread._internal.durable.share_meter import ShareMeter
 from robinthread._internal.durable.store import KeyedRecord
@@ -106,7 +107,7 @@
         store,
         INBOX_PARTITION,
         f"entry/{me.node}/{me.incarnation}",
-        settings.store.call_max_bytes,
+        settings.store.record_limits,
         append_latency,
         lambda: entry_policy.gathers_while_store_slow and slow_store.is_slow_and_responding,
         lambda: member.is_store_silent,
@@ -132,6 +133,7 @@
         get_owners_unconfirmed_s=lambda: loop.time() - table.follower.confirmed_at_s,
         get_hosts_unconfirmed_s=lambda: loop.time() - hosts.confirmed_at_s,
         get_operators_unconfirmed_s=lambda: loop.time() - operators.confirmed_at_s,
+        may_split_progress=lambda: all_read_parts(member.members),
     )
     policy = environment.policy.owners
     election = Election(table, me, member, owner_liveness, config_holder, events, policy)
@@ -140,7 +142,15 @@
     handover = Handover(me, table, election, member, owned, environment.peers, events, lag)
     rebalance_planner = RebalancePlanner(me, table, election, member, handover, owned, lag, policy)
     record_writer = RecordWriter(
-        me, writer, member, handover, environment.peers, events, entry_policy, slow_store
+        me,
+        writer,
+        member,
+        handover,
+        environment.peers,
+        events,
+        entry_policy,
+        slow_store,
+        settings.store.record_limits,
     )
     job_service = JobService(me, record_writer, owned, table, environment.peers, events)
 
--- a/src/robinthread/_internal/node/job_request_outcome.py
+++ b/src/robinthread/_internal/node/job_request_outcome.py
@@ -11,6 +11,7 @@
     OWNER_UNREACHABLE: the pool's owner did not respond, so the job's state is unknown.
     UNKNOWN: an append or its relay had no response, so the request may or may not take effect.
     ID_TAKEN: a job of another workspace has this id.
+    TOO_LARGE: the store has no room for the request's record, now or later.
     """
 
     DONE = "done"
@@ -19,6 +20,7 @@
     UNKNOWN = "unknown"
     NO_SUCH_JOB = "no such job"
     ID_TAKEN = "id taken"
+    TOO_LARGE = "too large"
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/robinthread/_internal/node/node_settings.py
+++ b/src/robinthread/_internal/node/node_settings.py
@@ -2,6 +2,8 @@
 
 from dataclasses import dataclass
 
+from robinthread._internal.durable.record_limits import RecordLimits
+
 
 @dataclass(frozen=True, slots=True)
 class NodeBounds:
@@ -51,6 +53,11 @@
     call_max_bytes: int
     member_ttl_min_ms: int
 
+    @property
+    def record_limits(self) -> RecordLimits:
+        """Return the limits on the size of records and calls."""
+        return RecordLimits(self.record_max_bytes, self.call_max_bytes)
+
 
 @dataclass(frozen=True, slots=True)
 class NodeSettings:
--- a/src/robinthread/_internal/node/pool_owner.py
+++ b/src/robinthread/_internal/node/pool_owner.py
@@ -10,6 +10,7 @@
 from robinthread._internal.fleet.pool_report import FleetReportRequest, PoolReport
 from robinthread._internal.jobs.demand import DemandForecaster
 from robinthread._internal.jobs.job import Job
+from robinthread._internal.jobs.part_key import PartKey
 from robinthread._internal.jobs.pool_jobs import PoolJobs
 from robinthread._internal.jobs.progress import JobProgress
 from robinthread._internal.jobs.scheduling import place_waiting
@@ -75,10 +76,16 @@
         self.token = token
         self._partition = Partition(PROGRESS_TOPIC, partition)
         self._progress: dict[str, JobProgress] = {}
+        self._part_keys: dict[str, list[PartKey]] = {}
         self._predecessors = predecessors
         self.jobs = PoolJobs(context.policy.placement)
         self._journal = Journal(
-            context.store, self._partition, f"pool/{pool}", token, context.events
+            context.store,
+            self._partition,
+            f"pool/{pool}",
+            token,
+            context.events,
+            context.settings.store.record_limits,
         )
         self._runtime = PoolRuntime(context, pool, token, self.jobs, self._journal)
         self._orders = OrderSender(self._runtime)
@@ -129,7 +136,8 @@
         self._runtime.opened_at_s = get_loop_s()
         orphans = list(self._progress.values())
         self._progress.clear()
-        self._runtime.spawn(self._retention.drop_orphans(orphans))
+        self._runtime.spawn(self._retention.drop_orphans(orphans, self._part_keys))
+        self._part_keys = {}
         self._runtime.spawn(self._retention.run())
         self._runtime.spawn(self._advice_fetcher.run())
         self._runtime.spawn(self._progress_recorder.run())
@@ -225,6 +233,7 @@
         )
         self._predecessors.drop_settled(loaded.settled_before_token)
         self._progress.update(loaded.jobs)
+        self._part_keys = loaded.part_keys
         self._progress_count = len(self._progress)
 
     async def _settle_predecessors(self) -> None:
--- a/src/robinthread/_internal/node/process.py
+++ b/src/robinthread/_internal/node/process.py
@@ -12,6 +12,7 @@
 from tornado.httpserver import HTTPServer
 from tornado.web import Application
 
+from robinthread._internal.durable.member_build import make_incarnation
 from robinthread._internal.durable.ownership import Member
 from robinthread._internal.node.assembly import AssembledNode, assemble_node
 from robinthread._internal.node.capacity import get_capacity_millicores
@@ -86,7 +87,7 @@
     capacity_millicores = get_capacity_millicores(settings.cpu_cores, settings.link_mbps)
     me = Member(
         settings.name,
-        secrets.token_hex(4),
+        make_incarnation(secrets.token_hex(4)),
         peer_address,
         capacity_millicores,
         started_at_ms=int(time.time() * 1000),
--- a/src/robinthread/_internal/node/progress_loader.py
+++ b/src/robinthread/_internal/node/progress_loader.py
@@ -1,6 +1,7 @@
 """Loading of the job progress that earlier owners of a pool recorded."""
 
 import asyncio
+from collections import defaultdict
 from dataclasses import dataclass, field
 from typing import Final
 
@@ -10,7 +11,9 @@
 from robinthread._internal.durable.newest_reader import NewestReader
 from robinthread._internal.durable.settled_record import KEY_PREFIX, parse_settled_record
 from robinthread._internal.durable.store import KeyedRecord, NewestRecords, Partition, Store
+from robinthread._internal.jobs.part_key import PartKey, is_part_key, parse_part_key
 from robinthread._internal.jobs.progress import JobProgress, decode_progress
+from robinthread._internal.jobs.progress_parts import ProgressPart, decode_part, merge_parts
 from robinthread._internal.telemetry.event_log import EventLog
 
 # Pause before a failed read of the store is retried.
@@ -19,10 +22,14 @@
 
 @dataclass(frozen=True)
 class LoadedProgress:
-    """Progress of each job by id, and the token below which all owners' leases have lapsed."""
+    """Progress of each job by id, and the token below which all owners' leases have lapsed.
+
+    ``part_keys`` are the recorded parts of split jobs, which ``jobs`` contain, by job.
+    """
 
     jobs: dict[str, JobProgress] = field(default_factory=dict)
     settled_before_token: int = 0
+    part_keys: dict[str, list[PartKey]] = field(default_factory=dict)
 
 
 async def load_progress(
@@ -34,6 +41,7 @@
     """
     records = (await _read_all(store, partition, pool, events)).records
     found: dict[str, JobProgress] = {}
+    parts: dict[str, list[ProgressPart]] = defaultdict(list)
     settled_before_token = 0
     for record in records:
         if record.value is None:
@@ -41,11 +49,25 @@
         try:
             if record.key == KEY_PREFIX + pool:
                 settled_before_token = parse_settled_record(record).before_token
-            elif not record.key.startswith(KEY_PREFIX):
+            elif record.key.startswith(KEY_PREFIX):
+                continue
+            elif is_part_key(record.key):
+                _add_part(parts, record)
+            else:
                 _add_progress(found, record)
         except msgspec.MsgspecError as error:
             events.write("record_malformed", key=record.key, error=str(error))
-    return LoadedProgress(found, settled_before_token)
+    merged = {job_id: merge_parts(job_id, found.get(job_id), parts[job_id]) for job_id in parts}
+    part_keys = {
+        job_id: [PartKey(part.occurrence, part.number) for part in job_parts]
+        for job_id, job_parts in parts.items()
+    }
+    return LoadedProgress(found | merged, settled_before_token, part_keys)
+
+
+def _add_part(parts: dict[str, list[ProgressPart]], record: KeyedRecord) -> None:
+    job_id, key = parse_part_key(record.key)
+    parts[job_id].append(decode_part(key, record.value or b""))
 
 
 def _add_progress(found: dict[str, JobProgress], record: KeyedRecord) -> None:
--- a/src/robinthread/_internal/node/progress_recorder.py
+++ b/src/robinthread/_internal/node/progress_recorder.py
@@ -1,18 +1,27 @@
 """Recording of the progress of a pool's jobs in batches."""
 
 import asyncio
+import itertools
+from collections.abc import Collection, Iterable
+from typing import Final
 
 from robinthread._internal.durable.journal import Journal
-from robinthread._internal.durable.store import KeyedRecord
 from robinthread._internal.jobs.job import Job
 from robinthread._internal.jobs.job_timing import get_allowed_duration_s
-from robinthread._internal.jobs.progress import encode_progress
-from robinthread._internal.jobs.run import Run, RunPhase
+from robinthread._internal.jobs.run import RunPhase
 from robinthread._internal.models.job_status import JobStatus
 from robinthread._internal.node.order_sender import OrderSender
 from robinthread._internal.node.pool_runtime import PoolRuntime, get_loop_s
+from robinthread._internal.node.progress_changes import (
+    JobChanges,
+    restore_changes,
+    take_changes,
+)
 from robinthread._internal.utils.waiting import wait_for_event
 
+# A job whose records the store rejects starts nothing for this long, then is tried again.
+HELD_BACK_S: Final = 5.0
+
 
 class ProgressRecorder:
     """Writes jobs' changes to the journal, then performs the steps that depend on the record.
@@ -59,19 +68,63 @@
 
     async def _record(self, jobs: list[Job]) -> None:
         self._batches_started += 1
-        statuses = [(job, job.status) for job in jobs]
-        runs = [run for job in jobs for run in _list_unsent(job)]
-        await self._journal.write([KeyedRecord(job.id, encode_progress(job)) for job in jobs])
+        changes = self._take_all_changes(jobs)
+        rejected_keys = await self._write(changes)
+        rejected = [one for one in changes if _has_record(one, rejected_keys)]
+        if rejected:
+            changes = [one for one in changes if not _has_record(one, rejected_keys)]
+            await self._record_without_starts(rejected)
         self._batches_recorded += 1
         recorded, self._recorded = self._recorded, asyncio.Event()
         recorded.set()
-        for job, status in statuses:
-            self._publish_status(job, status)
-        for run in runs:
+        for one in changes:
+            self._publish_status(one.job, one.status)
+        for run in itertools.chain.from_iterable(one.runs for one in changes):
             if run.phase is RunPhase.RECORDING:
                 run.phase = RunPhase.SENDING
                 self._runtime.spawn(self._orders.send_start(run))
 
+    def _take_all_changes(self, jobs: Iterable[Job]) -> list[JobChanges]:
+        context = self._runtime.context
+        may_split, limits = context.may_split_progress(), context.settings.store.record_limits
+        return [take_changes(job, may_split, limits) for job in jobs]
+
+    async def _write(self, changes: Iterable[JobChanges]) -> frozenset[str]:
+        """Write the records of changes; return the keys of those that the store rejects."""
+        return await self._journal.write_accepted(
+            list(itertools.chain.from_iterable(one.records for one in changes))
+        )
+
+    async def _record_without_starts(self, rejected: Collection[JobChanges]) -> None:
+        """Record jobs whose records the store rejected, without the runs that are not sent yet.
+
+        Their other runs were recorded before, and go on.  The jobs start nothing for a while.
+        """
+        for one in rejected:
+            restore_changes(one)
+            self._runtime.jobs.hold_back(one.job)
+            self._runtime.spawn(self._release_later(one.job))
+        changes = self._take_all_changes([one.job for one in rejected])
+        rejected_keys = await self._write(changes)
+        for one in changes:
+            is_recorded = not _has_record(one, rejected_keys)
+            if is_recorded:
+                self._publish_status(one.job, one.status)
+            else:
+                restore_changes(one)
+            self._runtime.events.write(
+                "job_held_back",
+                job=one.job.id,
+                pool=self._runtime.pool,
+                for_s=HELD_BACK_S,
+                is_recorded=is_recorded,
+            )
+
+    async def _release_later(self, job: Job) -> None:
+        await asyncio.sleep(HELD_BACK_S)
+        self._runtime.jobs.release(job)
+        self._runtime.wake()
+
     def _publish_status(self, job: Job, status: JobStatus) -> None:
         if status.is_final and not job.recorded_status.is_final:
             self._log_job_end(job, status)
@@ -90,14 +143,12 @@
             outcome=status.value,
             took_ms=took_ms,
             allowed_ms=round(get_allowed_duration_s(job, self._runtime.jobs.run_times) * 1000),
-            run_count=sum(task.last_run for task in job.tasks.values()),
+            run_count=job.count_runs(),
             policy_source=job.policy_source.value,
             attempts_max=job.policy.attempts_max,
-            failure_count=sum(task.failure_count for task in job.tasks.values()),
+            failure_count=job.count_failures(),
         )
 
 
-def _list_unsent(job: Job) -> list[Run]:
-    return [
-        run for task in job.iter_running() for run in task.runs if run.phase is RunPhase.RECORDING
-    ]
+def _has_record(changes: JobChanges, keys: Collection[str]) -> bool:
+    return any(record.key in keys for record in changes.records)
--- a/src/robinthread/_internal/node/record_writer.py
+++ b/src/robinthread/_internal/node/record_writer.py
@@ -6,9 +6,14 @@
 from typing import Final
 
 from robinthread._internal.durable.append_admission import HELD_SHARE
-from robinthread._internal.durable.errors import StoreNoAnswerError, StoreRefusedError
+from robinthread._internal.durable.errors import (
+    StoreNoAnswerError,
+    StoreRefusedError,
+    StoreRejectedError,
+)
 from robinthread._internal.durable.group_writer import GroupWriter
 from robinthread._internal.durable.ownership import Member
+from robinthread._internal.durable.record_limits import RecordLimits, find_excess
 from robinthread._internal.durable.store import KeyedRecord
 from robinthread._internal.node.gatherers import AvoidedNodes, choose_gatherers
 from robinthread._internal.node.group_member import GroupMember
@@ -42,6 +47,7 @@
 
 REFUSED: Final = JobRequestResult(JobRequestOutcome.REFUSED)
 UNKNOWN: Final = JobRequestResult(JobRequestOutcome.UNKNOWN)
+TOO_LARGE: Final = JobRequestResult(JobRequestOutcome.TOO_LARGE)
 
 
 @dataclass(frozen=True, slots=True)
@@ -75,6 +81,7 @@
         events: EventLog,
         policy: EntryPolicy,
         slow_store: SlowStoreMonitor,
+        limits: RecordLimits,
     ) -> None:
         self._me = me
         self._writer = writer
@@ -83,11 +90,20 @@
         self._events = events
         self._policy = policy
         self._slow_store = slow_store
+        self._limits = limits
         self._avoided = AvoidedNodes()
         self._relays = RelayClient(peers, self._avoided)
 
     async def write(self, record: KeyedRecord, deadline_s: float) -> JobRequestResult:
-        """Append a record, here or through another node, before ``deadline_s``."""
+        """Append a record, here or through another node, before ``deadline_s``.
+
+        The outcome is TOO_LARGE, at once, if the store takes no such record.
+        """
+        if excess := find_excess(record, self._limits):
+            self._events.write(
+                "record_rejected", job=record.key.split("/")[1], key=record.key, error=excess
+            )
+            return TOO_LARGE
         now_s = asyncio.get_running_loop().time()
         write = _Write(record, now_s + HELD_SHARE * (deadline_s - now_s), deadline_s)
         result = await self._write(write)
@@ -134,7 +150,9 @@
         )
         if self._slow_store.is_slow and not request.is_gathered:
             return await self._gather(write, REFUSED)
-        return await self._append(write)
+        result = await self._append(write)
+        # Nodes of older versions do not know this outcome.
+        return REFUSED if result.outcome is JobRequestOutcome.TOO_LARGE else result
 
     async def _gather(
         self, write: _Write, before: JobRequestResult, may_append: bool = True
@@ -226,6 +244,14 @@
         record = write.record
         try:
             await self._writer.write(record, write.deadline_s, write.send_by_s)
+        except StoreRejectedError as error:
+            self._events.write(
+                "record_rejected",
+                job=record.key.split("/")[1],
+                key=record.key,
+                error=str(error),
+            )
+            return TOO_LARGE
         except StoreRefusedError as error:
             self._events.write(
                 "append_refused",
--- a/src/robinthread/_internal/node/retention.py
+++ b/src/robinthread/_internal/node/retention.py
@@ -1,7 +1,7 @@
 """Removal of jobs that ended long ago, from the store and from memory."""
 
 import asyncio
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable, Mapping
 from itertools import islice
 from typing import Final
 
@@ -9,9 +9,11 @@
 from robinthread._internal.durable.journal import Journal
 from robinthread._internal.durable.store import KeyedRecord
 from robinthread._internal.jobs.job import Job
+from robinthread._internal.jobs.part_key import PartKey
 from robinthread._internal.jobs.progress import JobProgress
 from robinthread._internal.models.job_status import JobStatus
 from robinthread._internal.node.pool_runtime import PoolRuntime, get_loop_s
+from robinthread._internal.node.progress_changes import drop_parts
 
 # Interval at which expired jobs are dropped, and the maximum per interval.  Each batch needs one
 # append for each of the two topics.
@@ -49,15 +51,26 @@
             if due:
                 await self._drop(due)
 
-    async def drop_orphans(self, unclaimed: Iterable[JobProgress]) -> None:
-        """Drop the progress of ended jobs that the inbox no longer contains."""
+    async def drop_orphans(
+        self, unclaimed: Iterable[JobProgress], part_keys: Mapping[str, Collection[PartKey]]
+    ) -> None:
+        """Drop the progress of ended jobs that the inbox no longer contains.
+
+        ``part_keys`` are the recorded parts of jobs by id.
+        """
         known = self._context.job_index.jobs
-        orphans = [
-            KeyedRecord(progress.job_id, None)
+        ended_ids = [
+            progress.job_id
             for progress in unclaimed
             if progress.job_id not in known and JobStatus(progress.status).is_final
         ]
-        await self._journal.write(orphans)
+        await self._journal.write(
+            [
+                KeyedRecord(key, None)
+                for job_id in ended_ids
+                for key in (*(key.format(job_id) for key in part_keys.get(job_id, ())), job_id)
+            ]
+        )
 
     def _is_due(self, job: Job) -> bool:
         age_ms = self._context.get_wall_ms() - job.ended_at_ms
@@ -86,7 +99,13 @@
                 error=f"{type(error).__name__}: {error}",
             )
             return
-        await self._journal.write([KeyedRecord(job.id, None) for job in jobs])
+        await self._journal.write(
+            [
+                record
+                for job in jobs
+                for record in (*drop_parts(job, job.recorded_parts), KeyedRecord(job.id, None))
+            ]
+        )
         for job in jobs:
             self._runtime.jobs.drop_job(job)
         self._runtime.events.write("jobs_dropped", pool=self._runtime.pool, count=len(jobs))
--- a/src/robinthread/_internal/node/steward.py
+++ b/src/robinthread/_internal/node/steward.py
@@ -72,13 +72,14 @@
         self._me = me
         self.token = token
         writer = "steward"
-        self._wave_journal = Journal(context.store, WAVES_PARTITION, writer, token, context.events)
-        self._status_journal = Journal(
-            context.store, self._records.status_partition, writer, token, context.events
-        )
-        self._orders_journal = Journal(
-            context.store, ORDERS_PARTITION, writer, token, context.events
-        )
+        limits = context.settings.store.record_limits
+
+        def make_journal(partition: Partition) -> Journal:
+            return Journal(context.store, partition, writer, token, context.events, limits)
+
+        self._wave_journal = make_journal(WAVES_PARTITION)
+        self._status_journal = make_journal(self._records.status_partition)
+        self._orders_journal = make_journal(ORDERS_PARTITION)
         self._planner = FleetPlanner(context.policy.fleet)
         self._share_allocator = ShareAllocator(
             token, context.policy.workspaces.kept_share, get_loop_s(), context.events
--- a/src/robinthread/_internal/platform/callers.py
+++ b/src/robinthread/_internal/platform/callers.py
@@ -38,6 +38,7 @@
     JobRequestOutcome.NO_SUCH_JOB: (ResultCode.NOT_FOUND, 410),
     JobRequestOutcome.UNKNOWN: (ResultCode.OUTCOME_UNKNOWN, 504),
     JobRequestOutcome.ID_TAKEN: (ResultCode.JOB_ID_TAKEN, 409),
+    JobRequestOutcome.TOO_LARGE: (ResultCode.BODY_TOO_LARGE, 413),
 }
 # Seconds after which a refused caller should retry, at least.
 RETRY_AFTER_S: Final = 1
--- a/src/robinthread/_internal/platform/machines.py
+++ b/src/robinthread/_internal/platform/machines.py
@@ -1,6 +1,7 @@
 """Client of the platform's machines."""
 
 from typing import Any, Final
+from urllib.parse import quote
 
 import msgspec
 from tornado.httpclient import HTTPResponse
@@ -71,7 +72,7 @@
             found += page.machines
             if not page.next_token:
                 return tuple(map(_parse_machine, found))
-            path = f"/machines?page_token={page.next_token}"
+            path = f"/machines?page_token={quote(page.next_token, safe='')}"
 
     async def move(self, machine: str, pool: str, holder: str, token: int) -> None:
         """Move a machine to a pool; all runs on it end immediately."""
--- a/src/robinthread/_internal/platform/store.py
+++ b/src/robinthread/_internal/platform/store.py
@@ -17,6 +17,7 @@
     StoreFencedError,
     StoreNoAnswerError,
     StoreRefusedError,
+    StoreRejectedError,
     StoreSequenceError,
 )
 from robinthread._internal.durable.store import (
@@ -50,6 +51,10 @@
 MEMBER_COLUMN: Final = 2
 T = TypeVar("T")
 REFUSED_STATUSES: Final = frozenset({429, 503, 507})
+# Statuses whose body tells what the call should have been.
+STATUSES_WITH_DETAILS: Final = frozenset({409, 410, 412})
+# Statuses of the class 4xx after which the same call may succeed later.
+PASSING_STATUSES: Final = frozenset({408, 425})
 
 
 class _WireAppended(msgspec.Struct):
@@ -238,6 +243,8 @@
     try:
         problem = msgspec.json.decode(response.body or b"{}", type=_WireProblem)
     except msgspec.MsgspecError:
+        if response.code not in STATUSES_WITH_DETAILS:
+            return _make_unexpected_error(response)
         return StoreNoAnswerError(
             f"the store responded with status {response.code} and a malformed body"
         )
@@ -249,9 +256,19 @@
         return StoreFencedError("the store has seen a newer writer of the same name")
     if response.code == 409 and problem.reason == "seq":
         return StoreSequenceError(problem.sequence or problem.wanted or 0)
-    return StoreNoAnswerError(
-        f"unexpected status {response.code} of the store: {response.body[:200]!r}"
-    )
+    return _make_unexpected_error(response)
+
+
+def _make_unexpected_error(response: HTTPResponse) -> StoreError:
+    """Return the error of a status that the store's interface does not name.
+
+    A request that is rejected as such has changed nothing, whatever the reason.
+    """
+    message = f"unexpected status {response.code} of the store: {response.body[:200]!r}"
+    is_rejected = 400 <= response.code < 500
+    if is_rejected and response.code not in PASSING_STATUSES | STATUSES_WITH_DETAILS:
+        return StoreRejectedError(message)
+    return StoreNoAnswerError(message)
 
 
 def _encode_record(record: KeyedRecord) -> bytes:
--- a/src/robinthread/_internal/standins/advice_standin.py
+++ b/src/robinthread/_internal/standins/advice_standin.py
@@ -3,11 +3,15 @@
 import asyncio
 from collections import Counter
 from collections.abc import Callable, Sequence
+from typing import Final
 
 from robinthread._internal.jobs.advice_calls import AdviceError
 from robinthread._internal.models.host_advice import HostAdvice
 from robinthread._internal.models.step_key import StepKey
 
+# A call that names more hosts fails.
+HOSTS_PER_CALL_MAX: Final = 100
+
 
 class AdviceStandin:
     """Issues tickets for the hosts that ``is_allowed`` accepts, each valid for ``valid_s``."""
@@ -28,6 +32,8 @@
         """Return tickets for the allowed hosts; raise ``AdviceError`` while the service is down."""
         self.call_count += 1
         await asyncio.sleep(0.01)
+        if len(host_ids) > HOSTS_PER_CALL_MAX:
+            raise AdviceError(f"a call names at most {HOSTS_PER_CALL_MAX} hosts")
         if self.is_down:
             raise AdviceError("the advice service is down")
         now_s = asyncio.get_running_loop().time()
--- a/src/robinthread/_internal/standins/job_host_standin.py
+++ b/src/robinthread/_internal/standins/job_host_standin.py
@@ -79,9 +79,11 @@
         checks_capacity: Callable[[], bool] = lambda: True,
         take_down: Callable[[str], None] = lambda host_id: None,
         host_started_at_ms: int | None = None,
+        ends_per_report_max: int = ENDS_PER_REPORT_MAX,
     ) -> None:
         self.record = record
         self._host_started_at_ms = host_started_at_ms
+        self._ends_per_report_max = ends_per_report_max
         self._take_down = take_down
         self._gangs = gangs
         self._accepts_ticket = accepts_ticket
@@ -187,9 +189,9 @@
                 for present in self._present.values()
                 if not present.is_stopping
             ),
-            tuple(listed[:ENDS_PER_REPORT_MAX]),
+            tuple(listed[: self._ends_per_report_max]),
             self._host_started_at_ms,
-            lists_all_ends=len(listed) < ENDS_PER_REPORT_MAX,
+            lists_all_ends=len(listed) < self._ends_per_report_max,
         )
 
     async def wait_for_end(self, wait_s: float) -> None:
--- a/src/robinthread/_internal/standins/node_settings_standin.py
+++ b/src/robinthread/_internal/standins/node_settings_standin.py
@@ -27,7 +27,13 @@
 )
 
 
-def make_settings(name: str, bounds: NodeBounds = BOUNDS) -> NodeSettings:
+# Those of the platform.
+STORE_LIMITS: Final = StoreLimits(12, 262_144, 2_097_152, 1_000)
+
+
+def make_settings(
+    name: str, bounds: NodeBounds = BOUNDS, store_limits: StoreLimits = STORE_LIMITS
+) -> NodeSettings:
     """Return the settings of a node on the stand-in; ``name`` is also its address."""
     return NodeSettings(
         name=name,
@@ -43,5 +49,5 @@
         cpu_cores=1,
         link_mbps=1000,
         bounds=bounds,
-        store=StoreLimits(12, 262_144, 2_097_152, 1_000),
+        store=store_limits,
     )
--- a/src/robinthread/_internal/standins/platform_standin.py
+++ b/src/robinthread/_internal/standins/platform_standin.py
@@ -10,6 +10,7 @@
 
 import msgspec
 
+from robinthread._internal.durable.member_build import make_incarnation
 from robinthread._internal.durable.ownership import Member
 from robinthread._internal.durable.store import KeyedRecord, Partition
 from robinthread._internal.models.fleet_config import FleetConfig, make_fleet_config
@@ -33,10 +34,18 @@
 from robinthread._internal.standins.advice_standin import AdviceStandin
 from robinthread._internal.standins.call_faults import ProcessorCharge
 from robinthread._internal.standins.cold_speed import ColdSpeed
-from robinthread._internal.standins.job_host_standin import JobHostStandin, TaskPlan
+from robinthread._internal.standins.job_host_standin import (
+    ENDS_PER_REPORT_MAX,
+    JobHostStandin,
+    TaskPlan,
+)
 from robinthread._internal.standins.job_hosts_standin import JobHostsStandin
 from robinthread._internal.standins.machines_standin import HostLifecycle, MachinesStandin
-from robinthread._internal.standins.node_settings_standin import BOUNDS, make_settings
+from robinthread._internal.standins.node_settings_standin import (
+    BOUNDS,
+    STORE_LIMITS,
+    make_settings,
+)
 from robinthread._internal.standins.open_connections import OpenConnections
 from robinthread._internal.standins.store_standin import StoreStandin
 from robinthread._internal.telemetry.event_log import EventLog
@@ -209,6 +218,7 @@
             lambda: platform.hosts_check_room,
             platform.crash_and_replace_host,
             host_started_at_ms if StartTimeSource.REPORT in platform.start_time_sources else None,
+            platform.ends_per_report_max,
         )
         host.crashes_all_after_s = platform.crashing_machines.get(machine)
         cold_until_s = asyncio.get_running_loop().time() + platform.cold_start_s
@@ -231,8 +241,8 @@
     machine's next host has the same id; its incarnations can be distinguished by the start
     times that are published in ``start_time_sources``.  The wall clock of hosts is
     ``clock_back_ms`` behind.  Nodes started from now on get the ``bounds``.  Hosts that begin
-    from now on work ``cold_slowness`` times slower for ``cold_start_s``, and their entries say so
-    if ``reports_cold`` is set.
+    from now on list ``ends_per_report_max`` ends at most, and work ``cold_slowness`` times slower
+    for ``cold_start_s``, and their entries say so if ``reports_cold`` is set.
     """
 
     def __init__(self, plan_task: Callable[[TaskKey], TaskPlan], seed: int = 1) -> None:
@@ -257,6 +267,8 @@
         self.request_counts: Counter[str] = Counter()
         self.charge_request: ProcessorCharge | None = None
         self.bounds = BOUNDS
+        self.store_limits = STORE_LIMITS
+        self.ends_per_report_max = ENDS_PER_REPORT_MAX
         self.events: list[bytes] = []
         self._incarnation_numbers = itertools.count(1)
 
@@ -341,15 +353,23 @@
         loop.call_later(self.host_replacement_s, self.machines.restart, host_id)
 
     def start_node(
-        self, name: str, capacity_millicores: int = 1000, policy: PolicySettings | None = None
+        self,
+        name: str,
+        capacity_millicores: int = 1000,
+        policy: PolicySettings | None = None,
+        reads_parts: bool = True,
     ) -> RunningNode:
-        """Start a node, as a new incarnation if the name was used before."""
+        """Start a node, as a new incarnation if the name was used before.
+
+        Other nodes take one that does not ``reads_parts`` for a node of an older build.
+        """
         # 1 is added because the loop's clock starts at 0, and a start time of 0 means that the
         # process doesn't report one.
         started_at_ms = 1 + int(asyncio.get_running_loop().time() * 1000)
-        member = Member(
-            name, f"life{next(self._incarnation_numbers)}", name, capacity_millicores, started_at_ms
-        )
+        incarnation = f"life{next(self._incarnation_numbers)}"
+        if reads_parts:
+            incarnation = make_incarnation(incarnation)
+        member = Member(name, incarnation, name, capacity_millicores, started_at_ms)
         environment = NodeEnvironment(
             store=self.store.connect(name),
             hosts=self.hosts.connect(name),
@@ -361,7 +381,7 @@
             get_wall_ms=lambda: int(asyncio.get_running_loop().time() * 1000),
             policy=policy or PolicySettings(),
         )
-        settings = make_settings(name, self.bounds)
+        settings = make_settings(name, self.bounds, self.store_limits)
         holder = SettingsHolder(settings, lambda: settings, environment.events)
         node = RunningNode(name, assemble_node(holder, environment, member))
         self.nodes[name] = node
--- a/src/robinthread/_internal/standins/store_log.py
+++ b/src/robinthread/_internal/standins/store_log.py
@@ -2,11 +2,12 @@
 
 import asyncio
 from collections import defaultdict
-from collections.abc import Sequence
+from collections.abc import Iterable, Sequence
 from dataclasses import dataclass, field
 from typing import Final
 
 from robinthread._internal.durable.errors import StoreFencedError, StoreSequenceError
+from robinthread._internal.durable.record_limits import get_size_bytes
 from robinthread._internal.durable.store import AppendResult, KeyedRecord, WriterStamp
 
 RESPONSES_RETAINED: Final = 5
@@ -23,12 +24,14 @@
     """One partition: its records, the newest record of each key, and its writers.
 
     ``first`` is the offset of the first record that is retained.  ``grown`` is set, and replaced by
-    a new event, after each append of records.
+    a new event, after each append of records.  ``kept_bytes`` is the size of the records that can
+    be read.
     """
 
     def __init__(self) -> None:
         self.records: list[KeyedRecord] = []
         self.first = 0
+        self.kept_bytes = 0
         self.newest: dict[str, KeyedRecord] = {}
         self.writers: dict[str, _Writer] = defaultdict(_Writer)
         self.grown = asyncio.Event()
@@ -44,6 +47,7 @@
         for position, record in enumerate(records):
             stored = KeyedRecord(record.key, record.value, offset + position)
             self.records.append(stored)
+            self.kept_bytes += get_size_bytes(stored)
             if stored.value is None:
                 self.newest.pop(stored.key, None)
             else:
@@ -79,3 +83,16 @@
         """Delete all records, but keep the newest record of each key readable."""
         self.first = self.end
         self.records.clear()
+        self.kept_bytes = sum(map(get_size_bytes, self.newest.values()))
+
+
+def take_within(records: Iterable[KeyedRecord], max_bytes: int) -> tuple[KeyedRecord, ...]:
+    """Return the first records up to a size, at least one if there are any."""
+    taken: list[KeyedRecord] = []
+    size_bytes = 0
+    for record in records:
+        size_bytes += get_size_bytes(record)
+        if taken and size_bytes > max_bytes:
+            break
+        taken.append(record)
+    return tuple(taken)
--- a/src/robinthread/_internal/standins/store_standin.py
+++ b/src/robinthread/_internal/standins/store_standin.py
@@ -10,7 +10,9 @@
     StoreConditionError,
     StoreNoAnswerError,
     StoreRefusedError,
+    StoreRejectedError,
 )
+from robinthread._internal.durable.record_limits import find_excess, get_size_bytes
 from robinthread._internal.durable.store import (
     AppendResult,
     KeyedRecord,
@@ -27,7 +29,8 @@
     CallUnansweredError,
 )
 from robinthread._internal.standins.member_group import MemberGroup
-from robinthread._internal.standins.store_log import StoreLog
+from robinthread._internal.standins.node_settings_standin import STORE_LIMITS
+from robinthread._internal.standins.store_log import StoreLog, take_within
 from robinthread._internal.utils.call_timeout import CallTimeout
 from robinthread._internal.utils.waiting import wait_for_event
 
@@ -35,7 +38,13 @@
 LATENCY_S: Final = 0.004
 # The read timeout of a client whose earlier calls had fast responses.
 READ_TIMEOUT_S: Final = 0.3
+# Most bytes of records that a client requests in one read.
+READ_MAX_BYTES: Final = 128 * 1024
+# Limits of a page of newest records, of the records that the store keeps, and of its topics.
 PAGE_RECORDS_MAX: Final = 500
+PAGE_MAX_BYTES: Final = 1_000_000
+KEPT_MAX_BYTES: Final = 400_000_000
+TOPICS_MAX: Final = 100
 
 T = TypeVar("T")
 
@@ -48,7 +57,8 @@
     the records that it reads.  Members in ``unlisted`` are left out of the lists of members, as
     if they held no partition.  ``reads`` counts reads by caller and topic or group.  With
     ``adapts_timeouts``, calls time out as those of ``PlatformStore`` do.  ``append_keys`` are
-    the keys of all records sent, stored or not.
+    the keys of all records sent, stored or not, and ``appended_bytes`` the size of all appends
+    by topic.
     """
 
     def __init__(self, seed: int = 1) -> None:
@@ -63,6 +73,9 @@
         self.append_turns = AppendTurns()
         self.adapts_timeouts = False
         self.append_keys: set[str] = set()
+        self.limits = STORE_LIMITS.record_limits
+        self.kept_max_bytes = KEPT_MAX_BYTES
+        self.appended_bytes: Counter[str] = Counter()
 
     def connect(self, caller: str) -> "StoreClient":
         """Return a client that calls the store as ``caller``."""
@@ -95,6 +108,22 @@
         """Return the log of a partition."""
         return self._logs[partition]
 
+    def check_append(self, partition: Partition, records: Sequence[KeyedRecord]) -> None:
+        """Raise the store's error for an append over one of its limits."""
+        excesses = (find_excess(record, self.limits) for record in records)
+        if excess := next(filter(None, excesses), ""):
+            raise StoreRejectedError(excess)
+        if sum(map(get_size_bytes, records)) > self.limits.call_max_bytes:
+            raise StoreRejectedError("the call is over the limit")
+        if len({known.topic for known in self._logs}) > TOPICS_MAX:
+            raise StoreRejectedError(f"topic {partition.topic} is one too many")
+        if records and self.get_kept_bytes() > self.kept_max_bytes:
+            raise StoreRefusedError("the store keeps as much as it can")
+
+    def get_kept_bytes(self) -> int:
+        """Return the size of all records that the store keeps."""
+        return sum(log.kept_bytes for log in self._logs.values())
+
     def get_group(self, name: str) -> MemberGroup:
         """Return a group after the removal of its expired members."""
         group = self._groups[name]
@@ -124,8 +153,10 @@
         batch = list(records)
 
         def work() -> AppendResult:
+            self._standin.check_append(partition, batch)
             if expected_end is not None and log.end != expected_end:
                 raise StoreConditionError(log.end)
+            self._standin.appended_bytes[partition.topic] += sum(map(get_size_bytes, batch))
             return log.append(batch) if stamp is None else log.append_stamped(batch, stamp)
 
         self._standin.append_keys.update(record.key for record in batch)
@@ -161,7 +192,7 @@
         def work() -> ReadPage:
             if from_offset < log.first:
                 raise HistoryGoneError(log.first)
-            records = tuple(log.records[from_offset - log.first :])
+            records = take_within(log.records[from_offset - log.first :], READ_MAX_BYTES)
             return ReadPage(records, from_offset + len(records), log.end)
 
         connections = self._standin.faults.connections
@@ -186,7 +217,8 @@
         def work() -> NewestPage:
             # The page has the end of the partition at the time of this read.
             keys = sorted(key for key in log.newest if key > after_key)
-            page = tuple(log.newest[key] for key in keys[:PAGE_RECORDS_MAX])
+            found = (log.newest[key] for key in keys[:PAGE_RECORDS_MAX])
+            page = take_within(found, PAGE_MAX_BYTES)
             return NewestPage(page, log.end, page[-1].key if len(keys) > len(page) else "")
 
         found = await self._call(work, is_change=False)
--- a/tests/functional/test_many_ends.py
+++ b/tests/functional/test_many_ends.py
@@ -136,7 +136,9 @@
         self.job = self.pool.add_job(make_job(1), QUEUE, 0, 0.0)
         self.pool.queue_due_tasks(self.job, 0)
         self.previous = self._add_host(1)
-        self.placed = self.pool.place(self.job.get_task(TaskKey(self.job.id, 0, 0, 0)), self.previous)
+        self.placed = self.pool.place(
+            self.job.get_task(TaskKey(self.job.id, 0, 0, 0)), self.previous
+        )
         self.placed.phase, self.placed.settled_at_s = RunPhase.SENDING, 0.0
         self.pool.confirm_start(self.placed, 0.0)
 
--- a/tests/functional/test_repeated_calls.py
+++ b/tests/functional/test_repeated_calls.py
@@ -22,6 +22,7 @@
 from robinthread._internal.models.upstream_host import UpstreamHost
 from robinthread._internal.platform.hosts import PlatformHosts
 from robinthread._internal.platform.store import PlatformStore
+from robinthread._internal.standins.node_settings_standin import STORE_LIMITS
 from robinthread._internal.standins.store_standin import StoreStandin
 from robinthread._internal.telemetry.node_metrics import NodeMetrics
 from robinthread._internal.utils.http_call import make_client
@@ -100,7 +101,7 @@
         async def work() -> None:
             async with RepeatService() as service:
                 store = PlatformStore(make_client(4), service.address, NodeMetrics())
-                writer = GroupWriter(store, INBOX, "entry/x/1", 100_000)
+                writer = GroupWriter(store, INBOX, "entry/x/1", STORE_LIMITS.record_limits)
                 running = asyncio.create_task(writer.run())
                 deadline_s = asyncio.get_running_loop().time() + 3
                 await writer.write(KeyedRecord("a", b"1"), deadline_s)
--- a/tests/lib/store_server.py
+++ b/tests/lib/store_server.py
@@ -16,6 +16,7 @@
     StoreFencedError,
     StoreNoAnswerError,
     StoreRefusedError,
+    StoreRejectedError,
     StoreSequenceError,
 )
 from robinthread._internal.durable.store import KeyedRecord, Partition, WriterStamp
@@ -43,6 +44,8 @@
             self.finish(await getattr(self, f"_{kind}")())
         except StoreRefusedError:
             self.set_status(503)
+        except StoreRejectedError:
+            self.set_status(413)
         except StoreConditionError as error:
             self.set_status(412)
             self.finish({"end": error.end})
--- a/tests/unit/test_append_latency.py
+++ b/tests/unit/test_append_latency.py
@@ -8,6 +8,7 @@
 from robinthread._internal.durable.group_writer import GroupWriter
 from robinthread._internal.durable.inbox_records import INBOX_PARTITION
 from robinthread._internal.durable.store import KeyedRecord
+from robinthread._internal.standins.node_settings_standin import STORE_LIMITS
 from robinthread._internal.standins.store_standin import StoreStandin
 from tests.lib.virtual import run_virtual
 
@@ -19,7 +20,9 @@
     def test_store_is_slow_while_an_append_takes_long_and_for_a_while_after(self) -> None:
         async def work() -> None:
             store = StoreStandin()
-            writer = GroupWriter(store.connect("n"), INBOX_PARTITION, "w", 100_000)
+            writer = GroupWriter(
+                store.connect("n"), INBOX_PARTITION, "w", STORE_LIMITS.record_limits
+            )
             running = asyncio.ensure_future(writer.run())
             await writer.write(RECORD, FAR_S)
             self.assertFalse(writer.latency.is_slow)
--- a/tests/unit/test_lanes.py
+++ b/tests/unit/test_lanes.py
@@ -8,6 +8,7 @@
 from robinthread._internal.durable.group_writer import LANES, GroupWriter
 from robinthread._internal.durable.inbox_records import INBOX_PARTITION
 from robinthread._internal.durable.store import KeyedRecord
+from robinthread._internal.standins.node_settings_standin import STORE_LIMITS
 from robinthread._internal.standins.store_standin import StoreStandin
 from tests.lib.virtual import run_virtual
 
@@ -26,7 +27,7 @@
             self.store.connect("n"),
             INBOX_PARTITION,
             "w",
-            100_000,
+            STORE_LIMITS.record_limits,
             is_store_slow=lambda: self.is_slow,
             is_store_silent=lambda: self.is_silent,
         )
--- a/tests/unit/test_machine_orders.py
+++ b/tests/unit/test_machine_orders.py
@@ -37,7 +37,9 @@
 def make_orders(platform: PlatformStandin, token: int, wait_s: float) -> MachineOrders:
     """Create the orders of a steward that blocks machines ordered before for ``wait_s``."""
     events = EventLog("n", platform.events.append)
-    journal = Journal(platform.store.connect("n"), ORDERS_PARTITION, "steward", token, events)
+    limits = platform.store_limits.record_limits
+    store = platform.store.connect("n")
+    journal = Journal(store, ORDERS_PARTITION, "steward", token, events, limits)
     return MachineOrders(
         platform.machines.connect("n"),
         journal,
--- a/tests/unit/test_takeover_log_lines.py
+++ b/tests/unit/test_takeover_log_lines.py
@@ -5,6 +5,7 @@
 import msgspec
 from testtools import TestCase
 
+from robinthread._internal.durable.member_build import make_incarnation
 from robinthread._internal.durable.ownership import Member
 from robinthread._internal.standins.platform_standin import PlatformStandin
 from tests.lib.event_lines import find_lines
@@ -104,7 +105,7 @@
     def test_unlisted_member_is_logged_until_it_is_listed(self) -> None:
         async def work() -> None:
             platform = PlatformStandin(plan_second, 1)
-            late = Member("late", "life1", "late", started_at_ms=1)
+            late = Member("late", make_incarnation("life1"), "late", started_at_ms=1)
             platform.store.unlisted.add(msgspec.json.encode(late).decode())
             platform.start_node("late")
             await asyncio.sleep(7)
