--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -3,10 +3,10 @@
 ``python -m bench`` runs the benches in ``CHECKED``, ``python -m bench NAME`` a single one;
 ``--check`` exits with 1 if a count is outside its bound.  ``drawn_days``, ``drawn_waves``,
 ``drawn_crashes``, ``drawn_evacuations``, ``drawn_limits``, ``drawn_fixed_limits``,
-``drawn_returns`` and ``drawn_rooms`` simulate ``--days=N`` days, starting at the seed
-``--first=N``.  ``back_days`` does so too; ``--nodes=N``, ``--pools=N``, ``--hosts_a_pool=N`` and
-``--jobs_per_s=N`` set its size.  ``soak`` runs real processes in real time, with ``--nodes=N`` and
-``--length_s=N``.
+``drawn_returns``, ``drawn_rooms`` and ``drawn_sizes`` simulate ``--days=N`` days, starting at the
+seed ``--first=N``.  ``back_days`` does so too; ``--nodes=N``, ``--pools=N``,
+``--hosts_a_pool=N`` and ``--jobs_per_s=N`` set its size.  ``soak`` runs real processes in real
+time, with ``--nodes=N`` and ``--length_s=N``.
 """
 
 import sys
@@ -22,6 +22,7 @@
 from bench.drawn_limits import run_drawn_fixed_limits, run_drawn_limits
 from bench.drawn_returns import run_drawn_returns
 from bench.drawn_rooms import run_drawn_rooms
+from bench.drawn_sizes import run_drawn_sizes
 from bench.drawn_waves import run_drawn_waves
 from bench.experiment import run_short_experiment
 from bench.overload import run_overload
@@ -63,6 +64,7 @@
         "drawn_fixed_limits": lambda: run_drawn_fixed_limits(**_read_days(arguments)),
         "drawn_returns": lambda: run_drawn_returns(**_read_days(arguments)),
         "drawn_rooms": lambda: run_drawn_rooms(**_read_days(arguments)),
+        "drawn_sizes": lambda: run_drawn_sizes(**_read_days(arguments)),
         "drawn_waves": lambda: run_drawn_waves(**_read_days(arguments)),
         "soak": lambda: run_soaks(**_read_days(arguments), sizes=_read_sizes(arguments)),
         "back_days": lambda: run_back_days(**_read_days(arguments), sizes=_read_sizes(arguments)),
--- a/tests/lib/soak/callers.py
+++ b/tests/lib/soak/callers.py
@@ -115,6 +115,10 @@
             await asyncio.sleep(POLL_S)
             await self.query(job_id)
 
+    async def cancel(self, job_id: str) -> None:
+        """Request once that a job is cancelled, whatever the response."""
+        await self._call("DELETE", job_id, "")
+
     async def query(self, job_id: str) -> None:
         """Query a job once and record its state."""
         answer = await self._call("GET", job_id, "")
--- a/tests/lib/soak/soak.py
+++ b/tests/lib/soak/soak.py
@@ -20,6 +20,7 @@
     find_late_starts,
 )
 from tests.lib.soak.node_process import NodeProcess
+from tests.lib.soak.sizes import SoakSizes, draw_sizes, play_sizes
 from tests.lib.soak.troubles import SoakTrouble, apply_trouble, draw_troubles
 from tests.lib.soak.world import DEFAULT_HALL, LASTING_JOB, SoakWorld
 
@@ -51,6 +52,7 @@
     wave: UpkeepWave | None
     troubles: tuple[SoakTrouble, ...]
     evacuation: SoakEvacuation | None = None
+    sizes: SoakSizes | None = None
 
 
 @dataclass(frozen=True)
@@ -90,6 +92,7 @@
         wave if drawn.random() < 0.5 else None,
         tuple(draw_troubles(drawn, length_s, drawn.choice((4, 8, 12)))),
         draw_evacuation(seed, length_s),
+        draw_sizes(seed, length_s),
     )
 
 
@@ -114,7 +117,8 @@
             world.request_wave(day.wave)
         began_at_s = asyncio.get_running_loop().time()
         troubles = (apply_trouble(world, nodes, each) for each in day.troubles)
-        await asyncio.gather(*troubles, _evacuate(world, day.evacuation))
+        sizing = play_sizes(world, Caller(nodes, tracker, day.seed), day.sizes)
+        await asyncio.gather(*troubles, _evacuate(world, day.evacuation), sizing)
         await asyncio.sleep(max(0.0, day.length_s - _get_end_s(day)))
         for task in working:
             task.cancel()
--- a/tests/lib/soak/world.py
+++ b/tests/lib/soak/world.py
@@ -36,8 +36,7 @@
 POOL = "press"
 QUEUE_HOST = "press.example"
 QUEUE_PATH = "/sheets/"
-CONFIG = {
-    "version": 1,
+CONFIG: dict[str, Any] = {
     "routes": [
         {
             "name": "sheets",
@@ -60,6 +59,9 @@
 # Durations of tasks, selected by task index; tasks of ``LASTING_JOB`` do not end.
 WORK_S = (0.3, 0.8, 1.5)
 LASTING_JOB = "1" * 16
+# Tasks of jobs whose ids begin so are small, and end soon.
+SMALL_JOB_PREFIX = "5" * 8
+SMALL = Resources(10, 10)
 ENDS = {
     RunEnd.DONE: "done",
     RunEnd.FAILED: "failed",
@@ -72,6 +74,8 @@
 
 def plan_task(task: TaskKey) -> TaskPlan:
     """Return the plan of a task; it has no end for the tasks of ``LASTING_JOB``."""
+    if task.job_id.startswith(SMALL_JOB_PREFIX):
+        return TaskPlan(WORK_S[0], SMALL)
     work_s = None if task.job_id == LASTING_JOB else WORK_S[task.index % len(WORK_S)]
     return TaskPlan(work_s, Resources(1000, 100))
 
@@ -84,6 +88,7 @@
         self.host_proxies: dict[str, LoopbackProxy] = {}
         self.machines_address = ("127.0.0.1", 0)
         self._servers: list[HTTPServer] = []
+        self._config_version = 0
         self._starting: set[asyncio.Task[None]] = set()
 
     async def start(self, machines: int, reserve: int) -> None:
@@ -99,8 +104,16 @@
         for number in range(machines + reserve):
             pool = POOL if number < machines else RESERVE
             self.machines.add(pool, f"r{number % 2}", HOST_CAPACITY)
+        self.publish_config(has_route=True)
+
+    def publish_config(self, has_route: bool) -> None:
+        """Publish the next version of the configuration, with or without the callers' route."""
+        self._config_version += 1
+        config = CONFIG | {"version": self._config_version}
+        if not has_route:
+            config["routes"] = []
         operators = PLATFORM_RECORDS.operators_partition
-        self.store.put(operators, PLATFORM_RECORDS.config_key, msgspec.json.encode(CONFIG))
+        self.store.put(operators, PLATFORM_RECORDS.config_key, msgspec.json.encode(config))
 
     def start_store(self) -> tuple[str, int]:
         """Serve the store; return its host and port."""
