Keep a policy that changed after a job's acceptance; hold cold starts back

The progress of a job holds the policy that applied last where it differs from that of the acceptance, also of jobs that an older build accepted. Until a configuration is read, cold hosts get no start.

--- a/src/robinthread/_internal/jobs/cold_hosts.py
+++ b/src/robinthread/_internal/jobs/cold_hosts.py
@@ -35,15 +35,17 @@
     Runs that were placed but not sent yet will take a token each.
     """
     limit = pool.cold_start_limit
-    if not limit.starts_per_s or not host.cold.is_cold(now_s):
+    if not limit.restricts_starts or not host.cold.is_cold(now_s):
         return math.inf
+    if not limit.is_known:
+        return 0
     unsent_count = sum(_is_unsent(run) for run in host.runs.values())
     return math.floor(host.cold.refill(limit, now_s) + 1 - TOKEN_MIN) - unsent_count
 
 
 def may_start(pool: PoolJobs, host: Host, now_s: float) -> bool:
     """Return whether a run may be placed on a host now, by the limit for cold hosts."""
-    return not pool.cold_start_limit.starts_per_s or count_startable(pool, host, now_s) >= 1
+    return not pool.cold_start_limit.restricts_starts or count_startable(pool, host, now_s) >= 1
 
 
 def _is_unsent(run: Run) -> bool:
--- a/src/robinthread/_internal/jobs/cold_state.py
+++ b/src/robinthread/_internal/jobs/cold_state.py
@@ -15,14 +15,21 @@
     """Limit of the starts on each cold host of a pool; a rate of 0 sets none.
 
     ``burst`` starts may come at once.  It is at least 1, since no start would ever be allowed
-    otherwise.
+    otherwise.  While the limit is not ``is_known``, cold hosts get no start.
     """
 
     starts_per_s: float = 0.0
     burst: float = 1.0
+    is_known: bool = True
+
+    @property
+    def restricts_starts(self) -> bool:
+        """Return whether a cold host may not get any number of starts."""
+        return self.starts_per_s > 0 or not self.is_known
 
 
 NO_LIMIT: Final = ColdStartLimit()
+UNKNOWN_LIMIT: Final = ColdStartLimit(is_known=False)
 
 
 class ColdState:
@@ -68,7 +75,7 @@
         """
         if not limit.starts_per_s:
             self.has_uncounted_starts = True
-            return True
+            return limit.is_known or not self.is_cold(now_s)
         has_token = self.refill(limit, now_s) >= TOKEN_MIN
         if not has_token and self.is_cold(now_s):
             return False
--- a/src/robinthread/_internal/jobs/job.py
+++ b/src/robinthread/_internal/jobs/job.py
@@ -10,6 +10,7 @@
 from robinthread._internal.jobs.policy_resolution import PolicySource
 from robinthread._internal.jobs.run import Run
 from robinthread._internal.jobs.task import Task
+from robinthread._internal.models.job_policy import StoredPolicy
 from robinthread._internal.models.job_spec import JobSpec
 from robinthread._internal.models.job_status import JobStatus
 from robinthread._internal.models.queue_policy import QueuePolicy
@@ -23,10 +24,11 @@
     store and the only one that may be shown: the pool's next owner could revert a status that
     is not recorded.  ``confirmed_crash_tasks`` are the tasks with a confirmed crash of a host;
     while there are any, no other task of the job is started.  A job that ``is_beyond_share``
-    comes after all others, and one that ``is_held_back`` starts nothing.  ``changed`` are the tasks
-    whose latest state is not recorded yet.  An occurrence is ``retired`` once its tasks are done
-    and recorded; they are no longer kept.  ``is_split`` and ``recorded_parts`` tell how the job's
-    progress is stored, see ``ProgressPart``.
+    comes after all others, and one that ``is_held_back`` starts nothing.  ``last_policy`` is the
+    policy to store with the progress.  ``changed`` are the tasks whose latest state is not recorded
+    yet.  An occurrence is ``retired`` once its tasks are done and recorded; they are no longer
+    kept.  ``is_split`` and ``recorded_parts`` tell how the job's progress is stored, see
+    ``ProgressPart``.
     """
 
     def __init__(
@@ -39,6 +41,7 @@
         self.spec = spec
         self.policy = policy
         self.policy_source = policy_source
+        self.last_policy: StoredPolicy | None = None
         self.offset = offset
         self.status = JobStatus.QUEUED
         self.recorded_status = JobStatus.QUEUED
--- a/src/robinthread/_internal/jobs/placement.py
+++ b/src/robinthread/_internal/jobs/placement.py
@@ -37,7 +37,7 @@
 def iter_fitting(pool: PoolJobs, task: Task, hosts: Iterable[Host], now_s: float) -> Iterator[Host]:
     """Iterate over those of the usable ``hosts`` that can run a task now."""
     job, resources = pool.jobs[task.key.job_id], task.resources
-    are_starts_limited = pool.cold_start_limit.starts_per_s > 0
+    are_starts_limited = pool.cold_start_limit.restricts_starts
     return (
         host
         for host in hosts
--- a/src/robinthread/_internal/jobs/pool_jobs.py
+++ b/src/robinthread/_internal/jobs/pool_jobs.py
@@ -112,6 +112,9 @@
     def set_policy(self, job: Job, resolved: ResolvedPolicy) -> None:
         """Apply a policy to an open job; tasks that waited for it, or have used it up, follow."""
         job.policy, job.policy_source = resolved.policy, resolved.source
+        if job.last_policy != resolved.to_store:
+            job.last_policy = resolved.to_store
+            self._mark_unrecorded(job)
         self._queue_open_steps(job)
 
     def hold_back(self, job: Job) -> None:
--- a/src/robinthread/_internal/jobs/progress.py
+++ b/src/robinthread/_internal/jobs/progress.py
@@ -13,6 +13,7 @@
 from robinthread._internal.jobs.run import Run
 from robinthread._internal.jobs.task import Task
 from robinthread._internal.models.host_incarnation import make_incarnation_id, split_incarnation_id
+from robinthread._internal.models.job_policy import StoredPolicy
 from robinthread._internal.models.job_status import JobStatus
 from robinthread._internal.models.task_key import TaskKey
 
@@ -65,7 +66,8 @@
     are ids, and ``host_start_times_ms`` identifies the incarnation of each; processes of older
     versions read only the ids.  ``done_occurrences`` are ranges of occurrences whose tasks are all
     done and have no rows, each a first number and a length.  The rows of a job that ``is_split``
-    are in records of their own, see ``ProgressPart``.
+    are in records of their own, see ``ProgressPart``.  ``last_policy`` is the policy that applied
+    last, None if that is the one stored with the job.
     """
 
     job_id: str
@@ -77,6 +79,7 @@
     host_start_times_ms: tuple[int | None, ...] = ()
     done_occurrences: tuple[tuple[int, int], ...] = ()
     is_split: bool = False
+    last_policy: StoredPolicy | None = None
 
     def list_incarnations(self) -> tuple[str, ...]:
         """Return the ids of the hosts' incarnations."""
@@ -109,6 +112,7 @@
         tasks,
         job.ended_at_ms,
         host_start_times_ms,
+        last_policy=job.last_policy,
     )
     return msgspec.msgpack.encode(progress)
 
@@ -122,6 +126,7 @@
         ended_at_ms=job.ended_at_ms,
         done_occurrences=() if job.status.is_final else job.retired.list_ranges(),
         is_split=True,
+        last_policy=job.last_policy,
     )
     return msgspec.msgpack.encode(progress)
 
--- a/src/robinthread/_internal/models/job_policy.py
+++ b/src/robinthread/_internal/models/job_policy.py
@@ -18,6 +18,13 @@
     advice: AdvicePolicy | None = None
 
 
+class StoredPolicy(msgspec.Struct, frozen=True, array_like=True):
+    """A policy and the version of the configuration that it is from."""
+
+    policy: JobPolicy
+    config_version: int
+
+
 def make_job_policy(queue: QueuePolicy) -> JobPolicy:
     """Return the policy that a queue's configuration gives to its jobs."""
     return JobPolicy(
--- a/src/robinthread/_internal/node/cold_starts.py
+++ b/src/robinthread/_internal/node/cold_starts.py
@@ -1,6 +1,7 @@
 """Applies cold times and the limit of starts to a pool's cold hosts."""
 
 from robinthread._internal.jobs.cold_hosts import make_start_limit, set_start_limit
+from robinthread._internal.jobs.cold_state import UNKNOWN_LIMIT
 from robinthread._internal.jobs.host import Host
 from robinthread._internal.jobs.run import Run
 from robinthread._internal.node.pool_runtime import PoolRuntime, get_loop_s
@@ -27,7 +28,10 @@
 def apply_start_limit(runtime: PoolRuntime, now_s: float) -> None:
     """Apply the pool's limit of starts on cold hosts, as the configuration states it now."""
     config = runtime.context.config_holder.config
-    policy = config.pools.get(runtime.pool) if config is not None else None
+    if config is None:
+        runtime.jobs.cold_start_limit = UNKNOWN_LIMIT
+        return
+    policy = config.pools.get(runtime.pool)
     slack = runtime.context.settings.bounds.cold_slack
     set_start_limit(runtime.jobs, make_start_limit(policy, slack), now_s)
 
--- a/src/robinthread/_internal/node/job_policies.py
+++ b/src/robinthread/_internal/node/job_policies.py
@@ -8,6 +8,7 @@
     ResolvedPolicy,
     resolve_policy,
 )
+from robinthread._internal.models.job_policy import StoredPolicy
 from robinthread._internal.models.job_spec import JobSpec
 from robinthread._internal.node.pool_runtime import PoolRuntime
 
@@ -22,10 +23,13 @@
         self._runtime = runtime
         self._applied_version: int | None = None
 
-    def resolve(self, spec: JobSpec) -> ResolvedPolicy:
-        """Return the policy of a job by the configuration that is in force here."""
+    def resolve(self, spec: JobSpec, last: StoredPolicy | None) -> ResolvedPolicy:
+        """Return the policy of a job by the configuration that is in force here.
+
+        ``last`` is the policy stored with the job's progress.
+        """
         config = self._runtime.context.config_holder.config
-        resolved = resolve_policy(spec, config)
+        resolved = resolve_policy(spec, config, last)
         if resolved.source is not PolicySource.CONFIGURATION:
             self._runtime.events.write(
                 "job_policy_fallback",
@@ -59,11 +63,11 @@
     def _update_job(self, job: Job) -> bool:
         """Apply the policy that is in force now; return whether that changes the job's."""
         config = self._runtime.context.config_holder.config
-        resolved = resolve_policy(job.spec, config)
+        resolved = resolve_policy(job.spec, config, job.last_policy)
         is_configured = config is not None and job.spec.queue in config.queues
         if job.policy_source.is_known and not is_configured:
             return False
-        before = ResolvedPolicy(job.policy, job.policy_source)
+        before = ResolvedPolicy(job.policy, job.policy_source, job.last_policy)
         if resolved == before:
             return False
         self._runtime.jobs.set_policy(job, resolved)
--- a/src/robinthread/_internal/node/pool_owner.py
+++ b/src/robinthread/_internal/node/pool_owner.py
@@ -264,10 +264,14 @@
     def _add_job(self, indexed: IndexedJob) -> Job:
         spec = indexed.spec
         progress = self._progress.pop(spec.job_id, None)
-        resolved = self._policies.resolve(spec)
+        last_policy = None if progress is None else progress.last_policy
+        resolved = self._policies.resolve(spec, last_policy)
         job = self.jobs.add_job(
             spec, resolved.policy, indexed.offset, get_loop_s(), progress, resolved.source
         )
+        job.last_policy = last_policy
+        if not job.status.is_final:
+            self.jobs.set_policy(job, resolved)
         ranks = self._context.policy.workspaces.ranks_beyond_share
         job.is_beyond_share = ranks and indexed.is_beyond_share
         if progress is None:
--- a/tests/unit/test_cold_hosts.py
+++ b/tests/unit/test_cold_hosts.py
@@ -4,7 +4,7 @@
 
 from robinthread._internal.jobs import placement
 from robinthread._internal.jobs.cold_hosts import make_start_limit, may_start, set_start_limit
-from robinthread._internal.jobs.cold_state import ColdStartLimit
+from robinthread._internal.jobs.cold_state import UNKNOWN_LIMIT, ColdStartLimit
 from robinthread._internal.jobs.host import Host, HostContact
 from robinthread._internal.jobs.pool_jobs import PoolJobs
 from robinthread._internal.jobs.run import RunPhase
@@ -153,6 +153,15 @@
         step = StepSpec(8, cpu_millicores=1000)
         self.assertEqual("abbbb", place(pool, step))
 
+    def test_cold_host_gets_no_run_before_the_limit_is_known(self) -> None:
+        """An owner that had read no configuration started any number of runs on cold hosts."""
+        pool = make_pool("a", "b")
+        pool.cold_start_limit = UNKNOWN_LIMIT
+        self.assertEqual("bbbb", place(pool, StepSpec(8, cpu_millicores=1000)))
+        cold, warm = pool.hosts["a"].cold, pool.hosts["b"].cold
+        self.assertFalse(cold.take_start(UNKNOWN_LIMIT, NOW_S))
+        self.assertTrue(warm.take_start(UNKNOWN_LIMIT, NOW_S))
+
     def test_gang_waits_until_its_cold_hosts_may_start_all_members(self) -> None:
         pool = make_pool("a")
         set_start_limit(pool, ColdStartLimit(2.0, 3.0), NOW_S)
