--- a/bench/drawn_rooms.py
+++ b/bench/drawn_rooms.py
@@ -2,7 +2,8 @@
 
 from collections.abc import Sequence
 
-from tests.lib.drawn_rooms import CapacityFindings, find_on_capacity_day
+from tests.lib.drawn_findings import DrawnFindings
+from tests.lib.drawn_rooms import find_on_capacity_day
 
 from bench.drawn import DAYS, FIRST_SEED, play_drawn
 from bench.result import BenchResult
@@ -13,7 +14,7 @@
     return play_drawn("drawn_rooms", find_on_capacity_day, first_seed, days, _count)
 
 
-def _count(found: Sequence[CapacityFindings]) -> dict[str, float]:
+def _count(found: Sequence[DrawnFindings]) -> dict[str, float]:
     return {
         "breaks": sum(len(day.breaks) for day in found),
         "jobs_not_ended": sum(len(day.undone) for day in found),
--- a/bench/drawn_sizes.py
+++ b/bench/drawn_sizes.py
@@ -2,7 +2,8 @@
 
 from collections.abc import Sequence
 
-from tests.lib.drawn_sizes import SizedFindings, find_on_sized_day
+from tests.lib.drawn_findings import DrawnFindings
+from tests.lib.drawn_sizes import find_on_sized_day
 
 from bench.drawn import DAYS, FIRST_SEED, play_drawn
 from bench.result import BenchResult
@@ -13,7 +14,7 @@
     return play_drawn("drawn_sizes", find_on_sized_day, first_seed, days, _count)
 
 
-def _count(found: Sequence[SizedFindings]) -> dict[str, float]:
+def _count(found: Sequence[DrawnFindings]) -> dict[str, float]:
     return {
         "breaks": sum(len(day.breaks) for day in found),
         "jobs_not_succeeded": sum(len(day.undone) for day in found),
--- a/src/robinthread/_internal/jobs/evacuation.py
+++ b/src/robinthread/_internal/jobs/evacuation.py
@@ -10,6 +10,7 @@
 from robinthread._internal.jobs.room_claims import RoomClaims
 from robinthread._internal.jobs.run import Run, RunPhase
 from robinthread._internal.jobs.task import Task
+from robinthread._internal.jobs.workspace_capacity import may_restart
 
 # A lasting task works once it reports this progress.
 AT_WORK_PERCENT: Final = 100
@@ -93,7 +94,7 @@
     return (
         step.is_lasting
         and step.may_stop_together(len(members))
-        and pool.may_restart(members[0])
+        and may_restart(pool, members[0])
         and all(run.phase is RunPhase.PRESENT for member in members for run in member.runs)
     )
 
@@ -136,7 +137,7 @@
     if task.step.is_lasting:
         if host.record.is_draining:
             return not _is_other_stopping(pool, job, task) or _leaves_soon(host, now_s)
-        return can_spare(pool, job, task, now_s) and pool.may_restart(task)
+        return can_spare(pool, job, task, now_s) and may_restart(pool, task)
     if not task.step.keeps_checkpoints or host.leaves_at_s is None:
         return False
     left_s = host.leaves_at_s - now_s
--- a/src/robinthread/_internal/jobs/leaving_steps.py
+++ b/src/robinthread/_internal/jobs/leaving_steps.py
@@ -5,6 +5,7 @@
 from robinthread._internal.jobs.job import Job
 from robinthread._internal.jobs.pool_jobs import PoolJobs
 from robinthread._internal.jobs.waiting_steps import WaitingStep
+from robinthread._internal.jobs.workspace_capacity import may_restart
 from robinthread._internal.models.job_spec import StepSpec
 from robinthread._internal.models.step_key import StepKey
 
@@ -41,4 +42,4 @@
     stopped_count = step.task_count if step.is_gang else 1
     is_allowed = step.may_stop_together(stopped_count)
     first = job.get_tasks(key.occurrence, key.step)[0]
-    return is_allowed and not job.status.is_final and pool.may_restart(first)
+    return is_allowed and not job.status.is_final and may_restart(pool, first)
--- a/src/robinthread/_internal/jobs/pool_jobs.py
+++ b/src/robinthread/_internal/jobs/pool_jobs.py
@@ -25,7 +25,6 @@
 from robinthread._internal.models.job_spec import JobSpec
 from robinthread._internal.models.job_status import JobStatus
 from robinthread._internal.models.queue_policy import QueuePolicy
-from robinthread._internal.models.resources import NO_RESOURCES, Resources
 from robinthread._internal.models.task_key import TaskKey
 from robinthread._internal.models.upstream_host import UpstreamHost, make_unknown_host
 from robinthread._internal.settings.policy_settings import PlacementPolicy
@@ -155,19 +154,6 @@
         self._mark_unrecorded(job, task)
         return run
 
-    def fits_workspace_limit(self, task: Task) -> bool:
-        """Return whether a task fits its workspace's limit, and record one that does not."""
-        if self.has_workspace_capacity(task):
-            return True
-        workspace = self.jobs[task.key.job_id].spec.workspace
-        self.workspaces.record_held_back(workspace, _get_workspace_claim(task))
-        return False
-
-    def has_workspace_capacity(self, task: Task) -> bool:
-        """Return whether a waiting task and its whole gang fit within the workspace's limit."""
-        workspace = self.jobs[task.key.job_id].spec.workspace
-        return not workspace or self.workspaces.has_capacity(workspace, _get_workspace_claim(task))
-
     def request_copy(self, task: Task) -> None:
         """Queue a task with a single run for a copy on another host, if its step allows copies.
 
@@ -179,13 +165,6 @@
         if is_task_open and is_sound and task.step.allows_copies and len(task.runs) == 1:
             self.waiting[task.key] = task
 
-    def may_restart(self, task: Task) -> bool:
-        """Return whether a running task could start on another host after it is stopped.
-
-        A workspace whose limit was lowered keeps its runs but starts no new ones.
-        """
-        return self.workspaces.has_capacity(self.jobs[task.key.job_id].spec.workspace, NO_RESOURCES)
-
     def has_silent_runs(self) -> bool:
         """Return whether there are runs on hosts that do not respond."""
         return any(
@@ -448,9 +427,3 @@
             self.crash_tracker.forget(task)
             for run in list(task.runs):
                 self.stop(run)
-
-
-def _get_workspace_claim(task: Task) -> Resources:
-    """Return what a waiting task and its whole gang would use of the workspace's limit."""
-    claim = task.step.charged_resources
-    return claim.scale(task.step.task_count) if task.step.is_gang else claim
--- a/src/robinthread/_internal/jobs/room_claims.py
+++ b/src/robinthread/_internal/jobs/room_claims.py
@@ -9,6 +9,7 @@
 from robinthread._internal.jobs.pool_jobs import PoolJobs
 from robinthread._internal.jobs.run import RunPhase
 from robinthread._internal.jobs.task import Task
+from robinthread._internal.jobs.workspace_capacity import has_workspace_capacity
 from robinthread._internal.models.resources import NO_RESOURCES, Resources
 from robinthread._internal.models.step_key import StepKey
 
@@ -93,7 +94,7 @@
     yield from (
         task
         for task in pool.waiting.values()
-        if task.step.is_lasting and pool.has_workspace_capacity(task)
+        if task.step.is_lasting and has_workspace_capacity(pool, task)
     )
     for host in pool.hosts.values():
         for run in host.runs.values():
--- a/src/robinthread/_internal/jobs/scheduling.py
+++ b/src/robinthread/_internal/jobs/scheduling.py
@@ -15,6 +15,7 @@
 from robinthread._internal.jobs.pool_jobs import PoolJobs
 from robinthread._internal.jobs.suspects import place_suspects
 from robinthread._internal.jobs.task import Task
+from robinthread._internal.jobs.workspace_capacity import fits_workspace_limit
 from robinthread._internal.models.resources import Resources
 from robinthread._internal.models.step_key import StepKey
 
@@ -51,7 +52,7 @@
         if task.key not in pool.waiting or task.key in pool.reserved_host_ids:
             # Already placed, with its gang or as overdue, or a host is reserved for it.
             continue
-        if pool.is_withheld(task) or not pool.fits_workspace_limit(task):
+        if pool.is_withheld(task) or not fits_workspace_limit(pool, task):
             continue
         if task.key.step_key in unplaceable_steps:
             reserver.reserve_for(task, hosts)
--- a/src/robinthread/_internal/jobs/stragglers.py
+++ b/src/robinthread/_internal/jobs/stragglers.py
@@ -17,6 +17,7 @@
 from robinthread._internal.jobs.run import Run, RunPhase
 from robinthread._internal.jobs.stalls import HANG_PAUSE_S
 from robinthread._internal.jobs.task import Task
+from robinthread._internal.jobs.workspace_capacity import may_restart
 from robinthread._internal.models.step_key import StepKey
 
 # A run lags if its progress rate is below this share of the median for its step.  Tasks of a step
@@ -60,7 +61,7 @@
         task = pool.jobs[run.task.job_id].get_task(run.task)
         if task.step.allows_copies:
             pool.request_copy(task)
-        elif _is_worth_moving(pool, straggler) and pool.may_restart(task):
+        elif _is_worth_moving(pool, straggler) and may_restart(pool, task):
             task.failed_host_ids.add(run.host_id)
             pool.hosts[run.host_id].health.pause(HANG_PAUSE_S, now_s)
             pool.stop(run)
--- a/src/robinthread/_internal/jobs/suspects.py
+++ b/src/robinthread/_internal/jobs/suspects.py
@@ -36,6 +36,7 @@
 from robinthread._internal.jobs.run import Run, RunPhase
 from robinthread._internal.jobs.task import Task
 from robinthread._internal.jobs.trials import Trial
+from robinthread._internal.jobs.workspace_capacity import fits_workspace_limit
 from robinthread._internal.models.step_key import StepKey
 
 # Shares of the pool's usable hosts that may be at risk at a time: from suspects without a
@@ -67,7 +68,7 @@
     for task in sorted(sort_tasks(pool, waiting, now_ms), key=_count_confirmed):
         kind = task.key.step_key, must_run_alone(task.crashes)
         spare = _count_spare_hosts(pool, task, usable, now_s)
-        if spare < 1 or kind in without_host or not pool.fits_workspace_limit(task):
+        if spare < 1 or kind in without_host or not fits_workspace_limit(pool, task):
             continue
         trial = _choose_trial(pool, task, usable, now_s)
         if trial is None:
--- a/tests/lib/drawn_rooms.py
+++ b/tests/lib/drawn_rooms.py
@@ -17,7 +17,7 @@
 from robinthread._internal.standins.platform_standin import HOSTS, PlatformStandin
 from tests.lib.crashing import feed, wait_until_ended
 from tests.lib.day_troubles import Trouble, TroubleKind, bring_about
-from tests.lib.drawn_days import Span
+from tests.lib.drawn_findings import DrawnFindings, Span
 from tests.lib.job_platforms import HOST_CAPACITY, POOLS, find_violations, make_job, start_platform
 from tests.lib.virtual import run_virtual
 
@@ -85,20 +85,6 @@
     undone: tuple[Span, ...]
 
 
-@dataclass(frozen=True)
-class CapacityFindings:
-    """The violations that were found on a day, and the jobs that did not end."""
-
-    seed: int
-    breaks: tuple[str, ...]
-    undone: tuple[str, ...]
-
-    @property
-    def is_clean(self) -> bool:
-        """Tell whether the day has no findings."""
-        return not (self.breaks or self.undone)
-
-
 def draw_capacity_day(seed: int) -> CapacityDay:
     """Draw a day from its seed alone."""
     drawn = random.Random(seed)
@@ -116,15 +102,15 @@
     )
 
 
-def find_on_capacity_day(seed: int) -> CapacityFindings:
+def find_on_capacity_day(seed: int) -> DrawnFindings:
     """Simulate the day of a seed on virtual time; a simulation that stops is a finding as well."""
     try:
         return run_virtual(play_capacity_day(draw_capacity_day(seed)))
     except AssertionError as error:
-        return CapacityFindings(seed, (), (str(error),))
+        return DrawnFindings(seed, (), (str(error),))
 
 
-async def play_capacity_day(day: CapacityDay) -> CapacityFindings:
+async def play_capacity_day(day: CapacityDay) -> DrawnFindings:
     """Simulate a day and return its findings."""
 
     def plan(task: TaskKey) -> TaskPlan:
@@ -154,7 +140,7 @@
         for job_id, status in statuses.items()
         if status is None or not status.is_final
     ]
-    return CapacityFindings(day.seed, tuple(_find_breaks(platform, day)), tuple(undone))
+    return DrawnFindings(day.seed, tuple(_find_breaks(platform, day)), tuple(undone))
 
 
 def _draw_changes(drawn: random.Random) -> Iterator[CapacityChange]:
--- a/tests/lib/drawn_sizes.py
+++ b/tests/lib/drawn_sizes.py
@@ -24,7 +24,7 @@
 from robinthread._internal.standins.platform_standin import OPERATORS, PlatformStandin
 from tests.lib.crashing import feed, wait_until_ended
 from tests.lib.day_troubles import Trouble, TroubleKind, bring_about
-from tests.lib.drawn_days import Span
+from tests.lib.drawn_findings import DrawnFindings, Span, draw_spans, refuse_calls
 from tests.lib.job_platforms import (
     POOLS,
     QUEUE,
@@ -39,6 +39,7 @@
 JOB_PERIOD_S = 1.0
 # Failures occur as long as jobs arrive.
 LENGTH_S = JOBS * JOB_PERIOD_S
+SPAN_S = (1.0, 6.0)
 ENDED_WITHIN_S = 200.0
 SMALL = StepSpec(1, cpu_millicores=40, memory_mb=10)
 # A host has room for 400 tasks, and lists this many ends at once.
@@ -82,20 +83,6 @@
     blind: tuple[Span, ...]
 
 
-@dataclass(frozen=True)
-class SizedFindings:
-    """The violations that were found on a day, and the jobs that did not succeed."""
-
-    seed: int
-    breaks: tuple[str, ...]
-    undone: tuple[str, ...]
-
-    @property
-    def is_clean(self) -> bool:
-        """Tell whether the day has no findings."""
-        return not (self.breaks or self.undone)
-
-
 def draw_sized_day(seed: int) -> SizedDay:
     """Draw a day from its seed alone."""
     drawn = random.Random(f"sizes of {seed}")
@@ -107,21 +94,21 @@
         drawn.randrange(QUEUE.attempts_max),
         tuple(_draw_job(drawn, number) for number in range(1, JOBS + 1)),
         tuple(_draw_troubles(drawn)),
-        tuple(_draw_spans(drawn)),
-        tuple(_draw_spans(drawn)),
-        tuple(_draw_spans(drawn)),
+        tuple(draw_spans(drawn, LENGTH_S, SPAN_S)),
+        tuple(draw_spans(drawn, LENGTH_S, SPAN_S)),
+        tuple(draw_spans(drawn, LENGTH_S, SPAN_S)),
     )
 
 
-def find_on_sized_day(seed: int) -> SizedFindings:
+def find_on_sized_day(seed: int) -> DrawnFindings:
     """Simulate the day of a seed; a simulation that stops is a finding as well."""
     try:
         return run_virtual(play_sized_day(draw_sized_day(seed)))
     except AssertionError as error:
-        return SizedFindings(seed, (), (str(error),))
+        return DrawnFindings(seed, (), (str(error),))
 
 
-async def play_sized_day(day: SizedDay) -> SizedFindings:
+async def play_sized_day(day: SizedDay) -> DrawnFindings:
     """Simulate a day and return its findings."""
     starts: Counter[TaskKey] = Counter()
 
@@ -141,7 +128,7 @@
     await asyncio.gather(
         feed(platform, day.specs, JOB_PERIOD_S),
         *(_play_trouble(platform, each) for each in day.troubles),
-        *(_refuse_calls(platform, span) for span in day.store_down),
+        *(refuse_calls(platform.store, span) for span in day.store_down),
         *(_blind_owner(platform, span) for span in day.blind),
         _change_routes(platform, day.route_gone),
     )
@@ -151,7 +138,7 @@
         for job_id, status in statuses.items()
         if status is not JobStatus.SUCCEEDED
     ]
-    return SizedFindings(day.seed, tuple(find_violations(platform)), tuple(undone))
+    return DrawnFindings(day.seed, tuple(find_violations(platform)), tuple(undone))
 
 
 def _draw_job(drawn: random.Random, number: int) -> JobSpec:
@@ -180,24 +167,11 @@
         yield Trouble(at_s, drawn.choice(KINDS), drawn.randrange(1000), length_s)
 
 
-def _draw_spans(drawn: random.Random) -> Iterator[Span]:
-    for _ in range(drawn.choice((0, 1, 2))):
-        at_s = drawn.uniform(0.0, LENGTH_S)
-        yield at_s, at_s + drawn.uniform(1.0, 6.0)
-
-
 async def _play_trouble(platform: PlatformStandin, trouble: Trouble) -> None:
     await asyncio.sleep(trouble.at_s)
     await bring_about(platform, trouble)
 
 
-async def _refuse_calls(platform: PlatformStandin, span: Span) -> None:
-    await asyncio.sleep(span[0])
-    platform.store.faults.refused.add("*")
-    await asyncio.sleep(span[1] - span[0])
-    platform.store.faults.refused.discard("*")
-
-
 async def _blind_owner(platform: PlatformStandin, span: Span) -> None:
     """Kill the pool's owner; its next process can't read the operators' records for a while."""
     await asyncio.sleep(span[0])
--- a/tests/lib/soak/sizes.py
+++ b/tests/lib/soak/sizes.py
@@ -7,9 +7,9 @@
 import json
 import random
 import time
-from collections.abc import Iterator
 from dataclasses import dataclass
 
+from tests.lib.drawn_findings import Span, draw_spans, refuse_calls
 from tests.lib.soak.callers import Caller
 from tests.lib.soak.world import SMALL_JOB_PREFIX, SoakWorld
 
@@ -25,8 +25,6 @@
 LONG_PATH = "f" * 300
 SMALL_STEP = {"cpu": 10, "mem_mb": 10, "estimate_ms": 300}
 
-Span = tuple[float, float]
-
 
 @dataclass(frozen=True)
 class SoakSizes:
@@ -44,8 +42,8 @@
         return None
     return SoakSizes(
         tuple(drawn.uniform(0, length_s / 2) for _ in range(3)),
-        tuple(_draw_spans(drawn, length_s)),
-        tuple(_draw_spans(drawn, length_s)),
+        tuple(draw_spans(drawn, length_s, SPAN_S)),
+        tuple(draw_spans(drawn, length_s, SPAN_S)),
     )
 
 
@@ -56,17 +54,11 @@
     bodies = (_make_wide_body(), _make_timed_body(), _make_long_body())
     await asyncio.gather(
         _hand_in_all(caller, list(zip(sorted(sizes.jobs_at_s), bodies, strict=True))),
-        *(_refuse_calls(world, span) for span in sizes.store_down),
+        *(refuse_calls(world.store, span) for span in sizes.store_down),
         *(_remove_route(world, span) for span in sizes.route_gone),
     )
 
 
-def _draw_spans(drawn: random.Random, length_s: float) -> Iterator[Span]:
-    for _ in range(drawn.choice((0, 1, 2))):
-        at_s = drawn.uniform(0, length_s)
-        yield at_s, at_s + drawn.uniform(*SPAN_S)
-
-
 async def _hand_in_all(caller: Caller, jobs: list[tuple[float, str]]) -> None:
     began_at_s = asyncio.get_running_loop().time()
     for number, (at_s, body) in enumerate(jobs):
@@ -75,13 +67,6 @@
         await caller.cancel(LONG_PATH)
 
 
-async def _refuse_calls(world: SoakWorld, span: Span) -> None:
-    await asyncio.sleep(span[0])
-    world.store.faults.refused.add("*")
-    await asyncio.sleep(span[1] - span[0])
-    world.store.faults.refused.discard("*")
-
-
 async def _remove_route(world: SoakWorld, span: Span) -> None:
     await asyncio.sleep(span[0])
     world.publish_config(has_route=False)
