Give each background task of a node a name, and show how old its views are

What callers saw: starts on hosts that leave, and jobs that stand still though hosts have room (DRAIN, LOST). Today's lines can't tell a list of hosts that is no longer followed from one that lags or from starts that are held up: a task that ends by an exception is forgotten until its memory is collected, and nothing tells the age of what a node knows.

Each background task has a name, and its error is written as task_failed (task, type, bounded text, module and line). follower_age_seconds and follower_offset are gauges by topic; view_stale and view_fresh tell when a view passes its bound (for hosts that of a drain) and when it is fresh again; host_listed and host_draining tell when a node first knew, with the entry's offset and how old it may have been by then.

--- a/src/robinthread/_internal/durable/keyed_follower.py
+++ b/src/robinthread/_internal/durable/keyed_follower.py
@@ -66,6 +66,7 @@
         self._fast_period_s = 0.0
         self._fast_until_s = 0.0
         self._resumed = asyncio.Event()
+        self._resumed_at_s = math.inf
         if not is_paused:
             self._resumed.set()
         self._read_timeout_s: float | None = None
@@ -75,6 +76,7 @@
 
     async def run(self) -> None:
         """Follow until cancelled, except while paused."""
+        self._resumed_at_s = min(self._resumed_at_s, asyncio.get_running_loop().time())
         while True:
             await self._resumed.wait()
             try:
@@ -97,6 +99,21 @@
         is_fast = asyncio.get_running_loop().time() < self._fast_until_s
         return min(self._fast_period_s, self._period_s) if is_fast else self._period_s
 
+    @property
+    def topic(self) -> str:
+        """Return the topic of the partition."""
+        return self._partition.topic
+
+    @property
+    def is_paused(self) -> bool:
+        """Tell whether the follower is paused."""
+        return not self._resumed.is_set()
+
+    def get_age_s(self) -> float:
+        """Return the seconds since the last successful read was sent, or since the resumption."""
+        known_at_s = max(self.confirmed_at_s, self._resumed_at_s)
+        return asyncio.get_running_loop().time() - known_at_s
+
     def pause(self) -> None:
         """Stop following; the records applied so far become stale."""
         self._resumed.clear()
@@ -105,7 +122,9 @@
 
     def resume(self) -> None:
         """Follow again, starting with a snapshot of the newest record of each key."""
-        self._resumed.set()
+        if self.is_paused:
+            self._resumed_at_s = asyncio.get_running_loop().time()
+            self._resumed.set()
 
     async def read_to_end(self) -> None:
         """Apply all records that exist at the time of the call; raise ``StoreError``.
--- a/src/robinthread/_internal/node/assembly.py
+++ b/src/robinthread/_internal/node/assembly.py
@@ -36,6 +36,8 @@
 from robinthread._internal.node.slow_store import SlowStoreMonitor
 from robinthread._internal.node.status_reporter import StatusReporter
 from robinthread._internal.node.steward import Steward
+from robinthread._internal.node.task_supervisor import TaskSupervisor
+from robinthread._internal.node.view_ages import FOLLOWED_AGE_MAX_S, View, ViewAges
 
 RETRY_PAUSE_S: Final = 0.2
 # Each heartbeat of a host changes its entry, so the host list is polled at this interval, not at
@@ -59,6 +61,8 @@
     lag: LoopLag
     readiness: Readiness
     status_reporter: StatusReporter
+    supervisor: TaskSupervisor
+    views: ViewAges
 
 
 def assemble_node(
@@ -71,7 +75,9 @@
     config_holder = ConfigHolder(records, events)
     evacuations = EvacuationHolder(records, events, settings.halls)
     job_index = JobIndex(events, ShareMeter(config_holder.get_share))
-    host_directory = HostDirectory(records.parse_host, events)
+    host_directory = HostDirectory(
+        records.parse_host, events, lambda: loop.time() - hosts.confirmed_at_s
+    )
     # Only owners of pools need the inbox and the host list, so both followers start paused.  When
     # all nodes start at once, 2 MB of jobs would occupy a link of 5 Mbit/s for 3.3 s and delay the
     # first calls of each node by as much.
@@ -157,6 +163,7 @@
     def make_steward(token: int, wait_s: float) -> Steward:
         return Steward(context, environment, table, owned, me, token, wait_s)
 
+    supervisor = TaskSupervisor(me.node, events)
     node = Node(
         context,
         me,
@@ -168,28 +175,48 @@
         handover,
         rebalance_planner,
         (hosts, inbox),
+        supervisor,
     )
     readiness = Readiness(node, member, table, config_holder, events)
-    status_reporter = StatusReporter(owned, lag, readiness, events)
-    for work in (
-        operators.run(),
-        hosts.run(),
-        inbox.run(),
-        table.follower.run(),
-        member.run(),
-        slow_store.run(),
-        owner_liveness.run(),
-        handover.run(),
-        lag.run(),
-        settings_holder.run(),
-        writer.run(),
-        node.run(),
-        status_reporter.run(),
-    ):
-        node.spawn(work)
+    views = ViewAges(
+        [
+            View(hosts, lambda: settings_holder.settings.bounds.drain_ms / 1000),
+            *(
+                View(follower, lambda: FOLLOWED_AGE_MAX_S)
+                for follower in (inbox, table.follower, operators)
+            ),
+        ],
+        events,
+    )
+    status_reporter = StatusReporter(owned, lag, readiness, views, events)
+    for name, make_work in {
+        "operators": operators.run,
+        "hosts": hosts.run,
+        "inbox": inbox.run,
+        "owners": table.follower.run,
+        "member": member.run,
+        "slow_store": slow_store.run,
+        "owner_liveness": owner_liveness.run,
+        "handover": handover.run,
+        "loop_lag": lag.run,
+        "settings": settings_holder.run,
+        "inbox_writer": writer.run,
+        "node": node.run,
+        "status": status_reporter.run,
+    }.items():
+        supervisor.start(name, make_work)
     request_handler = PeerRequestHandler(owned, record_writer, handover, slow_store)
     return AssembledNode(
-        node, job_service, owned, request_handler, config_holder, lag, readiness, status_reporter
+        node,
+        job_service,
+        owned,
+        request_handler,
+        config_holder,
+        lag,
+        readiness,
+        status_reporter,
+        supervisor,
+        views,
     )
 
 
--- a/src/robinthread/_internal/node/host_directory.py
+++ b/src/robinthread/_internal/node/host_directory.py
@@ -23,12 +23,19 @@
     """Hosts by id; a host whose entry disappears is retained for ``MISSING_GRACE_S``.
 
     ``cold_until_s`` is until when each host is cold, by the event loop's clock.  It is kept here
-    because the owners of pools do not see whether an entry has changed.
+    because the owners of pools do not see whether an entry has changed.  ``get_unread_s`` returns
+    the seconds since the last read that is already applied, so a newly read entry is no older.
     """
 
-    def __init__(self, parse_host: ParseHost, events: EventLog) -> None:
+    def __init__(
+        self,
+        parse_host: ParseHost,
+        events: EventLog,
+        get_unread_s: Callable[[], float] = lambda: 0.0,
+    ) -> None:
         self._parse_host = parse_host
         self._events = events
+        self._get_unread_s = get_unread_s
         self._pending_removals: dict[str, asyncio.TimerHandle] = {}
         self._listeners: list[Callable[[], None]] = []
         self.hosts: dict[str, UpstreamHost] = {}
@@ -45,7 +52,9 @@
     def apply(self, records: Sequence[KeyedRecord], is_snapshot: bool) -> None:
         """Apply records of host entries; a snapshot replaces all earlier entries."""
         for record in records:
+            before = self.hosts.get(record.key)
             self._apply_one(record, is_snapshot)
+            self._log_change(record, before)
         if is_snapshot:
             listed = {record.key for record in records}
             for host_id in [host_id for host_id in self.hosts if host_id not in listed]:
@@ -70,6 +79,24 @@
         self._record_cold(host, is_snapshot)
         self.hosts[host.id] = host
 
+    def _log_change(self, record: KeyedRecord, before: UpstreamHost | None) -> None:
+        """Log that a host is newly listed, or newly draining."""
+        host = self.hosts.get(record.key)
+        if host is None or host is before:
+            return
+        if before is None:
+            self._events.gather("host_listed", counted_by=host.pool, listed={"hosts": host.id})
+        if host.is_draining and not (before is not None and before.is_draining):
+            unread_s = self._get_unread_s()
+            self._events.gather(
+                "host_draining",
+                counted_by=host.pool,
+                listed={"hosts": host.id},
+                offset=record.offset,
+                leaves_in_ms=host.leaves_in_ms,
+                unread_for_s=round(unread_s, 3) if math.isfinite(unread_s) else None,
+            )
+
     def _record_cold(self, host: UpstreamHost, is_snapshot: bool) -> None:
         previous_until_s = self.cold_until_s.get(host.id, -math.inf)
         now_s = asyncio.get_running_loop().time()
--- a/src/robinthread/_internal/node/node.py
+++ b/src/robinthread/_internal/node/node.py
@@ -1,8 +1,9 @@
 """The main loop of a node, which acquires and releases pools."""
 
 import asyncio
-from collections.abc import Callable, Collection, Coroutine
-from typing import Any, Final
+from collections.abc import Callable, Collection
+from functools import partial
+from typing import Final
 
 from robinthread._internal.durable.errors import StoreError
 from robinthread._internal.durable.keyed_follower import KeyedFollower
@@ -17,6 +18,7 @@
 from robinthread._internal.node.predecessors import find_predecessors
 from robinthread._internal.node.steward import Steward
 from robinthread._internal.node.stop_budget import StopBudget
+from robinthread._internal.node.task_supervisor import TaskSupervisor
 from robinthread._internal.utils.waiting import wait_for_event
 
 MakeSteward = Callable[[int, float], Steward]
@@ -40,6 +42,7 @@
         handover: Handover,
         rebalance_planner: RebalancePlanner,
         followers: tuple[KeyedFollower, ...],
+        supervisor: TaskSupervisor,
     ) -> None:
         self._context = context
         self._events = context.events
@@ -52,21 +55,14 @@
         self._handover = handover
         self._rebalance_planner = rebalance_planner
         self._followers = followers
+        self._supervisor = supervisor
         self._steward: Steward | None = None
-        self._tasks: set[asyncio.Task[Any]] = set()
         self._closed_tokens: dict[str, int] = {}
         self.is_stopping = False
 
-    def spawn(self, work: Coroutine[Any, Any, None]) -> None:
-        """Run a task that is cancelled with the node."""
-        task = asyncio.get_running_loop().create_task(work)
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
-
     def cancel(self) -> None:
         """Cancel everything at once, like a killed process."""
-        for task in list(self._tasks):
-            task.cancel()
+        self._supervisor.cancel()
         for owner in self._owned.owners.values():
             owner.cancel()
         if self._steward is not None:
@@ -196,14 +192,14 @@
                 )
                 owner = self._owned.make_owner(pool, found.token, predecessors)
                 self._handover.log_acquired(owner.pool, owner.token)
-                self.spawn(self._run_owner(owner))
+                self._supervisor.start(f"pool/{pool}", partial(self._run_owner, owner))
 
     def _open_steward(self, token: int) -> None:
         if self._steward is None and self._closed_tokens.get(FLEET_POOL, 0) < token:
             wait_s = self._get_wait_s()
             self._steward = self._make_steward(token, wait_s)
             self._events.write("fleet_taken", token=token)
-            self.spawn(self._run_steward(self._steward))
+            self._supervisor.start(FLEET_POOL, partial(self._run_steward, self._steward))
 
     def _get_wait_s(self) -> float:
         """Return the seconds for which machines that the previous steward ordered get no order.
--- a/src/robinthread/_internal/node/process.py
+++ b/src/robinthread/_internal/node/process.py
@@ -6,6 +6,7 @@
 import signal
 import time
 from collections.abc import Callable
+from functools import partial
 from typing import Final
 
 from opentelemetry.metrics import get_meter
@@ -108,11 +109,15 @@
     metrics.register_gauge(
         "workspace_part", "pool_and_workspace", assembled.status_reporter.read_workspace_parts
     )
+    metrics.register_gauge("follower_age_seconds", "topic", assembled.views.read_ages)
+    metrics.register_gauge("follower_offset", "topic", assembled.views.read_offsets)
     register_evacuation_gauges(metrics, assembled.owned)
     requests = OpenRequests()
     callers = _serve(assembled, settings, peer_address, events, requests)
     address = "" if metrics_port is None else f"{settings.ip}:{metrics_port}"
-    assembled.node.spawn(_finish_start(start_metrics_export, metrics, address))
+    assembled.supervisor.start(
+        "start", partial(_finish_start, start_metrics_export, metrics, address)
+    )
     await stopped.wait()
     grace_s = holder.settings.bounds.stop_grace_s
     await stop_node(assembled, callers, requests, grace_s, events)
--- a/src/robinthread/_internal/node/status_reporter.py
+++ b/src/robinthread/_internal/node/status_reporter.py
@@ -11,6 +11,7 @@
 from robinthread._internal.node.pool_owner import PoolOwner
 from robinthread._internal.node.pool_runtime import get_loop_s
 from robinthread._internal.node.readiness import Readiness
+from robinthread._internal.node.view_ages import ViewAges
 from robinthread._internal.telemetry.event_log import EventLog
 
 # Interval between checks for lines that are due.
@@ -27,11 +28,17 @@
     """Logs the status of the pools that this node owns, whether open or not."""
 
     def __init__(
-        self, owned: OwnedPools, lag: LoopLag, readiness: Readiness, events: EventLog
+        self,
+        owned: OwnedPools,
+        lag: LoopLag,
+        readiness: Readiness,
+        views: ViewAges,
+        events: EventLog,
     ) -> None:
         self._owned = owned
         self._lag = lag
         self._readiness = readiness
+        self._views = views
         self._events = events
         self._logged_at_s = 0.0
 
@@ -45,6 +52,7 @@
         """Log what is due now."""
         self._events.flush_gathered()
         self._readiness.check()
+        self._views.check()
         is_due = get_loop_s() - self._logged_at_s >= STATUS_PERIOD_S
         if is_due:
             self._logged_at_s = get_loop_s()
--- a/src/robinthread/_internal/telemetry/levels.py
+++ b/src/robinthread/_internal/telemetry/levels.py
@@ -37,6 +37,7 @@
     "task_failed",
     "task_given_up",
     "unready",
+    "view_stale",
     "wave_over_bound",
 )
 # Changes of ownership, of a process's state and of the configuration in force, and orders for
@@ -46,6 +47,7 @@
     "fleet_taken",
     "hall_evacuated",
     "hall_evacuating",
+    "host_draining",
     "machine_ordered",
     "pool_closed",
     "pool_evacuating",
@@ -68,6 +70,7 @@
     "upkeep_answered",
     "upkeep_begins",
     "upkeep_over",
+    "view_fresh",
     "wave_asked_for",
     "wave_shown",
 )
--- /dev/null
+++ b/tests/functional/test_task_failures.py
@@ -0,0 +1,345 @@
+"""Background tasks of a node that fail: none ends unseen, and the node serves on."""
+
+import asyncio
+from typing import Any
+from unittest.mock import patch
+
+from testtools import TestCase
+
+from robinthread._internal.standins.job_hosts_standin import JobHostsClient
+from robinthread._internal.standins.platform_standin import HOSTS, PlatformStandin
+from robinthread._internal.standins.store_standin import StoreClient
+from tests.lib.job_platforms import (
+    HOST_CAPACITY,
+    POOL,
+    find_violations,
+    get_owner,
+    start_platform,
+    wait_until,
+)
+from tests.lib.task_failures import (
+    InjectedError,
+    drain,
+    fail_repeatedly,
+    fail_task,
+    find_faults_of_listing,
+    find_unfinished,
+    list_background_tasks,
+    list_pool_hosts,
+    list_starts,
+    load_hosts,
+    plan_wide,
+    read_lines,
+    wait_for_background,
+)
+from tests.lib.virtual import run_virtual
+
+# A pool that was given up is open again after this time.
+REOPENED_MAX_S = 5.0
+# A node whose task keeps failing has passed its pools on after this time.
+GIVEN_UP_MAX_S = 5.0
+# The steward's failure has a line of its own, because another steward follows it.
+STEWARD = "fleet/machines"
+
+
+async def start_loaded(nodes: int = 1) -> tuple[PlatformStandin, list[Any], asyncio.Task[None]]:
+    """Start a platform with two hosts and a load on the last node's callers."""
+    platform = await start_platform(plan_wide, nodes=nodes, hosts=2)
+    jobs: list[Any] = []
+    loading = asyncio.create_task(load_hosts(platform, f"node{nodes - 1}", jobs))
+    await asyncio.sleep(1.0)
+    return platform, jobs, loading
+
+
+async def list_names() -> list[str]:
+    platform = await start_platform(plan_wide, nodes=1, hosts=2)
+    return sorted(list_background_tasks("node0")) if platform.nodes else []
+
+
+async def find_faults_after_failure(name: str) -> list[str]:
+    """Fail one background task of the only node; describe what it does not do afterwards."""
+    platform, jobs, loading = await start_loaded()
+    await fail_task(list_background_tasks("node0")[name])
+    await asyncio.sleep(REOPENED_MAX_S)
+    faults = [] if await wait_for_background("node0", name) else ["the task is gone"]
+    if name == STEWARD:
+        is_told = bool(read_lines(platform, "steward_failed"))
+    else:
+        is_told = name in [line.get("task") for line in read_lines(platform, "task_failed")]
+    if not is_told:
+        faults.append("no line")
+    faults += await find_faults_of_listing(platform)
+    loading.cancel()
+    faults += await find_unfinished(platform, "node0", jobs)
+    if not platform.nodes["node0"].assembled.readiness.check():
+        faults.append("not ready")
+    return faults + find_violations(platform)
+
+
+class OneFailureTest(TestCase):
+    def test_node_serves_on_after_a_failure_of_any_of_its_tasks(self) -> None:
+        """Guards against a task that ends for good: each name that runs on a node is failed."""
+        names = run_virtual(list_names())
+        self.assertLess({"hosts", "inbox", "owners", "operators", "member"}, set(names))
+        found = {
+            name: faults
+            for name in names
+            if (faults := run_virtual(find_faults_after_failure(name)))
+        }
+        self.assertEqual({}, found)
+
+
+class RepeatedFailureTest(TestCase):
+    def _check(self, name: str) -> None:
+        async def work() -> None:
+            platform, jobs, loading = await start_loaded(nodes=3)
+            owner = get_owner(platform) or ""
+            readiness = platform.nodes[owner].assembled.readiness
+            failing = asyncio.create_task(fail_repeatedly(owner, name))
+            await asyncio.sleep(GIVEN_UP_MAX_S)
+            self.assertNotIn(get_owner(platform), (owner, None))
+            self.assertFalse(readiness.check())
+            self.assertIn(name, read_lines(platform, "unready")[-1]["reason"])
+            self.assertEqual([], await find_faults_of_listing(platform))
+            self.assertFalse(readiness.check())
+            failing.cancel()
+            await wait_until(readiness.check, limit_s=20)
+            loading.cancel()
+            self.assertEqual([], await find_unfinished(platform, "node2", jobs))
+            self.assertEqual([], find_violations(platform))
+
+        run_virtual(work())
+
+    def test_pools_move_from_a_node_whose_host_list_keeps_failing(self) -> None:
+        """Guards against an owner that goes on by an old list of hosts."""
+        self._check("hosts")
+
+    def test_pools_move_from_a_node_whose_inbox_keeps_failing(self) -> None:
+        """Guards against an owner that never sees the jobs that other nodes accept."""
+        self._check("inbox")
+
+    def test_only_node_serves_on_while_a_task_keeps_failing(self) -> None:
+        """Guards against a total outage by giving up what no other node can take."""
+
+        async def work() -> None:
+            platform, jobs, loading = await start_loaded()
+            failing = asyncio.create_task(fail_repeatedly("node0", "settings"))
+            await asyncio.sleep(10)
+            loading.cancel()
+            self.assertEqual([], await find_unfinished(platform, "node0", jobs))
+            lines = read_lines(platform, "task_failed")
+            self.assertLess(len(lines), 12)
+            self.assertGreater(len(lines), 4)
+            failing.cancel()
+
+        run_virtual(work())
+
+
+class OneOfManyTest(TestCase):
+    def test_subscriber_of_the_host_list_that_raises_harms_no_other(self) -> None:
+        """Guards against one pool's error that ends the following of hosts for all."""
+
+        async def work() -> None:
+            platform, jobs, loading = await start_loaded()
+            directory = platform.nodes["node0"].assembled.node._context.host_directory
+
+            def listener() -> None:
+                raise InjectedError("subscriber")
+
+            directory._listeners.insert(0, listener)
+            self.assertEqual([], await find_faults_of_listing(platform))
+            loading.cancel()
+            self.assertEqual([], await find_unfinished(platform, "node0", jobs))
+            self.assertTrue(read_lines(platform, "subscriber_failed"))
+
+        run_virtual(work())
+
+    def test_subscriber_of_the_inbox_that_raises_harms_no_other(self) -> None:
+        """Guards against one pool's error that ends the reading of jobs for all."""
+
+        async def work() -> None:
+            platform = await start_platform(plan_wide, nodes=1, hosts=2)
+            index = platform.nodes["node0"].assembled.node._context.job_index
+
+            def listener(job: object) -> None:
+                raise InjectedError("subscriber")
+
+            index._listeners.insert(0, listener)
+            jobs: list[Any] = []
+            loading = asyncio.create_task(load_hosts(platform, "node0", jobs))
+            await asyncio.sleep(3)
+            loading.cancel()
+            self.assertEqual([], await find_unfinished(platform, "node0", jobs))
+            self.assertTrue(read_lines(platform, "subscriber_failed"))
+
+        run_virtual(work())
+
+    def test_pool_that_cannot_apply_the_host_list_is_given_up_at_once(self) -> None:
+        """Guards against an owner that goes on by a list that it could not apply."""
+
+        async def work() -> None:
+            platform, jobs, loading = await start_loaded()
+            owner = platform.nodes["node0"].assembled.owned.owners[POOL]
+
+            with patch.object(owner._hosts, "_is_listed", side_effect=InjectedError("listing")):
+                platform.list_host(list_pool_hosts(platform)[0])
+                await wait_until(owner.fenced.is_set, limit_s=2)
+            failed = read_lines(platform, "task_failed")
+            self.assertEqual([POOL], [line.get("pool") for line in failed])
+            await wait_until(lambda: get_owner(platform) is not None, limit_s=REOPENED_MAX_S)
+            self.assertEqual([], await find_faults_of_listing(platform))
+            loading.cancel()
+            self.assertEqual([], await find_unfinished(platform, "node0", jobs))
+            self.assertEqual([], find_violations(platform))
+
+        run_virtual(work())
+
+    def test_record_that_no_code_can_apply_harms_itself_alone(self) -> None:
+        """Guards against an entry of another writer that ends the following of hosts."""
+
+        async def work() -> None:
+            platform, jobs, loading = await start_loaded()
+            directory = platform.nodes["node0"].assembled.node._context.host_directory
+            parse_host = directory._parse_host
+
+            def parse(key: str, value: bytes) -> Any:
+                if key == "odd":
+                    raise InjectedError(key)
+                return parse_host(key, value)
+
+            directory._parse_host = parse
+            platform.store.put(HOSTS, "odd", b"")
+            self.assertEqual([], await find_faults_of_listing(platform))
+            platform.store.put(HOSTS, "odd", b"")
+            platform.store.expire_history()
+            self.assertEqual([], await find_faults_of_listing(platform))
+            loading.cancel()
+            self.assertEqual([], await find_unfinished(platform, "node0", jobs))
+
+        run_virtual(work())
+
+
+class OddHostTest(TestCase):
+    def _check(self, call: str) -> None:
+        """Let one kind of call to one host raise for 3 s; the pool must keep its owner."""
+
+        async def work() -> None:
+            platform, jobs, loading = await start_loaded()
+            owner = platform.nodes["node0"].assembled.owned.owners[POOL]
+            odd, sound = list_pool_hosts(platform)[:2]
+            real = getattr(JobHostsClient, call)
+
+            async def make_call(client: Any, host: Any, *args: Any) -> Any:
+                answer = await real(client, host, *args)
+                if host.id == odd.id:
+                    raise InjectedError(call)
+                return answer
+
+            began_at_s = asyncio.get_running_loop().time()
+            with patch.object(JobHostsClient, call, make_call):
+                await asyncio.sleep(3)
+            lines = len(platform.events)
+            self.assertGreater(len(list_starts(platform, sound.id, began_at_s + 1)), 3)
+            await asyncio.sleep(6)
+            self.assertGreater(len(list_starts(platform, odd.id, began_at_s + 3)), 3)
+            loading.cancel()
+            self.assertEqual([], await find_unfinished(platform, "node0", jobs))
+            self.assertIs(owner, platform.nodes["node0"].assembled.owned.owners[POOL])
+            self.assertEqual([], find_violations(platform))
+            self.assertTrue(read_lines(platform, "host_call_failed"))
+            self.assertLess(lines, 400)
+
+        run_virtual(work())
+
+    def test_host_whose_reports_raise_costs_its_pool_no_owner(self) -> None:
+        """Guards against one odd host that takes its whole pool to and fro."""
+        self._check("watch")
+
+    def test_host_whose_answers_to_starts_raise_costs_its_pool_no_owner(self) -> None:
+        """Guards against one odd answer to a start that takes the whole pool to and fro."""
+        self._check("start")
+
+
+class AgeTest(TestCase):
+    def test_read_that_never_returns_is_given_up(self) -> None:
+        """Guards against a follower that hangs for good on one call."""
+
+        async def work() -> None:
+            platform, jobs, loading = await start_loaded()
+            real = StoreClient.read
+            hung: list[Any] = []
+
+            async def read(client: Any, partition: Any, *args: Any) -> Any:
+                if partition == HOSTS and not hung:
+                    hung.append(partition)
+                    await asyncio.Event().wait()
+                return await real(client, partition, *args)
+
+            with patch.object(StoreClient, "read", read):
+                await wait_until(lambda: bool(hung))
+                await asyncio.sleep(3)
+                self.assertEqual([], await find_faults_of_listing(platform))
+            loading.cancel()
+            self.assertEqual([], await find_unfinished(platform, "node0", jobs))
+
+        run_virtual(work())
+
+    def test_old_host_list_is_told_and_its_age_shown(self) -> None:
+        """Guards against a list of hosts that grows old without a line or a figure."""
+
+        async def work() -> None:
+            platform, _, loading = await start_loaded()
+            node = platform.nodes["node0"].assembled
+            platform.store.unreadable_by.add(("node0", HOSTS.topic))
+            await asyncio.sleep(5)
+            self.assertEqual(
+                [HOSTS.topic], [x["topic"] for x in read_lines(platform, "view_stale")]
+            )
+            self.assertGreater(node.views.read_ages()[HOSTS.topic], 4)
+            platform.store.unreadable_by.clear()
+            await asyncio.sleep(4)
+            fresh = read_lines(platform, "view_fresh")
+            self.assertEqual([HOSTS.topic], [line["topic"] for line in fresh])
+            self.assertGreater(fresh[0]["stale_for_s"], 4)
+            self.assertLess(node.views.read_ages()[HOSTS.topic], 2)
+            self.assertEqual(
+                platform.store.get_log(HOSTS).end, node.views.read_offsets()[HOSTS.topic]
+            )
+            loading.cancel()
+
+        run_virtual(work())
+
+    def test_change_of_a_host_is_told_once_with_its_offset(self) -> None:
+        """Guards against a drain of which no line tells when a node knew of it."""
+
+        async def work() -> None:
+            platform, _, loading = await start_loaded()
+            host = list_pool_hosts(platform)[0]
+            drain(platform, host)
+            offset = platform.store.get_log(HOSTS).end - 1
+            await asyncio.sleep(1)
+            drain(platform, host)
+            platform.machines.add(POOL, "r1", HOST_CAPACITY)
+            await asyncio.sleep(2)
+            draining = read_lines(platform, "host_draining")
+            self.assertEqual([([host.id], offset)], [(x["hosts"], x["offset"]) for x in draining])
+            self.assertLess(draining[0]["unread_for_s"], 1)
+            listed = [
+                name for line in read_lines(platform, "host_listed") for name in line["hosts"]
+            ]
+            self.assertEqual(
+                sorted({host.id for host in list_pool_hosts(platform)}), sorted(listed)
+            )
+            loading.cancel()
+
+        run_virtual(work())
+
+    def test_views_that_are_followed_are_never_told_as_old(self) -> None:
+        """Guards against false alarms: idle partitions are confirmed by each long poll."""
+
+        async def work() -> None:
+            platform = await start_platform(plan_wide, nodes=3, hosts=2)
+            await asyncio.sleep(30)
+            self.assertEqual([], read_lines(platform, "view_stale"))
+
+        run_virtual(work())
