--- a/src/robinthread/_internal/jobs/cold_hosts.py
+++ b/src/robinthread/_internal/jobs/cold_hosts.py
@@ -5,7 +5,7 @@
 from robinthread._internal.jobs.cold_state import TOKEN_MIN, ColdStartLimit
 from robinthread._internal.jobs.host import Host, HostContact
 from robinthread._internal.jobs.pool_jobs import PoolJobs
-from robinthread._internal.jobs.run import Run, RunPhase
+from robinthread._internal.jobs.run import Run
 from robinthread._internal.models.pool_policy import PoolPolicy
 
 
@@ -39,16 +39,10 @@
         return math.inf
     if not limit.is_known:
         return 0
-    unsent_count = sum(_is_unsent(run) for run in host.runs.values())
+    unsent_count = sum(run.is_unsent for run in host.runs.values())
     return math.floor(host.cold.refill(limit, now_s) + 1 - TOKEN_MIN) - unsent_count
 
 
 def may_start(pool: PoolJobs, host: Host, now_s: float) -> bool:
     """Return whether a run may be placed on a host now, by the limit for cold hosts."""
     return not pool.cold_start_limit.restricts_starts or count_startable(pool, host, now_s) >= 1
-
-
-def _is_unsent(run: Run) -> bool:
-    if run.phase is RunPhase.RECORDING:
-        return True
-    return run.phase is RunPhase.SENDING and run.sent_at_s is None and not run.is_inherited
--- a/src/robinthread/_internal/jobs/gangs.py
+++ b/src/robinthread/_internal/jobs/gangs.py
@@ -29,7 +29,7 @@
     checkpoint = next((member.checkpoint for member in members if member.checkpoint), "")
     for member, host in zip(members, hosts, strict=True):
         member.checkpoint = checkpoint
-        pool.place(member, host, number)
+        pool.place(member, host, number, now_s)
     return len(members)
 
 
--- a/src/robinthread/_internal/jobs/pool_jobs.py
+++ b/src/robinthread/_internal/jobs/pool_jobs.py
@@ -144,10 +144,13 @@
         host.record = record
         return host
 
-    def place(self, task: Task, host: Host, number: int | None = None) -> Run:
+    def place(
+        self, task: Task, host: Host, number: int | None = None, now_s: float | None = None
+    ) -> Run:
         """Place a waiting task on a host; its start may be sent once the run is recorded."""
         self.waiting.pop(task.key, None)
         run = task.add_run(host.id, number)
+        run.placed_at_s = now_s
         host.add_run(run, task.resources)
         job = self.jobs[task.key.job_id]
         self.workspaces.record_start(job.spec.workspace, task.step.charged_resources)
--- a/src/robinthread/_internal/jobs/run.py
+++ b/src/robinthread/_internal/jobs/run.py
@@ -30,7 +30,8 @@
     ``settled_at_s`` is conclusive for the run: if none of the report's lists contains the run,
     it is not present and never will be.  ``sent_at_s`` is when its start was first sent; None
     if the start never reached the host or was sent by an earlier owner, from whom the run then
-    ``is_inherited``.  A run that ``is_alone`` was started on a host without other runs, and none
+    ``is_inherited``.  ``placed_at_s`` is when its host was chosen; None if an earlier owner did
+    that.  A run that ``is_alone`` was started on a host without other runs, and none
     were added.  A run that ``awaits_end`` was not running at the last report, which left out ends:
     it has probably ended, and its end will be listed.
     """
@@ -47,6 +48,7 @@
         "pace_percent",
         "paced_at_s",
         "phase",
+        "placed_at_s",
         "present_since_s",
         "progress_at_s",
         "progress_percent",
@@ -74,6 +76,7 @@
         self.recent_load: int | None = None
         self.pace_percent = 100
         self.paced_at_s = 0.0
+        self.placed_at_s: float | None = None
         self.sent_at_s: float | None = None
         self.present_since_s: float | None = None
         self.settled_at_s = math.inf
@@ -83,6 +86,13 @@
         """Return the key that identifies the run."""
         return self.task, self.number
 
+    @property
+    def is_unsent(self) -> bool:
+        """Return whether no start of the run can have reached its host, from any owner."""
+        if self.phase is RunPhase.SENDING:
+            return self.sent_at_s is None and not self.is_inherited
+        return self.phase is RunPhase.RECORDING
+
     def get_age_s(self, at_s: float) -> float | None:
         """Return for how many seconds at least the run was present; None if it may not be yet."""
         since_s = self.present_since_s
--- a/src/robinthread/_internal/jobs/scheduling.py
+++ b/src/robinthread/_internal/jobs/scheduling.py
@@ -80,7 +80,7 @@
                 unplaceable_steps.add(task.key.step_key)
                 reserver.reserve_for(task, hosts)
             continue
-        pool.place(task, host)
+        pool.place(task, host, now_s=now_s)
         placed += 1
         last = task, host
         if not _can_take(pool, host, smallest, now_s):
--- a/src/robinthread/_internal/jobs/suspects.py
+++ b/src/robinthread/_internal/jobs/suspects.py
@@ -197,7 +197,7 @@
     else:
         fitting = list(iter_fitting(pool, task, hosts, now_s))
         for host in fitting:
-            pool.place(task, host)
+            pool.place(task, host, now_s=now_s)
         placed = len(fitting)
     if placed:
         trial.run = task.last_run
--- a/src/robinthread/_internal/node/hall_evacuations.py
+++ b/src/robinthread/_internal/node/hall_evacuations.py
@@ -102,6 +102,5 @@
         for host in pool.hosts.values()
         if pool.evacuated.covers(host)
         for run in host.runs.values()
-        if run.phase is RunPhase.RECORDING
-        or (run.phase is RunPhase.SENDING and run.sent_at_s is None and not run.is_inherited)
+        if run.is_unsent
     ]
--- a/src/robinthread/_internal/node/order_sender.py
+++ b/src/robinthread/_internal/node/order_sender.py
@@ -23,6 +23,7 @@
 from robinthread._internal.models.task_key import TaskKey
 from robinthread._internal.node.cold_starts import take_start
 from robinthread._internal.node.pool_runtime import PoolRuntime, get_loop_s
+from robinthread._internal.node.start_ages import make_age_fields, record_sending
 from robinthread._internal.node.start_checks import (
     are_evacuations_known,
     may_send,
@@ -194,7 +195,7 @@
         )
         if withhold_if_evacuated(self._runtime, run, host):
             return StartOutcome.WITHHELD
-        run.sent_at_s = run.sent_at_s or get_loop_s()
+        sent_at_s = record_sending(self._runtime, run)
         try:
             host.record_order_sent(get_loop_s())
             await self._send_recorded(run, host, order)
@@ -231,7 +232,7 @@
                 run=run.number,
                 host=host.id,
                 error=type(error).__name__,
-                sent_ago_ms=round((get_loop_s() - run.sent_at_s) * 1000, 1),
+                sent_ago_ms=round((get_loop_s() - sent_at_s) * 1000, 1),
             )
             if isinstance(error, HostNoAnswerError):
                 return StartOutcome.UNANSWERED
@@ -251,6 +252,7 @@
                 pool=self._runtime.pool,
                 token=self._runtime.token,
                 since_accepted_ms=since_accepted_ms,
+                **make_age_fields(self._runtime, run),
             )
             self._runtime.log_first_start(run)
         return StartOutcome.SETTLED
--- a/src/robinthread/_internal/node/process.py
+++ b/src/robinthread/_internal/node/process.py
@@ -105,6 +105,7 @@
     metrics.register_gauge(
         "lasting_away", "pool", assembled.status_reporter.count_lasting_not_running
     )
+    metrics.register_gauge("unsent_starts", "pool", assembled.status_reporter.count_unsent_starts)
     metrics.register_gauge(
         "workspace_part", "pool_and_workspace", assembled.status_reporter.read_workspace_parts
     )
--- a/src/robinthread/_internal/node/start_checks.py
+++ b/src/robinthread/_internal/node/start_checks.py
@@ -6,6 +6,7 @@
 from robinthread._internal.jobs.job import Job
 from robinthread._internal.jobs.run import Run
 from robinthread._internal.node.pool_runtime import PoolRuntime, get_loop_s
+from robinthread._internal.node.start_ages import make_age_fields
 
 # A host whose start was withheld gets no work for this long, so that an owner that does not know
 # of the evacuation does not place the same task there in each pass.
@@ -85,6 +86,7 @@
         "start_dropped",
         **make_start_fields(run, host),
         reason=reason,
+        **make_age_fields(runtime, run),
         room_cpu_millicores=host.record.capacity.cpu_millicores,
         free_cpu_millicores=host.free.cpu_millicores,
         free_memory_mb=host.free.memory_mb,
--- a/src/robinthread/_internal/node/status_reporter.py
+++ b/src/robinthread/_internal/node/status_reporter.py
@@ -65,6 +65,15 @@
             for pool, owner in self._owned.owners.items()
         }
 
+    def count_unsent_starts(self) -> dict[str, float]:
+        """Return, by pool, the number of starts that were placed and have not been sent."""
+        return {
+            pool: sum(
+                run.is_unsent for host in owner.jobs.hosts.values() for run in host.runs.values()
+            )
+            for pool, owner in self._owned.owners.items()
+        }
+
     def read_workspace_parts(self) -> dict[str, float]:
         """Return, by ``pool/workspace``, the used fraction of the workspace's limit."""
         return {
--- a/src/robinthread/_internal/standins/job_hosts_standin.py
+++ b/src/robinthread/_internal/standins/job_hosts_standin.py
@@ -19,6 +19,7 @@
     CallFaults,
     CallRefusedError,
     CallUnansweredError,
+    run_discarding_result,
 )
 from robinthread._internal.standins.gang_registry import GangRegistry
 from robinthread._internal.standins.job_host_standin import JobHostStandin
@@ -35,7 +36,9 @@
 
     Routes are pairs of caller and address.  Calls on ``cut_routes`` time out, and calls on
     ``refused_routes`` are refused at once.  ``late_callers`` are too slow themselves to
-    receive a response in time.  ``poll_counts`` counts polls by host id.
+    receive a response in time.  ``poll_counts`` counts polls by host id.  A host in
+    ``answer_delays_s`` takes that long to carry out and answer each order, by its id; one that
+    takes longer than ``ORDER_TIMEOUT_S`` carries it out after its caller has given up.
     """
 
     def __init__(self, seed: int = 1) -> None:
@@ -47,6 +50,7 @@
         self.refused_routes: set[tuple[str, str]] = set()
         self.late_callers: set[str] = set()
         self.poll_counts: Counter[str] = Counter()
+        self.answer_delays_s: dict[str, float] = {}
 
     def connect(self, caller: str) -> "JobHostsClient":
         """Return a client that calls the hosts as ``caller``."""
@@ -120,6 +124,8 @@
         if self._caller in self._standin.late_callers:
             await asyncio.sleep(ORDER_TIMEOUT_S)
             raise HostSilentError(f"{self._caller} is too slow to receive the response")
+        if is_order:
+            await self._wait_for_answer(host, lambda: work(self._find(host)))
         faults = self._standin.faults
         try:
             return await faults.carry_out(
@@ -132,6 +138,15 @@
         except (CallUnansweredError, CallRefusedError) as error:
             raise HostNoAnswerError(f"no response from {host.address}") from error
 
+    async def _wait_for_answer(self, host: UpstreamHost, work: Callable[[], object]) -> None:
+        """Wait for the host's ordinary delay; do ``work`` late if that exceeds the timeout."""
+        delay_s = self._standin.answer_delays_s.get(host.id, 0.0)
+        if delay_s > ORDER_TIMEOUT_S:
+            asyncio.get_running_loop().call_later(delay_s, run_discarding_result, work)
+            await asyncio.sleep(ORDER_TIMEOUT_S)
+            raise HostNoAnswerError(f"{host.address} takes {delay_s} s to respond")
+        await asyncio.sleep(delay_s)
+
     def _find(self, host: UpstreamHost) -> JobHostStandin:
         job_host = self._standin.hosts.get(host.address)
         if job_host is None or not job_host.is_up:
--- a/src/robinthread/_internal/telemetry/node_metrics.py
+++ b/src/robinthread/_internal/telemetry/node_metrics.py
@@ -28,6 +28,7 @@
             "robinthread_machine_call_seconds", "kind", "outcome"
         )
         self._starts = LatencyHistogram("robinthread_acceptance_to_start_seconds", "pool")
+        self._sendings = LatencyHistogram("robinthread_placement_to_sending_seconds", "pool")
         self._jobs = LatencyHistogram("robinthread_acceptance_to_end_seconds", "pool", "status")
 
     @property
@@ -40,6 +41,7 @@
             self._store_calls,
             self._host_calls,
             self._machine_calls,
+            self._sendings,
         )
 
     def count_event(self, event: str, outcome: str) -> None:
@@ -66,6 +68,10 @@
         """Record the time from a job's acceptance to the start of a run."""
         self._starts.record(max(0.0, since_accepted_s), pool)
 
+    def record_sending(self, pool: str, since_placed_s: float) -> None:
+        """Record the time from the choice of a run's host until its start was first sent."""
+        self._sendings.record(max(0.0, since_placed_s), pool)
+
     def record_job_end(self, pool: str, status: str, since_accepted_s: float) -> None:
         """Record the time from a job's acceptance to its end."""
         self._jobs.record(max(0.0, since_accepted_s), pool, status)
