Run a background task of a node again after an error

What callers saw: starts on draining hosts for good, and none on new ones (DRAIN, LOST), on a node that is ready and follows the configuration.

Cause: Node.spawn forgot a task that ended by an exception. A follower, the owners' table, membership, settings or the writer of the inbox then stood still until the process ended. A lane of the writer that failed stayed taken as well, the members' list ran in a task that nobody looked at, and a pool's own task left its owner without anyone to close it.

Evidence: one error injected into each of 16 tasks in turn: 15 are gone afterwards; without "hosts" 16 starts on a draining host later than 2 s and none on a new one in 6 s.

Listing members is a task of its own. A pool's task that fails closes and releases the pool.

--- a/src/robinthread/_internal/durable/group_writer.py
+++ b/src/robinthread/_internal/durable/group_writer.py
@@ -4,7 +4,6 @@
 import math
 from collections import deque
 from collections.abc import Callable
-from dataclasses import dataclass
 from typing import Final
 
 from robinthread._internal.durable.append_admission import (
@@ -13,6 +12,7 @@
     AppendBacklog,
     decide_admission,
 )
+from robinthread._internal.durable.append_lane import AppendLane
 from robinthread._internal.durable.append_latency import AppendLatency
 from robinthread._internal.durable.errors import (
     StoreError,
@@ -32,7 +32,7 @@
     find_excess,
     get_size_bytes,
 )
-from robinthread._internal.durable.store import KeyedRecord, Partition, Store, WriterStamp
+from robinthread._internal.durable.store import KeyedRecord, Partition, Store
 
 # How long a batch is retried for a response before its outcome is reported as unknown.
 # Callers have 3 s in all, within which they retry at another node.  That node may reach the
@@ -55,19 +55,6 @@
 RECORD_TIME_MIN_S: Final = 0.1
 
 
-@dataclass
-class _Lane:
-    """A writer for the store, with at most one batch under way.
-
-    ``sent_at_s`` is when that batch was sent, by the event loop's clock; None without one.
-    """
-
-    name: str
-    epoch: int = 0
-    sequence: int = 0
-    sent_at_s: float | None = None
-
-
 class GroupWriter:
     """Appends to one partition, one batch of all pending records at a time.
 
@@ -96,8 +83,9 @@
         self._is_store_slow = is_store_slow
         self._is_store_silent = is_store_silent
         names = (name, *(f"{name}/{number}" for number in range(1, LANES)))
-        self._lanes = tuple(map(_Lane, names))
+        self._lanes = tuple(map(AppendLane, names))
         self._tasks: set[asyncio.Task[None]] = set()
+        self._lane_errors: list[BaseException] = []
         self._pending: deque[PendingRecord] = deque()
         self._wakeup = asyncio.Event()
         self._recheck: asyncio.TimerHandle | None = None
@@ -156,11 +144,14 @@
             )
 
     async def run(self) -> None:
-        """Append pending records until cancelled."""
+        """Append pending records until cancelled; raise an unexpected error of a lane."""
+        self._wakeup.set()
         try:
             while True:
                 await self._wakeup.wait()
                 self._wakeup.clear()
+                if self._lane_errors:
+                    raise self._lane_errors.pop()
                 if self._recheck is not None:
                     self._recheck.cancel()
                     self._recheck = None
@@ -184,9 +175,15 @@
         lane.sent_at_s = self._last_sent_at_s = loop.time()
         task = asyncio.create_task(self._run_lane(lane))
         self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        task.add_done_callback(self._end_lane)
+
+    def _end_lane(self, task: asyncio.Task[None]) -> None:
+        self._tasks.discard(task)
+        if not task.cancelled() and (error := task.exception()):
+            self._lane_errors.append(error)
+            self._wakeup.set()
 
-    def _find_lane(self) -> _Lane | None:
+    def _find_lane(self) -> AppendLane | None:
         """Return the lane to send a batch on now, or None.
 
         The first lane is used whenever it is free, the others only while the store is slow.
@@ -199,19 +196,24 @@
             return None
         return next((lane for lane in self._lanes if lane.sent_at_s is None), None)
 
-    async def _run_lane(self, lane: _Lane) -> None:
+    async def _run_lane(self, lane: AppendLane) -> None:
         """Send the pending records, in several batches while the lane may be used."""
-        loop = asyncio.get_running_loop()
-        while self._pending:
-            lane.sent_at_s = self._last_sent_at_s = loop.time()
-            await self._send_batch(lane)
+        try:
+            while self._pending:
+                lane.sent_at_s = self._last_sent_at_s = asyncio.get_running_loop().time()
+                await self._send_batch(lane)
+                lane.sent_at_s = None
+                if self._find_lane() is not lane:
+                    break
+        except BaseException:
+            # The outcome of the batch is unknown, so the next one must not depend on it.
+            lane.begin_epoch()
+            raise
+        finally:
             lane.sent_at_s = None
-            if self._find_lane() is not lane:
-                break
-        lane.sent_at_s = None
-        self._wakeup.set()
+            self._wakeup.set()
 
-    async def _send_batch(self, lane: _Lane) -> None:
+    async def _send_batch(self, lane: AppendLane) -> None:
         loop = asyncio.get_running_loop()
         began_at_s = loop.time()
         is_first = lane is self._lanes[0]
@@ -240,13 +242,13 @@
             batch.append(entry)
         return batch
 
-    async def _append(self, lane: _Lane, batch: list[PendingRecord]) -> None:
+    async def _append(self, lane: AppendLane, batch: list[PendingRecord]) -> None:
         """Send a batch until the store responds or the batch times out."""
         records = [entry.record for entry in batch]
         loop = asyncio.get_running_loop()
         began_at_s = loop.time()
         deadline_s = min(began_at_s + BATCH_TIMEOUT_S, max(entry.deadline_s for entry in batch))
-        stamp = WriterStamp(lane.name, lane.epoch, lane.sequence)
+        stamp = lane.make_stamp()
         error: StoreError | None = None
         while True:
             timeout_s = SLOW_TIMEOUT_S if self._is_store_slow() else None
@@ -276,12 +278,11 @@
             if loop.time() > deadline_s:
                 break
             await asyncio.sleep(RETRY_PAUSE_S)
-        lane.epoch += 1
-        lane.sequence = 0
+        lane.begin_epoch()
         fail_batch(batch, StoreNoAnswerError(str(error)))
 
     async def _isolate_rejected(
-        self, lane: _Lane, batch: list[PendingRecord], error: StoreRejectedError
+        self, lane: AppendLane, batch: list[PendingRecord], error: StoreRejectedError
     ) -> None:
         """Append the records of a rejected batch one by one, and fail those that are rejected."""
         if len(batch) == 1:
--- a/src/robinthread/_internal/durable/keyed_follower.py
+++ b/src/robinthread/_internal/durable/keyed_follower.py
@@ -75,7 +75,17 @@
         self.first_read = asyncio.Event()
 
     async def run(self) -> None:
-        """Follow until cancelled, except while paused."""
+        """Follow until cancelled, except while paused.
+
+        After an unexpected error, the next call starts with a snapshot: a page may be half applied.
+        """
+        try:
+            await self._follow()
+        except Exception:
+            self._reset()
+            raise
+
+    async def _follow(self) -> None:
         self._resumed_at_s = min(self._resumed_at_s, asyncio.get_running_loop().time())
         while True:
             await self._resumed.wait()
@@ -117,6 +127,9 @@
     def pause(self) -> None:
         """Stop following; the records applied so far become stale."""
         self._resumed.clear()
+        self._reset()
+
+    def _reset(self) -> None:
         self.next_offset = None
         self._reader = NewestReader(self._store, self._partition)
 
--- a/src/robinthread/_internal/node/assembly.py
+++ b/src/robinthread/_internal/node/assembly.py
@@ -195,6 +195,7 @@
         "inbox": inbox.run,
         "owners": table.follower.run,
         "member": member.run,
+        "member_list": member.run_listing,
         "slow_store": slow_store.run,
         "owner_liveness": owner_liveness.run,
         "handover": handover.run,
--- a/src/robinthread/_internal/node/group_member.py
+++ b/src/robinthread/_internal/node/group_member.py
@@ -90,22 +90,15 @@
         self.is_leaving = False
 
     async def run(self) -> None:
-        """Renew the membership until cancelled or ``leave`` is called.
-
-        The members are listed in a task of their own, because a slow list would delay the joins.
-        """
-        listing = asyncio.create_task(self._run_listing())
-        try:
-            while not self.is_leaving:
-                started_at_s = asyncio.get_running_loop().time()
-                try:
-                    async with self._join_lock:
-                        await self._join(started_at_s)
-                except StoreError as error:
-                    self._record_failure(error)
-                await asyncio.sleep(self._get_pause_s(started_at_s))
-        finally:
-            listing.cancel()
+        """Renew the membership until cancelled or ``leave`` is called."""
+        while not self.is_leaving:
+            started_at_s = asyncio.get_running_loop().time()
+            try:
+                async with self._join_lock:
+                    await self._join(started_at_s)
+            except StoreError as error:
+                self._record_failure(error)
+            await asyncio.sleep(self._get_pause_s(started_at_s))
 
     async def leave(self) -> None:
         """Leave the group, once a join in progress has finished, and do not join again."""
@@ -194,9 +187,14 @@
             self._join_gap_s = max(gap_s, GAP_DECAY * self._join_gap_s)
         self._join_started_at_s = started_at_s
 
-    async def _run_listing(self) -> None:
-        """List the members on request until cancelled."""
-        while True:
+    async def run_listing(self) -> None:
+        """List the members on request until cancelled.
+
+        This is not a part of ``run``, because a slow list would delay the joins.
+        """
+        # A list that was requested before a failure may not have been read.
+        self._list_requested.set()
+        while not self.is_leaving:
             await self._list_requested.wait()
             self._list_requested.clear()
             try:
--- a/src/robinthread/_internal/node/node.py
+++ b/src/robinthread/_internal/node/node.py
@@ -19,6 +19,7 @@
 from robinthread._internal.node.steward import Steward
 from robinthread._internal.node.stop_budget import StopBudget
 from robinthread._internal.node.task_supervisor import TaskSupervisor
+from robinthread._internal.utils.error_text import describe_error
 from robinthread._internal.utils.waiting import wait_for_event
 
 MakeSteward = Callable[[int, float], Steward]
@@ -192,14 +193,14 @@
                 )
                 owner = self._owned.make_owner(pool, found.token, predecessors)
                 self._handover.log_acquired(owner.pool, owner.token)
-                self._supervisor.start(f"pool/{pool}", partial(self._run_owner, owner))
+                self._supervisor.start_once(f"pool/{pool}", partial(self._run_owner, owner))
 
     def _open_steward(self, token: int) -> None:
         if self._steward is None and self._closed_tokens.get(FLEET_POOL, 0) < token:
             wait_s = self._get_wait_s()
             self._steward = self._make_steward(token, wait_s)
             self._events.write("fleet_taken", token=token)
-            self._supervisor.start(FLEET_POOL, partial(self._run_steward, self._steward))
+            self._supervisor.start_once(FLEET_POOL, partial(self._run_steward, self._steward))
 
     def _get_wait_s(self) -> float:
         """Return the seconds for which machines that the previous steward ordered get no order.
@@ -243,10 +244,16 @@
     async def _run_owner(self, owner: PoolOwner) -> None:
         try:
             await owner.start()
+            await owner.fenced.wait()
         except Exception as error:
-            self._events.write("pool_open_failed", pool=owner.pool, error=repr(error))
+            self._events.write(
+                "task_failed" if owner.is_open else "pool_open_failed",
+                task=f"pool/{owner.pool}",
+                pool=owner.pool,
+                token=owner.token,
+                **describe_error(error),
+            )
             owner.fenced.set()
-        await owner.fenced.wait()
         await self._drop(owner)
 
     async def _drop_replaced(self) -> None:
--- a/src/robinthread/_internal/node/owner_liveness.py
+++ b/src/robinthread/_internal/node/owner_liveness.py
@@ -95,6 +95,8 @@
 
     async def run(self) -> None:
         """Query missing owners until cancelled."""
+        # After a failure no query is under way, so owners count as missing from now on again.
+        self.clear()
         async with asyncio.TaskGroup() as queries:
             while True:
                 owner, absence = await self._added.get()
--- a/src/robinthread/_internal/node/process.py
+++ b/src/robinthread/_internal/node/process.py
@@ -115,7 +115,7 @@
     requests = OpenRequests()
     callers = _serve(assembled, settings, peer_address, events, requests)
     address = "" if metrics_port is None else f"{settings.ip}:{metrics_port}"
-    assembled.supervisor.start(
+    assembled.supervisor.start_once(
         "start", partial(_finish_start, start_metrics_export, metrics, address)
     )
     await stopped.wait()
--- a/tests/functional/test_task_failures.py
+++ b/tests/functional/test_task_failures.py
@@ -6,6 +6,8 @@
 
 from testtools import TestCase
 
+from robinthread._internal.durable.inbox_records import INBOX_PARTITION
+from robinthread._internal.node.job_service import JobRequestOutcome
 from robinthread._internal.standins.job_hosts_standin import JobHostsClient
 from robinthread._internal.standins.platform_standin import HOSTS, PlatformStandin
 from robinthread._internal.standins.store_standin import StoreClient
@@ -14,6 +16,8 @@
     POOL,
     find_violations,
     get_owner,
+    hand_in,
+    make_job,
     start_platform,
     wait_until,
 )
@@ -89,6 +93,33 @@
         self.assertEqual({}, found)
 
 
+class InboxWriterTest(TestCase):
+    def test_append_that_raises_ends_its_batch_alone(self) -> None:
+        """Guards against a writer whose lane is taken for good by a batch that failed."""
+
+        async def work() -> None:
+            platform = await start_platform(plan_wide, nodes=1, hosts=2)
+            real = StoreClient.append
+
+            async def append(client: Any, partition: Any, *args: Any, **options: Any) -> Any:
+                if partition == INBOX_PARTITION:
+                    raise InjectedError("append")
+                return await real(client, partition, *args, **options)
+
+            with patch.object(StoreClient, "append", append):
+                outcome = await hand_in(platform, "node0", make_job(1))
+            self.assertNotEqual(JobRequestOutcome.DONE, outcome)
+            self.assertEqual(
+                ["inbox_writer"], [line["task"] for line in read_lines(platform, "task_failed")]
+            )
+            jobs = [make_job(number) for number in (2, 3)]
+            for job in jobs:
+                self.assertEqual(JobRequestOutcome.DONE, await hand_in(platform, "node0", job))
+            self.assertEqual([], await find_unfinished(platform, "node0", jobs))
+
+        run_virtual(work())
+
+
 class RepeatedFailureTest(TestCase):
     def _check(self, name: str) -> None:
         async def work() -> None:
--- a/tests/lib/task_failures.py
+++ b/tests/lib/task_failures.py
@@ -54,11 +54,17 @@
         await asyncio.sleep(0.001)
 
 
+def is_paused(task: asyncio.Task[Any]) -> bool:
+    """Tell whether a background task waits before its next run."""
+    awaited = getattr(task.get_coro(), "cr_await", None)
+    return getattr(awaited, "__name__", "") == "sleep"
+
+
 async def fail_repeatedly(node: str, name: str) -> None:
-    """Fail a background task again whenever it waits, until cancelled."""
+    """Fail a background task again whenever its work waits, until cancelled."""
     while True:
         task = list_background_tasks(node).get(name)
-        if task is not None:
+        if task is not None and not is_paused(task):
             await fail_task(task)
         await asyncio.sleep(0.02)
 
