Let one record or one subscriber that raises harm itself alone

What callers saw: starts on draining hosts for good, and no use of new ones, on all nodes that read one odd entry; with the entry there at the start, no pool opened at all.

Cause: a follower ends with whatever its records' handlers or their subscribers raise. A pool that could not apply the list of hosts, or a job, took the follower of all pools with it, and went on by what it knew.

Change: each record is applied, and each subscriber called, by itself; what raises is told (record_failed, subscriber_failed, gathered). An entry of a host that can't be applied counts as malformed. A pool that raises is given up at once under its token (task_failed), and opens without a job that can't be loaded (job_left_out), which is tried again at each opening.

--- a/src/robinthread/_internal/durable/job_index.py
+++ b/src/robinthread/_internal/durable/job_index.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from robinthread._internal.durable.contained_calls import apply_each, call_each
 from robinthread._internal.durable.inbox_records import (
     JobCancelled,
     JobSubmitted,
@@ -54,7 +55,7 @@
         """Call ``listener`` for all known jobs now and for each new or cancelled job later."""
         self._listeners.append(listener)
         for job in list(self.jobs.values()):
-            listener(job)
+            call_each((listener,), self._events, job)
 
     def unsubscribe(self, listener: Listener) -> None:
         """Stop calling ``listener``."""
@@ -68,14 +69,15 @@
         """
         if is_snapshot:
             self._retain_keys(frozenset(record.key for record in records))
-        for record in records:
-            try:
-                self._apply_record(record)
-            except msgspec.MsgspecError as error:
-                self._events.write("record_malformed", key=record.key, error=str(error))
+        apply_each(records, self._apply_record, self._events)
 
     def _apply_record(self, record: KeyedRecord) -> None:
-        match parse_inbox_record(record):
+        try:
+            parsed = parse_inbox_record(record)
+        except msgspec.MsgspecError as error:
+            self._events.write("record_malformed", key=record.key, error=str(error))
+            return
+        match parsed:
             case JobSubmitted(key, spec):
                 self._add(key, spec, record.offset)
             case JobCancelled() as cancelled:
@@ -123,5 +125,4 @@
                 del self.jobs[job_id]
 
     def _notify(self, job: IndexedJob) -> None:
-        for listener in list(self._listeners):
-            listener(job)
+        call_each(self._listeners, self._events, job)
--- a/src/robinthread/_internal/durable/ownership.py
+++ b/src/robinthread/_internal/durable/ownership.py
@@ -10,6 +10,7 @@
 
 import msgspec
 
+from robinthread._internal.durable.contained_calls import apply_each
 from robinthread._internal.durable.errors import StoreConditionError, StoreRefusedError
 from robinthread._internal.durable.keyed_follower import KeyedFollower
 from robinthread._internal.durable.store import KeyedRecord, Partition, Store
@@ -211,28 +212,30 @@
         return True
 
     def _apply(self, records: Sequence[KeyedRecord], is_snapshot: bool) -> None:
-        for record in records:
-            if record.value is None:
-                self.owners.pop(record.key, None)
-                continue
-            try:
-                found = msgspec.msgpack.decode(record.value, type=OwnerRecord)
-            except msgspec.MsgspecError as error:
-                self._events.write("record_malformed", key=record.key, error=str(error))
-                continue
-            token = record.offset + 1
-            replaced = self.owners.get(record.key)
-            if replaced is None or replaced.token < token:
-                self._record_unreleased(
-                    record.key, (*found.earlier, *self._list_replaced(record.key, found.owner))
-                )
-                if replaced is not None:
-                    self.previous[record.key] = replaced
-            self.owners[record.key] = Ownership(
-                found.owner, token, found.is_released, found.is_stopping
-            )
+        apply_each(records, self._apply_one, self._events)
         self.changed.set()
 
+    def _apply_one(self, record: KeyedRecord) -> None:
+        if record.value is None:
+            self.owners.pop(record.key, None)
+            return
+        try:
+            found = msgspec.msgpack.decode(record.value, type=OwnerRecord)
+        except msgspec.MsgspecError as error:
+            self._events.write("record_malformed", key=record.key, error=str(error))
+            return
+        token = record.offset + 1
+        replaced = self.owners.get(record.key)
+        if replaced is None or replaced.token < token:
+            self._record_unreleased(
+                record.key, (*found.earlier, *self._list_replaced(record.key, found.owner))
+            )
+            if replaced is not None:
+                self.previous[record.key] = replaced
+        self.owners[record.key] = Ownership(
+            found.owner, token, found.is_released, found.is_stopping
+        )
+
     def _record_unreleased(self, pool: str, found: Iterable[EarlierOwner]) -> None:
         """Remember unreleased owners; those already known keep their times."""
         now_s = asyncio.get_running_loop().time()
--- a/src/robinthread/_internal/node/config_holder.py
+++ b/src/robinthread/_internal/node/config_holder.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from robinthread._internal.durable.contained_calls import apply_each
 from robinthread._internal.durable.store import KeyedRecord
 from robinthread._internal.models.fleet_config import FleetConfig
 from robinthread._internal.models.upkeep_wave import UpkeepWave
@@ -38,12 +39,13 @@
 
     def apply(self, records: Sequence[KeyedRecord], is_snapshot: bool) -> None:
         """Apply records of the operators.  A record that expired changes nothing."""
-        for record in records:
-            if record.value is not None:
-                self._apply_one(record.key, record.value)
+        apply_each(records, self._apply_one, self._events)
         self.changed.set()
 
-    def _apply_one(self, key: str, value: bytes) -> None:
+    def _apply_one(self, record: KeyedRecord) -> None:
+        key, value = record.key, record.value
+        if value is None:
+            return
         try:
             if key == self._records.config_key:
                 self._apply_config(self._records.parse_config(value))
--- a/src/robinthread/_internal/node/evacuations.py
+++ b/src/robinthread/_internal/node/evacuations.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from robinthread._internal.durable.contained_calls import apply_each, call_each
 from robinthread._internal.durable.store import KeyedRecord
 from robinthread._internal.node.environment import PlatformRecords
 from robinthread._internal.telemetry.event_log import EventLog
@@ -61,9 +62,11 @@
                 # The withdrawal's own offset is unknown.  That of another record of the snapshot
                 # may exceed the offset of a request that the follower has yet to read.
                 self._set(hall, self._states[hall].offset + 1, False)
-        for record in records:
-            if _has(record, prefix):
-                self._apply_one(record.key.removeprefix(prefix), record)
+        apply_each(
+            (record for record in records if _has(record, prefix)),
+            lambda record: self._apply_one(record.key.removeprefix(prefix), record),
+            self._events,
+        )
         self._notify()
 
     def _apply_one(self, hall: str, record: KeyedRecord) -> None:
@@ -96,8 +99,7 @@
         now_s = asyncio.get_running_loop().time()
         self.read_at_s = {hall: self.read_at_s.get(hall, now_s) for hall in halls}
         self.halls = halls
-        for listener in list(self._listeners):
-            listener()
+        call_each(self._listeners, self._events)
 
 
 def _has(record: KeyedRecord, prefix: str) -> bool:
--- a/src/robinthread/_internal/node/host_directory.py
+++ b/src/robinthread/_internal/node/host_directory.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from robinthread._internal.durable.contained_calls import apply_each, call_each
 from robinthread._internal.durable.store import KeyedRecord
 from robinthread._internal.jobs.cold_state import get_cold_until_s
 from robinthread._internal.models.upstream_host import UpstreamHost
@@ -51,16 +52,19 @@
 
     def apply(self, records: Sequence[KeyedRecord], is_snapshot: bool) -> None:
         """Apply records of host entries; a snapshot replaces all earlier entries."""
-        for record in records:
+
+        def apply(record: KeyedRecord) -> None:
             before = self.hosts.get(record.key)
             self._apply_one(record, is_snapshot)
             self._log_change(record, before)
+
+        # Like a malformed entry, one that cannot be applied describes no usable host.
+        apply_each(records, apply, self._events, self._schedule_removal)
         if is_snapshot:
             listed = {record.key for record in records}
             for host_id in [host_id for host_id in self.hosts if host_id not in listed]:
                 self._schedule_removal(host_id)
-        for listener in list(self._listeners):
-            listener()
+        call_each(self._listeners, self._events)
 
     def _apply_one(self, record: KeyedRecord, is_snapshot: bool) -> None:
         if record.value is None:
@@ -117,5 +121,4 @@
         self.cold_until_s.pop(host_id, None)
         if host is not None:
             self._events.gather("host_gone", counted_by=host.pool, listed={"hosts": host_id})
-        for listener in list(self._listeners):
-            listener()
+        call_each(self._listeners, self._events)
--- a/src/robinthread/_internal/node/pool_owner.py
+++ b/src/robinthread/_internal/node/pool_owner.py
@@ -37,6 +37,7 @@
 from robinthread._internal.node.retention import Retention
 from robinthread._internal.node.run_monitor import RunMonitor
 from robinthread._internal.node.workspace_limits import apply_workspace_limits
+from robinthread._internal.utils.error_text import describe_error
 from robinthread._internal.utils.waiting import wait_for_event
 
 PROGRESS_TOPIC: Final = "keyed.progress"
@@ -95,6 +96,7 @@
         self._advice_fetcher = AdviceFetcher(self._runtime, context.advice)
         self._retention = Retention(self._runtime, self._journal)
         self._hosts = PoolHosts(self._runtime, self._progress_recorder, self._orders)
+        self._update_hosts = self._runtime.guard_call("hosts", self._hosts.update)
         self.evacuations = HallEvacuations(self._runtime)
         self._policies = JobPolicies(self._runtime)
         self._demand = DemandForecaster(
@@ -128,8 +130,8 @@
         if self._is_stopped:
             return
         self.evacuations.start()
-        self._context.job_index.subscribe(self._handle_job)
-        self._context.host_directory.subscribe(self._hosts.update)
+        self._context.job_index.subscribe(self._take_job)
+        self._context.host_directory.subscribe(self._update_hosts)
         self._hosts.update()
         self.is_open = True
         self.opening.end()
@@ -162,8 +164,8 @@
         if self._is_stopped:
             return
         if self.is_open:
-            self._context.job_index.unsubscribe(self._handle_job)
-            self._context.host_directory.unsubscribe(self._hosts.update)
+            self._context.job_index.unsubscribe(self._take_job)
+            self._context.host_directory.unsubscribe(self._update_hosts)
             if is_planned and not self.fenced.is_set():
                 await self._progress_recorder.flush(FLUSH_WAIT_S)
             # Starts are still sent while the last progress is recorded.
@@ -247,6 +249,20 @@
         await asyncio.sleep(max(0.0, self.jobs.foreign_leases.over_at_s - get_loop_s()))
         await self._journal.write([make_settled_record(self.pool, self.token)])
 
+    def _take_job(self, indexed: IndexedJob) -> None:
+        """Handle a job; one that cannot be handled costs the pool its owner at most once.
+
+        The pool's next owner finds the job in its inbox and opens the pool without it.
+        """
+        try:
+            self._handle_job(indexed)
+        except Exception as error:
+            job = indexed.spec.job_id
+            if self.is_open:
+                self._runtime.give_up(f"job/{job}", error)
+            else:
+                self._events.write("job_left_out", job=job, pool=self.pool, **describe_error(error))
+
     def _handle_job(self, indexed: IndexedJob) -> None:
         """Add a new job to the pool, or cancel a job that has a new cancel record."""
         spec = indexed.spec
--- a/src/robinthread/_internal/node/pool_runtime.py
+++ b/src/robinthread/_internal/node/pool_runtime.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import math
-from collections.abc import Coroutine
+from collections.abc import Callable, Coroutine
 from typing import Any, Final
 
 from robinthread._internal.durable.errors import StoreFencedError
@@ -11,6 +11,7 @@
 from robinthread._internal.jobs.pool_jobs import PoolJobs
 from robinthread._internal.jobs.run import Run
 from robinthread._internal.node.context import NodeContext
+from robinthread._internal.utils.error_text import describe_error
 
 # A task may run for this long without contact with its pool's owner.  It must outlast a change of
 # owner (about 2 s).  The tasks of a cut-off host cannot run elsewhere for the same time.
@@ -97,7 +98,8 @@
 
     def spawn(self, work: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
         """Run a task until the owner stops; a fencing error in it fences the owner."""
-        task = asyncio.get_running_loop().create_task(self._guard(work))
+        name = getattr(work, "__qualname__", "")
+        task = asyncio.get_running_loop().create_task(self._guard(name, work))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
         # If the guard is cancelled before its first step, ``work`` was never awaited.
@@ -116,7 +118,29 @@
         tasks = self.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
 
-    async def _guard(self, work: Coroutine[Any, Any, None]) -> None:
+    def guard_call(self, name: str, function: Callable[..., None]) -> Callable[..., None]:
+        """Return ``function`` in a form that gives the pool up instead of raising."""
+
+        def call(*args: Any) -> None:
+            try:
+                function(*args)
+            except Exception as error:
+                self.give_up(name, error)
+
+        return call
+
+    def give_up(self, name: str, error: Exception) -> None:
+        """Fence the owner, because a task or a call of this name has raised.
+
+        An unexpected error must not leave the pool partly served.  Another owner acquires the
+        pool under a new token.
+        """
+        self.events.write(
+            "task_failed", task=name, pool=self.pool, token=self.token, **describe_error(error)
+        )
+        self.fenced.set()
+
+    async def _guard(self, name: str, work: Coroutine[Any, Any, None]) -> None:
         try:
             await work
         except (HostFencedError, StoreFencedError) as error:
@@ -126,11 +150,7 @@
                 )
             self.fenced.set()
         except Exception as error:
-            # An unexpected error must not leave the pool partly served.  Fencing the owner lets
-            # the pool be acquired again under a new token.
-            self.events.write("task_failed", pool=self.pool, token=self.token, error=repr(error))
-            self.fenced.set()
-            raise
+            self.give_up(name, error)
 
 
 def get_loop_s() -> float:
--- /dev/null
+++ b/tests/functional/test_contained_failures.py
@@ -0,0 +1,240 @@
+"""One record, one subscriber, one job or one host that raises: it harms itself alone."""
+
+import asyncio
+from dataclasses import replace
+from typing import Any
+from unittest.mock import patch
+
+from testtools import TestCase
+
+from robinthread._internal.durable import job_index
+from robinthread._internal.models.upkeep_wave import UpkeepWave
+from robinthread._internal.node.pool_owner import PoolOwner
+from robinthread._internal.standins.job_hosts_standin import JobHostsClient
+from robinthread._internal.standins.platform_standin import HOSTS, OPERATORS
+from tests.lib.job_platforms import (
+    POOL,
+    POOLS,
+    QUEUE,
+    find_violations,
+    get_owner,
+    hand_in,
+    make_job,
+    start_platform,
+    wait_until,
+)
+from tests.lib.task_failures import (
+    InjectedError,
+    find_faults_of_listing,
+    find_unfinished,
+    list_pool_hosts,
+    list_starts,
+    load_hosts,
+    plan_wide,
+    read_lines,
+    start_loaded,
+)
+from tests.lib.virtual import run_virtual
+
+# A pool that was given up is open again after this time.
+REOPENED_MAX_S = 5.0
+
+
+class OneOfManyTest(TestCase):
+    def test_subscriber_of_the_host_list_that_raises_harms_no_other(self) -> None:
+        """Guards against one pool's error that ends the following of hosts for all."""
+
+        async def work() -> None:
+            platform, jobs, loading = await start_loaded()
+            directory = platform.nodes["node0"].assembled.node._context.host_directory
+
+            def listener() -> None:
+                raise InjectedError("subscriber")
+
+            directory._listeners.insert(0, listener)
+            self.assertEqual([], await find_faults_of_listing(platform))
+            loading.cancel()
+            self.assertEqual([], await find_unfinished(platform, "node0", jobs))
+            self.assertTrue(read_lines(platform, "subscriber_failed"))
+
+        run_virtual(work())
+
+    def test_subscriber_of_the_inbox_that_raises_harms_no_other(self) -> None:
+        """Guards against one pool's error that ends the reading of jobs for all."""
+
+        async def work() -> None:
+            platform = await start_platform(plan_wide, nodes=1, hosts=2)
+            index = platform.nodes["node0"].assembled.node._context.job_index
+
+            def listener(job: object) -> None:
+                raise InjectedError("subscriber")
+
+            index._listeners.insert(0, listener)
+            jobs: list[Any] = []
+            loading = asyncio.create_task(load_hosts(platform, "node0", jobs))
+            await asyncio.sleep(3)
+            loading.cancel()
+            self.assertEqual([], await find_unfinished(platform, "node0", jobs))
+            self.assertTrue(read_lines(platform, "subscriber_failed"))
+
+        run_virtual(work())
+
+    def test_pool_that_cannot_apply_the_host_list_is_given_up_at_once(self) -> None:
+        """Guards against an owner that goes on by a list that it could not apply."""
+
+        async def work() -> None:
+            platform, jobs, loading = await start_loaded()
+            owner = platform.nodes["node0"].assembled.owned.owners[POOL]
+
+            with patch.object(owner._hosts, "_is_listed", side_effect=InjectedError("listing")):
+                platform.list_host(list_pool_hosts(platform)[0])
+                await wait_until(owner.fenced.is_set, limit_s=2)
+            failed = read_lines(platform, "task_failed")
+            self.assertEqual([POOL], [line.get("pool") for line in failed])
+            await wait_until(lambda: get_owner(platform) is not None, limit_s=REOPENED_MAX_S)
+            self.assertEqual([], await find_faults_of_listing(platform))
+            loading.cancel()
+            self.assertEqual([], await find_unfinished(platform, "node0", jobs))
+            self.assertEqual([], find_violations(platform))
+
+        run_virtual(work())
+
+    def test_record_that_no_code_can_apply_harms_itself_alone(self) -> None:
+        """Guards against an entry of another writer that ends the following of hosts."""
+
+        async def work() -> None:
+            platform, jobs, loading = await start_loaded()
+            directory = platform.nodes["node0"].assembled.node._context.host_directory
+            parse_host = directory._parse_host
+
+            def parse(key: str, value: bytes) -> Any:
+                if key == "odd":
+                    raise InjectedError(key)
+                return parse_host(key, value)
+
+            directory._parse_host = parse
+            platform.store.put(HOSTS, "odd", b"")
+            self.assertEqual([], await find_faults_of_listing(platform))
+            platform.store.put(HOSTS, "odd", b"")
+            platform.store.expire_history()
+            self.assertEqual([], await find_faults_of_listing(platform))
+            loading.cancel()
+            self.assertEqual([], await find_unfinished(platform, "node0", jobs))
+
+        run_virtual(work())
+
+    def test_job_that_no_code_can_load_harms_itself_alone(self) -> None:
+        """Guards against a job that keeps its pool from being opened by any node."""
+
+        async def work() -> None:
+            platform = await start_platform(plan_wide, nodes=1, hosts=2)
+            odd, *jobs = (make_job(number) for number in range(1, 5))
+            real = PoolOwner._handle_job
+
+            def handle_job(owner: PoolOwner, indexed: Any) -> None:
+                if owner.pool == POOL and indexed.spec.job_id == odd.job_id:
+                    raise InjectedError("job")
+                real(owner, indexed)
+
+            with patch.object(PoolOwner, "_handle_job", handle_job):
+                for job in (odd, *jobs):
+                    await hand_in(platform, "node0", job)
+                await asyncio.sleep(REOPENED_MAX_S)
+                self.assertEqual([], await find_unfinished(platform, "node0", jobs))
+            failed = read_lines(platform, "task_failed")
+            self.assertEqual([f"job/{odd.job_id}"], [line["task"] for line in failed])
+            left_out = read_lines(platform, "job_left_out")
+            self.assertEqual([odd.job_id], [line["job"] for line in left_out])
+
+        run_virtual(work())
+
+    def test_record_of_the_inbox_that_raises_harms_itself_alone(self) -> None:
+        """Guards against one caller's record that ends the reading of all jobs."""
+
+        async def work() -> None:
+            platform = await start_platform(plan_wide, nodes=1, hosts=2)
+            odd, *jobs = (make_job(number) for number in range(1, 5))
+            real = job_index.parse_inbox_record
+
+            def parse(record: Any) -> Any:
+                if odd.job_id in record.key:
+                    raise InjectedError("record")
+                return real(record)
+
+            with patch.object(job_index, "parse_inbox_record", parse):
+                for job in (odd, *jobs):
+                    await hand_in(platform, "node0", job)
+                self.assertEqual([], await find_unfinished(platform, "node0", jobs))
+            self.assertTrue(read_lines(platform, "record_failed"))
+            self.assertEqual([], read_lines(platform, "task_failed"))
+
+        run_virtual(work())
+
+    def test_record_of_the_operators_that_raises_harms_itself_alone(self) -> None:
+        """Guards against one wave or one request that keeps the configuration from being read."""
+
+        async def work() -> None:
+            platform = await start_platform(plan_wide, nodes=1, hosts=2)
+            node = platform.nodes["node0"].assembled
+
+            def fail(value: bytes) -> Any:
+                raise InjectedError("record")
+
+            records = replace(node.config_holder._records, parse_wave=fail, parse_evacuation=fail)
+            evacuations = node.node._context.evacuations
+            with (
+                patch.object(node.config_holder, "_records", records),
+                patch.object(evacuations, "_records", records),
+            ):
+                platform.request_wave(UpkeepWave(7, ("m1",), 60.0, 1))
+                platform.request_evacuation("h1")
+                platform.configure(2, (QUEUE,), POOLS)
+                await asyncio.sleep(2)
+            config = node.config_holder.config
+            self.assertEqual(2, config and config.version)
+            failed = {key for line in read_lines(platform, "record_failed") for key in line["keys"]}
+            self.assertEqual({"wave/7", "evacuate/h1"}, failed)
+            self.assertEqual(3, len(platform.store.get_newest(OPERATORS)))
+
+        run_virtual(work())
+
+
+class OddHostTest(TestCase):
+    def _check(self, call: str) -> None:
+        """Let one kind of call to one host raise for 3 s; the pool must keep its owner."""
+
+        async def work() -> None:
+            platform, jobs, loading = await start_loaded()
+            owner = platform.nodes["node0"].assembled.owned.owners[POOL]
+            odd, sound = list_pool_hosts(platform)[:2]
+            real = getattr(JobHostsClient, call)
+
+            async def make_call(client: Any, host: Any, *args: Any) -> Any:
+                answer = await real(client, host, *args)
+                if host.id == odd.id:
+                    raise InjectedError(call)
+                return answer
+
+            began_at_s = asyncio.get_running_loop().time()
+            with patch.object(JobHostsClient, call, make_call):
+                await asyncio.sleep(3)
+            lines = len(platform.events)
+            self.assertGreater(len(list_starts(platform, sound.id, began_at_s + 1)), 3)
+            await asyncio.sleep(6)
+            self.assertGreater(len(list_starts(platform, odd.id, began_at_s + 3)), 3)
+            loading.cancel()
+            self.assertEqual([], await find_unfinished(platform, "node0", jobs))
+            self.assertIs(owner, platform.nodes["node0"].assembled.owned.owners[POOL])
+            self.assertEqual([], find_violations(platform))
+            self.assertTrue(read_lines(platform, "host_call_failed"))
+            self.assertLess(lines, 400)
+
+        run_virtual(work())
+
+    def test_host_whose_reports_raise_costs_its_pool_no_owner(self) -> None:
+        """Guards against one odd host that takes its whole pool to and fro."""
+        self._check("watch")
+
+    def test_host_whose_answers_to_starts_raise_costs_its_pool_no_owner(self) -> None:
+        """Guards against one odd answer to a start that takes the whole pool to and fro."""
+        self._check("start")
--- a/tests/functional/test_task_failures.py
+++ b/tests/functional/test_task_failures.py
@@ -8,8 +8,7 @@
 
 from robinthread._internal.durable.inbox_records import INBOX_PARTITION
 from robinthread._internal.node.job_service import JobRequestOutcome
-from robinthread._internal.standins.job_hosts_standin import JobHostsClient
-from robinthread._internal.standins.platform_standin import HOSTS, PlatformStandin
+from robinthread._internal.standins.platform_standin import HOSTS
 from robinthread._internal.standins.store_standin import StoreClient
 from tests.lib.job_platforms import (
     HOST_CAPACITY,
@@ -30,10 +29,9 @@
     find_unfinished,
     list_background_tasks,
     list_pool_hosts,
-    list_starts,
-    load_hosts,
     plan_wide,
     read_lines,
+    start_loaded,
     wait_for_background,
 )
 from tests.lib.virtual import run_virtual
@@ -46,15 +44,6 @@
 STEWARD = "fleet/machines"
 
 
-async def start_loaded(nodes: int = 1) -> tuple[PlatformStandin, list[Any], asyncio.Task[None]]:
-    """Start a platform with two hosts and a load on the last node's callers."""
-    platform = await start_platform(plan_wide, nodes=nodes, hosts=2)
-    jobs: list[Any] = []
-    loading = asyncio.create_task(load_hosts(platform, f"node{nodes - 1}", jobs))
-    await asyncio.sleep(1.0)
-    return platform, jobs, loading
-
-
 async def list_names() -> list[str]:
     platform = await start_platform(plan_wide, nodes=1, hosts=2)
     return sorted(list_background_tasks("node0")) if platform.nodes else []
@@ -166,131 +155,6 @@
         run_virtual(work())
 
 
-class OneOfManyTest(TestCase):
-    def test_subscriber_of_the_host_list_that_raises_harms_no_other(self) -> None:
-        """Guards against one pool's error that ends the following of hosts for all."""
-
-        async def work() -> None:
-            platform, jobs, loading = await start_loaded()
-            directory = platform.nodes["node0"].assembled.node._context.host_directory
-
-            def listener() -> None:
-                raise InjectedError("subscriber")
-
-            directory._listeners.insert(0, listener)
-            self.assertEqual([], await find_faults_of_listing(platform))
-            loading.cancel()
-            self.assertEqual([], await find_unfinished(platform, "node0", jobs))
-            self.assertTrue(read_lines(platform, "subscriber_failed"))
-
-        run_virtual(work())
-
-    def test_subscriber_of_the_inbox_that_raises_harms_no_other(self) -> None:
-        """Guards against one pool's error that ends the reading of jobs for all."""
-
-        async def work() -> None:
-            platform = await start_platform(plan_wide, nodes=1, hosts=2)
-            index = platform.nodes["node0"].assembled.node._context.job_index
-
-            def listener(job: object) -> None:
-                raise InjectedError("subscriber")
-
-            index._listeners.insert(0, listener)
-            jobs: list[Any] = []
-            loading = asyncio.create_task(load_hosts(platform, "node0", jobs))
-            await asyncio.sleep(3)
-            loading.cancel()
-            self.assertEqual([], await find_unfinished(platform, "node0", jobs))
-            self.assertTrue(read_lines(platform, "subscriber_failed"))
-
-        run_virtual(work())
-
-    def test_pool_that_cannot_apply_the_host_list_is_given_up_at_once(self) -> None:
-        """Guards against an owner that goes on by a list that it could not apply."""
-
-        async def work() -> None:
-            platform, jobs, loading = await start_loaded()
-            owner = platform.nodes["node0"].assembled.owned.owners[POOL]
-
-            with patch.object(owner._hosts, "_is_listed", side_effect=InjectedError("listing")):
-                platform.list_host(list_pool_hosts(platform)[0])
-                await wait_until(owner.fenced.is_set, limit_s=2)
-            failed = read_lines(platform, "task_failed")
-            self.assertEqual([POOL], [line.get("pool") for line in failed])
-            await wait_until(lambda: get_owner(platform) is not None, limit_s=REOPENED_MAX_S)
-            self.assertEqual([], await find_faults_of_listing(platform))
-            loading.cancel()
-            self.assertEqual([], await find_unfinished(platform, "node0", jobs))
-            self.assertEqual([], find_violations(platform))
-
-        run_virtual(work())
-
-    def test_record_that_no_code_can_apply_harms_itself_alone(self) -> None:
-        """Guards against an entry of another writer that ends the following of hosts."""
-
-        async def work() -> None:
-            platform, jobs, loading = await start_loaded()
-            directory = platform.nodes["node0"].assembled.node._context.host_directory
-            parse_host = directory._parse_host
-
-            def parse(key: str, value: bytes) -> Any:
-                if key == "odd":
-                    raise InjectedError(key)
-                return parse_host(key, value)
-
-            directory._parse_host = parse
-            platform.store.put(HOSTS, "odd", b"")
-            self.assertEqual([], await find_faults_of_listing(platform))
-            platform.store.put(HOSTS, "odd", b"")
-            platform.store.expire_history()
-            self.assertEqual([], await find_faults_of_listing(platform))
-            loading.cancel()
-            self.assertEqual([], await find_unfinished(platform, "node0", jobs))
-
-        run_virtual(work())
-
-
-class OddHostTest(TestCase):
-    def _check(self, call: str) -> None:
-        """Let one kind of call to one host raise for 3 s; the pool must keep its owner."""
-
-        async def work() -> None:
-            platform, jobs, loading = await start_loaded()
-            owner = platform.nodes["node0"].assembled.owned.owners[POOL]
-            odd, sound = list_pool_hosts(platform)[:2]
-            real = getattr(JobHostsClient, call)
-
-            async def make_call(client: Any, host: Any, *args: Any) -> Any:
-                answer = await real(client, host, *args)
-                if host.id == odd.id:
-                    raise InjectedError(call)
-                return answer
-
-            began_at_s = asyncio.get_running_loop().time()
-            with patch.object(JobHostsClient, call, make_call):
-                await asyncio.sleep(3)
-            lines = len(platform.events)
-            self.assertGreater(len(list_starts(platform, sound.id, began_at_s + 1)), 3)
-            await asyncio.sleep(6)
-            self.assertGreater(len(list_starts(platform, odd.id, began_at_s + 3)), 3)
-            loading.cancel()
-            self.assertEqual([], await find_unfinished(platform, "node0", jobs))
-            self.assertIs(owner, platform.nodes["node0"].assembled.owned.owners[POOL])
-            self.assertEqual([], find_violations(platform))
-            self.assertTrue(read_lines(platform, "host_call_failed"))
-            self.assertLess(lines, 400)
-
-        run_virtual(work())
-
-    def test_host_whose_reports_raise_costs_its_pool_no_owner(self) -> None:
-        """Guards against one odd host that takes its whole pool to and fro."""
-        self._check("watch")
-
-    def test_host_whose_answers_to_starts_raise_costs_its_pool_no_owner(self) -> None:
-        """Guards against one odd answer to a start that takes the whole pool to and fro."""
-        self._check("start")
-
-
 class AgeTest(TestCase):
     def test_read_that_never_returns_is_given_up(self) -> None:
         """Guards against a follower that hangs for good on one call."""
--- a/tests/lib/task_failures.py
+++ b/tests/lib/task_failures.py
@@ -13,7 +13,15 @@
 from robinthread._internal.models.upstream_host import UpstreamHost
 from robinthread._internal.standins.job_host_standin import TaskPlan
 from robinthread._internal.standins.platform_standin import PlatformStandin
-from tests.lib.job_platforms import HOST_CAPACITY, POOL, get_status, hand_in, make_job, wait_until
+from tests.lib.job_platforms import (
+    HOST_CAPACITY,
+    POOL,
+    get_status,
+    hand_in,
+    make_job,
+    start_platform,
+    wait_until,
+)
 
 # Each host has room for four tasks, and the load needs ten at a time: two and a half hosts.
 TASK_ROOM = Resources(4000, 100)
@@ -69,6 +77,15 @@
         await asyncio.sleep(0.02)
 
 
+async def start_loaded(nodes: int = 1) -> tuple[PlatformStandin, list[Any], asyncio.Task[None]]:
+    """Start a platform with two hosts and a load on the last node's callers."""
+    platform = await start_platform(plan_wide, nodes=nodes, hosts=2)
+    jobs: list[Any] = []
+    loading = asyncio.create_task(load_hosts(platform, f"node{nodes - 1}", jobs))
+    await asyncio.sleep(1.0)
+    return platform, jobs, loading
+
+
 async def load_hosts(platform: PlatformStandin, node: str, jobs: list[JobSpec]) -> None:
     """Submit a job of four tasks each ``JOB_PERIOD_S`` to a node; add each job to ``jobs``."""
     step = StepSpec(4, cpu_millicores=TASK_ROOM.cpu_millicores, memory_mb=TASK_ROOM.memory_mb)
