Let a host whose answers raise cost its own use, not its pool's owner

What callers saw: with one odd host of a pool all of its jobs stand still, and the pool goes to and fro between owners (44 in 2 s on real processes).

Cause: each background task of a pool gives the pool up when it raises, and the polls and orders of all hosts are such tasks.

Change: an answer that raises anything unexpected counts as none, which for an order means that it may have been carried out; so does a report that can't be processed. The host gets no lease and no work, and its runs are settled as a silent host's. A host whose entry can't be applied counts as unlisted. Lines: host_call_failed and host_left_out, gathered. Fencing stays as it is.

--- a/src/robinthread/_internal/node/assembly.py
+++ b/src/robinthread/_internal/node/assembly.py
@@ -16,6 +16,7 @@
 from robinthread._internal.durable.share_meter import ShareMeter
 from robinthread._internal.durable.store import KeyedRecord
 from robinthread._internal.node.config_holder import ConfigHolder
+from robinthread._internal.node.contained_host_calls import ContainedHostCalls
 from robinthread._internal.node.context import NodeContext
 from robinthread._internal.node.election import Election
 from robinthread._internal.node.environment import NodeEnvironment
@@ -123,7 +124,7 @@
         policy=environment.policy,
         store=store,
         inbox_writer=writer,
-        hosts=environment.hosts,
+        hosts=ContainedHostCalls(environment.hosts, events),
         advice=environment.advice,
         events=events,
         job_index=job_index,
--- a/src/robinthread/_internal/node/host_monitor.py
+++ b/src/robinthread/_internal/node/host_monitor.py
@@ -16,6 +16,7 @@
 from robinthread._internal.jobs.unconfirmed_starts import UNCONFIRMED_START_MAX_S
 from robinthread._internal.models.host_report import HostReport
 from robinthread._internal.models.upstream_host import UpstreamHost
+from robinthread._internal.node.contained_host_calls import make_contained_error
 from robinthread._internal.node.host_incarnations import FIRST_RESPONSE_MAX_S, HostIncarnations
 from robinthread._internal.node.host_report_handler import HostReportHandler
 from robinthread._internal.node.order_sender import STOP_MARGIN_S, OrderSender
@@ -80,6 +81,10 @@
             polled_at_s = get_loop_s()
             try:
                 report = await self._poll(wait_s)
+                if self._is_of_other_incarnation(report):
+                    wait_s = 0.0
+                else:
+                    wait_s = await self._process_contained(report, polled_at_s)
             except HostFencedError:
                 raise
             except HostError as error:
@@ -102,10 +107,6 @@
                     pause_s = RETRY_PAUSE_S
                 continue
             pause_s = RETRY_PAUSE_S
-            if self._is_of_other_incarnation(report):
-                wait_s = 0.0
-                continue
-            wait_s = await self._process_report(report, polled_at_s)
 
     def _is_of_other_incarnation(self, report: HostReport) -> bool:
         """Return whether another incarnation responded to a poll meant for the current one.
@@ -206,6 +207,17 @@
         is_slow = isinstance(error, HostSilentError)
         return is_new and is_slow and get_loop_s() < self._first_poll_at_s + FIRST_RESPONSE_MAX_S
 
+    async def _process_contained(self, report: HostReport, polled_at_s: float) -> float:
+        """Process a report; one that raises anything counts as a poll without a response.
+
+        The host gets no lease and no work, and its runs are settled as those of a silent host.
+        """
+        try:
+            return await self._process_report(report, polled_at_s)
+        except Exception as error:
+            record = self.incarnations.entry
+            raise make_contained_error(self._events, "report", record, error) from error
+
     async def _process_report(self, report: HostReport, polled_at_s: float) -> float:
         """Process a report; return how many seconds the next poll may wait for an end."""
         host = self.incarnations.match_report(report, polled_at_s)
--- a/src/robinthread/_internal/node/pool_hosts.py
+++ b/src/robinthread/_internal/node/pool_hosts.py
@@ -12,6 +12,7 @@
 from robinthread._internal.node.order_sender import OrderSender
 from robinthread._internal.node.pool_runtime import PoolRuntime, get_loop_s
 from robinthread._internal.node.progress_recorder import ProgressRecorder
+from robinthread._internal.utils.error_text import describe_error
 
 
 class PoolHosts:
@@ -34,8 +35,7 @@
         listed = self._runtime.context.host_directory.hosts
         by_machine = {record.machine: record for record in listed.values()}
         own = {record.id: record for record in listed.values() if record.pool == self._runtime.pool}
-        for record in own.values():
-            self._start_monitor(record)
+        own = {host_id: record for host_id, record in own.items() if self._start_monitor(record)}
         for host_id, monitor in self._monitors.items():
             monitor.is_listed = host_id in own
         for host in list(self._jobs.hosts.values()):
@@ -93,7 +93,21 @@
         monitor = self._monitors.get(host.record.id)
         return monitor is not None and monitor.incarnations.host is host
 
-    def _start_monitor(self, record: UpstreamHost) -> None:
+    def _start_monitor(self, record: UpstreamHost) -> bool:
+        """Monitor a host by its entry; return False if the entry cannot be used."""
+        try:
+            self._apply_entry(record)
+        except Exception as error:
+            self._runtime.events.gather(
+                "host_left_out",
+                by={"pool": record.pool},
+                listed={"hosts": record.id},
+                **describe_error(error),
+            )
+            return False
+        return True
+
+    def _apply_entry(self, record: UpstreamHost) -> None:
         monitor = self._monitors.get(record.id)
         if monitor is not None:
             monitor.incarnations.record_listing(record)
--- a/src/robinthread/_internal/telemetry/levels.py
+++ b/src/robinthread/_internal/telemetry/levels.py
@@ -11,7 +11,9 @@
 # Something failed, or a required bound is violated.
 _WARNINGS: Final = (
     "end_forced",
+    "host_call_failed",
     "host_lapsed",
+    "host_left_out",
     "host_lost",
     "job_failed",
     "job_left_out",
