Give up a read of the store that never returns

What callers saw: as when a follower ends: starts on draining hosts for good.

Cause: a follower waits for its read without a bound of its own. A call whose answer is never delivered holds it for ever, and no error shows.

--- a/src/robinthread/_internal/durable/keyed_follower.py
+++ b/src/robinthread/_internal/durable/keyed_follower.py
@@ -10,6 +10,7 @@
     StoreError,
     StoreNoAnswerError,
 )
+from robinthread._internal.durable.hung_calls import end_within
 from robinthread._internal.durable.newest_reader import NewestReader
 from robinthread._internal.durable.store import KeyedRecord, Partition, ReadPage, Store
 from robinthread._internal.telemetry.event_log import EventLog
@@ -166,8 +167,9 @@
                     await self._load()
                     return None
         try:
-            page = await self._store.read(
-                self._partition, self.next_offset, wait_s, self._read_timeout_s
+            page = await end_within(
+                wait_s + (self._read_timeout_s or RETRY_TIMEOUT_MIN_S),
+                self._store.read(self._partition, self.next_offset, wait_s, self._read_timeout_s),
             )
         except StoreNoAnswerError:
             timeout_s = 2 * (self._read_timeout_s or RETRY_TIMEOUT_MIN_S / 2)
--- a/src/robinthread/_internal/durable/newest_reader.py
+++ b/src/robinthread/_internal/durable/newest_reader.py
@@ -3,6 +3,7 @@
 from typing import Final
 
 from robinthread._internal.durable.errors import StoreNoAnswerError
+from robinthread._internal.durable.hung_calls import end_within
 from robinthread._internal.durable.store import (
     KeyedRecord,
     NewestRecords,
@@ -41,8 +42,9 @@
         """
         while True:
             try:
-                page = await self._store.read_newest(
-                    self._partition, self._after_key, self._timeout_s
+                page = await end_within(
+                    self._timeout_s,
+                    self._store.read_newest(self._partition, self._after_key, self._timeout_s),
                 )
             except StoreNoAnswerError:
                 self._timeout_s = min(2 * self._timeout_s, PAGE_TIMEOUT_MAX_S)
--- a/tests/functional/test_task_failures.py
+++ b/tests/functional/test_task_failures.py
@@ -158,22 +158,32 @@
 class AgeTest(TestCase):
     def test_read_that_never_returns_is_given_up(self) -> None:
         """Guards against a follower that hangs for good on one call."""
+        self._check_hanging("read")
 
+    def test_snapshot_that_never_returns_is_given_up(self) -> None:
+        """Guards against a follower that hangs for good on the first read after a failure."""
+        self._check_hanging("read_newest")
+
+    def _check_hanging(self, call: str) -> None:
         async def work() -> None:
             platform, jobs, loading = await start_loaded()
-            real = StoreClient.read
+            real = getattr(StoreClient, call)
             hung: list[Any] = []
 
-            async def read(client: Any, partition: Any, *args: Any) -> Any:
+            async def make_call(client: Any, partition: Any, *args: Any) -> Any:
                 if partition == HOSTS and not hung:
                     hung.append(partition)
                     await asyncio.Event().wait()
                 return await real(client, partition, *args)
 
-            with patch.object(StoreClient, "read", read):
+            with patch.object(StoreClient, call, make_call):
+                if call == "read_newest":
+                    await fail_task(list_background_tasks("node0")["hosts"])
                 await wait_until(lambda: bool(hung))
                 await asyncio.sleep(3)
                 self.assertEqual([], await find_faults_of_listing(platform))
+            lost = read_lines(platform, "store_lost")
+            self.assertIn(HOSTS.topic, [line["topic"] for line in lost])
             loading.cancel()
             self.assertEqual([], await find_unfinished(platform, "node0", jobs))
 
