Hand pools over from a node whose background task keeps failing

What callers saw: a node that doesn't follow the hosts, the inbox or another partition stays ready and keeps its pools, whose jobs stand still.

Cause: only a node that the store rejects gives up what it owns.

Evidence: with a task that fails whenever it runs, the pool stays where it is (2 tests, hosts and inbox, failed before).

Its node takes no pool over; while another node is better off it hands its pools over by the path of a node that is cut off (pools_given_up) and is not ready. While none is, it serves on. A free pool that all nodes rank it first for is acquired and handed over at once.

--- a/src/robinthread/_internal/node/assembly.py
+++ b/src/robinthread/_internal/node/assembly.py
@@ -143,10 +143,30 @@
         may_split_progress=lambda: all_read_parts(member.members),
     )
     policy = environment.policy.owners
-    election = Election(table, me, member, owner_liveness, config_holder, events, policy)
+    supervisor = TaskSupervisor(me.node, events)
+    election = Election(
+        table,
+        me,
+        member,
+        owner_liveness,
+        config_holder,
+        events,
+        policy,
+        supervisor.find_failing,
+    )
     owned = OwnedPools(context)
     lag = LoopLag()
-    handover = Handover(me, table, election, member, owned, environment.peers, events, lag)
+    handover = Handover(
+        me,
+        table,
+        election,
+        member,
+        owned,
+        environment.peers,
+        events,
+        lag,
+        supervisor.find_failing,
+    )
     rebalance_planner = RebalancePlanner(me, table, election, member, handover, owned, lag, policy)
     record_writer = RecordWriter(
         me,
@@ -164,7 +184,6 @@
     def make_steward(token: int, wait_s: float) -> Steward:
         return Steward(context, environment, table, owned, me, token, wait_s)
 
-    supervisor = TaskSupervisor(me.node, events)
     node = Node(
         context,
         me,
@@ -178,7 +197,7 @@
         (hosts, inbox),
         supervisor,
     )
-    readiness = Readiness(node, member, table, config_holder, events)
+    readiness = Readiness(node, member, table, config_holder, handover, events)
     views = ViewAges(
         [
             View(hosts, lambda: settings_holder.settings.bounds.drain_ms / 1000),
--- a/src/robinthread/_internal/node/election.py
+++ b/src/robinthread/_internal/node/election.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from collections import Counter
-from collections.abc import Collection, Iterable, Mapping, Sequence
+from collections.abc import Callable, Collection, Iterable, Mapping, Sequence
 from typing import Final
 
 from robinthread._internal.durable.ownership import Member, OwnerTable
@@ -23,6 +23,8 @@
     The group membership shows which nodes are alive.  Ownership itself is one record per pool
     that is written conditionally, so a wrong guess here costs time but not safety.
     ``is_acquiring`` is false once this node stops, because it would not open the pool.
+    ``find_failing`` returns the name of a background task that keeps failing, "" if there is none.
+    A free pool is acquired nevertheless, and then handed over: all nodes rank the same candidates.
     """
 
     def __init__(
@@ -34,6 +36,7 @@
         config_holder: ConfigHolder,
         events: EventLog,
         policy: OwnerPolicy,
+        find_failing: Callable[[], str] = lambda: "",
     ) -> None:
         self._table = table
         self._me = me
@@ -42,12 +45,17 @@
         self._config_holder = config_holder
         self._events = events
         self._policy = policy
+        self._find_failing = find_failing
         self.is_acquiring = True
 
     @property
     def may_acquire(self) -> bool:
-        """Tell whether this node may acquire pools: it is served, settled and not stopping."""
-        return self._member.is_served and self.is_acquiring and self._member.is_settled
+        """Tell whether this node may take pools over from live owners.
+
+        It must be served, settled and not stopping, and none of its tasks may keep failing.
+        """
+        is_able = self.is_acquiring and not self._find_failing()
+        return self._member.is_served and is_able and self._member.is_settled
 
     def get_missing_s(self, pool: str) -> float | None:
         """Return for how long a pool's last owner has been missing; None if it is not missing."""
--- a/src/robinthread/_internal/node/handover.py
+++ b/src/robinthread/_internal/node/handover.py
@@ -1,10 +1,11 @@
-"""Handover of pools to other nodes while the store does not serve this one.
+"""Handover of pools to other nodes while this one cannot own them.
 
 The store may reject one node and serve the others.  The others notice only when the node's
 membership has lapsed; the node itself knows at once.
 """
 
 import asyncio
+from collections.abc import Callable
 from typing import Final
 
 from robinthread._internal.durable.errors import StoreError
@@ -35,9 +36,10 @@
     """Finds nodes that the store serves, and takes over pools that other nodes hand over.
 
     ``stopped_tokens`` maps a pool to the newest token whose owner stopped before it handed the
-    pool over.  ``served`` lists the other nodes that the store serves while it does not serve
-    this one, ordered by the load relative to capacity that each would have with one more pool.
-    It is empty while the store serves this node or no node at all.
+    pool over.  ``served`` lists the other nodes that can own pools while this one cannot, because
+    the store does not serve it or a background task keeps failing (``find_failing`` returns its
+    name).  They are ordered by the load relative to capacity that each would have with one more
+    pool.  It is empty while this node can own pools, or no node at all.
     """
 
     def __init__(
@@ -50,6 +52,7 @@
         peers: PeerCalls,
         events: EventLog,
         lag: LoopLag,
+        find_failing: Callable[[], str] = lambda: "",
     ) -> None:
         self._me = me
         self._table = table
@@ -59,15 +62,23 @@
         self._peers = peers
         self._events = events
         self._lag = lag
+        self._find_failing = find_failing
         self.stopped_tokens: dict[str, int] = {}
         self.served: tuple[Member, ...] = ()
 
     async def run(self) -> None:
         """Keep ``served`` up to date until cancelled."""
         while True:
-            self.served = await self._find_served() if self._member.is_cut_off else ()
+            self.served = await self._find_served() if self.find_inability() else ()
             await asyncio.sleep(QUERY_PERIOD_S)
 
+    def find_inability(self) -> str:
+        """Return why other nodes should own this node's pools, "" if there is no reason."""
+        if self._member.is_cut_off:
+            return "the store does not serve this node"
+        failing = self._find_failing()
+        return f"the task {failing} keeps failing" if failing else ""
+
     async def _find_served(self) -> tuple[Member, ...]:
         others = sorted(self._member.members - {self._me})
         responses = await asyncio.gather(*map(self.query_store_status, others))
--- a/src/robinthread/_internal/node/node.py
+++ b/src/robinthread/_internal/node/node.py
@@ -73,8 +73,8 @@
         """Run the main loop until cancelled."""
         while True:
             self._table.changed.clear()
+            await self._transfer_if_unable()
             await self._drop_replaced()
-            await self._transfer_if_cut_off()
             await self._rebalance()
             await self._release_closed()
             self._open_acquired_pools()
@@ -97,16 +97,17 @@
             await self._steward.stop()
         await asyncio.gather(*(owner.stop(is_planned=True) for owner in owners))
 
-    async def _transfer_if_cut_off(self) -> None:
-        """Transfer all pools while the store serves other nodes but not this one.
+    async def _transfer_if_unable(self) -> None:
+        """Transfer all pools while other nodes can own them but this one cannot.
 
         Their owners stop first, so the next owners need not wait for their orders.
         """
-        served = self._handover.served
-        if not self._member.is_cut_off or not served:
+        served, reason = self._handover.served, self._handover.find_inability()
+        if not reason or not served or not (self._owned.owners or self._steward is not None):
             return
-        if self._owned.owners or self._steward is not None:
-            await self._transfer(served[0], [*self._owned.owners, FLEET_POOL], is_planned=False)
+        pools = [*self._owned.owners, FLEET_POOL]
+        self._events.write("pools_given_up", pools=pools, reason=reason, taker=served[0].node)
+        await self._transfer(served[0], pools, is_planned=not self._member.is_cut_off)
 
     async def _rebalance(self) -> None:
         """Transfer a pool that another node can serve better."""
--- a/src/robinthread/_internal/node/readiness.py
+++ b/src/robinthread/_internal/node/readiness.py
@@ -5,6 +5,7 @@
 from robinthread._internal.durable.ownership import OwnerTable
 from robinthread._internal.node.config_holder import ConfigHolder
 from robinthread._internal.node.group_member import GroupMember
+from robinthread._internal.node.handover import Handover
 from robinthread._internal.node.node import Node
 from robinthread._internal.telemetry.event_log import EventLog
 
@@ -21,12 +22,14 @@
         member: GroupMember,
         table: OwnerTable,
         config_holder: ConfigHolder,
+        handover: Handover,
         events: EventLog,
     ) -> None:
         self._node = node
         self._member = member
         self._table = table
         self._config_holder = config_holder
+        self._handover = handover
         self._events = events
         self._logged_obstacle: str | None = None
 
@@ -47,7 +50,10 @@
             # Without the owner table, this node cannot request the state of any job.
             return "owners not read"
         is_store_reachable = self._member.get_store_silence_s() < STORE_AGE_MAX_S
-        return "" if is_store_reachable else "no word from the store"
+        if not is_store_reachable:
+            return "no word from the store"
+        # While no other node is better off, callers are served as well as this node can.
+        return self._handover.find_inability() if self._handover.served else ""
 
     def _log_change(self, obstacle: str) -> None:
         if obstacle:
--- a/src/robinthread/_internal/telemetry/levels.py
+++ b/src/robinthread/_internal/telemetry/levels.py
@@ -24,6 +24,7 @@
     "owner_missing",
     "pool_open_failed",
     "pool_opening_slow",
+    "pools_given_up",
     "record_failed",
     "record_malformed",
     "records_unreadable",
--- a/tests/functional/test_task_failures.py
+++ b/tests/functional/test_task_failures.py
@@ -14,6 +14,7 @@
     HOST_CAPACITY,
     POOL,
     find_violations,
+    get_others,
     get_owner,
     hand_in,
     make_job,
@@ -138,6 +139,41 @@
         """Guards against an owner that never sees the jobs that other nodes accept."""
         self._check("inbox")
 
+    def test_pools_stay_where_they_are_while_a_task_fails_on_all_nodes(self) -> None:
+        """Guards against pools that go to and fro between nodes of which none is better."""
+
+        async def work() -> None:
+            platform, jobs, loading = await start_loaded(nodes=3)
+            failing = [
+                asyncio.create_task(fail_repeatedly(name, "settings")) for name in platform.nodes
+            ]
+            await asyncio.sleep(GIVEN_UP_MAX_S)
+            before = len(read_lines(platform, "pool_taken"))
+            await asyncio.sleep(20)
+            self.assertLessEqual(len(read_lines(platform, "pool_taken")) - before, 1)
+            for task in failing:
+                task.cancel()
+            loading.cancel()
+            self.assertEqual([], await find_unfinished(platform, "node2", jobs))
+
+        run_virtual(work())
+
+    def test_pool_of_a_lost_owner_goes_past_a_node_whose_task_keeps_failing(self) -> None:
+        """Guards against a free pool that all nodes leave to one that can't own it."""
+
+        async def work() -> None:
+            for seed in range(3):
+                platform = await start_platform(plan_wide, nodes=3, hosts=2, seed=seed)
+                weak = get_others(platform)[seed % 2]
+                failing = asyncio.create_task(fail_repeatedly(weak, "hosts"))
+                await asyncio.sleep(GIVEN_UP_MAX_S)
+                platform.kill_node(get_owner(platform) or "")
+                await asyncio.sleep(GIVEN_UP_MAX_S + REOPENED_MAX_S)
+                self.assertNotIn(get_owner(platform), (weak, None))
+                failing.cancel()
+
+        run_virtual(work())
+
     def test_only_node_serves_on_while_a_task_keeps_failing(self) -> None:
         """Guards against a total outage by giving up what no other node can take."""
 
