Hold a pool for a while when its owners fail one after another

What callers saw: a pool that goes to and fro between owners, while none of its jobs makes progress (44 owners in 2 s on real processes).

Cause: an owner that fails releases its pool at once, and the next one meets the same error as soon as it has opened. An owner that failed while opening also stayed subscribed to jobs and hosts for ever.

Evidence: with a scheduler that raises for 20 s on 3 nodes, the pool is taken 744 times.

Change: the first failure on a node passes the pool on at once; after another within 10 s the node keeps it closed for 0.2 s, doubling to 5 s, and tells so (pool_held).

--- a/src/robinthread/_internal/node/node.py
+++ b/src/robinthread/_internal/node/node.py
@@ -13,6 +13,7 @@
 from robinthread._internal.node.group_member import GroupMember
 from robinthread._internal.node.handover import Handover
 from robinthread._internal.node.owned_pools import OwnedPools
+from robinthread._internal.node.pool_holds import PoolHolds
 from robinthread._internal.node.pool_owner import PoolOwner
 from robinthread._internal.node.pool_rebalancing import RebalancePlanner
 from robinthread._internal.node.predecessors import find_predecessors
@@ -59,6 +60,7 @@
         self._supervisor = supervisor
         self._steward: Steward | None = None
         self._closed_tokens: dict[str, int] = {}
+        self._holds = PoolHolds(context.events)
         self.is_stopping = False
 
     def cancel(self) -> None:
@@ -141,6 +143,7 @@
             and not found.is_released
             and found.token <= self._closed_tokens.get(pool, 0)
             and pool not in self._owned.owners
+            and not self._holds.is_held(pool)
             and (pool != FLEET_POOL or self._steward is None)
         ]
         if closed and not self._member.is_cut_off:
@@ -149,7 +152,8 @@
     async def _release_if_own(self, pool: str, token: int) -> None:
         """Release a pool if the table still lists this node with this token."""
         found = self._table.owners.get(pool)
-        if found is not None and found.token == token and found.owner == self._me:
+        is_own = found is not None and found.token == token and found.owner == self._me
+        if is_own and not self._holds.is_held(pool):
             await self._release([pool])
 
     async def _release(self, pools: list[str]) -> None:
@@ -243,6 +247,8 @@
                 follower.pause()
 
     async def _run_owner(self, owner: PoolOwner) -> None:
+        self._holds.record_start(owner.pool)
+        has_failed = False
         try:
             await owner.start()
             await owner.fenced.wait()
@@ -255,6 +261,9 @@
                 **describe_error(error),
             )
             owner.fenced.set()
+            has_failed = True
+        if has_failed or owner.has_failed:
+            self._holds.record_failure(owner.pool)
         await self._drop(owner)
 
     async def _drop_replaced(self) -> None:
--- a/src/robinthread/_internal/node/pool_owner.py
+++ b/src/robinthread/_internal/node/pool_owner.py
@@ -106,6 +106,7 @@
         self._reads_operators = context.settings.bounds.evacuation_ms > 0
         self.opening = PoolOpening((OPERATORS,) if self._reads_operators else ())
         self._is_stopped = False
+        self._is_subscribed = False
         self.is_open = False
 
     @property
@@ -113,6 +114,11 @@
         """Return whether the owner has stopped and sends no more orders."""
         return self._is_stopped
 
+    @property
+    def has_failed(self) -> bool:
+        """Return whether an unexpected error made the owner give the pool up."""
+        return self._runtime.has_failed
+
     @property
     def fenced(self) -> asyncio.Event:
         """Return the event that is set once the owner must stop permanently."""
@@ -130,6 +136,7 @@
         if self._is_stopped:
             return
         self.evacuations.start()
+        self._is_subscribed = True
         self._context.job_index.subscribe(self._take_job)
         self._context.host_directory.subscribe(self._update_hosts)
         self._hosts.update()
@@ -163,9 +170,11 @@
         """
         if self._is_stopped:
             return
-        if self.is_open:
+        if self._is_subscribed:
+            self._is_subscribed = False
             self._context.job_index.unsubscribe(self._take_job)
             self._context.host_directory.unsubscribe(self._update_hosts)
+        if self.is_open:
             if is_planned and not self.fenced.is_set():
                 await self._progress_recorder.flush(FLUSH_WAIT_S)
             # Starts are still sent while the last progress is recorded.
--- a/src/robinthread/_internal/node/pool_runtime.py
+++ b/src/robinthread/_internal/node/pool_runtime.py
@@ -32,7 +32,10 @@
 
 
 class PoolRuntime:
-    """A pool's jobs, its owner's token, and the owner's background tasks."""
+    """A pool's jobs, its owner's token, and the owner's background tasks.
+
+    ``has_failed`` is set if an unexpected error made the owner give the pool up.
+    """
 
     def __init__(
         self, context: NodeContext, pool: str, token: int, jobs: PoolJobs, journal: Journal
@@ -46,6 +49,7 @@
         self.changed = asyncio.Event()
         self.unrecorded = asyncio.Event()
         self.fenced = asyncio.Event()
+        self.has_failed = False
         self.opened_at_s = math.inf
         self._has_logged_first_start = False
         self._tasks: set[asyncio.Task[Any]] = set()
@@ -138,6 +142,7 @@
         self.events.write(
             "task_failed", task=name, pool=self.pool, token=self.token, **describe_error(error)
         )
+        self.has_failed = True
         self.fenced.set()
 
     async def _guard(self, name: str, work: Coroutine[Any, Any, None]) -> None:
--- a/src/robinthread/_internal/node/task_supervisor.py
+++ b/src/robinthread/_internal/node/task_supervisor.py
@@ -1,19 +1,13 @@
 """Supervision of a node's background tasks."""
 
 import asyncio
-import math
 from collections.abc import Callable, Coroutine
-from dataclasses import dataclass
 from typing import Any, Final
 
 from robinthread._internal.telemetry.event_log import EventLog
 from robinthread._internal.utils.error_text import describe_error
+from robinthread._internal.utils.restart_backoff import RestartBackoff
 
-# Pause before a task that failed runs again; it doubles with each further failure.
-RESTART_PAUSE_MIN_S: Final = 0.1
-RESTART_PAUSE_MAX_S: Final = 5.0
-# A task that runs for this long without a failure counts as recovered.
-RECOVERED_AFTER_S: Final = 10.0
 # A task keeps failing once it has failed this often without having recovered.  With the pauses
 # between them, that takes at least 0.7 s, which is well below the time in which a leaving host
 # must get no more work.
@@ -22,23 +16,6 @@
 MakeWork = Callable[[], Coroutine[Any, Any, None]]
 
 
-@dataclass
-class _Failures:
-    """Failures of a task since it last recovered; ``restarted_at_s`` is infinite in a pause."""
-
-    count: int = 0
-    restarted_at_s: float = math.inf
-
-    def has_recovered(self, now_s: float) -> bool:
-        return now_s - self.restarted_at_s >= RECOVERED_AFTER_S
-
-    def record(self, now_s: float) -> float:
-        """Record a failure; return the pause in seconds before the next run."""
-        self.count = 1 if self.has_recovered(now_s) else self.count + 1
-        self.restarted_at_s = math.inf
-        return float(min(RESTART_PAUSE_MIN_S * 2 ** (self.count - 1), RESTART_PAUSE_MAX_S))
-
-
 class TaskSupervisor:
     """Runs the background tasks of the node called ``node``, each under a name of its own.
 
@@ -51,7 +28,7 @@
         self._node = node
         self._events = events
         self._tasks: set[asyncio.Task[None]] = set()
-        self._failures: dict[str, _Failures] = {}
+        self._failures: dict[str, RestartBackoff] = {}
 
     def start(self, name: str, make_work: MakeWork) -> None:
         """Run the coroutine that ``make_work`` returns, and another one after each failure."""
@@ -86,7 +63,7 @@
     async def _run(self, name: str, make_work: MakeWork) -> None:
         loop = asyncio.get_running_loop()
         while (error := await _run_to_end(make_work())) is not None:
-            failures = self._failures.setdefault(name, _Failures())
+            failures = self._failures.setdefault(name, RestartBackoff())
             pause_s = failures.record(loop.time())
             self._events.write(
                 "task_failed",
--- a/tests/functional/test_contained_failures.py
+++ b/tests/functional/test_contained_failures.py
@@ -9,8 +9,10 @@
 
 from robinthread._internal.durable import job_index
 from robinthread._internal.models.upkeep_wave import UpkeepWave
+from robinthread._internal.node import pool_owner
 from robinthread._internal.node.pool_owner import PoolOwner
 from robinthread._internal.standins.platform_standin import HOSTS, OPERATORS
+from tests.lib.event_lines import find_lines
 from tests.lib.job_platforms import (
     POOL,
     POOLS,
@@ -195,3 +197,23 @@
             self.assertEqual(3, len(platform.store.get_newest(OPERATORS)))
 
         run_virtual(work())
+
+
+class RepeatedlyGivenUpTest(TestCase):
+    def test_pool_whose_owners_all_fail_changes_its_owner_seldom(self) -> None:
+        """Guards against a pool that goes to and fro as fast as it can be opened."""
+
+        async def work() -> None:
+            platform, jobs, loading = await start_loaded(nodes=3)
+            before = len(find_lines(platform, "pool_taken"))
+            with patch.object(pool_owner, "place_waiting", side_effect=InjectedError("place")):
+                await asyncio.sleep(20)
+            taken = len(find_lines(platform, "pool_taken")) - before
+            self.assertLess(taken, 20)
+            self.assertGreater(taken, 3)
+            await wait_until(lambda: get_owner(platform) is not None, limit_s=10)
+            loading.cancel()
+            self.assertEqual([], await find_unfinished(platform, "node2", jobs, limit_s=60))
+            self.assertEqual([], find_violations(platform))
+
+        run_virtual(work())
