Reject every settings file that can't be read, whatever it raises

What callers saw: nothing yet; found while looking for loops that an input of another party ends.

Cause: reading the file caught syntax errors alone. Text in another encoding, tables too deep, infinite and huge numbers ended the reloading of settings for good, or the start with a trace instead of a result code.

Change: each is BAD_SETTINGS (settings_rejected, told once), and the settings in force stay in force.

Measured: 6 odd files and an undeclared error rejected (test_settings_holder; both tests failed before).

--- a/src/robinthread/_internal/node/settings_holder.py
+++ b/src/robinthread/_internal/node/settings_holder.py
@@ -8,6 +8,7 @@
 from robinthread._internal.node.node_settings import NodeSettings
 from robinthread._internal.results import FaultError
 from robinthread._internal.telemetry.event_log import EventLog
+from robinthread._internal.utils.error_text import ERROR_TEXT_MAX
 
 # The file may change without a signal, and a new configuration must be in force within 2 s.
 POLL_PERIOD_S: Final = 1.0
@@ -40,11 +41,21 @@
         try:
             settings = self._read()
         except FaultError as error:
-            if str(error) != self._last_error:
-                self._events.write("settings_rejected", cause=cause, error=str(error))
-            self._last_error = str(error)
+            self._reject(cause, str(error))
+            return
+        except Exception as error:
+            # Whatever a file may hold, the settings in force stay in force.
+            self._reject(cause, f"{type(error).__name__}: {error}")
             return
         self._last_error = ""
+        self._apply(settings, cause)
+
+    def _reject(self, cause: str, problem: str) -> None:
+        if problem != self._last_error:
+            self._events.write("settings_rejected", cause=cause, error=problem[:ERROR_TEXT_MAX])
+        self._last_error = problem
+
+    def _apply(self, settings: NodeSettings, cause: str) -> None:
         changed = {
             field.name
             for field in fields(NodeSettings)
--- a/src/robinthread/_internal/platform/settings.py
+++ b/src/robinthread/_internal/platform/settings.py
@@ -1,6 +1,7 @@
 """Parser of the settings file that the platform provides for a process."""
 
 import os
+import sys
 import tomllib
 from typing import Any, Final
 
@@ -52,7 +53,8 @@
     try:
         with open(path, "rb") as file:
             return parse_node_settings(tomllib.load(file))
-    except (OSError, tomllib.TOMLDecodeError) as error:
+    except (OSError, ValueError, OverflowError, RecursionError) as error:
+        # Besides a syntax error: text in another encoding, numbers too large, tables too deep.
         raise FaultError(make_fault(ResultCode.BAD_SETTINGS, f"{path}: {error}")) from error
 
 
@@ -111,9 +113,10 @@
 
     def get_number(self, table: dict[str, Any], key: str, default: float) -> float:
         value = table.get(key, default)
-        if isinstance(value, int | float) and not isinstance(value, bool) and value >= 0:
+        is_number = isinstance(value, int | float) and not isinstance(value, bool)
+        if is_number and 0 <= value <= sys.float_info.max:
             return value
-        self._errors.append(f"{key}: expected a number of at least 0, found {value!r}")
+        self._errors.append(f"{key}: expected a finite number of at least 0, found {value!r}")
         return default
 
     def get_ports(self, table: dict[str, Any], key: str) -> tuple[int, int]:
--- a/tests/unit/test_settings_holder.py
+++ b/tests/unit/test_settings_holder.py
@@ -2,11 +2,15 @@
 
 import dataclasses
 import json
+import tempfile
+from pathlib import Path
+from unittest.mock import patch
 
 from testtools import TestCase
 
 from robinthread._internal.node.node_settings import NodeSettings
 from robinthread._internal.node.settings_holder import SettingsHolder
+from robinthread._internal.platform.settings import read_node_settings
 from robinthread._internal.results import FaultError, ResultCode, make_fault
 from robinthread._internal.standins.node_settings_standin import BOUNDS, make_settings
 from robinthread._internal.telemetry.event_log import EventLog
@@ -49,3 +53,27 @@
         self.holder.reload("file")
         self.holder.reload("signal")
         self.assertEqual(["settings_reloaded"], self.get_events())
+
+    def test_error_that_reading_does_not_declare_changes_nothing(self) -> None:
+        """Guards against a file that ends the reading of settings for good."""
+        with patch.object(self.holder, "_read", side_effect=RecursionError("too deep")):
+            self.holder.reload("file")
+        self.assertEqual(["settings_rejected"], self.get_events())
+        self.assertEqual(BOUNDS, self.holder.settings.bounds)
+
+    def test_odd_files_are_rejected_with_a_result_code(self) -> None:
+        """Guards against numbers, depths and encodings that raise something else."""
+        odd = (
+            b"node = '\xff'",
+            b"a = " + b"[" * 100_000,
+            b"[platform]\nparts = inf",
+            b"[limits]\nlink_mbps = 1" + b"0" * 400,
+            b"[bounds]\ndrain_ms = inf",
+            b"[bounds]\ndrain_ms = 1" + b"0" * 5_000,
+        )
+        with tempfile.TemporaryDirectory() as folder:
+            path = Path(folder) / "node.toml"
+            for content in odd:
+                path.write_bytes(content)
+                error = self.assertRaises(FaultError, read_node_settings, str(path))
+                self.assertEqual(ResultCode.BAD_SETTINGS, error.fault.code)
