--- a/src/robinthread/_internal/daemon/daemon.py
+++ b/src/robinthread/_internal/daemon/daemon.py
@@ -1,14 +1,15 @@
 """The daemon, of which each entry host runs one."""
 
 import asyncio
-from collections.abc import Coroutine
-from typing import Any, Final
+from functools import partial
+from typing import Final
 
 from absl import logging
 from returns.result import Result, Success
 
 from robinthread._internal.daemon.environment import Environment
 from robinthread._internal.daemon.host_list_task import follow_host_list
+from robinthread._internal.daemon.keep_running import MakeWork, keep_running
 from robinthread._internal.daemon.wiring import (
     make_claims,
     make_dispatch,
@@ -113,16 +114,16 @@
 
         Joining the fleet continues in the background; see ``wait_until_member``.
         """
-        self._start_task(self.router.run())
+        self._start_task(self.router.run)
         await self._catch_up()
-        self._start_task(self._follow())
-        self._start_task(self.publisher.run())
+        self._start_task(self._follow)
+        self._start_task(self.publisher.run)
         while not self.follower.is_ready:
             await asyncio.sleep(START_RETRY_S / 10)
-        self._start_task(self.presence.run())
-        self._start_task(self.steward.run())
-        self._start_task(follow_host_list(self))
-        self._start_task(self._write_snapshots())
+        self._start_task(self.presence.run)
+        self._start_task(self.steward.run)
+        self._start_task(partial(follow_host_list, self))
+        self._start_task(self._write_snapshots)
         self._ensure_joined()
         trim_memory()
         logging.info("daemon %s ready at offset %d", self.settings.name, self.state.next_offset)
@@ -183,7 +184,8 @@
         """Publish a record for a caller that reads the outcome from the fleet state."""
         await self.publish(body)
 
-    def _start_task(self, work: Coroutine[Any, Any, None]) -> None:
+    def _start_task(self, make_work: MakeWork) -> None:
+        work = keep_running(self.settings.name, make_work, self.counters)
         self._tasks.append(asyncio.get_running_loop().create_task(work))
 
     def make_id(self) -> str:
--- a/src/robinthread/_internal/follow/publisher.py
+++ b/src/robinthread/_internal/follow/publisher.py
@@ -91,6 +91,8 @@
     async def run(self) -> None:
         """Append pending records in batches until cancelled; retry failures with a back-off."""
         retry_s = RETRY_MIN_S
+        if self._pending:
+            self._has_pending.set()
         while True:
             await self._has_pending.wait()
             self._has_pending.clear()
--- a/tests/functional/test_hosts_leave.py
+++ b/tests/functional/test_hosts_leave.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from dataclasses import replace
+from unittest.mock import PropertyMock, patch
 
 from testtools import TestCase
 
@@ -11,6 +12,7 @@
 from robinthread._internal.settings.dispatch_settings import DispatchSettings
 from robinthread._internal.settings.wave_settings import WaveSettings
 from robinthread._internal.standins.fleet_standin import HallSize
+from robinthread._internal.standins.host_list_standin import HostListStandin
 from robinthread._internal.standins.worker_standin import WorkerMode
 from tests.lib.fleets import SETTINGS, get_daemon, serve, start_fleet, wait_until
 from tests.lib.virtual import run_virtual
@@ -50,6 +52,22 @@
 
         run_virtual(work())
 
+    def test_list_that_raises_is_read_again(self) -> None:
+        """Guards against one odd host list that ends the following of hosts for good."""
+
+        async def work() -> None:
+            fleet = await start_fleet(ONE_HALL)
+            daemon = get_daemon(fleet)
+            listed = await fleet.host_list.list_hosts()
+            odd = PropertyMock(side_effect=ValueError("odd"))
+            with patch.object(HostListStandin, "is_out", odd, create=True):
+                await asyncio.sleep(HOST_LIST_WAIT_S)
+            self.assertTrue(odd.called)
+            fleet.host_list.set_hosts(tuple(replace(host, is_leaving=True) for host in listed))
+            await wait_until(lambda: self._list_phases(daemon) == {HostPhase.LEAVING}, 15.0)
+
+        run_virtual(work())
+
     def test_host_no_longer_marked_as_leaving_serves_again(self) -> None:
         async def work() -> None:
             fleet = await start_fleet(ONE_HALL)
