--- a/src/robinthread/_internal/durable/keyed_follower.py
+++ b/src/robinthread/_internal/durable/keyed_follower.py
@@ -10,6 +10,7 @@
     StoreError,
     StoreNoAnswerError,
 )
+from robinthread._internal.durable.hung_calls import end_within
 from robinthread._internal.durable.newest_reader import NewestReader
 from robinthread._internal.durable.store import KeyedRecord, Partition, ReadPage, Store
 from robinthread._internal.telemetry.event_log import EventLog
@@ -75,7 +76,17 @@
         self.first_read = asyncio.Event()
 
     async def run(self) -> None:
-        """Follow until cancelled, except while paused."""
+        """Follow until cancelled, except while paused.
+
+        After an unexpected error, the next call starts with a snapshot: a page may be half applied.
+        """
+        try:
+            await self._follow()
+        except Exception:
+            self._reset()
+            raise
+
+    async def _follow(self) -> None:
         self._resumed_at_s = min(self._resumed_at_s, asyncio.get_running_loop().time())
         while True:
             await self._resumed.wait()
@@ -117,6 +128,9 @@
     def pause(self) -> None:
         """Stop following; the records applied so far become stale."""
         self._resumed.clear()
+        self._reset()
+
+    def _reset(self) -> None:
         self.next_offset = None
         self._reader = NewestReader(self._store, self._partition)
 
@@ -153,8 +167,9 @@
                     await self._load()
                     return None
         try:
-            page = await self._store.read(
-                self._partition, self.next_offset, wait_s, self._read_timeout_s
+            page = await end_within(
+                wait_s + (self._read_timeout_s or RETRY_TIMEOUT_MIN_S),
+                self._store.read(self._partition, self.next_offset, wait_s, self._read_timeout_s),
             )
         except StoreNoAnswerError:
             timeout_s = 2 * (self._read_timeout_s or RETRY_TIMEOUT_MIN_S / 2)
--- a/src/robinthread/_internal/node/assembly.py
+++ b/src/robinthread/_internal/node/assembly.py
@@ -16,6 +16,7 @@
 from robinthread._internal.durable.share_meter import ShareMeter
 from robinthread._internal.durable.store import KeyedRecord
 from robinthread._internal.node.config_holder import ConfigHolder
+from robinthread._internal.node.contained_calls import contain_calls
 from robinthread._internal.node.context import NodeContext
 from robinthread._internal.node.election import Election
 from robinthread._internal.node.environment import NodeEnvironment
@@ -70,6 +71,7 @@
 ) -> AssembledNode:
     """Create a node and start its tasks.  Requires a running event loop."""
     loop = asyncio.get_running_loop()
+    environment = contain_calls(environment)
     settings = settings_holder.settings
     events, store, records = environment.events, environment.store, environment.records
     config_holder = ConfigHolder(records, events)
@@ -142,10 +144,30 @@
         may_split_progress=lambda: all_read_parts(member.members),
     )
     policy = environment.policy.owners
-    election = Election(table, me, member, owner_liveness, config_holder, events, policy)
+    supervisor = TaskSupervisor(me.node, events)
+    election = Election(
+        table,
+        me,
+        member,
+        owner_liveness,
+        config_holder,
+        events,
+        policy,
+        supervisor.find_failing,
+    )
     owned = OwnedPools(context)
     lag = LoopLag()
-    handover = Handover(me, table, election, member, owned, environment.peers, events, lag)
+    handover = Handover(
+        me,
+        table,
+        election,
+        member,
+        owned,
+        environment.peers,
+        events,
+        lag,
+        supervisor.find_failing,
+    )
     rebalance_planner = RebalancePlanner(me, table, election, member, handover, owned, lag, policy)
     record_writer = RecordWriter(
         me,
@@ -163,7 +185,6 @@
     def make_steward(token: int, wait_s: float) -> Steward:
         return Steward(context, environment, table, owned, me, token, wait_s)
 
-    supervisor = TaskSupervisor(me.node, events)
     node = Node(
         context,
         me,
@@ -177,7 +198,7 @@
         (hosts, inbox),
         supervisor,
     )
-    readiness = Readiness(node, member, table, config_holder, events)
+    readiness = Readiness(node, member, table, config_holder, handover, events)
     views = ViewAges(
         [
             View(hosts, lambda: settings_holder.settings.bounds.drain_ms / 1000),
@@ -195,6 +216,7 @@
         "inbox": inbox.run,
         "owners": table.follower.run,
         "member": member.run,
+        "member_list": member.run_listing,
         "slow_store": slow_store.run,
         "owner_liveness": owner_liveness.run,
         "handover": handover.run,
--- a/src/robinthread/_internal/node/node.py
+++ b/src/robinthread/_internal/node/node.py
@@ -13,12 +13,14 @@
 from robinthread._internal.node.group_member import GroupMember
 from robinthread._internal.node.handover import Handover
 from robinthread._internal.node.owned_pools import OwnedPools
+from robinthread._internal.node.pool_holds import PoolHolds
 from robinthread._internal.node.pool_owner import PoolOwner
 from robinthread._internal.node.pool_rebalancing import RebalancePlanner
 from robinthread._internal.node.predecessors import find_predecessors
 from robinthread._internal.node.steward import Steward
 from robinthread._internal.node.stop_budget import StopBudget
 from robinthread._internal.node.task_supervisor import TaskSupervisor
+from robinthread._internal.utils.error_text import describe_error
 from robinthread._internal.utils.waiting import wait_for_event
 
 MakeSteward = Callable[[int, float], Steward]
@@ -58,6 +60,7 @@
         self._supervisor = supervisor
         self._steward: Steward | None = None
         self._closed_tokens: dict[str, int] = {}
+        self._holds = PoolHolds(context.events)
         self.is_stopping = False
 
     def cancel(self) -> None:
@@ -72,8 +75,8 @@
         """Run the main loop until cancelled."""
         while True:
             self._table.changed.clear()
+            await self._transfer_if_unable()
             await self._drop_replaced()
-            await self._transfer_if_cut_off()
             await self._rebalance()
             await self._release_closed()
             self._open_acquired_pools()
@@ -96,16 +99,17 @@
             await self._steward.stop()
         await asyncio.gather(*(owner.stop(is_planned=True) for owner in owners))
 
-    async def _transfer_if_cut_off(self) -> None:
-        """Transfer all pools while the store serves other nodes but not this one.
+    async def _transfer_if_unable(self) -> None:
+        """Transfer all pools while other nodes can own them but this one cannot.
 
         Their owners stop first, so the next owners need not wait for their orders.
         """
-        served = self._handover.served
-        if not self._member.is_cut_off or not served:
+        served, reason = self._handover.served, self._handover.find_inability()
+        if not reason or not served or not (self._owned.owners or self._steward is not None):
             return
-        if self._owned.owners or self._steward is not None:
-            await self._transfer(served[0], [*self._owned.owners, FLEET_POOL], is_planned=False)
+        pools = [*self._owned.owners, FLEET_POOL]
+        self._events.write("pools_given_up", pools=pools, reason=reason, taker=served[0].node)
+        await self._transfer(served[0], pools, is_planned=not self._member.is_cut_off)
 
     async def _rebalance(self) -> None:
         """Transfer a pool that another node can serve better."""
@@ -139,6 +143,7 @@
             and not found.is_released
             and found.token <= self._closed_tokens.get(pool, 0)
             and pool not in self._owned.owners
+            and not self._holds.is_held(pool)
             and (pool != FLEET_POOL or self._steward is None)
         ]
         if closed and not self._member.is_cut_off:
@@ -147,7 +152,8 @@
     async def _release_if_own(self, pool: str, token: int) -> None:
         """Release a pool if the table still lists this node with this token."""
         found = self._table.owners.get(pool)
-        if found is not None and found.token == token and found.owner == self._me:
+        is_own = found is not None and found.token == token and found.owner == self._me
+        if is_own and not self._holds.is_held(pool):
             await self._release([pool])
 
     async def _release(self, pools: list[str]) -> None:
@@ -192,14 +198,14 @@
                 )
                 owner = self._owned.make_owner(pool, found.token, predecessors)
                 self._handover.log_acquired(owner.pool, owner.token)
-                self._supervisor.start(f"pool/{pool}", partial(self._run_owner, owner))
+                self._supervisor.start_once(f"pool/{pool}", partial(self._run_owner, owner))
 
     def _open_steward(self, token: int) -> None:
         if self._steward is None and self._closed_tokens.get(FLEET_POOL, 0) < token:
             wait_s = self._get_wait_s()
             self._steward = self._make_steward(token, wait_s)
             self._events.write("fleet_taken", token=token)
-            self._supervisor.start(FLEET_POOL, partial(self._run_steward, self._steward))
+            self._supervisor.start_once(FLEET_POOL, partial(self._run_steward, self._steward))
 
     def _get_wait_s(self) -> float:
         """Return the seconds for which machines that the previous steward ordered get no order.
@@ -218,7 +224,7 @@
         try:
             await steward.run()
         except Exception as error:
-            self._events.write("steward_failed", error=repr(error))
+            self._events.write("steward_failed", token=steward.token, **describe_error(error))
         await self._drop_steward(steward)
 
     async def _drop_steward(self, steward: Steward) -> None:
@@ -241,12 +247,23 @@
                 follower.pause()
 
     async def _run_owner(self, owner: PoolOwner) -> None:
+        self._holds.record_start(owner.pool)
+        has_failed = False
         try:
             await owner.start()
+            await owner.fenced.wait()
         except Exception as error:
-            self._events.write("pool_open_failed", pool=owner.pool, error=repr(error))
+            self._events.write(
+                "task_failed" if owner.is_open else "pool_open_failed",
+                task=f"pool/{owner.pool}",
+                pool=owner.pool,
+                token=owner.token,
+                **describe_error(error),
+            )
             owner.fenced.set()
-        await owner.fenced.wait()
+            has_failed = True
+        if has_failed or owner.has_failed:
+            self._holds.record_failure(owner.pool)
         await self._drop(owner)
 
     async def _drop_replaced(self) -> None:
