Entries of hosts and operators are values within bounds or one typed error

Cause: decoders raise RecursionError for depth and OverflowError for size, followers expect msgspec.MsgspecError alone.

decode_json and reads_foreign_input (utils/foreign_input) turn any input into a value or MalformedInputError, a msgspec.ValidationError, so that all present handlers hold. Numbers, ports, addresses (IPv4 and port: a name would be resolved while the loop waits) and ids of hosts have bounds.

--- a/src/robinthread/_internal/node/config_holder.py
+++ b/src/robinthread/_internal/node/config_holder.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from robinthread._internal.durable.malformed_records import MalformedRecords
 from robinthread._internal.durable.store import KeyedRecord
 from robinthread._internal.models.fleet_config import FleetConfig
 from robinthread._internal.models.upkeep_wave import UpkeepWave
@@ -25,6 +26,7 @@
     def __init__(self, records: PlatformRecords, events: EventLog) -> None:
         self._records = records
         self._events = events
+        self._malformed = MalformedRecords(events, "operators")
         self.config: FleetConfig | None = None
         self.waves: dict[int, UpkeepWave] = {}
         self.wave_seen_at_s: dict[int, float] = {}
@@ -40,17 +42,18 @@
         """Apply records of the operators.  A record that expired changes nothing."""
         for record in records:
             if record.value is not None:
-                self._apply_one(record.key, record.value)
+                self._apply_one(record, record.value)
         self.changed.set()
 
-    def _apply_one(self, key: str, value: bytes) -> None:
+    def _apply_one(self, record: KeyedRecord, value: bytes) -> None:
+        key = record.key
         try:
             if key == self._records.config_key:
                 self._apply_config(self._records.parse_config(value))
             elif key.startswith(self._records.wave_prefix):
                 self._apply_wave(self._records.parse_wave(value))
         except msgspec.MsgspecError as error:
-            self._events.write("record_malformed", key=key, error=str(error))
+            self._malformed.tell(record, error)
 
     def _apply_wave(self, wave: UpkeepWave) -> None:
         if self.waves.get(wave.number) != wave:
--- a/src/robinthread/_internal/node/environment.py
+++ b/src/robinthread/_internal/node/environment.py
@@ -21,7 +21,8 @@
 
     Keys of waves begin with ``wave_prefix``, those of requests to evacuate a data hall with
     ``evacuation_prefix``, followed by the hall's name.  The parsers raise
-    ``msgspec.MsgspecError``; ``parse_evacuation`` only checks the value.
+    ``msgspec.MsgspecError``, of which ``MalformedInputError`` is one; ``parse_evacuation`` only
+    checks the value.
     """
 
     operators_partition: Partition
--- a/src/robinthread/_internal/node/evacuations.py
+++ b/src/robinthread/_internal/node/evacuations.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from robinthread._internal.durable.malformed_records import MalformedRecords
 from robinthread._internal.durable.store import KeyedRecord
 from robinthread._internal.node.environment import PlatformRecords
 from robinthread._internal.telemetry.event_log import EventLog
@@ -34,6 +35,7 @@
     ) -> None:
         self._records = records
         self._events = events
+        self._malformed = MalformedRecords(events, "evacuations")
         self._known_halls = frozenset(known_halls)
         self._states: dict[str, _HallState] = {}
         self._listeners: list[Callable[[], None]] = []
@@ -72,7 +74,7 @@
             try:
                 self._records.parse_evacuation(record.value)
             except msgspec.MsgspecError as error:
-                self._events.write("record_malformed", key=record.key, error=str(error))
+                self._malformed.tell(record, error)
                 return
         state = self._states.get(hall)
         if state is None or record.offset > state.offset:
--- a/src/robinthread/_internal/node/host_directory.py
+++ b/src/robinthread/_internal/node/host_directory.py
@@ -1,12 +1,14 @@
 """All job hosts that the store lists."""
 
 import asyncio
+import dataclasses
 import math
 from collections.abc import Callable, Sequence
 from typing import Final
 
 import msgspec
 
+from robinthread._internal.durable.malformed_records import MalformedRecords
 from robinthread._internal.durable.store import KeyedRecord
 from robinthread._internal.jobs.cold_state import get_cold_until_s
 from robinthread._internal.models.upstream_host import UpstreamHost
@@ -29,6 +31,7 @@
     def __init__(self, parse_host: ParseHost, events: EventLog) -> None:
         self._parse_host = parse_host
         self._events = events
+        self._malformed = MalformedRecords(events, "hosts")
         self._pending_removals: dict[str, asyncio.TimerHandle] = {}
         self._listeners: list[Callable[[], None]] = []
         self.hosts: dict[str, UpstreamHost] = {}
@@ -60,9 +63,8 @@
         try:
             host = self._parse_host(record.key, record.value)
         except msgspec.MsgspecError as error:
-            # A malformed entry describes no usable host, whatever an earlier record described.
-            self._events.write("record_malformed", key=record.key, error=str(error))
-            self._schedule_removal(record.key)
+            self._malformed.tell(record, error)
+            self._withdraw(record.key)
             return
         timer = self._pending_removals.pop(host.id, None)
         if timer is not None:
@@ -70,6 +72,15 @@
         self._record_cold(host, is_snapshot)
         self.hosts[host.id] = host
 
+    def _withdraw(self, host_id: str) -> None:
+        """Give a host whose newest entry is malformed no more work, and remove it.
+
+        The entry may say that the host drains.
+        """
+        if host_id in self.hosts:
+            self.hosts[host_id] = dataclasses.replace(self.hosts[host_id], is_draining=True)
+        self._schedule_removal(host_id)
+
     def _record_cold(self, host: UpstreamHost, is_snapshot: bool) -> None:
         previous_until_s = self.cold_until_s.get(host.id, -math.inf)
         now_s = asyncio.get_running_loop().time()
--- a/src/robinthread/_internal/platform/platform_records.py
+++ b/src/robinthread/_internal/platform/platform_records.py
@@ -1,5 +1,6 @@
 """Records of the operators and of job hosts in the platform's store."""
 
+import re
 from typing import Annotated, Final, Literal
 
 import msgspec
@@ -14,18 +15,31 @@
 from robinthread._internal.models.workspace_policy import WorkspacePolicy, digest_keys
 from robinthread._internal.node.environment import PlatformRecords
 from robinthread._internal.platform.host_start_time import HostStartTime, get_host_started_at_ms
+from robinthread._internal.utils.foreign_input import (
+    DURATION_MAX_MS,
+    Address,
+    Amount,
+    Count,
+    DurationMs,
+    MalformedInputError,
+    Milliseconds,
+    Number,
+    Ratio,
+    Seconds,
+    Size,
+    decode_json,
+    reads_foreign_input,
+    shorten,
+)
 
 WAVE_PREFIX: Final = "wave/"
 EVACUATION_PREFIX: Final = "evacuate/"
-# Host name and port.
-ADDRESS: Final = r"^[^\s:/@]+:[0-9]{1,5}$"
+# Ids of hosts, which are header values of the calls to them.  An id that ends in "@" and digits
+# would be that of one incarnation of another host.
+HOST_ID: Final = re.compile(r"(?!.*@[0-9]+\Z)[!-~]{1,255}")
 Name = Annotated[str, msgspec.Meta(min_length=1)]
 
 
-Size = Annotated[int, msgspec.Meta(ge=0)]
-Amount = Annotated[float, msgspec.Meta(ge=0)]
-
-
 class WireCapacity(msgspec.Struct):
     """Capacity of a host or machine, or limit of a workspace."""
 
@@ -39,9 +53,9 @@
 
 
 class _WireAdvice(msgspec.Struct):
-    decide_ms: int = 0
-    per_item_ms: int = 0
-    valid_ms: int = 0
+    decide_ms: DurationMs = 0
+    per_item_ms: DurationMs = 0
+    valid_ms: DurationMs = 0
 
 
 class _WireRoute(msgspec.Struct):
@@ -50,17 +64,17 @@
     host: str
     path_prefix: str
     service: str
-    priority: int = 0
-    attempts: int = 1
-    stretch: float = 1.0
-    target_latency_ms: int = 0
+    priority: Number = 0
+    attempts: Number = 1
+    stretch: Ratio = 1.0
+    target_latency_ms: DurationMs = 0
     advice: _WireAdvice | None = None
     public: bool | None = None
 
 
 class _WireService(msgspec.Struct):
     name: str
-    max_conns: int = 0
+    max_conns: Number = 0
     admission_check: bool = False
     headroom: bool = False
     cold_start_s: Amount = 0
@@ -71,16 +85,16 @@
     # The platform calls a workspace a tenant.
     name: Name
     api_keys: list[str] = []
-    weight: int | float = 0
+    weight: Ratio = 0
     maximum: WireCapacity = msgspec.field(default_factory=WireCapacity)
 
 
 class _WireLimits(msgspec.Struct):
-    max_body_bytes: int = 262_144
+    max_body_bytes: Number = 262_144
 
 
 class _WireConfig(msgspec.Struct):
-    version: int
+    version: Number
     routes: list[_WireRoute]
     services: list[_WireService]
     limits: _WireLimits = msgspec.field(default_factory=_WireLimits)
@@ -91,17 +105,17 @@
     # Fields that every host writes are required, even if they are not used here: a record without
     # them, or with other values, is not the record of a host.
     service: Name
-    address: Annotated[str, msgspec.Meta(pattern=ADDRESS)]
+    address: Address
     zone: Name
     version: str
-    slots: Size
+    slots: Count
     state: Literal["ready", "draining"]
-    cold_remaining_ms: int | float
-    sequence: Size
+    cold_remaining_ms: Milliseconds
+    sequence: Count
     machine: str = ""
     capacity: WireCapacity = msgspec.field(default_factory=WireCapacity)
     labels: list[str] = []
-    remaining_ms: Size = 0
+    remaining_ms: Annotated[int, msgspec.Meta(ge=0, le=DURATION_MAX_MS)] = 0
     born: HostStartTime = msgspec.UNSET
 
 
@@ -110,15 +124,16 @@
 
 
 class _WireWave(msgspec.Struct):
-    wave: int
+    wave: Number
     machines: list[str]
-    duration_s: float
-    maximum: int
+    duration_s: Seconds
+    maximum: Number
 
 
+@reads_foreign_input
 def parse_config(value: bytes) -> FleetConfig:
-    """Decode a configuration; raise ``msgspec.MsgspecError`` if it is malformed."""
-    wire = msgspec.json.decode(value, type=_WireConfig)
+    """Decode a configuration; raise ``MalformedInputError`` if it is malformed."""
+    wire = decode_json(value, _WireConfig)
     return make_fleet_config(
         wire.version,
         tuple(_parse_queue(route, bool(wire.tenants)) for route in wire.routes),
@@ -128,9 +143,12 @@
     )
 
 
+@reads_foreign_input
 def parse_host(host_id: str, value: bytes) -> UpstreamHost:
-    """Decode a host's record of itself; raise ``msgspec.MsgspecError`` if it is malformed."""
-    wire = msgspec.json.decode(value, type=_WireHost)
+    """Decode a host's record of itself; raise ``MalformedInputError`` if it is malformed."""
+    wire = decode_json(value, _WireHost)
+    if not HOST_ID.fullmatch(host_id):
+        raise MalformedInputError(f"not the id of a host: {shorten(repr(host_id))}")
     return UpstreamHost(
         id=host_id,
         machine=wire.machine or host_id,
@@ -147,15 +165,16 @@
     )
 
 
+@reads_foreign_input
 def parse_wave(value: bytes) -> UpkeepWave:
-    """Decode a maintenance wave; raise ``msgspec.MsgspecError`` if it is malformed."""
-    wire = msgspec.json.decode(value, type=_WireWave)
+    """Decode a maintenance wave; raise ``MalformedInputError`` if it is malformed."""
+    wire = decode_json(value, _WireWave)
     return UpkeepWave(wire.wave, tuple(wire.machines), wire.duration_s, wire.maximum)
 
 
 def parse_evacuation(value: bytes) -> None:
-    """Check a request to evacuate a data hall; raise ``msgspec.MsgspecError`` if malformed."""
-    msgspec.json.decode(value, type=_WireEvacuation)
+    """Check a request to evacuate a data hall; raise ``MalformedInputError`` if malformed."""
+    decode_json(value, _WireEvacuation)
 
 
 def make_wave_status(wave: int, is_done: bool) -> KeyedRecord:
