Answers of hosts are reports of known types, or HostNoAnswerError

Rows of a report are now typed, numbers bounded, task names within 64 bits; whatever else comes raises HostNoAnswerError with the host's id, error type and at most 200 characters of the answer, and is counted (input_malformed, hosts).

--- a/src/robinthread/_internal/platform/hosts.py
+++ b/src/robinthread/_internal/platform/hosts.py
@@ -1,6 +1,6 @@
 """Client of job hosts."""
 
-from typing import Any, Final
+from typing import Annotated, Any, Final, Literal
 
 import msgspec
 from tornado.httpclient import HTTPResponse
@@ -28,12 +28,23 @@
 from robinthread._internal.platform.task_names import format_task, parse_task
 from robinthread._internal.telemetry.call_timer import timed_call
 from robinthread._internal.telemetry.node_metrics import NodeMetrics
+from robinthread._internal.utils.foreign_input import (
+    NUMBER_MAX,
+    Count,
+    MalformedInputError,
+    Number,
+    get_cause_name,
+    quote_bytes,
+    reads_foreign_input,
+    shorten,
+)
 from robinthread._internal.utils.http_call import (
     JSON_HEADERS,
     CallLostError,
     CallTimedOutError,
     CallUnsentError,
     HttpClient,
+    MalformedResponseError,
     NobodyListensError,
     call,
     decode,
@@ -65,17 +76,35 @@
 }
 
 
+# Numbers of which hosts may report fractions.
+Measure = Number | Annotated[float, msgspec.Meta(ge=-NUMBER_MAX, le=NUMBER_MAX)]
+
+
+class _WireRunning(msgspec.Struct, array_like=True):
+    task: str
+    run: Count
+    checkpoint: str
+    percent: Measure
+    recent_load: Measure | None = None
+
+
+class _WireEnded(msgspec.Struct, array_like=True):
+    number: Count
+    task: str
+    run: Count
+    end: Literal["done", "failed", "stopped", "lapsed", "broken", "alone"]
+    checkpoint: str
+
+
 class _WireReport(msgspec.Struct):
-    clock_ms: int
-    # Rows: task, run, checkpoint, progress in percent, and optionally the recent load.
-    running: list[list[Any]] = []
-    # Rows: number, task, run, kind of end, checkpoint.
-    finished: list[list[Any]] = []
+    clock_ms: Number
+    running: list[_WireRunning] = []
+    finished: list[_WireEnded] = []
     born: HostStartTime = msgspec.UNSET
 
 
 class _WireResponse(msgspec.Struct):
-    clock_ms: int = 0
+    clock_ms: Number = 0
     reason: str = ""
 
 
@@ -107,17 +136,11 @@
         if wait_s > 0:
             body["wait_ms"] = int(wait_s * 1000)
         response = await self._order(host, "watch", "/hold", body, wait_s + WATCH_SLACK_S)
-        report = _decode(response, _WireReport)
+        report = self._decode(host, response, _WireReport)
         try:
-            return HostReport(
-                report.clock_ms,
-                tuple(map(_parse_running, report.running)),
-                tuple(map(_parse_ended, report.finished)),
-                get_host_started_at_ms(report.born),
-                lists_all_ends=len(report.finished) < ENDS_PER_REPORT_MAX,
-            )
-        except (ValueError, KeyError, TypeError) as error:
-            raise HostNoAnswerError(f"malformed report of host {host.id}: {error!r}") from error
+            return _parse_report(report)
+        except MalformedInputError as error:
+            raise self._make_malformed_error(host, error) from error
 
     async def start(self, host: UpstreamHost, order: StartOrder) -> int:
         """Start a run; return the time on the host's clock in ms."""
@@ -133,7 +156,7 @@
         if order.ticket:
             body["ticket"] = order.ticket
         response = await self._order(host, "start", "/run-start", body, ORDER_TIMEOUT_S)
-        return _decode(response, _WireResponse).clock_ms
+        return int(self._decode(host, response, _WireResponse).clock_ms)
 
     async def stop(self, host: UpstreamHost, task: TaskKey, run: int, token: int) -> None:
         """Stop a run; if it has not started, the host rejects its start from now on."""
@@ -178,37 +201,51 @@
         except CallLostError as error:
             raise HostNoAnswerError(str(error)) from error
         if response.code != 200:
-            raise _make_error(response)
+            raise self._make_error(host, response)
         return response
 
+    def _make_error(self, host: UpstreamHost, response: HTTPResponse) -> HostError:
+        if response.code == 421:
+            return HostGoneError("another incarnation of the host responds at the address")
+        if response.code in (429, 503):
+            return HostUnhealthyError(f"the host responded with status {response.code}")
+        if response.code == 409:
+            reason = self._decode(host, response, _WireResponse).reason
+            return REJECTIONS.get(reason, StartRejectedError)(shorten(reason))
+        if response.code == 400:
+            return StartRejectedError(
+                f"the host rejected the order as malformed: {quote_bytes(response.body)}"
+            )
+        return HostNoAnswerError(f"unexpected status {response.code} of the host")
 
-def _make_error(response: HTTPResponse) -> HostError:
-    if response.code == 421:
-        return HostGoneError("another incarnation of the host responds at the address")
-    if response.code in (429, 503):
-        return HostUnhealthyError(f"the host responded with status {response.code}")
-    if response.code == 409:
-        reason = _decode(response, _WireResponse).reason
-        return REJECTIONS.get(reason, StartRejectedError)(reason)
-    if response.code == 400:
-        return StartRejectedError(
-            f"the host rejected the order as malformed: {response.body[:200]!r}"
+    def _decode(self, host: UpstreamHost, response: HTTPResponse, type_: type) -> Any:
+        try:
+            return decode(response.body, type_)
+        except MalformedResponseError as error:
+            raise self._make_malformed_error(host, error.__cause__ or error) from error
+
+    def _make_malformed_error(self, host: UpstreamHost, error: BaseException) -> HostNoAnswerError:
+        self._metrics.count_event("input_malformed", "hosts")
+        return HostNoAnswerError(
+            f"malformed answer of host {host.id}: {get_cause_name(error)}: {error}"
         )
-    return HostNoAnswerError(f"unexpected status {response.code} of the host")
 
 
-def _decode(response: HTTPResponse, type_: type) -> Any:
-    try:
-        return decode(response.body, type_)
-    except CallLostError as error:
-        raise HostNoAnswerError(str(error)) from error
+@reads_foreign_input
+def _parse_report(report: _WireReport) -> HostReport:
+    return HostReport(
+        report.clock_ms,
+        tuple(map(_parse_running, report.running)),
+        tuple(map(_parse_ended, report.finished)),
+        get_host_started_at_ms(report.born),
+        lists_all_ends=len(report.finished) < ENDS_PER_REPORT_MAX,
+    )
 
 
-def _parse_running(row: list[Any]) -> RunningTask:
-    task, run, checkpoint, percent, *load = row
-    return RunningTask(parse_task(task), run, checkpoint, percent, load[0] if load else None)
+def _parse_running(row: _WireRunning) -> RunningTask:
+    load = None if row.recent_load is None else int(row.recent_load)
+    return RunningTask(parse_task(row.task), row.run, row.checkpoint, int(row.percent), load)
 
 
-def _parse_ended(row: list[Any]) -> EndedRun:
-    number, task, run, end_name, checkpoint = row
-    return EndedRun(number, parse_task(task), run, ENDS[end_name], checkpoint)
+def _parse_ended(row: _WireEnded) -> EndedRun:
+    return EndedRun(row.number, parse_task(row.task), row.run, ENDS[row.end], row.checkpoint)
--- a/src/robinthread/_internal/utils/foreign_input.py
+++ b/src/robinthread/_internal/utils/foreign_input.py
@@ -108,7 +108,7 @@
     return read
 
 
-def get_cause_name(error: Exception) -> str:
+def get_cause_name(error: BaseException) -> str:
     """Return the type of the error that showed that input is malformed."""
     return error.cause_name if isinstance(error, MalformedInputError) else type(error).__name__
 
--- a/src/robinthread/_internal/utils/http_call.py
+++ b/src/robinthread/_internal/utils/http_call.py
@@ -4,12 +4,12 @@
 from typing import Final, TypeVar
 from urllib.parse import urlsplit
 
-import msgspec
 import pycurl
 from tornado.curl_httpclient import CurlError
 from tornado.httpclient import AsyncHTTPClient, HTTPClientError, HTTPRequest, HTTPResponse
 
 from robinthread._internal.utils.fetcher import REFUSED_CODE, Fetcher
+from robinthread._internal.utils.foreign_input import MalformedInputError, decode_json
 from robinthread._internal.utils.keep_alive_connections import ConnectionUse, KeepAliveConnections
 
 JSON_HEADERS: Final = {"Content-Type": "application/json"}
@@ -36,6 +36,10 @@
     """The call timed out while its connection was open."""
 
 
+class MalformedResponseError(CallLostError):
+    """The body of the response is not a value of the expected form and size."""
+
+
 @dataclass(frozen=True)
 class HttpClient:
     """An HTTP client and the state of its keep-alive connections."""
@@ -94,8 +98,8 @@
 
 
 def decode(body: bytes, type_: type[T]) -> T:
-    """Decode a JSON response body; raise ``CallLostError`` if it is malformed."""
+    """Decode a JSON response body; raise ``MalformedResponseError`` if it is malformed."""
     try:
-        return msgspec.json.decode(body, type=type_)
-    except msgspec.MsgspecError as error:
-        raise CallLostError(f"malformed response: {error}") from error
+        return decode_json(body, type_)
+    except MalformedInputError as error:
+        raise MalformedResponseError(f"malformed response: {error}") from error
