A call that can't be sent is unsent, and every call has an end

A time-out below 1 ms became 0 for libcurl, which is none: the call hung until the peer ended (5 s and more in the test), and a negative one raised pycurl.error. And a request that the client lost left its caller waiting for ever. Now: CallUnsentError; time-outs of 1 ms to 600 s; CallLostError 10 s after the time-out of a call of which the client reports no end.

--- a/src/robinthread/_internal/utils/http_call.py
+++ b/src/robinthread/_internal/utils/http_call.py
@@ -1,5 +1,6 @@
 """HTTP calls, whose errors show whether the request may have been sent."""
 
+import asyncio
 from dataclasses import dataclass, field
 from typing import Final, TypeVar
 from urllib.parse import urlsplit
@@ -7,15 +8,29 @@
 import pycurl
 from tornado.curl_httpclient import CurlError
 from tornado.httpclient import AsyncHTTPClient, HTTPClientError, HTTPRequest, HTTPResponse
+from tornado.httputil import HTTPInputError
 
 from robinthread._internal.utils.fetcher import REFUSED_CODE, Fetcher
-from robinthread._internal.utils.foreign_input import MalformedInputError, decode_json
+from robinthread._internal.utils.foreign_input import (
+    MalformedInputError,
+    decode_json,
+    shorten,
+)
 from robinthread._internal.utils.keep_alive_connections import ConnectionUse, KeepAliveConnections
 
 JSON_HEADERS: Final = {"Content-Type": "application/json"}
 # Maximum time to connect.  A lost SYN is sent again after a second, and every peer is within a
 # few milliseconds.
 CONNECT_TIMEOUT_S: Final = 1.0
+# Bounds of a call's timeout.  libcurl counts whole milliseconds, and takes 0 as no timeout.
+TIMEOUT_MIN_S: Final = 0.001
+TIMEOUT_MAX_S: Final = 600.0
+# Time after its timeout, in which a call may wait for a free handle, until a call is given up of
+# which the client reports no end.
+NO_END_S: Final = 10.0
+
+# What the client raises while it sets up a request; it never sends one that it rejects so.
+UNSENDABLE_ERRORS: Final = (ValueError, TypeError, HTTPInputError, pycurl.error, OverflowError)
 
 T = TypeVar("T")
 
@@ -66,27 +81,35 @@
     """Make one call: POST if there is a body, else GET.
 
     Returns the response whatever its status.  Raises ``CallUnsentError``, whose subclass is
-    ``NobodyListensError``, or ``CallLostError``.  The connection of a lost call is not reused;
+    ``NobodyListensError``, or ``CallLostError``; a URL or header that can't be sent is unsent.
+    The connection of a lost call is not reused;
     if it was a keep-alive connection, neither are the others open to that address at that time.
     """
-    use = ConnectionUse(client.keep_alive, urlsplit(url).netloc)
-    request = HTTPRequest(
-        url,
-        method="GET" if body is None else "POST",
-        headers=headers,
-        body=body,
-        request_timeout=timeout_s,
-        connect_timeout=min(timeout_s, CONNECT_TIMEOUT_S),
-        decompress_response=False,
-        prepare_curl_callback=use.prepare,
-    )
+    # A timeout that isn't a number ends at once, like one that is over.
+    timeout_s = min(max(TIMEOUT_MIN_S, timeout_s), TIMEOUT_MAX_S)
+    try:
+        use = ConnectionUse(client.keep_alive, urlsplit(url).netloc)
+        request = HTTPRequest(
+            url,
+            method="GET" if body is None else "POST",
+            headers=headers,
+            body=body,
+            request_timeout=timeout_s,
+            connect_timeout=min(timeout_s, CONNECT_TIMEOUT_S),
+            decompress_response=False,
+            prepare_curl_callback=use.prepare,
+        )
+    except UNSENDABLE_ERRORS as error:
+        raise _make_unsendable_error(error) from error
     try:
-        response = await client.fetcher.fetch(request, raise_error=False)
+        response = await _fetch(client, request, timeout_s + NO_END_S)
+    except UNSENDABLE_ERRORS as error:
+        raise _make_unsendable_error(error) from error
     except (HTTPClientError, OSError) as error:
         if not use.sent_count:
             if isinstance(error, CurlError) and error.errno == REFUSED_CODE:
-                raise NobodyListensError(str(error)) from error
-            raise CallUnsentError(str(error)) from error
+                raise NobodyListensError(shorten(str(error))) from error
+            raise CallUnsentError(shorten(str(error))) from error
         use.record_loss()
         if isinstance(error, CurlError) and error.errno == pycurl.E_OPERATION_TIMEDOUT:
             raise CallTimedOutError(str(error)) from error
@@ -97,6 +120,26 @@
     return response
 
 
+async def _fetch(client: HttpClient, request: HTTPRequest, bound_s: float) -> HTTPResponse:
+    """Return the response; raise ``CallLostError`` if the client reports no end in time."""
+    future = asyncio.ensure_future(client.fetcher.fetch(request, raise_error=False))
+    timer = asyncio.get_running_loop().call_later(bound_s, future.cancel)
+    try:
+        return await future
+    except asyncio.CancelledError as error:
+        task = asyncio.current_task()
+        if task is None or task.cancelling():
+            raise
+        # The request may be waiting for a handle still, and be sent later.
+        raise CallLostError("the client has reported no end of the call") from error
+    finally:
+        timer.cancel()
+
+
+def _make_unsendable_error(error: Exception) -> CallUnsentError:
+    return CallUnsentError(f"{type(error).__name__}: {shorten(str(error))}")
+
+
 def decode(body: bytes, type_: type[T]) -> T:
     """Decode a JSON response body; raise ``MalformedResponseError`` if it is malformed."""
     try:
