Answers of machines, advice, the store and peers are values or typed errors

Seen by callers: one nested row in the list of machines failed the steward's turn 31 times in 2 s, while no machine was moved; a token that repeats gave a list without an end; nested answers of advice, store and peers raised RecursionError into the task that called.

Rows of machines are decoded one by one. A malformed row is told once (record_malformed, source machines). It must not look as if the machine were gone, for then its host counts as ended and its runs begin elsewhere: the machine keeps its last sound row, as one that is down, until its row is sound or the list has none. A list has at most 500 pages, each token once. Offsets, tokens, generations and times of answers and peers' messages are bounded; other bytes raise MachineError, AdviceError, StoreError and PeerUnreachableError, or give 400 to the peer.

--- a/src/robinthread/_internal/node/peer_client.py
+++ b/src/robinthread/_internal/node/peer_client.py
@@ -10,6 +10,7 @@
     PeerUnsentError,
 )
 from robinthread._internal.node.peer_messages import REQUEST_PATHS
+from robinthread._internal.utils.foreign_input import MalformedInputError, decode_msgpack
 from robinthread._internal.utils.http_call import CallLostError, CallUnsentError, HttpClient, call
 
 T = TypeVar("T")
@@ -38,8 +39,8 @@
             )
             if response.code != 200:
                 raise PeerUnreachableError(f"peer responded with HTTP status {response.code}")
-            return msgspec.msgpack.decode(response.body, type=response_type)
+            return decode_msgpack(response.body, response_type)
         except CallUnsentError as error:
             raise PeerUnsentError(str(error)) from error
-        except (CallLostError, msgspec.MsgspecError) as error:
+        except (CallLostError, MalformedInputError) as error:
             raise PeerUnreachableError(str(error)) from error
--- a/src/robinthread/_internal/node/peer_messages.py
+++ b/src/robinthread/_internal/node/peer_messages.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from robinthread._internal.fleet.pool_report import FleetReportRequest
+from robinthread._internal.utils.foreign_input import Number, Seconds
 
 
 class JobRequest(msgspec.Struct, frozen=True, array_like=True):
@@ -37,7 +38,7 @@
     """Number of pending jobs by queue, without the queues that have none."""
 
     is_owner: bool
-    counts: dict[str, int] = {}
+    counts: dict[str, Number] = {}
 
 
 class StoreStatusRequest(msgspec.Struct, frozen=True, array_like=True):
@@ -52,8 +53,8 @@
     """
 
     is_served: bool
-    owned_count: int
-    lag_s: float = 0.0
+    owned_count: Number
+    lag_s: Seconds = 0.0
     is_member: bool = False
     incarnation: str = ""
     is_store_silent: bool = False
@@ -62,7 +63,7 @@
 class TakeoverRequest(msgspec.Struct, frozen=True, array_like=True):
     """Requests that a node take over pools whose owners, under ``tokens``, have stopped."""
 
-    tokens: dict[str, int]
+    tokens: dict[str, Number]
 
 
 class TakeoverResponse(msgspec.Struct, frozen=True, array_like=True):
@@ -75,7 +76,7 @@
     """Queries whether a node's owners of a pool, up to this token, have all stopped."""
 
     pool: str
-    token: int
+    token: Number
 
 
 class OwnerStoppedResponse(msgspec.Struct, frozen=True, array_like=True):
@@ -95,8 +96,8 @@
 
     key: str
     value: bytes
-    left_s: float
-    hold_s: float = 0.0
+    left_s: Seconds
+    hold_s: Seconds = 0.0
     is_gathered: bool = False
 
 
@@ -107,7 +108,7 @@
     """
 
     outcome: str
-    retry_after_s: float = 0.0
+    retry_after_s: Seconds = 0.0
 
 
 class SlowStoreNotice(msgspec.Struct, frozen=True, array_like=True):
--- a/src/robinthread/_internal/node/peer_server.py
+++ b/src/robinthread/_internal/node/peer_server.py
@@ -5,6 +5,7 @@
 
 from robinthread._internal.node.peer_messages import REQUEST_PATHS
 from robinthread._internal.node.peer_request_handler import PeerRequestHandler
+from robinthread._internal.utils.foreign_input import MalformedInputError, decode_msgpack
 
 
 class PeerHttpHandler(RequestHandler):
@@ -20,8 +21,8 @@
     async def post(self) -> None:
         """Serve a request; respond with 400 if its body cannot be decoded."""
         try:
-            message = msgspec.msgpack.decode(self.request.body, type=self._request_type)
-        except msgspec.MsgspecError:
+            message = decode_msgpack(self.request.body, self._request_type)
+        except MalformedInputError:
             self.set_status(400)
             self.finish()
             return
--- a/src/robinthread/_internal/node/process.py
+++ b/src/robinthread/_internal/node/process.py
@@ -127,7 +127,7 @@
     return NodeEnvironment(
         store=PlatformStore(make_client(STORE_CONNECTIONS_MAX), settings.store_address, metrics),
         hosts=PlatformHosts(make_client(HOST_CONNECTIONS_MAX), metrics),
-        machines=PlatformMachines(machines_client, settings.machines_address, metrics),
+        machines=PlatformMachines(machines_client, settings.machines_address, metrics, events),
         advice=PlatformAdvice(make_client(ADVICE_CONNECTIONS_MAX), settings.advice_address),
         peers=PeerClient(make_client(PEER_CONNECTIONS_MAX)),
         records=PLATFORM_RECORDS,
--- a/src/robinthread/_internal/platform/advice.py
+++ b/src/robinthread/_internal/platform/advice.py
@@ -7,6 +7,7 @@
 from robinthread._internal.jobs.advice_calls import AdviceError
 from robinthread._internal.models.host_advice import HostAdvice
 from robinthread._internal.models.step_key import StepKey
+from robinthread._internal.utils.foreign_input import Milliseconds
 from robinthread._internal.utils.http_call import (
     JSON_HEADERS,
     CallLostError,
@@ -20,7 +21,7 @@
 class _WireAdvice(msgspec.Struct):
     # Pairs of host id and ticket; hosts that may not run the step are omitted.
     good: list[tuple[str, str]] = []
-    valid_ms: float = 0
+    valid_ms: Milliseconds = 0
 
 
 class PlatformAdvice:
--- a/src/robinthread/_internal/platform/machines.py
+++ b/src/robinthread/_internal/platform/machines.py
@@ -1,11 +1,15 @@
 """Client of the platform's machines."""
 
+import dataclasses
+from collections.abc import Iterable
 from typing import Any, Final
 from urllib.parse import quote
 
 import msgspec
 from tornado.httpclient import HTTPResponse
 
+from robinthread._internal.durable.malformed_records import MalformedRecords
+from robinthread._internal.durable.store import KeyedRecord
 from robinthread._internal.fleet.machine_errors import (
     MachineBusyError,
     MachineError,
@@ -17,7 +21,14 @@
 from robinthread._internal.models.machine import Machine, MachineState
 from robinthread._internal.platform.platform_records import WireCapacity, parse_rack
 from robinthread._internal.telemetry.call_timer import timed_call
+from robinthread._internal.telemetry.event_log import EventLog
 from robinthread._internal.telemetry.node_metrics import NodeMetrics
+from robinthread._internal.utils.foreign_input import (
+    MalformedInputError,
+    decode_json,
+    quote_bytes,
+    shorten,
+)
 from robinthread._internal.utils.http_call import (
     JSON_HEADERS,
     CallLostError,
@@ -28,6 +39,8 @@
 )
 
 CALL_TIMEOUT_S: Final = 1.0
+# Pages of one list of machines.
+PAGES_MAX: Final = 500
 HOLDER_HEADER: Final = "X-Lease-Holder"
 TOKEN_HEADER: Final = "X-Fencing-Token"
 # A machine in any other state is treated as down and gets no orders.
@@ -45,8 +58,13 @@
     id: str | None = None
 
 
+class _WireMachineName(msgspec.Struct):
+    machine: str
+
+
 class _WireMachines(msgspec.Struct):
-    machines: list[_WireMachine]
+    # Decoded one by one, so that a malformed row does not affect the others.
+    machines: list[msgspec.Raw]
     next_token: str | int | None = None
 
 
@@ -55,24 +73,66 @@
 
 
 class PlatformMachines:
-    """The platform's machines over HTTP."""
-
-    def __init__(self, client: HttpClient, address: str, metrics: NodeMetrics) -> None:
+    """The platform's machines over HTTP.
+
+    A machine whose row is malformed keeps its last sound row, as one that is down: it gets no
+    orders, and its host does not count as ended.
+    """
+
+    def __init__(
+        self,
+        client: HttpClient,
+        address: str,
+        metrics: NodeMetrics,
+        events: EventLog | None = None,
+    ) -> None:
         self._client = client
         self._metrics = metrics
+        self._malformed = None if events is None else MalformedRecords(events, "machines")
+        self._last: dict[str, Machine] = {}
         self._base = f"http://{address}"
 
     async def list_machines(self) -> tuple[Machine, ...]:
         """List all machines, requesting page after page."""
-        found: list[_WireMachine] = []
+        rows: list[msgspec.Raw] = []
+        tokens: set[str] = set()
         path = "/machines"
-        while True:
-            response = await self._call(path)
-            page = _decode(response, _WireMachines)
-            found += page.machines
-            if not page.next_token:
-                return tuple(map(_parse_machine, found))
-            path = f"/machines?page_token={quote(page.next_token, safe='')}"
+        while len(tokens) < PAGES_MAX:
+            page = _decode(await self._call(path), _WireMachines)
+            rows += page.machines
+            token = str(page.next_token or "")
+            if not token:
+                return self._parse_rows(rows)
+            if token in tokens:
+                raise MachineNoAnswerError("the list of machines repeats a page")
+            tokens.add(token)
+            path = f"/machines?page_token={quote(token, safe='')}"
+        raise MachineNoAnswerError(f"the list of machines has over {PAGES_MAX} pages")
+
+    def _parse_rows(self, rows: Iterable[msgspec.Raw]) -> tuple[Machine, ...]:
+        found: dict[str, Machine] = {}
+        odd: set[str] = set()
+        for row in rows:
+            try:
+                machine = _parse_machine(decode_json(row, _WireMachine))
+                found[machine.name] = machine
+            except MalformedInputError as error:
+                name = _find_name(row)
+                odd.add(name)
+                self._tell(name, row, error)
+        # A row without a name may be that of any machine that is missing.
+        kept = self._last.keys() if "" in odd else odd & self._last.keys()
+        found |= {
+            name: dataclasses.replace(self._last[name], state=MachineState.DOWN)
+            for name in kept
+            if name not in found
+        }
+        self._last = found
+        return tuple(found.values())
+
+    def _tell(self, name: str, row: msgspec.Raw, error: MalformedInputError) -> None:
+        if self._malformed is not None:
+            self._malformed.tell(KeyedRecord(name, bytes(row)), error)
 
     async def move(self, machine: str, pool: str, holder: str, token: int) -> None:
         """Move a machine to a pool; all runs on it end immediately."""
@@ -120,9 +180,9 @@
             return MachineFencedError("the platform has seen a newer fencing token")
         if reason == "busy":
             return MachineBusyError("the machine is not up or is leaving")
-        return MachineMisfitError(reason)
+        return MachineMisfitError(shorten(reason))
     if response.code == 400:
-        return MachineMisfitError(f"the platform rejected the order: {response.body[:200]!r}")
+        return MachineMisfitError(f"the platform rejected the order: {quote_bytes(response.body)}")
     if response.code in (429, 503):
         return MachineRefusedError(f"the platform responded with status {response.code}")
     return MachineNoAnswerError(f"unexpected status {response.code} of the platform")
@@ -135,6 +195,13 @@
         raise MachineNoAnswerError(str(error)) from error
 
 
+def _find_name(row: msgspec.Raw) -> str:
+    try:
+        return decode_json(row, _WireMachineName).machine
+    except MalformedInputError:
+        return ""
+
+
 def _parse_machine(wire: _WireMachine) -> Machine:
     return Machine(
         name=wire.machine,
--- a/src/robinthread/_internal/platform/store.py
+++ b/src/robinthread/_internal/platform/store.py
@@ -32,6 +32,14 @@
 from robinthread._internal.telemetry.call_timer import timed_call
 from robinthread._internal.telemetry.node_metrics import NodeMetrics
 from robinthread._internal.utils.call_timeout import CallTimeout
+from robinthread._internal.utils.foreign_input import (
+    NUMBER_MAX,
+    Count,
+    MalformedInputError,
+    Number,
+    decode_json,
+    quote_bytes,
+)
 from robinthread._internal.utils.http_call import (
     JSON_HEADERS,
     CallLostError,
@@ -58,34 +66,34 @@
 
 
 class _WireAppended(msgspec.Struct):
-    offset: int = 0
-    end: int = 0
+    offset: Count = 0
+    end: Count = 0
 
 
 class _WireProblem(msgspec.Struct):
     reason: str = ""
-    end: int = 0
-    first: int = 0
-    sequence: int | None = None
-    wanted: int | None = None
+    end: Count = 0
+    first: Count = 0
+    sequence: Count | None = None
+    wanted: Count | None = None
 
 
 class _WireItem(msgspec.Struct):
     # "tls_key" is the record's key and unrelated to TLS.
     tls_key: str
-    offset: int
+    offset: Count
     value: str = ""
 
 
 class _WireNewest(msgspec.Struct):
     # Decoded one by one, so that a malformed record does not affect the others.
     items: list[msgspec.Raw]
-    end: int
+    end: Count
     has_more: bool = False
 
 
 class _WireJoined(msgspec.Struct):
-    generation: int
+    generation: Number
 
 
 class _WireOwners(msgspec.Struct):
@@ -145,6 +153,8 @@
             parsed = tuple(_iter_records(response.body, from_offset))
         except (struct.error, IndexError) as error:
             raise StoreNoAnswerError(f"malformed page: {error}") from error
+        if end > NUMBER_MAX:
+            raise StoreNoAnswerError("malformed page: its end is out of range")
         records = tuple(filter(None, parsed))
         return ReadPage(records, from_offset + len(parsed), end, len(parsed) - len(records))
 
@@ -161,6 +171,8 @@
         records = tuple(filter(None, map(_decode_item, page.items)))
         if page.has_more and not records:
             raise StoreNoAnswerError("a page that is not the last has no readable record")
+        if page.has_more and records[-1].key == after_key:
+            raise StoreNoAnswerError("a page that is not the last repeats the one before")
         next_key = records[-1].key if page.has_more else ""
         return NewestPage(records, page.end, next_key, len(page.items) - len(records))
 
@@ -241,8 +253,8 @@
     if response.code in REFUSED_STATUSES:
         return StoreRefusedError(f"the store responded with status {response.code}")
     try:
-        problem = msgspec.json.decode(response.body or b"{}", type=_WireProblem)
-    except msgspec.MsgspecError:
+        problem = decode_json(response.body or b"{}", _WireProblem)
+    except MalformedInputError:
         if response.code not in STATUSES_WITH_DETAILS:
             return _make_unexpected_error(response)
         return StoreNoAnswerError(
@@ -264,7 +276,7 @@
 
     A request that is rejected as such has changed nothing, whatever the reason.
     """
-    message = f"unexpected status {response.code} of the store: {response.body[:200]!r}"
+    message = f"unexpected status {response.code} of the store: {quote_bytes(response.body)}"
     is_rejected = 400 <= response.code < 500
     if is_rejected and response.code not in PASSING_STATUSES | STATUSES_WITH_DETAILS:
         return StoreRejectedError(message)
@@ -301,7 +313,7 @@
 
 def _decode_item(raw: msgspec.Raw) -> KeyedRecord | None:
     try:
-        item = msgspec.json.decode(raw, type=_WireItem)
+        item = decode_json(raw, _WireItem)
         return KeyedRecord(item.tls_key, base64.b64decode(item.value, validate=True), item.offset)
-    except (msgspec.MsgspecError, ValueError):
+    except ValueError:
         return None
--- a/tests/unit/test_hostile_answers.py
+++ b/tests/unit/test_hostile_answers.py
@@ -40,6 +40,7 @@
 from robinthread._internal.platform.hosts import PlatformHosts
 from robinthread._internal.platform.machines import PlatformMachines
 from robinthread._internal.platform.store import PlatformStore
+from robinthread._internal.telemetry.event_log import EventLog
 from robinthread._internal.telemetry.node_metrics import NodeMetrics
 from tests.lib.answering_fetcher import make_answering_client
 from tests.lib.hostile import draw_hostile, list_hostile, list_packed
@@ -201,6 +202,35 @@
         is_text = _is_shallow_json
         self.assertEqual([], [key for key in hidden if is_text(key)])
 
+    def test_machine_whose_row_becomes_malformed_is_down_and_told_once(self) -> None:
+        """Guards against the end of a host's runs because its machine's row can't be read."""
+        other = MACHINE | {"machine": "m-2", "id": "i-2"}
+        sound, lines = [MACHINE, other], list[bytes]()
+        odd = [MACHINE, other | {"capacity": {"cpu": "many"}}]
+        nameless = [MACHINE, other | {"machine": 7}]
+        pages = iter([sound, odd, odd, nameless, sound, [MACHINE]])
+
+        async def play() -> list[dict[str, tuple[str, str]]]:
+            client = make_answering_client(
+                lambda request: (200, json.dumps({"machines": next(pages)}).encode())
+            )
+            events = EventLog("n", lines.append)
+            machines = PlatformMachines(client, "a:1", NodeMetrics(), events)
+            return [
+                {machine.name: (machine.state.value, machine.host_id) for machine in listed}
+                for listed in [await machines.list_machines() for _ in range(6)]
+            ]
+
+        up, down = {"m-1": ("up", "i-1"), "m-2": ("up", "i-2")}, ("down", "i-2")
+        kept = up | {"m-2": down}
+        found = run_virtual(play())
+        self.assertEqual([up, kept, kept, kept, up, {"m-1": ("up", "i-1")}], found)
+        told = [json.loads(line) for line in lines]
+        self.assertEqual(
+            [("machines", "m-2"), ("machines", "")],
+            [(line["source"], line["key"]) for line in told],
+        )
+
     def test_next_page_of_machines_may_be_hostile(self) -> None:
         """Guards against a list that never ends, and against a token that is a number."""
         for token in ("5", '"x"', '"a\\r\\nb"'):
