--- a/src/robinthread/_internal/node/config_holder.py
+++ b/src/robinthread/_internal/node/config_holder.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from robinthread._internal.durable.contained_calls import apply_each
+from robinthread._internal.durable.malformed_records import MalformedRecords
 from robinthread._internal.durable.store import KeyedRecord
 from robinthread._internal.models.fleet_config import FleetConfig
 from robinthread._internal.models.upkeep_wave import UpkeepWave
@@ -26,6 +27,7 @@
     def __init__(self, records: PlatformRecords, events: EventLog) -> None:
         self._records = records
         self._events = events
+        self._malformed = MalformedRecords(events, "operators")
         self.config: FleetConfig | None = None
         self.waves: dict[int, UpkeepWave] = {}
         self.wave_seen_at_s: dict[int, float] = {}
@@ -52,7 +54,7 @@
             elif key.startswith(self._records.wave_prefix):
                 self._apply_wave(self._records.parse_wave(value))
         except msgspec.MsgspecError as error:
-            self._events.write("record_malformed", key=key, error=str(error))
+            self._malformed.tell(record, error)
 
     def _apply_wave(self, wave: UpkeepWave) -> None:
         if self.waves.get(wave.number) != wave:
