--- a/tests/functional/test_task_failures.py
+++ b/tests/functional/test_task_failures.py
@@ -171,6 +171,9 @@
                 await asyncio.sleep(GIVEN_UP_MAX_S + REOPENED_MAX_S)
                 self.assertNotIn(get_owner(platform), (weak, None))
                 failing.cancel()
+                # The next platform's nodes, and so their tasks, have the same names.
+                for name in list(platform.nodes):
+                    platform.kill_node(name)
 
         run_virtual(work())
 
