Ask before each try whether a host still takes work, and give back its starts

What callers saw: DRAIN. Starts on a host up to 12.3 s after its entry said that it drains, with nothing failing (answers of 0.3 s; 19.3 s at 0.45 s).

Cause: a placed start waits for one of its host's three slots and for up to three tries, and was sent by what was true at its placement: only evacuations and room were asked again. A start without an answer was sent again to a host known to drain.

Evidence: 77, 104 and 60 starts later than 2 s after the entry at answers of 0.15, 0.3 and 0.45 s (four jobs of 80 tasks, three hosts of 64 cores, virtual time), and placed_ago_ms of run_started as long.

Change: each try asks whether the host drains, by the owner's record and by the entry as the node has read it, is listed, and is being vacated; what may have begun is stopped, as before. Once an entry or the steward says so, all unsent starts of the host are queued again at once, also those being recorded.

--- a/src/robinthread/_internal/node/hall_evacuations.py
+++ b/src/robinthread/_internal/node/hall_evacuations.py
@@ -4,9 +4,9 @@
 
 from robinthread._internal.jobs.evacuated_halls import PoolRemainder
 from robinthread._internal.jobs.pool_jobs import PoolJobs
-from robinthread._internal.jobs.run import Run, RunPhase
+from robinthread._internal.jobs.run import Run
 from robinthread._internal.node.pool_runtime import PoolRuntime
-from robinthread._internal.node.start_checks import log_dropped
+from robinthread._internal.node.unsent_starts import give_back
 
 # Minimum interval between two log lines on one hall.  Tasks that end change it several times a
 # second.
@@ -72,11 +72,7 @@
 
     def _apply(self) -> None:
         self._jobs.evacuated.replace(self._holder.halls)
-        for run in list_unsent(self._jobs):
-            if run.phase is not RunPhase.OVER:
-                host = self._jobs.hosts[run.host_id]
-                log_dropped(self._runtime, run, host, "the hall is evacuated")
-                self._jobs.forget_run(run)
+        give_back(self._runtime, list_unsent(self._jobs), "the hall is evacuated")
         self._runtime.wake()
 
 
--- a/src/robinthread/_internal/node/pool_hosts.py
+++ b/src/robinthread/_internal/node/pool_hosts.py
@@ -12,6 +12,7 @@
 from robinthread._internal.node.order_sender import OrderSender
 from robinthread._internal.node.pool_runtime import PoolRuntime, get_loop_s
 from robinthread._internal.node.progress_recorder import ProgressRecorder
+from robinthread._internal.node.unsent_starts import give_back_leaving
 
 
 class PoolHosts:
@@ -43,6 +44,7 @@
             successor = by_machine.get(host.record.machine)
             if not host.is_listed and successor is not None and successor.id != host.record.id:
                 self._remove(host, "its machine has become another host", successor.id)
+        give_back_leaving(self._runtime)
         self._runtime.wake()
 
     def end_lost(self, ended: Iterable[str]) -> None:
--- a/src/robinthread/_internal/node/pool_owner.py
+++ b/src/robinthread/_internal/node/pool_owner.py
@@ -36,6 +36,7 @@
 from robinthread._internal.node.progress_recorder import ProgressRecorder
 from robinthread._internal.node.retention import Retention
 from robinthread._internal.node.run_monitor import RunMonitor
+from robinthread._internal.node.unsent_starts import give_back_leaving
 from robinthread._internal.node.workspace_limits import apply_workspace_limits
 from robinthread._internal.utils.waiting import wait_for_event
 
@@ -198,6 +199,8 @@
             is_vacating = host.record.machine in request.vacate
             host.vacating_until_s = now_s + VACATE_S if is_vacating else 0.0
             host.is_needed_elsewhere = host.record.machine in request.vacate_at_once
+        give_back_leaving(self._runtime)
+        self._runtime.wake()
         if request.expects_hosts:
             self._context.poll_hosts_faster()
         self._hosts.end_lost(request.ended)
--- a/src/robinthread/_internal/node/start_checks.py
+++ b/src/robinthread/_internal/node/start_checks.py
@@ -31,12 +31,37 @@
     return not is_store_reached or runtime.context.get_operators_unconfirmed_s() <= age_max_s
 
 
+def find_leaving_reason(runtime: PoolRuntime, host: Host, now_s: float) -> str:
+    """Return why a host that had been chosen takes no more work; empty if it still does.
+
+    The entry is compared as the node has read it, too, whether or not the pool's owner has
+    applied it.
+    """
+    if host.record.is_draining or _is_read_as_draining(runtime, host):
+        return "the host drains"
+    if not host.is_listed:
+        return "the host is not listed"
+    if host.is_vacating(now_s):
+        return "the host is being vacated"
+    return ""
+
+
+def _is_read_as_draining(runtime: PoolRuntime, host: Host) -> bool:
+    entry = runtime.context.host_directory.hosts.get(host.record.id)
+    if entry is None or not entry.is_draining:
+        return False
+    return entry.host_started_at_ms in (None, host.record.host_started_at_ms)
+
+
 def may_send(runtime: PoolRuntime, run: Run, host: Host, job: Job) -> bool:
     """Return whether a placed start may be sent; log the reason if not.
 
-    The host must be in no evacuated hall and still have the capacity, as far as records that are
-    recent enough tell.
+    The host must still take work, be in no evacuated hall and have the capacity, as far as records
+    that are recent enough tell.
     """
+    if leaving := find_leaving_reason(runtime, host, get_loop_s()):
+        log_dropped(runtime, run, host, leaving)
+        return False
     if runtime.jobs.evacuated.covers(host):
         log_dropped(runtime, run, host, "the hall is evacuated")
         return False
