Send stops on slots of their own, and end at once what no start was sent for

What callers saw: cancelled jobs whose tasks went on for seconds on a host that answers slowly, and hosts that stayed occupied by runs that never began.

Cause: stops and pace orders waited for the same three slots of their host as starts, and a run whose start still waited was stopped by an order to the host like one that may have begun.

Evidence (a host that answers in 0.3 s, virtual time): runs cancelled behind 100 starts of another job ended after 10.2 s; 60 runs cancelled together after 6.2 s; after a cancel of 100 tasks of which 3 had begun the host was free after 13.1 s.

Change: starts have three slots as before, stops 16 and pace orders three of their own; the stop of a run that no start was sent for removes the run.

--- a/src/robinthread/_internal/jobs/pool_jobs.py
+++ b/src/robinthread/_internal/jobs/pool_jobs.py
@@ -308,7 +308,7 @@
 
     def stop(self, run: Run) -> None:
         """Queue the stop of a run, or remove the run if its start was not sent."""
-        if run.phase is RunPhase.RECORDING:
+        if run.is_unsent:
             self.forget_run(run)
         elif run.phase in (RunPhase.SENDING, RunPhase.PRESENT):
             # While it stops, the host may list it neither as running nor as ended; the end is
--- a/src/robinthread/_internal/node/order_sender.py
+++ b/src/robinthread/_internal/node/order_sender.py
@@ -1,6 +1,7 @@
 """Sends orders to a pool's hosts and retries those without a response."""
 
 import asyncio
+from collections import defaultdict
 from typing import Final
 
 from robinthread._internal.jobs.host import Host, HostContact
@@ -31,6 +32,8 @@
 )
 from robinthread._internal.node.start_outcome import StartOutcome
 
+# Maximum number of concurrent starts to one host, each on a connection of its own.
+START_SLOTS: Final = 3
 # Number of times that a start is sent before its run is abandoned.
 START_TRIES: Final = 3
 # Pause before an order without a response is sent again.
@@ -42,20 +45,28 @@
 NO_CAPACITY_PAUSE_S: Final = 0.3
 # A host gets no work for this long after it reported itself unhealthy.
 UNHEALTHY_PAUSE_S: Final = 1.0
-# Maximum number of concurrent orders to one host, each on a connection of its own.
-ORDERS_PER_HOST_MAX: Final = 3
+# Maximum number of concurrent stops to one host, each on a connection of its own.  A cancelled job
+# may have a hundred runs on a host, which must end within 3 s: six rounds of 0.4 s and the stop.
+STOPS_PER_HOST_MAX: Final = 16
+# The same for pace orders, which the next check of the runs decides again.
+PACES_PER_HOST_MAX: Final = 3
 # Added to the maximum duration of a stop, for the latency of the response.
 STOP_MARGIN_S: Final = 0.2
 
 
 class OrderSender:
-    """Sends start, stop and pace orders, at most ``ORDERS_PER_HOST_MAX`` at once to a host."""
+    """Sends start, stop and pace orders, of each kind a few at once to a host.
+
+    No kind waits for another, so that a host that answers starts slowly is still stopped in time.
+    """
 
     def __init__(self, runtime: PoolRuntime) -> None:
         self._runtime = runtime
         self._context = runtime.context
         self._events = runtime.events
-        self._slots: dict[str, asyncio.Semaphore] = {}
+        self._start_slots = _make_slots(START_SLOTS)
+        self._stop_slots = _make_slots(STOPS_PER_HOST_MAX)
+        self._pace_slots = _make_slots(PACES_PER_HOST_MAX)
 
     async def send_start(self, run: Run) -> None:
         """Send a start until the host has responded to it, or abandon the run.
@@ -68,7 +79,7 @@
         if host is None or job is None:
             return
         await self._wait_for_evacuations(run, host)
-        async with self._get_slot(host.id):
+        async with self._start_slots[host.id]:
             tries, sent_count = 0, 0
             while tries < START_TRIES and host.contact is HostContact.ANSWERING:
                 if run.phase is not RunPhase.SENDING:
@@ -125,7 +136,7 @@
     async def try_stop(self, host: Host, task: TaskKey, run: int) -> bool:
         """Send one stop; return whether the host responded to it."""
         try:
-            async with self._get_slot(host.id):
+            async with self._stop_slots[host.id]:
                 await self._context.hosts.stop(host.record, task, run, self._runtime.token)
         except HostFencedError:
             raise
@@ -148,7 +159,7 @@
         if host is None:
             return
         try:
-            async with self._get_slot(host.id):
+            async with self._pace_slots[host.id]:
                 await self._context.hosts.pace(
                     host.record, run.task, run.number, change.percent, self._runtime.token
                 )
@@ -292,8 +303,7 @@
         jobs = self._runtime.jobs
         return jobs.hosts.get(run.host_id), jobs.jobs.get(run.task.job_id)
 
-    def _get_slot(self, host_id: str) -> asyncio.Semaphore:
-        slot = self._slots.get(host_id)
-        if slot is None:
-            slot = self._slots[host_id] = asyncio.Semaphore(ORDERS_PER_HOST_MAX)
-        return slot
+
+def _make_slots(count: int) -> defaultdict[str, asyncio.Semaphore]:
+    """Return slots for ``count`` concurrent orders to each host, by its id."""
+    return defaultdict(lambda: asyncio.Semaphore(count))
