Give a host no more starts than it answers in time, and place the rest anew

What callers saw: LOST. Jobs with nothing running for up to 14.2 s while three of four hosts were free, because the fourth answered starts in 0.39 s.

Cause: placement filled a host with all tasks that fit, 128 on a host of 64 cores, and the starts then waited for its three slots for as long as it took.

Evidence (24 jobs of 12 tasks of 1 s, four hosts, virtual time): longest stillness 5.1, 10.4 and 11.8 s at answers of 0.15, 0.3 and 0.39 s of the host that is filled first; slowest job 7.0, 13.0 and 14.0 s.

Change: each host keeps a moving mean of its answer times, and gets as many starts as it answers in 0.5 s, and in the time that recording takes, never fewer than its three slots; a host without recent answers gets all that fit. What turns out to be too much, or waits for a turn for 1 s, is queued again. A gang's members are placed so that all are answered in two thirds of its time-out.

--- a/src/robinthread/_internal/jobs/gangs.py
+++ b/src/robinthread/_internal/jobs/gangs.py
@@ -2,15 +2,21 @@
 
 from collections import defaultdict
 from collections.abc import Callable, Iterable
+from typing import Final
 
 from robinthread._internal.jobs.cold_hosts import count_startable
 from robinthread._internal.jobs.host import Host
 from robinthread._internal.jobs.job import Job
 from robinthread._internal.jobs.placement import count_step_runs, may_run
 from robinthread._internal.jobs.pool_jobs import PoolJobs
+from robinthread._internal.jobs.start_limits import count_sendable
 from robinthread._internal.jobs.task import Task
 from robinthread._internal.models.resources import Resources
 
+# Part of a gang's timeout within which its hosts should have answered the starts of all members.
+# The rest is for answers that take longer than before.
+GANG_BOUND_SHARE: Final = 2 / 3
+
 
 def place_gang(pool: PoolJobs, task: Task, usable: Iterable[Host], now_s: float) -> int:
     """Place all members of a task's gang on ``usable`` hosts, or none; return how many.
@@ -58,7 +64,9 @@
     """
 
     def get_startable_count(host: Host) -> float:
-        return count_startable(pool, host, now_s)
+        bound_s = GANG_BOUND_SHARE * pool.gang_timeout_s
+        sendable_count = count_sendable(host, now_s, bound_s)
+        return min(count_startable(pool, host, now_s), sendable_count)
 
     step = members[0].step
     runnable = (host for host in usable if may_run(pool, job, members[0], host, now_s))
--- a/src/robinthread/_internal/jobs/host.py
+++ b/src/robinthread/_internal/jobs/host.py
@@ -3,6 +3,7 @@
 import enum
 from typing import Final
 
+from robinthread._internal.jobs.answer_times import AnswerTimes
 from robinthread._internal.jobs.cold_state import ColdState
 from robinthread._internal.jobs.host_errors import (
     HostError,
@@ -73,6 +74,7 @@
         self.lease = lease
         self.health = HostHealth()
         self.cold = ColdState()
+        self.answer_times = AnswerTimes()
         self.contact = HostContact.NOT_CONTACTED
         self.runs: dict[tuple[TaskKey, int], Run] = {}
         self.acknowledged_end = 0
--- a/src/robinthread/_internal/jobs/placement.py
+++ b/src/robinthread/_internal/jobs/placement.py
@@ -7,6 +7,7 @@
 from robinthread._internal.jobs.job import Job
 from robinthread._internal.jobs.job_timing import get_slack_s
 from robinthread._internal.jobs.pool_jobs import PoolJobs
+from robinthread._internal.jobs.start_limits import can_send_soon
 from robinthread._internal.jobs.task import Task
 from robinthread._internal.jobs.unresponsive_hosts import list_unresponsive
 from robinthread._internal.models.job_spec import StepSpec
@@ -43,6 +44,7 @@
         for host in hosts
         if resources.fits_in(host.free)
         and (not are_starts_limited or may_start(pool, host, now_s))
+        and can_send_soon(pool, host, now_s)
         and may_run(pool, job, task, host, now_s)
         and allows_another_run(task, host)
     )
--- a/src/robinthread/_internal/jobs/pool_jobs.py
+++ b/src/robinthread/_internal/jobs/pool_jobs.py
@@ -4,6 +4,7 @@
 from collections.abc import Iterable, Sequence
 from typing import Final
 
+from robinthread._internal.jobs.answer_times import AnswerTimes
 from robinthread._internal.jobs.cold_state import NO_LIMIT
 from robinthread._internal.jobs.crash_tracker import CrashTracker
 from robinthread._internal.jobs.crashes import Crash
@@ -30,6 +31,8 @@
 from robinthread._internal.settings.policy_settings import PlacementPolicy
 
 DEFAULT_PLACEMENT: Final = PlacementPolicy()
+# The platform's bound, which owners replace with that of their settings.
+DEFAULT_GANG_TIMEOUT_S: Final = 3.0
 
 
 class PoolJobs:
@@ -42,7 +45,9 @@
     are the leases that earlier owners granted, and ``cold_start_limit`` bounds the starts on each
     cold host.  ``outlook`` is how late jobs will be, None where that does not affect their order.
     While ``are_capacities_known`` is False no host gets any work; hosts of ``evacuated`` halls
-    get none.  Times in seconds are of the event loop's clock.
+    get none.  The members of a gang must all start within ``gang_timeout_s``.
+    ``recording_times`` are those from the placement of runs until they are recorded.  Times in
+    seconds are of the event loop's clock.
     """
 
     def __init__(self, policy: PlacementPolicy = DEFAULT_PLACEMENT) -> None:
@@ -62,6 +67,8 @@
         self.workspaces = WorkspaceLimiter()
         self.cold_start_limit = NO_LIMIT
         self.are_capacities_known = True
+        self.recording_times = AnswerTimes()
+        self.gang_timeout_s = DEFAULT_GANG_TIMEOUT_S
         self.evacuated = EvacuatedHalls()
         self.outlook: Outlook | None = None
 
--- a/src/robinthread/_internal/jobs/run.py
+++ b/src/robinthread/_internal/jobs/run.py
@@ -93,6 +93,11 @@
             return self.sent_at_s is None and not self.is_inherited
         return self.phase is RunPhase.RECORDING
 
+    @property
+    def awaits_answer(self) -> bool:
+        """Return whether this owner placed the run and its host has not answered the start."""
+        return self.phase in (RunPhase.RECORDING, RunPhase.SENDING) and not self.is_inherited
+
     def get_age_s(self, at_s: float) -> float | None:
         """Return for how many seconds at least the run was present; None if it may not be yet."""
         since_s = self.present_since_s
--- a/src/robinthread/_internal/jobs/scheduling.py
+++ b/src/robinthread/_internal/jobs/scheduling.py
@@ -13,6 +13,7 @@
     sort_waiting,
 )
 from robinthread._internal.jobs.pool_jobs import PoolJobs
+from robinthread._internal.jobs.start_limits import can_send_soon
 from robinthread._internal.jobs.suspects import place_suspects
 from robinthread._internal.jobs.task import Task
 from robinthread._internal.jobs.workspace_capacity import fits_workspace_limit
@@ -71,7 +72,7 @@
             unplaceable_steps.add(task.key.step_key)
             continue
         is_same = last is not None and is_still_best_host(task, *last)
-        if last is not None and is_same and may_start(pool, last[1], now_s):
+        if last is not None and is_same and _may_start(pool, last[1], now_s):
             host: Host | None = last[1]
         else:
             host = choose_host(pool, task, hosts, now_s)
@@ -103,7 +104,12 @@
 
 def _can_take(pool: PoolJobs, host: Host, smallest: Resources, now_s: float) -> bool:
     """Return whether a host may start a run now and has capacity for the smallest task."""
-    return smallest.fits_in(host.free) and may_start(pool, host, now_s)
+    return smallest.fits_in(host.free) and _may_start(pool, host, now_s)
+
+
+def _may_start(pool: PoolJobs, host: Host, now_s: float) -> bool:
+    """Return whether a start may be sent to a host now, and would be soon."""
+    return may_start(pool, host, now_s) and can_send_soon(pool, host, now_s)
 
 
 def _get_smallest_request(tasks: Collection[Task]) -> Resources:
--- /dev/null
+++ b/src/robinthread/_internal/jobs/start_limits.py
@@ -0,0 +1,77 @@
+"""How many starts may wait for a host, by its pace of answers."""
+
+import math
+from typing import Final
+
+from robinthread._internal.jobs.host import Host
+from robinthread._internal.jobs.pool_jobs import PoolJobs
+from robinthread._internal.jobs.run import Run
+
+# Maximum number of concurrent starts to one host, each on a connection of its own.
+START_SLOTS: Final = 3
+# A host gets as many starts as it answers in this time; the others stay in the pool's queue.
+START_BOUND_S: Final = 0.5
+# A start that has waited for its turn at a host for this long is placed anew.  The host may have
+# become twice as slow since it was chosen.
+START_WAIT_MAX_S: Final = 2 * START_BOUND_S
+# Maximum of the time in which starts are recorded that is added to these.  Without it, hosts would
+# have nothing to answer while the next starts are recorded; with more, starts would wait too long
+# once the store is fast again.
+RECORDING_MAX_S: Final = 0.5
+
+
+def get_start_limit(host: Host, bound_s: float, now_s: float) -> float:
+    """Return how many starts a host answers within a time, at least as many as it gets at once.
+
+    It is infinite for a host of which no recent answers are known.
+    """
+    mean_s = host.answer_times.get_mean_s(now_s)
+    return max(START_SLOTS, int(START_SLOTS * bound_s / mean_s)) if mean_s else math.inf
+
+
+def count_sendable(host: Host, now_s: float, bound_s: float) -> float:
+    """Return how many more runs may be placed on a host so that all are sent within a time."""
+    limit = get_start_limit(host, bound_s, now_s)
+    return limit if limit == math.inf else limit - len(_list_unanswered(host))
+
+
+def can_send_soon(pool: PoolJobs, host: Host, now_s: float) -> bool:
+    """Return whether the start of one more run would be sent soon after it is recorded."""
+    limit = _get_limit(pool, host, START_BOUND_S, now_s)
+    return len(host.runs) < limit or len(_list_unanswered(host)) < limit
+
+
+def list_surplus(pool: PoolJobs, host: Host, now_s: float) -> list[Run]:
+    """Return the unsent starts to take back from a host, which would not get to them in time.
+
+    There are none unless some would wait for longer than ``START_WAIT_MAX_S``.  Members of gangs
+    remain: they were placed within a time of their own.
+    """
+    limit = _get_limit(pool, host, START_WAIT_MAX_S, now_s)
+    if len(host.runs) <= limit:
+        return []
+    unanswered = _list_unanswered(host)
+    if len(unanswered) <= limit:
+        return []
+    kept_count = int(_get_limit(pool, host, START_BOUND_S, now_s))
+    return [run for run in unanswered[kept_count:] if run.is_unsent and not _is_in_gang(pool, run)]
+
+
+def get_wait_max_s(pool: PoolJobs, run: Run) -> float:
+    """Return for how long a start may wait for its turn before its task is placed anew."""
+    return pool.gang_timeout_s if _is_in_gang(pool, run) else START_WAIT_MAX_S
+
+
+def _get_limit(pool: PoolJobs, host: Host, bound_s: float, now_s: float) -> float:
+    """Return how many starts a host answers within a time after they are recorded."""
+    recording_s = min(RECORDING_MAX_S, pool.recording_times.get_mean_s(now_s))
+    return get_start_limit(host, bound_s + recording_s, now_s)
+
+
+def _is_in_gang(pool: PoolJobs, run: Run) -> bool:
+    return pool.jobs[run.task.job_id].spec.steps[run.task.step].is_gang
+
+
+def _list_unanswered(host: Host) -> list[Run]:
+    """Return the runs placed on a host whose starts it has not answered, the oldest first."""
+    return [run for run in host.runs.values() if run.awaits_answer]
--- a/src/robinthread/_internal/node/order_sender.py
+++ b/src/robinthread/_internal/node/order_sender.py
@@ -1,7 +1,6 @@
 """Sends orders to a pool's hosts and retries those without a response."""
 
 import asyncio
-from collections import defaultdict
 from typing import Final
 
 from robinthread._internal.jobs.host import Host, HostContact
@@ -31,9 +30,8 @@
     withhold_if_evacuated,
 )
 from robinthread._internal.node.start_outcome import StartOutcome
+from robinthread._internal.node.start_turns import StartTurns, make_slots
 
-# Maximum number of concurrent starts to one host, each on a connection of its own.
-START_SLOTS: Final = 3
 # Number of times that a start is sent before its run is abandoned.
 START_TRIES: Final = 3
 # Pause before an order without a response is sent again.
@@ -64,9 +62,9 @@
         self._runtime = runtime
         self._context = runtime.context
         self._events = runtime.events
-        self._start_slots = _make_slots(START_SLOTS)
-        self._stop_slots = _make_slots(STOPS_PER_HOST_MAX)
-        self._pace_slots = _make_slots(PACES_PER_HOST_MAX)
+        self._turns = StartTurns(runtime)
+        self._stop_slots = make_slots(STOPS_PER_HOST_MAX)
+        self._pace_slots = make_slots(PACES_PER_HOST_MAX)
 
     async def send_start(self, run: Run) -> None:
         """Send a start until the host has responded to it, or abandon the run.
@@ -79,25 +77,30 @@
         if host is None or job is None:
             return
         await self._wait_for_evacuations(run, host)
-        async with self._start_slots[host.id]:
-            tries, sent_count = 0, 0
-            while tries < START_TRIES and host.contact is HostContact.ANSWERING:
-                if run.phase is not RunPhase.SENDING:
+        async with self._turns.take(run, host) as has_turn:
+            if has_turn:
+                await self._send_until_answered(run, host, job)
+
+    async def _send_until_answered(self, run: Run, host: Host, job: Job) -> None:
+        """Send a start up to ``START_TRIES`` times; abandon the run if none is answered."""
+        tries, sent_count = 0, 0
+        while tries < START_TRIES and host.contact is HostContact.ANSWERING:
+            if run.phase is not RunPhase.SENDING:
+                return
+            if not may_send(self._runtime, run, host, job):
+                break
+            until_ms = self._grant_lease(host)
+            if until_ms is not None:
+                if not take_start(self._runtime, run, host):
+                    break
+                tries += 1
+                outcome = await self._try_start(run, host, job, until_ms, sent_count > 0)
+                if outcome is StartOutcome.SETTLED:
                     return
-                if not may_send(self._runtime, run, host, job):
+                if outcome in (StartOutcome.GIVEN_UP, StartOutcome.WITHHELD):
                     break
-                until_ms = self._grant_lease(host)
-                if until_ms is not None:
-                    if not take_start(self._runtime, run, host):
-                        break
-                    tries += 1
-                    outcome = await self._try_start(run, host, job, until_ms, sent_count > 0)
-                    if outcome is StartOutcome.SETTLED:
-                        return
-                    if outcome in (StartOutcome.GIVEN_UP, StartOutcome.WITHHELD):
-                        break
-                    sent_count += outcome is StartOutcome.UNANSWERED
-                await asyncio.sleep(RETRY_PAUSE_S)
+                sent_count += outcome is StartOutcome.UNANSWERED
+            await asyncio.sleep(RETRY_PAUSE_S)
         if run.phase is not RunPhase.SENDING:
             # The host reported the run during the last attempt, or the run is being stopped.
             return
@@ -272,14 +275,17 @@
         """Send a start, and track it while the host's next incarnation may still execute it."""
         unconfirmed, host_id = self._runtime.jobs.unconfirmed_starts, host.record.id
         unconfirmed.record_order_sent(host_id, run.key, get_loop_s())
+        sent_at_s = get_loop_s()
         try:
             await self._context.hosts.start(host.record, order)
         except HostNoAnswerError:
+            self._turns.record_answer(host, get_loop_s() - sent_at_s)
             raise
         except HostError:
             unconfirmed.record_start_settled(host_id, run.key)
             raise
         unconfirmed.record_start_settled(host_id, run.key)
+        self._turns.record_answer(host, get_loop_s() - sent_at_s)
 
     def _reject(self, run: Run, host: Host, reason: str, may_have_started: bool) -> StartOutcome:
         """Forget a run that its host rejected, unless an earlier start may still take effect."""
@@ -302,8 +308,3 @@
     def _find_host_and_job(self, run: Run) -> tuple[Host | None, Job | None]:
         jobs = self._runtime.jobs
         return jobs.hosts.get(run.host_id), jobs.jobs.get(run.task.job_id)
-
-
-def _make_slots(count: int) -> defaultdict[str, asyncio.Semaphore]:
-    """Return slots for ``count`` concurrent orders to each host, by its id."""
-    return defaultdict(lambda: asyncio.Semaphore(count))
--- a/src/robinthread/_internal/node/progress_recorder.py
+++ b/src/robinthread/_internal/node/progress_recorder.py
@@ -8,7 +8,7 @@
 from robinthread._internal.durable.journal import Journal
 from robinthread._internal.jobs.job import Job
 from robinthread._internal.jobs.job_timing import get_allowed_duration_s
-from robinthread._internal.jobs.run import RunPhase
+from robinthread._internal.jobs.run import Run, RunPhase
 from robinthread._internal.models.job_status import JobStatus
 from robinthread._internal.node.order_sender import OrderSender
 from robinthread._internal.node.pool_runtime import PoolRuntime, get_loop_s
@@ -79,10 +79,18 @@
         recorded.set()
         for one in changes:
             self._publish_status(one.job, one.status)
-        for run in itertools.chain.from_iterable(one.runs for one in changes):
-            if run.phase is RunPhase.RECORDING:
-                run.phase = RunPhase.SENDING
-                self._runtime.spawn(self._orders.send_start(run))
+        runs = itertools.chain.from_iterable(one.runs for one in changes)
+        self._send_starts([run for run in runs if run.phase is RunPhase.RECORDING])
+
+    def _send_starts(self, runs: Iterable[Run]) -> None:
+        """Send the starts of runs that are recorded now."""
+        now_s = get_loop_s()
+        oldest_s = min((run.placed_at_s for run in runs if run.placed_at_s), default=now_s)
+        if oldest_s < now_s:
+            self._runtime.jobs.recording_times.record(now_s - oldest_s, now_s)
+        for run in runs:
+            run.phase = RunPhase.SENDING
+            self._runtime.spawn(self._orders.send_start(run))
 
     def _take_all_changes(self, jobs: Iterable[Job]) -> list[JobChanges]:
         context = self._runtime.context
--- /dev/null
+++ b/src/robinthread/_internal/node/start_turns.py
@@ -0,0 +1,56 @@
+"""Turns of starts at their hosts: how many are sent at once, and how long one waits."""
+
+import asyncio
+from collections import defaultdict
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+
+from robinthread._internal.jobs.host import Host
+from robinthread._internal.jobs.run import Run
+from robinthread._internal.jobs.start_limits import START_SLOTS, get_wait_max_s, list_surplus
+from robinthread._internal.node.pool_runtime import PoolRuntime, get_loop_s
+from robinthread._internal.node.unsent_starts import give_back
+
+
+class StartTurns:
+    """Lets ``START_SLOTS`` starts at once go to a host, in the order in which they came."""
+
+    def __init__(self, runtime: PoolRuntime) -> None:
+        self._runtime = runtime
+        self._slots = make_slots(START_SLOTS)
+
+    @asynccontextmanager
+    async def take(self, run: Run, host: Host) -> AsyncIterator[bool]:
+        """Wait for a run's turn and hold it; give the run back if that takes too long.
+
+        The value is False if the run got no turn.
+        """
+        slot = self._slots[host.id]
+        try:
+            async with asyncio.timeout(get_wait_max_s(self._runtime.jobs, run)):
+                await slot.acquire()
+        except TimeoutError:
+            if run.is_unsent:
+                give_back(self._runtime, [run], "it waited too long for its turn")
+                self._runtime.wake()
+            yield False
+            return
+        try:
+            yield True
+        finally:
+            slot.release()
+
+    def record_answer(self, host: Host, took_s: float) -> None:
+        """Record how long a start took, and give back those that would wait too long after it."""
+        now_s = get_loop_s()
+        host.answer_times.record(took_s, now_s)
+        jobs = self._runtime.jobs
+        surplus = list_surplus(jobs, host, now_s)
+        give_back(self._runtime, surplus, "the host answers slowly")
+        if surplus or (jobs.waiting and host.answer_times.is_slow(now_s)):
+            self._runtime.wake()
+
+
+def make_slots(count: int) -> defaultdict[str, asyncio.Semaphore]:
+    """Return slots for ``count`` concurrent orders to each host, by its id."""
+    return defaultdict(lambda: asyncio.Semaphore(count))
--- a/tests/lib/slow_hosts.py
+++ b/tests/lib/slow_hosts.py
@@ -7,6 +7,7 @@
 
 from robinthread._internal.jobs.pool_jobs import PoolJobs
 from robinthread._internal.models.job_spec import JobSpec, StepSpec
+from robinthread._internal.models.pool_policy import PoolPolicy
 from robinthread._internal.models.resources import Resources
 from robinthread._internal.models.task_key import TaskKey
 from robinthread._internal.standins.job_host_standin import JobHostStandin, TaskPlan
@@ -37,7 +38,10 @@
     prepare: Callable[[PlatformStandin], None] = lambda platform: None,
     **options: Any,
 ) -> PlatformStandin:
-    """Start a platform with a host for each of the given answer delays."""
+    """Start a platform with a host for each of the given answer delays, all in one pool for good.
+
+    There is no reserve, to which the steward would move idle hosts.
+    """
 
     def add_hosts(platform: PlatformStandin) -> None:
         for number, _delay_s in enumerate(delays):
@@ -45,7 +49,8 @@
         prepare(platform)
 
     delays = list(delays_s)
-    platform = await start_platform(plan_task, hosts=0, prepare=add_hosts, **options)
+    pools = (PoolPolicy(POOL),)
+    platform = await start_platform(plan_task, hosts=0, prepare=add_hosts, pools=pools, **options)
     for host, delay_s in zip(list_hosts(platform), delays, strict=True):
         platform.hosts.answer_delays_s[host.record.id] = delay_s
     return platform
