--- a/src/robinthread/_internal/node/order_sender.py
+++ b/src/robinthread/_internal/node/order_sender.py
@@ -30,6 +30,7 @@
     withhold_if_evacuated,
 )
 from robinthread._internal.node.start_outcome import StartOutcome
+from robinthread._internal.node.start_turns import StartTurns, make_slots
 
 # Number of times that a start is sent before its run is abandoned.
 START_TRIES: Final = 3
@@ -42,20 +43,28 @@
 NO_CAPACITY_PAUSE_S: Final = 0.3
 # A host gets no work for this long after it reported itself unhealthy.
 UNHEALTHY_PAUSE_S: Final = 1.0
-# Maximum number of concurrent orders to one host, each on a connection of its own.
-ORDERS_PER_HOST_MAX: Final = 3
+# Maximum number of concurrent stops to one host, each on a connection of its own.  A cancelled job
+# may have a hundred runs on a host, which must end within 3 s: six rounds of 0.4 s and the stop.
+STOPS_PER_HOST_MAX: Final = 16
+# The same for pace orders, which the next check of the runs decides again.
+PACES_PER_HOST_MAX: Final = 3
 # Added to the maximum duration of a stop, for the latency of the response.
 STOP_MARGIN_S: Final = 0.2
 
 
 class OrderSender:
-    """Sends start, stop and pace orders, at most ``ORDERS_PER_HOST_MAX`` at once to a host."""
+    """Sends start, stop and pace orders, of each kind a few at once to a host.
+
+    No kind waits for another, so that a host that answers starts slowly is still stopped in time.
+    """
 
     def __init__(self, runtime: PoolRuntime) -> None:
         self._runtime = runtime
         self._context = runtime.context
         self._events = runtime.events
-        self._slots: dict[str, asyncio.Semaphore] = {}
+        self._turns = StartTurns(runtime)
+        self._stop_slots = make_slots(STOPS_PER_HOST_MAX)
+        self._pace_slots = make_slots(PACES_PER_HOST_MAX)
 
     async def send_start(self, run: Run) -> None:
         """Send a start until the host has responded to it, or abandon the run.
@@ -68,25 +77,30 @@
         if host is None or job is None:
             return
         await self._wait_for_evacuations(run, host)
-        async with self._get_slot(host.id):
-            tries, sent_count = 0, 0
-            while tries < START_TRIES and host.contact is HostContact.ANSWERING:
-                if run.phase is not RunPhase.SENDING:
+        async with self._turns.take(run, host) as has_turn:
+            if has_turn:
+                await self._send_until_answered(run, host, job)
+
+    async def _send_until_answered(self, run: Run, host: Host, job: Job) -> None:
+        """Send a start up to ``START_TRIES`` times; abandon the run if none is answered."""
+        tries, sent_count = 0, 0
+        while tries < START_TRIES and host.contact is HostContact.ANSWERING:
+            if run.phase is not RunPhase.SENDING:
+                return
+            if not may_send(self._runtime, run, host, job):
+                break
+            until_ms = self._grant_lease(host)
+            if until_ms is not None:
+                if not take_start(self._runtime, run, host):
+                    break
+                tries += 1
+                outcome = await self._try_start(run, host, job, until_ms, sent_count > 0)
+                if outcome is StartOutcome.SETTLED:
                     return
-                if not may_send(self._runtime, run, host, job):
+                if outcome in (StartOutcome.GIVEN_UP, StartOutcome.WITHHELD):
                     break
-                until_ms = self._grant_lease(host)
-                if until_ms is not None:
-                    if not take_start(self._runtime, run, host):
-                        break
-                    tries += 1
-                    outcome = await self._try_start(run, host, job, until_ms, sent_count > 0)
-                    if outcome is StartOutcome.SETTLED:
-                        return
-                    if outcome in (StartOutcome.GIVEN_UP, StartOutcome.WITHHELD):
-                        break
-                    sent_count += outcome is StartOutcome.UNANSWERED
-                await asyncio.sleep(RETRY_PAUSE_S)
+                sent_count += outcome is StartOutcome.UNANSWERED
+            await asyncio.sleep(RETRY_PAUSE_S)
         if run.phase is not RunPhase.SENDING:
             # The host reported the run during the last attempt, or the run is being stopped.
             return
@@ -125,7 +139,7 @@
     async def try_stop(self, host: Host, task: TaskKey, run: int) -> bool:
         """Send one stop; return whether the host responded to it."""
         try:
-            async with self._get_slot(host.id):
+            async with self._stop_slots[host.id]:
                 await self._context.hosts.stop(host.record, task, run, self._runtime.token)
         except HostFencedError:
             raise
@@ -148,7 +162,7 @@
         if host is None:
             return
         try:
-            async with self._get_slot(host.id):
+            async with self._pace_slots[host.id]:
                 await self._context.hosts.pace(
                     host.record, run.task, run.number, change.percent, self._runtime.token
                 )
@@ -261,14 +275,17 @@
         """Send a start, and track it while the host's next incarnation may still execute it."""
         unconfirmed, host_id = self._runtime.jobs.unconfirmed_starts, host.record.id
         unconfirmed.record_order_sent(host_id, run.key, get_loop_s())
+        sent_at_s = get_loop_s()
         try:
             await self._context.hosts.start(host.record, order)
         except HostNoAnswerError:
+            self._turns.record_answer(host, get_loop_s() - sent_at_s)
             raise
         except HostError:
             unconfirmed.record_start_settled(host_id, run.key)
             raise
         unconfirmed.record_start_settled(host_id, run.key)
+        self._turns.record_answer(host, get_loop_s() - sent_at_s)
 
     def _reject(self, run: Run, host: Host, reason: str, may_have_started: bool) -> StartOutcome:
         """Forget a run that its host rejected, unless an earlier start may still take effect."""
@@ -291,9 +308,3 @@
     def _find_host_and_job(self, run: Run) -> tuple[Host | None, Job | None]:
         jobs = self._runtime.jobs
         return jobs.hosts.get(run.host_id), jobs.jobs.get(run.task.job_id)
-
-    def _get_slot(self, host_id: str) -> asyncio.Semaphore:
-        slot = self._slots.get(host_id)
-        if slot is None:
-            slot = self._slots[host_id] = asyncio.Semaphore(ORDERS_PER_HOST_MAX)
-        return slot
