Callers' bodies get 400 unless every owner can run what they ask for

Seen by callers: 500 and an uncaught exception for 8 of 9 hostile forms (nested fields, numbers of 400 digits for cpu, estimate_ms, start_at_ms, interval_ms, target_ms), 500 for an odd X-Deadline-Ms; and 200 for numbers such as 2^63, which each owner of the pool then had to bear.

A body is decoded at the boundary, and JobSpec.find_fault, which owners ask as well, bounds each size (2^32), duration (2^40 ms), time (2^45 ms, the last due time included) and the numbers of the policy. What is over gets 400 before anything is written; the reason is cut to 200 characters, and so are path, job and host of request_refused.

--- a/src/robinthread/_internal/models/job_spec.py
+++ b/src/robinthread/_internal/models/job_spec.py
@@ -11,6 +11,12 @@
 
 from robinthread._internal.models.job_policy import JobPolicy
 from robinthread._internal.models.resources import Resources
+from robinthread._internal.utils.foreign_input import (
+    DURATION_MAX_MS,
+    NUMBER_MAX,
+    SIZE_MAX,
+    TIME_MAX_MS,
+)
 
 # Most tasks of one job.  A pool of 300 hosts with 16 cores each runs about 5,000 one-core tasks
 # at a time.  A job of 100,000 tasks takes about 100 MB of its owner's memory.
@@ -95,7 +101,8 @@
         """Return why the job can't be run by any owner, or "" if the spec is valid."""
         if not self.steps:
             return "a job has a step at least"
-        return next(filter(None, chain(map(_find_step_fault, self.steps), _find_faults(self))), "")
+        faults = chain(map(_find_step_fault, self.steps), _find_faults(self))
+        return next(filter(None, faults), "")
 
 
 def _find_step_fault(step: StepSpec) -> str:
@@ -103,7 +110,11 @@
         return "a step has a task at least"
     sizes = (step.cpu_millicores, step.memory_mb, step.gpu_count, step.estimate_ms)
     bounds = (step.per_host_max, step.not_running_max, step.latency_target_ms)
-    return "a negative size" if min(*sizes, *bounds) < 0 else ""
+    if min(*sizes, *bounds) < 0:
+        return "a negative size"
+    if max(step.estimate_ms, step.latency_target_ms) > DURATION_MAX_MS:
+        return f"a time of a step is over {DURATION_MAX_MS} ms"
+    return f"a size is over {SIZE_MAX}" if max(*sizes[:3], *bounds[:2]) > SIZE_MAX else ""
 
 
 def _find_faults(job: JobSpec) -> tuple[str, ...]:
@@ -117,4 +128,30 @@
         "" if is_ordered else "a step comes after earlier ones only",
         "" if task_count <= TASKS_MAX else f"a job has at most {TASKS_MAX} tasks",
         "" if min(job.occurrence_count, job.interval_ms) >= 0 else "a negative time",
+        "" if _has_bearable_times(job) else "a time of a job is out of range",
+        "" if job.policy is None else _find_policy_fault(job.policy),
     )
+
+
+def _has_bearable_times(job: JobSpec) -> bool:
+    last_due_ms = job.first_due_ms + job.occurrence_count * job.interval_ms
+    times_ms = (job.first_due_ms, job.interval_ms, job.accepted_at_ms, last_due_ms)
+    is_counted = job.occurrence_count <= SIZE_MAX and abs(job.config_version) <= NUMBER_MAX
+    return is_counted and all(abs(time_ms) <= TIME_MAX_MS for time_ms in times_ms)
+
+
+def _find_policy_fault(policy: JobPolicy) -> str:
+    advice = policy.advice
+    advice_times_ms = (
+        () if advice is None else (advice.base_ms, advice.per_host_ms, advice.valid_ms)
+    )
+    numbers = (
+        policy.priority,
+        policy.attempts_max,
+        policy.stretch,
+        policy.latency_target_ms,
+        *advice_times_ms,
+    )
+    # Not a number is over any bound.
+    is_bearable = all(abs(number) <= NUMBER_MAX for number in numbers)
+    return "" if is_bearable else "a number of the job's policy is out of range"
--- a/src/robinthread/_internal/platform/callers.py
+++ b/src/robinthread/_internal/platform/callers.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import math
-import re
 import time
 from dataclasses import dataclass
 from typing import Any, Final
@@ -11,23 +10,26 @@
 from tornado.web import Application, RequestHandler
 
 from robinthread._internal.models.fleet_config import FleetConfig
-from robinthread._internal.models.job_policy import make_job_policy
-from robinthread._internal.models.job_spec import JobSpec, StepSpec
 from robinthread._internal.models.job_status import JobStatus
 from robinthread._internal.models.queue_policy import QueuePolicy
 from robinthread._internal.node.config_holder import ConfigHolder
 from robinthread._internal.node.job_request_outcome import JobRequestOutcome, JobRequestResult
 from robinthread._internal.node.job_service import JobService
 from robinthread._internal.node.open_requests import OpenRequests
+from robinthread._internal.platform.job_bodies import parse_job
 from robinthread._internal.results import MEANINGS, ResultCode
 from robinthread._internal.telemetry.event_log import EventLog
+from robinthread._internal.utils.foreign_input import (
+    MalformedInputError,
+    shorten,
+)
 
-JOB_ID: Final = re.compile(r"[0-9a-f]{16}")
 DEADLINE_HEADER: Final = "X-Deadline-Ms"
 KEY_HEADER: Final = "Authorization"
 KEY_SCHEME: Final = "bearer"
 # Time limit of a request without a deadline header.
 DEFAULT_DEADLINE_S: Final = 3.0
+DEADLINE_MAX_S: Final = 86_400.0
 # Part of the time until the caller's deadline that is reserved for returning the response.
 RESPONSE_MARGIN_S: Final = 0.1
 # Result code and HTTP status of each outcome.
@@ -42,7 +44,6 @@
 }
 # Seconds after which a refused caller should retry, at least.
 RETRY_AFTER_S: Final = 1
-SPEC_MAX_CHARACTERS: Final = 4000
 
 STATUS_WORDS: Final = {
     JobStatus.QUEUED: "queued",
@@ -53,39 +54,6 @@
 }
 
 
-class _WireStep(msgspec.Struct):
-    count: int = 1
-    cpu: int = 0
-    mem_mb: int = 0
-    gpu: int = 0
-    estimate_ms: int = 0
-    depends_on: tuple[int, ...] = ()
-    checkpointing: bool = False
-    gang: bool = False
-    same_rack: bool = False
-    # Label that the host must have.
-    requirements: str = ""
-    # Rack that holds the data.
-    affinity: str = ""
-    # Most tasks of the step on one host.
-    anti_affinity: int = 0
-    # Whether several copies of a task may run at the same time.
-    speculative: bool = False
-    long_running: bool = False
-    image: str = ""
-    target_ms: int = 0
-    fills: bool = False
-    may_miss: int | None = None
-
-
-class _WireJob(msgspec.Struct):
-    spec: str
-    steps: tuple[_WireStep, ...]
-    max_runs: int = 0
-    start_at_ms: int = 0
-    interval_ms: int = 0
-
-
 @dataclass(frozen=True, slots=True)
 class _ResolvedCall:
     """A call resolved to its queue, the rest of its path and the caller's workspace.
@@ -141,9 +109,12 @@
         if call is None:
             return
         try:
-            spec = _parse_job(call, self.request.body)
-        except (msgspec.MsgspecError, ValueError) as error:
-            self._respond(400, ResultCode.BAD_REQUEST, error=str(error))
+            spec = parse_job(
+                self.request.body, call.rest, call.queue, call.config.version, call.workspace
+            )
+        except MalformedInputError as error:
+            self._events.metrics.count_event("input_malformed", "callers")
+            self._respond(400, ResultCode.BAD_REQUEST, error=shorten(str(error)))
             return
         self._respond_with_result(await self._job_service.submit(spec, self._get_deadline_s()))
 
@@ -205,7 +176,10 @@
     def _get_deadline_s(self) -> float:
         """Return when to stop work on the request, in seconds of the event loop's clock."""
         text = self.request.headers.get(DEADLINE_HEADER, "")
-        remaining_s = int(text) / 1000 if text.isdigit() else DEFAULT_DEADLINE_S
+        is_number = text.isascii() and text.isdigit()
+        # A deadline beyond the bound is cut, whatever its number of digits.
+        remaining_s = float(text) / 1000 if is_number else DEFAULT_DEADLINE_S
+        remaining_s = min(remaining_s, DEADLINE_MAX_S)
         return asyncio.get_running_loop().time() + max(0.0, remaining_s - RESPONSE_MARGIN_S)
 
     def _respond_with_outcome(self, outcome: JobRequestOutcome) -> None:
@@ -239,10 +213,10 @@
         config = self._config_holder.config
         self._events.write(
             "request_refused",
-            job=self.request.path.rpartition("/")[2],
+            job=shorten(self.request.path.rpartition("/")[2]),
             method=self.request.method,
-            host=self.request.host_name,
-            path=self.request.path,
+            host=shorten(self.request.host_name),
+            path=shorten(self.request.path),
             config_version=config.version if config is not None else None,
             status=status,
             code=int(code),
@@ -258,9 +232,9 @@
             "request_refused",
             by={"status": status, "code": int(code), "outcome": code.name},
             counted_by=str(self.request.method),
-            listed={"jobs": self.request.path.rpartition("/")[2]},
-            host=self.request.host_name,
-            path=self.request.path,
+            listed={"jobs": shorten(self.request.path.rpartition("/")[2])},
+            host=shorten(self.request.host_name),
+            path=shorten(self.request.path),
             config_version=config.version if config is not None else None,
         )
 
@@ -276,52 +250,3 @@
         "requests": requests,
     }
     return Application([(r"/.*", JobsHandler, arguments)], log_function=lambda handler: None)
-
-
-def _parse_job(call: _ResolvedCall, body: bytes) -> JobSpec:
-    if not JOB_ID.fullmatch(call.rest):
-        raise ValueError("a job's id has 16 hexadecimal digits")
-    wire = msgspec.json.decode(body, type=_WireJob)
-    if len(wire.spec) > SPEC_MAX_CHARACTERS:
-        raise ValueError(f"a spec has at most {SPEC_MAX_CHARACTERS} characters")
-    spec = JobSpec(
-        job_id=call.rest,
-        queue=call.queue.name,
-        pool=call.queue.pool,
-        text=wire.spec,
-        steps=tuple(map(_parse_step, wire.steps)),
-        occurrence_count=wire.max_runs,
-        first_due_ms=wire.start_at_ms,
-        interval_ms=wire.interval_ms,
-        accepted_at_ms=int(time.time() * 1000),
-        config_version=call.config.version,
-        workspace=call.workspace or "",
-        policy=make_job_policy(call.queue),
-    )
-    if fault := spec.find_fault():
-        raise ValueError(fault)
-    return spec
-
-
-def _parse_step(step: _WireStep) -> StepSpec:
-    return StepSpec(
-        task_count=step.count,
-        cpu_millicores=step.cpu,
-        memory_mb=step.mem_mb,
-        gpu_count=step.gpu,
-        estimate_ms=step.estimate_ms,
-        after_steps=step.depends_on,
-        keeps_checkpoints=step.checkpointing,
-        is_gang=step.gang,
-        wants_one_rack=step.same_rack,
-        required_label=step.requirements,
-        near_rack=step.affinity,
-        per_host_max=step.anti_affinity,
-        allows_copies=step.speculative,
-        is_lasting=step.long_running,
-        image=step.image,
-        latency_target_ms=step.target_ms,
-        fills_leftover=step.fills,
-        not_running_max=step.may_miss or 0,
-        has_not_running_limit=step.may_miss is not None,
-    )
--- a/tests/functional/test_hostile_bodies.py
+++ b/tests/functional/test_hostile_bodies.py
@@ -124,10 +124,11 @@
         self.assert_borne([body])
 
     def test_numbers_that_only_together_are_too_large_are_rejected(self) -> None:
-        """Guards against a last due time, or a sum of needs, that arithmetic doesn't bear."""
+        """Guards against a last due time, a sum of needs or an unused time that can't be stored."""
         many = {"max_runs": 2**31, "interval_ms": 2**40, "start_at_ms": 2**52}
         wide = {"steps": [{"count": 100_000, "cpu": 2**45}]}
-        for fields in (many, wide):
+        unused = {"max_runs": 0, "interval_ms": 10**400}
+        for fields in (many, wide, unused):
 
             async def play(fields: dict[str, Any] = fields) -> list[Any]:
                 async with serve_callers() as site:
