Records that nodes wrote are read back as bounded values or one typed error

Numbers up to 2^64 were taken for tokens, waves and times.

Their decoders now raise MalformedInputError alone, numbers are within 2^53, keys of parts too, and what is malformed is told once for each key and value (sources inbox, owners, progress, orders, waves).

--- a/src/robinthread/_internal/durable/inbox_records.py
+++ b/src/robinthread/_internal/durable/inbox_records.py
@@ -12,6 +12,12 @@
 
 from robinthread._internal.durable.store import KeyedRecord, Partition
 from robinthread._internal.models.job_spec import JobSpec
+from robinthread._internal.utils.foreign_input import (
+    MalformedInputError,
+    decode_msgpack,
+    reads_foreign_input,
+    shorten,
+)
 
 INBOX_PARTITION: Final = Partition("keyed.inbox")
 JOB_PREFIX: Final = "j/"
@@ -68,8 +74,9 @@
     return KeyedRecord(f"{CANCEL_PREFIX}{job_id}/{digest}", name)
 
 
+@reads_foreign_input
 def parse_inbox_record(record: KeyedRecord) -> InboxRecord:
-    """Decode an inbox record; raise ``msgspec.MsgspecError`` if it is malformed."""
+    """Decode an inbox record; raise ``MalformedInputError`` if it is malformed."""
     job_id = _parse_job_id(record.key)
     if record.value is None:
         return RecordDropped(record.key, job_id)
@@ -77,14 +84,14 @@
         return JobCancelled(
             record.key, job_id, _parse_cancelling_workspace(record.key, record.value)
         )
-    spec = msgspec.msgpack.decode(record.value, type=JobSpec)
+    spec = decode_msgpack(record.value, JobSpec)
     fault = spec.find_fault() or (
         ""
         if spec.job_id == job_id
-        else f"the key is of job {job_id!r}, the spec of {spec.job_id!r}"
+        else f"the key is of job {shorten(job_id)!r}, the spec of {shorten(spec.job_id)!r}"
     )
     if fault:
-        raise msgspec.ValidationError(fault)
+        raise MalformedInputError(fault)
     return JobSubmitted(record.key, spec)
 
 
@@ -95,7 +102,7 @@
     try:
         return value.decode()
     except UnicodeDecodeError as error:
-        raise msgspec.ValidationError("the workspace's name is not valid UTF-8") from error
+        raise MalformedInputError("the workspace's name is not valid UTF-8") from error
 
 
 def _parse_job_id(key: str) -> str:
@@ -103,5 +110,5 @@
     prefix, _, rest = key.partition("/")
     job_id = rest.partition("/")[0]
     if f"{prefix}/" not in (JOB_PREFIX, CANCEL_PREFIX) or not job_id:
-        raise msgspec.ValidationError(f"the key {key!r} has no job id")
+        raise MalformedInputError(f"the key {shorten(key)!r} has no job id")
     return job_id
--- a/src/robinthread/_internal/durable/job_index.py
+++ b/src/robinthread/_internal/durable/job_index.py
@@ -10,6 +10,7 @@
     RecordDropped,
     parse_inbox_record,
 )
+from robinthread._internal.durable.malformed_records import MalformedRecords
 from robinthread._internal.durable.share_meter import ShareMeter
 from robinthread._internal.durable.store import KeyedRecord
 from robinthread._internal.models.job_spec import JobSpec
@@ -48,7 +49,7 @@
         self._meter = meter
         self._early_cancellations: dict[str, list[JobCancelled]] = {}
         self._listeners: list[Listener] = []
-        self._events = events
+        self._malformed = MalformedRecords(events, "inbox")
 
     def subscribe(self, listener: Listener) -> None:
         """Call ``listener`` for all known jobs now and for each new or cancelled job later."""
@@ -72,7 +73,7 @@
             try:
                 self._apply_record(record)
             except msgspec.MsgspecError as error:
-                self._events.write("record_malformed", key=record.key, error=str(error))
+                self._malformed.tell(record, error)
 
     def _apply_record(self, record: KeyedRecord) -> None:
         match parse_inbox_record(record):
--- a/src/robinthread/_internal/durable/order_records.py
+++ b/src/robinthread/_internal/durable/order_records.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from robinthread._internal.durable.store import KeyedRecord, Partition
+from robinthread._internal.utils.foreign_input import Number, decode_msgpack
 
 ORDERS_PARTITION: Final = Partition("keyed.machine-orders")
 ORDERS_KEY: Final = "recent"
@@ -16,7 +17,7 @@
     """Target of an order: the pool that the machine joins, or the wave of its upkeep."""
 
     pool: str = ""
-    wave: int = 0
+    wave: Number = 0
 
 
 class RecentOrders(msgspec.Struct, frozen=True, array_like=True):
@@ -47,5 +48,5 @@
 
 
 def parse_orders_record(record: KeyedRecord) -> RecentOrders:
-    """Decode the record of recent orders; raise ``msgspec.MsgspecError`` if it is malformed."""
-    return msgspec.msgpack.decode(record.value or b"", type=RecentOrders)
+    """Decode the record of recent orders; raise ``MalformedInputError`` if it is malformed."""
+    return decode_msgpack(record.value or b"", RecentOrders)
--- a/src/robinthread/_internal/durable/ownership.py
+++ b/src/robinthread/_internal/durable/ownership.py
@@ -12,8 +12,14 @@
 
 from robinthread._internal.durable.errors import StoreConditionError, StoreRefusedError
 from robinthread._internal.durable.keyed_follower import KeyedFollower
+from robinthread._internal.durable.malformed_records import MalformedRecords
 from robinthread._internal.durable.store import KeyedRecord, Partition, Store
 from robinthread._internal.telemetry.event_log import EventLog
+from robinthread._internal.utils.foreign_input import (
+    MalformedInputError,
+    Number,
+    decode_msgpack,
+)
 
 OWNERS_PARTITION: Final = Partition("keyed.owners")
 # How long an owner that was replaced without releasing its pool is remembered: ten times as long
@@ -36,15 +42,15 @@
     node: str
     incarnation: str
     address: str
-    capacity_millicores: int = 1000
-    started_at_ms: int = 0
+    capacity_millicores: Number = 1000
+    started_at_ms: Number = 0
 
 
 class EarlierOwner(msgspec.Struct, frozen=True, array_like=True):
     """An earlier owner of a pool, with its token."""
 
     owner: Member
-    token: int
+    token: Number
 
 
 class OwnerRecord(msgspec.Struct, frozen=True, array_like=True):
@@ -90,7 +96,7 @@
 
     def __init__(self, store: Store, events: EventLog) -> None:
         self._store = store
-        self._events = events
+        self._malformed = MalformedRecords(events, "owners")
         self.owners: dict[str, Ownership] = {}
         self.previous: dict[str, Ownership] = {}
         self.unreleased: dict[str, tuple[UnreleasedOwner, ...]] = {}
@@ -216,9 +222,9 @@
                 self.owners.pop(record.key, None)
                 continue
             try:
-                found = msgspec.msgpack.decode(record.value, type=OwnerRecord)
-            except msgspec.MsgspecError as error:
-                self._events.write("record_malformed", key=record.key, error=str(error))
+                found = decode_msgpack(record.value, OwnerRecord)
+            except MalformedInputError as error:
+                self._malformed.tell(record, error)
                 continue
             token = record.offset + 1
             replaced = self.owners.get(record.key)
--- a/src/robinthread/_internal/durable/settled_record.py
+++ b/src/robinthread/_internal/durable/settled_record.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from robinthread._internal.durable.store import KeyedRecord
+from robinthread._internal.utils.foreign_input import Number, decode_msgpack
 
 # The same partition holds the progress of jobs, whose ids contain no slash.
 KEY_PREFIX: Final = "settled/"
@@ -17,7 +18,7 @@
 class SettledOwners(msgspec.Struct, frozen=True, array_like=True):
     """All leases granted by owners with a token below ``before_token`` have expired."""
 
-    before_token: int
+    before_token: Number
 
 
 def make_settled_record(pool: str, before_token: int) -> KeyedRecord:
@@ -26,5 +27,5 @@
 
 
 def parse_settled_record(record: KeyedRecord) -> SettledOwners:
-    """Decode a pool's record; raise ``msgspec.MsgspecError`` if it is malformed."""
-    return msgspec.msgpack.decode(record.value or b"", type=SettledOwners)
+    """Decode a pool's record; raise ``MalformedInputError`` if it is malformed."""
+    return decode_msgpack(record.value or b"", SettledOwners)
--- a/src/robinthread/_internal/durable/wave_records.py
+++ b/src/robinthread/_internal/durable/wave_records.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from robinthread._internal.durable.store import KeyedRecord, Partition
+from robinthread._internal.utils.foreign_input import Number, decode_msgpack
 
 WAVES_PARTITION: Final = Partition("keyed.waves")
 
@@ -13,7 +14,7 @@
 class WaveProgress(msgspec.Struct, frozen=True, array_like=True):
     """The machines of a wave that have begun upkeep."""
 
-    wave: int
+    wave: Number
     begun: tuple[str, ...]
 
 
@@ -24,5 +25,5 @@
 
 
 def parse_wave_record(record: KeyedRecord) -> WaveProgress:
-    """Decode the record of a wave's progress; raise ``msgspec.MsgspecError`` if it is malformed."""
-    return msgspec.msgpack.decode(record.value or b"", type=WaveProgress)
+    """Decode the record of a wave's progress; raise ``MalformedInputError`` if it is malformed."""
+    return decode_msgpack(record.value or b"", WaveProgress)
--- a/src/robinthread/_internal/jobs/part_key.py
+++ b/src/robinthread/_internal/jobs/part_key.py
@@ -5,6 +5,12 @@
 
 import msgspec
 
+from robinthread._internal.utils.foreign_input import (
+    NUMBER_MAX,
+    reads_foreign_input,
+    shorten,
+)
+
 # The ids of jobs contain no slash, so no job's own record has a key with one.
 SEPARATOR: Final = "/"
 
@@ -26,6 +32,7 @@
     return SEPARATOR in key
 
 
+@reads_foreign_input
 def parse_part_key(key: str) -> tuple[str, PartKey]:
     """Return the job's id and the part that a record's key names.
 
@@ -33,8 +40,11 @@
     """
     job_id, *numbers = key.split(SEPARATOR)
     if not job_id or len(numbers) != 2 or not all(map(_is_number, numbers)):
-        raise msgspec.ValidationError(f"malformed key {key!r} of a part")
-    return job_id, PartKey(*map(int, numbers))
+        raise msgspec.ValidationError(f"malformed key {shorten(key)!r} of a part")
+    part_key = PartKey(*map(int, numbers))
+    if max(part_key.occurrence, part_key.number) > NUMBER_MAX:
+        raise msgspec.ValidationError(f"the key {shorten(key)!r} of a part is out of range")
+    return job_id, part_key
 
 
 def _is_number(text: str) -> bool:
--- a/src/robinthread/_internal/jobs/progress.py
+++ b/src/robinthread/_internal/jobs/progress.py
@@ -16,6 +16,12 @@
 from robinthread._internal.models.job_policy import StoredPolicy
 from robinthread._internal.models.job_status import JobStatus
 from robinthread._internal.models.task_key import TaskKey
+from robinthread._internal.utils.foreign_input import (
+    Number,
+    decode_msgpack,
+    reads_foreign_input,
+    shorten,
+)
 
 STATUS_VALUES: Final = frozenset(status.value for status in JobStatus)
 
@@ -27,8 +33,8 @@
     it is the cause.
     """
 
-    number: int
-    host: int
+    number: Number
+    host: Number
     is_alone: bool = False
 
 
@@ -37,8 +43,8 @@
 
     host_id: str
     machine: str
-    run: int
-    age_ms: int
+    run: Number
+    age_ms: Number
     is_near_start: bool
     is_confirmed: bool
     has_other_cause: bool
@@ -47,15 +53,15 @@
 class TaskProgress(msgspec.Struct, frozen=True, array_like=True):
     """A task that has been started at least once."""
 
-    occurrence: int
-    step: int
-    index: int
+    occurrence: Number
+    step: Number
+    index: Number
     is_done: bool
-    last_run: int
-    failure_count: int = 0
+    last_run: Number
+    failure_count: Number = 0
     runs: tuple[RunProgress, ...] = ()
     checkpoint: str = ""
-    last_failed_run: int = 0
+    last_failed_run: Number = 0
     crashes: tuple[CrashProgress, ...] = ()
 
 
@@ -75,9 +81,9 @@
     status: str
     hosts: tuple[str, ...] = ()
     tasks: tuple[TaskProgress, ...] = ()
-    ended_at_ms: int = 0
+    ended_at_ms: Number = 0
     host_start_times_ms: tuple[int | None, ...] = ()
-    done_occurrences: tuple[tuple[int, int], ...] = ()
+    done_occurrences: tuple[tuple[Number, Number], ...] = ()
     is_split: bool = False
     last_policy: StoredPolicy | None = None
 
@@ -140,14 +146,17 @@
     return host_ids, start_times_ms if is_any_known else ()
 
 
+@reads_foreign_input
 def decode_progress(value: bytes) -> JobProgress:
-    """Decode the progress of a job; raise ``msgspec.MsgspecError`` if it is malformed."""
-    progress = msgspec.msgpack.decode(value, type=JobProgress)
+    """Decode the progress of a job; raise ``MalformedInputError`` if it is malformed."""
+    progress = decode_msgpack(value, JobProgress)
     if progress.status not in STATUS_VALUES:
-        raise msgspec.ValidationError(f"unknown job status {progress.status!r}")
+        raise msgspec.ValidationError(f"unknown job status {shorten(progress.status)!r}")
     check_hosts(progress.hosts, progress.host_start_times_ms, progress.tasks)
     if any(first < 0 or count < 1 for first, count in progress.done_occurrences):
-        raise msgspec.ValidationError(f"malformed ranges: {progress.done_occurrences}")
+        raise msgspec.ValidationError(
+            f"malformed ranges: {shorten(str(progress.done_occurrences))}"
+        )
     return progress
 
 
--- a/src/robinthread/_internal/jobs/progress_parts.py
+++ b/src/robinthread/_internal/jobs/progress_parts.py
@@ -23,6 +23,11 @@
 from robinthread._internal.jobs.task import Task
 from robinthread._internal.models.job_status import JobStatus
 from robinthread._internal.models.task_key import TaskKey
+from robinthread._internal.utils.foreign_input import (
+    Number,
+    decode_msgpack,
+    reads_foreign_input,
+)
 
 # Number of consecutive tasks of an occurrence that share a part.  Its rows take some 4 KB.
 PART_TASKS: Final = 256
@@ -31,9 +36,9 @@
 class DoneRange(msgspec.Struct, frozen=True, array_like=True):
     """Consecutive tasks of a step that are done and have no run."""
 
-    step: int
-    first_index: int
-    count: int
+    step: Number
+    first_index: Number
+    count: Number
 
 
 class ProgressPart(msgspec.Struct, frozen=True, array_like=True):
@@ -42,8 +47,8 @@
     ``hosts`` and ``host_start_times_ms`` are as in ``JobProgress``.
     """
 
-    occurrence: int
-    number: int
+    occurrence: Number
+    number: Number
     hosts: tuple[str, ...] = ()
     tasks: tuple[TaskProgress, ...] = ()
     host_start_times_ms: tuple[int | None, ...] = ()
@@ -81,14 +86,17 @@
     return msgspec.msgpack.encode(part)
 
 
+@reads_foreign_input
 def decode_part(key: PartKey, value: bytes) -> ProgressPart:
-    """Decode a part; raise ``msgspec.MsgspecError`` if it is malformed."""
-    part = msgspec.msgpack.decode(value, type=ProgressPart)
+    """Decode a part; raise ``MalformedInputError`` if it is malformed."""
+    part = decode_msgpack(value, ProgressPart)
     if (part.occurrence, part.number) != (key.occurrence, key.number):
         raise msgspec.ValidationError(f"part {part.occurrence}/{part.number} has the key {key}")
     check_hosts(part.hosts, part.host_start_times_ms, part.tasks)
     if any(min(done.step, done.first_index) < 0 for done in part.done):
         raise msgspec.ValidationError("a negative number of a done task")
+    if any(done.count < 0 for done in part.done):
+        raise msgspec.ValidationError("a negative count of done tasks")
     if sum(done.count for done in part.done) > PART_TASKS:
         raise msgspec.ValidationError(f"more than {PART_TASKS} done tasks in a part")
     return part
--- a/src/robinthread/_internal/models/job_policy.py
+++ b/src/robinthread/_internal/models/job_policy.py
@@ -3,6 +3,7 @@
 import msgspec
 
 from robinthread._internal.models.queue_policy import AdvicePolicy, QueuePolicy
+from robinthread._internal.utils.foreign_input import DurationMs, Number, Ratio
 
 
 class JobPolicy(msgspec.Struct, frozen=True, array_like=True):
@@ -11,10 +12,10 @@
     It is stored with the job, so new fields are appended at the end and have a default.
     """
 
-    priority: int
-    attempts_max: int
-    stretch: float
-    latency_target_ms: int
+    priority: Number
+    attempts_max: Number
+    stretch: Ratio
+    latency_target_ms: DurationMs
     advice: AdvicePolicy | None = None
 
 
@@ -22,7 +23,7 @@
     """A policy and the version of the configuration that it is from."""
 
     policy: JobPolicy
-    config_version: int
+    config_version: Number
 
 
 def make_job_policy(queue: QueuePolicy) -> JobPolicy:
--- a/src/robinthread/_internal/models/job_spec.py
+++ b/src/robinthread/_internal/models/job_spec.py
@@ -129,7 +129,6 @@
         "" if task_count <= TASKS_MAX else f"a job has at most {TASKS_MAX} tasks",
         "" if min(job.occurrence_count, job.interval_ms) >= 0 else "a negative time",
         "" if _has_bearable_times(job) else "a time of a job is out of range",
-        "" if job.policy is None else _find_policy_fault(job.policy),
     )
 
 
@@ -138,20 +137,3 @@
     times_ms = (job.first_due_ms, job.interval_ms, job.accepted_at_ms, last_due_ms)
     is_counted = job.occurrence_count <= SIZE_MAX and abs(job.config_version) <= NUMBER_MAX
     return is_counted and all(abs(time_ms) <= TIME_MAX_MS for time_ms in times_ms)
-
-
-def _find_policy_fault(policy: JobPolicy) -> str:
-    advice = policy.advice
-    advice_times_ms = (
-        () if advice is None else (advice.base_ms, advice.per_host_ms, advice.valid_ms)
-    )
-    numbers = (
-        policy.priority,
-        policy.attempts_max,
-        policy.stretch,
-        policy.latency_target_ms,
-        *advice_times_ms,
-    )
-    # Not a number is over any bound.
-    is_bearable = all(abs(number) <= NUMBER_MAX for number in numbers)
-    return "" if is_bearable else "a number of the job's policy is out of range"
--- a/src/robinthread/_internal/models/queue_policy.py
+++ b/src/robinthread/_internal/models/queue_policy.py
@@ -2,6 +2,8 @@
 
 from dataclasses import dataclass
 
+from robinthread._internal.utils.foreign_input import DurationMs
+
 
 @dataclass(frozen=True, slots=True)
 class AdvicePolicy:
@@ -11,9 +13,9 @@
     tickets are valid for ``valid_ms``.
     """
 
-    base_ms: int
-    per_host_ms: int
-    valid_ms: int
+    base_ms: DurationMs
+    per_host_ms: DurationMs
+    valid_ms: DurationMs
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/robinthread/_internal/node/group_member.py
+++ b/src/robinthread/_internal/node/group_member.py
@@ -13,6 +13,11 @@
 from robinthread._internal.durable.store import Store
 from robinthread._internal.node.owner_liveness import OwnerLiveness
 from robinthread._internal.telemetry.event_log import EventLog
+from robinthread._internal.utils.foreign_input import (
+    MalformedInputError,
+    decode_json,
+    shorten,
+)
 
 GROUP: Final = "robinthread"
 # The store lists only members that hold a partition.  A topic has as few as twelve partitions, and
@@ -236,9 +241,11 @@
 
     def _parse_member(self, name: str) -> Member | None:
         try:
-            return msgspec.json.decode(name, type=Member)
-        except msgspec.MsgspecError as error:
-            self._events.gather("member_malformed", listed={"members": name}, error=str(error))
+            return decode_json(name, Member)
+        except MalformedInputError as error:
+            self._events.gather(
+                "member_malformed", listed={"members": shorten(name)}, error=shorten(str(error))
+            )
             return None
 
     def _change_topic(self) -> None:
--- a/src/robinthread/_internal/node/machine_orders.py
+++ b/src/robinthread/_internal/node/machine_orders.py
@@ -9,6 +9,7 @@
 
 from robinthread._internal.durable.errors import StoreFencedError
 from robinthread._internal.durable.journal import Journal
+from robinthread._internal.durable.malformed_records import MalformedRecords
 from robinthread._internal.durable.order_records import (
     OrderTarget,
     make_orders_record,
@@ -94,11 +95,12 @@
     def load(self, records: tuple[KeyedRecord, ...]) -> None:
         """Block the machines that the previous steward recorded for ``wait_s``."""
         now_s = get_loop_s()
+        malformed = MalformedRecords(self._events, "orders")
         for record in records:
             try:
                 self._targets |= parse_orders_record(record).targets_by_machine
             except msgspec.MsgspecError as error:
-                self._events.write("record_malformed", key=record.key, error=str(error))
+                malformed.tell(record, error)
         self._paused_until_s = dict.fromkeys(self._targets, now_s + self._wait_s)
         self._ordered_at_s = dict.fromkeys(self._targets, now_s)
         self._recorded = dict(self._targets)
--- a/src/robinthread/_internal/node/progress_loader.py
+++ b/src/robinthread/_internal/node/progress_loader.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from robinthread._internal.durable.errors import StoreError, StoreFencedError
+from robinthread._internal.durable.malformed_records import MalformedRecords
 from robinthread._internal.durable.newest_reader import NewestReader
 from robinthread._internal.durable.settled_record import KEY_PREFIX, parse_settled_record
 from robinthread._internal.durable.store import KeyedRecord, NewestRecords, Partition, Store
@@ -43,6 +44,7 @@
     found: dict[str, JobProgress] = {}
     parts: dict[str, list[ProgressPart]] = defaultdict(list)
     settled_before_token = 0
+    malformed = MalformedRecords(events, "progress")
     for record in records:
         if record.value is None:
             continue
@@ -56,7 +58,7 @@
             else:
                 _add_progress(found, record)
         except msgspec.MsgspecError as error:
-            events.write("record_malformed", key=record.key, error=str(error))
+            malformed.tell(record, error)
     merged = {job_id: merge_parts(job_id, found.get(job_id), parts[job_id]) for job_id in parts}
     part_keys = {
         job_id: [PartKey(part.occurrence, part.number) for part in job_parts]
--- a/src/robinthread/_internal/node/wave_tracker.py
+++ b/src/robinthread/_internal/node/wave_tracker.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from robinthread._internal.durable.journal import Journal
+from robinthread._internal.durable.malformed_records import MalformedRecords
 from robinthread._internal.durable.store import KeyedRecord
 from robinthread._internal.durable.wave_records import make_wave_record, parse_wave_record
 from robinthread._internal.fleet.fleet_view import UpkeepOrder, WaveView
@@ -34,6 +35,7 @@
         self._status_journal = status_journal
         self._records = records
         self._events = events
+        self._malformed = MalformedRecords(events, "waves")
         self._begun: dict[int, set[str]] = {}
         self._upkeep_tracker = UpkeepTracker(upkeep_s)
         self._published: dict[int, bool] = {}
@@ -44,7 +46,7 @@
             try:
                 progress = parse_wave_record(record)
             except msgspec.MsgspecError as error:
-                self._events.write("record_malformed", key=record.key, error=str(error))
+                self._malformed.tell(record, error)
                 continue
             self._begun[progress.wave] = set(progress.begun)
 
