--- a/src/robinthread/_internal/claims/records.py
+++ b/src/robinthread/_internal/claims/records.py
@@ -3,6 +3,7 @@
 import msgspec
 
 from robinthread._internal.claims.claim import Claim
+from robinthread._internal.utils.foreign_input import decode_msgpack
 
 
 class PartitionTaken(msgspec.Struct, frozen=True, array_like=True, tag=1):
@@ -30,5 +31,5 @@
 
 
 def decode_partition_record(data: bytes) -> PartitionRecord:
-    """Decode a record; raise ``msgspec.MsgspecError`` if the bytes are malformed."""
-    return msgspec.msgpack.decode(data, type=PartitionRecord)
+    """Decode a record; raise ``MalformedInputError`` if the bytes are malformed."""
+    return decode_msgpack(data, PartitionRecord)  # type: ignore[arg-type]
--- a/src/robinthread/_internal/cli/main.py
+++ b/src/robinthread/_internal/cli/main.py
@@ -16,6 +16,7 @@
 METRICS_FLAG: Final = "--metrics_port="
 POLICY_FLAG: Final = "--policy="
 PORTS_COUNT: Final = 65536
+PORT_DIGITS_MAX: Final = 5
 
 
 def run_command_line(arguments: Sequence[str]) -> int:
@@ -73,7 +74,8 @@
 
 
 def _parse_port(text: str) -> int:
-    if not text.isdigit() or not 0 < int(text) < PORTS_COUNT:
+    is_number = text.isascii() and text.isdigit() and len(text) <= PORT_DIGITS_MAX
+    if not is_number or not 0 < int(text) < PORTS_COUNT:
         error_text = f"{METRICS_FLAG}PORT is a whole number from 1 to 65535, not {text!r}"
         raise FaultError(make_fault(ResultCode.BAD_ARGUMENT, error_text))
     return int(text)
--- a/src/robinthread/_internal/commands/client.py
+++ b/src/robinthread/_internal/commands/client.py
@@ -84,6 +84,9 @@
 def _read_token(path: str) -> str:
     try:
         return Path(path).read_text(encoding="utf-8").strip()
+    except ValueError as error:
+        error_text = f"--token_file {path} cannot be read: it is not text"
+        raise FaultError(make_fault(ResultCode.BAD_ARGUMENT, error_text)) from error
     except OSError as error:
         error_text = f"--token_file {path} cannot be read: {error.strerror}"
         raise FaultError(make_fault(ResultCode.BAD_ARGUMENT, error_text)) from error
--- a/src/robinthread/_internal/commands/standin.py
+++ b/src/robinthread/_internal/commands/standin.py
@@ -20,6 +20,7 @@
 from robinthread._internal.standins.log_standin import LogStandin
 from robinthread._internal.standins.worker_standin import WorkerStandin
 from robinthread._internal.utils.files import read_text
+from robinthread._internal.utils.foreign_input import shorten
 
 BODY_MAX_BYTES = 64_000_000
 
@@ -63,5 +64,6 @@
     try:
         raw = tomllib.loads(read_text(path))
         return msgspec.convert(raw.get("host", []), tuple[ListedHost, ...])
-    except (tomllib.TOMLDecodeError, msgspec.ValidationError) as error:
-        raise FaultError(make_fault(ResultCode.BAD_ARGUMENT, f"{path}: {error}")) from error
+    except (ValueError, RecursionError) as error:
+        problem = f"{path}: {shorten(str(error))}"
+        raise FaultError(make_fault(ResultCode.BAD_ARGUMENT, problem)) from error
--- a/src/robinthread/_internal/daemon/host_list_task.py
+++ b/src/robinthread/_internal/daemon/host_list_task.py
@@ -14,6 +14,7 @@
 from robinthread._internal.follow.host_list import ListedHost
 from robinthread._internal.models.fleet_state import FleetState
 from robinthread._internal.models.host_phase import HostPhase
+from robinthread._internal.utils.foreign_input import MalformedInputError
 
 REMOVABLE_PHASES: Final = (HostPhase.FREE, HostPhase.FAILED, HostPhase.OUT, HostPhase.LEAVING)
 
@@ -32,7 +33,7 @@
             try:
                 listed = await daemon.environment.list_hosts()
                 await _publish_changes(daemon, listed)
-            except (OSError, HTTPError):
+            except (OSError, HTTPError, MalformedInputError):
                 daemon.counters.add("host_list_failures")
         await asyncio.sleep(daemon.settings.platform.host_list_interval_s)
 
--- a/src/robinthread/_internal/entry/handler.py
+++ b/src/robinthread/_internal/entry/handler.py
@@ -1,5 +1,6 @@
 """HTTP handlers of callers' requests; see docs/interfaces/callers.md."""
 
+import re
 from typing import Final
 
 from tornado.web import Application, RequestHandler
@@ -16,6 +17,8 @@
 HEADER_REQUEST: Final = "Request-Id"
 HEADER_TEAM: Final = "Team"
 HEADER_URGENCY: Final = "Urgency"
+# A whole number from 1, whose digits are bounded.
+TRY_NUMBER: Final = re.compile("[1-9][0-9]{0,8}", re.ASCII)
 HEADER_DEADLINE: Final = "Deadline-At-S"
 HEADER_REPEAT: Final = "May-Repeat"
 HEADER_TRY: Final = "Try-Number"
@@ -99,7 +102,7 @@
 
     def _get_try_number(self) -> int:
         text = self.request.headers.get(HEADER_TRY, "1")
-        if not text.isdigit() or int(text) < 1:
+        if not TRY_NUMBER.fullmatch(text):
             raise _make_header_error(HEADER_TRY, "a whole number from 1")
         return int(text)
 
--- a/src/robinthread/_internal/fold/envelope.py
+++ b/src/robinthread/_internal/fold/envelope.py
@@ -4,6 +4,8 @@
 
 import msgspec
 
+from robinthread._internal.utils.foreign_input import decode_msgpack
+
 SCHEMA_VERSION = 1
 
 
@@ -30,5 +32,5 @@
 
 
 def decode_batch(data: bytes) -> tuple[Envelope, ...]:
-    """Decode the envelopes of one log record; raise ``msgspec.DecodeError`` if it is malformed."""
-    return msgspec.msgpack.decode(data, type=tuple[Envelope, ...])
+    """Decode the envelopes of one log record; raise ``MalformedInputError`` if it is malformed."""
+    return decode_msgpack(data, tuple[Envelope, ...])
--- a/src/robinthread/_internal/fold/folder.py
+++ b/src/robinthread/_internal/fold/folder.py
@@ -14,6 +14,7 @@
 from robinthread._internal.fold.step import FoldResult
 from robinthread._internal.models.fleet_state import FleetState
 from robinthread._internal.results import ResultCode
+from robinthread._internal.utils.foreign_input import MalformedInputError, decode_msgpack
 
 SEEN_IDS_MAX = 8192
 
@@ -76,7 +77,7 @@
     def _iter_folded(self, offset: int, data: bytes) -> Iterator[FoldedRecord]:
         try:
             batch = decode_batch(data)
-        except msgspec.DecodeError:
+        except MalformedInputError:
             yield FoldedRecord(offset, "", "", ResultCode.UNKNOWN_KIND)
             return
         for envelope in batch:
@@ -106,8 +107,8 @@
     if kind is None or envelope.version > SCHEMA_VERSION:
         return None, Failure(ResultCode.UNKNOWN_KIND)
     try:
-        body: object = msgspec.msgpack.decode(envelope.body, type=kind.body_type)
-    except msgspec.MsgspecError:
+        body: object = decode_msgpack(envelope.body, kind.body_type)
+    except MalformedInputError:
         return None, Failure(ResultCode.UNKNOWN_KIND)
     position = Position(offset, envelope.author, envelope.incarnation)
     return body, kind.fold(state, body, position)
--- a/src/robinthread/_internal/follow/host_list.py
+++ b/src/robinthread/_internal/follow/host_list.py
@@ -3,9 +3,10 @@
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 
-import msgspec
 from tornado.httpclient import AsyncHTTPClient
 
+from robinthread._internal.utils.foreign_input import decode_json
+
 
 @dataclass(frozen=True)
 class ListedHost:
@@ -29,6 +30,6 @@
 
     async def list_hosts() -> tuple[ListedHost, ...]:
         response = await client.fetch(f"{base_url}/v1/hosts")
-        return msgspec.json.decode(response.body, type=tuple[ListedHost, ...])
+        return decode_json(response.body, tuple[ListedHost, ...])
 
     return list_hosts
--- a/src/robinthread/_internal/operators/calls.py
+++ b/src/robinthread/_internal/operators/calls.py
@@ -5,7 +5,6 @@
 from collections.abc import Awaitable, Callable
 from typing import TYPE_CHECKING, Any, Final
 
-import msgspec
 from returns.result import Success
 
 from robinthread._internal.fold.envelope import decode_batch
@@ -26,6 +25,7 @@
 from robinthread._internal.operators.preview_call import preview_wave
 from robinthread._internal.operators.status_call import make_status
 from robinthread._internal.results import Fault, FaultError, ResultCode, make_fault
+from robinthread._internal.utils.foreign_input import MalformedInputError, decode_msgpack
 
 if TYPE_CHECKING:
     from robinthread._internal.daemon.daemon import Daemon
@@ -228,7 +228,10 @@
     for envelope in decode_batch(data):
         if envelope.kind != "config_published":
             continue
-        body = msgspec.msgpack.decode(envelope.body, type=ConfigPublished)
+        try:
+            body = decode_msgpack(envelope.body, ConfigPublished)
+        except MalformedInputError:
+            continue
         code = daemon.follower.folder.get_outcome(envelope.id)
         if body.name == name:
             found.append(
--- a/src/robinthread/_internal/operators/handler.py
+++ b/src/robinthread/_internal/operators/handler.py
@@ -13,6 +13,7 @@
 from robinthread._internal.operators.calls import CALLS, make_outcome
 from robinthread._internal.platform_log.errors import LogReplyLostError, LogUnavailableError
 from robinthread._internal.results import Fault, FaultError, ResultCode, make_fault
+from robinthread._internal.utils.foreign_input import shorten
 
 JSON_TYPE = "application/json"
 BINARY_TYPE = "application/x-protobuf"
@@ -79,8 +80,8 @@
                 message.ParseFromString(self._handler.request.body)
             else:
                 json_format.Parse(self._handler.request.body or b"{}", message)
-        except (DecodeError, json_format.ParseError, UnicodeDecodeError) as error:
-            raise FaultError(make_fault(ResultCode.BAD_ARGUMENT, str(error))) from error
+        except (DecodeError, json_format.ParseError, ValueError, RecursionError) as error:
+            raise FaultError(make_fault(ResultCode.BAD_ARGUMENT, shorten(str(error)))) from error
         return message
 
     def _is_binary(self) -> bool:
--- a/src/robinthread/_internal/peers/router.py
+++ b/src/robinthread/_internal/peers/router.py
@@ -143,7 +143,7 @@
             self._counters.add("peer_bytes_received", len(data))
             try:
                 frame = self._decoder.decode(data)
-            except msgspec.MsgspecError:
+            except (msgspec.MsgspecError, RecursionError):
                 self._counters.add("peer_frames_malformed")
                 continue
             self._receive(frame)
--- a/src/robinthread/_internal/settings/parse.py
+++ b/src/robinthread/_internal/settings/parse.py
@@ -19,6 +19,7 @@
 )
 from robinthread._internal.settings.daemon_settings import DaemonSettings
 from robinthread._internal.settings.policy_settings import PolicySettings
+from robinthread._internal.utils.foreign_input import shorten
 
 UNITS: Final = ("_s", "_ms", "_min", "_bytes", "_mb")
 CLOSE_MATCH_CUTOFF: Final = 0.6
@@ -58,8 +59,9 @@
     """
     try:
         raw = tomllib.loads(text)
-    except tomllib.TOMLDecodeError as error:
-        return Failure(Fault(ResultCode.BAD_SETTINGS, f"{path} is not valid TOML: {error}."))
+    except (ValueError, RecursionError) as error:
+        message = f"{path} is not valid TOML: {shorten(str(error))}."
+        return Failure(Fault(ResultCode.BAD_SETTINGS, message))
     problems = list(_iter_problems(settings_type, raw, ()))
     invalid_keys = frozenset(problem.key for problem in problems)
     settings: T = _make(settings_type, _drop_keys(raw, invalid_keys, ()))
--- a/src/robinthread/_internal/snapshots/snapshot.py
+++ b/src/robinthread/_internal/snapshots/snapshot.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from robinthread._internal.fold.folder import FolderImage, make_digest
+from robinthread._internal.utils.foreign_input import MalformedInputError, decode_msgpack
 
 COMPRESSION_LEVEL = 6
 
@@ -28,7 +29,7 @@
 def decode_snapshot(data: bytes) -> Snapshot | None:
     """Return the decoded snapshot, or None if it is malformed or its digest does not match."""
     try:
-        snapshot = msgspec.msgpack.decode(zlib.decompress(data), type=Snapshot)
-    except (zlib.error, msgspec.MsgspecError):
+        snapshot = decode_msgpack(zlib.decompress(data), Snapshot)
+    except (zlib.error, MalformedInputError):
         return None
     return snapshot if make_digest(snapshot.image) == snapshot.digest else None
--- a/src/robinthread/_internal/timeline/log_line.py
+++ b/src/robinthread/_internal/timeline/log_line.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 from typing import Any, Final
 
-import msgspec
+from robinthread._internal.utils.foreign_input import NUMBER_MAX, MalformedInputError, decode_json
 
 # Keys of every line, in addition to the fields of its event.
 ENVELOPE: Final = frozenset({"at", "node", "event", "level"})
@@ -52,10 +52,11 @@
         if brace < 0:
             continue
         try:
-            values = msgspec.json.decode(text[brace:], type=dict[str, Any])
-        except msgspec.MsgspecError:
+            values = decode_json(text[brace:], dict[str, Any])
+        except MalformedInputError:
             continue
         event, at_s = values.get("event"), values.get("at", math.nan)
-        if isinstance(event, str) and isinstance(at_s, int | float):
+        is_time = isinstance(at_s, int | float) and not abs(at_s) > NUMBER_MAX
+        if isinstance(event, str) and is_time:
             fields = {key: value for key, value in values.items() if key not in ENVELOPE}
             yield LogLine(float(at_s), str(values.get("node", "")), event, fields)
--- a/src/robinthread/_internal/upstream/http_client.py
+++ b/src/robinthread/_internal/upstream/http_client.py
@@ -6,6 +6,7 @@
 import msgspec
 import pycurl
 from tornado.httpclient import AsyncHTTPClient, HTTPClientError, HTTPRequest, HTTPResponse
+from tornado.httputil import HTTPInputError
 
 from robinthread._internal.upstream.control import ControlCall, ControlReply
 from robinthread._internal.upstream.errors import UpstreamLostError, UpstreamUnsentError
@@ -13,6 +14,7 @@
 from robinthread._internal.upstream.report import WorkerReport
 from robinthread._internal.upstream.service import UpstreamService
 from robinthread._internal.upstream.task import Task
+from robinthread._internal.utils.foreign_input import MalformedInputError, decode_json, shorten
 from robinthread._internal.utils.http_errors import was_never_sent
 
 HEADER_KEY = "Task-Key"
@@ -80,6 +82,9 @@
         raise UpstreamLostError(str(error)) from error
     except OSError as error:
         raise UpstreamLostError(str(error)) from error
+    except (ValueError, TypeError, HTTPInputError, pycurl.error) as error:
+        # The client has rejected the URL or a header.
+        raise UpstreamUnsentError(f"{type(error).__name__}: {shorten(str(error))}") from error
 
 
 def _parse_reply(response: HTTPResponse) -> WorkerReply:
@@ -93,11 +98,11 @@
             headers[HEADER_DIGEST],
         )
     except (KeyError, ValueError) as error:
-        raise UpstreamLostError(f"malformed task reply: {error}") from error
+        raise UpstreamLostError(f"malformed task reply: {shorten(str(error))}") from error
 
 
 def _decode(body: bytes, type_: type[T]) -> T:
     try:
-        return msgspec.json.decode(body, type=type_)
-    except msgspec.MsgspecError as error:
+        return decode_json(body, type_)
+    except MalformedInputError as error:
         raise UpstreamLostError(f"malformed {type_.__name__}: {error}") from error
--- a/src/robinthread/_internal/utils/files.py
+++ b/src/robinthread/_internal/utils/files.py
@@ -9,5 +9,5 @@
     """Return the text of an operator's file; raise ``FaultError`` if it cannot be read."""
     try:
         return Path(path).read_text(encoding="utf-8")
-    except (OSError, UnicodeDecodeError) as error:
+    except (OSError, ValueError) as error:
         raise FaultError(make_fault(ResultCode.BAD_ARGUMENT, f"{path}: {error}")) from error
--- a/tests/lib/answering_fetcher.py
+++ b/tests/lib/answering_fetcher.py
@@ -30,12 +30,14 @@
         self._calls_max = calls_max
         self._call_count = 0
 
-    async def fetch(self, request: HTTPRequest, raise_error: bool = False) -> HTTPResponse:
+    async def fetch(self, request: HTTPRequest | str, raise_error: bool = False) -> HTTPResponse:
         """Return the answer; like a real client, yield to other tasks at least once."""
         await asyncio.sleep(0.001)
         self._call_count += 1
         if self._call_count > self._calls_max:
             raise TooManyCallsError(f"more than {self._calls_max} calls")
+        if isinstance(request, str):
+            request = HTTPRequest(request)
         status, body = self._answer(request)
         return HTTPResponse(request, status, buffer=BytesIO(body))
 
