Long keys, ids of no job, waves under other keys and unknown states are told apart

Found by reading what the new boundary lets through. A key over 255 bytes raised ValueError into the task that wrote it (StoreRejectedError now); GET and DELETE of an id that no job can have reached the owners and, for DELETE, could become the key of another record (410 at once); a wave's record under another wave's key replaced that wave (malformed); a state or outcome that this build doesn't know raised ValueError out of a peer's answer (PeerUnreachableError). Malformed requests of peers are told (input_malformed, with peer and call), those of the store and of the whole list of machines counted.

--- a/src/robinthread/_internal/node/config_holder.py
+++ b/src/robinthread/_internal/node/config_holder.py
@@ -11,6 +11,7 @@
 from robinthread._internal.models.upkeep_wave import UpkeepWave
 from robinthread._internal.node.environment import PlatformRecords
 from robinthread._internal.telemetry.event_log import EventLog
+from robinthread._internal.utils.foreign_input import MalformedInputError
 
 
 class ConfigHolder:
@@ -51,7 +52,10 @@
             if key == self._records.config_key:
                 self._apply_config(self._records.parse_config(value))
             elif key.startswith(self._records.wave_prefix):
-                self._apply_wave(self._records.parse_wave(value))
+                wave = self._records.parse_wave(value)
+                if key != f"{self._records.wave_prefix}{wave.number}":
+                    raise MalformedInputError(f"the key is not that of wave {wave.number}")
+                self._apply_wave(wave)
         except msgspec.MsgspecError as error:
             self._malformed.tell(record, error)
 
--- a/src/robinthread/_internal/node/peer_client.py
+++ b/src/robinthread/_internal/node/peer_client.py
@@ -10,7 +10,11 @@
     PeerUnsentError,
 )
 from robinthread._internal.node.peer_messages import REQUEST_PATHS
-from robinthread._internal.utils.foreign_input import MalformedInputError, decode_msgpack
+from robinthread._internal.utils.foreign_input import (
+    MalformedInputError,
+    decode_msgpack,
+    shorten,
+)
 from robinthread._internal.utils.http_call import CallLostError, CallUnsentError, HttpClient, call
 
 T = TypeVar("T")
@@ -42,5 +46,10 @@
             return decode_msgpack(response.body, response_type)
         except CallUnsentError as error:
             raise PeerUnsentError(str(error)) from error
-        except (CallLostError, MalformedInputError) as error:
+        except MalformedInputError as error:
+            path = REQUEST_PATHS[type(request)]
+            raise PeerUnreachableError(
+                f"malformed answer of {shorten(address)} to {path}: {error.cause_name}: {error}"
+            ) from error
+        except CallLostError as error:
             raise PeerUnreachableError(str(error)) from error
--- a/src/robinthread/_internal/node/peer_messages.py
+++ b/src/robinthread/_internal/node/peer_messages.py
@@ -1,12 +1,23 @@
 """Messages between nodes, and the URL path of each type of request."""
 
-from typing import Final
+from typing import Annotated, Final
 
 import msgspec
 
 from robinthread._internal.fleet.pool_report import FleetReportRequest
+from robinthread._internal.models.job_status import JobStatus
+from robinthread._internal.node.job_request_outcome import JobRequestOutcome
 from robinthread._internal.utils.foreign_input import Number, Seconds
 
+# Texts of states and outcomes; a peer's answer with any other is malformed.
+StatusText = Annotated[
+    str, msgspec.Meta(pattern=rf"\A(?:{'|'.join(status.value for status in JobStatus)})?\Z")
+]
+OutcomeText = Annotated[
+    str,
+    msgspec.Meta(pattern=rf"\A(?:{'|'.join(outcome.value for outcome in JobRequestOutcome)})\Z"),
+]
+
 
 class JobRequest(msgspec.Struct, frozen=True, array_like=True):
     """Requests the state of a job from the owner of its pool."""
@@ -24,7 +35,7 @@
 
     is_owner: bool
     pool: str = ""
-    status: str = ""
+    status: StatusText = ""
     workspace: str = ""
 
 
@@ -107,7 +118,7 @@
     ``retry_after_s`` is when a refused record is expected to be accepted, 0 if unknown.
     """
 
-    outcome: str
+    outcome: OutcomeText
     retry_after_s: Seconds = 0.0
 
 
--- a/src/robinthread/_internal/node/process.py
+++ b/src/robinthread/_internal/node/process.py
@@ -146,7 +146,7 @@
 ) -> HTTPServer:
     """Listen for the load balancer, for nodes and for callers; return the callers' server."""
     listen(make_ready_application(assembled.readiness.check), settings.ready_address)
-    listen(make_peer_application(assembled.request_handler), peer_address)
+    listen(make_peer_application(assembled.request_handler, events), peer_address)
     application = make_callers_application(
         assembled.job_service, assembled.config_holder, events, requests
     )
--- a/src/robinthread/_internal/platform/callers.py
+++ b/src/robinthread/_internal/platform/callers.py
@@ -16,7 +16,7 @@
 from robinthread._internal.node.job_request_outcome import JobRequestOutcome, JobRequestResult
 from robinthread._internal.node.job_service import JobService
 from robinthread._internal.node.open_requests import OpenRequests
-from robinthread._internal.platform.job_bodies import parse_job
+from robinthread._internal.platform.job_bodies import JOB_ID, parse_job
 from robinthread._internal.results import MEANINGS, ResultCode
 from robinthread._internal.telemetry.event_log import EventLog
 from robinthread._internal.utils.foreign_input import (
@@ -130,6 +130,9 @@
             else:
                 self._respond(200, ResultCode.OK, pending=count)
             return
+        if not JOB_ID.fullmatch(call.rest):
+            self._respond_with_outcome(JobRequestOutcome.NO_SUCH_JOB)
+            return
         job_state = await self._job_service.get_status(call.queue, call.rest, call.workspace)
         if job_state.status is not None:
             self._respond(200, ResultCode.OK, state=STATUS_WORDS[job_state.status])
@@ -141,6 +144,9 @@
         call = self._resolve_call()
         if call is None:
             return
+        if not JOB_ID.fullmatch(call.rest):
+            self._respond_with_outcome(JobRequestOutcome.NO_SUCH_JOB)
+            return
         self._respond_with_result(
             await self._job_service.request_cancel(
                 call.queue, call.rest, self._get_deadline_s(), call.workspace
--- a/src/robinthread/_internal/platform/machines.py
+++ b/src/robinthread/_internal/platform/machines.py
@@ -34,6 +34,7 @@
     CallLostError,
     CallUnsentError,
     HttpClient,
+    MalformedResponseError,
     call,
     decode,
 )
@@ -98,7 +99,7 @@
         tokens: set[str] = set()
         path = "/machines"
         while len(tokens) < PAGES_MAX:
-            page = _decode(await self._call(path), _WireMachines)
+            page = self._decode_page(await self._call(path))
             rows += page.machines
             token = str(page.next_token or "")
             if not token:
@@ -109,6 +110,13 @@
             path = f"/machines?page_token={quote(token, safe='')}"
         raise MachineNoAnswerError(f"the list of machines has over {PAGES_MAX} pages")
 
+    def _decode_page(self, response: HTTPResponse) -> _WireMachines:
+        try:
+            return decode(response.body, _WireMachines)
+        except MalformedResponseError as error:
+            self._metrics.count_event("input_malformed", "machines")
+            raise MachineNoAnswerError(str(error)) from error
+
     def _parse_rows(self, rows: Iterable[msgspec.Raw]) -> tuple[Machine, ...]:
         found: dict[str, Machine] = {}
         odd: set[str] = set()
--- a/src/robinthread/_internal/platform/store.py
+++ b/src/robinthread/_internal/platform/store.py
@@ -45,6 +45,7 @@
     CallLostError,
     CallUnsentError,
     HttpClient,
+    MalformedResponseError,
     call,
     decode,
 )
@@ -57,6 +58,7 @@
 READ_MAX_KB: Final = 128
 # Index of the member's name in a row of the list of members.
 MEMBER_COLUMN: Final = 2
+KEY_MAX_BYTES: Final = 255
 T = TypeVar("T")
 REFUSED_STATUSES: Final = frozenset({429, 503, 507})
 # Statuses whose body tells what the call should have been.
@@ -128,7 +130,7 @@
             query |= {"producer": stamp.name, "epoch": stamp.epoch, "sequence": stamp.sequence}
         body = b"".join(map(_encode_record, records))
         response = await self._call(f"/log-append?{urlencode(query)}", body, timeout_s=timeout_s)
-        appended = _decode_response(response, _WireAppended)
+        appended = self._decode(response, _WireAppended)
         return AppendResult(appended.offset, appended.end)
 
     async def read(
@@ -167,7 +169,7 @@
             # In this call "depends_on" is the key after which the page begins.
             query["depends_on"] = after_key
         response = await self._call(f"/log-newest?{urlencode(query)}", timeout_s=timeout_s)
-        page = _decode_response(response, _WireNewest)
+        page = self._decode(response, _WireNewest)
         records = tuple(filter(None, map(_decode_item, page.items)))
         if page.has_more and not records:
             raise StoreNoAnswerError("a page that is not the last has no readable record")
@@ -188,7 +190,7 @@
             "generation": generation,
         }
         response = await self._call("/log-join", msgspec.json.encode(body))
-        return Membership(_decode_response(response, _WireJoined).generation)
+        return Membership(self._decode(response, _WireJoined).generation)
 
     async def leave(self, group: str, member: str) -> None:
         """Leave a group."""
@@ -198,12 +200,20 @@
     async def list_members(self, group: str) -> frozenset[str]:
         """List the members of a group that have a partition assigned."""
         response = await self._call(f"/log-owners?group={quote(group)}")
-        found = _decode_response(response, _WireOwners)
+        found = self._decode(response, _WireOwners)
         # Columns of a row: topic, partition, member, committed offset.
         rows = found.parts or found.owners
         members = (row[MEMBER_COLUMN] for row in rows if len(row) > MEMBER_COLUMN)
         return frozenset(str(name) for name in members if name)
 
+    def _decode(self, response: HTTPResponse, type_: type[T]) -> T:
+        """Decode the body of a response; raise ``StoreNoAnswerError`` if it is malformed."""
+        try:
+            return decode(response.body, type_)
+        except MalformedResponseError as error:
+            self._metrics.count_event("input_malformed", "store")
+            raise StoreNoAnswerError(str(error)) from error
+
     async def _call(
         self,
         path: str,
@@ -241,14 +251,6 @@
         return response
 
 
-def _decode_response(response: HTTPResponse, type_: type[T]) -> T:
-    """Decode the body of a response; raise ``StoreNoAnswerError`` if it is malformed."""
-    try:
-        return decode(response.body, type_)
-    except CallLostError as error:
-        raise StoreNoAnswerError(str(error)) from error
-
-
 def _make_error(response: HTTPResponse) -> StoreError:
     if response.code in REFUSED_STATUSES:
         return StoreRefusedError(f"the store responded with status {response.code}")
@@ -285,6 +287,8 @@
 
 def _encode_record(record: KeyedRecord) -> bytes:
     key = record.key.encode()
+    if len(key) > KEY_MAX_BYTES:
+        raise StoreRejectedError(f"a key of {len(key)} bytes: {quote_bytes(key)}")
     body = bytes([len(key)]) + key + (record.value or b"")
     return struct.pack(">I", len(body)) + body
 
--- a/src/robinthread/_internal/telemetry/levels.py
+++ b/src/robinthread/_internal/telemetry/levels.py
@@ -13,6 +13,7 @@
     "end_forced",
     "host_lapsed",
     "host_lost",
+    "input_malformed",
     "job_failed",
     "journal_stalled",
     "lines_lost",
--- a/tests/functional/test_hostile_bodies.py
+++ b/tests/functional/test_hostile_bodies.py
@@ -138,6 +138,24 @@
 
             self.assertEqual([400], asyncio.run(play()))
 
+    def test_id_that_no_job_has_is_unknown_at_once(self) -> None:
+        """Guards against a record with the key of another, or over the length of a key."""
+
+        async def play() -> list[int]:
+            async with serve_callers() as site:
+                site.configure(**CONFIG)
+                ids = ("x" * 300, JOB_ID + "/1", JOB_ID.upper(), JOB_ID + "%0A", "%00")
+                paths = [f"/sheets/{job_id}" for job_id in ids]
+                found = [
+                    (await site.call(method, path)).code
+                    for method in ("GET", "DELETE")
+                    for path in paths
+                ]
+                self.assertEqual([], site.job_service.asked_by)
+                return found
+
+        self.assertEqual([410] * 10, asyncio.run(play()))
+
     def test_deadline_may_be_hostile(self) -> None:
         """Guards against 500 for a deadline that is no number that a float holds."""
 
