--- a/src/robinthread/_internal/platform/store.py
+++ b/src/robinthread/_internal/platform/store.py
@@ -1,9 +1,8 @@
 """Client of the platform's store."""
 
-import base64
 import struct
 import time
-from collections.abc import Iterator, Sequence
+from collections.abc import Sequence
 from typing import Any, Final, TypeVar
 from urllib.parse import quote, urlencode
 
@@ -29,6 +28,7 @@
     ReadPage,
     WriterStamp,
 )
+from robinthread._internal.platform.store_records import decode_item, encode_record, iter_records
 from robinthread._internal.telemetry.call_timer import timed_call
 from robinthread._internal.telemetry.node_metrics import NodeMetrics
 from robinthread._internal.utils.call_timeout import CallTimeout
@@ -58,7 +58,6 @@
 READ_MAX_KB: Final = 128
 # Index of the member's name in a row of the list of members.
 MEMBER_COLUMN: Final = 2
-KEY_MAX_BYTES: Final = 255
 T = TypeVar("T")
 REFUSED_STATUSES: Final = frozenset({429, 503, 507})
 # Statuses whose body tells what the call should have been.
@@ -80,13 +79,6 @@
     wanted: Count | None = None
 
 
-class _WireItem(msgspec.Struct):
-    # "tls_key" is the record's key and unrelated to TLS.
-    tls_key: str
-    offset: Count
-    value: str = ""
-
-
 class _WireNewest(msgspec.Struct):
     # Decoded one by one, so that a malformed record does not affect the others.
     items: list[msgspec.Raw]
@@ -128,7 +120,7 @@
             query["store_revision"] = expected_end
         if stamp is not None:
             query |= {"producer": stamp.name, "epoch": stamp.epoch, "sequence": stamp.sequence}
-        body = b"".join(map(_encode_record, records))
+        body = b"".join(map(encode_record, records))
         response = await self._call(f"/log-append?{urlencode(query)}", body, timeout_s=timeout_s)
         appended = self._decode(response, _WireAppended)
         return AppendResult(appended.offset, appended.end)
@@ -152,7 +144,7 @@
         response = await self._call(path, wait_s=wait_s, timeout_s=timeout_s)
         try:
             end, _first = struct.unpack_from(">QQ", response.body)
-            parsed = tuple(_iter_records(response.body, from_offset))
+            parsed = tuple(iter_records(response.body, from_offset))
         except (struct.error, IndexError) as error:
             raise StoreNoAnswerError(f"malformed page: {error}") from error
         if end > NUMBER_MAX:
@@ -170,7 +162,7 @@
             query["depends_on"] = after_key
         response = await self._call(f"/log-newest?{urlencode(query)}", timeout_s=timeout_s)
         page = self._decode(response, _WireNewest)
-        records = tuple(filter(None, map(_decode_item, page.items)))
+        records = tuple(filter(None, map(decode_item, page.items)))
         if page.has_more and not records:
             raise StoreNoAnswerError("a page that is not the last has no readable record")
         if page.has_more and records[-1].key == after_key:
@@ -283,41 +275,3 @@
     if is_rejected and response.code not in PASSING_STATUSES | STATUSES_WITH_DETAILS:
         return StoreRejectedError(message)
     return StoreNoAnswerError(message)
-
-
-def _encode_record(record: KeyedRecord) -> bytes:
-    key = record.key.encode()
-    if len(key) > KEY_MAX_BYTES:
-        raise StoreRejectedError(f"a key of {len(key)} bytes: {quote_bytes(key)}")
-    body = bytes([len(key)]) + key + (record.value or b"")
-    return struct.pack(">I", len(body)) + body
-
-
-def _iter_records(page: bytes, from_offset: int) -> Iterator[KeyedRecord | None]:
-    """Iterate over a page's records; yield None for those whose keys cannot be decoded."""
-    position, offset = 16, from_offset
-    while position < len(page):
-        (length,) = struct.unpack_from(">I", page, position)
-        record = page[position + 4 : position + 4 + length]
-        if len(record) < length:
-            raise IndexError("the page ends within a record")
-        yield _decode_record(record, offset)
-        position, offset = position + 4 + length, offset + 1
-
-
-def _decode_record(record: bytes, offset: int) -> KeyedRecord | None:
-    value_at = 1 + record[0] if record else 1
-    if len(record) < value_at:
-        return None
-    try:
-        return KeyedRecord(record[1:value_at].decode(), record[value_at:] or None, offset)
-    except UnicodeDecodeError:
-        return None
-
-
-def _decode_item(raw: msgspec.Raw) -> KeyedRecord | None:
-    try:
-        item = decode_json(raw, _WireItem)
-        return KeyedRecord(item.tls_key, base64.b64decode(item.value, validate=True), item.offset)
-    except ValueError:
-        return None
--- a/tests/unit/test_foreign_records.py
+++ b/tests/unit/test_foreign_records.py
@@ -32,7 +32,7 @@
     parse_host,
     parse_wave,
 )
-from robinthread._internal.platform.store import _decode_item, _decode_record
+from robinthread._internal.platform.store_records import decode_item, decode_record
 from robinthread._internal.standins.platform_standin import HOSTS, OPERATORS
 from robinthread._internal.telemetry.event_log import EventLog
 from tests.lib.job_platforms import (
@@ -216,17 +216,17 @@
             )
 
     def test_record_with_an_undecodable_key_is_skipped(self) -> None:
-        self.assertEqual(KeyedRecord("ab", b"c", 3), _decode_record(b"\x02abc", 3))
-        self.assertEqual(KeyedRecord("ab", None, 3), _decode_record(b"\x02ab", 3))
+        self.assertEqual(KeyedRecord("ab", b"c", 3), decode_record(b"\x02abc", 3))
+        self.assertEqual(KeyedRecord("ab", None, 3), decode_record(b"\x02ab", 3))
         for record in (b"", b"\x05ab", b"\x02\xff\xfec"):
-            self.assertIsNone(_decode_record(record, 3))
+            self.assertIsNone(decode_record(record, 3))
         item = {"tls_key": "k", "value": base64.b64encode(b"v").decode(), "offset": 4}
         self.assertEqual(
-            KeyedRecord("k", b"v", 4), _decode_item(msgspec.Raw(json.dumps(item).encode()))
+            KeyedRecord("k", b"v", 4), decode_item(msgspec.Raw(json.dumps(item).encode()))
         )
         for wrong in ({"value": "!"}, {"tls_key": 7}, {"offset": "x"}, {"tls_key": None}):
             raw = msgspec.Raw(json.dumps(item | wrong).encode())
-            self.assertIsNone(_decode_item(raw))
+            self.assertIsNone(decode_item(raw))
 
 
 class FuzzedDecodersTest(TestCase):
@@ -245,8 +245,8 @@
     @settings(max_examples=400, derandomize=True, deadline=None, database=None)
     @given(value=VALUES)
     def test_stored_records_are_decoded_or_skipped(self, value: bytes) -> None:
-        _decode_record(value, 0)
-        _decode_item(msgspec.Raw(value))
+        decode_record(value, 0)
+        decode_item(msgspec.Raw(value))
 
     @settings(max_examples=200, derandomize=True, deadline=None, database=None)
     @given(name=st.sampled_from(list(HOST)), value=JSON)
