--- a/src/robinthread/_internal/platform/store.py
+++ b/src/robinthread/_internal/platform/store.py
@@ -1,9 +1,8 @@
 """Client of the platform's store."""
 
-import base64
 import struct
 import time
-from collections.abc import Iterator, Sequence
+from collections.abc import Sequence
 from typing import Any, Final, TypeVar
 from urllib.parse import quote, urlencode
 
@@ -29,6 +28,7 @@
     ReadPage,
     WriterStamp,
 )
+from robinthread._internal.platform.store_records import decode_item, encode_record, iter_records
 from robinthread._internal.telemetry.call_timer import timed_call
 from robinthread._internal.telemetry.node_metrics import NodeMetrics
 from robinthread._internal.utils.call_timeout import CallTimeout
@@ -45,6 +45,7 @@
     CallLostError,
     CallUnsentError,
     HttpClient,
+    MalformedResponseError,
     call,
     decode,
 )
@@ -78,13 +79,6 @@
     wanted: Count | None = None
 
 
-class _WireItem(msgspec.Struct):
-    # "tls_key" is the record's key and unrelated to TLS.
-    tls_key: str
-    offset: Count
-    value: str = ""
-
-
 class _WireNewest(msgspec.Struct):
     # Decoded one by one, so that a malformed record does not affect the others.
     items: list[msgspec.Raw]
@@ -126,9 +120,9 @@
             query["store_revision"] = expected_end
         if stamp is not None:
             query |= {"producer": stamp.name, "epoch": stamp.epoch, "sequence": stamp.sequence}
-        body = b"".join(map(_encode_record, records))
+        body = b"".join(map(encode_record, records))
         response = await self._call(f"/log-append?{urlencode(query)}", body, timeout_s=timeout_s)
-        appended = _decode_response(response, _WireAppended)
+        appended = self._decode(response, _WireAppended)
         return AppendResult(appended.offset, appended.end)
 
     async def read(
@@ -150,7 +144,7 @@
         response = await self._call(path, wait_s=wait_s, timeout_s=timeout_s)
         try:
             end, _first = struct.unpack_from(">QQ", response.body)
-            parsed = tuple(_iter_records(response.body, from_offset))
+            parsed = tuple(iter_records(response.body, from_offset))
         except (struct.error, IndexError) as error:
             raise StoreNoAnswerError(f"malformed page: {error}") from error
         if end > NUMBER_MAX:
@@ -167,8 +161,8 @@
             # In this call "depends_on" is the key after which the page begins.
             query["depends_on"] = after_key
         response = await self._call(f"/log-newest?{urlencode(query)}", timeout_s=timeout_s)
-        page = _decode_response(response, _WireNewest)
-        records = tuple(filter(None, map(_decode_item, page.items)))
+        page = self._decode(response, _WireNewest)
+        records = tuple(filter(None, map(decode_item, page.items)))
         if page.has_more and not records:
             raise StoreNoAnswerError("a page that is not the last has no readable record")
         if page.has_more and records[-1].key == after_key:
@@ -188,7 +182,7 @@
             "generation": generation,
         }
         response = await self._call("/log-join", msgspec.json.encode(body))
-        return Membership(_decode_response(response, _WireJoined).generation)
+        return Membership(self._decode(response, _WireJoined).generation)
 
     async def leave(self, group: str, member: str) -> None:
         """Leave a group."""
@@ -198,12 +192,20 @@
     async def list_members(self, group: str) -> frozenset[str]:
         """List the members of a group that have a partition assigned."""
         response = await self._call(f"/log-owners?group={quote(group)}")
-        found = _decode_response(response, _WireOwners)
+        found = self._decode(response, _WireOwners)
         # Columns of a row: topic, partition, member, committed offset.
         rows = found.parts or found.owners
         members = (row[MEMBER_COLUMN] for row in rows if len(row) > MEMBER_COLUMN)
         return frozenset(str(name) for name in members if name)
 
+    def _decode(self, response: HTTPResponse, type_: type[T]) -> T:
+        """Decode the body of a response; raise ``StoreNoAnswerError`` if it is malformed."""
+        try:
+            return decode(response.body, type_)
+        except MalformedResponseError as error:
+            self._metrics.count_event("input_malformed", "store")
+            raise StoreNoAnswerError(str(error)) from error
+
     async def _call(
         self,
         path: str,
@@ -241,14 +243,6 @@
         return response
 
 
-def _decode_response(response: HTTPResponse, type_: type[T]) -> T:
-    """Decode the body of a response; raise ``StoreNoAnswerError`` if it is malformed."""
-    try:
-        return decode(response.body, type_)
-    except CallLostError as error:
-        raise StoreNoAnswerError(str(error)) from error
-
-
 def _make_error(response: HTTPResponse) -> StoreError:
     if response.code in REFUSED_STATUSES:
         return StoreRefusedError(f"the store responded with status {response.code}")
@@ -281,39 +275,3 @@
     if is_rejected and response.code not in PASSING_STATUSES | STATUSES_WITH_DETAILS:
         return StoreRejectedError(message)
     return StoreNoAnswerError(message)
-
-
-def _encode_record(record: KeyedRecord) -> bytes:
-    key = record.key.encode()
-    body = bytes([len(key)]) + key + (record.value or b"")
-    return struct.pack(">I", len(body)) + body
-
-
-def _iter_records(page: bytes, from_offset: int) -> Iterator[KeyedRecord | None]:
-    """Iterate over a page's records; yield None for those whose keys cannot be decoded."""
-    position, offset = 16, from_offset
-    while position < len(page):
-        (length,) = struct.unpack_from(">I", page, position)
-        record = page[position + 4 : position + 4 + length]
-        if len(record) < length:
-            raise IndexError("the page ends within a record")
-        yield _decode_record(record, offset)
-        position, offset = position + 4 + length, offset + 1
-
-
-def _decode_record(record: bytes, offset: int) -> KeyedRecord | None:
-    value_at = 1 + record[0] if record else 1
-    if len(record) < value_at:
-        return None
-    try:
-        return KeyedRecord(record[1:value_at].decode(), record[value_at:] or None, offset)
-    except UnicodeDecodeError:
-        return None
-
-
-def _decode_item(raw: msgspec.Raw) -> KeyedRecord | None:
-    try:
-        item = decode_json(raw, _WireItem)
-        return KeyedRecord(item.tls_key, base64.b64decode(item.value, validate=True), item.offset)
-    except ValueError:
-        return None
--- a/src/robinthread/_internal/telemetry/levels.py
+++ b/src/robinthread/_internal/telemetry/levels.py
@@ -16,6 +16,7 @@
     "host_lapsed",
     "host_left_out",
     "host_lost",
+    "input_malformed",
     "job_failed",
     "job_left_out",
     "journal_stalled",
