Hand pools over from a node that can't read the hosts to one that can

What callers saw: an owner whose reads of the hosts fail, while the store serves it otherwise, keeps its pools for as long as that lasts. It sees no new host and no drain.

Cause: only a node that the store rejects altogether gives up what it owns.

Change: an owner whose list is 5 s old, whose reads fail and whose joins succeed asks the others to read the partition from its own offset (a new peer request, /hosts), and hands its pools to one that just did. It takes none over for 30 s. While no node can read the hosts, pools stay: a new owner couldn't open them.

--- a/src/robinthread/_internal/durable/keyed_follower.py
+++ b/src/robinthread/_internal/durable/keyed_follower.py
@@ -120,6 +120,11 @@
         """Tell whether the follower is paused."""
         return not self._resumed.is_set()
 
+    @property
+    def is_failing(self) -> bool:
+        """Tell whether the last read has failed."""
+        return self._is_failing
+
     def get_age_s(self) -> float:
         """Return the seconds since the last successful read was sent, or since the resumption."""
         known_at_s = max(self.confirmed_at_s, self._resumed_at_s)
--- a/src/robinthread/_internal/node/assembly.py
+++ b/src/robinthread/_internal/node/assembly.py
@@ -24,6 +24,7 @@
 from robinthread._internal.node.group_member import GroupMember
 from robinthread._internal.node.handover import Handover
 from robinthread._internal.node.host_directory import HostDirectory
+from robinthread._internal.node.host_list_access import HostListAccess
 from robinthread._internal.node.job_service import JobService
 from robinthread._internal.node.loop_lag import LoopLag
 from robinthread._internal.node.node import Node
@@ -145,6 +146,7 @@
     )
     policy = environment.policy.owners
     supervisor = TaskSupervisor(me.node, events)
+    host_list = HostListAccess(store, records.hosts_partition, hosts, member)
     election = Election(
         table,
         me,
@@ -153,7 +155,7 @@
         config_holder,
         events,
         policy,
-        supervisor.find_failing,
+        lambda: not supervisor.find_failing() and not host_list.is_in_doubt,
     )
     owned = OwnedPools(context)
     lag = LoopLag()
@@ -166,6 +168,7 @@
         environment.peers,
         events,
         lag,
+        host_list,
         supervisor.find_failing,
     )
     rebalance_planner = RebalancePlanner(me, table, election, member, handover, owned, lag, policy)
@@ -227,7 +230,7 @@
         "status": status_reporter.run,
     }.items():
         supervisor.start(name, make_work)
-    request_handler = PeerRequestHandler(owned, record_writer, handover, slow_store)
+    request_handler = PeerRequestHandler(owned, record_writer, handover, slow_store, host_list)
     return AssembledNode(
         node,
         job_service,
--- a/src/robinthread/_internal/node/election.py
+++ b/src/robinthread/_internal/node/election.py
@@ -23,8 +23,8 @@
     The group membership shows which nodes are alive.  Ownership itself is one record per pool
     that is written conditionally, so a wrong guess here costs time but not safety.
     ``is_acquiring`` is false once this node stops, because it would not open the pool.
-    ``find_failing`` returns the name of a background task that keeps failing, "" if there is none.
-    A free pool is acquired nevertheless, and then handed over: all nodes rank the same candidates.
+    ``is_able`` returns whether this node can own pools as well as others.  A free pool is acquired
+    even if not, and then handed over, because all nodes rank the same candidates.
     """
 
     def __init__(
@@ -36,7 +36,7 @@
         config_holder: ConfigHolder,
         events: EventLog,
         policy: OwnerPolicy,
-        find_failing: Callable[[], str] = lambda: "",
+        is_able: Callable[[], bool] = lambda: True,
     ) -> None:
         self._table = table
         self._me = me
@@ -45,17 +45,17 @@
         self._config_holder = config_holder
         self._events = events
         self._policy = policy
-        self._find_failing = find_failing
+        self._is_able = is_able
         self.is_acquiring = True
 
     @property
     def may_acquire(self) -> bool:
         """Tell whether this node may take pools over from live owners.
 
-        It must be served, settled and not stopping, and none of its tasks may keep failing.
+        It must be served, settled, not stopping and able to own pools.
         """
-        is_able = self.is_acquiring and not self._find_failing()
-        return self._member.is_served and is_able and self._member.is_settled
+        may_own = self.is_acquiring and self._is_able()
+        return self._member.is_served and may_own and self._member.is_settled
 
     def get_missing_s(self, pool: str) -> float | None:
         """Return for how long a pool's last owner has been missing; None if it is not missing."""
--- a/src/robinthread/_internal/node/handover.py
+++ b/src/robinthread/_internal/node/handover.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import itertools
 from collections.abc import Callable
 from typing import Final
 
@@ -12,10 +13,12 @@
 from robinthread._internal.durable.ownership import Member, Ownership, OwnerTable
 from robinthread._internal.node.election import Election
 from robinthread._internal.node.group_member import GroupMember
+from robinthread._internal.node.host_list_access import HostListAccess
 from robinthread._internal.node.loop_lag import LAG_MAX_S, LoopLag
 from robinthread._internal.node.owned_pools import OwnedPools
 from robinthread._internal.node.peer_calls import PeerCalls, PeerUnreachableError
 from robinthread._internal.node.peer_messages import (
+    HostsProbeResponse,
     OwnerStoppedRequest,
     OwnerStoppedResponse,
     StoreStatusRequest,
@@ -28,6 +31,8 @@
 
 # A takeover makes two appends and one read of the store, each of which may be slow.
 TAKEOVER_TIMEOUT_S: Final = 1.0
+# Timeout of a probe, in which the other node makes one read of the store.
+PROBE_WAIT_S: Final = 1.0
 # Interval at which a node that the store does not serve polls which other nodes it serves.
 QUERY_PERIOD_S: Final = 0.4
 
@@ -37,9 +42,9 @@
 
     ``stopped_tokens`` maps a pool to the newest token whose owner stopped before it handed the
     pool over.  ``served`` lists the other nodes that can own pools while this one cannot, because
-    the store does not serve it or a background task keeps failing (``find_failing`` returns its
-    name).  They are ordered by the load relative to capacity that each would have with one more
-    pool.  It is empty while this node can own pools, or no node at all.
+    the store does not serve it, a background task keeps failing (``find_failing`` returns its
+    name) or it cannot read the hosts.  They are ordered by the load relative to capacity that each
+    would have with one more pool.  It is empty while this node can own pools, or no node at all.
     """
 
     def __init__(
@@ -52,7 +57,8 @@
         peers: PeerCalls,
         events: EventLog,
         lag: LoopLag,
-        find_failing: Callable[[], str] = lambda: "",
+        host_list: HostListAccess,
+        find_failing: Callable[[], str],
     ) -> None:
         self._me = me
         self._table = table
@@ -62,6 +68,7 @@
         self._peers = peers
         self._events = events
         self._lag = lag
+        self._host_list = host_list
         self._find_failing = find_failing
         self.stopped_tokens: dict[str, int] = {}
         self.served: tuple[Member, ...] = ()
@@ -77,7 +84,7 @@
         if self._member.is_cut_off:
             return "the store does not serve this node"
         failing = self._find_failing()
-        return f"the task {failing} keeps failing" if failing else ""
+        return f"the task {failing} keeps failing" if failing else self._host_list.find_loss()
 
     async def _find_served(self) -> tuple[Member, ...]:
         others = sorted(self._member.members - {self._me})
@@ -91,7 +98,22 @@
             for member, response in zip(others, responses, strict=True)
             if response.is_served
         )
-        return tuple(member for _load, _weight, member in served)
+        members = [member for _load, _weight, member in served]
+        if self._member.is_cut_off:
+            return tuple(members)
+        # The store serves this node too, so another must prove that it would be a better owner.
+        able = await asyncio.gather(*map(self._can_read_hosts, members))
+        return tuple(itertools.compress(members, able))
+
+    async def _can_read_hosts(self, member: Member) -> bool:
+        try:
+            response = await self._peers.send_request(
+                member.address, self._host_list.make_probe(), HostsProbeResponse, PROBE_WAIT_S
+            )
+        except PeerUnreachableError:
+            # A node of an older build does not know the request.
+            return False
+        return response.is_read
 
     async def request_takeover(self, new_owner: Member, tokens: dict[str, int]) -> None:
         """Request that a node take over pools whose owner here has stopped."""
--- a/src/robinthread/_internal/node/peer_messages.py
+++ b/src/robinthread/_internal/node/peer_messages.py
@@ -124,6 +124,18 @@
     """Confirms a notice that the store is slow."""
 
 
+class HostsProbeRequest(msgspec.Struct, frozen=True, array_like=True):
+    """Queries whether a node can read the hosts' partition from an offset."""
+
+    offset: int
+
+
+class HostsProbeResponse(msgspec.Struct, frozen=True, array_like=True):
+    """Whether the node has just read the hosts' partition."""
+
+    is_read: bool
+
+
 REQUEST_PATHS: Final[dict[type[msgspec.Struct], str]] = {
     JobRequest: "/job",
     PendingCountsRequest: "/pending",
@@ -133,4 +145,5 @@
     OwnerStoppedRequest: "/stopped",
     RelayRequest: "/relay",
     SlowStoreNotice: "/slow",
+    HostsProbeRequest: "/hosts",
 }
--- a/src/robinthread/_internal/node/peer_request_handler.py
+++ b/src/robinthread/_internal/node/peer_request_handler.py
@@ -4,8 +4,10 @@
 
 from robinthread._internal.fleet.pool_report import FleetReportRequest
 from robinthread._internal.node.handover import Handover
+from robinthread._internal.node.host_list_access import HostListAccess
 from robinthread._internal.node.owned_pools import OwnedPools
 from robinthread._internal.node.peer_messages import (
+    HostsProbeRequest,
     JobRequest,
     OwnerStoppedRequest,
     PendingCountsRequest,
@@ -28,11 +30,13 @@
         records: RecordWriter,
         handover: Handover,
         slow_store: SlowStoreMonitor,
+        host_list: HostListAccess,
     ) -> None:
         self._owned = owned
         self._records = records
         self._handover = handover
         self._slow_store = slow_store
+        self._host_list = host_list
 
     async def handle(self, request: msgspec.Struct) -> msgspec.Struct:
         """Return the response to a request; raise ``TypeError`` if its type has no handler."""
@@ -53,6 +57,8 @@
                 return await self._relay(request)
             case SlowStoreNotice():
                 return self._slow_store.handle_notice(request)
+            case HostsProbeRequest():
+                return await self._host_list.handle_probe(request)
         raise TypeError(f"no handler for peer requests of type {type(request).__name__}")
 
     async def _relay(self, request: RelayRequest) -> RelayResponse:
