Write a line whatever its fields hold, and no longer than a reader bears

What callers saw: nothing that is known; a line is written from every task, so what it raises ends that task.

Cause: text with lone surrogates, numbers of 5,000 digits and deep values raise as the line is encoded, and a name of 300 KB from an odd entry becomes a line of 300 KB.

Change: such a line has short texts of its fields instead.

--- a/src/robinthread/_internal/telemetry/event_log.py
+++ b/src/robinthread/_internal/telemetry/event_log.py
@@ -21,6 +21,10 @@
 BUFFERED_LINES_MAX: Final = 2000
 EMPTY: Final[Mapping[str, str]] = {}
 STANDARD_OUTPUT: Final = 1
+# Longest line whose fields are written as they are.  The longest of a node's own lines list the
+# pools of a large site.
+LINE_MAX_BYTES: Final = 32 * 1024
+FIELD_TEXT_MAX: Final = 300
 
 
 class EventLog:
@@ -89,8 +93,29 @@
         line: dict[str, Any] = {"at": round(time.time(), 3), "node": self._node, "event": event}
         if level := LEVELS.get(event):
             line["level"] = level
-        line |= fields
-        self._write(self._encoder.encode(line) + b"\n")
+        self._write(self._encode(line, fields) + b"\n")
+
+    def _encode(self, line: dict[str, Any], fields: dict[str, Any]) -> bytes:
+        """Encode a line; fields that another party made too long or odd become short texts.
+
+        Whatever a field holds, a line must not end the task that writes it.
+        """
+        try:
+            encoded = self._encoder.encode(line | fields)
+        except Exception:
+            encoded = b""
+        if 0 < len(encoded) <= LINE_MAX_BYTES:
+            return encoded
+        texts = {name: _make_text(value) for name, value in fields.items()}
+        return self._encoder.encode(line | texts)
+
+
+def _make_text(value: object) -> str:
+    try:
+        text = ascii(value)
+    except Exception:
+        return type(value).__name__
+    return text if len(text) <= FIELD_TEXT_MAX else f"{text[:FIELD_TEXT_MAX]}..."
 
 
 class LineWriter:
--- a/tests/unit/test_telemetry.py
+++ b/tests/unit/test_telemetry.py
@@ -58,6 +58,18 @@
         self.assertEqual("lines_left_out", suppressed["event"])
         self.assertEqual(1000, suppressed["counts"]["run_started"] + len(lines) - 2)
 
+    def test_line_with_odd_or_long_fields_is_written_all_the_same(self) -> None:
+        """Guards against a line that ends the task that writes it, or fills the log."""
+        deep: list[object] = []
+        for _ in range(10_000):
+            deep = [deep]
+        for odd in ("\ud800", 10**5_000, deep, "x" * 300_000, {"a": "\udfff"}):
+            lines: list[bytes] = []
+            EventLog("n", lines.append).write("odd", field=odd, sound=1)
+            line = json.loads(lines[0])
+            self.assertEqual(("odd", "1"), (line["event"], str(line["sound"])))
+            self.assertLess(len(lines[0]), 1000)
+
     def test_stalled_reader_does_not_block_and_lost_lines_are_counted(self) -> None:
         reading, writing = os.pipe()
         self.addCleanup(os.close, reading)
