Plan the other pools when one pool's report raises

What callers saw: nothing that is known; found while looking for loops that one key ends.

Cause: the steward asks the owners on its own node without a bound, so one pool's report that raises ends each of its steps, and after five the steward.

Change: such a pool has no report (pool_report_failed), as one whose owner doesn't answer; its machines stay as they are.

Measured: the steward keeps its token through 3 s of them (test_odd_answers; failed before, with a new steward); 30 near tests pass.

--- a/src/robinthread/_internal/node/owned_pools.py
+++ b/src/robinthread/_internal/node/owned_pools.py
@@ -16,6 +16,7 @@
 )
 from robinthread._internal.node.pool_owner import PoolOwner
 from robinthread._internal.node.predecessors import Predecessors
+from robinthread._internal.utils.error_text import describe_error
 
 
 class OwnedPools:
@@ -78,7 +79,14 @@
         owner = self.owners.get(request.pool)
         if owner is None or not owner.is_open:
             return PoolReport(is_owner=False)
-        return owner.report(request)
+        try:
+            return owner.report(request)
+        except Exception as error:
+            # Without a report the pool's machines stay as they are, and others are planned.
+            self._context.events.gather(
+                "pool_report_failed", by={"pool": request.pool}, **describe_error(error)
+            )
+            return PoolReport(is_owner=False)
 
 
 def _format_status(status: JobStatus | None) -> str:
--- a/src/robinthread/_internal/telemetry/levels.py
+++ b/src/robinthread/_internal/telemetry/levels.py
@@ -25,6 +25,7 @@
     "owner_missing",
     "pool_open_failed",
     "pool_opening_slow",
+    "pool_report_failed",
     "pool_held",
     "pools_given_up",
     "record_failed",
--- a/tests/functional/test_odd_answers.py
+++ b/tests/functional/test_odd_answers.py
@@ -10,7 +10,7 @@
 from robinthread._internal.node.peer_messages import StoreStatusRequest
 from robinthread._internal.standins.machines_standin import MachinesClient
 from robinthread._internal.standins.platform_standin import RESERVE, _PeersClient
-from tests.lib.job_platforms import HOST_CAPACITY, get_owner, start_platform, wait_until
+from tests.lib.job_platforms import HOST_CAPACITY, POOL, get_owner, start_platform, wait_until
 from tests.lib.task_failures import (
     InjectedError,
     find_unfinished,
@@ -87,6 +87,22 @@
 
         run_virtual(work())
 
+    def test_report_of_a_pool_that_raises_costs_the_steward_no_token(self) -> None:
+        """Guards against one pool that keeps the machines of all others from being planned."""
+
+        async def work() -> None:
+            platform = await start_platform(plan_wide, nodes=1, hosts=2)
+            node = platform.nodes["node0"].assembled
+            before = node.node._table.owners[FLEET_POOL].token
+            owner = node.owned.owners[POOL]
+            with patch.object(owner, "report", side_effect=InjectedError("report")):
+                await asyncio.sleep(3)
+            self.assertEqual(before, node.node._table.owners[FLEET_POOL].token)
+            self.assertIs(owner, node.owned.owners[POOL])
+            self.assertTrue(read_lines(platform, "pool_report_failed"))
+
+        run_virtual(work())
+
     def test_peer_whose_answers_raise_does_not_keep_a_lost_owner_in_place(self) -> None:
         """Guards against one odd peer that ends the monitoring of missing owners."""
 
