--- a/src/robinthread/_internal/node/peer_messages.py
+++ b/src/robinthread/_internal/node/peer_messages.py
@@ -136,6 +136,18 @@
     """Confirms a notice that the store is slow."""
 
 
+class HostsProbeRequest(msgspec.Struct, frozen=True, array_like=True):
+    """Queries whether a node can read the hosts' partition from an offset."""
+
+    offset: int
+
+
+class HostsProbeResponse(msgspec.Struct, frozen=True, array_like=True):
+    """Whether the node has just read the hosts' partition."""
+
+    is_read: bool
+
+
 REQUEST_PATHS: Final[dict[type[msgspec.Struct], str]] = {
     JobRequest: "/job",
     PendingCountsRequest: "/pending",
@@ -145,4 +157,5 @@
     OwnerStoppedRequest: "/stopped",
     RelayRequest: "/relay",
     SlowStoreNotice: "/slow",
+    HostsProbeRequest: "/hosts",
 }
