Send no start by a list of hosts that is older than the bound on draining

What callers saw: starts on a draining host for as long as its entry could not be read, while everything else of the store could.

Cause: nothing asked how old the list of hosts was when a start was sent, only how old the operators' records were.

Evidence (two hosts, 10 jobs a second of 20 tasks, virtual time): the list unreadable for 6 s, 1,160 starts, the latest 5.99 s after it was last read.

Change: a start waits, without a turn at its host, while the list is older than drain_ms less 0.5 s (at least 0.9 s), unless the node does not reach the store at all, by its joins of the members' group, each 0.3 s; the owners' table is no measure, as its long poll leaves it 3 s old when nothing changes.

One test contradicted this: hosts that check their capacity were to get work by a list that was 5 s old, from an owner that reaches the store.

--- a/src/robinthread/_internal/node/assembly.py
+++ b/src/robinthread/_internal/node/assembly.py
@@ -133,6 +133,7 @@
         get_owners_unconfirmed_s=lambda: loop.time() - table.follower.confirmed_at_s,
         get_hosts_unconfirmed_s=lambda: loop.time() - hosts.confirmed_at_s,
         get_operators_unconfirmed_s=lambda: loop.time() - operators.confirmed_at_s,
+        is_store_silent=lambda: member.is_store_silent,
         may_split_progress=lambda: all_read_parts(member.members),
     )
     policy = environment.policy.owners
--- a/src/robinthread/_internal/node/context.py
+++ b/src/robinthread/_internal/node/context.py
@@ -28,9 +28,9 @@
     interval of the host list for a while.
     ``get_owners_unconfirmed_s`` returns the seconds since the store last confirmed the table of
     pool owners, ``get_hosts_unconfirmed_s`` the same for the host list, and
-    ``get_operators_unconfirmed_s`` for the operators' records.  ``may_split_progress`` returns
-    whether all nodes read the progress of a job in parts.  ``get_wall_ms`` returns Unix time
-    in milliseconds.
+    ``get_operators_unconfirmed_s`` for the operators' records.  ``is_store_silent`` returns whether
+    the node does not reach the store.  ``may_split_progress`` returns whether all nodes read the
+    progress of a job in parts.  ``get_wall_ms`` returns Unix time in milliseconds.
     """
 
     settings_holder: SettingsHolder
@@ -52,6 +52,7 @@
     get_owners_unconfirmed_s: Callable[[], float]
     get_hosts_unconfirmed_s: Callable[[], float]
     get_operators_unconfirmed_s: Callable[[], float]
+    is_store_silent: Callable[[], bool]
     may_split_progress: Callable[[], bool]
     read_inbox_to_end: Callable[[], Awaitable[None]]
 
--- a/src/robinthread/_internal/node/order_sender.py
+++ b/src/robinthread/_internal/node/order_sender.py
@@ -25,12 +25,11 @@
 from robinthread._internal.node.pool_runtime import PoolRuntime, get_loop_s
 from robinthread._internal.node.start_ages import make_age_fields, record_sending
 from robinthread._internal.node.start_checks import (
-    are_evacuations_known,
     may_send,
     withhold_if_evacuated,
 )
 from robinthread._internal.node.start_outcome import StartOutcome
-from robinthread._internal.node.start_turns import StartTurns, make_slots
+from robinthread._internal.node.start_turns import StartTurns, make_slots, wait_for_records
 
 # Number of times that a start is sent before its run is abandoned.
 START_TRIES: Final = 3
@@ -76,7 +75,7 @@
         host, job = self._find_host_and_job(run)
         if host is None or job is None:
             return
-        await self._wait_for_evacuations(run, host)
+        await wait_for_records(self._runtime, run, host)
         async with self._turns.take(run, host) as has_turn:
             if has_turn:
                 await self._send_until_answered(run, host, job)
@@ -110,18 +109,6 @@
             self._runtime.jobs.forget_run(run)
         self._runtime.wake()
 
-    async def _wait_for_evacuations(self, run: Run, host: Host) -> None:
-        """Wait while the operators' records are too old for a start to be sent.
-
-        This holds none of the host's slots, because stops need them meanwhile.
-        """
-        while (
-            run.phase is RunPhase.SENDING
-            and host.contact is HostContact.ANSWERING
-            and not are_evacuations_known(self._runtime)
-        ):
-            await asyncio.sleep(RETRY_PAUSE_S)
-
     async def send_stop(self, run: Run) -> None:
         """Send a stop until the host has responded to it or the run has ended."""
         pause_s = RETRY_PAUSE_S
--- a/src/robinthread/_internal/node/start_checks.py
+++ b/src/robinthread/_internal/node/start_checks.py
@@ -14,6 +14,22 @@
 # Starts end this much before the bound on evacuations: a start takes up to 0.4 s to arrive, and the
 # operator's request is answered some time after it has taken effect.
 EVACUATIONS_MARGIN_S: Final = 1.0
+# Starts end this much before the bound on draining hosts: one takes up to 0.4 s to arrive.
+DRAIN_MARGIN_S: Final = 0.5
+# The list of hosts is read each 0.3 s, so starts do not end before three reads have failed.
+HOSTS_AGE_MIN_S: Final = 0.9
+
+
+def are_hosts_known(runtime: PoolRuntime) -> bool:
+    """Return whether the list of hosts is recent enough for a start to be sent.
+
+    A host may have begun to drain since it was read.  A node that does not reach the store at all
+    goes on serving, as long as its leases allow.
+    """
+    bound_s = runtime.context.settings.bounds.drain_ms / 1000
+    age_max_s = max(HOSTS_AGE_MIN_S, bound_s - DRAIN_MARGIN_S)
+    is_recent = runtime.context.get_hosts_unconfirmed_s() <= age_max_s
+    return is_recent or runtime.context.is_store_silent()
 
 
 def are_evacuations_known(runtime: PoolRuntime) -> bool:
@@ -65,6 +81,9 @@
     if runtime.jobs.evacuated.covers(host):
         log_dropped(runtime, run, host, "the hall is evacuated")
         return False
+    if not are_hosts_known(runtime):
+        log_dropped(runtime, run, host, "the list of hosts is too old")
+        return False
     if not are_evacuations_known(runtime):
         log_dropped(runtime, run, host, "the operators' records are not known")
         return False
--- a/src/robinthread/_internal/node/start_turns.py
+++ b/src/robinthread/_internal/node/start_turns.py
@@ -4,13 +4,18 @@
 from collections import defaultdict
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
+from typing import Final
 
-from robinthread._internal.jobs.host import Host
-from robinthread._internal.jobs.run import Run
+from robinthread._internal.jobs.host import Host, HostContact
+from robinthread._internal.jobs.run import Run, RunPhase
 from robinthread._internal.jobs.start_limits import START_SLOTS, get_wait_max_s, list_surplus
 from robinthread._internal.node.pool_runtime import PoolRuntime, get_loop_s
+from robinthread._internal.node.start_checks import are_evacuations_known, are_hosts_known
 from robinthread._internal.node.unsent_starts import give_back
 
+# Pause before records that are too old are looked at again.
+RECORDS_PAUSE_S: Final = 0.05
+
 
 class StartTurns:
     """Lets ``START_SLOTS`` starts at once go to a host, in the order in which they came."""
@@ -51,6 +56,19 @@
             self._runtime.wake()
 
 
+async def wait_for_records(runtime: PoolRuntime, run: Run, host: Host) -> None:
+    """Wait while the list of hosts or the operators' records are too old for a start to be sent.
+
+    This holds none of the host's turns, so that starts go on as soon as either has been read.
+    """
+    while (
+        run.phase is RunPhase.SENDING
+        and host.contact is HostContact.ANSWERING
+        and not (are_hosts_known(runtime) and are_evacuations_known(runtime))
+    ):
+        await asyncio.sleep(RECORDS_PAUSE_S)
+
+
 def make_slots(count: int) -> defaultdict[str, asyncio.Semaphore]:
     """Return slots for ``count`` concurrent orders to each host, by its id."""
     return defaultdict(lambda: asyncio.Semaphore(count))
--- a/tests/functional/test_rooms_that_change.py
+++ b/tests/functional/test_rooms_that_change.py
@@ -16,6 +16,7 @@
 from robinthread._internal.models.job_status import JobStatus
 from robinthread._internal.models.resources import Resources
 from robinthread._internal.standins.job_host_standin import JobHostStandin
+from robinthread._internal.standins.node_settings_standin import BOUNDS
 from robinthread._internal.standins.platform_standin import HOSTS, PlatformStandin
 from tests.lib.job_platforms import (
     HOST_CAPACITY,
@@ -113,8 +114,13 @@
         run_virtual(work())
 
     def test_hosts_that_check_their_capacity_get_work_without_a_recent_read(self) -> None:
+        """Their capacity needs no recent read; the bound on draining hosts is long here."""
+
+        def set_long_drain(platform: PlatformStandin) -> None:
+            platform.bounds = replace(BOUNDS, drain_ms=60_000)
+
         async def work() -> None:
-            platform = await start_platform(hosts=1)
+            platform = await start_platform(hosts=1, prepare=set_long_drain)
             platform.store.unreadable_topics.add(HOSTS.topic)
             await asyncio.sleep(CHANGE_KNOWN_S)
             spec = make_job(1, FULL)
@@ -123,6 +129,22 @@
 
         run_virtual(work())
 
+    def test_work_held_for_an_unread_list_of_hosts_starts_once_it_is_read(self) -> None:
+        """A host may have begun to drain meanwhile, whether or not it checks its capacity."""
+
+        async def work() -> None:
+            platform = await start_platform(hosts=1)
+            platform.store.unreadable_topics.add(HOSTS.topic)
+            await asyncio.sleep(CHANGE_KNOWN_S)
+            spec = make_job(1, FULL)
+            await hand_in(platform, "node0", spec)
+            await asyncio.sleep(3)
+            self.assertEqual([], platform.hosts.ledger.runs)
+            platform.store.unreadable_topics.clear()
+            self.assertLess(await wait_for_status(platform, spec.job_id, JobStatus.SUCCEEDED), 4.0)
+
+        run_virtual(work())
+
     def test_next_owner_does_not_overcommit_hosts(self) -> None:
         async def work() -> None:
             platform = await start_unchecked(hosts=2)
