Ask before a start is sent whether its ticket is still valid

What callers saw: tasks of queues with advice that start later than need be on slow hosts: the ticket expired while the start waited, the start was sent without one, and the host rejected it after its turn.

Cause: the ticket was looked up when the start was sent, and an empty one was sent if it had expired.

Evidence: 13 of the starts of one job of 30 tasks were rejected, on a host that answers in 0.3 s with tickets valid for 1 s (virtual time).

Change: may_send asks for the ticket as placement does; the task is queued again and gets a new one.

--- a/src/robinthread/_internal/jobs/placement.py
+++ b/src/robinthread/_internal/jobs/placement.py
@@ -12,6 +12,7 @@
 from robinthread._internal.jobs.unresponsive_hosts import list_unresponsive
 from robinthread._internal.models.job_spec import StepSpec
 from robinthread._internal.models.resources import Resources
+from robinthread._internal.models.step_key import StepKey
 
 
 def choose_host(pool: PoolJobs, task: Task, hosts: Iterable[Host], now_s: float) -> Host | None:
@@ -90,9 +91,12 @@
     step = task.step
     if step.required_label and step.required_label not in host.record.labels:
         return False
-    if job.policy.advice is None:
-        return True
-    return pool.tickets.get(task.key.step_key, host.id, now_s) is not None
+    return has_ticket(pool, job, task.key.step_key, host, now_s)
+
+
+def has_ticket(pool: PoolJobs, job: Job, step: StepKey, host: Host, now_s: float) -> bool:
+    """Return whether a job needs no ticket for a host, or has one that is still valid."""
+    return job.policy.advice is None or pool.tickets.get(step, host.id, now_s) is not None
 
 
 def allows_another_run(task: Task, host: Host) -> bool:
--- a/src/robinthread/_internal/node/start_checks.py
+++ b/src/robinthread/_internal/node/start_checks.py
@@ -4,6 +4,7 @@
 
 from robinthread._internal.jobs.host import Host
 from robinthread._internal.jobs.job import Job
+from robinthread._internal.jobs.placement import has_ticket
 from robinthread._internal.jobs.run import Run
 from robinthread._internal.node.pool_runtime import PoolRuntime, get_loop_s
 from robinthread._internal.node.start_ages import make_age_fields
@@ -73,7 +74,7 @@
     """Return whether a placed start may be sent; log the reason if not.
 
     The host must still take work, be in no evacuated hall and have the capacity, as far as records
-    that are recent enough tell.
+    that are recent enough tell, and a ticket that the job needs must still be valid.
     """
     if leaving := find_leaving_reason(runtime, host, get_loop_s()):
         log_dropped(runtime, run, host, leaving)
@@ -81,6 +82,9 @@
     if runtime.jobs.evacuated.covers(host):
         log_dropped(runtime, run, host, "the hall is evacuated")
         return False
+    if not has_ticket(runtime.jobs, job, run.task.step_key, host, get_loop_s()):
+        log_dropped(runtime, run, host, "its ticket has expired")
+        return False
     if not are_hosts_known(runtime):
         log_dropped(runtime, run, host, "the list of hosts is too old")
         return False
--- a/tests/functional/test_slow_hosts.py
+++ b/tests/functional/test_slow_hosts.py
@@ -5,21 +5,26 @@
 """
 
 import asyncio
+from dataclasses import replace
 
 from testtools import TestCase
 
 from robinthread._internal.fleet.pool_report import FleetReportRequest
 from robinthread._internal.models.host_report import RunEnd
 from robinthread._internal.models.job_status import JobStatus
+from robinthread._internal.models.pool_policy import PoolPolicy
+from robinthread._internal.models.queue_policy import AdvicePolicy
 from robinthread._internal.models.resources import Resources
 from robinthread._internal.models.task_key import TaskKey
 from robinthread._internal.standins.job_host_standin import TaskPlan
 from robinthread._internal.standins.node_settings_standin import BOUNDS
 from robinthread._internal.standins.platform_standin import HOSTS, PlatformStandin
 from tests.lib.evacuating import get_pool_owner, record_sent_starts
+from tests.lib.event_lines import find_lines
 from tests.lib.job_platforms import (
     CANCEL_S,
     POOL,
+    QUEUE,
     cancel,
     find_violations,
     hand_in,
@@ -286,6 +291,23 @@
 
         run_virtual(work())
 
+    def test_start_whose_ticket_expires_while_it_waits_is_not_sent(self) -> None:
+        """Guards against starts that a host rejects, each after its turn."""
+
+        async def work() -> None:
+            platform = await start_with_slow_hosts([0.3], plan_small(1.0))
+            platform.requires_tickets = True
+            platform.advice.valid_s = 1.0
+            queue = replace(QUEUE, advice=AdvicePolicy(10, 1, 3000))
+            platform.configure(2, (queue,), (PoolPolicy(POOL),))
+            await asyncio.sleep(0.5)
+            spec = make_wide(1, 30)
+            await hand_in(platform, "node0", spec)
+            await wait_until_done(platform, [spec], 60)
+            self.assertEqual([], find_lines(platform, "start_rejected", pool=None))
+
+        run_virtual(work())
+
 
 class GangOnSlowHostsTest(TestCase):
     def _check_gang(self, delay_s: float) -> None:
