List the members only once this node has joined

What was seen: a real node whose store is not up wrote ten members_unread a second from its start.

Change: it does so only after a join, when it runs again after a failure.

Measured: no such line in 5 s without a store, and the members known 2 s after it is up (test_unread_hosts; failed before); 33 near tests pass.

--- a/src/robinthread/_internal/node/group_member.py
+++ b/src/robinthread/_internal/node/group_member.py
@@ -192,8 +192,9 @@
 
         This is not a part of ``run``, because a slow list would delay the joins.
         """
-        # A list that was requested before a failure may not have been read.
-        self._list_requested.set()
+        if self._joined_at_s != -math.inf:
+            # A list that was requested before a failure may not have been read.
+            self._list_requested.set()
         while not self.is_leaving:
             await self._list_requested.wait()
             self._list_requested.clear()
--- a/tests/functional/test_unread_hosts.py
+++ b/tests/functional/test_unread_hosts.py
@@ -4,12 +4,13 @@
 
 from testtools import TestCase
 
-from robinthread._internal.standins.platform_standin import HOSTS
+from robinthread._internal.standins.platform_standin import HOSTS, PlatformStandin
 from tests.lib.event_lines import find_lines
 from tests.lib.job_platforms import find_violations, get_owner, wait_until
 from tests.lib.task_failures import (
     find_faults_of_listing,
     find_unfinished,
+    plan_wide,
     read_lines,
     start_loaded,
 )
@@ -19,6 +20,23 @@
 HANDED_OVER_MAX_S = 9.0
 
 
+class UnreadMembersTest(TestCase):
+    def test_members_are_not_listed_before_the_first_join(self) -> None:
+        """Guards against ten failed calls and lines a second while the store is not up yet."""
+
+        async def work() -> None:
+            platform = PlatformStandin(plan_wide)
+            platform.store.faults.refused.add("*")
+            platform.start_node("node0")
+            await asyncio.sleep(5)
+            self.assertEqual([], read_lines(platform, "members_unread"))
+            platform.store.faults.refused.clear()
+            await asyncio.sleep(2)
+            self.assertEqual(1, len(platform.nodes["node0"].assembled.node._member.members))
+
+        run_virtual(work())
+
+
 class UnreadHostsTest(TestCase):
     def test_pool_moves_to_a_node_that_reads_the_hosts(self) -> None:
         """Guards against a pool that stands still though another node could serve it."""
