Count records as read only as far as a read reached the end

What it would cause: starts by a list of hosts that is older than the checks of its age believe.

Cause: a follower's age was that of its last read, whatever that read was.

Both new tests failed before.

--- a/src/robinthread/_internal/durable/keyed_follower.py
+++ b/src/robinthread/_internal/durable/keyed_follower.py
@@ -42,8 +42,8 @@
     minimum time between two reads, for partitions that change continuously.  A follower that
     starts paused reads nothing until ``resume`` or ``read_to_end`` is called.
 
-    ``confirmed_at_s`` is when the last successful read was sent, in seconds of the event
-    loop's clock: all records from before that time have been applied.
+    ``confirmed_at_s`` is when the last read that reached the partition's end was sent, in seconds
+    of the event loop's clock: all records from before that time have been applied.
     """
 
     def __init__(
@@ -162,9 +162,13 @@
         """Read once; return the partition's end offset, or None if a snapshot was read."""
         sent_at_s = asyncio.get_running_loop().time()
         end = await self._read_once(wait_s)
-        self.confirmed_at_s = max(self.confirmed_at_s, sent_at_s)
+        if end is not None and self.next_offset is not None and self.next_offset >= end:
+            self._confirm(sent_at_s)
         return end
 
+    def _confirm(self, read_at_s: float) -> None:
+        self.confirmed_at_s = max(self.confirmed_at_s, read_at_s)
+
     async def _read_once(self, wait_s: float) -> int | None:
         if self.next_offset is None:
             async with self._load_lock:
@@ -210,7 +214,8 @@
         Its end offset may be from before the call, because the reader resumes where an earlier
         attempt failed.
         """
-        newest = await self._reader.read()
+        reader = self._reader
+        newest = await reader.read()
         self._reader = NewestReader(self._store, self._partition)
         if self.next_offset is not None and self.next_offset > newest.next_offset:
             # A concurrent read has already advanced further.
@@ -219,6 +224,7 @@
         records = sorted(newest.records, key=lambda record: record.offset)
         self._apply(records, True)
         self.next_offset = newest.next_offset
+        self._confirm(reader.began_at_s)
         self.first_read.set()
 
     def _log_unreadable(self, count: int) -> None:
--- a/src/robinthread/_internal/durable/newest_reader.py
+++ b/src/robinthread/_internal/durable/newest_reader.py
@@ -1,5 +1,7 @@
 """Reader of the newest record of each key, page by page."""
 
+import asyncio
+import math
 from typing import Final
 
 from robinthread._internal.durable.errors import StoreNoAnswerError
@@ -23,7 +25,8 @@
 
     The pages together are not a consistent snapshot.  Records that change in the meantime have
     offsets at or after the end that the first page reports, and that end is the offset
-    returned to read on from.
+    returned to read on from.  ``began_at_s`` is when the first page was requested, by the event
+    loop's clock: the records of a later page may be newer, those of the first page are not.
     """
 
     def __init__(self, store: Store, partition: Partition) -> None:
@@ -34,6 +37,7 @@
         self._next_offset: int | None = None
         self._after_key = ""
         self._timeout_s = PAGE_TIMEOUT_MIN_S
+        self.began_at_s = -math.inf
 
     async def read(self) -> NewestRecords:
         """Read up to the last page and return all records.
@@ -41,6 +45,8 @@
         Raises ``StoreError`` if a page fails; the next call resumes at that page.
         """
         while True:
+            if self._next_offset is None:
+                self.began_at_s = asyncio.get_running_loop().time()
             try:
                 page = await end_within(
                     self._timeout_s,
--- a/tests/unit/test_keyed_follower.py
+++ b/tests/unit/test_keyed_follower.py
@@ -5,12 +5,16 @@
 """
 
 import asyncio
+import contextlib
+from collections.abc import Sequence
+from dataclasses import replace
 
 from testtools import TestCase
 
+from robinthread._internal.durable.errors import StoreNoAnswerError
 from robinthread._internal.durable.keyed_follower import KeyedFollower
-from robinthread._internal.durable.store import KeyedRecord, Partition
-from robinthread._internal.standins.store_standin import StoreStandin
+from robinthread._internal.durable.store import KeyedRecord, NewestPage, Partition, ReadPage
+from robinthread._internal.standins.store_standin import StoreClient, StoreStandin
 from robinthread._internal.telemetry.event_log import EventLog
 from tests.lib.virtual import run_virtual
 
@@ -26,6 +30,7 @@
 LARGE = b"x" * 362_000
 # A configuration must be in force within this time.
 LARGE_READ_MAX_S = 3.0
+OUTAGE_S = 10.0
 
 
 async def grow(standin: StoreStandin) -> None:
@@ -35,6 +40,41 @@
         await asyncio.sleep(GROWTH_PERIOD_S)
 
 
+def ignore(records: Sequence[KeyedRecord], is_snapshot: bool) -> None:
+    """Apply nothing."""
+
+
+class FailingStore(StoreClient):
+    """A client that loses the response to one page of a snapshot, or reads few records at once."""
+
+    def __init__(
+        self, standin: StoreStandin, failing_page: int = 0, page_max: int | None = None
+    ) -> None:
+        super().__init__(standin, "node")
+        self._failing_page = failing_page
+        self._page_max = page_max
+        self._page_count = 0
+
+    async def read_newest(
+        self, partition: Partition, after_key: str, timeout_s: float
+    ) -> NewestPage:
+        self._page_count += 1
+        if self._page_count == self._failing_page:
+            raise StoreNoAnswerError("lost")
+        return await super().read_newest(partition, after_key, timeout_s)
+
+    async def read(
+        self,
+        partition: Partition,
+        from_offset: int,
+        wait_s: float,
+        timeout_s: float | None = None,
+    ) -> ReadPage:
+        page = await super().read(partition, from_offset, wait_s, timeout_s)
+        records = page.records[: self._page_max]
+        return replace(page, records=records, next_offset=from_offset + len(records))
+
+
 class _FollowerRun:
     """A follower of a growing partition, and the records that it has applied."""
 
@@ -129,3 +169,49 @@
             following.cancel()
 
         run_virtual(work())
+
+
+class ConfirmationTest(TestCase):
+    """The age of what a follower knows, by which its owner decides whether to act on it."""
+
+    def test_snapshot_that_is_resumed_is_as_old_as_its_first_page(self) -> None:
+        """Guards against records from before an outage that count as read after it."""
+
+        async def work() -> None:
+            standin = StoreStandin()
+            for number in range(1200):
+                standin.put(PARTITION, f"{number:05}", b"")
+            store = FailingStore(standin, failing_page=2)
+            follower = KeyedFollower(store, PARTITION, ignore, EventLog("node", lambda line: None))
+            loop = asyncio.get_running_loop()
+            with contextlib.suppress(StoreNoAnswerError):
+                await follower.read_to_end()
+            failed_at_s = loop.time()
+            await asyncio.sleep(OUTAGE_S)
+            await follower._follow_once(0)
+            self.assertEqual(0, follower.next_offset and 1200 - follower.next_offset)
+            self.assertLessEqual(follower.confirmed_at_s, failed_at_s)
+            await follower.read_to_end()
+            self.assertGreaterEqual(follower.confirmed_at_s, failed_at_s + OUTAGE_S)
+
+        run_virtual(work())
+
+    def test_page_that_does_not_reach_the_end_confirms_nothing(self) -> None:
+        """Guards against a follower that lags behind and counts as up to date."""
+
+        async def work() -> None:
+            standin = StoreStandin()
+            standin.put(PARTITION, "first", b"")
+            store = FailingStore(standin, page_max=1)
+            follower = KeyedFollower(store, PARTITION, ignore, EventLog("node", lambda line: None))
+            await follower.read_to_end()
+            confirmed_at_s = follower.confirmed_at_s
+            await asyncio.sleep(OUTAGE_S)
+            for number in range(3):
+                standin.put(PARTITION, f"{number}", b"")
+            await follower._follow_once(0)
+            self.assertEqual(confirmed_at_s, follower.confirmed_at_s)
+            await follower.read_to_end()
+            self.assertGreaterEqual(follower.confirmed_at_s, confirmed_at_s + OUTAGE_S)
+
+        run_virtual(work())
