--- a/src/robinthread/_internal/jobs/start_limits.py
+++ b/src/robinthread/_internal/jobs/start_limits.py
@@ -37,6 +37,10 @@
 
 def can_send_soon(pool: PoolJobs, host: Host, now_s: float) -> bool:
     """Return whether the start of one more run would be sent soon after it is recorded."""
+    mean_s = host.answer_times.get_mean_s(now_s)
+    if (len(host.runs) + 1) * mean_s <= START_SLOTS * START_BOUND_S:
+        # This is so for prompt hosts, whatever their runs wait for.
+        return True
     limit = _get_limit(pool, host, START_BOUND_S, now_s)
     return len(host.runs) < limit or len(_list_unanswered(host)) < limit
 
