Give slow hosts more starts at once where their answers take no longer for it

What callers saw: LOST where all hosts answer slowly. With all of four hosts at 0.15, 0.3 and 0.39 s, jobs had nothing running for up to 2.5, 6.0 and 8.3 s though most of the room was free.

Cause: three concurrent starts a host, whatever its answers.

Change: a host whose answers are slow gets up to twelve, one more with each answer while all are in use, as long as answers take at most 1.5 times the quickest; a host that works off its starts one after the other answers the slower and keeps three. A lost start halves them.

--- a/src/robinthread/_internal/jobs/host.py
+++ b/src/robinthread/_internal/jobs/host.py
@@ -14,6 +14,7 @@
 from robinthread._internal.jobs.host_health import HostHealth
 from robinthread._internal.jobs.host_lease import HostLease
 from robinthread._internal.jobs.run import Run
+from robinthread._internal.jobs.start_slots import StartSlots
 from robinthread._internal.models.resources import NO_RESOURCES, Resources
 from robinthread._internal.models.task_key import TaskKey
 from robinthread._internal.models.upstream_host import UpstreamHost
@@ -75,6 +76,7 @@
         self.health = HostHealth()
         self.cold = ColdState()
         self.answer_times = AnswerTimes()
+        self.start_slots = StartSlots()
         self.contact = HostContact.NOT_CONTACTED
         self.runs: dict[tuple[TaskKey, int], Run] = {}
         self.acknowledged_end = 0
--- a/src/robinthread/_internal/jobs/start_limits.py
+++ b/src/robinthread/_internal/jobs/start_limits.py
@@ -7,8 +7,6 @@
 from robinthread._internal.jobs.pool_jobs import PoolJobs
 from robinthread._internal.jobs.run import Run
 
-# Maximum number of concurrent starts to one host, each on a connection of its own.
-START_SLOTS: Final = 3
 # A host gets as many starts as it answers in this time; the others stay in the pool's queue.
 START_BOUND_S: Final = 0.5
 # A start that has waited for its turn at a host for this long is placed anew.  The host may have
@@ -26,7 +24,8 @@
     It is infinite for a host of which no recent answers are known.
     """
     mean_s = host.answer_times.get_mean_s(now_s)
-    return max(START_SLOTS, int(START_SLOTS * bound_s / mean_s)) if mean_s else math.inf
+    slots = host.start_slots.count
+    return max(slots, int(slots * bound_s / mean_s)) if mean_s else math.inf
 
 
 def count_sendable(host: Host, now_s: float, bound_s: float) -> float:
@@ -38,7 +37,7 @@
 def can_send_soon(pool: PoolJobs, host: Host, now_s: float) -> bool:
     """Return whether the start of one more run would be sent soon after it is recorded."""
     mean_s = host.answer_times.get_mean_s(now_s)
-    if (len(host.runs) + 1) * mean_s <= START_SLOTS * START_BOUND_S:
+    if (len(host.runs) + 1) * mean_s <= host.start_slots.count * START_BOUND_S:
         # This is so for prompt hosts, whatever their runs wait for.
         return True
     limit = _get_limit(pool, host, START_BOUND_S, now_s)
--- a/src/robinthread/_internal/node/order_sender.py
+++ b/src/robinthread/_internal/node/order_sender.py
@@ -22,6 +22,7 @@
 from robinthread._internal.models.start_order import StartOrder
 from robinthread._internal.models.task_key import TaskKey
 from robinthread._internal.node.cold_starts import take_start
+from robinthread._internal.node.order_slots import make_slots
 from robinthread._internal.node.pool_runtime import PoolRuntime, get_loop_s
 from robinthread._internal.node.start_ages import make_age_fields, record_sending
 from robinthread._internal.node.start_checks import (
@@ -29,7 +30,7 @@
     withhold_if_evacuated,
 )
 from robinthread._internal.node.start_outcome import StartOutcome
-from robinthread._internal.node.start_turns import StartTurns, make_slots, wait_for_records
+from robinthread._internal.node.start_turns import StartTurns, wait_for_records
 
 # Number of times that a start is sent before its run is abandoned.
 START_TRIES: Final = 3
@@ -266,13 +267,13 @@
         try:
             await self._context.hosts.start(host.record, order)
         except HostNoAnswerError:
-            self._turns.record_answer(host, get_loop_s() - sent_at_s)
+            self._turns.record_answer(host, get_loop_s() - sent_at_s, is_answered=False)
             raise
         except HostError:
             unconfirmed.record_start_settled(host_id, run.key)
             raise
         unconfirmed.record_start_settled(host_id, run.key)
-        self._turns.record_answer(host, get_loop_s() - sent_at_s)
+        self._turns.record_answer(host, get_loop_s() - sent_at_s, is_answered=True)
 
     def _reject(self, run: Run, host: Host, reason: str, may_have_started: bool) -> StartOutcome:
         """Forget a run that its host rejected, unless an earlier start may still take effect."""
--- a/src/robinthread/_internal/standins/job_hosts_standin.py
+++ b/src/robinthread/_internal/standins/job_hosts_standin.py
@@ -38,7 +38,8 @@
     ``refused_routes`` are refused at once.  ``late_callers`` are too slow themselves to
     receive a response in time.  ``poll_counts`` counts polls by host id.  A host in
     ``answer_delays_s`` takes that long to carry out and answer each order, by its id; one that
-    takes longer than ``ORDER_TIMEOUT_S`` carries it out after its caller has given up.
+    takes longer than ``ORDER_TIMEOUT_S`` carries it out after its caller has given up.  A host in
+    ``serial_hosts`` has a lock, with which it works off one order after the other.
     """
 
     def __init__(self, seed: int = 1) -> None:
@@ -51,6 +52,7 @@
         self.late_callers: set[str] = set()
         self.poll_counts: Counter[str] = Counter()
         self.answer_delays_s: dict[str, float] = {}
+        self.serial_hosts: dict[str, asyncio.Lock] = {}
 
     def connect(self, caller: str) -> "JobHostsClient":
         """Return a client that calls the hosts as ``caller``."""
@@ -141,12 +143,31 @@
     async def _wait_for_answer(self, host: UpstreamHost, work: Callable[[], object]) -> None:
         """Wait for the host's ordinary delay; do ``work`` late if that exceeds the timeout."""
         delay_s = self._standin.answer_delays_s.get(host.id, 0.0)
+        if lock := self._standin.serial_hosts.get(host.id):
+            await self._wait_in_line(lock, delay_s, work)
+            return
         if delay_s > ORDER_TIMEOUT_S:
             asyncio.get_running_loop().call_later(delay_s, run_discarding_result, work)
             await asyncio.sleep(ORDER_TIMEOUT_S)
             raise HostNoAnswerError(f"{host.address} takes {delay_s} s to respond")
         await asyncio.sleep(delay_s)
 
+    async def _wait_in_line(
+        self, lock: asyncio.Lock, delay_s: float, work: Callable[[], object]
+    ) -> None:
+        """Wait until earlier orders and this one are worked off; do ``work`` late if too long."""
+
+        async def work_off() -> None:
+            async with lock:
+                await asyncio.sleep(delay_s)
+
+        turn = asyncio.get_running_loop().create_task(work_off())
+        try:
+            await asyncio.wait_for(asyncio.shield(turn), ORDER_TIMEOUT_S)
+        except TimeoutError as error:
+            turn.add_done_callback(lambda _: run_discarding_result(work))
+            raise HostNoAnswerError("the host works off other orders first") from error
+
     def _find(self, host: UpstreamHost) -> JobHostStandin:
         job_host = self._standin.hosts.get(host.address)
         if job_host is None or not job_host.is_up:
--- a/tests/functional/test_slow_hosts.py
+++ b/tests/functional/test_slow_hosts.py
@@ -42,6 +42,8 @@
 
 # A third of the time for which a job may stand still.
 STILL_GOAL_S = 1.0
+# A job may have nothing running for less than this while there is room.
+STILL_MAX_S = 3.0
 
 
 def count_runs(platform: PlatformStandin) -> int:
@@ -78,6 +80,48 @@
         self._check_no_job_stands_still(0.39)
 
 
+class AllHostsSlowTest(TestCase):
+    """Guards against hosts that stand idle behind the few starts that they answer at once."""
+
+    def _check_no_job_stands_still(self, delay_s: float) -> None:
+        async def work() -> None:
+            platform = await start_with_slow_hosts([delay_s] * 4, plan_small(1.0))
+            specs = [make_wide(number, 12) for number in range(1, 25)]
+            accepted_at_s = await hand_in_steadily(platform, specs, 0.05)
+            await wait_until_done(platform, specs, 60)
+            still_s = [
+                get_longest_stillness_s(platform, job_id, at_s)
+                for job_id, at_s in accepted_at_s.items()
+            ]
+            self.assertLess(max(still_s), STILL_MAX_S)
+            self.assertEqual([], find_violations(platform))
+
+        run_virtual(work())
+
+    def test_no_job_stands_still_while_all_hosts_answer_in_150_ms(self) -> None:
+        self._check_no_job_stands_still(0.15)
+
+    def test_no_job_stands_still_while_all_hosts_answer_in_300_ms(self) -> None:
+        self._check_no_job_stands_still(0.3)
+
+    def test_no_job_stands_still_while_all_hosts_answer_in_390_ms(self) -> None:
+        self._check_no_job_stands_still(0.39)
+
+    def test_host_that_works_off_its_starts_in_turn_answers_each_in_time(self) -> None:
+        """Guards against more starts at once than such a host answers within their timeout."""
+
+        async def work() -> None:
+            platform = await start_with_slow_hosts([0.1], plan_small(1.0))
+            [host] = list_hosts(platform)
+            platform.hosts.serial_hosts[host.record.id] = asyncio.Lock()
+            specs = [make_wide(1, 60)]
+            await hand_in_steadily(platform, specs, 0.0)
+            await wait_until_done(platform, specs, 30)
+            self.assertEqual([], find_lines(platform, "start_unanswered", pool=None))
+
+        run_virtual(work())
+
+
 class OrdersBesideQueuedStartsTest(TestCase):
     def test_stop_is_not_delayed_by_queued_starts(self) -> None:
         """Guards against stops that wait for the slots that starts hold."""
--- a/tests/unit/test_start_limits.py
+++ b/tests/unit/test_start_limits.py
@@ -13,12 +13,16 @@
 from robinthread._internal.jobs.scheduling import place_waiting
 from robinthread._internal.jobs.start_limits import (
     START_BOUND_S,
-    START_SLOTS,
     START_WAIT_MAX_S,
     get_start_limit,
     get_wait_max_s,
     list_surplus,
 )
+from robinthread._internal.jobs.start_slots import (
+    START_SLOTS,
+    START_SLOTS_MAX,
+    StartSlots,
+)
 from robinthread._internal.jobs.unresponsive_hosts import UNRESPONSIVE_AFTER_S, list_unresponsive
 from robinthread._internal.models.job_spec import StepSpec
 from robinthread._internal.models.resources import Resources
@@ -164,3 +168,35 @@
         self._make_slow(pool, "a", 0.3)
         self.assertEqual({"b"}, list_unresponsive(pool, NOW_S + UNRESPONSIVE_AFTER_S + 0.1))
         self.assertIn("a", list_unresponsive(pool, NOW_S + 0.46))
+
+
+class StartSlotsTest(TestCase):
+    """Guards against slow hosts that stand idle, and against more starts than a host bears."""
+
+    def record(self, slots: StartSlots, *took_s: float) -> None:
+        for took in took_s:
+            slots.record_answer(took, NOW_S, may_grow=True)
+
+    def test_host_whose_answers_take_no_longer_gets_more_slots(self) -> None:
+        slots = StartSlots()
+        self.record(slots, *[0.3] * 30)
+        self.assertEqual(START_SLOTS_MAX, slots.count)
+
+    def test_host_that_works_off_its_starts_in_turn_gets_no_more(self) -> None:
+        slots = StartSlots()
+        self.record(slots, 0.11, 0.22, *[0.33] * 30)
+        self.assertEqual(START_SLOTS, slots.count)
+
+    def test_prompt_host_and_one_that_loses_starts_get_no_more(self) -> None:
+        slots = StartSlots()
+        self.record(slots, *[0.3] * 30)
+        for _ in range(3):
+            slots.record_loss()
+        self.assertEqual(START_SLOTS, slots.count)
+        self.record(slots, *[0.3] * 30, 0.01)
+        self.assertEqual(START_SLOTS, slots.count)
+
+    def test_no_more_slots_while_some_are_free(self) -> None:
+        slots = StartSlots()
+        slots.record_answer(0.3, NOW_S, may_grow=False)
+        self.assertEqual(START_SLOTS, slots.count)
