Send a start without an answer again to a host that is vacated or unlisted

What callers saw: nothing yet; found by review. A lasting task at work on a sound host could be stopped while none of its step may be missing (AVAIL).

Cause: the check before each try, new in this issue, gave up a run whose first start had no answer once its host was being vacated, left the list, or the ticket or the list of hosts had become too old; what may have begun was then stopped.

Change: a run that may have begun is given up only for a host that drains, an evacuation or room, as before this issue; while the list is too old it waits for the host's report.

--- a/src/robinthread/_internal/node/order_sender.py
+++ b/src/robinthread/_internal/node/order_sender.py
@@ -26,6 +26,7 @@
 from robinthread._internal.node.pool_runtime import PoolRuntime, get_loop_s
 from robinthread._internal.node.start_ages import make_age_fields, record_sending
 from robinthread._internal.node.start_checks import (
+    are_hosts_known,
     may_send,
     withhold_if_evacuated,
 )
@@ -87,6 +88,10 @@
         while tries < START_TRIES and host.contact is HostContact.ANSWERING:
             if run.phase is not RunPhase.SENDING:
                 return
+            if sent_count and not are_hosts_known(self._runtime):
+                # The run may be at work, and the host's report tells.
+                await asyncio.sleep(RETRY_PAUSE_S)
+                continue
             if not may_send(self._runtime, run, host, job):
                 break
             until_ms = self._grant_lease(host)
--- a/src/robinthread/_internal/node/start_checks.py
+++ b/src/robinthread/_internal/node/start_checks.py
@@ -49,12 +49,8 @@
 
 
 def find_leaving_reason(runtime: PoolRuntime, host: Host, now_s: float) -> str:
-    """Return why a host that had been chosen takes no more work; empty if it still does.
-
-    The entry is compared as the node has read it, too, whether or not the pool's owner has
-    applied it.
-    """
-    if host.record.is_draining or _is_read_as_draining(runtime, host):
+    """Return why a host that had been chosen takes no more work; empty if it still does."""
+    if is_draining(runtime, host):
         return "the host drains"
     if not host.is_listed:
         return "the host is not listed"
@@ -63,7 +59,10 @@
     return ""
 
 
-def _is_read_as_draining(runtime: PoolRuntime, host: Host) -> bool:
+def is_draining(runtime: PoolRuntime, host: Host) -> bool:
+    """Return whether a host drains, by the owner's record or by the entry as the node read it."""
+    if host.record.is_draining:
+        return True
     entry = runtime.context.host_directory.hosts.get(host.record.id)
     if entry is None or not entry.is_draining:
         return False
@@ -74,15 +73,18 @@
     """Return whether a placed start may be sent; log the reason if not.
 
     The host must still take work, be in no evacuated hall and have the capacity, as far as records
-    that are recent enough tell, and a ticket that the job needs must still be valid.
+    that are recent enough tell, and a ticket that the job needs must still be valid.  A run that
+    may have begun is sent again to a host that is unlisted or being vacated, unless it drains:
+    the host confirms the run if it has it, and what is at work need not be stopped.
     """
-    if leaving := find_leaving_reason(runtime, host, get_loop_s()):
+    leaving = find_leaving_reason(runtime, host, get_loop_s())
+    if leaving and (run.is_unsent or is_draining(runtime, host)):
         log_dropped(runtime, run, host, leaving)
         return False
     if runtime.jobs.evacuated.covers(host):
         log_dropped(runtime, run, host, "the hall is evacuated")
         return False
-    if not has_ticket(runtime.jobs, job, run.task.step_key, host, get_loop_s()):
+    if run.is_unsent and not has_ticket(runtime.jobs, job, run.task.step_key, host, get_loop_s()):
         log_dropped(runtime, run, host, "its ticket has expired")
         return False
     if not are_hosts_known(runtime):
--- a/tests/functional/test_draining_slow_hosts.py
+++ b/tests/functional/test_draining_slow_hosts.py
@@ -4,11 +4,16 @@
 """
 
 import asyncio
+from unittest.mock import patch
 
 from testtools import TestCase
 
 from robinthread._internal.fleet.pool_report import FleetReportRequest
+from robinthread._internal.jobs.host import Host
+from robinthread._internal.models.job_spec import StepSpec
 from robinthread._internal.models.job_status import JobStatus
+from robinthread._internal.models.resources import Resources
+from robinthread._internal.standins.job_host_standin import TaskPlan
 from robinthread._internal.standins.node_settings_standin import BOUNDS
 from robinthread._internal.standins.platform_standin import HOSTS, PlatformStandin
 from tests.lib.evacuating import get_pool_owner, record_sent_starts
@@ -17,6 +22,7 @@
     find_violations,
     hand_in,
     hand_in_all,
+    make_job,
     wait_for_status,
     wait_until,
     wait_until_done,
@@ -37,6 +43,14 @@
 DRAIN_S = BOUNDS.drain_ms / 1000
 # The goal while the store answers: the list is read each 0.3 s, and an order takes up to 0.4 s.
 DRAIN_GOAL_S = 1.0
+LASTING = StepSpec(
+    2,
+    cpu_millicores=500,
+    memory_mb=100,
+    is_lasting=True,
+    has_not_running_limit=True,
+    not_running_max=0,
+)
 # Four jobs are too much for three hosts for some seconds.
 JOBS = [make_wide(number, 80) for number in range(1, 5)]
 
@@ -189,3 +203,22 @@
             self.assertEqual([], [run for run in unsent if run.is_unsent])
 
         run_virtual(work())
+
+
+class LostAnswerTest(TestCase):
+    def test_lasting_task_whose_start_had_no_answer_goes_on_while_its_host_is_vacated(self) -> None:
+        """Guards against a task at work that is stopped, though none of its step may be missing."""
+
+        async def work() -> None:
+            plan = TaskPlan(None, Resources(500, 100))
+            platform = await start_with_slow_hosts([0.0, 0.0], lambda task: plan)
+            platform.hosts.faults.lost_share = 1.0
+            await hand_in(platform, "node0", make_job(1, LASTING))
+            await wait_until(lambda: count_runs(platform) == 2)
+            platform.hosts.faults.lost_share = 0.0
+            with patch.object(Host, "is_vacating", return_value=True):
+                await asyncio.sleep(3)
+            self.assertEqual(["", ""], [run.end for run in platform.hosts.ledger.runs])
+            self.assertEqual([], find_violations(platform))
+
+        run_virtual(work())
