Count the starts that a host has not answered as they change

What callers saw: nothing yet; found by review.

Cause: whether a host may get another start was found by a scan of all of its runs, for each host and step. Each answer of a slow host also placed all waiting tasks anew, for one start that could be added.

Change: each host keeps the runs whose starts it has not answered, and a slow one is given more once it has fewer than its slots or half of its limit.

--- a/src/robinthread/_internal/jobs/host.py
+++ b/src/robinthread/_internal/jobs/host.py
@@ -47,7 +47,9 @@
     those up to ``forgotten_end``.  ``processed_batch`` is the batch of records after which
     ``acknowledged_end`` may advance to ``processed_end``.
 
-    ``free`` is the free capacity, and ``lasting_count`` the number of runs of lasting tasks.
+    ``unanswered`` are the runs that this owner placed here and whose starts the host has not
+    answered, the oldest first.  ``free`` is the free capacity, and ``lasting_count`` the number of
+    runs of lasting tasks.
 
     ``reported_at_s`` is when the last report arrived, and ``leaves_at_s`` the earliest time
     at which a draining host may have ended.  ``unanswered_since_s`` is when the first order
@@ -79,6 +81,7 @@
         self.start_slots = StartSlots()
         self.contact = HostContact.NOT_CONTACTED
         self.runs: dict[tuple[TaskKey, int], Run] = {}
+        self.unanswered: dict[tuple[TaskKey, int], Run] = {}
         self.acknowledged_end = 0
         self.forgotten_end = 0
         self.processed_end = 0
@@ -172,6 +175,8 @@
     def add_run(self, run: Run, resources: Resources) -> None:
         """Add a run and reserve its resources."""
         self.runs[run.key] = run
+        if run.awaits_answer:
+            self.unanswered[run.key] = run
         self._set_used(self._used + resources)
         if run.is_lasting:
             self._used_by_lasting += resources
@@ -181,6 +186,7 @@
         """Remove a run and release its resources."""
         if self.runs.pop(run.key, None) is None:
             return
+        self.unanswered.pop(run.key, None)
         self._set_used(self._used - resources)
         if run.is_lasting:
             self._used_by_lasting -= resources
--- a/src/robinthread/_internal/jobs/pool_jobs.py
+++ b/src/robinthread/_internal/jobs/pool_jobs.py
@@ -190,6 +190,7 @@
         """Mark a run as present after its host accepted or reported it."""
         if run.phase is RunPhase.SENDING:
             run.phase = RunPhase.PRESENT
+            self.hosts[run.host_id].unanswered.pop(run.key, None)
             run.settled_at_s = min(run.settled_at_s, now_s)
         if run.present_since_s is None:
             run.present_since_s = run.progress_at_s = now_s
@@ -323,6 +324,7 @@
             # accepted it from an earlier owner.
             run.settled_at_s = math.inf
             run.phase = RunPhase.STOPPING
+            self.hosts[run.host_id].unanswered.pop(run.key, None)
             self.to_stop.append(run)
 
     def drop_job(self, job: Job) -> None:
--- a/src/robinthread/_internal/jobs/start_limits.py
+++ b/src/robinthread/_internal/jobs/start_limits.py
@@ -31,17 +31,18 @@
 def count_sendable(host: Host, now_s: float, bound_s: float) -> float:
     """Return how many more runs may be placed on a host so that all are sent within a time."""
     limit = get_start_limit(host, bound_s, now_s)
-    return limit if limit == math.inf else limit - len(_list_unanswered(host))
+    return limit if limit == math.inf else limit - len(host.unanswered)
 
 
 def can_send_soon(pool: PoolJobs, host: Host, now_s: float) -> bool:
     """Return whether the start of one more run would be sent soon after it is recorded."""
-    mean_s = host.answer_times.get_mean_s(now_s)
-    if (len(host.runs) + 1) * mean_s <= host.start_slots.count * START_BOUND_S:
-        # This is so for prompt hosts, whatever their runs wait for.
-        return True
+    return len(host.unanswered) < _get_limit(pool, host, START_BOUND_S, now_s)
+
+
+def is_nearly_idle(pool: PoolJobs, host: Host, now_s: float) -> bool:
+    """Return whether a host should get more starts now: some of its slots, or half of its limit."""
     limit = _get_limit(pool, host, START_BOUND_S, now_s)
-    return len(host.runs) < limit or len(_list_unanswered(host)) < limit
+    return len(host.unanswered) < max(host.start_slots.count, limit / 2)
 
 
 def list_surplus(pool: PoolJobs, host: Host, now_s: float) -> list[Run]:
@@ -50,12 +51,9 @@
     There are none unless some would wait for longer than ``START_WAIT_MAX_S``.  Members of gangs
     remain: they were placed within a time of their own.
     """
-    limit = _get_limit(pool, host, START_WAIT_MAX_S, now_s)
-    if len(host.runs) <= limit:
-        return []
-    unanswered = _list_unanswered(host)
-    if len(unanswered) <= limit:
+    if len(host.unanswered) <= _get_limit(pool, host, START_WAIT_MAX_S, now_s):
         return []
+    unanswered = list(host.unanswered.values())
     kept_count = int(_get_limit(pool, host, START_BOUND_S, now_s))
     return [run for run in unanswered[kept_count:] if run.is_unsent and not _is_in_gang(pool, run)]
 
@@ -73,8 +71,3 @@
 
 def _is_in_gang(pool: PoolJobs, run: Run) -> bool:
     return pool.jobs[run.task.job_id].spec.steps[run.task.step].is_gang
-
-
-def _list_unanswered(host: Host) -> list[Run]:
-    """Return the runs placed on a host whose starts it has not answered, the oldest first."""
-    return [run for run in host.runs.values() if run.awaits_answer]
--- a/src/robinthread/_internal/node/start_turns.py
+++ b/src/robinthread/_internal/node/start_turns.py
@@ -7,7 +7,11 @@
 
 from robinthread._internal.jobs.host import Host, HostContact
 from robinthread._internal.jobs.run import Run, RunPhase
-from robinthread._internal.jobs.start_limits import get_wait_max_s, list_surplus
+from robinthread._internal.jobs.start_limits import (
+    get_wait_max_s,
+    is_nearly_idle,
+    list_surplus,
+)
 from robinthread._internal.jobs.start_slots import EXTRA_SLOTS_MAX, START_SLOTS
 from robinthread._internal.node.order_slots import make_slots
 from robinthread._internal.node.pool_runtime import PoolRuntime, get_loop_s
@@ -54,7 +58,8 @@
         jobs = self._runtime.jobs
         surplus = list_surplus(jobs, host, now_s)
         give_back(self._runtime, surplus, "the host answers slowly")
-        if surplus or (jobs.waiting and host.answer_times.is_slow(now_s)):
+        is_slow = host.answer_times.is_slow(now_s)
+        if surplus or (jobs.waiting and is_slow and is_nearly_idle(jobs, host, now_s)):
             self._runtime.wake()
 
     def _resize(self, host: Host, took_s: float, now_s: float, is_answered: bool) -> None:
--- a/tests/unit/test_start_limits.py
+++ b/tests/unit/test_start_limits.py
@@ -9,7 +9,7 @@
 from robinthread._internal.jobs.answer_times import VALID_S, AnswerTimes
 from robinthread._internal.jobs.host import Host, HostContact
 from robinthread._internal.jobs.pool_jobs import PoolJobs
-from robinthread._internal.jobs.run import RunPhase
+from robinthread._internal.jobs.run import Run, RunPhase
 from robinthread._internal.jobs.scheduling import place_waiting
 from robinthread._internal.jobs.start_limits import (
     START_BOUND_S,
@@ -24,8 +24,10 @@
     StartSlots,
 )
 from robinthread._internal.jobs.unresponsive_hosts import UNRESPONSIVE_AFTER_S, list_unresponsive
+from robinthread._internal.models.host_report import RunEnd
 from robinthread._internal.models.job_spec import StepSpec
 from robinthread._internal.models.resources import Resources
+from robinthread._internal.models.task_key import TaskKey
 from robinthread._internal.models.upstream_host import UpstreamHost
 from tests.lib.job_platforms import QUEUE, make_job
 
@@ -53,6 +55,12 @@
     return {name: len(host.runs) for name, host in pool.hosts.items()}
 
 
+def make_inherited_run() -> Run:
+    run = Run(TaskKey(f"{2:016x}", 0, 0, 0), 1, "a", "")
+    run.phase, run.is_inherited = RunPhase.SENDING, True
+    return run
+
+
 class AnswerTimesTest(TestCase):
     def test_mean_follows_the_newest_answers(self) -> None:
         times = AnswerTimes()
@@ -85,7 +93,8 @@
         self.assertEqual({"a": START_SLOTS * 2}, place(pool))
         self.assertEqual(40 - START_SLOTS * 2, len(pool.waiting))
         for run in pool.hosts["a"].runs.values():
-            run.phase = RunPhase.PRESENT
+            run.phase = RunPhase.SENDING
+            pool.confirm_start(run, NOW_S)
         self.assertEqual({"a": 2 * START_SLOTS * 2}, place(pool))
 
     def test_host_gets_as_many_as_are_sent_at_once_however_slow_it_is(self) -> None:
@@ -170,6 +179,35 @@
         self.assertIn("a", list_unresponsive(pool, NOW_S + 0.46))
 
 
+class UnansweredTest(TestCase):
+    """Guards against a host that gets no starts because of runs that have long been answered."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.pool = make_pool("a", "b")
+        self.host = self.pool.hosts["a"]
+        add_job(self.pool, StepSpec(6, cpu_millicores=100, memory_mb=1))
+        for task in list(self.pool.waiting.values()):
+            run = self.pool.place(task, self.host, now_s=NOW_S)
+            run.phase, run.sent_at_s = RunPhase.SENDING, NOW_S
+
+    def test_run_that_is_confirmed_stopped_ended_or_forgotten_is_answered(self) -> None:
+        confirmed, stopped, ended, forgotten, *waiting = list(self.host.unanswered.values())
+        self.pool.confirm_start(confirmed, NOW_S)
+        self.pool.stop(stopped)
+        self.pool.end_run(ended, RunEnd.DONE, "", 0)
+        self.pool.forget_run(forgotten)
+        self.assertEqual(waiting, list(self.host.unanswered.values()))
+
+    def test_host_that_ends_leaves_none(self) -> None:
+        self.pool.remove_host("a", 0)
+        self.assertEqual({}, self.host.unanswered)
+
+    def test_runs_of_an_earlier_owner_do_not_count(self) -> None:
+        self.host.add_run(make_inherited_run(), WIDE.resources)
+        self.assertEqual(6, len(self.host.unanswered))
+
+
 class StartSlotsTest(TestCase):
     """Guards against slow hosts that stand idle, and against more starts than a host bears."""
 
