Merge slots by the host's answers, and two findings of the review

A run that may have begun isn't stopped for a vacated host; placing costs the same at any answer time.

--- a/src/robinthread/_internal/node/order_sender.py
+++ b/src/robinthread/_internal/node/order_sender.py
@@ -22,14 +22,16 @@
 from robinthread._internal.models.start_order import StartOrder
 from robinthread._internal.models.task_key import TaskKey
 from robinthread._internal.node.cold_starts import take_start
+from robinthread._internal.node.order_slots import make_slots
 from robinthread._internal.node.pool_runtime import PoolRuntime, get_loop_s
 from robinthread._internal.node.start_ages import make_age_fields, record_sending
 from robinthread._internal.node.start_checks import (
+    are_hosts_known,
     may_send,
     withhold_if_evacuated,
 )
 from robinthread._internal.node.start_outcome import StartOutcome
-from robinthread._internal.node.start_turns import StartTurns, make_slots, wait_for_records
+from robinthread._internal.node.start_turns import StartTurns, wait_for_records
 
 # Number of times that a start is sent before its run is abandoned.
 START_TRIES: Final = 3
@@ -86,6 +88,10 @@
         while tries < START_TRIES and host.contact is HostContact.ANSWERING:
             if run.phase is not RunPhase.SENDING:
                 return
+            if sent_count and not are_hosts_known(self._runtime):
+                # The run may be at work, and the host's report tells.
+                await asyncio.sleep(RETRY_PAUSE_S)
+                continue
             if not may_send(self._runtime, run, host, job):
                 break
             until_ms = self._grant_lease(host)
@@ -266,13 +272,13 @@
         try:
             await self._context.hosts.start(host.record, order)
         except HostNoAnswerError:
-            self._turns.record_answer(host, get_loop_s() - sent_at_s)
+            self._turns.record_answer(host, get_loop_s() - sent_at_s, is_answered=False)
             raise
         except HostError:
             unconfirmed.record_start_settled(host_id, run.key)
             raise
         unconfirmed.record_start_settled(host_id, run.key)
-        self._turns.record_answer(host, get_loop_s() - sent_at_s)
+        self._turns.record_answer(host, get_loop_s() - sent_at_s, is_answered=True)
 
     def _reject(self, run: Run, host: Host, reason: str, may_have_started: bool) -> StartOutcome:
         """Forget a run that its host rejected, unless an earlier start may still take effect."""
