--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -3,10 +3,10 @@
 ``python -m bench`` runs the benches in ``CHECKED``, ``python -m bench NAME`` a single one;
 ``--check`` exits with 1 if a count is outside its bound.  ``drawn_days``, ``drawn_waves``,
 ``drawn_crashes``, ``drawn_evacuations``, ``drawn_limits``, ``drawn_fixed_limits``,
-``drawn_returns``, ``drawn_rooms`` and ``drawn_sizes`` simulate ``--days=N`` days, starting at the
-seed ``--first=N``.  ``back_days`` does so too; ``--nodes=N``, ``--pools=N``,
-``--hosts_a_pool=N`` and ``--jobs_per_s=N`` set its size.  ``soak`` runs real processes in real
-time, with ``--nodes=N`` and ``--length_s=N``.
+``drawn_returns``, ``drawn_rooms``, ``drawn_sizes`` and ``odd_days`` simulate ``--days=N`` days,
+starting at the seed ``--first=N``.  ``back_days`` does so too; ``--nodes=N``, ``--pools=N``,
+``--hosts_a_pool=N`` and ``--jobs_per_s=N`` set its size.  ``soak``, ``odd_soak`` and ``calm_soak``
+run real processes in real time, with ``--nodes=N`` and ``--length_s=N``.
 """
 
 import sys
@@ -17,7 +17,7 @@
 from bench.bounds import Bound, iter_broken, read_bounds
 from bench.control import run_control
 from bench.drawn_crashes import run_drawn_crashes
-from bench.drawn_days import run_drawn_days
+from bench.drawn_days import run_drawn_days, run_odd_days
 from bench.drawn_evacuations import run_drawn_evacuations
 from bench.drawn_limits import run_drawn_fixed_limits, run_drawn_limits
 from bench.drawn_returns import run_drawn_returns
@@ -29,7 +29,7 @@
 from bench.parallel import run_in_processes
 from bench.placing import run_placing
 from bench.result import BenchResult
-from bench.soak import run_soaks
+from bench.soak import run_calm_soaks, run_odd_soaks, run_soaks
 from bench.storms import run_storms
 from bench.takeover import run_takeover
 from bench.urgent import run_urgent
@@ -58,6 +58,7 @@
     is_check = "--check" in arguments
     long = LONG | {
         "drawn_days": lambda: run_drawn_days(**_read_days(arguments)),
+        "odd_days": lambda: run_odd_days(**_read_days(arguments)),
         "drawn_crashes": lambda: run_drawn_crashes(**_read_days(arguments)),
         "drawn_evacuations": lambda: run_drawn_evacuations(**_read_days(arguments)),
         "drawn_limits": lambda: run_drawn_limits(**_read_days(arguments)),
@@ -67,6 +68,8 @@
         "drawn_sizes": lambda: run_drawn_sizes(**_read_days(arguments)),
         "drawn_waves": lambda: run_drawn_waves(**_read_days(arguments)),
         "soak": lambda: run_soaks(**_read_days(arguments), sizes=_read_sizes(arguments)),
+        "odd_soak": lambda: run_odd_soaks(**_read_days(arguments), sizes=_read_sizes(arguments)),
+        "calm_soak": lambda: run_calm_soaks(**_read_days(arguments), sizes=_read_sizes(arguments)),
         "back_days": lambda: run_back_days(**_read_days(arguments), sizes=_read_sizes(arguments)),
     }
     names = [name for name in arguments if not name.startswith("--")]
--- a/bench/drawn_days.py
+++ b/bench/drawn_days.py
@@ -1,6 +1,7 @@
 """Random days with troubles on the simulated platform, counted over many seeds."""
 
 from collections.abc import Sequence
+from functools import partial
 
 from tests.lib.drawn_days import DayFindings, find_on_day
 
@@ -13,6 +14,12 @@
     return play_drawn("drawn_days", find_on_day, first_seed, days, _count)
 
 
+def run_odd_days(first_seed: int = FIRST_SEED, days: int = DAYS) -> BenchResult:
+    """Simulate days with delays of answers, odd input and drains in series, beside troubles."""
+    find = partial(find_on_day, has_delays=True)
+    return play_drawn("odd_days", find, first_seed, days, _count)
+
+
 def _count(found: Sequence[DayFindings]) -> dict[str, float]:
     return {
         "lost": sum(len(day.lost) for day in found),
--- a/src/robinthread/_internal/standins/call_faults.py
+++ b/src/robinthread/_internal/standins/call_faults.py
@@ -27,14 +27,15 @@
     stands for all callers.  Of the calls that change state, a share of ``lost_share`` is
     carried out but its response is lost; the work is then done after a random delay in the
     range ``late_s``.  Each call takes ``latency_s``, varied at random by up to
-    ``latency_spread`` times that value.  Calls on ``connections`` that have gone silent time
-    out; the work of calls sent before the silence is still done.  If ``charge_processor`` is
-    set, it is awaited before each call, to model the caller's processor time.
+    ``latency_spread`` times that value; ``ordinary_latency_s`` is that of calls without a fault.
+    Calls on ``connections`` that have gone silent time out; the work of calls sent before the
+    silence is still done.  If ``charge_processor`` is set, it is awaited before each call, to
+    model the caller's processor time.
     """
 
     def __init__(self, seed: int, latency_s: float) -> None:
         self._random = random.Random(seed)
-        self.latency_s = latency_s
+        self.latency_s = self.ordinary_latency_s = latency_s
         self.silent: set[str] = set()
         self.refused: set[str] = set()
         self.latency_spread = 0.0
@@ -43,6 +44,10 @@
         self.connections = OpenConnections()
         self.charge_processor: ProcessorCharge | None = None
 
+    def set_ordinary_latency(self, latency_s: float) -> None:
+        """Set how long each call takes, now and after a fault that slows calls down."""
+        self.latency_s = self.ordinary_latency_s = latency_s
+
     async def carry_out(
         self,
         caller: str,
--- a/tests/functional/test_drawn_days.py
+++ b/tests/functional/test_drawn_days.py
@@ -17,6 +17,10 @@
     25: "the hosts' ledger counted an end that was recorded after the host's lease had lapsed",
 }
 
+# Days with delays of answers and odd input, on which starts came late on draining hosts (2, 6) or
+# nobody served the pool (4).
+ODD_SEEDS = (2, 4, 6)
+
 
 class DrawnDaysTest(TestCase):
     def test_drawn_days_have_no_violations(self) -> None:
@@ -28,6 +32,11 @@
         found = [find_on_day(seed, keeps_host_ids=True) for seed in KEPT_ID_SEEDS]
         self.assertEqual([], [day for day in found if not day.is_clean])
 
+    def test_days_with_delays_and_odd_input_have_no_violations(self) -> None:
+        """One odd record, and nodes no longer learned which hosts drain, or opened no pool."""
+        found = [find_on_day(seed, has_delays=True) for seed in ODD_SEEDS]
+        self.assertEqual([], [day for day in found if not day.is_clean])
+
     def test_days_that_failed_before_have_no_violations(self) -> None:
         found = {day: find_on_day(day) for day in FAILED_SEEDS}
         broken = {seed: FAILED_SEEDS[seed] for seed, day in found.items() if not day.is_clean}
--- a/tests/lib/day_troubles.py
+++ b/tests/lib/day_troubles.py
@@ -11,7 +11,6 @@
 from robinthread._internal.node.group_member import GROUP
 from robinthread._internal.standins.job_host_standin import JobHostStandin
 from robinthread._internal.standins.platform_standin import PlatformStandin
-from robinthread._internal.standins.store_standin import LATENCY_S
 from tests.lib.job_platforms import get_owner, make_stop_budget
 
 # Hosts are crashed or drained only while more than this many are up: this many can hold the
@@ -115,7 +114,7 @@
             return _add(platform.machines.faults.silent, "*")
         case TroubleKind.STORE_SLOW:
             store.latency_s = SLOW_STORE_S
-            return lambda: setattr(store, "latency_s", LATENCY_S)
+            return lambda: setattr(store, "latency_s", store.ordinary_latency_s)
         case TroubleKind.LOSE_ORDERS:
             hosts.lost_share, hosts.late_s = LOST_SHARE, LATE_ORDER_S
             return lambda: setattr(hosts, "lost_share", 0.0)
--- a/tests/lib/drawn_days.py
+++ b/tests/lib/drawn_days.py
@@ -15,7 +15,9 @@
 from robinthread._internal.standins.job_host_standin import TaskPlan
 from robinthread._internal.standins.platform_standin import PlatformStandin, StartTimeSource
 from robinthread._internal.standins.run_ledger import LedgerRun
+from tests.lib.day_oddities import DayDelays, drain_busiest, draw_delays, play_oddities, set_delays
 from tests.lib.day_troubles import HOST_KINDS, HOSTS_MIN, Trouble, TroubleKind, bring_about
+from tests.lib.draining import find_starts_on_draining_hosts
 from tests.lib.job_platforms import find_violations, get_owner, get_status, hand_in, make_job
 from tests.lib.lasting import (
     LASTING_JOB,
@@ -68,6 +70,7 @@
     heartbeat_s: float
     latency_spread: float
     troubles: tuple[Trouble, ...]
+    delays: DayDelays | None = None
 
 
 @dataclass(frozen=True)
@@ -96,8 +99,8 @@
         return not (self.lost or self.breaks or self.undone or self.unserved)
 
 
-def draw_day(seed: int) -> DrawnDay:
-    """Draw a day from its seed."""
+def draw_day(seed: int, has_delays: bool = False) -> DrawnDay:
+    """Draw a day from its seed, with delays of answers and odd input if it ``has_delays``."""
     drawn = random.Random(seed)
     lasting = StepSpec(
         5,
@@ -118,6 +121,7 @@
         heartbeat_s=drawn.choice((0.0, 1.0, 3.0)),
         latency_spread=drawn.choice((0.0, 0.5, 0.9)),
         troubles=tuple(_iter_troubles(drawn)),
+        delays=draw_delays(seed, TROUBLES_S) if has_delays else None,
     )
 
 
@@ -134,10 +138,10 @@
         at_s += drawn.choice(PAUSES_S)
 
 
-def find_on_day(seed: int, keeps_host_ids: bool = False) -> DayFindings:
+def find_on_day(seed: int, keeps_host_ids: bool = False, has_delays: bool = False) -> DayFindings:
     """Draw a day and play it on virtual time; an AssertionError counts as a finding."""
     try:
-        return run_virtual(play_day(draw_day(seed), keeps_host_ids))
+        return run_virtual(play_day(draw_day(seed, has_delays), keeps_host_ids))
     except AssertionError as error:
         return DayFindings(seed, (), (), (), (str(error),), 0.0)
 
@@ -150,10 +154,16 @@
     heartbeats = asyncio.create_task(platform.send_heartbeats(day.heartbeat_s or TROUBLES_S * 10))
     jobs: list[asyncio.Task[SubmittedJob]] = []
     feeding = asyncio.create_task(_feed(platform, day.job_period_s, jobs))
-    spans = await asyncio.gather(*(_play_trouble(platform, each) for each in day.troubles))
+    oddities = day.delays.oddities if day.delays is not None else ()
+    spans = await asyncio.gather(
+        *(_play_trouble(platform, each) for each in day.troubles),
+        play_oddities(platform, oddities),
+    )
     ended_at_s = loop.time()
     await asyncio.sleep(RECOVERY_S)
     owner = get_owner(platform)
+    if day.delays is not None:
+        drain_busiest(platform)
     await asyncio.sleep(FEED_AFTER_S - RECOVERY_S)
     feeding.cancel()
     submitted = await asyncio.gather(*jobs)
@@ -163,10 +173,14 @@
     unserved = [f"{served} of {len(late)} jobs served"] * (served < len(late) * SERVED_SHARE_MIN)
     unserved += [f"no owner {RECOVERY_S:g} s after the last trouble"] * (owner is None)
     heartbeats.cancel()
+    troubled = list(itertools.chain(*spans))
+    breaks = find_violations(platform)
+    if day.delays is not None:
+        breaks += _find_starts_on_draining_hosts(platform, troubled)
     return DayFindings(
         day.seed,
-        tuple(find_lost(list_runs(platform), list(itertools.chain(*spans)), loop.time())),
-        tuple(find_violations(platform)),
+        tuple(find_lost(list_runs(platform), troubled, loop.time())),
+        tuple(breaks),
         tuple(sorted(undone)),
         tuple(unserved),
         get_longest_gap_s(platform),
@@ -183,9 +197,23 @@
         day.nodes, day.hosts, day.reserve, day.lasting, plan, seed=day.seed
     )
     platform.store.faults.latency_spread = day.latency_spread
+    if day.delays is not None:
+        set_delays(platform, day.delays)
     return platform
 
 
+def _find_starts_on_draining_hosts(platform: PlatformStandin, troubled: list[Span]) -> list[str]:
+    """Describe the late starts on draining hosts in calm times."""
+
+    def is_calm(run: LedgerRun, span: Span) -> bool:
+        return not any(
+            from_s < span[1] and span[0] < to_s + CALM_BEFORE_S for from_s, to_s in troubled
+        )
+
+    changes = platform.host_changes.by_host
+    return find_starts_on_draining_hosts(platform.hosts.ledger.runs, changes, is_judged=is_calm)
+
+
 async def _play_trouble(platform: PlatformStandin, trouble: Trouble) -> list[Span]:
     await asyncio.sleep(trouble.at_s)
     return await bring_about(platform, trouble)
