--- a/tests/functional/test_starts_on_processes.py
+++ b/tests/functional/test_starts_on_processes.py
@@ -28,7 +28,7 @@
 BEFORE_DRAIN_S = 0.6
 ENDED_WITHIN_S = 30.0
 # Time from the draining entry for which starts are looked at.
-LOOK_S = 8.0
+LOOK_S = 20.0
 
 
 def put_odd_entries(world: SoakWorld) -> None:
