Take no machine for gone that is missing beside a malformed row

Cause: a list of machines whose only row was malformed counted as a list without all other machines, so their hosts counted as ended; the owner of one whose answers were odd too ended its eight runs and started them elsewhere.

Evidence: host_ended of i-4, reason "its machine no longer has it", 4 ms after record_malformed of the list (numbers of 400 digits), while i-4 was up and its lease had 4.1 s left; eight end_not_taken from it 2.3 s later.

--- a/src/robinthread/_internal/platform/machines.py
+++ b/src/robinthread/_internal/platform/machines.py
@@ -1,6 +1,6 @@
 """Client of the platform's machines."""
 
-import dataclasses
+import asyncio
 from collections.abc import Iterable
 from typing import Any, Final
 from urllib.parse import quote
@@ -18,6 +18,7 @@
     MachineNoAnswerError,
     MachineRefusedError,
 )
+from robinthread._internal.fleet.machine_rows import MachineRows
 from robinthread._internal.models.machine import Machine, MachineState
 from robinthread._internal.platform.platform_records import WireCapacity, parse_rack
 from robinthread._internal.telemetry.call_timer import timed_call
@@ -76,8 +77,7 @@
 class PlatformMachines:
     """The platform's machines over HTTP.
 
-    A machine whose row is malformed keeps its last sound row, as one that is down: it gets no
-    orders, and its host does not count as ended.
+    Machines may keep their last sound row where rows are malformed, see ``MachineRows``.
     """
 
     def __init__(
@@ -90,7 +90,7 @@
         self._client = client
         self._metrics = metrics
         self._malformed = None if events is None else MalformedRecords(events, "machines")
-        self._last: dict[str, Machine] = {}
+        self._rows = MachineRows()
         self._base = f"http://{address}"
 
     async def list_machines(self) -> tuple[Machine, ...]:
@@ -118,25 +118,16 @@
             raise MachineNoAnswerError(str(error)) from error
 
     def _parse_rows(self, rows: Iterable[msgspec.Raw]) -> tuple[Machine, ...]:
-        found: dict[str, Machine] = {}
-        odd: set[str] = set()
+        sound: list[Machine] = []
+        malformed: set[str] = set()
         for row in rows:
             try:
-                machine = _parse_machine(decode_json(row, _WireMachine))
-                found[machine.name] = machine
+                sound.append(_parse_machine(decode_json(row, _WireMachine)))
             except MalformedInputError as error:
                 name = _find_name(row)
-                odd.add(name)
+                malformed.add(name)
                 self._tell(name, row, error)
-        # A row without a name may be that of any machine that is missing.
-        kept = self._last.keys() if "" in odd else odd & self._last.keys()
-        found |= {
-            name: dataclasses.replace(self._last[name], state=MachineState.DOWN)
-            for name in kept
-            if name not in found
-        }
-        self._last = found
-        return tuple(found.values())
+        return self._rows.complete(sound, malformed, asyncio.get_running_loop().time())
 
     def _tell(self, name: str, row: msgspec.Raw, error: MalformedInputError) -> None:
         if self._malformed is not None:
