Give a host or a task whose starts are rejected a pause that doubles

Cause: a rejected run was forgotten and its task queued again at once, and the host that had just rejected it stayed the best one for it.

Change: a host gets no work for 0.3 s after a rejected start, doubled up to 5 s with each further pause in a row, until it confirms a start. A lease that had ended and an ended incarnation are the host's fault; for other reasons the host must have rejected two jobs in a row, so that one malformed job takes no host from others. The task, or its gang as a whole, pauses for 0.3 to 2 s and prefers other hosts afterwards. It is never failed for it. "No room", tickets and unhealthy hosts are handled as before. A lease that has ended by the host's clock is only paused for: the next report reads the clock anew.

Eight of the nine functional tests failed before; the one of a host that rejects for 1 s and is then used again held before too.

--- a/src/robinthread/_internal/jobs/scheduling.py
+++ b/src/robinthread/_internal/jobs/scheduling.py
@@ -27,7 +27,8 @@
     Tasks that are suspected of crashing hosts are placed first, on hosts of their own.  Overdue
     lasting tasks come next, as far as ``CapacityReserver`` allows.  A host that is reserved for a
     lasting task gets no task that comes later in the order.  Tasks of a workspace that has used
-    up its share of its limit are not placed, and no host is reserved for them.
+    up its share of its limit are not placed, and no host is reserved for them.  Nor are tasks
+    whose last starts were rejected, for a while.
 
     In a full pool each host and each waiting task is visited only once: hosts without capacity
     for the smallest task are skipped, and so are the other tasks of a step once one has found no
@@ -53,7 +54,9 @@
         if task.key not in pool.waiting or task.key in pool.reserved_host_ids:
             # Already placed, with its gang or as overdue, or a host is reserved for it.
             continue
-        if pool.is_withheld(task) or not fits_workspace_limit(pool, task):
+        if pool.is_withheld(task) or _is_paused(pool, task, now_s):
+            continue
+        if not fits_workspace_limit(pool, task):
             continue
         if task.key.step_key in unplaceable_steps:
             reserver.reserve_for(task, hosts)
@@ -102,6 +105,11 @@
         yield from sort_waiting(pool, now_ms)
 
 
+def _is_paused(pool: PoolJobs, task: Task, now_s: float) -> bool:
+    """Return whether a task, or its gang, gets no start for now as hosts rejected the last ones."""
+    return pool.jobs[task.key.job_id].get_crash_task(task).is_paused(now_s)
+
+
 def _can_take(pool: PoolJobs, host: Host, smallest: Resources, now_s: float) -> bool:
     """Return whether a host may start a run now and has capacity for the smallest task."""
     return smallest.fits_in(host.free) and _may_start(pool, host, now_s)
--- a/src/robinthread/_internal/jobs/task.py
+++ b/src/robinthread/_internal/jobs/task.py
@@ -2,12 +2,17 @@
 
 import math
 from dataclasses import replace
+from typing import Final
 
 from robinthread._internal.jobs.crashes import Crash
+from robinthread._internal.jobs.rejection_backoff import RejectionBackoff
 from robinthread._internal.jobs.run import Run
 from robinthread._internal.models.job_spec import StepSpec
 from robinthread._internal.models.task_key import TaskKey
 
+# Limit of the doubling pause of a task whose starts are rejected.
+REJECTION_PAUSE_MAX_S: Final = 2.0
+
 
 class Task:
     """A task: whether it is done, how often it failed, and its current runs.
@@ -19,7 +24,8 @@
     of the event loop's clock: infinite if it never ran, and minus infinite if an earlier owner
     started it.  ``crashes`` are the host crashes that the task may have caused; those of a gang
     are held by its first member.  ``checkpoint_percent`` is the progress at the last checkpoint,
-    0 if this owner does not know it.
+    0 if this owner does not know it.  ``rejections`` are those of its starts since the last
+    confirmed one, None if there are none; those of a gang are held by its first member.
     """
 
     __slots__ = (
@@ -33,6 +39,7 @@
         "last_failed_run",
         "last_run",
         "ran_until_s",
+        "rejections",
         "resources",
         "runs",
         "step",
@@ -53,6 +60,7 @@
         self.ran_until_s = math.inf
         self.checkpoint = ""
         self.checkpoint_percent = 0
+        self.rejections: RejectionBackoff | None = None
         self.runs: list[Run] = []
 
     @property
@@ -67,6 +75,16 @@
         self.runs.append(run)
         return run
 
+    def record_rejection(self, now_s: float) -> None:
+        """Record that a host rejected a start; the task gets none for a while."""
+        if self.rejections is None:
+            self.rejections = RejectionBackoff(REJECTION_PAUSE_MAX_S)
+        self.rejections.record_rejection(now_s)
+
+    def is_paused(self, now_s: float) -> bool:
+        """Return whether the task gets no start because the last ones were rejected."""
+        return self.rejections is not None and now_s < self.rejections.paused_until_s
+
     def record_last_run_time(self, run: Run, last_report_at_s: float) -> None:
         """Record until when a lasting task ran, by the last report of its host.
 
--- a/src/robinthread/_internal/node/order_sender.py
+++ b/src/robinthread/_internal/node/order_sender.py
@@ -24,12 +24,13 @@
 from robinthread._internal.node.cold_starts import take_start
 from robinthread._internal.node.order_slots import make_slots
 from robinthread._internal.node.pool_runtime import PoolRuntime, get_loop_s
-from robinthread._internal.node.start_ages import make_age_fields, record_sending
+from robinthread._internal.node.start_ages import record_sending
 from robinthread._internal.node.start_checks import (
     may_send,
     withhold_if_evacuated,
 )
 from robinthread._internal.node.start_outcome import StartOutcome
+from robinthread._internal.node.start_rejections import record_rejection, record_started
 from robinthread._internal.node.start_turns import StartTurns, wait_for_records
 
 # Number of times that a start is sent before its run is abandoned.
@@ -204,8 +205,9 @@
             host.record_response()
         except HostFencedError:
             raise
-        except RunTooOldError:
+        except RunTooOldError as error:
             # The run has already ended on the host; its next report has the outcome.
+            record_rejection(run, host, job, error, is_first=not may_have_started)
             host.record_response()
             run.settled_at_s = get_loop_s()
         except NoRoomError:
@@ -218,12 +220,14 @@
             host.health.pause(UNHEALTHY_PAUSE_S, get_loop_s())
             return self._reject(run, host, str(error), may_have_started)
         except StartRejectedError as error:
+            record_rejection(run, host, job, error, is_first=not may_have_started)
             return self._reject(run, host, f"{type(error).__name__}: {error}", may_have_started)
         except HostGoneError as error:
             if may_have_started:
                 # The run may have crashed its host.  The crash is attributed when the host's
                 # incarnation ends, with all runs that it had.
                 return StartOutcome.SETTLED
+            record_rejection(run, host, job, error, is_first=True)
             return self._reject(run, host, str(error), may_have_started=False)
         except (HostNoAnswerError, HostUnreachableError) as error:
             host.record_failure(error, get_loop_s())
@@ -242,21 +246,7 @@
                 run.sent_at_s = None
             return StartOutcome.UNSENT
         else:
-            self._runtime.jobs.confirm_start(run, get_loop_s())
-            since_accepted_ms = self._context.get_wall_ms() - job.spec.accepted_at_ms
-            self._events.metrics.record_run_start(self._runtime.pool, since_accepted_ms / 1000)
-            self._events.write(
-                "run_started",
-                job=job.id,
-                task=run.task.position,
-                run=run.number,
-                host=host.id,
-                pool=self._runtime.pool,
-                token=self._runtime.token,
-                since_accepted_ms=since_accepted_ms,
-                **make_age_fields(self._runtime, run),
-            )
-            self._runtime.log_first_start(run)
+            record_started(self._runtime, run, host, job)
         return StartOutcome.SETTLED
 
     async def _send_recorded(self, run: Run, host: Host, order: StartOrder) -> None:
