Drop a pool or the fleet after a CancelledError from inside its owner

Callers saw a pool without an open owner, or a fleet without a steward, on a node that went on and kept the ownership: with a CancelledError raised inside a steward's step the review saw no step in the 30 s after it, and with one inside the opening of a pool no open owner in 30 s.

Cause: CancelledError is no Exception. The supervisor told a cancelled task from a cancelled call inside it, but the running of an owner, of a steward and the guard of an owner's tasks caught Exception only, and so left out the drop and the release.

Change: raise_if_cancelled tells the two apart by the task's cancelling(), and all four places use it.

--- a/src/robinthread/_internal/node/node.py
+++ b/src/robinthread/_internal/node/node.py
@@ -20,6 +20,7 @@
 from robinthread._internal.node.steward import Steward
 from robinthread._internal.node.stop_budget import StopBudget
 from robinthread._internal.node.task_supervisor import TaskSupervisor
+from robinthread._internal.utils.cancellation import raise_if_cancelled
 from robinthread._internal.utils.error_text import describe_error
 from robinthread._internal.utils.waiting import wait_for_event
 
@@ -223,7 +224,8 @@
     async def _run_steward(self, steward: Steward) -> None:
         try:
             await steward.run()
-        except Exception as error:
+        except (Exception, asyncio.CancelledError) as error:
+            raise_if_cancelled(error)
             self._events.write("steward_failed", token=steward.token, **describe_error(error))
         await self._drop_steward(steward)
 
@@ -252,7 +254,8 @@
         try:
             await owner.start()
             await owner.fenced.wait()
-        except Exception as error:
+        except (Exception, asyncio.CancelledError) as error:
+            raise_if_cancelled(error)
             self._events.write(
                 "task_failed" if owner.is_open else "pool_open_failed",
                 task=f"pool/{owner.pool}",
--- a/src/robinthread/_internal/node/pool_runtime.py
+++ b/src/robinthread/_internal/node/pool_runtime.py
@@ -11,6 +11,7 @@
 from robinthread._internal.jobs.pool_jobs import PoolJobs
 from robinthread._internal.jobs.run import Run
 from robinthread._internal.node.context import NodeContext
+from robinthread._internal.utils.cancellation import raise_if_cancelled
 from robinthread._internal.utils.error_text import describe_error
 
 # A task may run for this long without contact with its pool's owner.  It must outlast a change of
@@ -133,7 +134,7 @@
 
         return call
 
-    def give_up(self, name: str, error: Exception) -> None:
+    def give_up(self, name: str, error: BaseException) -> None:
         """Fence the owner, because a task or a call of this name has raised.
 
         An unexpected error must not leave the pool partly served.  Another owner acquires the
@@ -154,7 +155,8 @@
                     "pool_fenced", pool=self.pool, token=self.token, by=type(error).__name__
                 )
             self.fenced.set()
-        except Exception as error:
+        except (Exception, asyncio.CancelledError) as error:
+            raise_if_cancelled(error)
             self.give_up(name, error)
 
 
--- a/src/robinthread/_internal/node/task_supervisor.py
+++ b/src/robinthread/_internal/node/task_supervisor.py
@@ -5,6 +5,7 @@
 from typing import Any, Final
 
 from robinthread._internal.telemetry.event_log import EventLog
+from robinthread._internal.utils.cancellation import raise_if_cancelled
 from robinthread._internal.utils.error_text import describe_error
 from robinthread._internal.utils.restart_backoff import RestartBackoff
 
@@ -82,14 +83,9 @@
 
 async def _run_to_end(work: Coroutine[Any, Any, None]) -> BaseException | None:
     """Run a coroutine; return the error that ended it, None if it returned."""
-    task = asyncio.current_task()
     try:
         await work
-    except asyncio.CancelledError as error:
-        # Work that was not cancelled from outside may have waited for something that was.
-        if task is None or task.cancelling():
-            raise
-        return error
-    except Exception as error:
+    except (Exception, asyncio.CancelledError) as error:
+        raise_if_cancelled(error)
         return error
     return None
--- a/tests/functional/test_contained_failures.py
+++ b/tests/functional/test_contained_failures.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from dataclasses import replace
+from itertools import count
 from typing import Any
 from unittest.mock import patch
 
@@ -11,6 +12,7 @@
 from robinthread._internal.models.upkeep_wave import UpkeepWave
 from robinthread._internal.node import pool_owner
 from robinthread._internal.node.pool_owner import PoolOwner
+from robinthread._internal.node.steward import Steward
 from robinthread._internal.standins.platform_standin import HOSTS, OPERATORS
 from tests.lib.event_lines import find_lines
 from tests.lib.job_platforms import (
@@ -217,3 +219,73 @@
             self.assertEqual([], find_violations(platform))
 
         run_virtual(work())
+
+
+class CancelledInsideTest(TestCase):
+    """A call inside a task raises CancelledError, although nobody cancelled the task."""
+
+    def test_fleet_whose_step_is_cancelled_inside_is_taken_again(self) -> None:
+        """Guards against a steward that is neither at work nor dropped."""
+
+        async def work() -> None:
+            steps = count()
+            real = Steward._step
+
+            async def step(steward: Steward) -> None:
+                if next(steps) == 20:
+                    raise asyncio.CancelledError("inside")
+                await real(steward)
+
+            with patch.object(Steward, "_step", step):
+                platform = await start_platform(plan_wide, nodes=2, hosts=2)
+                await asyncio.sleep(10)
+                before = next(steps)
+                await asyncio.sleep(REOPENED_MAX_S)
+                self.assertGreater(next(steps), before + 1)
+            (failed,) = read_lines(platform, "steward_failed")
+            taken = [line["token"] for line in read_lines(platform, "fleet_taken")]
+            self.assertGreater(max(taken), failed["token"])
+
+        run_virtual(work())
+
+    def test_pool_whose_opening_is_cancelled_inside_is_opened_again(self) -> None:
+        """Guards against an owner that is neither open nor dropped."""
+
+        async def work() -> None:
+            loads = count()
+            real = PoolOwner._load_progress
+
+            async def load(owner: PoolOwner) -> None:
+                if owner.pool == POOL and not next(loads):
+                    raise asyncio.CancelledError("inside")
+                await real(owner)
+
+            with patch.object(PoolOwner, "_load_progress", load):
+                platform = await start_platform(plan_wide, nodes=2, hosts=2)
+                await wait_until(lambda: get_owner(platform) is not None, limit_s=REOPENED_MAX_S)
+            failed = read_lines(platform, "pool_open_failed")
+            self.assertEqual([POOL], [line["pool"] for line in failed])
+
+        run_virtual(work())
+
+    def test_pool_whose_placing_is_cancelled_inside_is_given_up(self) -> None:
+        """Guards against an owner that goes on without one of its tasks."""
+
+        async def work() -> None:
+            platform, jobs, loading = await start_loaded()
+            real, failures = pool_owner.place_waiting, count()
+
+            def place(*args: Any) -> int:
+                if not next(failures):
+                    raise asyncio.CancelledError("inside")
+                return real(*args)
+
+            with patch.object(pool_owner, "place_waiting", place):
+                await asyncio.sleep(REOPENED_MAX_S)
+            self.assertEqual(1, len(read_lines(platform, "task_failed")))
+            await wait_until(lambda: get_owner(platform) is not None, limit_s=REOPENED_MAX_S)
+            loading.cancel()
+            self.assertEqual([], await find_unfinished(platform, "node0", jobs))
+            self.assertEqual([], find_violations(platform))
+
+        run_virtual(work())
