--- a/src/robinthread/_internal/node/pool_owner.py
+++ b/src/robinthread/_internal/node/pool_owner.py
@@ -3,22 +3,20 @@
 import asyncio
 from typing import Final
 
-from robinthread._internal.durable.job_index import IndexedJob
 from robinthread._internal.durable.journal import Journal
 from robinthread._internal.durable.settled_record import make_settled_record
 from robinthread._internal.durable.store import Partition
 from robinthread._internal.fleet.pool_report import FleetReportRequest, PoolReport
 from robinthread._internal.jobs.demand import DemandForecaster
-from robinthread._internal.jobs.job import Job
 from robinthread._internal.jobs.part_key import PartKey
 from robinthread._internal.jobs.pool_jobs import PoolJobs
-from robinthread._internal.jobs.progress import JobProgress
 from robinthread._internal.jobs.scheduling import place_waiting
 from robinthread._internal.jobs.suspects import clear_surviving_suspects
 from robinthread._internal.models.job_status import JobStatus
 from robinthread._internal.node.advice_fetcher import AdviceFetcher
 from robinthread._internal.node.context import NodeContext
 from robinthread._internal.node.hall_evacuations import HallEvacuations
+from robinthread._internal.node.job_intake import JobIntake
 from robinthread._internal.node.job_policies import JobPolicies
 from robinthread._internal.node.order_sender import OrderSender
 from robinthread._internal.node.outlook_updater import OutlookUpdater
@@ -38,7 +36,6 @@
 from robinthread._internal.node.run_monitor import RunMonitor
 from robinthread._internal.node.unsent_starts import give_back_leaving
 from robinthread._internal.node.workspace_limits import apply_workspace_limits
-from robinthread._internal.utils.error_text import describe_error
 from robinthread._internal.utils.waiting import wait_for_event
 
 PROGRESS_TOPIC: Final = "keyed.progress"
@@ -77,7 +74,6 @@
         self.pool = pool
         self.token = token
         self._partition = Partition(PROGRESS_TOPIC, partition)
-        self._progress: dict[str, JobProgress] = {}
         self._part_keys: dict[str, list[PartKey]] = {}
         self._predecessors = predecessors
         self.jobs = PoolJobs(context.policy.placement)
@@ -104,7 +100,7 @@
         self._demand = DemandForecaster(
             context.settings.bounds.machine_move_s + HOST_START_S, context.policy.demand
         )
-        self._progress_count = 0
+        self._intake = JobIntake(self._runtime, self._policies, self._demand, lambda: self.is_open)
         self._reads_operators = context.settings.bounds.evacuation_ms > 0
         self.opening = PoolOpening((OPERATORS,) if self._reads_operators else ())
         self._is_stopped = False
@@ -139,14 +135,13 @@
             return
         self.evacuations.start()
         self._is_subscribed = True
-        self._context.job_index.subscribe(self._take_job)
+        self._context.job_index.subscribe(self._intake.take)
         self._context.host_directory.subscribe(self._update_hosts)
         self._hosts.update()
         self.is_open = True
         self.opening.end()
         self._runtime.opened_at_s = get_loop_s()
-        orphans = list(self._progress.values())
-        self._progress.clear()
+        orphans = self._intake.drain_orphans()
         self._runtime.spawn(self._retention.drop_orphans(orphans, self._part_keys))
         self._part_keys = {}
         self._runtime.spawn(self._retention.run())
@@ -160,7 +155,7 @@
             token=self.token,
             job_count=len(self.jobs.jobs),
             host_count=len(self.jobs.hosts),
-            progress_count=self._progress_count,
+            progress_count=self._intake.loaded_count,
             **self.opening.make_timing_fields(),
         )
 
@@ -174,7 +169,7 @@
             return
         if self._is_subscribed:
             self._is_subscribed = False
-            self._context.job_index.unsubscribe(self._take_job)
+            self._context.job_index.unsubscribe(self._intake.take)
             self._context.host_directory.unsubscribe(self._update_hosts)
         if self.is_open:
             if is_planned and not self.fenced.is_set():
@@ -247,9 +242,8 @@
             self._context.read_inbox_to_end(),
         )
         self._predecessors.drop_settled(loaded.settled_before_token)
-        self._progress.update(loaded.jobs)
+        self._intake.load(loaded.jobs)
         self._part_keys = loaded.part_keys
-        self._progress_count = len(self._progress)
 
     async def _settle_predecessors(self) -> None:
         """Write a settled record once all leases granted by earlier owners have lapsed."""
@@ -262,67 +256,6 @@
         await asyncio.sleep(max(0.0, self.jobs.foreign_leases.over_at_s - get_loop_s()))
         await self._journal.write([make_settled_record(self.pool, self.token)])
 
-    def _take_job(self, indexed: IndexedJob) -> None:
-        """Handle a job; one that cannot be handled costs the pool its owner at most once.
-
-        The pool's next owner finds the job in its inbox and opens the pool without it.
-        """
-        try:
-            self._handle_job(indexed)
-        except Exception as error:
-            job = indexed.spec.job_id
-            if self.is_open:
-                self._runtime.give_up(f"job/{job}", error)
-            else:
-                self._events.write("job_left_out", job=job, pool=self.pool, **describe_error(error))
-
-    def _handle_job(self, indexed: IndexedJob) -> None:
-        """Add a new job to the pool, or cancel a job that has a new cancel record."""
-        spec = indexed.spec
-        if spec.pool != self.pool:
-            return
-        job = self.jobs.jobs.get(spec.job_id)
-        if job is None:
-            job = self._add_job(indexed)
-        if indexed.is_cancelled and not job.status.is_final:
-            self._events.write("job_cancelled", job=job.id, pool=self.pool)
-            self.jobs.cancel(job, self._context.get_wall_ms())
-        self.jobs.queue_due_tasks(job, self._context.get_wall_ms())
-        self._runtime.wake()
-
-    def _add_job(self, indexed: IndexedJob) -> Job:
-        spec = indexed.spec
-        progress = self._progress.pop(spec.job_id, None)
-        last_policy = None if progress is None else progress.last_policy
-        resolved = self._policies.resolve(spec, last_policy)
-        job = self.jobs.add_job(
-            spec, resolved.policy, indexed.offset, get_loop_s(), progress, resolved.source
-        )
-        job.last_policy = last_policy
-        if not job.status.is_final:
-            self.jobs.set_policy(job, resolved)
-        ranks = self._context.policy.workspaces.ranks_beyond_share
-        job.is_beyond_share = ranks and indexed.is_beyond_share
-        if progress is None:
-            self._demand.record_job(job, self.jobs.run_times, get_loop_s())
-        if job.status.is_final:
-            for task in list(job.iter_running()):
-                for run in list(task.runs):
-                    self.jobs.stop(run)
-        if not job.status.is_final:
-            self._events.write(
-                "job_taken",
-                job=job.id,
-                pool=self.pool,
-                queue=spec.queue,
-                offset=indexed.offset,
-                workspace=spec.workspace,
-                is_beyond_share=indexed.is_beyond_share,
-                config_version=spec.config_version,
-                done_count=sum(task.is_done for task in job.tasks.values()),
-            )
-        return job
-
     async def _schedule(self) -> None:
         """Place waiting tasks and send stops whenever something has changed."""
         next_tick_s = 0.0
--- a/tests/functional/test_contained_failures.py
+++ b/tests/functional/test_contained_failures.py
@@ -11,6 +11,7 @@
 from robinthread._internal.durable import job_index
 from robinthread._internal.models.upkeep_wave import UpkeepWave
 from robinthread._internal.node import pool_owner
+from robinthread._internal.node.job_intake import JobIntake
 from robinthread._internal.node.pool_owner import PoolOwner
 from robinthread._internal.node.steward import Steward
 from robinthread._internal.standins.platform_standin import HOSTS, OPERATORS
@@ -131,14 +132,14 @@
         async def work() -> None:
             platform = await start_platform(plan_wide, nodes=1, hosts=2)
             odd, *jobs = (make_job(number) for number in range(1, 5))
-            real = PoolOwner._handle_job
+            real = JobIntake._handle
 
-            def handle_job(owner: PoolOwner, indexed: Any) -> None:
-                if owner.pool == POOL and indexed.spec.job_id == odd.job_id:
+            def handle_job(intake: JobIntake, indexed: Any) -> None:
+                if intake._runtime.pool == POOL and indexed.spec.job_id == odd.job_id:
                     raise InjectedError("job")
-                real(owner, indexed)
+                real(intake, indexed)
 
-            with patch.object(PoolOwner, "_handle_job", handle_job):
+            with patch.object(JobIntake, "_handle", handle_job):
                 for job in (odd, *jobs):
                     await hand_in(platform, "node0", job)
                 await asyncio.sleep(REOPENED_MAX_S)
