Read a backlog of pages without a pause after each

What callers saw: DRAIN before the age of the list was told truly, and since then LOST: starts withheld, and jobs with nothing running for 4 s, while the list of hosts was read.

Cause: a follower paused for its period (0.35 to 0.5 s) after each page that it read, also after one that did not reach the partition's end. A page holds 128 kB at most, so a backlog is read at some 350 kB/s however fast the store is.

Entries needn't be odd: a list of a thousand hosts that are renewed in 1.5 s is some 200 kB/s.

Change: the next page is read at once while a page ends before the partition does.

--- a/src/robinthread/_internal/durable/keyed_follower.py
+++ b/src/robinthread/_internal/durable/keyed_follower.py
@@ -39,7 +39,8 @@
 
     ``apply`` receives records in the order of their offsets; its second argument is True for a
     snapshot of all remaining records, which replaces all earlier ones.  ``period_s`` is the
-    minimum time between two reads, for partitions that change continuously.  A follower that
+    minimum time between two reads, for partitions that change continuously; a page that does not
+    reach the partition's end is followed by the next one at once.  A follower that
     starts paused reads nothing until ``resume`` or ``read_to_end`` is called.
 
     ``confirmed_at_s`` is when the last read that reached the partition's end was sent, in seconds
@@ -63,6 +64,7 @@
         self._reader = NewestReader(store, partition)
         self._load_lock = asyncio.Lock()
         self._is_failing = False
+        self._is_behind = False
         self._period_s = period_s
         self._fast_period_s = 0.0
         self._fast_until_s = 0.0
@@ -92,14 +94,15 @@
             await self._resumed.wait()
             try:
                 # After a failure, a read without a wait shows at once whether the store is back.
-                skips_wait = self._period_s > 0 or self._is_failing
+                skips_wait = self._period_s > 0 or self._is_failing or self._is_behind
                 await self._follow_once(0 if skips_wait else FOLLOW_WAIT_S)
             except StoreError as error:
                 self._record_failure(error)
                 await asyncio.sleep(RETRY_PAUSE_S)
             else:
                 self._record_success()
-                await asyncio.sleep(self._get_pause_s())
+                if not self._is_behind:
+                    await asyncio.sleep(self._get_pause_s())
 
     def poll_faster(self, period_s: float, for_s: float) -> None:
         """Read at least every ``period_s`` during the next ``for_s``."""
@@ -162,7 +165,11 @@
         """Read once; return the partition's end offset, or None if a snapshot was read."""
         sent_at_s = asyncio.get_running_loop().time()
         end = await self._read_once(wait_s)
-        if end is not None and self.next_offset is not None and self.next_offset >= end:
+        if end is None or self.next_offset is None:
+            return end
+        # A page holds a limited number of bytes, so that it may end before the partition does.
+        self._is_behind = self.next_offset < end
+        if not self._is_behind:
             self._confirm(sent_at_s)
         return end
 
--- a/tests/unit/test_keyed_follower.py
+++ b/tests/unit/test_keyed_follower.py
@@ -32,6 +32,14 @@
 LARGE_READ_MAX_S = 3.0
 OUTAGE_S = 10.0
 
+# A page of the store holds 13 of these records; a store answers within some 10 ms.
+BACKLOG_RECORDS = 100
+BACKLOG_RECORD = b"x" * 10_000
+BACKLOG_RESPONSE_S = 0.01
+PERIOD_S = 0.35
+# Between the acceptance of a draining entry and the last start on its host may be 2 s.
+BACKLOG_READ_MAX_S = 1.0
+
 
 async def grow(standin: StoreStandin) -> None:
     """Change one record repeatedly, for longer than any read may take."""
@@ -215,3 +223,31 @@
             self.assertGreaterEqual(follower.confirmed_at_s, confirmed_at_s + OUTAGE_S)
 
         run_virtual(work())
+
+
+class LongBacklogTest(TestCase):
+    """Followers paused for their period after each page of a backlog of many pages."""
+
+    def test_backlog_of_many_pages_is_read_without_pauses(self) -> None:
+        self.assertLess(run_virtual(self._follow_backlog()), BACKLOG_READ_MAX_S)
+
+    async def _follow_backlog(self) -> float:
+        """Return how long a backlog took to be read."""
+        standin, applied = StoreStandin(), list[KeyedRecord]()
+        standin.faults.latency_s = BACKLOG_RESPONSE_S
+        follower = KeyedFollower(
+            standin.connect("node"),
+            PARTITION,
+            lambda records, is_snapshot: applied.extend(records),
+            EventLog("node", write=lambda line: None),
+            PERIOD_S,
+        )
+        following = asyncio.create_task(follower.run())
+        await asyncio.sleep(1)
+        for number in range(BACKLOG_RECORDS):
+            standin.put(PARTITION, f"host-{number}", BACKLOG_RECORD)
+        put_at_s = asyncio.get_running_loop().time()
+        while len(applied) < BACKLOG_RECORDS:
+            await asyncio.sleep(0.01)
+        following.cancel()
+        return asyncio.get_running_loop().time() - put_at_s
