--- a/src/robinthread/_internal/durable/keyed_follower.py
+++ b/src/robinthread/_internal/durable/keyed_follower.py
@@ -163,14 +163,15 @@
 
     async def _follow_once(self, wait_s: float) -> int | None:
         """Read once; return the partition's end offset, or None if a snapshot was read."""
-        sent_at_s = asyncio.get_running_loop().time()
+        sent_at_s, from_offset = asyncio.get_running_loop().time(), self.next_offset
         end = await self._read_once(wait_s)
         if end is None or self.next_offset is None:
             return end
-        # A page holds a limited number of bytes, so that it may end before the partition does.
-        self._is_behind = self.next_offset < end
-        if not self._is_behind:
+        if self.next_offset >= end:
             self._confirm(sent_at_s)
+        # A page holds a limited number of bytes, so that it may end before the partition does.  One
+        # without records comes from a replica that lags, and the next one may be as empty.
+        self._is_behind = (from_offset or 0) < self.next_offset < end
         return end
 
     def _confirm(self, read_at_s: float) -> None:
--- a/tests/unit/test_keyed_follower.py
+++ b/tests/unit/test_keyed_follower.py
@@ -62,6 +62,7 @@
         self._failing_page = failing_page
         self._page_max = page_max
         self._page_count = 0
+        self.read_count = 0
 
     async def read_newest(
         self, partition: Partition, after_key: str, timeout_s: float
@@ -78,6 +79,7 @@
         wait_s: float,
         timeout_s: float | None = None,
     ) -> ReadPage:
+        self.read_count += 1
         page = await super().read(partition, from_offset, wait_s, timeout_s)
         records = page.records[: self._page_max]
         return replace(page, records=records, next_offset=from_offset + len(records))
@@ -251,3 +253,22 @@
             await asyncio.sleep(0.01)
         following.cancel()
         return asyncio.get_running_loop().time() - put_at_s
+
+    def test_replica_that_lags_is_not_read_without_a_pause(self) -> None:
+        """Guards against a node that does nothing but read pages without records."""
+
+        async def work() -> None:
+            standin = StoreStandin()
+            standin.put(PARTITION, "first", b"")
+            store = FailingStore(standin, page_max=0)
+            follower = KeyedFollower(
+                store, PARTITION, ignore, EventLog("node", lambda line: None), PERIOD_S
+            )
+            await follower._follow_once(0)
+            standin.put(PARTITION, "second", b"")
+            following = asyncio.create_task(follower.run())
+            await asyncio.sleep(OUTAGE_S)
+            following.cancel()
+            self.assertLessEqual(store.read_count, OUTAGE_S / PERIOD_S + 1)
+
+        run_virtual(work())
