--- a/src/robinthread/_internal/node/pool_runtime.py
+++ b/src/robinthread/_internal/node/pool_runtime.py
@@ -36,6 +36,8 @@
     """A pool's jobs, its owner's token, and the owner's background tasks.
 
     ``has_failed`` is set if an unexpected error made the owner give the pool up.
+    ``recording_since_s`` is when the records that are being written now were sent, by the event
+    loop's clock; None while none are.
     """
 
     def __init__(
@@ -51,6 +53,7 @@
         self.unrecorded = asyncio.Event()
         self.fenced = asyncio.Event()
         self.has_failed = False
+        self.recording_since_s: float | None = None
         self.opened_at_s = math.inf
         self._has_logged_first_start = False
         self._tasks: set[asyncio.Task[Any]] = set()
--- a/src/robinthread/_internal/node/progress_recorder.py
+++ b/src/robinthread/_internal/node/progress_recorder.py
@@ -68,6 +68,7 @@
 
     async def _record(self, jobs: list[Job]) -> None:
         self._batches_started += 1
+        self._runtime.recording_since_s = get_loop_s()
         changes = self._take_all_changes(jobs)
         rejected_keys = await self._write(changes)
         rejected = [one for one in changes if _has_record(one, rejected_keys)]
@@ -75,6 +76,7 @@
             changes = [one for one in changes if not _has_record(one, rejected_keys)]
             await self._record_without_starts(rejected)
         self._batches_recorded += 1
+        self._runtime.recording_since_s = None
         recorded, self._recorded = self._recorded, asyncio.Event()
         recorded.set()
         for one in changes:
