--- a/src/robinthread/_internal/daemon/process.py
+++ b/src/robinthread/_internal/daemon/process.py
@@ -15,7 +15,6 @@
 
 from robinthread._internal.daemon.daemon import Daemon
 from robinthread._internal.daemon.environment import Environment
-from robinthread._internal.daemon.gauges import observe_daemon
 from robinthread._internal.entry.handler import make_caller_application
 from robinthread._internal.follow.host_list import ListedHost, make_http_host_list
 from robinthread._internal.operators.listener import make_operator_application
@@ -184,3 +183,15 @@
     except OSError as error:
         message = f"{key} {path} cannot be read: {error.strerror}"
         raise FaultError(make_fault(ResultCode.BAD_SETTINGS, message)) from error
+
+
+def observe_daemon(daemon: Daemon) -> None:
+    """Register the gauges of a daemon, including its three measures of waves."""
+    counters, measures = daemon.counters, daemon.measures
+    counters.register_gauge("buffer_cost_slot_s", lambda: measures.buffer_slot_s)
+    counters.register_gauge("rollout_time_s", lambda: measures.rollout_s)
+    counters.register_gauge("moves", lambda: measures.moves)
+    counters.register_gauge("log_lag_s", daemon.follower.get_lag_s)
+    counters.register_gauge("next_offset", lambda: daemon.state.next_offset)
+    counters.register_gauge("claims_held", daemon.claims.count_held)
+    counters.register_gauge("requests_running", lambda: daemon.entry.running_count)
