--- a/review/rig2/workers.py
+++ b/review/rig2/workers.py
@@ -72,7 +72,12 @@
         if used + work["cpu"] > self.machine.cpu:
             return 409, {"reason": "room"}
         key = (task, number)
-        self.running[key] = {"cpu": work["cpu"], "at_s": self.loop.time(), "stopping": False}
+        self.running[key] = {
+            "cpu": work["cpu"],
+            "work_s": work.get("work_s"),
+            "at_s": self.loop.time(),
+            "stopping": False,
+        }
         self.machine.fleet.tell("start", task=task, run=number, worker=self.id, spec=body["spec"])
         if work.get("work_s"):
             self.running[key]["timer"] = self.loop.call_later(
@@ -113,14 +118,20 @@
             ended = self.ended
             with contextlib.suppress(TimeoutError):
                 await asyncio.wait_for(ended.wait(), body["wait_ms"] / 1000)
-        now_s = self.loop.time()
         running = [
-            [task, number, "", 100 if now_s - run["at_s"] > START_UP_S else 0, 0]
+            [task, number, "", self._get_percent(run), 0]
             for (task, number), run in self.running.items()
             if not run["stopping"]
         ]
         return 200, {"running": running, "finished": self.finished[:500]}
 
+    def _get_percent(self, run: dict[str, Any]) -> int:
+        """Return the progress of a run: a lasting one is at work after a short start."""
+        ran_s = self.loop.time() - run["at_s"]
+        if run["work_s"] is None:
+            return 100 if ran_s > START_UP_S else 0
+        return min(99, int(100 * ran_s / run["work_s"]))
+
     def crash(self, how: str) -> None:
         """End this life; everything that runs here dies."""
         self.is_up = False
