--- a/review/rig2/site.py
+++ b/review/rig2/site.py
@@ -259,10 +259,11 @@
             )
             await node.start()
         for node in self.nodes:
-            await self._wait_until_ready(node)
+            await self.wait_until_ready(node)
         self.tell("ready", nodes=len(self.nodes))
 
-    async def _wait_until_ready(self, node: Node) -> None:
+    async def wait_until_ready(self, node: Node) -> None:
+        """Wait until a node calls itself ready."""
         for _ in range(150):
             if await self._is_ready(node):
                 return
