--- /dev/null
+++ b/review/rig3/__init__.py
@@ -0,0 +1,1 @@
+"""What the scripts of the third review share."""
