--- a/review/rig3/deployment.py
+++ b/review/rig3/deployment.py
@@ -328,10 +328,11 @@
     reserve: int = 0,
     entries: int = 3,
     replacement_s: float = 2.0,
+    make_world: Callable[..., SoakWorld] = SoakWorld,
 ) -> AsyncIterator[Deployment]:
     """Start the stand-ins and the entry processes; end them all afterwards."""
     with tempfile.TemporaryDirectory() as name:
-        world = SoakWorld(1, plan, WORKER_ROOM)
+        world = make_world(1, plan, WORKER_ROOM)
         world.host_replacement_s = replacement_s
         await world.start(machines, reserve)
         store = world.start_store()
@@ -350,7 +351,10 @@
             for node in nodes:
                 await node.end()
             world.close()
-            events = ("task_suspected", "suspect_started", "task_given_up", "job_failed")
+            events = (
+                *("task_suspected", "suspect_started", "task_given_up", "job_failed"),
+                *("run_stalled", "runs_stalled", "host_paused"),
+            )
             record.lines.append("log of the entries:")
             for node in nodes:
                 record.lines += [f"    {line}" for line in node.read_log(*events)]
