--- a/review/rig3/deployment.py
+++ b/review/rig3/deployment.py
@@ -238,9 +238,15 @@
         self.entries = entries
         self.record = record
 
-    async def hand_in(self, job_id: str, steps: list[dict[str, Any]], entry: int = 0) -> None:
+    async def hand_in(
+        self,
+        job_id: str,
+        steps: list[dict[str, Any]],
+        entry: int = 0,
+        times: dict[str, int] | None = None,
+    ) -> None:
         """Hand a job in, at other entries too if need be, until it is accepted."""
-        body = json.dumps({"spec": "text", "steps": steps})
+        body = json.dumps({"spec": "text", "steps": steps} | (times or {}))
         for attempt in range(20):
             node = self.entries[(entry + attempt) % len(self.entries)]
             status = await self._call(node, "POST", job_id, body)
@@ -353,7 +359,7 @@
             world.close()
             events = (
                 *("task_suspected", "suspect_started", "task_given_up", "job_failed"),
-                *("run_stalled", "runs_stalled", "host_paused"),
+                *("run_stalled", "host_paused", "pool_taken", "host_lost"),
             )
             record.lines.append("log of the entries:")
             for node in nodes:
