--- a/review/rig3/deployment.py
+++ b/review/rig3/deployment.py
@@ -202,6 +202,10 @@
             self._record.add(f"{self.name} gets {signal.Signals(number).name}")
             self._process.send_signal(number)
 
+    def get_exit_code(self) -> int | None:
+        """Return the exit code of the process, or None while it runs."""
+        return None if self._process is None else self._process.returncode
+
     async def wait_until_ready(self) -> None:
         """Wait until the process says that it is ready."""
         ends_s = time.monotonic() + READY_S
