Handle signals before a server loads its modules and until it ends

Callers saw the share of an entry host missing: SIGHUP, which says that the settings file has changed, ended a node that had been started a moment ago, and SIGTERM or SIGINT at that time ended it with an error.

Cause: the handlers were set after all modules were loaded and the settings were read. Until then a signal had its default action. At the other end, closing the event loop restored the default action some time before the process had ended.

Fix: `node`, `daemon` and `standin` set handlers before anything else is loaded. SIGTERM and SIGINT end the process with 0, as it has accepted nothing; a node ignores SIGHUP, as its settings are yet to be read. The event loop's handlers are set before the settings are read, so a change in between is read again. A server ends its process from within the event loop, while signals are still handled.

The soak no longer excuses an end before the first log line: only a signal that the kernel shows as not handled yet does, and it also reports processes that end by themselves, not only at a planned stop. Each restart in a soak is followed by SIGHUP within a second.

--- a/src/robinthread/__main__.py
+++ b/src/robinthread/__main__.py
@@ -2,15 +2,23 @@
 
 import os
 import sys
-from pathlib import Path
 
-from robinthread._internal.cli.main import run_command_line
+from robinthread._internal.utils.startup_signals import set_startup_handlers
 
 BOOTSTRAP_MODULE = "_bootstrap"
+NODE_VERB = "node"
+# Verbs that run until they are stopped; the others keep the default actions of signals.
+SERVER_VERBS = frozenset({NODE_VERB, "daemon", "standin"})
 
 
 def main() -> int:
     """Run the command line and return the process's exit code."""
+    verb = sys.argv[1] if len(sys.argv) > 1 else ""
+    if verb in SERVER_VERBS:
+        set_startup_handlers(can_reload=verb == NODE_VERB)
+    # This loads most modules, so it comes after the handlers.
+    from robinthread._internal.cli.main import run_command_line
+
     return run_command_line(sys.argv[1:])
 
 
@@ -22,8 +30,8 @@
     code, 3 MB for the daemon's lifetime.
     """
     if BOOTSTRAP_MODULE in sys.modules and sys.argv[1:2] == ["daemon"]:
-        packages = Path(__file__).resolve().parent.parent
-        environment = os.environ | {"PYTHONPATH": str(packages)}
+        packages = os.path.dirname(os.path.dirname(os.path.realpath(__file__)))
+        environment = os.environ | {"PYTHONPATH": packages}
         arguments = [sys.executable, "-OO", "-m", "robinthread", *sys.argv[1:]]
         os.execve(sys.executable, arguments, environment)
     sys.exit(main())
--- a/src/robinthread/_internal/commands/node.py
+++ b/src/robinthread/_internal/commands/node.py
@@ -1,7 +1,5 @@
 """Run a node on the company platform."""
 
-import os
-import sys
 from typing import NoReturn
 
 from tornado.web import Application
@@ -11,7 +9,7 @@
 from robinthread._internal.results import FaultError
 from robinthread._internal.settings.policy_settings import PolicySettings
 from robinthread._internal.telemetry.node_metrics import NodeMetrics
-from robinthread._internal.utils.event_loop import run_process
+from robinthread._internal.utils.event_loop import run_server
 from robinthread._internal.utils.files import read_text
 
 
@@ -22,20 +20,9 @@
     """
     path = get_settings_path()
     policy = _read_policy(policy_path) if policy_path else PolicySettings()
-    run_process(
+    run_server(
         run_node(lambda: read_node_settings(path), metrics_port, _start_metrics_export, policy)
     )
-    _end_process()
-
-
-def _end_process() -> NoReturn:
-    """End the process with 0 and leave its memory to the system.
-
-    The interpreter would visit each object first, which takes time in proportion to the jobs.
-    """
-    sys.stdout.flush()
-    sys.stderr.flush()
-    os._exit(0)
 
 
 def _read_policy(path: str) -> PolicySettings:
--- a/src/robinthread/_internal/node/process.py
+++ b/src/robinthread/_internal/node/process.py
@@ -47,6 +47,7 @@
 from robinthread._internal.utils.listener import listen
 from robinthread._internal.utils.listener_limits import ListenerPolicy
 from robinthread._internal.utils.memory import trim_heap
+from robinthread._internal.utils.startup_signals import STOP_SIGNALS
 
 # Connections to the store: one for each partition that is followed, and some for appends.
 STORE_CONNECTIONS_MAX: Final = 64
@@ -89,18 +90,15 @@
     If ``metrics_port`` is set, the application that ``start_metrics_export`` returns serves metrics
     on it from ``METRICS_DELAY_S`` after the start.
     """
+    stopped = asyncio.Event()
+    _handle_signals(stopped, lambda: holder.reload("signal"))
     settings = read_settings()
     writer = LineWriter()
     metrics = NodeMetrics(get_meter("robinthread"))
     metrics.register_gauge("lines_lost", "by", lambda: {"slow reader": writer.lost_count})
     events = EventLog(settings.name, writer.write, metrics)
     bridge_libraries(events)
-    loop = asyncio.get_running_loop()
-    stopped = asyncio.Event()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, stopped.set)
     holder = SettingsHolder(settings, read_settings, events)
-    loop.add_signal_handler(signal.SIGHUP, holder.reload, "signal")
     peer_address = f"{settings.ip}:{settings.peer_ports[0]}"
     capacity_millicores = get_capacity_millicores(settings.cpu_cores, settings.link_mbps)
     me = Member(
@@ -145,6 +143,18 @@
     await stop_node(assembled, servers, requests, grace_s, events)
 
 
+def _handle_signals(stopped: asyncio.Event, reload: Callable[[], None]) -> None:
+    """Set ``stopped`` on SIGTERM and SIGINT, and call ``reload`` on SIGHUP.
+
+    Both happen at the caller's next ``await`` at the earliest.  Handlers that are set before the
+    settings are read miss no change of them.
+    """
+    loop = asyncio.get_running_loop()
+    for number in STOP_SIGNALS:
+        loop.add_signal_handler(number, stopped.set)
+    loop.add_signal_handler(signal.SIGHUP, reload)
+
+
 def make_environment(
     settings: NodeSettings, events: EventLog, policy: PolicySettings
 ) -> NodeEnvironment:
--- a/src/robinthread/_internal/node/stopping.py
+++ b/src/robinthread/_internal/node/stopping.py
@@ -48,8 +48,7 @@
     """
     lag_s = assembled.lag.lag_s
     loop = asyncio.get_running_loop()
-    # At the end of the process, the event loop cancels all tasks and waits for them: without this
-    # timer, it would wait for a task that does not end until the kill.
+    # Whatever the rest waits for, the process ends before it is killed.
     loop.call_later(max(0.0, grace_s * FORCED_END_SHARE - lag_s), _end_at_once, events)
     budget = StopBudget(grace_s, lag_s, events)
     events.write("stopping", grace_s=grace_s, budget_ms=round(budget.budget_s * 1000))
--- a/src/robinthread/_internal/utils/event_loop.py
+++ b/src/robinthread/_internal/utils/event_loop.py
@@ -7,11 +7,13 @@
 """
 
 import asyncio
+import os
 import selectors
+import sys
 import time
 from collections.abc import Callable, Coroutine
 from dataclasses import dataclass
-from typing import Any, TypeVar
+from typing import Any, NoReturn, TypeVar
 
 T = TypeVar("T")
 
@@ -51,3 +53,21 @@
     """Run a process's main coroutine to completion and return its result."""
     with asyncio.Runner(loop_factory=ProcessLoop) as runner:
         return runner.run(main)
+
+
+def run_server(main: Coroutine[Any, Any, None]) -> NoReturn:
+    """Run a server's main coroutine to completion, then end the process with 0.
+
+    The process ends while its event loop still handles signals: closing the loop would restore
+    their default action, which ends a process with an error.  Its memory is left to the system:
+    the interpreter would visit each object first, which takes time in proportion to the jobs.
+    """
+    run_process(_run_and_end(main))
+    raise AssertionError("the process has not ended")
+
+
+async def _run_and_end(main: Coroutine[Any, Any, None]) -> NoReturn:
+    await main
+    sys.stdout.flush()
+    sys.stderr.flush()
+    os._exit(0)
--- a/tests/functional/test_node_stop.py
+++ b/tests/functional/test_node_stop.py
@@ -4,7 +4,6 @@
 import json
 import os
 import signal
-import socket
 import sys
 import tempfile
 import time
@@ -18,27 +17,9 @@
 from robinthread._internal.platform.platform_records import PLATFORM_RECORDS
 from robinthread._internal.standins.store_standin import StoreStandin
 from tests.lib.job_platforms import QUEUE
+from tests.lib.node_settings import find_free_ports, format_settings
 from tests.lib.store_server import serve_store
 
-SETTINGS = """
-node = "n0"
-ip = "127.0.0.1"
-zone = "hall"
-port_range = [{peer}, {peer}]
-
-[listen]
-front = "127.0.0.1:{front}"
-ready = "127.0.0.1:{ready}"
-
-[bounds]
-grace_s = {grace_s}
-
-[platform]
-address = "{store}"
-
-[cloud]
-address = "127.0.0.1:1"
-"""
 POOLS = ("press", "bindery", "reserve")
 CONFIG = {
     "version": 1,
@@ -248,11 +229,10 @@
         json.dumps(CONFIG).encode(),
     )
     server, address = serve_store(store)
-    ports = find_free_ports(3)
+    ports = find_free_ports()
     with tempfile.TemporaryDirectory() as folder:
         path = Path(folder) / "node.toml"
-        names = dict(zip(("peer", "front", "ready"), ports, strict=True))
-        path.write_text(SETTINGS.format(grace_s=grace_s, store=address, **names))
+        path.write_text(format_settings(ports, grace_s, address))
         process = await asyncio.create_subprocess_exec(
             sys.executable,
             *command,
@@ -260,7 +240,7 @@
             stdout=asyncio.subprocess.PIPE,
         )
         try:
-            node = NodeProcess(process, store, names["front"])
+            node = NodeProcess(process, store, ports.front)
             for _ in POOLS if until == "pool_opened" else (until,):
                 await node.read(until)
             yield node
@@ -269,14 +249,3 @@
                 process.kill()
                 await process.wait()
             server.stop()
-
-
-def find_free_ports(count: int) -> list[int]:
-    """Return ports that are free at present."""
-    sockets = [socket.socket() for _ in range(count)]
-    for opened in sockets:
-        opened.bind(("127.0.0.1", 0))
-    ports = [opened.getsockname()[1] for opened in sockets]
-    for opened in sockets:
-        opened.close()
-    return ports
--- a/tests/lib/soak/node_process.py
+++ b/tests/lib/soak/node_process.py
@@ -33,12 +33,17 @@
 """
 GRACE_S = 6.0
 CALLERS_PORT = 7001
+# Signals that end a process that does not handle them, among those that a soak sends.
+ENDING_SIGNALS = (signal.SIGHUP, signal.SIGTERM)
+# The masks of ignored and of handled signals in a process's status.
+HANDLED_FIELDS = ("SigIgn:", "SigCgt:")
 
 
 class NodeProcess:
     """A node: its process, if it is running, and its proxies to the store and to the machines.
 
-    ``stop_faults`` lists planned stops that exceeded the grace period or exited with an error.
+    ``stop_faults`` lists planned stops that exceeded the grace period or exited with an error, and
+    processes that ended by themselves.
     """
 
     def __init__(
@@ -62,7 +67,8 @@
         self._clock = folder / f"{name}.clock"
         self._settings = folder / f"{name}.toml"
         self._log = folder / f"{name}.log"
-        self._log_start_bytes = 0
+        # Whether a signal was sent that the process, which was just started, did not handle yet.
+        self._got_unhandled = False
         self._process: asyncio.subprocess.Process | None = None
 
     @property
@@ -87,7 +93,7 @@
         """Start a process unless one exists."""
         if self._process is not None:
             return
-        self._log_start_bytes = self._log.stat().st_size if self._log.exists() else 0
+        self._got_unhandled = False
         with self._log.open("ab") as log:
             self._process = await asyncio.create_subprocess_exec(
                 *(sys.executable, "-m", "tests.lib.soak.stepped_clock", str(self._clock)),
@@ -99,18 +105,32 @@
     def signal(self, number: int) -> None:
         """Send a signal if the process is running."""
         if self._process is not None and self._process.returncode is None:
+            self._got_unhandled |= number in ENDING_SIGNALS and not self._handles(number)
             self._process.send_signal(number)
 
     def step_clock(self, step_s: float) -> None:
         """Set the offset in seconds of the node's wall clock."""
         self._clock.write_text(str(step_s))
 
-    def _has_logged(self) -> bool:
-        """Return whether the process has logged a line: from then on it handles signals."""
-        return self._log.stat().st_size > self._log_start_bytes
+    def _handles(self, number: int) -> bool:
+        """Return whether the process handles or ignores a signal; also if it is gone."""
+        assert self._process is not None
+        try:
+            lines = Path(f"/proc/{self._process.pid}/status").read_text().splitlines()
+        except OSError:
+            return True
+        masks = (int(line.split()[1], 16) for line in lines if line.startswith(HANDLED_FIELDS))
+        return any(mask >> (number - 1) & 1 for mask in masks)
+
+    def _check_end(self) -> None:
+        """Report a process that has ended with an error, unless a signal came too early for it."""
+        code = None if self._process is None else self._process.returncode
+        if code and not self._got_unhandled:
+            self.stop_faults.append(f"{self.name} ended with {code}")
 
     async def kill(self) -> None:
         """Kill the process and wait for its end."""
+        self._check_end()
         process, self._process = self._process, None
         if process is not None and process.returncode is None:
             process.kill()
@@ -125,8 +145,6 @@
         self.signal(signal.SIGTERM)
         try:
             await asyncio.wait_for(process.wait(), GRACE_S)
-            if process.returncode and process is self._process and self._has_logged():
-                self.stop_faults.append(f"{self.name} ended with {process.returncode}")
         except TimeoutError:
             self.stop_faults.append(f"{self.name} had not ended after {GRACE_S} s")
         finally:
--- a/tests/lib/soak/troubles.py
+++ b/tests/lib/soak/troubles.py
@@ -14,6 +14,8 @@
 # Time between the end of a killed or stopped process and its restart.
 RESTART_DELAY_S = 0.5
 ROLL_GAP_S = 1.0
+# A process that was started gets SIGHUP within this time.
+RELOAD_WITHIN_S = 1.0
 # One range is shorter than the leases of 4 s; the other reaches beyond the longest time for
 # which an owner continues without the store.
 LENGTHS_S = ((0.2, 3.0), (3.0, 9.0))
@@ -74,14 +76,15 @@
     node = nodes[trouble.target % len(nodes)]
     match trouble.kind:
         case SoakKind.KILL:
-            await _restart(node, is_planned=False)
+            await _restart(node, trouble.for_s, is_planned=False)
         case SoakKind.KILL_ALL:
-            await asyncio.gather(*(_restart(each, is_planned=False) for each in nodes))
+            restarts = (_restart(each, trouble.for_s, is_planned=False) for each in nodes)
+            await asyncio.gather(*restarts)
         case SoakKind.STOP:
-            await _restart(node, is_planned=True)
+            await _restart(node, trouble.for_s, is_planned=True)
         case SoakKind.ROLL:
             for each in nodes:
-                await _restart(each, is_planned=True)
+                await _restart(each, trouble.for_s, is_planned=True)
                 await asyncio.sleep(ROLL_GAP_S)
         case SoakKind.PAUSE:
             await _pause(node, trouble.for_s)
@@ -109,12 +112,16 @@
     return node.machines if trouble.kind is SoakKind.MACHINES_HELD else node.store
 
 
-async def _restart(node: NodeProcess, *, is_planned: bool) -> None:
+async def _restart(node: NodeProcess, for_s: float, *, is_planned: bool) -> None:
+    """Restart a process, and have it reload its settings at a moment of its start."""
     if node.is_stopping:
         return
     await (node.stop() if is_planned else node.kill())
     await asyncio.sleep(RESTART_DELAY_S)
     await node.start()
+    await asyncio.sleep(for_s % RELOAD_WITHIN_S)
+    if node.is_up:
+        node.signal(signal.SIGHUP)
 
 
 async def _pause(node: NodeProcess, for_s: float) -> None:
