Take occurrences that an earlier owner began for opened

Callers saw tasks of a scheduled job run again, some as run 1 once more, after they had ended as done and note had been taken of that: after a planned stop of their pool's owner, after a kill of it, and under an owner whose clock was behind.

Cause: an owner counted as opened only what it had opened itself, as a prefix of the occurrences. Those that an earlier owner had started tasks of were restored, but opened again only when they were due by the owner's clock and `OpenLimit` allowed it. One that ended before was retired, its tasks were dropped from memory, and then it was opened: its tasks were made anew, not done and without runs. Limits and forecasts left such occurrences out as well.

Fix: a job keeps the set of occurrences that are opened; the record of a started task opens its occurrence for the next owner. Those before it without a started task stay closed until they are due and the limit allows them. Counts of what is open follow from that set. A task of a retired occurrence is done, whoever asks.

--- a/src/robinthread/_internal/jobs/job.py
+++ b/src/robinthread/_internal/jobs/job.py
@@ -26,10 +26,9 @@
     while there are any, no other task of the job is started.  A job that ``is_beyond_share``
     comes after all others, and one that ``is_held_back`` starts nothing.  ``last_policy`` is the
     policy to store with the progress.  ``changed`` are the tasks whose latest state is not recorded
-    yet.  An occurrence is ``retired`` once its tasks are done and recorded; they are no longer
-    kept.  ``open_occurrence_count`` is the number of those before ``next_occurrence`` that are not
-    done.  ``is_split`` and ``recorded_parts`` tell how the job's progress is stored, see
-    ``ProgressPart``.
+    yet.  An occurrence is opened by this owner, or by an earlier one that started a task of it.
+    It is ``retired`` once its tasks are done and recorded; they are no longer kept.  ``is_split``
+    and ``recorded_parts`` tell how the job's progress is stored, see ``ProgressPart``.
     """
 
     def __init__(
@@ -50,8 +49,6 @@
         self.has_begun = False
         self.is_beyond_share = False
         self.is_held_back = False
-        self.next_occurrence = 0
-        self.open_occurrence_count = 0
         self.confirmed_crash_tasks: set[TaskKey] = set()
         self.tasks: dict[TaskKey, Task] = {}
         self.changed: dict[TaskKey, Task] = {}
@@ -60,6 +57,8 @@
         self.recorded_parts: set[PartKey] = set()
         self.retired_run_count = 0
         self.retired_failure_count = 0
+        # Those that are done were opened before, and those that are retired are done.
+        self._opened = OccurrenceSet()
         self._done_occurrences = OccurrenceSet()
         self._done_step_counts: Counter[int] = Counter()
         self._first_task_numbers = tuple(
@@ -85,6 +84,16 @@
         """Return how many times the job's steps run."""
         return max(1, self.spec.occurrence_count)
 
+    @property
+    def next_occurrence(self) -> int:
+        """Return the first occurrence that is not opened."""
+        return self._opened.find_missing(0)
+
+    @property
+    def open_occurrence_count(self) -> int:
+        """Return the number of occurrences that are open and not done."""
+        return len(self._opened) - len(self._done_occurrences)
+
     @property
     def open_task_count(self) -> int:
         """Return the number of tasks of the occurrences that are open and not done."""
@@ -126,10 +135,11 @@
         return tasks
 
     def get_task(self, key: TaskKey) -> Task:
-        """Return a task, created on first use."""
+        """Return a task, created on first use; one of a retired occurrence is done."""
         task = self.tasks.get(key)
         if task is None:
             task = self.tasks[key] = Task(key, self.spec.steps[key.step])
+            task.is_done = key.occurrence in self.retired
         return task
 
     def get_crash_task(self, task: Task) -> Task:
@@ -173,7 +183,6 @@
         self._done_step_counts[occurrence] += 1
         if self._done_step_counts[occurrence] == len(self.spec.steps):
             self._done_occurrences.add(occurrence)
-            self.open_occurrence_count -= occurrence < self.next_occurrence
 
     def retire(self, occurrences: Iterable[int]) -> list[int]:
         """Drop the tasks of those occurrences that are done and have no run; return these."""
@@ -189,9 +198,8 @@
     def restore_retired(self, ranges: Iterable[tuple[int, int]]) -> None:
         """Mark occurrences as retired that an earlier owner recorded as such."""
         ranges = tuple(ranges)
-        self.retired.add_ranges(ranges)
-        self._done_occurrences.add_ranges(ranges)
-        self.next_occurrence = self.retired.find_missing(self.next_occurrence)
+        for occurrences in (self._opened, self._done_occurrences, self.retired):
+            occurrences.add_ranges(ranges)
 
     def _has_runs(self, occurrence: int) -> bool:
         return any(
@@ -231,20 +239,16 @@
 
     def iter_open_occurrences(self) -> Iterator[int]:
         """Iterate over the occurrences that are open and not done."""
-        return self._done_occurrences.iter_missing(self.next_occurrence)
+        return self._opened.iter_without(self._done_occurrences)
 
     def is_next_due(self, now_ms: int) -> bool:
         """Return whether there is another occurrence to be opened, and it is due."""
         is_left = self.next_occurrence < self.occurrence_count
         return is_left and self.get_due_ms(self.next_occurrence) <= now_ms
 
-    def open_next(self) -> int:
-        """Open the next occurrence, and return its number."""
-        occurrence = self.next_occurrence
-        self.open_occurrence_count += occurrence not in self._done_occurrences
-        # Retired occurrences have no tasks.
-        self.next_occurrence = self.retired.find_missing(occurrence + 1)
-        return occurrence
+    def open(self, occurrence: int) -> None:
+        """Open an occurrence, unless it is open or was before."""
+        self._opened.add(occurrence)
 
     def get_members(self, task: Task) -> list[Task]:
         """Return the members of a task's gang, or only the task if it has none."""
--- a/src/robinthread/_internal/jobs/pool_jobs.py
+++ b/src/robinthread/_internal/jobs/pool_jobs.py
@@ -110,6 +110,7 @@
                 self._get_host(run.host_id).add_run(run, task.step.resources)
                 self.workspaces.record_start(spec.workspace, task.step.charged_resources)
         self.crash_tracker.resume_trials(job)
+        self._queue_open_steps(job)
         return job
 
     def open_due_jobs(self, now_ms: int) -> None:
@@ -129,7 +130,9 @@
                 if not limit.allows(job):
                     return
                 limit.record_opened(job)
-            self._queue_steps(job, job.open_next(), range(len(job.spec.steps)))
+            occurrence = job.next_occurrence
+            job.open(occurrence)
+            self._queue_steps(job, occurrence, range(len(job.spec.steps)))
 
     def _make_open_limit(self) -> OpenLimit:
         return make_open_limit(self.jobs.values(), self.waiting)
--- a/src/robinthread/_internal/jobs/progress.py
+++ b/src/robinthread/_internal/jobs/progress.py
@@ -193,6 +193,7 @@
     for row in progress.tasks:
         key = TaskKey(job.id, row.occurrence, row.step, row.index)
         if job.has_task(key):
+            job.open(key.occurrence)
             _restore_task(job, job.get_task(key), row, incarnations)
 
 
