Register a node's gauges in a function of their own

No gauge changes: the names and sources are the same ones, and the tests of telemetry and of a node's stop pass.

--- a/src/robinthread/_internal/node/process.py
+++ b/src/robinthread/_internal/node/process.py
@@ -95,7 +95,6 @@
     settings = read_settings()
     writer = LineWriter()
     metrics = NodeMetrics(get_meter("robinthread"))
-    metrics.register_gauge("lines_lost", "by", lambda: {"slow reader": writer.lost_count})
     events = EventLog(settings.name, writer.write, metrics)
     bridge_libraries(events)
     holder = SettingsHolder(settings, read_settings, events)
@@ -116,18 +115,7 @@
         capacity_millicores=capacity_millicores,
     )
     assembled = assemble_node(holder, make_environment(settings, events, policy), me)
-    metrics.register_gauge("loop_lag_seconds", "of", lambda: {"event loop": assembled.lag.lag_s})
-    metrics.register_gauge("pool_state", "pool", assembled.status_reporter.read_states)
-    metrics.register_gauge(
-        "lasting_away", "pool", assembled.status_reporter.count_lasting_not_running
-    )
-    metrics.register_gauge("unsent_starts", "pool", assembled.status_reporter.count_unsent_starts)
-    metrics.register_gauge(
-        "workspace_part", "pool_and_workspace", assembled.status_reporter.read_workspace_parts
-    )
-    metrics.register_gauge("follower_age_seconds", "topic", assembled.views.read_ages)
-    metrics.register_gauge("follower_offset", "topic", assembled.views.read_offsets)
-    register_evacuation_gauges(metrics, assembled.owned)
+    _register_gauges(metrics, writer, assembled)
     requests = OpenRequests()
     policies = make_listener_policies(
         settings.limits, OWN_CONNECTIONS_MAX, assembled.config_holder, make_refusal_body, events
@@ -155,6 +143,19 @@
     loop.add_signal_handler(signal.SIGHUP, reload)
 
 
+def _register_gauges(metrics: NodeMetrics, writer: LineWriter, assembled: AssembledNode) -> None:
+    reporter, views = assembled.status_reporter, assembled.views
+    metrics.register_gauge("lines_lost", "by", lambda: {"slow reader": writer.lost_count})
+    metrics.register_gauge("loop_lag_seconds", "of", lambda: {"event loop": assembled.lag.lag_s})
+    metrics.register_gauge("pool_state", "pool", reporter.read_states)
+    metrics.register_gauge("lasting_away", "pool", reporter.count_lasting_not_running)
+    metrics.register_gauge("unsent_starts", "pool", reporter.count_unsent_starts)
+    metrics.register_gauge("workspace_part", "pool_and_workspace", reporter.read_workspace_parts)
+    metrics.register_gauge("follower_age_seconds", "topic", views.read_ages)
+    metrics.register_gauge("follower_offset", "topic", views.read_offsets)
+    register_evacuation_gauges(metrics, assembled.owned)
+
+
 def make_environment(
     settings: NodeSettings, events: EventLog, policy: PolicySettings
 ) -> NodeEnvironment:
