Keep open occurrences of a job as a set, and open none that is done

Ended jobs are skipped before that check.

OccurrenceSet.iter_missing has no caller left and is gone, with the one assertion on it; the test still compares the set by membership, ranges, length and find_missing.

--- a/src/robinthread/_internal/jobs/job.py
+++ b/src/robinthread/_internal/jobs/job.py
@@ -26,9 +26,10 @@
     while there are any, no other task of the job is started.  A job that ``is_beyond_share``
     comes after all others, and one that ``is_held_back`` starts nothing.  ``last_policy`` is the
     policy to store with the progress.  ``changed`` are the tasks whose latest state is not recorded
-    yet.  An occurrence is opened by this owner, or by an earlier one that started a task of it.
-    It is ``retired`` once its tasks are done and recorded; they are no longer kept.  ``is_split``
-    and ``recorded_parts`` tell how the job's progress is stored, see ``ProgressPart``.
+    yet.  An occurrence is opened by this owner, or by an earlier one that started a task of it;
+    ``next_occurrence`` is the first that is not.  It is ``retired`` once its tasks are done and
+    recorded; they are no longer kept.  ``is_split`` and ``recorded_parts`` tell how the job's
+    progress is stored, see ``ProgressPart``.
     """
 
     def __init__(
@@ -57,8 +58,8 @@
         self.recorded_parts: set[PartKey] = set()
         self.retired_run_count = 0
         self.retired_failure_count = 0
-        # Those that are done were opened before, and those that are retired are done.
-        self._opened = OccurrenceSet()
+        self.next_occurrence = 0
+        self._open_occurrences: set[int] = set()
         self._done_occurrences = OccurrenceSet()
         self._done_step_counts: Counter[int] = Counter()
         self._first_task_numbers = tuple(
@@ -84,15 +85,10 @@
         """Return how many times the job's steps run."""
         return max(1, self.spec.occurrence_count)
 
-    @property
-    def next_occurrence(self) -> int:
-        """Return the first occurrence that is not opened."""
-        return self._opened.find_missing(0)
-
     @property
     def open_occurrence_count(self) -> int:
         """Return the number of occurrences that are open and not done."""
-        return len(self._opened) - len(self._done_occurrences)
+        return len(self._open_occurrences)
 
     @property
     def open_task_count(self) -> int:
@@ -183,6 +179,8 @@
         self._done_step_counts[occurrence] += 1
         if self._done_step_counts[occurrence] == len(self.spec.steps):
             self._done_occurrences.add(occurrence)
+            self._open_occurrences.discard(occurrence)
+            self._update_next_occurrence()
 
     def retire(self, occurrences: Iterable[int]) -> list[int]:
         """Drop the tasks of those occurrences that are done and have no run; return these."""
@@ -198,8 +196,9 @@
     def restore_retired(self, ranges: Iterable[tuple[int, int]]) -> None:
         """Mark occurrences as retired that an earlier owner recorded as such."""
         ranges = tuple(ranges)
-        for occurrences in (self._opened, self._done_occurrences, self.retired):
-            occurrences.add_ranges(ranges)
+        self._done_occurrences.add_ranges(ranges)
+        self.retired.add_ranges(ranges)
+        self._update_next_occurrence()
 
     def _has_runs(self, occurrence: int) -> bool:
         return any(
@@ -239,7 +238,7 @@
 
     def iter_open_occurrences(self) -> Iterator[int]:
         """Iterate over the occurrences that are open and not done."""
-        return self._opened.iter_without(self._done_occurrences)
+        return iter(sorted(self._open_occurrences))
 
     def is_next_due(self, now_ms: int) -> bool:
         """Return whether there is another occurrence to be opened, and it is due."""
@@ -247,8 +246,17 @@
         return is_left and self.get_due_ms(self.next_occurrence) <= now_ms
 
     def open(self, occurrence: int) -> None:
-        """Open an occurrence, unless it is open or was before."""
-        self._opened.add(occurrence)
+        """Open an occurrence, unless it is open or done."""
+        if occurrence not in self._done_occurrences:
+            self._open_occurrences.add(occurrence)
+            self._update_next_occurrence()
+
+    def _update_next_occurrence(self) -> None:
+        """Advance ``next_occurrence`` past those that are open or done."""
+        missing = self._done_occurrences.find_missing(self.next_occurrence)
+        while missing in self._open_occurrences:
+            missing = self._done_occurrences.find_missing(missing + 1)
+        self.next_occurrence = missing
 
     def get_members(self, task: Task) -> list[Task]:
         """Return the members of a task's gang, or only the task if it has none."""
--- a/src/robinthread/_internal/jobs/occurrence_set.py
+++ b/src/robinthread/_internal/jobs/occurrence_set.py
@@ -1,8 +1,8 @@
 """Set of a job's occurrences, whose size is that of the ranges in it."""
 
 from bisect import bisect_left, bisect_right
-from collections.abc import Iterable, Iterator
-from itertools import chain, groupby
+from collections.abc import Iterable
+from itertools import groupby
 
 
 class OccurrenceSet:
@@ -40,17 +40,6 @@
         position = bisect_right(self._firsts, first) - 1
         return max(first, self._ends[position]) if position >= 0 else first
 
-    def iter_without(self, other: "OccurrenceSet") -> Iterator[int]:
-        """Iterate over the occurrences in the set that are not in another one."""
-        ranges = zip(tuple(self._firsts), tuple(self._ends), strict=True)
-        return chain.from_iterable(other.iter_missing(first, end) for first, end in ranges)
-
-    def iter_missing(self, first: int, end: int) -> Iterator[int]:
-        """Iterate over the occurrences from ``first`` to before ``end`` that are not in the set."""
-        while (first := self.find_missing(first)) < end:
-            yield first
-            first += 1
-
     def _add_range(self, first: int, count: int) -> None:
         """Add a range, merged with those that it overlaps or touches."""
         end = first + count
--- a/src/robinthread/_internal/jobs/pool_jobs.py
+++ b/src/robinthread/_internal/jobs/pool_jobs.py
@@ -116,7 +116,7 @@
     def open_due_jobs(self, now_ms: int) -> None:
         """Open the due occurrences of all jobs as far as ``OpenLimit`` allows."""
         due = [
-            job for job in self.jobs.values() if job.is_next_due(now_ms) and not job.status.is_final
+            job for job in self.jobs.values() if not job.status.is_final and job.is_next_due(now_ms)
         ]
         limit = self._make_open_limit() if due else None
         for job in due:
--- a/tests/unit/test_open_limit.py
+++ b/tests/unit/test_open_limit.py
@@ -113,7 +113,6 @@
             found.add_ranges([(first, count)])
             wanted |= set(range(first, first + count))
         self.assertEqual(len(wanted), len(found))
-        self.assertEqual([n for n in range(40) if n not in wanted], list(found.iter_missing(0, 40)))
         self.assertEqual(wanted, {n for n in range(40) if n in found})
         listed = [n for first, count in found.list_ranges() for n in range(first, first + count)]
         self.assertEqual(sorted(wanted), listed)
