--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -14,6 +14,7 @@
 
 import sys
 from collections.abc import Callable
+from functools import partial
 
 from bench.back_at_size import run_back_days
 from bench.black_holes import run_black_holes
@@ -55,32 +56,38 @@
     "wave_baselines": run_wave_baselines,
     "many_waves": run_many_waves,
 }
+# Benches that take seeds, and those that take sizes as well.
+DRAWN: dict[str, Callable[..., BenchResult]] = {
+    "drawn_days": run_drawn_days,
+    "odd_days": run_odd_days,
+    "drawn_crashes": run_drawn_crashes,
+    "drawn_evacuations": run_drawn_evacuations,
+    "drawn_limits": run_drawn_limits,
+    "drawn_fixed_limits": run_drawn_fixed_limits,
+    "drawn_returns": run_drawn_returns,
+    "hidden_returns": run_hidden_returns,
+    "drawn_leases": run_drawn_leases,
+    "harsh_leases": run_harsh_leases,
+    "drawn_owners": run_drawn_owners,
+    "drawn_rooms": run_drawn_rooms,
+    "drawn_sizes": run_drawn_sizes,
+    "drawn_waves": run_drawn_waves,
+}
+SIZED: dict[str, Callable[..., BenchResult]] = {
+    "soak": run_soaks,
+    "odd_soak": run_odd_soaks,
+    "calm_soak": run_calm_soaks,
+    "back_days": run_back_days,
+}
 SIZES = ("nodes", "pools", "hosts_a_pool", "lasting_a_pool", "jobs_per_s", "length_s")
 
 
 def main(arguments: list[str]) -> int:
     """Run the named benches, or all in ``CHECKED``; return the exit code."""
     is_check = "--check" in arguments
-    long = LONG | {
-        "drawn_days": lambda: run_drawn_days(**_read_days(arguments)),
-        "odd_days": lambda: run_odd_days(**_read_days(arguments)),
-        "drawn_crashes": lambda: run_drawn_crashes(**_read_days(arguments)),
-        "drawn_evacuations": lambda: run_drawn_evacuations(**_read_days(arguments)),
-        "drawn_limits": lambda: run_drawn_limits(**_read_days(arguments)),
-        "drawn_fixed_limits": lambda: run_drawn_fixed_limits(**_read_days(arguments)),
-        "drawn_returns": lambda: run_drawn_returns(**_read_days(arguments)),
-        "hidden_returns": lambda: run_hidden_returns(**_read_days(arguments)),
-        "drawn_leases": lambda: run_drawn_leases(**_read_days(arguments)),
-        "harsh_leases": lambda: run_harsh_leases(**_read_days(arguments)),
-        "drawn_rooms": lambda: run_drawn_rooms(**_read_days(arguments)),
-        "drawn_sizes": lambda: run_drawn_sizes(**_read_days(arguments)),
-        "drawn_owners": lambda: run_drawn_owners(**_read_days(arguments)),
-        "drawn_waves": lambda: run_drawn_waves(**_read_days(arguments)),
-        "soak": lambda: run_soaks(**_read_days(arguments), sizes=_read_sizes(arguments)),
-        "odd_soak": lambda: run_odd_soaks(**_read_days(arguments), sizes=_read_sizes(arguments)),
-        "calm_soak": lambda: run_calm_soaks(**_read_days(arguments), sizes=_read_sizes(arguments)),
-        "back_days": lambda: run_back_days(**_read_days(arguments), sizes=_read_sizes(arguments)),
-    }
+    days, sizes = _read_days(arguments), _read_sizes(arguments)
+    long = LONG | {name: partial(run, **days) for name, run in DRAWN.items()}
+    long |= {name: partial(run, **days, sizes=sizes) for name, run in SIZED.items()}
     names = [name for name in arguments if not name.startswith("--")]
     unknown = [name for name in names if name not in CHECKED | long]
     if unknown:
