--- a/src/robinthread/_internal/daemon/process.py
+++ b/src/robinthread/_internal/daemon/process.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+import signal
 import ssl
 import time
 from pathlib import Path
@@ -24,7 +25,6 @@
 from robinthread._internal.telemetry.counters import Counters
 from robinthread._internal.telemetry.exporter import make_meter, make_metrics_application
 from robinthread._internal.upstream.http_client import make_http_upstream
-from robinthread._internal.utils.startup_signals import STOP_SIGNALS
 
 CONTROL_CONNECTIONS_MAX = 32
 PLATFORM_CONNECTIONS_MAX = 32
@@ -129,7 +129,7 @@
     process = DaemonProcess(settings)
     stopped = asyncio.Event()
     loop = asyncio.get_running_loop()
-    for signal_number in STOP_SIGNALS:
+    for signal_number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(signal_number, stopped.set)
     start = loop.create_task(process.start())
     logging.info(
